persimmonstep: thin whole path from document to answer

Cause: nothing existed; every further part needs a whole path to be measured on.

Change: documents with all findings and places, plans behind an atomic pointer, versions by conditional write, platform stand-in with a fault table, peer calls over jsonrpc2, the request gate with its steps, slots, static budget shares, directory answers, administration API, command line, and `dev` with four VMs on loopback.

Conclusion: the seams are set. Claims refuse, loans and health are still to be built.

--- /dev/null
+++ b/internal/process/pspool/owner.go
@@ -0,0 +1,36 @@
+package pspool
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psplan"
+)
+
+// Owner returns the VM to which a server's slots belong: the highest rendezvous hash among
+// the VMs of the server's failure domain. It is nil in a domain without VMs.
+func Owner(p *psplan.Plan, s *psplan.Server) *psplan.VM {
+	var domain []*psplan.VM
+	for _, v := range p.VMs {
+		if v.Domain.Name == s.Domain.Name {
+			domain = append(domain, v)
+		}
+	}
+	if len(domain) == 0 {
+		return nil
+	}
+	return slices.MaxFunc(domain, func(a, b *psplan.VM) int {
+		return cmp.Compare(rendezvous(a.Name, s.Name), rendezvous(b.Name, s.Name))
+	})
+}
+
+func rendezvous(vm, server psdoc.Name) uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(string(vm))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(server))
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/process/psvm/vm.go
@@ -0,0 +1,161 @@
+// Package psvm puts one entry VM together.
+//
+// The parts are made by a dependency injector in [provide]; this file starts and stops
+// them. One goroutine, that of the version follower, owns the plan; requests read it
+// through an atomic pointer.
+package psvm
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/samber/do/v2"
+
+	"persimmonstep/internal/connection/pspeer"
+	"persimmonstep/internal/process/psadmin"
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psmember"
+	"persimmonstep/internal/process/pspool"
+	"persimmonstep/internal/process/pssettings"
+	"persimmonstep/internal/request/psgate"
+	"persimmonstep/internal/version/psversion"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+)
+
+// Options are what a VM needs besides its settings.
+type Options struct {
+	// Settings are the VM's settings.
+	Settings *pssettings.Settings
+	// Listeners are its open sockets.
+	Listeners Listeners
+	// Logger takes the log lines.
+	Logger hclog.Logger
+	// LeaveWait is how long the VM goes on accepting callers after it said that it leaves;
+	// it should cover the time that callers keep directory answers.
+	LeaveWait time.Duration
+	// StopTimeout bounds the wait for running requests.
+	StopTimeout time.Duration
+}
+
+// VM is a running entry VM.
+type VM struct {
+	options  Options
+	follower *psversion.Follower
+	members  *psmember.View
+	slots    *pspool.Dispatcher
+	callers  *http.Server
+	operator *http.Server
+	running  sync.WaitGroup
+	cancel   context.CancelFunc
+}
+
+// New starts a VM and returns it with its clean-up function, which shuts it down gracefully.
+func New(ctx context.Context, o Options) (*VM, func(), error) {
+	token, err := os.ReadFile(o.Settings.TokenFile)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "read the operators' token")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	c := &cleaner{}
+	i := do.New()
+	provide(ctx, i, o, strings.TrimSpace(string(token)), c)
+	parts, err := invoke(i)
+	if err != nil {
+		cancel()
+		c.run()
+		return nil, nil, err
+	}
+	v := &VM{options: o, follower: parts.follower, members: parts.members, slots: parts.slots, cancel: cancel}
+	v.callers = newServer(parts.gate)
+	v.callers.Protocols = &http.Protocols{}
+	v.callers.Protocols.SetHTTP1(true)
+	v.callers.Protocols.SetUnencryptedHTTP2(true)
+	v.operator = newServer(parts.admin.Handler())
+	v.start(ctx, parts)
+	return v, func() {
+		v.stop()
+		c.run()
+	}, nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+func (v *VM) start(ctx context.Context, p parts) {
+	l := v.options.Listeners
+	v.running.Go(func() { p.follower.Run(ctx) })
+	v.running.Go(func() { p.hub.Serve(l.Peer) })
+	v.running.Go(func() { serve(v.callers, l.Callers) })
+	v.running.Go(func() { serve(v.operator, l.Operator) })
+	psevent.Started.Log(v.options.Logger, v.options.Settings.Name, l.Callers.Addr(), l.Peer.Addr(), l.Operator.Addr())
+}
+
+// serve ends when the server is shut down.
+func serve(s *http.Server, l net.Listener) {
+	_ = s.Serve(l)
+}
+
+// stop says that the VM leaves, serves on until callers know, and waits for running requests.
+func (v *VM) stop() {
+	o := v.options
+	psevent.Stopping.Log(o.Logger, o.Settings.Name)
+	v.members.SetLeaving(o.Settings.Name)
+	v.callers.SetKeepAlivesEnabled(false)
+	time.Sleep(o.LeaveWait)
+	ctx, cancel := context.WithTimeout(context.Background(), o.StopTimeout)
+	defer cancel()
+	if v.callers.Shutdown(ctx) != nil {
+		_ = v.callers.Close()
+	}
+	left := v.slots.InFlight()
+	_ = v.operator.Close()
+	_ = o.Listeners.Peer.Close()
+	v.cancel()
+	v.running.Wait()
+	psevent.Stopped.Log(o.Logger, o.Settings.Name, left)
+}
+
+// Version returns the configuration version in force.
+func (v *VM) Version() uint64 {
+	return v.follower.Plan().Version
+}
+
+// cleaner collects the clean-up functions of the parts.
+type cleaner struct {
+	functions []func()
+}
+
+func (c *cleaner) add(f func()) {
+	c.functions = append(c.functions, f)
+}
+
+// run cleans up in the reverse order.
+func (c *cleaner) run() {
+	for _, f := range slices.Backward(c.functions) {
+		f()
+	}
+}
+
+// parts are what a VM starts and stops itself.
+type parts struct {
+	follower *psversion.Follower
+	hub      *pspeer.Hub
+	members  *psmember.View
+	slots    *pspool.Dispatcher
+	gate     *psgate.Gate
+	admin    *psadmin.API
+}
--- /dev/null
+++ b/internal/version/pstoml/source.go
@@ -0,0 +1,117 @@
+package pstoml
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// position is a place in a file, both parts counted from 1.
+type position struct {
+	line, column int
+}
+
+// Source knows where each path of a decoded file stands, such as "routes[1].kind".
+type Source struct {
+	file      string
+	positions map[string]position
+	faulty    map[string]bool
+}
+
+// File names the file.
+func (s *Source) File() string {
+	return s.file
+}
+
+// Faulty reports whether the path's value could not be decoded and has its finding already.
+func (s *Source) Faulty(path string) bool {
+	return s.faulty[path]
+}
+
+// Finding makes a finding for a path such as "servers[2].pool".
+// A path that is absent takes the place of its nearest enclosing table.
+func (s *Source) Finding(path, message string) Finding {
+	for p := path; p != ""; p = parentPath(p) {
+		if at, found := s.positions[p]; found {
+			return s.at(at.line, at.column, message)
+		}
+	}
+	return s.at(1, 1, message)
+}
+
+func (s *Source) at(line, column int, message string) Finding {
+	return Finding{File: s.file, Line: line, Column: column, Message: message}
+}
+
+func (s *Source) markFaulty(line int) {
+	for p, at := range s.positions {
+		if at.line == line {
+			s.faulty[p] = true
+		}
+	}
+}
+
+func parentPath(path string) string {
+	if strings.HasSuffix(path, "]") {
+		if i := strings.LastIndexByte(path, '['); i >= 0 && !strings.Contains(path[i:], ".") {
+			return path[:i]
+		}
+	}
+	return path[:max(strings.LastIndexByte(path, '.'), 0)]
+}
+
+// newSource records where each path of the file stands.
+func newSource(file string, data []byte) (*Source, error) {
+	s := &Source{file: file, positions: make(map[string]position), faulty: make(map[string]bool)}
+	counts := make(map[string]int)
+	parser := &unstable.Parser{}
+	parser.Reset(data)
+	table := ""
+	for parser.NextExpression() {
+		e := parser.Expression()
+		path, at := keyPath(parser, e)
+		switch e.Kind {
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", path, counts[path])
+			counts[path]++
+			s.positions[table] = at
+		case unstable.Table:
+			table = nestedTable(path, counts)
+			s.positions[table] = at
+		case unstable.KeyValue:
+			s.positions[joinPath(table, path)] = at
+		}
+	}
+	return s, parser.Error()
+}
+
+// nestedTable puts a table such as [routes.shift] under the latest element of its array.
+func nestedTable(path string, counts map[string]int) string {
+	head, rest, found := strings.Cut(path, ".")
+	if n := counts[head]; found && n > 0 {
+		return fmt.Sprintf("%s[%d].%s", head, n-1, rest)
+	}
+	return path
+}
+
+func keyPath(parser *unstable.Parser, e *unstable.Node) (string, position) {
+	var parts []string
+	var at position
+	for it := e.Key(); it.Next(); {
+		n := it.Node()
+		if len(parts) == 0 {
+			start := parser.Shape(n.Raw).Start
+			at = position{line: start.Line, column: start.Column}
+		}
+		parts = append(parts, string(n.Data))
+	}
+	return strings.Join(parts, "."), at
+}
+
+func joinPath(table, path string) string {
+	if table == "" {
+		return path
+	}
+	return table + "." + path
+}
