--- /dev/null
+++ b/internal/process/psevent/budget.go
@@ -0,0 +1,5 @@
+package psevent
+
+func budgetEvents() []Event {
+	return nil
+}
--- /dev/null
+++ b/internal/process/psevent/health.go
@@ -0,0 +1,5 @@
+package psevent
+
+func healthEvents() []Event {
+	return nil
+}
--- /dev/null
+++ b/internal/process/psevent/measure.go
@@ -0,0 +1,5 @@
+package psevent
+
+func measureEvents() []Event {
+	return nil
+}
--- /dev/null
+++ b/internal/process/psevent/state.go
@@ -0,0 +1,5 @@
+package psevent
+
+func stateEvents() []Event {
+	return nil
+}
--- /dev/null
+++ b/internal/process/psvm/state.go
@@ -0,0 +1,38 @@
+package psvm
+
+import (
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"persimmonstep/internal/connection/pspeer"
+	"persimmonstep/internal/process/psmember"
+	"persimmonstep/internal/process/psplatform"
+	"persimmonstep/internal/process/pswithdrawal"
+	"persimmonstep/internal/request/psgate"
+	"persimmonstep/internal/version/psversion"
+)
+
+// provideState makes what outlives the VM or spreads between VMs: versions, withdrawals,
+// membership and claims.
+func provideState(i do.Injector, o Options, l *lifecycle) {
+	self := o.Settings.Name
+	do.ProvideValue(i, &pswithdrawal.Set{})
+	do.Provide(i, func(do.Injector) (*psmember.View, error) {
+		v := &psmember.View{}
+		l.onLeave(func() { v.SetLeaving(self) })
+		return v, nil
+	})
+	do.Provide(i, func(i do.Injector) (*psversion.Store, error) {
+		return &psversion.Store{Platform: do.MustInvoke[*psplatform.Client](i), Now: time.Now}, nil
+	})
+	do.Provide(i, func(i do.Injector) (*psversion.Follower, error) {
+		f := psversion.NewFollower(do.MustInvoke[*psversion.Store](i), o.Logger)
+		l.task(f.Run)
+		return f, nil
+	})
+	do.Provide(i, func(i do.Injector) (*confirmer, error) {
+		return newConfirmer(self, do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*pspeer.Hub](i)), nil
+	})
+	do.Provide(i, func(do.Injector) (psgate.Claims, error) { return unclaimed{}, nil })
+}
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,13 +18,9 @@
 	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
 
-	"persimmonstep/internal/connection/pspeer"
-	"persimmonstep/internal/process/psadmin"
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/process/psmember"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/process/pssettings"
-	"persimmonstep/internal/request/psgate"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -54,10 +49,10 @@
 type VM struct {
 	options  Options
 	follower *psversion.Follower
-	members  *psmember.View
 	slots    *pspool.Dispatcher
 	callers  *http.Server
 	operator *http.Server
+	life     *lifecycle
 	running  sync.WaitGroup
 	cancel   context.CancelFunc
 }
@@ -69,16 +64,16 @@
 		return nil, nil, errors.Wrap(err, "read the operators' token")
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	c := &cleaner{}
+	life := &lifecycle{}
 	i := do.New()
-	provide(ctx, i, o, strings.TrimSpace(string(token)), c)
+	provide(ctx, i, o, strings.TrimSpace(string(token)), life)
 	parts, err := invoke(i)
 	if err != nil {
 		cancel()
-		c.run()
+		life.cleanUp()
 		return nil, nil, err
 	}
-	v := &VM{options: o, follower: parts.follower, members: parts.members, slots: parts.slots, cancel: cancel}
+	v := &VM{options: o, follower: parts.follower, slots: parts.slots, life: life, cancel: cancel}
 	v.callers = newServer(parts.gate)
 	v.callers.Protocols = &http.Protocols{}
 	v.callers.Protocols.SetHTTP1(true)
@@ -87,7 +82,7 @@
 	v.start(ctx, parts)
 	return v, func() {
 		v.stop()
-		c.run()
+		life.cleanUp()
 	}, nil
 }
 
@@ -97,7 +92,9 @@
 
 func (v *VM) start(ctx context.Context, p parts) {
 	l := v.options.Listeners
-	v.running.Go(func() { p.follower.Run(ctx) })
+	for _, f := range v.life.tasks {
+		v.running.Go(func() { f(ctx) })
+	}
 	v.running.Go(func() { p.hub.Serve(l.Peer) })
 	v.running.Go(func() { serve(v.callers, l.Callers) })
 	v.running.Go(func() { serve(v.operator, l.Operator) })
@@ -113,8 +110,8 @@
 func (v *VM) stop() {
 	o := v.options
 	psevent.Stopping.Log(o.Logger, o.Settings.Name)
-	v.members.SetLeaving(o.Settings.Name)
 	v.callers.SetKeepAlivesEnabled(false)
+	v.life.leave()
 	time.Sleep(o.LeaveWait)
 	ctx, cancel := context.WithTimeout(context.Background(), o.StopTimeout)
 	defer cancel()
@@ -133,29 +130,3 @@
 func (v *VM) Version() uint64 {
 	return v.follower.Plan().Version
 }
-
-// cleaner collects the clean-up functions of the parts.
-type cleaner struct {
-	functions []func()
-}
-
-func (c *cleaner) add(f func()) {
-	c.functions = append(c.functions, f)
-}
-
-// run cleans up in the reverse order.
-func (c *cleaner) run() {
-	for _, f := range slices.Backward(c.functions) {
-		f()
-	}
-}
-
-// parts are what a VM starts and stops itself.
-type parts struct {
-	follower *psversion.Follower
-	hub      *pspeer.Hub
-	members  *psmember.View
-	slots    *pspool.Dispatcher
-	gate     *psgate.Gate
-	admin    *psadmin.API
-}
