psbackend: scripted faults, slots, drains and cold starts

The stand-in answered every request at once, so nothing that a failing, full or leaving backend server does could be tested or measured.

A Behaviour now gives it slots with shedding above them, a service time, latency by VM, a slow start, drain and load reports and a table of faults (hang, slow, late, half answers, close after the answer, cut, fail, shed, crash). Stats show runs, high-water marks and crashes.

--- a/internal/process/psbackend/server.go
+++ b/internal/process/psbackend/server.go
@@ -1,19 +1,18 @@
 // Package psbackend is a stand-in for a backend server.
 //
 // It answers every request with a JSON description of what it received and counts the runs
-// of each Idempotency-Key, so that tests can see what reached it and how often.
+// of each Idempotency-Key, so that tests can see what reached it and how often. A
+// [Behaviour] gives it slots, a service time, a slow start and a table of faults: answers
+// that hang, break off or come late, shed requests, crashes and drains.
 package psbackend
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"io"
 	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,29 +21,35 @@
 	"persimmonstep/internal/version/psdoc"
 )
 
-// RunsPath answers how often each Idempotency-Key ran.
-const RunsPath = "/standin/runs"
-
-// Echo is the stand-in's answer.
-type Echo struct {
-	Server     psdoc.Name          `json:"server"`
-	Workspace  string              `json:"workspace"`
-	Method     string              `json:"method"`
-	Path       string              `json:"path"`
-	Headers    map[string][]string `json:"headers"`
-	BodyBytes  int64               `json:"bodyBytes"`
-	BodySHA256 string              `json:"bodySha256"`
-}
+const (
+	readHeaderTimeout = 5 * time.Second
+	// relistenPoll is the time between two tries to listen again after a crash.
+	relistenPoll = 5 * time.Millisecond
+)
 
 // Server is one stand-in.
 type Server struct {
 	// Name is the server's name in the configuration.
 	Name psdoc.Name
-	// Address is where it listens.
+	// Address is where it listens, also after a restart.
 	Address netip.AddrPort
 
-	mutex sync.Mutex
-	runs  map[string]int
+	mutex       sync.Mutex
+	behaviour   Behaviour
+	runs        map[string]int
+	stats       Stats
+	connections map[net.Conn]struct{}
+	life        *life
+	closed      chan struct{}
+	closing     sync.Once
+	working     sync.WaitGroup
+}
+
+// life is the time from one start of the server to its end.
+type life struct {
+	server *http.Server
+	began  time.Time
+	ended  chan struct{}
 }
 
 // New starts a stand-in and returns it with its clean-up function.
@@ -53,38 +58,144 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "listen for a backend server stand-in")
 	}
-	s := &Server{Name: name, Address: l.Addr().(*net.TCPAddr).AddrPort(), runs: make(map[string]int)}
-	h := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
-	go h.Serve(l) //nolint:errcheck // ends with ErrServerClosed
-	return s, func() { _ = h.Close() }, nil
+	s := &Server{
+		Name: name, Address: l.Addr().(*net.TCPAddr).AddrPort(),
+		runs: make(map[string]int), connections: make(map[net.Conn]struct{}), closed: make(chan struct{}),
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.begin(l)
+	return s, s.close, nil
+}
+
+// close ends the server and waits for its goroutines.
+func (s *Server) close() {
+	s.closing.Do(func() { close(s.closed) })
+	s.mutex.Lock()
+	s.end()
+	s.mutex.Unlock()
+	s.working.Wait()
+}
+
+// begin serves on a listener. The mutex is held.
+func (s *Server) begin(l net.Listener) {
+	v := &life{began: time.Now(), ended: make(chan struct{})}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(v, w, r) })
+	v.server = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.track}
+	s.life = v
+	s.working.Go(func() { _ = v.server.Serve(l) })
 }
 
-// ServeHTTP runs one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	if r.URL.Path == RunsPath {
-		_ = json.NewEncoder(w).Encode(s.Runs())
+// end cuts all connections and stops listening. The mutex is held.
+func (s *Server) end() {
+	if s.life == nil {
 		return
 	}
-	h := sha256.New()
-	n, err := io.Copy(h, r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
+	close(s.life.ended)
+	// A closed listener and connections are all that is wanted, so errors don't matter.
+	_ = s.life.server.Close()
+	for c := range s.connections {
+		_ = c.Close()
+	}
+	clear(s.connections)
+	s.stats.Connections = 0
+	s.life = nil
+}
+
+func (s *Server) track(c net.Conn, state http.ConnState) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch state {
+	case http.StateNew:
+		s.connections[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.connections, c)
 	}
-	if k := r.Header.Get("Idempotency-Key"); k != "" {
-		s.mutex.Lock()
-		s.runs[k]++
-		s.mutex.Unlock()
+	s.stats.Connections = len(s.connections)
+	s.stats.ConnectionsHighWater = max(s.stats.ConnectionsHighWater, s.stats.Connections)
+}
+
+// Set replaces the behaviour.
+func (s *Server) Set(b Behaviour) {
+	b.Faults = slices.Clone(b.Faults)
+	b.LatencyFrom = maps.Clone(b.LatencyFrom)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.behaviour = b
+}
+
+// Crash cuts all connections and stops listening; the server comes back after the span.
+// A negative span keeps it down until Start.
+func (s *Server) Crash(down time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.end()
+	if down < 0 || s.isClosed() {
+		return
 	}
-	_ = json.NewEncoder(w).Encode(Echo{
-		Server: s.Name, Workspace: r.Header.Get("X-Workspace"), Method: r.Method, Path: r.URL.Path,
-		Headers: r.Header, BodyBytes: n, BodySHA256: hex.EncodeToString(h.Sum(nil)),
+	s.working.Go(func() {
+		select {
+		case <-time.After(down):
+			s.Start()
+		case <-s.closed:
+		}
 	})
 }
 
+func (s *Server) isClosed() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Start brings a crashed server back.
+func (s *Server) Start() {
+	for {
+		if s.start() {
+			return
+		}
+		select {
+		case <-time.After(relistenPoll):
+		case <-s.closed:
+			return
+		}
+	}
+}
+
+func (s *Server) start() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.isClosed() || s.life != nil {
+		return true
+	}
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Address.String())
+	if err != nil {
+		return false
+	}
+	s.begin(l)
+	return true
+}
+
 // Runs returns how often each Idempotency-Key ran.
 func (s *Server) Runs() map[string]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return maps.Clone(s.runs)
 }
+
+// Stats returns what the server did so far.
+func (s *Server) Stats() Stats {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.stats
+}
+
+// ResetStats sets the counts and high-water marks back.
+func (s *Server) ResetStats() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stats = Stats{Running: s.stats.Running, HighWater: s.stats.Running, Connections: s.stats.Connections, ConnectionsHighWater: s.stats.Connections}
+}
--- /dev/null
+++ b/internal/process/psbackend/server_test.go
@@ -0,0 +1,119 @@
+package psbackend_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"persimmonstep/internal/process/psbackend"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func start(t *testing.T, b psbackend.Behaviour) (*psbackend.Server, *http.Client) {
+	t.Helper()
+	s, stop, err := psbackend.New(t.Context(), "s1", netip.MustParseAddrPort("127.0.0.1:0"))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(stop)
+	s.Set(b)
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return s, &http.Client{Transport: transport}
+}
+
+// outcome is what a client sees of one request.
+type outcome struct {
+	status   int
+	body     string
+	err, cut bool
+}
+
+func get(ctx context.Context, c *http.Client, s *psbackend.Server, marker string) outcome {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address.String()+"/x", strings.NewReader("body"))
+	if err != nil {
+		panic(err)
+	}
+	r.GetBody = nil
+	r.Header.Set(psbackend.HeaderMarker, marker)
+	r.Header.Set("Idempotency-Key", "k")
+	a, err := c.Do(r)
+	if err != nil {
+		return outcome{err: true}
+	}
+	defer a.Body.Close() //nolint:errcheck // the body was read
+	body, err := io.ReadAll(a.Body)
+	return outcome{status: a.StatusCode, body: string(body), cut: err != nil}
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		kind   psbackend.FaultKind
+		status int
+		err    bool
+		cut    bool
+		runs   int
+	}{
+		{"", 200, false, false, 1},
+		{psbackend.FaultHang, 0, true, false, 1},
+		{psbackend.FaultSlow, 200, false, false, 1},
+		{psbackend.FaultLate, 200, false, false, 1},
+		{psbackend.FaultHalfLength, 200, false, true, 1},
+		{psbackend.FaultHalfChunked, 200, false, true, 1},
+		{psbackend.FaultCloseAfter, 200, false, false, 1},
+		{psbackend.FaultCut, 0, true, false, 1},
+		{psbackend.FaultFail, 500, false, false, 1},
+		{psbackend.FaultShed, 503, false, false, 0},
+		{psbackend.FaultCrash, 0, true, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.kind), func(t *testing.T) {
+			c := qt.New(t)
+			s, client := start(t, psbackend.Behaviour{Faults: []psbackend.Fault{{Marker: "m", Kind: tt.kind, Delay: time.Millisecond}}})
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			o := get(ctx, client, s, "m")
+			c.Assert(o.status, qt.Equals, tt.status)
+			c.Assert(o.err, qt.Equals, tt.err)
+			c.Assert(o.cut, qt.Equals, tt.cut)
+			c.Assert(s.Runs()["k"], qt.Equals, tt.runs)
+			s.Start()
+			o = get(t.Context(), client, s, "other")
+			c.Assert(o.status, qt.Equals, 200, qt.Commentf("a request that the fault does not meet"))
+		})
+	}
+}
+
+func TestSlotsShed(t *testing.T) {
+	c := qt.New(t)
+	s, client := start(t, psbackend.Behaviour{Slots: 2, ServiceTime: 200 * time.Millisecond})
+	statuses := make(chan int)
+	for range 4 {
+		go func() { statuses <- get(t.Context(), client, s, "").status }()
+	}
+	counts := make(map[int]int)
+	for range 4 {
+		counts[<-statuses]++
+	}
+	c.Assert(counts, qt.DeepEquals, map[int]int{200: 2, 503: 2})
+	c.Assert(s.Stats().HighWater, qt.Equals, 2)
+	c.Assert(s.Stats().Shed, qt.Equals, 2)
+}
+
+func TestEveryAndCount(t *testing.T) {
+	c := qt.New(t)
+	s, client := start(t, psbackend.Behaviour{Faults: []psbackend.Fault{{Kind: psbackend.FaultFail, Every: 2, Count: 2}}})
+	var got []int
+	for range 6 {
+		got = append(got, get(t.Context(), client, s, "").status)
+	}
+	c.Assert(got, qt.DeepEquals, []int{200, 500, 200, 500, 200, 200})
+}
--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -23,6 +23,8 @@
 	maxQueueWait = 500 * time.Millisecond
 	// maxConnectionsPerServer bounds this VM's connections to one backend server.
 	maxConnectionsPerServer = 32
+	// headerVia names this VM to the backend server.
+	headerVia = "Via"
 	// headerNotRun is set by a backend server that shed a request without running it.
 	headerNotRun = "X-Not-Run"
 )
@@ -137,6 +139,7 @@
 		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	out.Header.Set(headerRequestID, x.id)
+	out.Header.Set(headerVia, "1.1 "+string(x.gate.Self))
 	if x.workspace != nil {
 		out.Header.Set(headerWorkspace, string(x.workspace.Name))
 	}
