pswithdrawal: withdrawals reach every VM without the store

Cause: the set of withdrawn keys was empty on every VM and nothing spread it. Change: Withdraw honours keys at once, asks all VMs through psfanout (one call for each failure domain, whose VM answers for the others) and names those that have not confirmed. Heartbeats carry a digest of the set; a VM that hears a different one pulls it. The table keeps the set for VMs that start later; it is written when it answers. psvm's confirmer uses the same fan-out in place of one call to each VM. Conclusion: a withdrawal works with the store down; a key is never forgotten, because a VM that restarts on an older configuration would trust it anew.

--- a/internal/process/psvm/connection.go
+++ b/internal/process/psvm/connection.go
@@ -9,6 +9,7 @@
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psplatform"
+	"persimmonstep/internal/process/pswithdrawal"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -32,6 +33,7 @@
 	})
 	do.Provide(i, func(i do.Injector) (*psheartbeat.Heart, error) {
 		h := psheartbeat.New(self, do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*pspeer.Hub](i))
+		h.Add(do.MustInvoke[*pswithdrawal.Spreader](i))
 		l.task(h.Run)
 		return h, nil
 	})
--- a/internal/process/psvm/state.go
+++ b/internal/process/psvm/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/do/v2"
 
+	"persimmonstep/internal/connection/psfanout"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psmember"
 	"persimmonstep/internal/process/psplatform"
@@ -18,6 +19,22 @@
 func provideState(i do.Injector, o Options, l *lifecycle) {
 	self := o.Settings.Name
 	do.ProvideValue(i, &pswithdrawal.Set{})
+	do.Provide(i, func(i do.Injector) (*psfanout.Fanout, error) {
+		return psfanout.New(self, do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*pspeer.Hub](i)), nil
+	})
+	do.Provide(i, func(i do.Injector) (*pswithdrawal.Spreader, error) {
+		s := &pswithdrawal.Spreader{
+			Set:    do.MustInvoke[*pswithdrawal.Set](i),
+			Plans:  do.MustInvoke[*psversion.Follower](i),
+			Peers:  do.MustInvoke[*pspeer.Hub](i),
+			Fanout: do.MustInvoke[*psfanout.Fanout](i),
+			Table:  do.MustInvoke[*psplatform.Client](i),
+			Logger: o.Logger,
+		}
+		s.Start()
+		l.task(s.Run)
+		return s, nil
+	})
 	do.Provide(i, func(do.Injector) (*psmember.View, error) {
 		v := &psmember.View{}
 		l.onLeave(func() { v.SetLeaving(self) })
@@ -32,7 +49,7 @@
 		return f, nil
 	})
 	do.Provide(i, func(i do.Injector) (*confirmer, error) {
-		return newConfirmer(self, do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*pspeer.Hub](i)), nil
+		return newConfirmer(do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*psfanout.Fanout](i)), nil
 	})
 	do.Provide(i, func(do.Injector) (psgate.Claims, error) { return unclaimed{}, nil })
 }
--- a/internal/process/pswithdrawal/set.go
+++ b/internal/process/pswithdrawal/set.go
@@ -1,13 +1,16 @@
 // Package pswithdrawal keeps the set of withdrawn keys.
 //
 // The set only grows, so a withdrawal needs no agreement: a VM honours it at once and
-// passes it on over any path that is left.
+// passes it on over any path that is left. A key is never taken out again, because a VM
+// that restarts on an older configuration would trust it anew.
 package pswithdrawal
 
 import (
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"persimmonstep/internal/version/psdoc"
 )
 
@@ -15,6 +18,8 @@
 type Set struct {
 	mutex sync.Mutex
 	keys  atomic.Pointer[map[psdoc.Name]struct{}]
+	// digest does not depend on the order in which keys were added.
+	digest atomic.Uint64
 }
 
 // Has reports whether the key is withdrawn.
@@ -42,6 +47,7 @@
 		if _, found := next[k]; !found {
 			fresh = append(fresh, k)
 			next[k] = struct{}{}
+			s.digest.Store(s.digest.Load() ^ xxhash.Sum64String(string(k)))
 		}
 	}
 	if len(fresh) > 0 {
@@ -62,3 +68,13 @@
 	}
 	return out
 }
+
+// Summary returns the number of keys and a digest of them, which is the same for equal sets.
+func (s *Set) Summary() (count int, digest uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if m := s.keys.Load(); m != nil {
+		count = len(*m)
+	}
+	return count, s.digest.Load()
+}
