psadmin: keys, drains, explain, documents and their commands

Operators could apply documents but had no daily operations: no way to issue or withdraw a key, to drain one backend server, or to ask why a request goes where it goes. Keys and drains are kept in two reserved documents, issued-keys and ordered-drains, that only commands write; each command edits the latest version conditionally and tries again after a conflict, so that racing operators all succeed and operators' files stay as they are. The secret of a key never leaves the command: a VM gets its digest. A withdrawal goes to every VM and needs no platform; a document with a withdrawn key is taken with a warning and the key stays withdrawn. The API demands its token (an empty one is refused), reads the token file again while it runs, bounds calls per second, and logs each change (1011) and each refused call (1012). Commands ask the next VM when one does not answer and say with exit code 4 when an outcome is unknown.

--- a/internal/process/psadmin/version.go
+++ b/internal/process/psadmin/version.go
@@ -8,18 +8,24 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/pstoml"
 	"persimmonstep/internal/version/psversion"
 )
 
-// ApplyRequest is an operator's change of the configuration.
-type ApplyRequest struct {
-	// OperationID makes the apply idempotent.
-	OperationID string `json:"operationId" minLength:"1" maxLength:"100"`
+// Operation identifies a change and who makes it.
+type Operation struct {
+	// OperationID makes the change idempotent.
+	OperationID string `json:"operationId" minLength:"1" maxLength:"100" pattern:"^[A-Za-z0-9._-]+$"`
 	// Author names the operator.
 	Author string `json:"author" maxLength:"100"`
+}
+
+// ApplyRequest is an operator's change of the configuration.
+type ApplyRequest struct {
+	Operation
 	// Base is the version that the operator looked at; 0 takes the latest.
 	Base uint64 `json:"base,omitempty"`
 	// Put holds documents by file name.
@@ -28,7 +34,7 @@
 	Remove []psdoc.Name `json:"remove,omitempty"`
 }
 
-// ApplyOutcome says how an apply ended.
+// ApplyOutcome says how a change ended.
 type ApplyOutcome string
 
 const (
@@ -46,7 +52,7 @@
 	OutcomeUnavailable ApplyOutcome = "unavailable"
 )
 
-// ApplyResponse answers an apply.
+// ApplyResponse answers a change.
 type ApplyResponse struct {
 	Outcome   ApplyOutcome    `json:"outcome"`
 	Head      psversion.Head  `json:"head"`
@@ -54,6 +60,8 @@
 	Confirmed []psdoc.Name    `json:"confirmed,omitempty"`
 	Missing   []psdoc.Name    `json:"missing,omitempty"`
 	Detail    string          `json:"detail,omitempty"`
+	// Warnings tells what an operator may not expect of a change that was made.
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 // HistoryResponse lists versions, the newest first.
@@ -61,21 +69,8 @@
 	Versions []psversion.Head `json:"versions"`
 }
 
-// output wraps a body as huma wants it.
-type output[T any] struct {
-	Body T
-}
-
-// input wraps a body as huma wants it.
-type input[T any] struct {
-	Body T
-}
-
 func (a *API) registerVersions(h huma.API) {
-	huma.Register(h, huma.Operation{OperationID: "apply", Method: http.MethodPost, Path: "/v1/apply", Summary: "Apply documents as a whole"},
-		func(ctx context.Context, in *input[ApplyRequest]) (*output[ApplyResponse], error) {
-			return &output[ApplyResponse]{a.apply(ctx, in.Body)}, nil
-		})
+	register(h, "apply", http.MethodPost, "/v1/apply", "Apply documents as a whole", a.apply)
 	type page struct {
 		Limit int `query:"limit" default:"20" minimum:"1" maximum:"200"`
 	}
@@ -89,13 +84,54 @@
 		})
 }
 
-func (a *API) apply(ctx context.Context, r ApplyRequest) ApplyResponse {
-	head, err := a.Versions.Apply(ctx, psversion.Change{
-		OperationID: r.OperationID, Author: r.Author, Base: r.Base, Put: r.Put, Remove: r.Remove,
+// apply carries out an operator's documents together with what they make of the reserved ones.
+func (a *API) apply(ctx context.Context, r ApplyRequest) (ApplyResponse, error) {
+	out := a.tryApply(ctx, r)
+	a.audit("apply", r.Operation, "", out)
+	return out, nil
+}
+
+func (a *API) tryApply(ctx context.Context, r ApplyRequest) ApplyResponse {
+	if findings := ReservedFindings(r.Put, r.Remove); len(findings) > 0 {
+		return ApplyResponse{Outcome: OutcomeFindings, Findings: findings}
+	}
+	latest, content, err := a.latest(ctx)
+	if err != nil {
+		return applyFailure(err)
+	}
+	put, warnings := a.prune(content, r)
+	base := r.Base
+	if len(put) > len(r.Put) && base == 0 {
+		// The reserved documents were changed as this version had them.
+		base = latest.Version
+	}
+	out := a.commit(ctx, psversion.Change{
+		OperationID: r.OperationID, Author: r.Author, Base: base, Put: put, Remove: r.Remove,
 	})
+	out.Warnings = append(warnings, a.withdrawnIn(r.Put)...)
+	return out
+}
+
+// latest returns the latest version with its content.
+func (a *API) latest(ctx context.Context) (psversion.Head, *psversion.Content, error) {
+	head, err := a.Versions.Latest(ctx)
+	if err != nil {
+		return head, nil, err
+	}
+	content, err := a.Versions.Load(ctx, head)
+	return head, content, err
+}
+
+// commit applies a change and waits for the VMs.
+func (a *API) commit(ctx context.Context, c psversion.Change) ApplyResponse {
+	head, err := a.Versions.Apply(ctx, c)
 	if err != nil {
 		return applyFailure(err)
 	}
+	return a.confirm(ctx, head)
+}
+
+func (a *API) confirm(ctx context.Context, head psversion.Head) ApplyResponse {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	confirmed, missing := a.Confirmer.Confirm(ctx, head.Version)
@@ -118,3 +154,8 @@
 	}
 	return ApplyResponse{Outcome: OutcomeUnavailable, Detail: err.Error()}
 }
+
+// audit logs a change.
+func (a *API) audit(operation string, o Operation, target string, r ApplyResponse) {
+	psevent.OperatorChange.Log(a.Logger, operation, o.Author, o.OperationID, target, string(r.Outcome), r.Head.Version)
+}
--- a/internal/process/pscli/operate.go
+++ b/internal/process/pscli/operate.go
@@ -5,13 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
+	"net/netip"
 	"os"
 	"strings"
 
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psadmin"
-	"persimmonstep/internal/request/pskey"
+	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -31,6 +33,7 @@
 // checkCommand checks documents without a VM.
 type checkCommand struct {
 	Files []string `arg:"" type:"existingfile" help:"The documents (TOML)."`
+	JSON  bool     `help:"Print the findings as JSON."`
 }
 
 // Run prints every finding.
@@ -40,39 +43,54 @@
 		return err
 	}
 	_, _, findings := psversion.Merge(&psversion.Content{}, psversion.Change{Put: documents})
+	findings = append(findings, psadmin.ReservedFindings(documents, nil)...)
+	findings.Sort()
+	switch {
+	case c.JSON:
+		printJSON(s.out, findings)
+	case len(findings) > 0:
+		_, _ = fmt.Fprintln(s.out, findings.Error())
+	}
 	if len(findings) == 0 {
 		return nil
 	}
-	_, _ = fmt.Fprintln(s.out, findings.Error())
 	return &exitError{code: ExitFindings}
 }
 
 // applyCommand applies documents as a whole.
 type applyCommand struct {
-	target
-	Files     []string `arg:"" type:"existingfile" help:"The documents (TOML)."`
-	Base      uint64   `help:"Fail unless this is the latest version."`
-	Operation string   `help:"The operation's id; repeating an apply under the same id changes nothing more."`
-	JSON      bool     `help:"Print the answer as JSON."`
+	change
+	Files  []string     `arg:"" optional:"" type:"existingfile" help:"The documents (TOML)."`
+	Remove []psdoc.Name `help:"Take this document out; may be repeated."`
+	Base   uint64       `help:"Fail unless this is the latest version."`
 }
 
 // Run applies and prints the version and its confirmations.
 func (c *applyCommand) Run(ctx context.Context, s streams) error {
+	if len(c.Files) == 0 && len(c.Remove) == 0 {
+		return errors.New("apply needs a document to put in or to --remove")
+	}
 	documents, err := readDocuments(c.Files)
 	if err != nil {
 		return err
 	}
-	if c.Operation == "" {
-		c.Operation = pskey.New().Secret
-	}
+	in := psadmin.ApplyRequest{Operation: c.operation(), Base: c.Base, Put: documents, Remove: c.Remove}
+	return c.send(ctx, s, call{http.MethodPost, "/v1/apply", in}, nil)
+}
+
+// send carries out a change. The VMs are asked one after the other under the same operation
+// id until one has an outcome. Before the answer is printed, first may print what belongs to it.
+func (c *change) send(ctx context.Context, s streams, k call, first func(psadmin.ApplyResponse)) error {
 	client, err := c.client()
 	if err != nil {
 		return err
 	}
-	var out psadmin.ApplyResponse
-	in := psadmin.ApplyRequest{OperationID: c.Operation, Author: os.Getenv("USER"), Base: c.Base, Put: documents}
-	if err := client.call(ctx, "POST", "/v1/apply", in, &out); err != nil {
-		return &exitError{code: ExitUnknown, text: "persimmonstep: " + err.Error() + "; repeat with --operation " + c.Operation}
+	out, err := client.change(ctx, k)
+	if err != nil {
+		return c.unanswered(err)
+	}
+	if first != nil {
+		first(out)
 	}
 	if c.JSON {
 		printJSON(s.out, out)
@@ -82,7 +100,63 @@
 	return applyExit(out.Outcome)
 }
 
+// unclearError says that a change may have been carried out.
+type unclearError struct {
+	cause error
+}
+
+// Error gives the cause.
+func (e *unclearError) Error() string {
+	return e.cause.Error()
+}
+
+func (c *change) unanswered(err error) error {
+	var u *unclearError
+	if !errors.As(err, &u) {
+		return err
+	}
+	return &exitError{code: ExitUnknown, text: "persimmonstep: " + err.Error() + "; the outcome is unknown: repeat with --operation " + c.Operation}
+}
+
+// change asks the VMs in turn until one has a known outcome.
+func (c *client) change(ctx context.Context, k call) (psadmin.ApplyResponse, error) {
+	var out psadmin.ApplyResponse
+	var last error
+	unclear, answered := false, false
+	for _, a := range c.addresses {
+		one := &client{addresses: []netip.AddrPort{a}, token: c.token, http: c.http}
+		var next psadmin.ApplyResponse
+		lost, err := one.ask(ctx, k, &next)
+		var refused *answerError
+		if errors.As(err, &refused) && refused.final() {
+			return out, err
+		}
+		if err != nil {
+			unclear, last = unclear || lost, err
+			continue
+		}
+		answered, out = true, next
+		if next.Outcome != psadmin.OutcomeUnavailable && next.Outcome != psadmin.OutcomeUnknown {
+			return out, nil
+		}
+		unclear = unclear || next.Outcome == psadmin.OutcomeUnknown
+	}
+	switch {
+	case unclear && answered:
+		out.Outcome = psadmin.OutcomeUnknown
+		return out, nil
+	case unclear:
+		return out, &unclearError{last}
+	case answered:
+		return out, nil
+	}
+	return out, last
+}
+
 func printApply(w io.Writer, r psadmin.ApplyResponse) {
+	for _, v := range r.Warnings {
+		_, _ = fmt.Fprintln(w, "warning:", v)
+	}
 	switch r.Outcome {
 	case psadmin.OutcomeInForce, psadmin.OutcomeAccepted:
 		_, _ = fmt.Fprintf(w, "version %d\nconfirmed: %s\n", r.Head.Version, join(r.Confirmed))
@@ -97,14 +171,19 @@
 }
 
 func applyExit(o psadmin.ApplyOutcome) error {
-	codes := map[psadmin.ApplyOutcome]int{
-		psadmin.OutcomeFindings: ExitFindings, psadmin.OutcomeConflict: ExitConflict,
-		psadmin.OutcomeUnknown: ExitUnknown, psadmin.OutcomeAccepted: ExitAccepted, psadmin.OutcomeUnavailable: ExitFailed,
-	}
-	if code, found := codes[o]; found {
-		return &exitError{code: code}
-	}
-	return nil
+	switch o {
+	case psadmin.OutcomeInForce:
+		return nil
+	case psadmin.OutcomeFindings:
+		return &exitError{code: ExitFindings}
+	case psadmin.OutcomeConflict:
+		return &exitError{code: ExitConflict}
+	case psadmin.OutcomeUnknown:
+		return &exitError{code: ExitUnknown}
+	case psadmin.OutcomeAccepted:
+		return &exitError{code: ExitAccepted}
+	}
+	return &exitError{code: ExitFailed}
 }
 
 func join[T ~string](names []T) string {
@@ -120,54 +199,3 @@
 	e.SetIndent("", "  ")
 	_ = e.Encode(v)
 }
-
-// statusCommand shows what runs where.
-type statusCommand struct {
-	target
-	JSON bool `help:"Print the answer as JSON."`
-}
-
-// Run prints the status.
-func (c *statusCommand) Run(ctx context.Context, s streams) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	var out psadmin.StatusResponse
-	if err := client.call(ctx, "GET", "/v1/status", nil, &out); err != nil {
-		return err
-	}
-	if c.JSON {
-		printJSON(s.out, out)
-		return nil
-	}
-	_, _ = fmt.Fprintf(s.out, "%s has version %d\nin force: %s\nlagging or silent: %s\n", out.VM, out.Version, join(out.Confirmed), join(out.Missing))
-	return nil
-}
-
-// historyCommand shows who changed what.
-type historyCommand struct {
-	target
-	Limit int  `default:"20" help:"The number of versions."`
-	JSON  bool `help:"Print the answer as JSON."`
-}
-
-// Run prints the history.
-func (c *historyCommand) Run(ctx context.Context, s streams) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	var out psadmin.HistoryResponse
-	if err := client.call(ctx, "GET", fmt.Sprintf("/v1/history?limit=%d", c.Limit), nil, &out); err != nil {
-		return err
-	}
-	if c.JSON {
-		printJSON(s.out, out)
-		return nil
-	}
-	for _, h := range out.Versions {
-		_, _ = fmt.Fprintf(s.out, "%d  %s  %s  %s  %s\n", h.Version, h.Time.Format("2006-01-02T15:04:05Z07:00"), h.Author, h.OperationID, join(h.Changed))
-	}
-	return nil
-}
--- a/internal/process/psevent/process.go
+++ b/internal/process/psevent/process.go
@@ -14,8 +14,12 @@
 	VersionInForce = Event{1004, hclog.Info, "configuration version in force", []string{"version"}}
 	// VersionFailed says that a configuration version could not be loaded.
 	VersionFailed = Event{1005, hclog.Warn, "configuration version not loaded", []string{"error"}}
+	// OperatorChange says who changed what and how it ended.
+	OperatorChange = Event{1011, hclog.Info, "operator change", []string{"operation", "author", "operationId", "target", "outcome", "version"}}
+	// OperatorRefused says that a call to the administration API was refused.
+	OperatorRefused = Event{1012, hclog.Warn, "operator call refused", []string{"client", "path", "reason"}}
 )
 
 func processEvents() []Event {
-	return []Event{Started, Stopping, Stopped, VersionInForce, VersionFailed}
+	return []Event{Started, Stopping, Stopped, VersionInForce, VersionFailed, OperatorChange, OperatorRefused}
 }
--- a/internal/process/psvm/provide.go
+++ b/internal/process/psvm/provide.go
@@ -22,7 +22,7 @@
 )
 
 // provide tells the injector how each part is made, area by area.
-func provide(ctx context.Context, i do.Injector, o Options, token string, l *lifecycle) {
+func provide(ctx context.Context, i do.Injector, o Options, token *psadmin.Token, l *lifecycle) {
 	provideConnections(ctx, i, o, l)
 	provideState(i, o, l)
 	provideBudgets(i, o, l)
@@ -59,15 +59,19 @@
 	}
 }
 
-func newAdmin(i do.Injector, o Options, token string) *psadmin.API {
+func newAdmin(i do.Injector, o Options, token *psadmin.Token) *psadmin.API {
 	return &psadmin.API{
-		Self:      o.Settings.Name,
-		Token:     token,
-		Plans:     do.MustInvoke[*psversion.Follower](i),
-		Versions:  do.MustInvoke[*psversion.Store](i),
-		Confirmer: do.MustInvoke[*confirmer](i),
-		Registry:  do.MustInvoke[*psmetric.Metrics](i).Registry,
-		Logger:    o.Logger,
+		Self:       o.Settings.Name,
+		Token:      token,
+		Plans:      do.MustInvoke[*psversion.Follower](i),
+		Versions:   do.MustInvoke[*psversion.Store](i),
+		Confirmer:  do.MustInvoke[*confirmer](i),
+		Fleet:      newFleet(o.Settings.Name, do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*pspeer.Hub](i)),
+		Withdrawer: newWithdrawer(i),
+		Slots:      do.MustInvoke[*pspool.Dispatcher](i),
+		Homes:      psdirectory.BlockLocator{Self: o.Settings.Name},
+		Registry:   do.MustInvoke[*psmetric.Metrics](i).Registry,
+		Logger:     o.Logger,
 	}
 }
 
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -9,15 +9,13 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
 
+	"persimmonstep/internal/process/psadmin"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/process/pssettings"
@@ -59,14 +57,14 @@
 
 // New starts a VM and returns it with its clean-up function, which shuts it down gracefully.
 func New(ctx context.Context, o Options) (*VM, func(), error) {
-	token, err := os.ReadFile(o.Settings.TokenFile)
+	token, err := psadmin.NewToken(o.Settings.TokenFile, time.Now)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "read the operators' token")
+		return nil, nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	life := &lifecycle{}
 	i := do.New()
-	provide(ctx, i, o, strings.TrimSpace(string(token)), life)
+	provide(ctx, i, o, token, life)
 	parts, err := invoke(i)
 	if err != nil {
 		cancel()
--- a/internal/version/psplan/plan.go
+++ b/internal/version/psplan/plan.go
@@ -6,6 +6,8 @@
 package psplan
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 	"strings"
 	"time"
@@ -199,6 +201,11 @@
 	return k, found
 }
 
+// Keys lists the issued keys in no particular order.
+func (p *Plan) Keys() iter.Seq[*Key] {
+	return maps.Values(p.keys)
+}
+
 // Pool lists the backend servers of a pool.
 func (p *Plan) Pool(n psdoc.Name) []*Server {
 	return p.pools[n]
