psfence: retained and revocable parts of a VM's budget share

A dead VM's base share lay idle until an operator acted, and no rule said how it could be used without being spent twice by a VM that is only cut off.

It uses the rest while its guardian promises not to, or while a fresh read of the table shows no adoption. The guardian of a silent VM writes an adoption row, waits until promises and reads are too old, and uses the part until the VM speaks again. Changes of the layout are followed until all VMs have confirmed.

--- /dev/null
+++ b/internal/process/psfence/core.go
@@ -0,0 +1,228 @@
+package psfence
+
+import (
+	"cmp"
+	"crypto/rand"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"persimmonstep/internal/process/psplatform"
+	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psplan"
+)
+
+// rowPrefix begins the keys of adoption rows in the table.
+const rowPrefix = "adoption/"
+
+func rowKey(vm psdoc.Name) string {
+	return rowPrefix + string(vm)
+}
+
+// adoptionRow is the content of an adoption row.
+type adoptionRow struct {
+	// Guardian is the VM that adopted.
+	Guardian psdoc.Name `json:"guardian"`
+	// Nonce identifies the attempt.
+	Nonce string `json:"nonce"`
+}
+
+// stage is how far a guardian is with a ward.
+type stage int
+
+const (
+	// stageClearing means that a row of the ward may exist and must go.
+	stageClearing stage = iota
+	// stageWatching means that there was no row when the guardian last looked.
+	stageWatching
+	// stageAdopted means that the row was written by the present attempt.
+	stageAdopted
+)
+
+// ward is what a guardian knows of one VM.
+type ward struct {
+	stage stage
+	// quiet is when the VM was last heard, or when the guardian began to listen.
+	quiet time.Time
+	// nonce identifies the attempt whose commit is under way; empty when there is none.
+	nonce string
+	// usable is when an adopted part may be used.
+	usable time.Time
+}
+
+// core is the fence's state. It has no clock and does no input or output.
+type core struct {
+	self       psdoc.Name
+	settlement settlement
+	guardian   psdoc.Name
+	wards      map[psdoc.Name]*ward
+	promisedAt time.Time
+	readAt     time.Time
+	// current says that the plan was the latest of all at some time since the start. Before
+	// that an earlier process of this VM may have confirmed a later layout.
+	current bool
+}
+
+func newCore(self psdoc.Name, now time.Time) *core {
+	return &core{self: self, settlement: settlement{self: self, began: now}, wards: make(map[psdoc.Name]*ward)}
+}
+
+// install takes in the plan in force and reports whether its layout is another one.
+func (c *core) install(p *psplan.Plan, now time.Time) bool {
+	if p.Version <= c.settlement.version || !c.settlement.install(p, now) {
+		return false
+	}
+	old := c.wards
+	c.wards = make(map[psdoc.Name]*ward)
+	for _, vm := range wards(p, c.self) {
+		c.wards[vm] = &ward{quiet: now}
+		if w := old[vm]; w != nil {
+			c.wards[vm] = w
+		}
+	}
+	guardian := psdoc.Name("")
+	if g := Guardian(p, c.self); g != nil {
+		guardian = g.Name
+	}
+	if guardian != c.guardian {
+		// A promise binds only the VM that gave it.
+		c.guardian, c.promisedAt = guardian, time.Time{}
+	}
+	return true
+}
+
+// promise answers a ward's renewal. After a promise this VM uses nothing of the ward's
+// part for a term and a margin.
+func (c *core) promise(vm psdoc.Name, now time.Time) bool {
+	w, found := c.wards[vm]
+	if !found {
+		return false
+	}
+	w.quiet = now
+	if w.stage == stageAdopted || w.nonce != "" {
+		w.stage, w.nonce = stageClearing, ""
+	}
+	// An earlier guardian could still use the part until all have confirmed the layout.
+	return c.current && c.settlement.settled(vm)
+}
+
+// latest takes in which version is the latest of all.
+func (c *core) latest(version uint64) {
+	c.current = c.current || version <= c.settlement.version
+}
+
+// promised takes in the guardian's promise.
+func (c *core) promised(askedAt time.Time) {
+	c.promisedAt = later(c.promisedAt, askedAt)
+}
+
+// read takes in a read of the table.
+func (c *core) read(beganAt time.Time, adopted bool) {
+	if !adopted {
+		c.readAt = later(c.readAt, beganAt)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// wholeUntil returns when the right to the VM's own revocable part ends.
+func (c *core) wholeUntil() time.Time {
+	last := later(c.promisedAt, c.readAt)
+	if last.IsZero() {
+		return last
+	}
+	return last.Add(Term)
+}
+
+// adopted lists the parts that may be used now.
+func (c *core) adopted(now time.Time) []Adoption {
+	var out []Adoption
+	for vm, w := range c.wards {
+		if w.stage == stageAdopted && !now.Before(w.usable) {
+			out = append(out, Adoption{VM: vm, Since: w.usable})
+		}
+	}
+	slices.SortFunc(out, func(a, b Adoption) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+// due lists the wards for which the table must be asked now.
+func (c *core) due(now time.Time) []psdoc.Name {
+	if !c.current {
+		return nil
+	}
+	var out []psdoc.Name
+	for vm, w := range c.wards {
+		if w.stage == stageClearing || w.stage == stageWatching && c.silent(vm, w, now) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// silent reports whether the ward was silent for long enough to be taken for gone. Promises
+// and reads may still be good then; they run out while the adoption waits for its use.
+func (c *core) silent(vm psdoc.Name, w *ward, now time.Time) bool {
+	return c.settlement.settled(vm) && now.Sub(later(w.quiet, c.settlement.completed)) > Patience
+}
+
+// step decides what follows from a ward's row, and returns the transaction to commit.
+func (c *core) step(vm psdoc.Name, r psplatform.Row, now time.Time) *psplatform.Transaction {
+	w, found := c.wards[vm]
+	if !found {
+		return nil
+	}
+	conditions := []psplatform.Condition{{Key: rowKey(vm), Revision: r.Revision}}
+	switch {
+	case w.stage == stageClearing && r.Revision == 0:
+		w.stage = stageWatching
+	case w.stage == stageClearing && c.mayClear(vm, r):
+		return &psplatform.Transaction{Conditions: conditions, Writes: []psplatform.Write{{Key: rowKey(vm), Delete: true}}}
+	case w.stage == stageWatching && c.silent(vm, w, now):
+		// A row that is there is written anew, so that no delete of it can come late.
+		w.nonce = rand.Text()
+		value, err := json.Marshal(adoptionRow{Guardian: c.self, Nonce: w.nonce})
+		if err != nil {
+			panic(err)
+		}
+		return &psplatform.Transaction{Conditions: conditions, Writes: []psplatform.Write{{Key: rowKey(vm), Value: value}}}
+	}
+	return nil
+}
+
+// mayClear reports whether nobody can use the part under the row.
+func (c *core) mayClear(vm psdoc.Name, r psplatform.Row) bool {
+	var content adoptionRow
+	if json.Unmarshal(r.Value, &content) == nil && content.Guardian == c.self {
+		return true
+	}
+	return c.settlement.settled(vm)
+}
+
+// committed takes in the end of a transaction. After an unknown end the row is read again,
+// and an adoption is written anew.
+func (c *core) committed(vm psdoc.Name, t psplatform.Transaction, err error, now time.Time) {
+	w, found := c.wards[vm]
+	if !found || err != nil {
+		return
+	}
+	write := t.Writes[0]
+	if write.Delete {
+		if w.stage == stageClearing {
+			w.stage = stageWatching
+		}
+		return
+	}
+	var content adoptionRow
+	if json.Unmarshal(write.Value, &content) != nil || w.nonce == "" || content.Nonce != w.nonce {
+		// The ward spoke meanwhile.
+		w.stage = stageClearing
+		return
+	}
+	w.stage, w.usable, w.nonce = stageAdopted, now.Add(Term+Margin), ""
+}
--- a/internal/process/psvm/budget.go
+++ b/internal/process/psvm/budget.go
@@ -1,22 +1,61 @@
 package psvm
 
 import (
+	"context"
 	"time"
 
 	"github.com/samber/do/v2"
 
+	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psbudget"
+	"persimmonstep/internal/process/psfence"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/version/psversion"
 )
 
 // provideBudgets makes what keeps the fleet-wide bounds: rates, shifts and slots.
-func provideBudgets(i do.Injector, o Options, _ *lifecycle) {
+func provideBudgets(i do.Injector, o Options, l *lifecycle) {
 	self := o.Settings.Name
-	do.ProvideValue(i, psbudget.NewBook(self, time.Now))
+	do.Provide(i, func(i do.Injector) (*psfence.Fence, error) { return newFence(i, o, l), nil })
+	do.Provide(i, func(i do.Injector) (*psbudget.Book, error) {
+		do.MustInvoke[*psfence.Fence](i)
+		return psbudget.NewBook(self, time.Now), nil
+	})
 	do.Provide(i, func(i do.Injector) (*pspool.Dispatcher, error) {
 		g := ownedSlots{self: self, plans: do.MustInvoke[*psversion.Follower](i)}
 		return pspool.NewDispatcher(g, do.MustInvoke[*pshealth.Tracker](i)), nil
 	})
 }
+
+func newFence(i do.Injector, o Options, l *lifecycle) *psfence.Fence {
+	hub := do.MustInvoke[*pspeer.Hub](i)
+	f := psfence.New(psfence.Options{
+		Self:   o.Settings.Name,
+		Plans:  do.MustInvoke[*psversion.Follower](i),
+		Heads:  latestVersion{do.MustInvoke[*psversion.Store](i)},
+		Peers:  hub,
+		Table:  do.MustInvoke[*psplatform.Client](i),
+		Now:    time.Now,
+		Drain:  loanDrain,
+		Logger: o.Logger,
+	})
+	f.Register(hub)
+	l.task(f.Run)
+	return f
+}
+
+// loanDrain is the longest time for which a loan can outlast its share.
+const loanDrain = 1500 * time.Millisecond
+
+// latestVersion tells the fence which version is the latest in the table.
+type latestVersion struct {
+	store *psversion.Store
+}
+
+// Head returns the version.
+func (v latestVersion) Head(ctx context.Context) (uint64, error) {
+	h, err := v.store.Latest(ctx)
+	return h.Version, err
+}
