--- a/internal/process/psplatform/platform.go
+++ b/internal/process/psplatform/platform.go
@@ -114,6 +114,18 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+// OutageError says that the platform has not answered for a while and that a call was
+// therefore not even tried. It comes as the cause of an *UnavailableError.
+type OutageError struct {
+	// Until is when the platform will be tried again.
+	Until time.Time
+}
+
+// Error says until when calls are not tried.
+func (e *OutageError) Error() string {
+	return "no call is tried until " + e.Until.Format(time.RFC3339Nano)
+}
+
 // UnknownError says that a commit may or may not have taken effect.
 type UnknownError struct {
 	Cause error
@@ -149,6 +161,12 @@
 	return errors.As(err, &e)
 }
 
+// IsOutage reports whether a call was not tried because the platform is down.
+func IsOutage(err error) bool {
+	var e *OutageError
+	return errors.As(err, &e)
+}
+
 // IsNotFound reports whether an object is absent.
 func IsNotFound(err error) bool {
 	var e *NotFoundError
