--- a/internal/process/psvm/adapter.go
+++ b/internal/process/psvm/adapter.go
@@ -1,12 +1,7 @@
 package psvm
 
 import (
-	"context"
-	"net/http"
-
 	"persimmonstep/internal/process/pspool"
-	"persimmonstep/internal/request/psclaim"
-	"persimmonstep/internal/request/psproblem"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
 	"persimmonstep/internal/version/psversion"
@@ -25,11 +20,3 @@
 	}
 	return 0
 }
-
-// unclaimed refuses requests with an Idempotency-Key, which need claims.
-type unclaimed struct{}
-
-// Begin refuses.
-func (unclaimed) Begin(context.Context, psclaim.Request) (psclaim.Result, error) {
-	return nil, psproblem.New(http.StatusServiceUnavailable, "noClaims", "claims are not available")
-}
