pskey: a key stands in Authorization or the call is refused

The key was removed from Authorization only: in a query, a path, a cookie or another header it went on to the backend server, and two spellings of the same key were refused.

--- a/internal/request/psgate/exchange.go
+++ b/internal/request/psgate/exchange.go
@@ -89,12 +89,21 @@
 	if err != nil {
 		return psproblem.New(http.StatusBadRequest, "badKey", err.Error())
 	}
-	if !found {
-		if x.route.Open {
-			return nil
+	if found {
+		if err := x.identify(k); err != nil {
+			return err
 		}
+	} else if !x.route.Open {
 		return unauthorized()
 	}
+	if (pskey.Scan{Own: k, Known: x.digestOf}).Find(x.request) {
+		return psproblem.New(http.StatusBadRequest, "keyElsewhere", "the call holds a key outside the header Authorization")
+	}
+	return nil
+}
+
+// identify finds the workspace of a key.
+func (x *exchange) identify(k pskey.Key) error {
 	known, found := x.plan.Key(k.ID)
 	if !found || !k.Matches(known.Digest) || x.gate.Withdrawals.Has(k.ID) {
 		return unauthorized()
@@ -106,6 +115,14 @@
 	return nil
 }
 
+func (x *exchange) digestOf(id psdoc.Name) (psdoc.Digest, bool) {
+	k, found := x.plan.Key(id)
+	if !found {
+		return psdoc.Digest{}, false
+	}
+	return k.Digest, true
+}
+
 func unauthorized() error {
 	return psproblem.New(http.StatusUnauthorized, "badKey", "the key is missing, unknown or withdrawn")
 }
--- a/internal/request/psgate/gate.go
+++ b/internal/request/psgate/gate.go
@@ -103,6 +103,7 @@
 	x := newExchange(g, w, r)
 	w.Header().Set(headerRequestID, x.id)
 	if r.URL.Path == DirectoryPath {
+		hideUnknownWorkspace(x.plan, r)
 		g.Directory.ServeHTTP(w, r)
 		return
 	}
@@ -121,6 +122,14 @@
 	psevent.Answered.Log(g.Logger, x.id, x.status, took)
 }
 
+// hideUnknownWorkspace keeps whatever a caller may have put in place of a workspace's name,
+// such as a key, out of the log.
+func hideUnknownWorkspace(p *psplan.Plan, r *http.Request) {
+	if _, found := p.Workspace(psdoc.Name(r.URL.Query().Get("workspace"))); !found {
+		r.URL.RawQuery = ""
+	}
+}
+
 // refuse answers with a problem.
 func (x *exchange) refuse(err error) {
 	p, found := err.(*psproblem.Problem) //nolint:errorlint // steps return problems unwrapped
--- a/internal/request/pskey/key.go
+++ b/internal/request/pskey/key.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	authorization = "Authorization"
-	bearer        = "Bearer "
+	authorization      = "Authorization"
+	proxyAuthorization = "Proxy-Authorization"
+	bearer             = "Bearer "
+	// maxSecretBytes bounds a secret.
+	maxSecretBytes = 256
 	// secretBytes is the entropy of a secret.
 	secretBytes = 20
 	// identifierBytes is the entropy of a key id.
@@ -52,7 +55,7 @@
 func Parse(text string) (Key, error) {
 	id, secret, found := strings.Cut(text, ".")
 	var k Key
-	if !found || secret == "" || k.ID.UnmarshalText([]byte(id)) != nil {
+	if !found || secret == "" || len(secret) > maxSecretBytes || k.ID.UnmarshalText([]byte(id)) != nil {
 		return Key{}, ErrMalformed
 	}
 	k.Secret = secret
@@ -70,23 +73,30 @@
 	return subtle.ConstantTimeCompare(own[:], d[:]) == 1
 }
 
-// Take reads the key of a call and removes it from the header.
-// It reports false where there is none.
+// Take reads the key of a call and removes every credential from the header.
+// It reports false where there is none. The same key may come twice, two keys may not.
 func Take(h http.Header) (Key, bool, error) {
-	values := h.Values(authorization)
-	h.Del(authorization)
+	values := h[authorization]
+	delete(h, authorization)
+	delete(h, proxyAuthorization)
 	if len(values) == 0 {
 		return Key{}, false, nil
 	}
+	k, err := parseBearer(values[0])
+	if err != nil {
+		return Key{}, false, err
+	}
 	for _, v := range values[1:] {
-		if v != values[0] {
+		if other, err := parseBearer(v); err != nil || other != k {
 			return Key{}, false, ErrMalformed
 		}
 	}
-	scheme := values[0]
-	if len(scheme) <= len(bearer) || !strings.EqualFold(scheme[:len(bearer)], bearer) {
-		return Key{}, false, ErrMalformed
+	return k, true, nil
+}
+
+func parseBearer(value string) (Key, error) {
+	if len(value) <= len(bearer) || !strings.EqualFold(value[:len(bearer)], bearer) {
+		return Key{}, ErrMalformed
 	}
-	k, err := Parse(strings.TrimSpace(scheme[len(bearer):]))
-	return k, err == nil, err
+	return Parse(strings.TrimSpace(value[len(bearer):]))
 }
