psblock: longest prefix match for 4.2 million client blocks

The directory found a caller's failure domain by a linear scan of the plan's blocks, which costs more with each block and cannot reach the expected size.

The plan compiles its table; blocks that a table cannot hold are findings.

--- a/internal/process/psdirectory/locate.go
+++ b/internal/process/psdirectory/locate.go
@@ -16,15 +16,8 @@
 
 // Locate finds the failure domain of the longest block that holds the caller.
 func (l BlockLocator) Locate(p *psplan.Plan, caller netip.Addr) *psplan.Domain {
-	var best *psplan.Block
-	for i := range p.Blocks {
-		b := &p.Blocks[i]
-		if b.Prefix.Contains(caller) && (best == nil || b.Prefix.Bits() > best.Prefix.Bits()) {
-			best = b
-		}
-	}
-	if best != nil {
-		return best.Domain
+	if d, found := p.Nearest(caller); found {
+		return d
 	}
 	if v, found := p.VM(l.Self); found {
 		return v.Domain
--- /dev/null
+++ b/internal/version/psblock/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package psblock_test
+
+const raceEnabled = true
--- a/internal/version/psplan/compile.go
+++ b/internal/version/psplan/compile.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/version/psblock"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/pstoml"
 )
@@ -49,6 +50,7 @@
 	slices.SortStableFunc(c.plan.Routes, func(a, b *Route) int {
 		return cmp.Compare(len(b.Prefix), len(a.Prefix))
 	})
+	c.plan.blocks = compileBlocks(c.plan)
 	c.findings.Sort()
 	return c.plan, c.findings
 }
@@ -252,6 +254,10 @@
 	for i, b := range d.ClientBlocks {
 		at := fmt.Sprintf("clientBlocks[%d]", i)
 		f, found := lookUp(c, d, at+".failureDomain", "failure domain", b.FailureDomain, c.plan.domains)
+		if err := psblock.Check(b.Prefix); err != nil {
+			c.fault(d, at+".prefix", "%s", err)
+			continue
+		}
 		if found && c.claim(d, at+".prefix", "client block", b.Prefix.Masked()) {
 			c.plan.Blocks = append(c.plan.Blocks, Block{Prefix: b.Prefix.Masked(), Domain: f})
 		}
--- a/internal/version/psplan/plan.go
+++ b/internal/version/psplan/plan.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"persimmonstep/internal/version/psblock"
 	"persimmonstep/internal/version/psdoc"
 )
 
@@ -53,6 +54,7 @@
 	routes     map[psdoc.Name]*Route
 	keys       map[psdoc.Name]*Key
 	pools      map[psdoc.Name][]*Server
+	blocks     psblock.Table
 }
 
 // Region is a geographical area.
