pspool: slots that belong to one VM, loans of slots, weighted max-min queues

Cause: each VM used only the servers it owned, first come first served, so that a busy VM refused while another one's servers stood idle, and one workspace could take every slot.

Change: the dispatcher counts own, lent and borrowed slots; pscredit borrows them over slots.borrow, renews those in use and returns idle ones; a started VM asks what an earlier process lent before it uses its slots; a guardian's adopted slots and fenced ones follow the fence interface (a fixed one until psfence is wired). Waiting workspaces share by weight, and a request that cannot start in time is refused at once.

Conclusion: capacity is a budget with expiring loans. Shifts stay off until psshift is in.

--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -206,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, v := range s.VMs {
-		for v.Version() == 0 {
+		for !v.Ready() {
 			select {
 			case <-ctx.Done():
 				return errors.New("the VMs did not become ready")
--- a/internal/process/pspool/dispatcher.go
+++ b/internal/process/pspool/dispatcher.go
@@ -1,13 +1,17 @@
 // Package pspool hands out the slots of backend servers.
 //
-// A slot is the right to run one request on one backend server. The [Dispatcher] keeps
-// count of the slots that this VM uses, asks psroute where a request should run, and
-// queues requests that find every slot busy until one is free or their deadline is near.
+// A slot is the right to run one request on one backend server. The slots of a server
+// belong to one VM, its owner; other VMs use them only under a [Grant] that the owner
+// issued, so the sum in use never exceeds what the server has, however stale anybody's
+// picture is. The [Dispatcher] counts the slots that this VM owns, has lent and has
+// borrowed, asks psroute where a request should run, and queues requests that find every
+// slot busy. Waiting workspaces share slots by weighted max-min.
 package pspool
 
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,12 +21,17 @@
 	"persimmonstep/internal/version/psplan"
 )
 
-// retryAfterBusy is the advice to a caller that found no slot.
-const retryAfterBusy = time.Second
+const (
+	// retryAfterBusy is the least advice to a caller that found no slot.
+	retryAfterBusy = time.Second
+	// maxOvertaken bounds the requests of a workspace that are looked at for one free slot,
+	// since the first may be unable to use it, such as after an attempt on the same server.
+	maxOvertaken = 4
+)
 
-// Grants tells how many slots of a server this VM may use now.
-type Grants interface {
-	Limit(s *psplan.Server) int
+// Plans gives the plan in force.
+type Plans interface {
+	Plan() *psplan.Plan
 }
 
 // Health tells what this VM observed of a server.
@@ -31,34 +40,74 @@
 	Excluded(s *psplan.Server) bool
 	// Latency returns the recently observed time of one request; 0 when unknown.
 	Latency(s *psplan.Server) time.Duration
+	// Weight returns the part of its slots that the server should get, from 0 to 1.
+	Weight(s *psplan.Server) float64
 }
 
-// Dispatcher hands out slots.
-type Dispatcher struct {
-	grants Grants
-	health Health
+// Fence tells which parts of the base shares this VM may use.
+type Fence interface {
+	// Whole reports whether this VM may use all of its own share, not only the retained part.
+	Whole() bool
+	// AdoptedSince returns since when this VM may use the revocable share of another VM.
+	AdoptedSince(vm psdoc.Name) (time.Time, bool)
+}
 
-	mutex    sync.Mutex
-	inFlight map[psdoc.Name]int
-	waiting  []*waiter
-	seed     uint64
+// Shifts bounds the requests that run outside their home region.
+type Shifts interface {
+	// Count enters a request of the route.
+	Count(r *psplan.Route)
+	// MayShift reports whether one more request may be shifted.
+	MayShift(r *psplan.Route) bool
+	// Spend enters a shifted request and reports false, entering nothing, where the cap forbids it.
+	Spend(r *psplan.Route) bool
+	// Refund takes a shifted request back that certainly did not run.
+	Refund(r *psplan.Route)
 }
 
-// waiter is a request that waits for a slot.
-type waiter struct {
-	request psroute.Request
-	ready   chan outcome
+// Config is what a dispatcher needs.
+type Config struct {
+	Self   psdoc.Name
+	Plans  Plans
+	Health Health
+	Fence  Fence
+	Shifts Shifts
+	// Now gives monotonic time.
+	Now func() time.Time
+	// Hungry is told, without waiting, of a pool whose requests find no slot. It may be nil.
+	Hungry func(pool psdoc.Name)
 }
 
-// outcome ends a wait.
-type outcome struct {
-	slot    *Slot
-	problem *psproblem.Problem
+// Dispatcher hands out slots.
+type Dispatcher struct {
+	config Config
+
+	mutex    sync.Mutex
+	plan     *psplan.Plan
+	servers  map[psdoc.Name]*server
+	pools    map[psdoc.Name]*pool
+	lent     map[GrantID]*lent
+	borrowed map[GrantID]*borrowed
+	blocked  map[psdoc.Name]bool
+	running  int
+	// cleared says that no other VM runs requests on the revocable part of this VM's share.
+	cleared bool
+	// wholeAt is when this VM last could use its whole share.
+	wholeAt time.Time
+	seed    uint64
+	buffer  []psroute.Candidate
 }
 
 // NewDispatcher returns a dispatcher without any request.
-func NewDispatcher(g Grants, h Health) *Dispatcher {
-	return &Dispatcher{grants: g, health: h, inFlight: make(map[psdoc.Name]int)}
+func NewDispatcher(c Config) *Dispatcher {
+	return &Dispatcher{
+		config:   c,
+		servers:  make(map[psdoc.Name]*server),
+		pools:    make(map[psdoc.Name]*pool),
+		lent:     make(map[GrantID]*lent),
+		borrowed: make(map[GrantID]*borrowed),
+		blocked:  make(map[psdoc.Name]bool),
+		wholeAt:  c.Now(),
+	}
 }
 
 // Slot is the right to run one request.
@@ -71,121 +120,231 @@
 	Reason psroute.Reason
 
 	dispatcher *Dispatcher
+	route      *psplan.Route
+	workspace  psdoc.Name
+	began      time.Time
+	grant      *borrowed
 	once       sync.Once
+	// lost and cancel are guarded by the dispatcher's mutex.
+	lost   bool
+	cancel context.CancelFunc
 }
 
 // Release gives the slot back. It may be called more than once.
 func (s *Slot) Release() {
-	s.once.Do(func() { s.dispatcher.release(s.Server) })
+	s.once.Do(func() { s.dispatcher.release(s) })
+}
+
+// Refund gives the slot back after an attempt that certainly did not run, so that it does
+// not count as shifted.
+func (s *Slot) Refund() {
+	if s.Shifted {
+		s.dispatcher.config.Shifts.Refund(s.route)
+	}
+	s.Release()
+}
+
+// Bind returns a context that ends when the slot is released, or is lost because the VM
+// that could give it to others was out of reach for too long. The request must stop then.
+func (s *Slot) Bind(parent context.Context) context.Context {
+	ctx, cancel := context.WithCancel(parent)
+	s.dispatcher.mutex.Lock()
+	defer s.dispatcher.mutex.Unlock()
+	s.cancel = cancel
+	if s.lost {
+		cancel()
+	}
+	return ctx
 }
 
-// Acquire returns a slot for the request, or a refusal of type *psproblem.Problem.
-// It waits until the context ends.
+// lose ends the request that runs in the slot. The mutex is held.
+func (s *Slot) lose() {
+	s.lost = true
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// Acquire returns a slot for the request, or a refusal of type *psproblem.Problem. It
+// waits until the context ends, and refuses at once where a slot can't come in time.
 func (d *Dispatcher) Acquire(ctx context.Context, r psroute.Request) (*Slot, error) {
 	w := &waiter{request: r, ready: make(chan outcome, 1)}
-	d.mutex.Lock()
-	if !d.tryStart(w) {
-		d.waiting = append(d.waiting, w)
+	hungry := d.enter(ctx, w)
+	if hungry && d.config.Hungry != nil {
+		d.config.Hungry(r.Route.Pool)
 	}
-	d.mutex.Unlock()
 	select {
 	case o := <-w.ready:
 		return o.unpack()
 	case <-ctx.Done():
+		return d.abandon(w)
 	}
+}
+
+// enter starts a request or puts it into its queue. It reports whether its pool lacks slots.
+func (d *Dispatcher) enter(ctx context.Context, w *waiter) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.refresh()
+	if len(w.request.Tried) == 0 {
+		d.config.Shifts.Count(w.request.Route)
+	}
+	p := d.poolOf(w.request.Route.Pool)
+	q := p.queueOf(w.request.Workspace)
+	if q.len() == 0 && d.tryStart(p, w) {
+		return false
+	}
+	if problem := d.tooLate(ctx, p, q); problem != nil {
+		w.ready <- outcome{problem: problem}
+		p.tidy(w.workspace())
+		return true
+	}
+	p.push(q, w)
+	return true
+}
+
+// abandon takes a request out of its queue whose time is over.
+func (d *Dispatcher) abandon(w *waiter) (*Slot, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.forget(w)
 	select {
 	case o := <-w.ready:
 		return o.unpack()
 	default:
 	}
-	return nil, refusal(psroute.ReasonSlotsBusy)
+	p := d.poolOf(w.request.Route.Pool)
+	p.remove(w)
+	return nil, refusal(psroute.ReasonSlotsBusy, retryAfterBusy)
+}
+
+func refusal(reason psroute.Reason, after time.Duration) *psproblem.Problem {
+	return psproblem.New(http.StatusServiceUnavailable, "noCapacity", "no backend server can take the request: "+string(reason)).After(max(after, retryAfterBusy))
 }
 
-func (o outcome) unpack() (*Slot, error) {
-	if o.problem != nil {
-		return nil, o.problem
+// tryStart starts a request if a slot is free for it. The mutex is held.
+func (d *Dispatcher) tryStart(p *pool, w *waiter) bool {
+	d.seed++
+	w.request.Seed = d.seed
+	w.request.MayShift = d.config.Shifts.MayShift(w.request.Route)
+	v, found := psroute.Decide(w.request, d.candidates(p, w.request.Route)).(psroute.Send)
+	if !found {
+		return false
+	}
+	if v.Shifted && !d.config.Shifts.Spend(w.request.Route) {
+		return false
 	}
-	return o.slot, nil
+	w.ready <- outcome{slot: d.occupy(p, w, v)}
+	return true
 }
 
-func refusal(reason psroute.Reason) *psproblem.Problem {
-	return psproblem.New(http.StatusServiceUnavailable, "noCapacity", "no backend server can take the request: "+string(reason)).After(retryAfterBusy)
+// occupy counts a slot as used.
+func (d *Dispatcher) occupy(p *pool, w *waiter, v psroute.Send) *Slot {
+	now := d.config.Now()
+	s := &Slot{
+		Server: v.Server, Shifted: v.Shifted, Reason: v.Reason,
+		dispatcher: d, route: w.request.Route, workspace: w.workspace(), began: now,
+	}
+	t := d.servers[v.Server.Name]
+	if d.ownFree(t, now) > 0 {
+		t.slots[s] = struct{}{}
+	} else {
+		s.grant = t.usableGrant(now)
+		s.grant.slots[s] = struct{}{}
+		s.grant.used = now
+	}
+	p.queueOf(w.request.Workspace).inFlight++
+	d.running++
+	return s
 }
 
-// tryStart ends the wait if the decision is final. The mutex is held.
-func (d *Dispatcher) tryStart(w *waiter) bool {
-	d.seed++
-	w.request.Seed = d.seed
-	switch v := psroute.Decide(w.request, d.candidates(w.request.Route)).(type) {
-	case psroute.Send:
-		d.inFlight[v.Server.Name]++
-		w.ready <- outcome{slot: &Slot{Server: v.Server, Shifted: v.Shifted, Reason: v.Reason, dispatcher: d}}
-		return true
-	case psroute.Refuse:
-		w.ready <- outcome{problem: refusal(v.Reason)}
-		return true
+func (d *Dispatcher) release(s *Slot) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if s.cancel != nil {
+		s.cancel()
 	}
-	return false
+	d.running--
+	t := d.servers[s.Server.Name]
+	if s.grant == nil {
+		delete(t.slots, s)
+	} else {
+		delete(s.grant.slots, s)
+	}
+	p := d.poolOf(s.Server.Pool)
+	p.finish(s.workspace, d.config.Now().Sub(s.began))
+	d.refresh()
+	d.wake(p)
 }
 
-func (d *Dispatcher) candidates(r *psplan.Route) []psroute.Candidate {
-	out := make([]psroute.Candidate, len(r.Servers))
-	for i, s := range r.Servers {
-		out[i] = psroute.Candidate{
-			Server:   s,
-			Limit:    d.grants.Limit(s),
-			InFlight: d.inFlight[s.Name],
-			Excluded: s.Leaving || d.health.Excluded(s),
-			Latency:  d.health.Latency(s),
+// candidates lists the servers of the route on which this VM may use a slot. The slice is
+// valid until the next call.
+func (d *Dispatcher) candidates(p *pool, r *psplan.Route) []psroute.Candidate {
+	now := d.config.Now()
+	out := d.buffer[:0]
+	for _, t := range p.servers {
+		if !r.MayRunIn(t.server.Domain.Region) {
+			continue
+		}
+		limit := d.limit(t, now)
+		if limit <= 0 {
+			continue
 		}
+		out = append(out, psroute.Candidate{
+			Server:   t.server,
+			Limit:    scale(limit, d.config.Health.Weight(t.server)),
+			InFlight: t.used(),
+			Excluded: d.excluded(t.server),
+			Latency:  d.config.Health.Latency(t.server),
+		})
 	}
+	d.buffer = out
 	return out
 }
 
-func (d *Dispatcher) release(s *psplan.Server) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.inFlight[s.Name]--
-	d.wake()
+// scale reduces a limit to a part, but never below one slot unless the part is 0.
+func scale(limit int, part float64) int {
+	if part <= 0 {
+		return 0
+	}
+	return max(1, int(float64(limit)*part))
 }
 
-// Wake looks for waiting requests that can start now, such as after a change of grants.
+func (d *Dispatcher) excluded(s *psplan.Server) bool {
+	return s.Leaving || d.config.Health.Excluded(s)
+}
+
+// Wake looks for waiting requests that can start now, such as after a change of health.
 func (d *Dispatcher) Wake() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.wake()
+	d.refresh()
+	for _, p := range d.pools {
+		d.wake(p)
+	}
 }
 
-func (d *Dispatcher) wake() {
-	rest := d.waiting[:0]
-	for _, w := range d.waiting {
-		if !d.tryStart(w) {
-			rest = append(rest, w)
-		}
+// wake starts waiting requests, the workspace with the fewest slots for its weight first.
+func (d *Dispatcher) wake(p *pool) {
+	for d.startNext(p) {
 	}
-	clear(d.waiting[len(rest):])
-	d.waiting = rest
 }
 
-func (d *Dispatcher) forget(w *waiter) {
-	for i, v := range d.waiting {
-		if v == w {
-			d.waiting = append(d.waiting[:i], d.waiting[i+1:]...)
-			return
+// startNext starts one waiting request and reports whether it could.
+func (d *Dispatcher) startNext(p *pool) bool {
+	for _, q := range p.byNeed() {
+		for i, w := range q.waiting[:min(q.len(), maxOvertaken)] {
+			if d.tryStart(p, w) {
+				q.waiting = slices.Delete(q.waiting, i, i+1)
+				return true
+			}
 		}
 	}
+	return false
 }
 
 // InFlight returns the number of slots in use.
 func (d *Dispatcher) InFlight() int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	n := 0
-	for _, v := range d.inFlight {
-		n += v
-	}
-	return n
+	return d.running
 }
--- a/internal/process/pspool/owner.go
+++ b/internal/process/pspool/owner.go
@@ -12,17 +12,11 @@
 
 // Owner returns the VM to which a server's slots belong: the highest rendezvous hash among
 // the VMs of the server's failure domain. It is nil in a domain without VMs.
-func Owner(p *psplan.Plan, s *psplan.Server) *psplan.VM {
-	var domain []*psplan.VM
-	for _, v := range p.VMs {
-		if v.Domain.Name == s.Domain.Name {
-			domain = append(domain, v)
-		}
-	}
-	if len(domain) == 0 {
+func Owner(s *psplan.Server) *psplan.VM {
+	if len(s.Domain.VMs) == 0 {
 		return nil
 	}
-	return slices.MaxFunc(domain, func(a, b *psplan.VM) int {
+	return slices.MaxFunc(s.Domain.VMs, func(a, b *psplan.VM) int {
 		return cmp.Compare(rendezvous(a.Name, s.Name), rendezvous(b.Name, s.Name))
 	})
 }
--- /dev/null
+++ b/internal/process/pspool/queue_test.go
@@ -0,0 +1,137 @@
+package pspool_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/pspool"
+	"persimmonstep/internal/request/psproblem"
+	"persimmonstep/internal/request/psroute"
+	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psplan"
+)
+
+// newDispatcher returns the dispatcher of vm-0 with all slots of server-0.
+func newDispatcher(c *clock) (*pspool.Dispatcher, *psplan.Plan) {
+	p := fleetPlan()
+	d := pspool.NewDispatcher(pspool.Config{
+		Self: "vm-0", Plans: fixed{p}, Health: healthy{}, Fence: &fence{whole: true}, Shifts: shiftAll{}, Now: c.Now,
+	})
+	d.SetCleared(true)
+	return d, p
+}
+
+// started is a request that got its slot.
+type started struct {
+	workspace psdoc.Name
+	slot      *pspool.Slot
+}
+
+func TestWaitingWorkspacesShareSlotsByWeight(t *testing.T) {
+	c := qt.New(t)
+	ck := &clock{now: time.Unix(1000, 0)}
+	d, p := newDispatcher(ck)
+	large := &psplan.Workspace{Name: "large", Weight: 30}
+	small := &psplan.Workspace{Name: "small", Weight: 10}
+	starts := make(chan started, 100)
+	request := func(w *psplan.Workspace) {
+		s, err := d.Acquire(context.Background(), psroute.Request{Route: p.Routes[0], Workspace: w, Domain: p.VMs[0].Domain})
+		if err == nil {
+			starts <- started{w.Name, s}
+		}
+	}
+	for range 40 {
+		go request(large)
+	}
+	// The large workspace has all slots and a queue before the small one comes.
+	first := make([]started, 0, fleetSlots)
+	for range fleetSlots {
+		first = append(first, <-starts)
+	}
+	waitFor(t, func() bool { return d.Hunger("prices").Want == 36 })
+	for range 10 {
+		go request(small)
+	}
+	waitFor(t, func() bool { return d.Hunger("prices").Want == 46 })
+	counts := make(map[psdoc.Name]int)
+	running := first
+	for range 36 {
+		running[0].slot.Release()
+		running = append(running[1:], <-starts)
+		counts[running[len(running)-1].workspace]++
+	}
+	// Weights of 3 to 1 over 36 starts give 27 to 9.
+	c.Assert(counts["small"] >= 9, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts["large"] >= 26, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+// waitFor polls a condition that other goroutines make true.
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 5000 {
+		if condition() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the condition did not come true")
+}
+
+func TestRefusesAtOnceWhatCannotStartInTime(t *testing.T) {
+	c := qt.New(t)
+	ck := &clock{now: time.Unix(1000, 0)}
+	d, p := newDispatcher(ck)
+	r := psroute.Request{Route: p.Routes[0], Domain: p.VMs[0].Domain}
+	// Requests that hold their slot for 10 s teach the dispatcher the service time.
+	slow, err := d.Acquire(context.Background(), r)
+	c.Assert(err, qt.IsNil)
+	ck.now = ck.now.Add(10 * time.Second)
+	slow.Release()
+	for range fleetSlots {
+		_, err := d.Acquire(context.Background(), r)
+		c.Assert(err, qt.IsNil)
+	}
+	waiting, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Acquire(waiting, r) //nolint:errcheck // ends with the test
+	waitFor(t, func() bool { return d.Hunger("prices").Want == 1 })
+	ctx, cancelBounded := context.WithTimeout(context.Background(), time.Second)
+	defer cancelBounded()
+	_, err = d.Acquire(ctx, r)
+	problem, isProblem := err.(*psproblem.Problem) //nolint:errorlint // the type is the contract
+	c.Assert(isProblem, qt.IsTrue)
+	c.Assert(problem.Ran, qt.Equals, psproblem.RanNo)
+	c.Assert(problem.RetryAfter > time.Second, qt.IsTrue)
+	c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("the refusal must not wait for the deadline"))
+}
+
+func TestRefusesHopelessRequests(t *testing.T) {
+	c := qt.New(t)
+	d, p := newDispatcher(&clock{now: time.Unix(1000, 0)})
+	d.Block("vm-0")
+	refused := make(chan error)
+	go func() {
+		_, err := d.Acquire(context.Background(), psroute.Request{Route: p.Routes[0], Domain: p.VMs[0].Domain})
+		refused <- err
+	}()
+	waitFor(t, func() bool { return d.Hunger("prices").Want == 1 })
+	d.RefuseHopeless("prices")
+	c.Assert(<-refused, qt.ErrorMatches, ".*noServer")
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	d, p := newDispatcher(&clock{now: time.Unix(1000, 0)})
+	r := psroute.Request{Route: p.Routes[0], Domain: p.VMs[0].Domain}
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		s, err := d.Acquire(ctx, r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.Release()
+	}
+}
--- a/internal/process/psvm/budget.go
+++ b/internal/process/psvm/budget.go
@@ -9,9 +9,7 @@
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psbudget"
 	"persimmonstep/internal/process/psfence"
-	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psplatform"
-	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -23,10 +21,6 @@
 		do.MustInvoke[*psfence.Fence](i)
 		return psbudget.NewBook(self, time.Now), nil
 	})
-	do.Provide(i, func(i do.Injector) (*pspool.Dispatcher, error) {
-		g := ownedSlots{self: self, plans: do.MustInvoke[*psversion.Follower](i)}
-		return pspool.NewDispatcher(g, do.MustInvoke[*pshealth.Tracker](i)), nil
-	})
 }
 
 func newFence(i do.Injector, o Options, l *lifecycle) *psfence.Fence {
--- a/internal/process/psvm/provide.go
+++ b/internal/process/psvm/provide.go
@@ -11,6 +11,7 @@
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psadmin"
 	"persimmonstep/internal/process/psbudget"
+	"persimmonstep/internal/process/pscredit"
 	"persimmonstep/internal/process/psdirectory"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psmember"
@@ -26,6 +27,7 @@
 	provideConnections(ctx, i, o, l)
 	provideState(i, o, l)
 	provideBudgets(i, o, l)
+	provideSlots(i, o, l)
 	provideHealth(i, o, l)
 	do.ProvideValue(i, psmetric.New())
 	do.Provide(i, func(i do.Injector) (*psdirectory.Directory, error) { return newDirectory(i, o), nil })
@@ -95,6 +97,9 @@
 	if err != nil {
 		return p, errors.Wrap(err, "make the administration API")
 	}
+	if _, err := do.Invoke[*pscredit.Bank](i); err != nil {
+		return p, errors.Wrap(err, "make the slot loans")
+	}
 	// The heart is wanted by nobody; it registers its task when it is made.
 	if _, err := do.Invoke[*psheartbeat.Heart](i); err != nil {
 		return p, errors.Wrap(err, "make the heartbeats")
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -124,6 +124,11 @@
 	psevent.Stopped.Log(o.Logger, o.Settings.Name, left)
 }
 
+// Ready reports whether the VM has a configuration and may use its own slots.
+func (v *VM) Ready() bool {
+	return v.Version() > 0 && !v.slots.Blocked(v.options.Settings.Name)
+}
+
 // Version returns the configuration version in force.
 func (v *VM) Version() uint64 {
 	return v.follower.Plan().Version
--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -85,6 +85,7 @@
 
 // try sends the request to one server. A shed request counts as a failure that did not run.
 func (x *exchange) try(ctx context.Context, slot *pspool.Slot) (*http.Response, *failure) {
+	ctx = slot.Bind(ctx)
 	began := time.Now()
 	result, err := x.gate.Transports.Send(ctx, slot.Server.Address, maxConnectionsPerServer, x.outgoing(ctx, slot.Server))
 	o := Observation{Server: slot.Server, Duration: time.Since(began), Err: err}
--- a/internal/request/psroute/route.go
+++ b/internal/request/psroute/route.go
@@ -88,33 +88,47 @@
 	ReasonOtherRegion Reason = "otherRegion"
 	// ReasonSlotsBusy found usable servers without a free slot.
 	ReasonSlotsBusy Reason = "slotsBusy"
+	// ReasonQueueFull foresaw that no slot would be free before the request's time is over.
+	ReasonQueueFull Reason = "queueFull"
 	// ReasonShiftCapped found free slots only where the shift cap forbids them.
 	ReasonShiftCapped Reason = "shiftCapped"
 	// ReasonNoServer found no usable server at all.
 	ReasonNoServer Reason = "noServer"
 )
 
-// tier ranks a server by its distance from the VM.
+// tier ranks a server: first by whether it stands in the home region, so that the shift
+// cap is kept for need, then by its distance from the VM.
 type tier int
 
 const (
 	tierDomain tier = iota
 	tierRegion
 	tierElsewhere
+	tierCount
 )
 
-func tierOf(r Request, s *psplan.Server) tier {
+func distanceOf(r Request, s *psplan.Server) tier {
 	switch {
-	case s.Domain == r.Domain:
+	case r.Domain == nil:
+		return tierElsewhere
+	case s.Domain.Name == r.Domain.Name:
 		return tierDomain
-	case r.Domain != nil && s.Domain.Region == r.Domain.Region:
+	case s.Domain.Region.Name == r.Domain.Region.Name:
 		return tierRegion
 	}
 	return tierElsewhere
 }
 
+func tierOf(r Request, s *psplan.Server) tier {
+	t := distanceOf(r, s)
+	if Shifted(r, s) {
+		t += tierCount
+	}
+	return t
+}
+
 func (t tier) reason() Reason {
-	return [...]Reason{ReasonSameDomain, ReasonSameRegion, ReasonOtherRegion}[t]
+	return [...]Reason{ReasonSameDomain, ReasonSameRegion, ReasonOtherRegion}[t%tierCount]
 }
 
 // Decide chooses among the candidates.
@@ -154,7 +168,7 @@
 
 // Shifted reports whether a server stands outside the request's home region.
 func Shifted(r Request, s *psplan.Server) bool {
-	return r.Home != nil && s.Domain.Region != r.Home
+	return r.Home != nil && s.Domain.Region.Name != r.Home.Name
 }
 
 func wasTried(r Request, s *psplan.Server) bool {
--- a/internal/version/psplan/compile.go
+++ b/internal/version/psplan/compile.go
@@ -118,6 +118,7 @@
 		w := &VM{Name: v.Name, Domain: f, Callers: v.Callers, Peer: v.Peer, Operator: v.Operator, Weight: lo.FromPtrOr(v.Weight, 1)}
 		c.plan.vms[v.Name] = w
 		c.plan.VMs = append(c.plan.VMs, w)
+		f.VMs = append(f.VMs, w)
 	}
 }
 
@@ -170,6 +171,7 @@
 			c.fault(d, at+".regions", "no backend server of pool %q is in these regions", r.Pool)
 		}
 		v := newRoute(r, servers)
+		v.regions = regions
 		c.plan.routes[r.Name] = v
 		c.plan.Routes = append(c.plan.Routes, v)
 	}
--- a/internal/version/psplan/plan.go
+++ b/internal/version/psplan/plan.go
@@ -66,6 +66,8 @@
 type Domain struct {
 	Name   psdoc.Name
 	Region *Region
+	// VMs lists the entry VMs of the domain.
+	VMs []*VM
 }
 
 // VM is an entry VM.
@@ -130,6 +132,14 @@
 	Shift        Shift
 	// Servers lists the backend servers of the pool in the regions that may serve the route.
 	Servers []*Server
+
+	// regions are those that may serve the route; empty stands for all.
+	regions map[psdoc.Name]bool
+}
+
+// MayRunIn reports whether the route's requests may run in the region.
+func (r *Route) MayRunIn(g *Region) bool {
+	return len(r.regions) == 0 || r.regions[g.Name]
 }
 
 // Shift bounds what a route moves to other regions. Its zero value allows nothing.
