--- a/internal/process/pspool/dispatcher.go
+++ b/internal/process/pspool/dispatcher.go
@@ -289,21 +289,26 @@
 		if limit <= 0 {
 			continue
 		}
-		out = append(out, psroute.Candidate{
-			Server:   t.server,
-			Limit:    scale(limit, d.config.Health.Weight(t.server)),
-			InFlight: t.used(),
-			Excluded: d.excluded(t.server),
-			Latency:  d.config.Health.Latency(t.server),
-		})
+		out = append(out, d.candidate(t, limit))
 	}
 	d.buffer = out
 	return out
 }
 
+// candidate describes a server of which this VM may use a number of slots.
+func (d *Dispatcher) candidate(t *server, limit int) psroute.Candidate {
+	return psroute.Candidate{
+		Server:   t.server,
+		Limit:    scale(limit, d.config.Health.Weight(t.server)),
+		InFlight: t.used(),
+		Excluded: d.excluded(t.server),
+		Latency:  d.config.Health.Latency(t.server),
+	}
+}
+
 // scale reduces a limit to a part, but never below one slot unless the part is 0.
 func scale(limit int, part float64) int {
-	if part <= 0 {
+	if part <= 0 || limit <= 0 {
 		return 0
 	}
 	return max(1, int(float64(limit)*part))
