pspool: slots that change their owner wait for the earlier one

Cause: a configuration that moves a server's slots to another VM took effect on each VM by itself, so that for a while two VMs could use the same slots, and requests that the earlier owner had started went on.

Change: gained slots are used only after the fence reports that every VM has the layout and a hold time has passed; a started VM also asks what others run on its slots, and under which version.

--- a/internal/process/pscredit/bank.go
+++ b/internal/process/pscredit/bank.go
@@ -312,7 +312,10 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.epoch[from]++
-	return heldResponse{Held: b.config.Dispatcher.HeldOf(from)}, nil
+	version := b.config.Plans.Plan().Version
+	return heldResponse{
+		Held: b.config.Dispatcher.HeldOf(from), Version: version, Running: b.config.Dispatcher.RunningFor(from),
+	}, nil
 }
 
 func (b *Bank) onRunning(_ context.Context, from psdoc.Name, _ json.RawMessage) (any, error) {
--- a/internal/process/pscredit/recover.go
+++ b/internal/process/pscredit/recover.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		asking.Go(func() {
-			if b.askHeld(ctx, v) {
+			if b.askHeld(ctx, v, p.Version) {
 				mutex.Lock()
 				defer mutex.Unlock()
 				answered[v.Name] = true
@@ -62,8 +62,9 @@
 	return true
 }
 
-// askHeld enters what a VM holds and reports whether it certainly holds nothing more.
-func (b *Bank) askHeld(ctx context.Context, v *psplan.VM) bool {
+// askHeld enters what a VM holds and reports whether it certainly holds nothing more, and
+// runs nothing on slots that an earlier version gave to it.
+func (b *Bank) askHeld(ctx context.Context, v *psplan.VM, version uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	var out heldResponse
@@ -74,7 +75,7 @@
 	for _, h := range out.Held {
 		b.config.Dispatcher.Reinstate(v.Name, h.Grant)
 	}
-	return true
+	return out.Version >= version && out.Running == 0
 }
 
 // watchWhole lets this VM use the revocable part of its slots only while nobody else runs
--- a/internal/process/pscredit/wire.go
+++ b/internal/process/pscredit/wire.go
@@ -70,6 +70,10 @@
 // heldResponse lists the loans that the asking VM, or an earlier process of its name, gave.
 type heldResponse struct {
 	Held []pspool.Held `json:"held,omitempty"`
+	// Version is the configuration version that the answering VM has in force.
+	Version uint64 `json:"version"`
+	// Running counts the requests that it runs on slots that belong to the asking VM.
+	Running int `json:"running"`
 }
 
 // runningResponse counts the requests that run on adopted slots of the asking VM.
--- a/internal/process/pspool/dispatcher.go
+++ b/internal/process/pspool/dispatcher.go
@@ -50,6 +50,8 @@
 	Whole() bool
 	// AdoptedSince returns since when this VM may use the revocable share of another VM.
 	AdoptedSince(vm psdoc.Name) (time.Time, bool)
+	// Settled reports whether every VM has the layout of shares of the plan in force.
+	Settled() bool
 }
 
 // Shifts bounds the requests that run outside their home region.
--- a/internal/process/pspool/fleet_test.go
+++ b/internal/process/pspool/fleet_test.go
@@ -55,6 +55,8 @@
 
 func (f *fence) Whole() bool { return f.whole }
 
+func (f *fence) Settled() bool { return f.whole }
+
 func (f *fence) AdoptedSince(vm psdoc.Name) (time.Time, bool) {
 	at, found := f.adopted[vm]
 	return at, found
--- a/internal/process/pspool/queue_test.go
+++ b/internal/process/pspool/queue_test.go
@@ -135,3 +135,37 @@
 		s.Release()
 	}
 }
+
+// changing is a plan that a test replaces.
+type changing struct{ plan *psplan.Plan }
+
+func (c *changing) Plan() *psplan.Plan { return c.plan }
+
+func TestSlotsThatMovedHereWaitForTheEarlierOwner(t *testing.T) {
+	c := qt.New(t)
+	ck := &clock{now: time.Unix(1000, 0)}
+	old, next := fleetPlan(), fleetPlan()
+	// The next plan puts server-1 into the domain of vm-0.
+	moved, _ := next.Server("server-1")
+	moved.Domain = next.VMs[0].Domain
+	plans := &changing{old}
+	f := &fence{whole: true}
+	d := pspool.NewDispatcher(pspool.Config{Self: "vm-0", Plans: plans, Health: healthy{}, Fence: f, Shifts: shiftAll{}, Now: ck.Now})
+	d.SetCleared(true)
+	d.Refresh()
+	plans.plan = next
+	limit := func() int {
+		d.Tick()
+		for _, v := range d.Candidates(next.Routes[0]) {
+			if v.Server.Name == "server-1" {
+				return v.Limit
+			}
+		}
+		return -1
+	}
+	c.Assert(limit(), qt.Equals, 0)
+	ck.now = ck.now.Add(pspool.HoldTime)
+	c.Assert(limit(), qt.Equals, 0, qt.Commentf("the earlier owner's requests may still run"))
+	ck.now = ck.now.Add(time.Second)
+	c.Assert(limit(), qt.Equals, fleetSlots)
+}
--- a/internal/process/pspool/server.go
+++ b/internal/process/pspool/server.go
@@ -22,6 +22,10 @@
 	lentSlots int
 	// grants are the slots that are borrowed from other VMs.
 	grants []*borrowed
+	// gained says that another VM owned the slots in an earlier plan and may still use some.
+	gained bool
+	// settledAt is since when every VM has the plan that moved the slots here.
+	settledAt time.Time
 }
 
 // retained returns the slots that the owner keeps whatever happens.
@@ -31,7 +35,7 @@
 
 // base returns the slots of the server that belong to this VM now.
 func (d *Dispatcher) base(t *server, now time.Time) int {
-	if t.owner == "" || d.blocked[t.owner] {
+	if t.owner == "" || t.gained || d.blocked[t.owner] {
 		return 0
 	}
 	if t.owner == d.config.Self {
@@ -102,10 +106,7 @@
 			t = &server{slots: make(map[*Slot]struct{})}
 			d.servers[s.Name] = t
 		}
-		t.server, t.owner = s, ""
-		if v := Owner(s); v != nil {
-			t.owner = v.Name
-		}
+		d.assign(t, s)
 	}
 	for n, t := range d.servers {
 		if _, found := p.Server(n); !found {
@@ -118,6 +119,36 @@
 	d.regroup()
 }
 
+// assign takes over a server as the plan in force has it.
+func (d *Dispatcher) assign(t *server, s *psplan.Server) {
+	var owner psdoc.Name
+	if v := Owner(s); v != nil {
+		owner = v.Name
+	}
+	known := t.server != nil
+	if known && owner != t.owner {
+		t.gained, t.settledAt = owner == d.config.Self, time.Time{}
+	}
+	t.server, t.owner = s, owner
+}
+
+// tickGained lets this VM use slots that the plan moved here, once every VM has the plan
+// and the requests that the earlier owner had started are certainly over.
+func (d *Dispatcher) tickGained(now time.Time) {
+	settled := d.config.Fence.Settled()
+	for _, t := range d.servers {
+		switch {
+		case !t.gained:
+		case !settled:
+			t.settledAt = time.Time{}
+		case t.settledAt.IsZero():
+			t.settledAt = now
+		case now.Sub(t.settledAt) >= HoldTime+driftMargin:
+			t.gained = false
+		}
+	}
+}
+
 // idle reports whether nothing runs on the server and nothing is lent or borrowed.
 func (t *server) idle() bool {
 	return t.used() == 0 && t.lentSlots == 0 && len(t.grants) == 0
@@ -204,6 +235,7 @@
 func (d *Dispatcher) RunningFor(owner psdoc.Name) int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.refresh()
 	n := 0
 	for _, t := range d.servers {
 		if t.owner == owner {
--- a/internal/process/pspool/tick.go
+++ b/internal/process/pspool/tick.go
@@ -32,6 +32,7 @@
 		}
 	}
 	d.fenceOff(now)
+	d.tickGained(now)
 	due := make(map[psdoc.Name]*Due)
 	for _, b := range d.borrowed {
 		d.tickBorrowed(b, now, due)
