psbackend: the fault test sends its second request on a fresh connection

Cause: TestFaults/closeAfter failed once in a full run: the client reused the connection that the server was closing after its answer, and met the close instead of an answer.

Change: the client drops idle connections before the request that the fault does not meet; every assertion stays.

Conclusion: the test asked for something that no client of a closing server is promised.

--- a/internal/process/psbackend/server_test.go
+++ b/internal/process/psbackend/server_test.go
@@ -86,6 +86,8 @@
 			c.Assert(o.cut, qt.Equals, tt.cut)
 			c.Assert(s.Runs()["k"], qt.Equals, tt.runs)
 			s.Start()
+			// A connection that the server is about to close must not carry the next request.
+			client.CloseIdleConnections()
 			o = get(t.Context(), client, s, "other")
 			c.Assert(o.status, qt.Equals, 200, qt.Commentf("a request that the fault does not meet"))
 		})
