--- a/internal/process/psvm/state.go
+++ b/internal/process/psvm/state.go
@@ -8,10 +8,8 @@
 	"persimmonstep/internal/connection/psfanout"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psmember"
-	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/process/pswithdrawal"
-	"persimmonstep/internal/request/psclaim"
 	"persimmonstep/internal/request/psgate"
 	"persimmonstep/internal/version/psversion"
 )
@@ -56,17 +54,3 @@
 	})
 	do.Provide(i, func(i do.Injector) (psgate.Claims, error) { return newClaims(i, o, l), nil })
 }
-
-// newClaims makes the claims and has them committed while the VM lives.
-func newClaims(i do.Injector, o Options, l *lifecycle) *psclaim.Claims {
-	m := newClaimMetrics(do.MustInvoke[*psmetric.Metrics](i).Registry)
-	c := psclaim.New(psclaim.Options{
-		VM:          o.Settings.Name,
-		Incarnation: string(do.MustInvoke[psmember.Incarnation](i)),
-		Platform:    do.MustInvoke[*psplatform.Client](i),
-		Observe:     m.observe,
-		Logger:      o.Logger,
-	})
-	l.task(c.Run)
-	return c
-}
--- a/internal/request/psclaim/claims_test.go
+++ b/internal/request/psclaim/claims_test.go
@@ -30,8 +30,10 @@
 type fleet struct {
 	store psstandin.Store
 	late  sync.WaitGroup
-	mutex sync.Mutex
-	gone  map[string]bool
+	// running are the goroutines of the VMs.
+	running sync.WaitGroup
+	mutex   sync.Mutex
+	gone    map[string]bool
 }
 
 func (f *fleet) Gone(_ psdoc.Name, incarnation string) bool {
@@ -44,7 +46,7 @@
 	t := &table{store: &f.store, late: &f.late}
 	c := psclaim.New(psclaim.Options{VM: name, Incarnation: incarnation, Platform: t, Members: f, Logger: hclog.NewNullLogger()})
 	ctx, stop := context.WithCancel(ctx)
-	go c.Run(ctx)
+	f.running.Go(func() { c.Run(ctx) })
 	return &vm{Claims: c, table: t, stop: stop}
 }
 
@@ -54,9 +56,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		x := &fleet{gone: make(map[string]bool)}
 		ctx, stop := context.WithCancel(context.Background())
+		defer x.late.Wait()
+		defer x.running.Wait()
+		defer stop()
 		f(qt.New(t), ctx, x)
-		stop()
-		x.late.Wait()
 	})
 }
 
--- a/internal/request/psclaim/committer.go
+++ b/internal/request/psclaim/committer.go
@@ -17,7 +17,7 @@
 	minBackoff = 10 * time.Millisecond
 	maxBackoff = time.Second
 	// maxRefusals is the number of refused transactions in a row after which there is a wait;
-	// more than that come from stale reads.
+	// more than that without progress come from stale reads.
 	maxRefusals = 3
 	// drainTimeout bounds the settling of writes when the VM stops.
 	drainTimeout = 2 * time.Second
@@ -108,7 +108,7 @@
 	epochStale bool
 	sequence   uint64
 	backoff    time.Duration
-	// refusals counts the refused transactions since the last one that was not.
+	// refusals counts the refused transactions since a write last ended.
 	refusals int
 }
 
@@ -286,6 +286,9 @@
 		}
 		left = append(left, w)
 	}
+	if len(left) < len(batch) {
+		c.refusals = 0
+	}
 	return left, nil
 }
 
--- a/internal/request/psclaim/table_test.go
+++ b/internal/request/psclaim/table_test.go
@@ -29,12 +29,15 @@
 	faultNever
 	// faultSlow delays the call and its effect.
 	faultSlow
+	// faultVerySlow delays the call beyond the wait for a claim.
+	faultVerySlow
 	faultKinds
 )
 
 const (
 	callTimeout = 2 * time.Second
 	slowDelay   = 300 * time.Millisecond
+	longDelay   = 1500 * time.Millisecond
 	lateDelay   = 5 * time.Second
 )
 
@@ -99,6 +102,8 @@
 		return 0, &psplatform.UnknownError{Cause: ctx.Err()}
 	case faultSlow:
 		time.Sleep(slowDelay)
+	case faultVerySlow:
+		time.Sleep(longDelay)
 	}
 	revision, refused := t.store.Commit(x)
 	if refused != nil {
@@ -119,6 +124,8 @@
 		return ctx.Err()
 	case faultSlow:
 		time.Sleep(slowDelay)
+	case faultVerySlow:
+		time.Sleep(longDelay)
 	}
 	return nil
 }
