--- a/internal/process/pscredit/bank.go
+++ b/internal/process/pscredit/bank.go
@@ -277,8 +277,13 @@
 	working.Wait()
 }
 
-// Register registers the handlers at a hub.
-func (b *Bank) Register(h *pspeer.Hub) {
+// Handlers takes the handlers of calls from other VMs.
+type Handlers interface {
+	Handle(method string, f pspeer.Handler)
+}
+
+// Register registers the handlers.
+func (b *Bank) Register(h Handlers) {
 	h.Handle(methodBorrow, b.onBorrow)
 	h.Handle(methodSettle, b.onSettle)
 	h.Handle(methodHeld, b.onHeld)
