psfence: settlement counts versions and removed VMs

A longer run of the property (10000 checks) failed: a VM that had not yet learned two changes told that the layout which came back was settled, and a VM removed from the configuration still used what it had adopted.

Answers now carry the version and count only from the version at which the asking VM first saw the layout. Removed VMs must confirm or stop within 30 s. A process without memory trusts nobody who still waits for the end of an earlier layout.

--- a/internal/process/psfence/core.go
+++ b/internal/process/psfence/core.go
@@ -162,6 +162,7 @@
 			out = append(out, vm)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
--- a/internal/process/psfence/fence.go
+++ b/internal/process/psfence/fence.go
@@ -47,9 +47,13 @@
 	// FreshTimeout is how long a process whose reachable peers remember no earlier layout
 	// waits for the VMs that do not answer.
 	FreshTimeout = 10 * time.Second
+	// RemovedTimeout is how long a VM that was removed from the configuration may take to stop.
+	RemovedTimeout = 30 * time.Second
 
 	tick          = Term / 8
 	settleTick    = 50 * time.Millisecond
+	slowTick      = time.Second
+	quickAsks     = 2 * time.Second
 	callTimeout   = 500 * time.Millisecond
 	tableTimeout  = time.Second
 	methodRenew   = "fence.renew"
@@ -223,6 +227,7 @@
 	if installed {
 		psevent.LayoutChanged.Log(f.logger, p.Version, len(f.core.settlement.missing))
 	}
+	f.core.settlement.expire(now)
 	if change != nil {
 		change(f.core, now)
 	}
@@ -340,7 +345,7 @@
 // settle asks the VMs that have not confirmed the layout.
 func (f *Fence) settle(ctx context.Context) {
 	var asks []*psplan.VM
-	f.update(func(c *core, _ time.Time) { asks = c.settlement.asks() })
+	f.update(func(c *core, now time.Time) { asks = c.settlement.asks(now) })
 	var asking sync.WaitGroup
 	for _, v := range asks {
 		asking.Go(func() {
--- a/internal/process/psfence/settlement.go
+++ b/internal/process/psfence/settlement.go
@@ -1,6 +1,7 @@
 package psfence
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,6 +13,8 @@
 type Confirmation struct {
 	// Layout is the fingerprint of the layout.
 	Layout uint64 `json:"layout"`
+	// Version is the configuration version in force.
+	Version uint64 `json:"version"`
 	// Settled says that every VM has confirmed the layout.
 	Settled bool `json:"settled"`
 	// Remembers says that the VM has an earlier layout in memory.
@@ -23,16 +26,22 @@
 // settlement follows which VMs have confirmed a layout. A layout is settled when all have:
 // then no VM acts on an earlier one, and shares that have grown may be used.
 type settlement struct {
-	self      psdoc.Name
-	layout    uint64
-	version   uint64
+	self    psdoc.Name
+	layout  uint64
+	version uint64
+	// since is the first version known to have the layout without another one in between.
+	since     uint64
 	began     time.Time
 	remembers bool
-	// contradicted says that some VM remembers an earlier layout and waits for it to end.
-	contradicted bool
+	// contradicted is when a VM last said that it remembers an earlier layout and waits for
+	// it to end.
+	contradicted time.Time
 	missing      map[psdoc.Name]bool
-	domains      map[psdoc.Name][]*psplan.VM
-	domain       psdoc.Name
+	// removed are the VMs of earlier layouts that the present one does not have.
+	removed map[psdoc.Name]*psplan.VM
+	domains map[psdoc.Name][]*psplan.VM
+	domain  psdoc.Name
+	asked   time.Time
 	// completed is when the set of missing VMs last shrank.
 	completed time.Time
 	// turn selects the VM of another domain that is asked next.
@@ -49,10 +58,11 @@
 	if !first && follows && layout == s.layout {
 		return false
 	}
-	s.layout, s.began, s.completed = layout, now, now
+	s.layout, s.since, s.began, s.completed = layout, p.Version, now, now
 	s.remembers = !first
-	s.contradicted = false
+	s.contradicted = time.Time{}
 	s.missing = make(map[psdoc.Name]bool, len(p.VMs))
+	s.remember(p)
 	s.domains = newNeighbours(p).domains
 	s.domain = ""
 	for _, v := range p.VMs {
@@ -65,6 +75,36 @@
 	return true
 }
 
+// remember keeps the VMs that the plan no longer has, and takes them for missing.
+func (s *settlement) remember(p *psplan.Plan) {
+	removed := make(map[psdoc.Name]*psplan.VM)
+	for _, members := range s.domains {
+		for _, v := range members {
+			removed[v.Name] = v
+		}
+	}
+	maps.Copy(removed, s.removed)
+	delete(removed, s.self)
+	for _, v := range p.VMs {
+		delete(removed, v.Name)
+	}
+	for name := range removed {
+		s.missing[name] = true
+	}
+	s.removed = removed
+}
+
+// expire takes removed VMs for stopped after a while.
+func (s *settlement) expire(now time.Time) {
+	if len(s.removed) == 0 || now.Before(s.began.Add(RemovedTimeout)) {
+		return
+	}
+	for name := range s.removed {
+		delete(s.missing, name)
+	}
+	s.removed, s.completed = nil, now
+}
+
 // settled reports whether all VMs have confirmed, but for those named.
 func (s *settlement) settled(but ...psdoc.Name) bool {
 	if s.missing == nil {
@@ -81,10 +121,20 @@
 
 // asks lists the VMs to be asked now: all that are missing in this VM's own failure domain
 // and one of each other domain where some are missing.
-func (s *settlement) asks() []*psplan.VM {
-	var out []*psplan.VM
+func (s *settlement) asks(now time.Time) []*psplan.VM {
+	if now.Sub(s.began) > quickAsks && now.Sub(s.asked) < slowTick {
+		return nil
+	}
+	s.asked = now
 	s.turn++
-	for name, members := range s.domains {
+	var out []*psplan.VM
+	for _, name := range slices.Sorted(maps.Keys(s.removed)) {
+		if s.missing[name] {
+			out = append(out, s.removed[name])
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.domains)) {
+		members := s.domains[name]
 		if name == s.domain {
 			for _, v := range members {
 				if s.missing[v.Name] {
@@ -100,26 +150,31 @@
 	return out
 }
 
-// confirm takes in a VM's answer.
+// confirm takes in a VM's answer. A process without memory trusts nobody who still waits
+// for the end of an earlier layout.
 func (s *settlement) confirm(from *psplan.VM, c Confirmation, now time.Time) {
-	if c.Layout != s.layout {
+	if c.Layout != s.layout || c.Version < s.since {
+		return
+	}
+	waits := c.Remembers && !c.Settled
+	if waits {
+		s.contradicted = now
+	}
+	if waits && !s.remembers {
 		return
 	}
 	before := len(s.missing)
-	delete(s.missing, from.Name)
 	if c.Settled {
 		clear(s.missing)
 	}
-	if from.Domain.Name != s.domain {
+	delete(s.missing, from.Name)
+	if from.Domain.Name != s.domain && s.removed[from.Name] == nil {
 		for _, v := range s.domains[from.Domain.Name] {
 			if !slices.Contains(c.Missing, v.Name) {
 				delete(s.missing, v.Name)
 			}
 		}
 	}
-	if c.Remembers && !c.Settled {
-		s.contradicted = true
-	}
 	if len(s.missing) < before {
 		s.completed = now
 	}
@@ -127,7 +182,7 @@
 
 // answer tells another VM.
 func (s *settlement) answer() Confirmation {
-	c := Confirmation{Layout: s.layout, Settled: s.settled(), Remembers: s.remembers}
+	c := Confirmation{Layout: s.layout, Version: s.version, Settled: s.settled(), Remembers: s.remembers}
 	for _, v := range s.domains[s.domain] {
 		if s.missing[v.Name] {
 			c.Missing = append(c.Missing, v.Name)
@@ -144,7 +199,7 @@
 		return false
 	case s.settled():
 		return !now.Before(s.completed.Add(drain))
-	case s.remembers || s.contradicted:
+	case s.remembers || now.Sub(s.contradicted) < FreshTimeout:
 		return false
 	}
 	// Nobody in reach remembers an earlier layout, so there may never have been one.
