pscredit: richest lender first, bounded rounds, and waiting while lenders are busy

Cause: a borrower asked every owner in turn on each round, went on at once after a loan that no waiting request could use, and refused as hopeless what only had to wait.

Change: answers carry the lender's spare slots, believed for 200 ms; at most 8 questions a round; a round that left the queue as long as before backs off; requests are hopeless only where no reachable VM owns a server that they could use.

--- a/internal/process/pscredit/bank.go
+++ b/internal/process/pscredit/bank.go
@@ -27,6 +27,8 @@
 	// minBackoff and maxBackoff bound the pause after a round in which nobody lent anything.
 	minBackoff = 10 * time.Millisecond
 	maxBackoff = 160 * time.Millisecond
+	// maxAsked bounds the VMs that are asked in one round.
+	maxAsked = 8
 	// silentFor is how long a VM that did not answer is not asked again.
 	silentFor = time.Second
 	// maxAskedAtStart bounds the VMs that are asked for loans of an earlier process; in a
@@ -73,6 +75,7 @@
 	mutex     sync.Mutex
 	borrowing map[psdoc.Name]bool
 	silent    map[psdoc.Name]time.Time
+	spare     map[spareKey]spareHint
 	epoch     map[psdoc.Name]int
 	calls     Calls
 }
@@ -92,6 +95,7 @@
 		hungry:    make(chan psdoc.Name, 64),
 		borrowing: make(map[psdoc.Name]bool),
 		silent:    make(map[psdoc.Name]time.Time),
+		spare:     make(map[spareKey]spareHint),
 		epoch:     make(map[psdoc.Name]int),
 	}
 }
@@ -147,26 +151,22 @@
 
 // feed borrows for a pool until no request waits in it.
 func (b *Bank) feed(ctx context.Context, pool psdoc.Name) {
-	defer func() {
-		b.mutex.Lock()
-		delete(b.borrowing, pool)
-		b.mutex.Unlock()
-		// A request may have come between the last look and the mark's end.
-		if ctx.Err() == nil && b.config.Dispatcher.Hunger(pool).Want > 0 {
-			b.Hungry(pool)
-		}
-	}()
+	defer b.end(ctx, pool)
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		h := b.config.Dispatcher.Hunger(pool)
 		if h.Want == 0 {
 			return
 		}
-		if b.round(ctx, pool, h) > 0 {
+		lenders := b.lenders(pool, h)
+		got := b.round(ctx, pool, h.Want, lenders)
+		if got > 0 && b.config.Dispatcher.Hunger(pool).Want < h.Want {
 			backoff = minBackoff
 			continue
 		}
-		b.config.Dispatcher.RefuseHopeless(pool)
+		if len(lenders) == 0 {
+			b.config.Dispatcher.RefuseHopeless(pool)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(backoff):
@@ -175,15 +175,29 @@
 	}
 }
 
-// round asks each VM that could lend once, the nearest first, until the need is met, and
-// returns the borrowed slots.
-func (b *Bank) round(ctx context.Context, pool psdoc.Name, h pspool.Hunger) int {
-	got := 0
-	for _, v := range b.lenders(pool, h) {
-		if got >= h.Want {
+// end unmarks a pool. A request that came between the last look and now is noted again.
+func (b *Bank) end(ctx context.Context, pool psdoc.Name) {
+	b.mutex.Lock()
+	delete(b.borrowing, pool)
+	b.mutex.Unlock()
+	if ctx.Err() == nil && b.config.Dispatcher.Hunger(pool).Want > 0 {
+		b.Hungry(pool)
+	}
+}
+
+// round asks VMs that could lend until the need is met, and returns the borrowed slots.
+// VMs that had nothing to spare a moment ago are passed over.
+func (b *Bank) round(ctx context.Context, pool psdoc.Name, want int, lenders []*psplan.VM) int {
+	got, asked := 0, 0
+	for _, v := range lenders {
+		if got >= want || asked >= maxAsked {
 			break
 		}
-		got += b.borrow(ctx, v, pool, min(h.Want-got, maxWant))
+		if b.spareOf(pool, v.Name) == 0 {
+			continue
+		}
+		asked++
+		got += b.borrow(ctx, v, pool, min(want-got, maxWant))
 	}
 	return got
 }
@@ -201,9 +215,45 @@
 		b.setSilent(v.Name)
 		return 0
 	}
+	b.setSpare(pool, v.Name, out.Spare)
 	return b.take(v.Name, out.Grants, sent, epoch)
 }
 
+// spareKey names what a VM could lend of a pool.
+type spareKey struct {
+	pool, vm psdoc.Name
+}
+
+// spareHint is what a VM said that it could lend.
+type spareHint struct {
+	slots int
+	at    time.Time
+}
+
+// spareFor is how long such a hint is believed.
+const spareFor = 200 * time.Millisecond
+
+func (b *Bank) setSpare(pool, vm psdoc.Name, slots int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.spare[spareKey{pool, vm}] = spareHint{slots, b.config.Now()}
+}
+
+// spareOf returns what a VM can probably lend; a VM that said nothing lately may be rich.
+func (b *Bank) spareOf(pool, vm psdoc.Name) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	h, found := b.spare[spareKey{pool, vm}]
+	if !found {
+		return maxWant
+	}
+	if b.config.Now().Sub(h.at) > spareFor {
+		delete(b.spare, spareKey{pool, vm})
+		return maxWant
+	}
+	return h.slots
+}
+
 // take enters loans unless their lender restarted meanwhile and was told that they do not
 // exist. The mutex covers both, so that no loan slips in after such an answer.
 func (b *Bank) take(lender psdoc.Name, grants []pspool.Grant, sent time.Time, epoch int) int {
@@ -295,7 +345,8 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, errors.Wrap(err, "decode a question for slots")
 	}
-	return borrowResponse{Grants: b.config.Dispatcher.Lend(from, in.Pool, in.Want, b.config.Incarnation)}, nil
+	grants := b.config.Dispatcher.Lend(from, in.Pool, in.Want, b.config.Incarnation)
+	return borrowResponse{Grants: grants, Spare: b.config.Dispatcher.Spare(in.Pool)}, nil
 }
 
 func (b *Bank) onSettle(_ context.Context, from psdoc.Name, params json.RawMessage) (any, error) {
--- a/internal/process/pscredit/lender.go
+++ b/internal/process/pscredit/lender.go
@@ -10,7 +10,7 @@
 )
 
 // lenders lists the VMs to ask for slots of a pool: those that own servers in the regions
-// where the waiting requests may run, the nearest first. The guardian of a silent owner
+// where the waiting requests may run, the nearest and then the richest first. The guardian of a silent owner
 // stands in for it.
 func (b *Bank) lenders(pool psdoc.Name, h pspool.Hunger) []*psplan.VM {
 	p := b.config.Plans.Plan()
@@ -35,8 +35,15 @@
 		}
 		out = append(out, v)
 	}
+	spare := make(map[psdoc.Name]int, len(out))
+	for _, v := range out {
+		spare[v.Name] = b.spareOf(pool, v.Name)
+	}
 	slices.SortStableFunc(out, func(x, y *psplan.VM) int {
-		return cmp.Compare(distance(self, x), distance(self, y))
+		return cmp.Or(
+			cmp.Compare(distance(self, x), distance(self, y)),
+			cmp.Compare(spare[y.Name], spare[x.Name]),
+		)
 	})
 	return out
 }
--- a/internal/process/pscredit/wire.go
+++ b/internal/process/pscredit/wire.go
@@ -48,6 +48,8 @@
 // borrowResponse carries the loans.
 type borrowResponse struct {
 	Grants []pspool.Grant `json:"grants,omitempty"`
+	// Spare is the number of slots that the lender could still lend.
+	Spare int `json:"spare"`
 }
 
 // settleRequest renews and returns loans.
--- a/internal/process/pspool/lend.go
+++ b/internal/process/pspool/lend.go
@@ -39,6 +39,22 @@
 	return out
 }
 
+// Spare returns the base slots of a pool that are free here; 0 while requests wait.
+func (d *Dispatcher) Spare(poolName psdoc.Name) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p := d.poolOf(poolName)
+	if p.waitingCount() > 0 {
+		return 0
+	}
+	now := d.config.Now()
+	n := 0
+	for _, t := range d.lendable(p, now) {
+		n += d.ownFree(t, now)
+	}
+	return n
+}
+
 // lendable lists the servers with free base slots, the emptiest first.
 func (d *Dispatcher) lendable(p *pool, now time.Time) []*server {
 	var out []*server
