psdirectory: answers outlive a domain and spread large workspaces

Cause: an answer named the four nearest VMs. With 24 VMs in a failure domain all four were of the same domain and went with it, and every caller of a workspace got the same first VM, however large the workspace is.

Change: two VMs of the caller's domain, one of each other domain of its region, and one of another region at the end; callers of a workspace turn over as many VMs of the domain as its rate wants at 500 requests a second each.

--- a/internal/process/psdirectory/directory.go
+++ b/internal/process/psdirectory/directory.go
@@ -7,14 +7,11 @@
 package psdirectory
 
 import (
-	"cmp"
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
@@ -23,12 +20,8 @@
 	"persimmonstep/internal/version/psplan"
 )
 
-const (
-	// TTL is how long a caller may keep an answer.
-	TTL = 5 * time.Second
-	// maxVMs bounds the VMs of one answer.
-	maxVMs = 4
-)
+// TTL is how long a caller may keep an answer.
+const TTL = 5 * time.Second
 
 // Answer is what a caller is told.
 type Answer struct {
@@ -83,7 +76,8 @@
 	workspace := psdoc.Name(r.URL.Query().Get("workspace"))
 	p := d.Plans.Plan()
 	home := d.Locator.Locate(p, address.Addr().Unmap())
-	a := Rank(p, home, workspace, d.Members)
+	turn := Turn(address.Addr().Unmap(), Spread(p, workspace, home))
+	a := Rank(p, home, workspace, turn, d.Members)
 	names := lo.Map(a.VMs, func(e Entry, _ int) psdoc.Name { return e.Name })
 	psevent.Directed.Log(d.Logger, address.Addr(), workspace, names, reasonOf(home))
 	w.Header().Set("Content-Type", "application/json")
@@ -98,42 +92,9 @@
 	return "home " + string(home.Name)
 }
 
-// Rank makes the answer for a caller near a failure domain, which may be nil.
-func Rank(p *psplan.Plan, home *psplan.Domain, workspace psdoc.Name, m Members) Answer {
-	usable := lo.Filter(p.VMs, func(v *psplan.VM, _ int) bool { return m.Usable(v.Name) })
-	slices.SortFunc(usable, func(a, b *psplan.VM) int {
-		return cmp.Or(
-			cmp.Compare(distance(home, a), distance(home, b)),
-			cmp.Compare(affinity(workspace, b), affinity(workspace, a)),
-		)
-	})
-	if len(usable) > maxVMs {
-		usable = usable[:maxVMs]
-	}
-	entries := lo.Map(usable, func(v *psplan.VM, _ int) Entry {
+func answerOf(p *psplan.Plan, vms []*psplan.VM) Answer {
+	entries := lo.Map(vms, func(v *psplan.VM, _ int) Entry {
 		return Entry{Name: v.Name, Address: v.Callers, FailureDomain: v.Domain.Name, Region: v.Domain.Region.Name, Weight: v.Weight}
 	})
 	return Answer{Version: p.Version, TTL: psdoc.Duration{Duration: TTL}, VMs: entries}
 }
-
-// distance ranks a VM by its place.
-func distance(home *psplan.Domain, v *psplan.VM) int {
-	switch {
-	case home == nil:
-		return 0
-	case v.Domain == home:
-		return 0
-	case v.Domain.Region == home.Region:
-		return 1
-	}
-	return 2
-}
-
-// affinity ranks the VMs for a workspace by rendezvous hash.
-func affinity(workspace psdoc.Name, v *psplan.VM) uint64 {
-	var d xxhash.Digest
-	_, _ = d.WriteString(string(workspace))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(v.Name))
-	return d.Sum64()
-}
--- a/internal/version/psplan/compile.go
+++ b/internal/version/psplan/compile.go
@@ -103,6 +103,7 @@
 		v := &Domain{Name: f.Name, Region: r}
 		c.plan.domains[f.Name] = v
 		c.plan.Domains = append(c.plan.Domains, v)
+		r.Domains = append(r.Domains, v)
 	}
 }
 
--- a/internal/version/psplan/plan.go
+++ b/internal/version/psplan/plan.go
@@ -60,6 +60,8 @@
 // Region is a geographical area.
 type Region struct {
 	Name psdoc.Name
+	// Domains lists the failure domains of the region.
+	Domains []*Domain
 }
 
 // Domain is a failure domain.
