psdev: topologies with links, client blocks and faults

Experiments need systems of other sizes than the example, callers that belong to failure domains, and ways to take parts away.

A topology now has links and client blocks, each region reaches the store through a stand-in server with a fault table of its own, links that lead to a VM can be cut, and a VM can be stopped or killed by itself. Options.Adjust changes a VM's request path, so that policies can be compared.

--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -65,8 +65,12 @@
 type System struct {
 	// Ready says where everything is.
 	Ready Ready
-	// Platform is the platform stand-in.
+	// Platform is the platform stand-in as the operators and the first region reach it.
 	Platform *psstandin.Server
+	// Platforms holds for each region a server of the same store with faults of its own.
+	Platforms map[psdoc.Name]*psstandin.Server
+	// Peers cuts the links between VMs.
+	Peers *Links
 	// Servers are the backend server stand-ins.
 	Servers []*psbackend.Server
 	// VMs are the entry VMs.
@@ -77,6 +81,7 @@
 	nodes    []node
 	cleanups []func()
 	stops    []func()
+	kills    []func()
 }
 
 // node is a VM that is yet to be started.
@@ -87,7 +92,7 @@
 
 // New starts a system and returns it with its clean-up function.
 func New(ctx context.Context, t Topology, l hclog.Logger) (*System, func(), error) {
-	s := &System{logger: l, topology: t}
+	s := &System{logger: l, topology: t, Peers: newLinks()}
 	steps := []func(context.Context) error{s.makeToken, s.startPlatform, s.startServers, s.openVMs, s.apply, s.startVMs, s.await}
 	for _, f := range steps {
 		if err := f(ctx); err != nil {
@@ -110,6 +115,25 @@
 	}
 }
 
+// Stop shuts the VM of a position down gracefully.
+func (s *System) Stop(vm int) {
+	s.stops[vm]()
+}
+
+// Kill ends the VM of a position as a crash would.
+func (s *System) Kill(vm int) {
+	s.kills[vm]()
+}
+
+// Apply makes the next configuration version of the running system.
+func (s *System) Apply(ctx context.Context, operation string, put map[string]string) error {
+	client, clean := psplatform.NewClient(s.Ready.Platform)
+	defer clean()
+	store := &psversion.Store{Platform: client, Now: time.Now}
+	_, err := store.Apply(ctx, psversion.Change{OperationID: operation, Author: "dev", Put: put})
+	return errors.Wrap(err, "apply documents")
+}
+
 func (s *System) makeToken(context.Context) error {
 	directory, err := os.MkdirTemp("", "persimmonstep-dev-")
 	if err != nil {
@@ -133,6 +157,19 @@
 	}
 	s.Platform, s.Ready.Platform = p, p.Address
 	s.cleanups = append(s.cleanups, clean)
+	s.Platforms = make(map[psdoc.Name]*psstandin.Server)
+	for i, r := range s.topology.Regions {
+		if i == 0 {
+			s.Platforms[r.Name] = p
+			continue
+		}
+		other, clean, err := psstandin.Serve(ctx, loopback(), p.Store)
+		if err != nil {
+			return err
+		}
+		s.Platforms[r.Name] = other
+		s.cleanups = append(s.cleanups, clean)
+	}
 	return nil
 }
 
@@ -154,7 +191,7 @@
 		settings := &pssettings.Settings{
 			Name: v.Name, Region: v.Region, FailureDomain: v.Domain,
 			Callers: loopback(), Peer: loopback(), Operator: loopback(),
-			Platform: s.Ready.Platform, TokenFile: s.Ready.OperatorTokenFile,
+			Platform: s.Platforms[v.Region].Address, TokenFile: s.Ready.OperatorTokenFile,
 		}
 		l, err := psvm.Listen(ctx, settings)
 		if err != nil {
@@ -163,6 +200,7 @@
 		settings.Callers = netip.MustParseAddrPort(l.Callers.Addr().String())
 		settings.Peer = netip.MustParseAddrPort(l.Peer.Addr().String())
 		settings.Operator = netip.MustParseAddrPort(l.Operator.Addr().String())
+		l.Peer = s.Peers.wrap(v.Name, l.Peer)
 		s.nodes = append(s.nodes, node{settings: settings, listeners: l})
 		s.Ready.Callers = append(s.Ready.Callers, settings.Callers)
 		s.Ready.Operators = append(s.Ready.Operators, settings.Operator)
@@ -180,23 +218,22 @@
 	if err != nil {
 		return err
 	}
-	client, clean := psplatform.NewClient(s.Ready.Platform)
-	defer clean()
-	store := &psversion.Store{Platform: client, Now: time.Now}
-	_, err = store.Apply(ctx, psversion.Change{OperationID: "dev", Author: "dev", Put: documents})
-	return errors.Wrap(err, "apply the example configuration")
+	return s.Apply(ctx, "dev", documents)
 }
 
 func (s *System) startVMs(ctx context.Context) error {
 	for _, n := range s.nodes {
 		v, stop, err := psvm.New(ctx, psvm.Options{
 			Settings: n.settings, Listeners: n.listeners, Logger: s.logger.Named(string(n.settings.Name)), StopTimeout: stopTimeout,
+			Adjust: s.topology.Adjust,
 		})
 		if err != nil {
 			return err
 		}
 		s.VMs = append(s.VMs, v)
-		s.stops = append(s.stops, stop)
+		var once sync.Once
+		s.stops = append(s.stops, func() { once.Do(stop) })
+		s.kills = append(s.kills, func() { once.Do(v.Kill) })
 	}
 	return nil
 }
--- a/internal/process/psdev/topology.go
+++ b/internal/process/psdev/topology.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/request/psgate"
 	"persimmonstep/internal/request/pskey"
 	"persimmonstep/internal/version/psdoc"
 )
@@ -19,6 +20,11 @@
 	Servers    []TopologyServer
 	Workspaces []psdoc.Workspace
 	Routes     []psdoc.Route
+	Links      []psdoc.Link
+	// ClientBlocks assigns callers to failure domains.
+	ClientBlocks []psdoc.ClientBlock
+	// Adjust, unless nil, changes the request path of each VM.
+	Adjust func(*psgate.Gate)
 }
 
 // TopologyVM is a VM without addresses.
@@ -87,7 +93,7 @@
 
 // documents renders the configuration with the addresses of the running parts.
 func (s *System) documents() (map[string]string, error) {
-	network := psdoc.Document{Document: "network", Regions: s.topology.Regions, FailureDomains: s.topology.Domains}
+	network := psdoc.Document{Document: "network", Regions: s.topology.Regions, FailureDomains: s.topology.Domains, Links: s.topology.Links, ClientBlocks: s.topology.ClientBlocks}
 	for _, n := range s.nodes {
 		network.VMs = append(network.VMs, psdoc.VM{
 			Name: n.settings.Name, FailureDomain: n.settings.FailureDomain,
--- a/internal/process/psstandin/server.go
+++ b/internal/process/psstandin/server.go
@@ -30,11 +30,17 @@
 
 // NewServer starts a server and returns it with its clean-up function.
 func NewServer(ctx context.Context, address netip.AddrPort) (*Server, func(), error) {
+	return Serve(ctx, address, &Store{})
+}
+
+// Serve starts a server of a store, which several servers with fault tables of their own
+// may share. It returns the server with its clean-up function.
+func Serve(ctx context.Context, address netip.AddrPort, store *Store) (*Server, func(), error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "listen for the platform stand-in")
 	}
-	s := &Server{Store: &Store{}, Faults: &Faults{}, Address: l.Addr().(*net.TCPAddr).AddrPort()}
+	s := &Server{Store: store, Faults: &Faults{}, Address: l.Addr().(*net.TCPAddr).AddrPort()}
 	h := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go h.Serve(l) //nolint:errcheck // ends with ErrServerClosed
 	return s, func() {
--- a/internal/process/psvm/provide.go
+++ b/internal/process/psvm/provide.go
@@ -45,7 +45,7 @@
 }
 
 func newGate(i do.Injector, o Options) *psgate.Gate {
-	return &psgate.Gate{
+	g := &psgate.Gate{
 		Self:        o.Settings.Name,
 		Plans:       do.MustInvoke[*psversion.Follower](i),
 		Withdrawals: do.MustInvoke[*pswithdrawal.Set](i),
@@ -59,6 +59,10 @@
 		Metrics:     do.MustInvoke[*psmetric.Metrics](i),
 		Logger:      o.Logger,
 	}
+	if o.Adjust != nil {
+		o.Adjust(g)
+	}
+	return g
 }
 
 func newAdmin(i do.Injector, o Options, token *psadmin.Token) *psadmin.API {
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -19,6 +19,7 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/process/pssettings"
+	"persimmonstep/internal/request/psgate"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -41,6 +42,9 @@
 	LeaveWait time.Duration
 	// StopTimeout bounds the wait for running requests.
 	StopTimeout time.Duration
+	// Adjust, unless nil, changes the request path before it serves, such as to compare
+	// policies.
+	Adjust func(*psgate.Gate)
 }
 
 // VM is a running entry VM.
