psmeasure: experiments with both firms' sizes, faults and a baseline

There was no way to say how the system fares, nor to see a broken promise outside single tests.

persimmonstep measure starts the VMs of a firm's size over loopback, sends a drawn open-loop load (psload) while faults come on a timetable, and prints latency, headroom, goodput, wrongful refusals and broken promises (pspromise) beside a baseline that splits each rate for good and takes VMs at random. It exits with 6 where the system's own policy broke a promise.

--- a/internal/process/pscli/cli.go
+++ b/internal/process/pscli/cli.go
@@ -42,6 +42,7 @@
 	Serve   serveCommand   `cmd:"" help:"Run one entry VM."`
 	Dev     devCommand     `cmd:"" help:"Run the whole system in this process on loopback, with stand-ins."`
 	Standin standinCommand `cmd:"" help:"Run the platform stand-in alone."`
+	Measure measureCommand `cmd:"" help:"Run experiments and print what was measured."`
 	Check   checkCommand   `cmd:"" help:"Check documents and print every finding."`
 	Apply   applyCommand   `cmd:"" help:"Apply documents as a whole."`
 	Status  statusCommand  `cmd:"" help:"Show what runs where."`
--- /dev/null
+++ b/internal/process/pscli/measure.go
@@ -0,0 +1,137 @@
+package pscli
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/process/psmeasure"
+)
+
+// ExitBroken says that an experiment broke a promise.
+const ExitBroken = 6
+
+// measureCommand runs experiments.
+type measureCommand struct {
+	Scenarios []string `arg:"" optional:"" type:"existingfile" help:"Scenario files (TOML)."`
+	All       bool     `help:"Run every scenario of the directory scenarios."`
+	Directory string   `default:"scenarios" help:"The directory of scenarios for --all."`
+	Firm      string   `help:"Run one firm's size only, such as egg-exchange."`
+	Baseline  bool     `default:"true" negatable:"" help:"Run the baseline policy beside the system's own."`
+	Seed      uint64   `help:"Draw the load from this seed in place of the scenario's."`
+	JSON      bool     `name:"json" help:"Print JSON."`
+	Plot      string   `help:"Write a plot (SVG) to this file."`
+}
+
+// Run runs each scenario for each firm and prints what was measured.
+func (c *measureCommand) Run(ctx context.Context, s streams) error {
+	scenarios, err := c.scenarios()
+	if err != nil {
+		return err
+	}
+	l := hclog.New(&hclog.LoggerOptions{Name: "measure", Output: os.Stderr})
+	var results []*psmeasure.Result
+	for _, v := range scenarios {
+		r, err := c.runOne(ctx, v, l)
+		if err != nil {
+			return err
+		}
+		results = append(results, r...)
+	}
+	if err := c.report(s, results); err != nil {
+		return err
+	}
+	return brokenOwn(results)
+}
+
+// scenarios reads the scenario files.
+func (c *measureCommand) scenarios() ([]*psmeasure.Scenario, error) {
+	files := c.Scenarios
+	if c.All {
+		found, err := filepath.Glob(filepath.Join(c.Directory, "*.toml"))
+		if err != nil {
+			return nil, errors.Wrap(err, "list the scenarios")
+		}
+		files = append(files, found...)
+	}
+	if len(files) == 0 {
+		return nil, errors.New("name a scenario file or use --all")
+	}
+	var out []*psmeasure.Scenario
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			return nil, errors.Wrap(err, "read a scenario")
+		}
+		v, err := psmeasure.Parse(f, data)
+		if err != nil {
+			return nil, findingsOr(err)
+		}
+		if c.Seed > 0 {
+			v.Seed = c.Seed
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
+
+// runOne runs a scenario for each firm and policy.
+func (c *measureCommand) runOne(ctx context.Context, v *psmeasure.Scenario, l hclog.Logger) ([]*psmeasure.Result, error) {
+	policies := []psmeasure.Policy{psmeasure.Own()}
+	if c.Baseline {
+		policies = append(policies, psmeasure.Baseline())
+	}
+	var out []*psmeasure.Result
+	for _, f := range psmeasure.Firms() {
+		if c.Firm != "" && string(f.Name) != c.Firm {
+			continue
+		}
+		for _, p := range policies {
+			if ctx.Err() != nil {
+				return out, nil
+			}
+			r, err := psmeasure.Run(ctx, f, v, p, l)
+			if err != nil {
+				return nil, errors.Wrapf(err, "run %s", v.Name)
+			}
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
+
+func (c *measureCommand) report(s streams, results []*psmeasure.Result) error {
+	if c.Plot != "" {
+		f, err := os.Create(c.Plot)
+		if err != nil {
+			return errors.Wrap(err, "make the plot's file")
+		}
+		if err := psmeasure.Plot(f, results); err != nil {
+			_ = f.Close()
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return errors.Wrap(err, "write the plot")
+		}
+	}
+	if c.JSON {
+		e := json.NewEncoder(s.out)
+		e.SetIndent("", "  ")
+		return errors.Wrap(e.Encode(results), "print the results")
+	}
+	return psmeasure.Table(s.out, results)
+}
+
+// brokenOwn fails where the system's own policy broke a promise.
+func brokenOwn(results []*psmeasure.Result) error {
+	for _, r := range results {
+		if r.Policy == psmeasure.Own().Name && r.Broken.Total() > 0 {
+			return &exitError{code: ExitBroken, text: "a promise was broken"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/psload/run.go
@@ -0,0 +1,52 @@
+package psload
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// maxInFlight bounds the requests that wait for answers; those above are not sent.
+const maxInFlight = 4000
+
+// Run sends a schedule over the callers of the failure domains. It returns what they saw
+// and the number of arrivals that it could not send.
+func Run(ctx context.Context, callers []*Caller, schedule []Arrival, start time.Time) ([]Observation, int) {
+	out := make([]Observation, len(schedule))
+	slots := make(chan struct{}, maxInFlight)
+	var sending sync.WaitGroup
+	unsent := 0
+	for i, a := range schedule {
+		wait(ctx, time.Until(start.Add(a.At)))
+		select {
+		case slots <- struct{}{}:
+		default:
+			unsent++
+			continue
+		}
+		sending.Go(func() {
+			out[i] = callers[a.Domain].Send(ctx, a, start)
+			<-slots
+		})
+	}
+	sending.Wait()
+	sent := out[:0]
+	for _, o := range out {
+		if o.Stream != nil {
+			sent = append(sent, o)
+		}
+	}
+	return sent, unsent
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/process/psmeasure/scenario.go
@@ -0,0 +1,169 @@
+// Package psmeasure runs experiments on the system and measures what its users care for.
+//
+// An experiment starts the entry VMs of a firm's size over loopback, with stand-ins for the
+// platform and the backend servers, sends a drawn load while faults come on a timetable,
+// and counts latency, headroom, goodput, wrongful refusals and broken promises. Each
+// scenario runs under the system's own policies and under a named baseline. It is a tool
+// for experiments on this system and not a simulator: what it starts is the real thing.
+package psmeasure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/pstoml"
+)
+
+const (
+	defaultSpan   = 8 * time.Second
+	defaultWarmUp = 3 * time.Second
+	defaultLoad   = 0.6
+	defaultFactor = 5
+	maxSpan       = time.Minute
+)
+
+// Scenario is one experiment, the content of a TOML file.
+type Scenario struct {
+	// Name identifies the scenario.
+	Name psdoc.Name `toml:"name"`
+	// Seed draws the load.
+	Seed uint64 `toml:"seed"`
+	// Span is the time of sending; 8 s when absent.
+	Span psdoc.Duration `toml:"span"`
+	// WarmUp lets VMs take their shares and buckets fill before the load; 3 s when absent.
+	WarmUp psdoc.Duration `toml:"warmUp"`
+	// Load is what each workspace sends as a part of its rate; 0.6 when absent.
+	Load float64 `toml:"load"`
+	// Busy makes one workspace send a multiple of its rate.
+	Busy *Busy `toml:"busy"`
+	// Faults is the timetable.
+	Faults []Fault `toml:"faults"`
+}
+
+// Busy is a workspace that sends more than its rate.
+type Busy struct {
+	// Workspace is the position of the workspace, 0 for the largest.
+	Workspace int `toml:"workspace"`
+	// Factor is the multiple of its rate; 5 when absent.
+	Factor float64 `toml:"factor"`
+}
+
+// FaultKind says what happens.
+type FaultKind string
+
+const (
+	// FaultKillVM ends a VM as a crash would.
+	FaultKillVM FaultKind = "killVM"
+	// FaultStopVM shuts a VM down gracefully.
+	FaultStopVM FaultKind = "stopVM"
+	// FaultKillRegion ends all VMs and backend servers of a region.
+	FaultKillRegion FaultKind = "killRegion"
+	// FaultCutRegion closes the links that lead to a region's VMs and its way to the platform.
+	FaultCutRegion FaultKind = "cutRegion"
+	// FaultCutAll closes all links between VMs and all ways to the platform.
+	FaultCutAll FaultKind = "cutAll"
+	// FaultPlatformDown makes the platform refuse every call.
+	FaultPlatformDown FaultKind = "platformDown"
+	// FaultSlowServer makes a backend server ten times slower.
+	FaultSlowServer FaultKind = "slowServer"
+	// FaultKillServer ends a backend server.
+	FaultKillServer FaultKind = "killServer"
+	// FaultDrain marks a backend server as leaving by configuration.
+	FaultDrain FaultKind = "drain"
+	// FaultWithdrawKey withdraws the key of a workspace.
+	FaultWithdrawKey FaultKind = "withdrawKey"
+	// FaultPoison begins to send a request that crashes each backend server that runs it.
+	FaultPoison FaultKind = "poison"
+)
+
+// UnmarshalText checks the kind.
+func (k *FaultKind) UnmarshalText(text []byte) error {
+	switch v := FaultKind(text); v {
+	case FaultKillVM, FaultStopVM, FaultKillRegion, FaultCutRegion, FaultCutAll, FaultPlatformDown,
+		FaultSlowServer, FaultKillServer, FaultDrain, FaultWithdrawKey, FaultPoison:
+		*k = v
+		return nil
+	}
+	return errors.Errorf("%q is not a fault", text)
+}
+
+// Fault is one row of the timetable.
+type Fault struct {
+	// At is when it begins.
+	At psdoc.Duration `toml:"at"`
+	// Until is when a cut or an outage ends; it lasts to the end of the run when absent.
+	Until psdoc.Duration `toml:"until"`
+	// Kind says what happens.
+	Kind FaultKind `toml:"kind"`
+	// Target is the position of the VM, region, backend server or workspace that it meets.
+	Target int `toml:"target"`
+}
+
+// Parse reads a scenario. Its error is of type pstoml.Findings where the file has faults.
+func Parse(file string, data []byte) (*Scenario, error) {
+	s, source, findings := pstoml.Decode[Scenario](file, data)
+	if source != nil {
+		findings = append(findings, s.check(source)...)
+	}
+	if len(findings) > 0 {
+		findings.Sort()
+		return nil, findings
+	}
+	s.fill()
+	return &s, nil
+}
+
+func (s *Scenario) fill() {
+	if s.Span.Duration == 0 {
+		s.Span.Duration = defaultSpan
+	}
+	if s.WarmUp.Duration == 0 {
+		s.WarmUp.Duration = defaultWarmUp
+	}
+	if s.Load == 0 {
+		s.Load = defaultLoad
+	}
+	if s.Busy != nil && s.Busy.Factor == 0 {
+		s.Busy.Factor = defaultFactor
+	}
+}
+
+func (s *Scenario) check(source *pstoml.Source) pstoml.Findings {
+	var findings pstoml.Findings
+	require := func(condition bool, path, message string) {
+		if !condition && !source.Faulty(path) {
+			findings = append(findings, source.Finding(path, message))
+		}
+	}
+	require(s.Name != "", "name", "the scenario needs a name")
+	require(s.Span.Duration <= maxSpan, "span", "the span is at most one minute")
+	require(s.Load >= 0 && s.Load <= 4, "load", "the load lies between 0 and 4")
+	if s.Busy != nil {
+		require(s.Busy.Workspace >= 0 && s.Busy.Workspace < len(workspaceWeights), "busy.workspace", "there is no such workspace")
+	}
+	for i, f := range s.Faults {
+		at := fmt.Sprintf("faults[%d]", i)
+		require(f.Kind != "", at+".kind", "the fault needs a kind")
+		require(f.Target >= 0 && f.Target < f.targets(), at+".target", "there is no such target")
+		require(f.Until.Duration == 0 || f.Until.Duration > f.At.Duration, at+".until", "the fault ends before it begins")
+	}
+	return findings
+}
+
+// targets is the number of targets that the fault can choose from, the same for both firms.
+func (f Fault) targets() int {
+	switch f.Kind {
+	case FaultKillVM, FaultStopVM:
+		return vmCount
+	case FaultKillRegion, FaultCutRegion:
+		return regionCount
+	case FaultSlowServer, FaultKillServer, FaultDrain:
+		return serverCount
+	case FaultWithdrawKey, FaultPoison:
+		return len(workspaceWeights)
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/process/psmeasure/usage.go
@@ -0,0 +1,63 @@
+package psmeasure
+
+import (
+	"context"
+	"time"
+
+	"persimmonstep/internal/version/psdoc"
+)
+
+// usage follows the slots in use of each pool.
+type usage struct {
+	experiment *experiment
+	slots      map[psdoc.Name]int
+	samples    []sample
+}
+
+// sample is the part of each pool's slots in use at one time.
+type sample struct {
+	at    time.Duration
+	pools map[psdoc.Name]float64
+}
+
+func newUsage(e *experiment) *usage {
+	u := &usage{experiment: e, slots: make(map[psdoc.Name]int)}
+	for _, v := range e.topology.Servers {
+		u.slots[v.Pool] += v.Slots
+	}
+	return u
+}
+
+// sample looks at the slots until the context ends.
+func (u *usage) sample(ctx context.Context) {
+	t := time.NewTicker(samplePeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			u.samples = append(u.samples, u.take())
+		}
+	}
+}
+
+func (u *usage) take() sample {
+	e := u.experiment
+	out := sample{at: time.Since(e.start), pools: make(map[psdoc.Name]float64)}
+	for i, v := range e.topology.Servers {
+		out.pools[v.Pool] += float64(e.system.Servers[i].Stats().Running) / float64(u.slots[v.Pool])
+	}
+	return out
+}
+
+// peak is the greatest part of a pool's slots in use before a time.
+func (u *usage) peak(pool psdoc.Name, before time.Duration) float64 {
+	out := 0.0
+	for _, s := range u.samples {
+		if s.at <= before {
+			out = max(out, s.pools[pool])
+		}
+	}
+	return out
+}
