psdev: one platform stand-in for all regions unless a topology asks for more

A test takes the platform away from every VM through its one fault table. With a stand-in for each region, the fault met the first region only, and the withdrawal without the platform could still enter a key.

RegionalPlatforms asks for one stand-in for each region; experiments set it, and all else has one again.

--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -65,9 +65,9 @@
 type System struct {
 	// Ready says where everything is.
 	Ready Ready
-	// Platform is the platform stand-in as the operators and the first region reach it.
+	// Platform is the platform stand-in as the operators reach it.
 	Platform *psstandin.Server
-	// Platforms holds for each region a server of the same store with faults of its own.
+	// Platforms holds the platform stand-in of each region, all with the same store.
 	Platforms map[psdoc.Name]*psstandin.Server
 	// Peers cuts the links between VMs.
 	Peers *Links
@@ -158,8 +158,8 @@
 	s.Platform, s.Ready.Platform = p, p.Address
 	s.cleanups = append(s.cleanups, clean)
 	s.Platforms = make(map[psdoc.Name]*psstandin.Server)
-	for i, r := range s.topology.Regions {
-		if i == 0 {
+	for _, r := range s.topology.Regions {
+		if !s.topology.RegionalPlatforms {
 			s.Platforms[r.Name] = p
 			continue
 		}
--- a/internal/process/psdev/topology.go
+++ b/internal/process/psdev/topology.go
@@ -23,6 +23,8 @@
 	Links      []psdoc.Link
 	// ClientBlocks assigns callers to failure domains.
 	ClientBlocks []psdoc.ClientBlock
+	// RegionalPlatforms gives each region a platform stand-in with faults of its own.
+	RegionalPlatforms bool
 	// Adjust, unless nil, changes the request path of each VM.
 	Adjust func(*psgate.Gate)
 }
--- a/internal/process/psmeasure/firm.go
+++ b/internal/process/psmeasure/firm.go
@@ -101,7 +101,7 @@
 
 // topology is what the firm runs.
 func (f Firm) topology() psdev.Topology {
-	t := psdev.Topology{Workspaces: f.workspaces()}
+	t := psdev.Topology{Workspaces: f.workspaces(), RegionalPlatforms: true}
 	for i, r := range f.Regions {
 		t.Regions = append(t.Regions, psdoc.Region{Name: r})
 		for j := range i {
