--- a/internal/process/pspool/dispatcher.go
+++ b/internal/process/pspool/dispatcher.go
@@ -66,6 +66,12 @@
 	Refund(r *psplan.Route)
 }
 
+// Links bounds what crosses the links between regions.
+type Links interface {
+	// MayCross reports whether a request may be sent to another region.
+	MayCross(to *psplan.Region) bool
+}
+
 // Config is what a dispatcher needs.
 type Config struct {
 	Self   psdoc.Name
@@ -73,6 +79,8 @@
 	Health Health
 	Fence  Fence
 	Shifts Shifts
+	// Links may be nil, which bounds nothing.
+	Links Links
 	// Now gives monotonic time.
 	Now func() time.Time
 	// Hungry is told, without waiting, of a pool whose requests find no slot. It may be nil.
@@ -284,7 +292,7 @@
 	now := d.config.Now()
 	out := d.buffer[:0]
 	for _, t := range p.servers {
-		if !r.MayRunIn(t.server.Domain.Region) {
+		if !r.MayRunIn(t.server.Domain.Region) || !d.mayCross(t.server.Domain.Region) {
 			continue
 		}
 		limit := d.limit(t, now)
@@ -308,6 +316,15 @@
 	}
 }
 
+// mayCross reports whether the link from this VM's region to another one has room.
+func (d *Dispatcher) mayCross(to *psplan.Region) bool {
+	if d.config.Links == nil {
+		return true
+	}
+	self, found := d.plan.VM(d.config.Self)
+	return !found || self.Domain.Region.Name == to.Name || d.config.Links.MayCross(to)
+}
+
 // scale reduces a limit to a part, but never below one slot unless the part is 0.
 func scale(limit int, part float64) int {
 	if part <= 0 || limit <= 0 {
--- a/internal/process/psvm/slot.go
+++ b/internal/process/psvm/slot.go
@@ -12,6 +12,7 @@
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/request/pskey"
+	"persimmonstep/internal/request/pslink"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
 	"persimmonstep/internal/version/psversion"
@@ -23,6 +24,9 @@
 // provideSlots makes what hands out the slots of backend servers and moves them between VMs.
 func provideSlots(i do.Injector, o Options, l *lifecycle) {
 	self := o.Settings.Name
+	do.Provide(i, func(i do.Injector) (*pslink.Meter, error) {
+		return pslink.NewMeter(self, do.MustInvoke[*psversion.Follower](i), time.Now), nil
+	})
 	// The dispatcher reports hungry pools to the bank, which borrows for the dispatcher.
 	var bank *pscredit.Bank
 	do.Provide(i, func(i do.Injector) (*pspool.Dispatcher, error) {
@@ -32,6 +36,7 @@
 			Health: weighted{do.MustInvoke[*pshealth.Tracker](i)},
 			Fence:  slotFence{do.MustInvoke[*psfence.Fence](i)},
 			Shifts: noShifts{},
+			Links:  do.MustInvoke[*pslink.Meter](i),
 			Now:    time.Now,
 			Hungry: func(pool psdoc.Name) { bank.Hungry(pool) },
 		})
