pspool: adopted and fenced slots end with the right to them

Change: base slots in use above what belongs to the VM end after a hold time, whatever took them away (fence, end of adoption, another plan); renewals of such slots are refused; an adopted share counts from the process's start at the earliest; a started VM does not answer for its predecessor before it knows what that lent.

Conclusion: an upload on a server that moves to another VM is now stopped after a hold time instead of running above the slots.

--- a/internal/process/pscredit/bank.go
+++ b/internal/process/pscredit/bank.go
@@ -369,15 +369,21 @@
 	defer b.mutex.Unlock()
 	b.epoch[from]++
 	version := b.config.Plans.Plan().Version
-	return heldResponse{
-		Held: b.config.Dispatcher.HeldOf(from), Version: version, Running: b.config.Dispatcher.RunningFor(from),
-	}, nil
+	running, _ := b.config.Dispatcher.RunningFor(from)
+	return heldResponse{Held: b.config.Dispatcher.HeldOf(from), Version: version, Running: running}, nil
 }
 
 func (b *Bank) onRunning(_ context.Context, from psdoc.Name, _ json.RawMessage) (any, error) {
-	return runningResponse{Running: b.config.Dispatcher.RunningFor(from)}, nil
+	running, known := b.config.Dispatcher.RunningFor(from)
+	if !known {
+		return nil, errStarting
+	}
+	return runningResponse{Running: running}, nil
 }
 
+// errStarting says that a started VM does not know yet what an earlier process lent.
+var errStarting = errors.New("the VM does not know yet what an earlier process lent")
+
 // refusedConnection reports that no process listens at the VM's address, so that it holds
 // no loans.
 func refusedConnection(err error) bool {
--- a/internal/process/pspool/dispatcher.go
+++ b/internal/process/pspool/dispatcher.go
@@ -90,6 +90,8 @@
 // Dispatcher hands out slots.
 type Dispatcher struct {
 	config Config
+	// began is when this process started.
+	began time.Time
 
 	mutex    sync.Mutex
 	plan     *psplan.Plan
@@ -101,8 +103,6 @@
 	running  int
 	// cleared says that no other VM runs requests on the revocable part of this VM's share.
 	cleared bool
-	// wholeAt is when this VM last could use its whole share.
-	wholeAt time.Time
 	seed    uint64
 	buffer  []psroute.Candidate
 }
@@ -111,12 +111,12 @@
 func NewDispatcher(c Config) *Dispatcher {
 	return &Dispatcher{
 		config:   c,
+		began:    c.Now(),
 		servers:  make(map[psdoc.Name]*server),
 		pools:    make(map[psdoc.Name]*pool),
 		lent:     make(map[GrantID]*lent),
 		borrowed: make(map[GrantID]*borrowed),
 		blocked:  make(map[psdoc.Name]bool),
-		wholeAt:  c.Now(),
 	}
 }
 
--- a/internal/process/pspool/fleet_test.go
+++ b/internal/process/pspool/fleet_test.go
@@ -310,7 +310,8 @@
 // clear lets a VM use its whole share when its guardian runs nothing on it.
 func (f *fleet) clear() {
 	m := f.pick("vm")
-	idle := f.guardian(m).dispatcher.RunningFor(m.name) == 0 && !f.lost("answer")
+	running, known := f.guardian(m).dispatcher.RunningFor(m.name)
+	idle := known && running == 0 && !f.lost("answer")
 	if m.fence.whole && (idle || f.clock.now.Sub(m.wholeSince) > settledAfter) {
 		m.cleared = true
 		m.dispatcher.SetCleared(true)
--- a/internal/process/pspool/lend.go
+++ b/internal/process/pspool/lend.go
@@ -77,7 +77,7 @@
 
 // Renew extends a grant for another term and returns its new size: what the borrower asks
 // for, but no more than runs now while requests wait here. It reports false for a grant
-// that is not lent to the borrower.
+// that is not lent to the borrower, or whose slots this VM may not use any more.
 func (d *Dispatcher) Renew(borrower psdoc.Name, h Held) (int, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -86,8 +86,12 @@
 		return 0, false
 	}
 	t := d.servers[l.Server]
+	if d.ownFree(t, d.config.Now()) < 0 {
+		// The slots are this VM's no more; the borrower stops within a hold time.
+		return 0, false
+	}
 	n := min(h.Slots, l.Slots)
-	if d.poolOf(t.server.Pool).waitingCount() > 0 || d.excluded(t.server) || d.ownFree(t, d.config.Now()) < 0 {
+	if d.poolOf(t.server.Pool).waitingCount() > 0 || d.excluded(t.server) {
 		n = min(n, h.InUse)
 	}
 	n = max(n, h.InUse)
--- a/internal/process/pspool/queue_test.go
+++ b/internal/process/pspool/queue_test.go
@@ -169,3 +169,32 @@
 	ck.now = ck.now.Add(time.Second)
 	c.Assert(limit(), qt.Equals, fleetSlots)
 }
+
+func TestRenewalIsRefusedForSlotsThatAreFenced(t *testing.T) {
+	c := qt.New(t)
+	ck := &clock{now: time.Unix(1000, 0)}
+	f := &fence{whole: true}
+	d := pspool.NewDispatcher(pspool.Config{Self: "vm-0", Plans: fixed{fleetPlan()}, Health: healthy{}, Fence: f, Shifts: shiftAll{}, Now: ck.Now})
+	d.SetCleared(true)
+	lent := d.Lend("vm-1", "prices", 2, "1")
+	lent = append(lent, d.Lend("vm-1", "prices", 2, "1")...)
+	c.Assert(lent, qt.HasLen, 2)
+	held := pspool.Held{Grant: lent[0], InUse: lent[0].Slots}
+	_, renewed := d.Renew("vm-1", held)
+	c.Assert(renewed, qt.IsTrue)
+	// Three slots are lent, and two are retained.
+	f.whole = false
+	_, renewed = d.Renew("vm-1", held)
+	c.Assert(renewed, qt.IsFalse)
+}
+
+func TestStartedVMDoesNotVouchForLoansOfItsPredecessor(t *testing.T) {
+	c := qt.New(t)
+	d, _ := newDispatcher(&clock{now: time.Unix(1000, 0)})
+	d.Block("vm-0")
+	_, known := d.RunningFor("vm-1")
+	c.Assert(known, qt.IsFalse)
+	d.Unblock("vm-0")
+	_, known = d.RunningFor("vm-1")
+	c.Assert(known, qt.IsTrue)
+}
--- a/internal/process/pspool/server.go
+++ b/internal/process/pspool/server.go
@@ -22,6 +22,8 @@
 	lentSlots int
 	// grants are the slots that are borrowed from other VMs.
 	grants []*borrowed
+	// excessAt is since when more base slots are in use than belong to this VM.
+	excessAt time.Time
 	// gained says that another VM owned the slots in an earlier plan and may still use some.
 	gained bool
 	// settledAt is since when every VM has the plan that moved the slots here.
@@ -44,13 +46,22 @@
 		}
 		return retained(t.server.Slots)
 	}
-	// Requests that the owner started before it was gone may still run for a hold time.
-	if since, found := d.config.Fence.AdoptedSince(t.owner); found && now.Sub(since) >= HoldTime+driftMargin {
+	since, found := d.config.Fence.AdoptedSince(t.owner)
+	// Requests that the owner started before it was gone, or that an earlier process of this
+	// VM lent the slots for, may still run for a hold time.
+	if found && now.Sub(later(since, d.began)) >= HoldTime+driftMargin {
 		return t.server.Slots - retained(t.server.Slots)
 	}
 	return 0
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ownFree returns the slots of the base share that are free.
 func (d *Dispatcher) ownFree(t *server, now time.Time) int {
 	return d.base(t, now) - t.lentSlots - len(t.slots)
@@ -231,8 +242,10 @@
 	}
 }
 
-// RunningFor returns the requests that run here on the base slots of another VM.
-func (d *Dispatcher) RunningFor(owner psdoc.Name) int {
+// RunningFor returns the requests that run here, or under a loan from here, on the base
+// slots of another VM. It reports false while this VM does not know what an earlier process
+// of its name lent.
+func (d *Dispatcher) RunningFor(owner psdoc.Name) (int, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.refresh()
@@ -242,7 +255,7 @@
 			n += len(t.slots) + t.lentSlots
 		}
 	}
-	return n
+	return n, !d.blocked[d.config.Self]
 }
 
 // Blocked reports whether the base slots of an owner are blocked.
--- a/internal/process/pspool/tick.go
+++ b/internal/process/pspool/tick.go
@@ -31,7 +31,7 @@
 			d.endLent(l)
 		}
 	}
-	d.fenceOff(now)
+	d.stopExcess(now)
 	d.tickGained(now)
 	due := make(map[psdoc.Name]*Due)
 	for _, b := range d.borrowed {
@@ -83,28 +83,33 @@
 	}
 }
 
-// fenceOff stops requests on revocable slots of this VM's own share that were not this VM's
-// for so long that another VM may be about to use them.
-func (d *Dispatcher) fenceOff(now time.Time) {
-	if d.config.Fence.Whole() {
-		d.wholeAt = now
-		return
-	}
-	if now.Sub(d.wholeAt) < HoldTime-driftMargin {
-		return
-	}
+// stopExcess stops requests on base slots that were not this VM's for so long that another
+// VM may be about to use them: revocable ones after the fence was lost, adopted ones after
+// the adoption ended, and those that a new plan gave to another VM.
+func (d *Dispatcher) stopExcess(now time.Time) {
 	for _, t := range d.servers {
-		if t.owner != d.config.Self {
+		excess := -d.ownFree(t, now)
+		if excess <= 0 || len(t.slots) == 0 {
+			t.excessAt = time.Time{}
 			continue
 		}
-		excess := t.lentSlots + len(t.slots) - retained(t.server.Slots)
-		for s := range t.slots {
-			if excess <= 0 {
-				break
-			}
-			s.lose()
-			excess--
+		if t.excessAt.IsZero() {
+			t.excessAt = now
+		}
+		if now.Sub(t.excessAt) >= HoldTime-2*driftMargin {
+			t.lose(excess)
+		}
+	}
+}
+
+// lose ends some of the requests on base slots.
+func (t *server) lose(n int) {
+	for s := range t.slots {
+		if n <= 0 {
+			return
 		}
+		s.lose()
+		n--
 	}
 }
 
