psbudget: expiring loans of rate and burst between VMs

Each VM could spend only an even share of a workspace's rate, so that a caller at one VM of nine was refused beyond a ninth of its rate, and a burst of 10 was eleven tenths of a request.

A VM that finds its bucket short borrows from the VMs that hold a share, near ones first; the lender lowers its own limits before it answers and the borrower counts the term from before it asked. Tokens go with the burst. Lenders recall what a borrower no longer needs when another one is short. Shares follow the fence: retained, revocable and adopted parts, and the smaller of two shares until a change is settled.

--- a/internal/process/psbudget/bucket.go
+++ b/internal/process/psbudget/bucket.go
@@ -1,14 +1,8 @@
-// Package psbudget keeps fleet-wide bounds without a message per request.
-//
-// A budget is a bound on a key, such as a workspace's rate and burst. Its split over the
-// VMs follows from the configuration version alone: each VM has a base share, and the
-// shares add up to at most the whole. A VM that spends only its share can therefore never
-// break the bound, whatever happens to the links and the platform.
 package psbudget
 
 import "time"
 
-// Bucket is a token bucket with explicit time. Its zero value is empty and never fills.
+// Bucket is a token bucket with constant limits and explicit time. Its zero value is empty and never fills.
 type Bucket struct {
 	// Rate is in tokens per second.
 	Rate float64
--- /dev/null
+++ b/internal/process/psbudget/demand.go
@@ -0,0 +1,48 @@
+package psbudget
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// quickSpan and steadySpan are the spans over which arrivals are averaged.
+	quickSpan  = 200 * time.Millisecond
+	steadySpan = 1500 * time.Millisecond
+)
+
+// average is an exponentially decaying rate of arrivals. Its zero value is ready.
+type average struct {
+	// perSecond is the rate at the time last.
+	perSecond float64
+	last      time.Time
+}
+
+func (a *average) at(now time.Time, span time.Duration) float64 {
+	passed := now.Sub(a.last)
+	if a.perSecond == 0 || passed <= 0 {
+		return a.perSecond
+	}
+	return a.perSecond * math.Exp(-passed.Seconds()/span.Seconds())
+}
+
+func (a *average) arrive(now time.Time, span time.Duration) {
+	a.perSecond = a.at(now, span) + 1/span.Seconds()
+	a.last = now
+}
+
+// demand follows how many requests of a workspace arrive.
+type demand struct {
+	quick  average
+	steady average
+}
+
+func (d *demand) arrive(now time.Time) {
+	d.quick.arrive(now, quickSpan)
+	d.steady.arrive(now, steadySpan)
+}
+
+// expected returns the requests per second to prepare for.
+func (d *demand) expected(now time.Time) float64 {
+	return max(d.quick.at(now, quickSpan), d.steady.at(now, steadySpan))
+}
--- /dev/null
+++ b/internal/process/psbudget/split.go
@@ -0,0 +1,95 @@
+package psbudget
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psplan"
+)
+
+// MaxSplit is the number of VMs up to which a budget is split over all VMs. A larger fleet
+// splits it over its failure domains, and one VM of each domain holds the domain's part.
+const MaxSplit = 16
+
+// Share is the base share of one VM in a budget.
+type Share struct {
+	// VM holds the share.
+	VM *psplan.VM
+	// Part is the share, from 0 to 1.
+	Part float64
+}
+
+// Split returns the base shares of a workspace's budget in a plan. They follow from the plan
+// alone and add up to 1. A burst that is too small for a whole request in each part is held
+// by as many VMs as it has whole requests.
+func Split(p *psplan.Plan, w *psplan.Workspace) []Share {
+	places := holders(p, w)
+	if n := max(1, int(w.Burst)); n < len(places) {
+		slices.SortFunc(places, func(a, b Share) int {
+			return cmp.Compare(score(w.Name, b.VM.Name), score(w.Name, a.VM.Name))
+		})
+		places = places[:n]
+		for i := range places {
+			places[i].Part = 1
+		}
+	}
+	sum := 0.0
+	for _, s := range places {
+		sum += s.Part
+	}
+	for i := range places {
+		places[i].Part /= sum
+	}
+	return places
+}
+
+// holders lists the VMs that can hold a part, with their weights.
+func holders(p *psplan.Plan, w *psplan.Workspace) []Share {
+	if len(p.VMs) <= MaxSplit {
+		out := make([]Share, 0, len(p.VMs))
+		for _, v := range p.VMs {
+			if v.Weight > 0 {
+				out = append(out, Share{VM: v, Part: v.Weight})
+			}
+		}
+		return out
+	}
+	at := make(map[*psplan.Domain]int)
+	var out []Share
+	for _, v := range p.VMs {
+		i, found := at[v.Domain]
+		switch {
+		case v.Weight <= 0:
+		case !found:
+			at[v.Domain] = len(out)
+			out = append(out, Share{VM: v, Part: v.Weight})
+		default:
+			out[i].Part += v.Weight
+			if score(w.Name, v.Name) > score(w.Name, out[i].VM.Name) {
+				out[i].VM = v
+			}
+		}
+	}
+	return out
+}
+
+func score(workspace, vm psdoc.Name) uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(string(workspace))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(vm))
+	return d.Sum64()
+}
+
+// shareOf finds a VM's part.
+func shareOf(shares []Share, vm psdoc.Name) float64 {
+	for _, s := range shares {
+		if s.VM.Name == vm {
+			return s.Part
+		}
+	}
+	return 0
+}
--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -238,7 +238,7 @@
 	return nil
 }
 
-// await waits until every VM has the configuration in force.
+// await waits until every VM has the configuration in force and uses its share of the budgets.
 func (s *System) await(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
--- a/internal/process/psfence/core.go
+++ b/internal/process/psfence/core.go
@@ -48,23 +48,30 @@
 	nonce string
 	// usable is when an adopted part may be used.
 	usable time.Time
+	// free is when the last loan of a part that this VM no longer uses has run out.
+	free time.Time
 }
 
 // core is the fence's state. It has no clock and does no input or output.
 type core struct {
-	self       psdoc.Name
+	self    psdoc.Name
+	drain   time.Duration
+	started time.Time
+
 	settlement settlement
 	guardian   psdoc.Name
 	wards      map[psdoc.Name]*ward
-	promisedAt time.Time
-	readAt     time.Time
+	// held is the span for which the VM may use its own revocable part.
+	held Span
 	// current says that the plan was the latest of all at some time since the start. Before
 	// that an earlier process of this VM may have confirmed a later layout.
 	current bool
 }
 
-func newCore(self psdoc.Name, now time.Time) *core {
-	return &core{self: self, settlement: settlement{self: self, began: now}, wards: make(map[psdoc.Name]*ward)}
+// newCore returns the state of a process that starts. drain is the longest time for which a
+// loan can outlast the right to what is lent.
+func newCore(self psdoc.Name, now time.Time, drain time.Duration) *core {
+	return &core{self: self, drain: drain, started: now, settlement: settlement{self: self, began: now}, wards: make(map[psdoc.Name]*ward)}
 }
 
 // install takes in the plan in force and reports whether its layout is another one.
@@ -75,7 +82,8 @@
 	old := c.wards
 	c.wards = make(map[psdoc.Name]*ward)
 	for _, vm := range wards(p, c.self) {
-		c.wards[vm] = &ward{quiet: now}
+		// An earlier process of this VM may have lent what it had adopted.
+		c.wards[vm] = &ward{quiet: now, free: c.started.Add(c.drain)}
 		if w := old[vm]; w != nil {
 			c.wards[vm] = w
 		}
@@ -86,7 +94,7 @@
 	}
 	if guardian != c.guardian {
 		// A promise binds only the VM that gave it.
-		c.guardian, c.promisedAt = guardian, time.Time{}
+		c.guardian, c.held = guardian, Span{}
 	}
 	return true
 }
@@ -99,11 +107,30 @@
 		return false
 	}
 	w.quiet = now
+	if w.stage == stageAdopted && !now.Before(w.usable) {
+		w.free = now.Add(c.drain)
+	}
 	if w.stage == stageAdopted || w.nonce != "" {
 		w.stage, w.nonce = stageClearing, ""
 	}
-	// An earlier guardian could still use the part until all have confirmed the layout.
-	return c.current && c.settlement.settled(vm)
+	return c.current && c.mayAct(vm, now) && !now.Before(w.free)
+}
+
+// processPrefix begins the keys of the rows that say that a VM has had a process.
+const processPrefix = "process/"
+
+// announcement is the transaction that succeeds only for a VM's first process.
+func (c *core) announcement() psplatform.Transaction {
+	key := processPrefix + string(c.self)
+	return psplatform.Transaction{
+		Conditions: []psplatform.Condition{{Key: key}},
+		Writes:     []psplatform.Write{{Key: key, Value: []byte("{}")}},
+	}
+}
+
+// announced takes in the end of the announcement. An unknown end counts as a later process.
+func (c *core) announced(err error) {
+	c.settlement.first = err == nil
 }
 
 // latest takes in which version is the latest of all.
@@ -111,16 +138,30 @@
 	c.current = c.current || version <= c.settlement.version
 }
 
+// mayAct reports whether no other guardian can use the ward's part: all have confirmed the
+// layout and loans of before have run out.
+func (c *core) mayAct(vm psdoc.Name, now time.Time) bool {
+	return c.settlement.settled(vm) && !now.Before(c.settlement.completed.Add(c.drain))
+}
+
 // promised takes in the guardian's promise.
-func (c *core) promised(askedAt time.Time) {
-	c.promisedAt = later(c.promisedAt, askedAt)
+func (c *core) promised(askedAt, now time.Time) {
+	c.hold(askedAt.Add(Term), now)
 }
 
 // read takes in a read of the table.
-func (c *core) read(beganAt time.Time, adopted bool) {
+func (c *core) read(beganAt time.Time, adopted bool, now time.Time) {
 	if !adopted {
-		c.readAt = later(c.readAt, beganAt)
+		c.hold(beganAt.Add(Term), now)
+	}
+}
+
+// hold extends the span, or begins a new one where the last has ended.
+func (c *core) hold(until, now time.Time) {
+	if !now.Before(c.held.Until) {
+		c.held.Since = now
 	}
+	c.held.Until = later(c.held.Until, until)
 }
 
 func later(a, b time.Time) time.Time {
@@ -130,15 +171,6 @@
 	return a
 }
 
-// wholeUntil returns when the right to the VM's own revocable part ends.
-func (c *core) wholeUntil() time.Time {
-	last := later(c.promisedAt, c.readAt)
-	if last.IsZero() {
-		return last
-	}
-	return last.Add(Term)
-}
-
 // adopted lists the parts that may be used now.
 func (c *core) adopted(now time.Time) []Adoption {
 	var out []Adoption
@@ -158,7 +190,7 @@
 	}
 	var out []psdoc.Name
 	for vm, w := range c.wards {
-		if w.stage == stageClearing || w.stage == stageWatching && c.silent(vm, w, now) {
+		if w.stage == stageClearing && !now.Before(w.free) || w.stage == stageWatching && c.silent(vm, w, now) {
 			out = append(out, vm)
 		}
 	}
@@ -169,7 +201,7 @@
 // silent reports whether the ward was silent for long enough to be taken for gone. Promises
 // and reads may still be good then; they run out while the adoption waits for its use.
 func (c *core) silent(vm psdoc.Name, w *ward, now time.Time) bool {
-	return c.settlement.settled(vm) && now.Sub(later(w.quiet, c.settlement.completed)) > Patience
+	return c.mayAct(vm, now) && now.Sub(w.quiet) > Patience && !now.Before(w.free)
 }
 
 // step decides what follows from a ward's row, and returns the transaction to commit.
@@ -180,9 +212,10 @@
 	}
 	conditions := []psplatform.Condition{{Key: rowKey(vm), Revision: r.Revision}}
 	switch {
+	case now.Before(w.free):
 	case w.stage == stageClearing && r.Revision == 0:
 		w.stage = stageWatching
-	case w.stage == stageClearing && c.mayClear(vm, r):
+	case w.stage == stageClearing && c.mayClear(vm, r, now):
 		return &psplatform.Transaction{Conditions: conditions, Writes: []psplatform.Write{{Key: rowKey(vm), Delete: true}}}
 	case w.stage == stageWatching && c.silent(vm, w, now):
 		// A row that is there is written anew, so that no delete of it can come late.
@@ -197,12 +230,12 @@
 }
 
 // mayClear reports whether nobody can use the part under the row.
-func (c *core) mayClear(vm psdoc.Name, r psplatform.Row) bool {
+func (c *core) mayClear(vm psdoc.Name, r psplatform.Row, now time.Time) bool {
 	var content adoptionRow
 	if json.Unmarshal(r.Value, &content) == nil && content.Guardian == c.self {
 		return true
 	}
-	return c.settlement.settled(vm)
+	return c.mayAct(vm, now)
 }
 
 // committed takes in the end of a transaction. After an unknown end the row is read again,
@@ -225,5 +258,5 @@
 		w.stage = stageClearing
 		return
 	}
-	w.stage, w.usable, w.nonce = stageAdopted, now.Add(Term+Margin), ""
+	w.stage, w.usable, w.nonce = stageAdopted, now.Add(Term+Margin+c.drain), ""
 }
--- a/internal/process/psfence/fence.go
+++ b/internal/process/psfence/fence.go
@@ -89,12 +89,32 @@
 	Since time.Time
 }
 
-// snapshot is what the fence shows to others.
-type snapshot struct {
-	// whole is when the VM's right to its own revocable part ends.
-	whole   time.Time
-	usable  time.Time
-	adopted []Adoption
+// Span is a span of time; its zero value is empty.
+type Span struct {
+	Since time.Time
+	Until time.Time
+}
+
+// Holds reports whether the time lies in the span.
+func (s Span) Holds(t time.Time) bool {
+	return !t.Before(s.Since) && t.Before(s.Until)
+}
+
+// View is what a fence shows at one moment. It is immutable.
+type View struct {
+	// Plan is the plan whose layout the fence follows.
+	Plan *psplan.Plan
+	// Layout is the fingerprint of the plan's layout.
+	Layout uint64
+	// Settled says that shares that grew with the layout may be used.
+	Settled bool
+	// Original says that no earlier process of this VM and no earlier layout existed.
+	Original bool
+	// Held is the span for which the VM may use the revocable part of its own share; its
+	// end moves on with each fence.
+	Held Span
+	// Adopted lists the VMs whose revocable part this VM may use.
+	Adopted []Adoption
 }
 
 // Fence is that of one VM.
@@ -109,7 +129,7 @@
 	table  psplatform.Table
 	heads  Heads
 
-	published atomic.Pointer[snapshot]
+	published atomic.Pointer[View]
 
 	// mutex guards what follows. It is held while changes are told.
 	mutex   sync.Mutex
@@ -142,9 +162,9 @@
 func New(o Options) *Fence {
 	f := &Fence{
 		self: o.Self, plans: o.Plans, heads: o.Heads, peers: o.Peers, logger: o.Logger, now: o.Now, drain: o.Drain,
-		table: o.Table, reader: &reader{table: o.Table}, core: newCore(o.Self, o.Now()),
+		table: o.Table, reader: &reader{table: o.Table}, core: newCore(o.Self, o.Now(), o.Drain),
 	}
-	f.published.Store(&snapshot{})
+	f.published.Store(&View{Plan: psplan.Empty()})
 	return f
 }
 
@@ -162,7 +182,7 @@
 	})
 }
 
-// OnChange registers a function that is called after a change of the layout or of the
+// OnChange registers a function that is called after a change of the plan, the layout or the
 // adopted parts, and before any other VM can rely on the change. It may read the fence.
 func (f *Fence) OnChange(g func()) {
 	f.mutex.Lock()
@@ -172,27 +192,32 @@
 
 // Whole reports whether this VM may use the revocable part of its own share now.
 func (f *Fence) Whole() bool {
-	return f.now().Before(f.published.Load().whole)
+	return f.published.Load().Held.Holds(f.now())
 }
 
-// WholeUntil returns when the right to the revocable part ends unless it is renewed.
-func (f *Fence) WholeUntil() time.Time {
-	return f.published.Load().whole
+// View returns what the fence shows now.
+func (f *Fence) View() *View {
+	return f.published.Load()
+}
+
+// Refresh takes in the plan in force at once.
+func (f *Fence) Refresh() {
+	f.update(nil)
 }
 
 // Adopted lists the VMs whose revocable part this VM may use now.
 func (f *Fence) Adopted() []Adoption {
-	return f.published.Load().adopted
+	return f.published.Load().Adopted
 }
 
 // Settled reports whether shares that grew with the present layout may be used.
 func (f *Fence) Settled() bool {
-	s := f.published.Load()
-	return !s.usable.IsZero() && !f.now().Before(s.usable)
+	return f.published.Load().Settled
 }
 
 // Run keeps the fence until the context ends.
 func (f *Fence) Run(ctx context.Context) {
+	f.announce(ctx)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	loops := []struct {
@@ -204,6 +229,14 @@
 	}
 }
 
+// announce finds out whether this is the VM's first process.
+func (f *Fence) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	_, err := f.table.Commit(ctx, f.core.announcement())
+	f.update(func(c *core, _ time.Time) { c.announced(err) })
+}
+
 func repeat(ctx context.Context, interval time.Duration, step func(context.Context)) {
 	t := time.NewTicker(interval)
 	defer t.Stop()
@@ -223,25 +256,26 @@
 	defer f.mutex.Unlock()
 	now := f.now()
 	p := f.plans.Plan()
-	installed := f.core.install(p, now)
-	if installed {
+	if f.core.install(p, now) {
 		psevent.LayoutChanged.Log(f.logger, p.Version, len(f.core.settlement.missing))
 	}
 	f.core.settlement.expire(now)
 	if change != nil {
 		change(f.core, now)
 	}
-	f.publish(now, installed)
+	if f.core.settlement.version == p.Version {
+		f.publish(now, p)
+	}
 }
 
-func (f *Fence) publish(now time.Time, installed bool) {
-	s := &snapshot{whole: f.core.wholeUntil(), adopted: f.core.adopted(now)}
-	if f.core.settlement.usable(now, f.drain) {
-		s.usable = now
+func (f *Fence) publish(now time.Time, p *psplan.Plan) {
+	v := &View{
+		Plan: p, Layout: f.core.settlement.layout, Settled: f.core.settlement.usable(now, f.drain),
+		Original: f.core.settlement.original(), Held: f.core.held, Adopted: f.core.adopted(now),
 	}
-	old := f.published.Swap(s)
-	f.tell(old, s, now)
-	if !installed && old.usable.IsZero() == s.usable.IsZero() && slices.Equal(old.adopted, s.adopted) {
+	old := f.published.Swap(v)
+	f.tell(old, v, now)
+	if old.Plan == p && old.Layout == v.Layout && old.Settled == v.Settled && slices.Equal(old.Adopted, v.Adopted) {
 		return
 	}
 	for _, g := range f.changed {
@@ -250,25 +284,25 @@
 }
 
 // tell logs what others will see differently.
-func (f *Fence) tell(old, s *snapshot, now time.Time) {
-	if old.usable.IsZero() && !s.usable.IsZero() {
-		psevent.LayoutSettled.Log(f.logger, f.core.settlement.version)
+func (f *Fence) tell(old, v *View, now time.Time) {
+	if !old.Settled && v.Settled {
+		psevent.LayoutSettled.Log(f.logger, v.Plan.Version)
 	}
-	if whole := now.Before(s.whole); whole != f.whole {
+	if whole := v.Held.Holds(now); whole != f.whole {
 		f.whole = whole
 		if whole {
-			psevent.FenceHeld.Log(f.logger, s.whole.Sub(now))
+			psevent.FenceHeld.Log(f.logger, v.Held.Until.Sub(now))
 		} else {
 			psevent.FenceLost.Log(f.logger)
 		}
 	}
-	for _, a := range s.adopted {
-		if !slices.Contains(old.adopted, a) {
+	for _, a := range v.Adopted {
+		if !slices.Contains(old.Adopted, a) {
 			psevent.ShareAdopted.Log(f.logger, a.VM)
 		}
 	}
-	for _, a := range old.adopted {
-		if !slices.Contains(s.adopted, a) {
+	for _, a := range old.Adopted {
+		if !slices.Contains(v.Adopted, a) {
 			psevent.ShareReturned.Log(f.logger, a.VM)
 		}
 	}
@@ -298,7 +332,7 @@
 	p := f.plans.Plan()
 	began := f.now()
 	if g := Guardian(p, f.self); g != nil && f.askGuardian(ctx, g) {
-		f.update(func(c *core, _ time.Time) { c.promised(began) })
+		f.update(func(c *core, now time.Time) { c.promised(began, now) })
 		return
 	}
 	began = f.now()
@@ -306,7 +340,7 @@
 	if err != nil {
 		return
 	}
-	f.update(func(c *core, _ time.Time) { c.read(began, slices.Contains(names, f.self)) })
+	f.update(func(c *core, now time.Time) { c.read(began, slices.Contains(names, f.self), now) })
 }
 
 func (f *Fence) askGuardian(ctx context.Context, g *psplan.VM) bool {
--- a/internal/process/psfence/settlement.go
+++ b/internal/process/psfence/settlement.go
@@ -44,6 +44,8 @@
 	asked   time.Time
 	// completed is when the set of missing VMs last shrank.
 	completed time.Time
+	// first says that no process of this VM ran before this one.
+	first bool
 	// turn selects the VM of another domain that is asked next.
 	turn int
 }
@@ -197,6 +199,8 @@
 	switch {
 	case s.missing == nil:
 		return false
+	case s.settled() && s.original():
+		return true
 	case s.settled():
 		return !now.Before(s.completed.Add(drain))
 	case s.remembers || now.Sub(s.contradicted) < FreshTimeout:
@@ -205,3 +209,9 @@
 	// Nobody in reach remembers an earlier layout, so there may never have been one.
 	return !now.Before(s.began.Add(FreshTimeout))
 }
+
+// original reports whether nothing of an earlier process or layout can be in use: this is
+// the VM's first process, and no layout came before the first version's.
+func (s *settlement) original() bool {
+	return s.first && s.since == 1
+}
--- a/internal/process/psvm/budget.go
+++ b/internal/process/psvm/budget.go
@@ -9,18 +9,15 @@
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psbudget"
 	"persimmonstep/internal/process/psfence"
+	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/version/psversion"
 )
 
 // provideBudgets makes what keeps the fleet-wide bounds: rates, shifts and slots.
 func provideBudgets(i do.Injector, o Options, l *lifecycle) {
-	self := o.Settings.Name
 	do.Provide(i, func(i do.Injector) (*psfence.Fence, error) { return newFence(i, o, l), nil })
-	do.Provide(i, func(i do.Injector) (*psbudget.Book, error) {
-		do.MustInvoke[*psfence.Fence](i)
-		return psbudget.NewBook(self, time.Now), nil
-	})
+	do.Provide(i, func(i do.Injector) (*psbudget.Book, error) { return newBook(i, o, l), nil })
 }
 
 func newFence(i do.Injector, o Options, l *lifecycle) *psfence.Fence {
@@ -32,7 +29,7 @@
 		Peers:  hub,
 		Table:  do.MustInvoke[*psplatform.Client](i),
 		Now:    time.Now,
-		Drain:  loanDrain,
+		Drain:  psbudget.Drain,
 		Logger: o.Logger,
 	})
 	f.Register(hub)
@@ -40,8 +37,19 @@
 	return f
 }
 
-// loanDrain is the longest time for which a loan can outlast its share.
-const loanDrain = 1500 * time.Millisecond
+func newBook(i do.Injector, o Options, l *lifecycle) *psbudget.Book {
+	hub := do.MustInvoke[*pspeer.Hub](i)
+	b := psbudget.NewBook(psbudget.Options{
+		Self:    o.Settings.Name,
+		Shares:  do.MustInvoke[*psfence.Fence](i),
+		Peers:   hub,
+		Now:     time.Now,
+		Metrics: psbudget.NewMetrics(do.MustInvoke[*psmetric.Metrics](i).Registry),
+	})
+	b.Register(hub)
+	l.task(b.Run)
+	return b
+}
 
 // latestVersion tells the fence which version is the latest in the table.
 type latestVersion struct {
--- a/internal/process/psvm/provide.go
+++ b/internal/process/psvm/provide.go
@@ -86,6 +86,7 @@
 	follower *psversion.Follower
 	hub      *pspeer.Hub
 	slots    *pspool.Dispatcher
+	book     *psbudget.Book
 	gate     *psgate.Gate
 	admin    *psadmin.API
 }
@@ -112,6 +113,7 @@
 		follower: do.MustInvoke[*psversion.Follower](i),
 		hub:      do.MustInvoke[*pspeer.Hub](i),
 		slots:    do.MustInvoke[*pspool.Dispatcher](i),
+		book:     do.MustInvoke[*psbudget.Book](i),
 		gate:     gate,
 		admin:    admin,
 	}, nil
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -16,6 +16,7 @@
 	"github.com/samber/do/v2"
 
 	"persimmonstep/internal/process/psadmin"
+	"persimmonstep/internal/process/psbudget"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/process/pssettings"
@@ -52,6 +53,7 @@
 	options  Options
 	follower *psversion.Follower
 	slots    *pspool.Dispatcher
+	book     *psbudget.Book
 	callers  *http.Server
 	operator *http.Server
 	life     *lifecycle
@@ -75,7 +77,7 @@
 		life.cleanUp()
 		return nil, nil, err
 	}
-	v := &VM{options: o, follower: parts.follower, slots: parts.slots, life: life, cancel: cancel}
+	v := &VM{options: o, follower: parts.follower, slots: parts.slots, book: parts.book, life: life, cancel: cancel}
 	v.callers = newServer(parts.gate)
 	v.callers.Protocols = &http.Protocols{}
 	v.callers.Protocols.SetHTTP1(true)
@@ -128,9 +130,10 @@
 	psevent.Stopped.Log(o.Logger, o.Settings.Name, left)
 }
 
-// Ready reports whether the VM has a configuration and may use its own slots.
+// Ready reports whether the VM has a configuration and may use its own slots and its share
+// of the budgets.
 func (v *VM) Ready() bool {
-	return v.Version() > 0 && !v.slots.Blocked(v.options.Settings.Name)
+	return v.Version() > 0 && v.book.Ready() && !v.slots.Blocked(v.options.Settings.Name)
 }
 
 // Version returns the configuration version in force.
