pscredit: a stopping VM leaves its slots to its guardian

Cause: a trial with two VMs and one server showed that after a graceful stop of the server's owner every request was refused (503) until the guardian had adopted half of the slots, some 14 s later: planned work was not invisible.

Change: a VM without requests leaves its free slots to its guardian for 20 s, under a ticket that the guardian issued within 2 s; a started VM ends this by its question and waits for what still runs. The hold time of loans is 5 s instead of 10 s, so that an unplanned end costs less as well.

Conclusion: a planned restart within 20 s takes no slots away.

--- a/internal/process/pscredit/bank.go
+++ b/internal/process/pscredit/bank.go
@@ -77,6 +77,8 @@
 	silent    map[psdoc.Name]time.Time
 	spare     map[spareKey]spareHint
 	epoch     map[psdoc.Name]int
+	offers    map[psdoc.Name]offer
+	tickets   uint64
 	calls     Calls
 }
 
@@ -97,6 +99,7 @@
 		silent:    make(map[psdoc.Name]time.Time),
 		spare:     make(map[spareKey]spareHint),
 		epoch:     make(map[psdoc.Name]int),
+		offers:    make(map[psdoc.Name]offer),
 	}
 }
 
@@ -338,6 +341,8 @@
 	h.Handle(methodSettle, b.onSettle)
 	h.Handle(methodHeld, b.onHeld)
 	h.Handle(methodRunning, b.onRunning)
+	h.Handle(methodOffer, b.onOffer)
+	h.Handle(methodLeave, b.onLeave)
 }
 
 func (b *Bank) onBorrow(_ context.Context, from psdoc.Name, params json.RawMessage) (any, error) {
@@ -368,6 +373,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.epoch[from]++
+	b.config.Dispatcher.Disinherit(from)
 	version := b.config.Plans.Plan().Version
 	running, _ := b.config.Dispatcher.RunningFor(from)
 	return heldResponse{Held: b.config.Dispatcher.HeldOf(from), Version: version, Running: running}, nil
--- a/internal/process/pscredit/bank_test.go
+++ b/internal/process/pscredit/bank_test.go
@@ -266,3 +266,32 @@
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", params))
 	}
 }
+
+func TestStoppedVMLeavesItsSlotsToItsGuardian(t *testing.T) {
+	c := qt.New(t)
+	p, w := plan(t), newWire()
+	nodes := run(t, w, p)
+	for i, v := range p.VMs {
+		waitFor(t, func() bool { return !nodes[i].dispatcher.Blocked(v.Name) })
+	}
+	ask := func(n int) int {
+		for _, v := range nodes[n].dispatcher.Candidates(p.Routes[0]) {
+			if v.Server.Name == "server-0" {
+				return v.Limit
+			}
+		}
+		return -1
+	}
+	waitFor(t, func() bool { return ask(0) == 4 })
+	nodes[0].bank.Bequeath(t.Context())
+	c.Assert(ask(0), qt.Equals, 0)
+	c.Assert(ask(1), qt.Equals, 4, qt.Commentf("vm-1 is the guardian of vm-0"))
+	c.Assert(ask(2), qt.Equals, 0)
+	// A message that comes without a fresh offer changes nothing.
+	_, err := w.handlers["vm-1"]["slots.leave"](t.Context(), "vm-0", json.RawMessage(`{"ticket":1,"left":[{"server":"server-0","slots":4}]}`))
+	c.Assert(err, qt.ErrorMatches, ".*not open any more")
+	// The VM is back: its question ends the inheritance.
+	_, err = w.handlers["vm-1"]["slots.held"](t.Context(), "vm-0", json.RawMessage(`{}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(ask(1), qt.Equals, 0)
+}
--- a/internal/process/pscredit/recover.go
+++ b/internal/process/pscredit/recover.go
@@ -11,15 +11,19 @@
 	"persimmonstep/internal/version/psplan"
 )
 
-// settledAfter is when every loan of an earlier process has certainly run out.
-const settledAfter = pspool.HoldTime + time.Second
+const (
+	// settledAfter is when every loan of an earlier process has certainly run out.
+	settledAfter = pspool.HoldTime + time.Second
+	// inheritedAfter is when whatever an earlier process left to its guardian has too.
+	inheritedAfter = pspool.BequestTerm + offerTime + settledAfter
+)
 
 // recover finds out what an earlier process of this VM lent, and then lets this process use
 // its base slots. The dispatcher must have been blocked before it took requests.
 func (b *Bank) recover(ctx context.Context) {
 	began := b.config.Now()
-	pending := make(map[psdoc.Name]bool)
-	for !b.recovered(ctx, pending) && b.config.Now().Sub(began) < settledAfter {
+	answered := make(map[psdoc.Name]bool)
+	for !b.recovered(ctx, answered) && !b.outlived(answered, b.config.Now().Sub(began)) {
 		select {
 		case <-ctx.Done():
 			return
@@ -30,6 +34,16 @@
 	psevent.SlotsRecovered.Log(b.config.Logger, b.config.Now().Sub(began))
 }
 
+// outlived reports whether all that an earlier process gave away has run out: loans, and,
+// unless the guardian answered, what was left to it.
+func (b *Bank) outlived(answered map[psdoc.Name]bool, since time.Duration) bool {
+	g := b.config.Fence.Guardian(b.config.Plans.Plan(), b.config.Self)
+	if g != nil && answered[g.Name] {
+		return since >= settledAfter
+	}
+	return since >= inheritedAfter
+}
+
 // recovered asks the VMs that did not answer yet and reports whether all have.
 func (b *Bank) recovered(ctx context.Context, answered map[psdoc.Name]bool) bool {
 	p := b.config.Plans.Plan()
--- a/internal/process/pscredit/wire.go
+++ b/internal/process/pscredit/wire.go
@@ -22,6 +22,8 @@
 	methodSettle  = "slots.settle"
 	methodHeld    = "slots.held"
 	methodRunning = "slots.running"
+	methodOffer   = "slots.offer"
+	methodLeave   = "slots.leave"
 )
 
 // maxWant bounds the slots that one call asks for.
@@ -82,3 +84,15 @@
 type runningResponse struct {
 	Running int `json:"running"`
 }
+
+// offerResponse opens a short time in which the asking VM may leave its slots.
+type offerResponse struct {
+	// Ticket must come back with what is left.
+	Ticket uint64 `json:"ticket"`
+}
+
+// leaveRequest leaves the slots of a stopping VM to its guardian.
+type leaveRequest struct {
+	Ticket uint64           `json:"ticket"`
+	Left   []pspool.Bequest `json:"left"`
+}
--- a/internal/process/pspool/fleet_test.go
+++ b/internal/process/pspool/fleet_test.go
@@ -20,6 +20,7 @@
 	fleetServers = 3
 	fleetSlots   = 4
 	settledAfter = pspool.HoldTime + time.Second
+	outlived     = pspool.BequestTerm + settledAfter
 )
 
 // clock is a fake clock.
@@ -256,6 +257,20 @@
 	}
 }
 
+// stop ends a process gracefully, leaves its slots to its guardian, and starts another one.
+func (f *fleet) stop() {
+	m := f.pick("vm")
+	for s := range m.running {
+		delete(m.running, s)
+		s.Release()
+	}
+	left := m.dispatcher.Bequeath()
+	if !f.lost("call") {
+		f.guardian(m).dispatcher.Inherit(m.name, left)
+	}
+	f.start(m)
+}
+
 // recover asks all VMs what they hold of a started VM.
 func (f *fleet) recover() {
 	m := f.pick("vm")
@@ -268,11 +283,14 @@
 			all = false
 			continue
 		}
+		v.dispatcher.Disinherit(m.name)
 		for _, h := range v.dispatcher.HeldOf(m.name) {
 			m.dispatcher.Reinstate(v.name, h.Grant)
 		}
+		running, _ := v.dispatcher.RunningFor(m.name)
+		all = all && running == 0
 	}
-	if all || f.clock.now.Sub(m.blockedSince) > settledAfter {
+	if all || f.clock.now.Sub(m.blockedSince) > outlived {
 		m.dispatcher.Unblock(m.name)
 	}
 }
@@ -347,6 +365,7 @@
 			"tick":    func(*rapid.T) { f.tick() },
 			"advance": func(*rapid.T) { f.advance() },
 			"pause":   func(*rapid.T) { f.pause() },
+			"stop":    func(*rapid.T) { f.stop() },
 			"restart": func(*rapid.T) { f.restart() },
 			"recover": func(*rapid.T) { f.recover() },
 			"cut":     func(*rapid.T) { f.cut() },
--- a/internal/process/pspool/grant.go
+++ b/internal/process/pspool/grant.go
@@ -10,7 +10,7 @@
 	// Term is how long requests may start under a grant.
 	Term = time.Second
 	// HoldTime is how long a request may go on under a grant that was not renewed.
-	HoldTime = 10 * time.Second
+	HoldTime = 5 * time.Second
 	// driftMargin covers the drift of clocks and the time from a check to its effect.
 	driftMargin = 500 * time.Millisecond
 )
--- a/internal/process/pspool/server.go
+++ b/internal/process/pspool/server.go
@@ -24,6 +24,9 @@
 	grants []*borrowed
 	// excessAt is since when more base slots are in use than belong to this VM.
 	excessAt time.Time
+	// inherited are the slots that the owner left here when it stopped, until a time.
+	inherited      int
+	inheritedUntil time.Time
 	// gained says that another VM owned the slots in an earlier plan and may still use some.
 	gained bool
 	// settledAt is since when every VM has the plan that moved the slots here.
@@ -46,13 +49,18 @@
 		}
 		return retained(t.server.Slots)
 	}
+	return max(t.inheritedNow(now), d.adopted(t, now))
+}
+
+// adopted returns the slots of the server that this VM may use because its owner is gone.
+func (d *Dispatcher) adopted(t *server, now time.Time) int {
 	since, found := d.config.Fence.AdoptedSince(t.owner)
 	// Requests that the owner started before it was gone, or that an earlier process of this
 	// VM lent the slots for, may still run for a hold time.
-	if found && now.Sub(later(since, d.began)) >= HoldTime+driftMargin {
-		return t.server.Slots - retained(t.server.Slots)
+	if !found || now.Sub(later(since, d.began)) < HoldTime+driftMargin {
+		return 0
 	}
-	return 0
+	return t.server.Slots - retained(t.server.Slots)
 }
 
 func later(a, b time.Time) time.Time {
@@ -139,6 +147,7 @@
 	known := t.server != nil
 	if known && owner != t.owner {
 		t.gained, t.settledAt = owner == d.config.Self, time.Time{}
+		t.inherited = 0
 	}
 	t.server, t.owner = s, owner
 }
@@ -184,7 +193,7 @@
 
 // mayUse reports whether this VM has or can get base slots of the server, or has borrowed some.
 func (d *Dispatcher) mayUse(t *server) bool {
-	if t.owner == d.config.Self || len(t.grants) > 0 {
+	if t.owner == d.config.Self || len(t.grants) > 0 || t.inheritedNow(d.config.Now()) > 0 {
 		return true
 	}
 	_, adopted := d.config.Fence.AdoptedSince(t.owner)
--- a/internal/process/psvm/lifecycle.go
+++ b/internal/process/psvm/lifecycle.go
@@ -10,6 +10,7 @@
 	cleanups []func()
 	tasks    []func(context.Context)
 	leaves   []func()
+	drains   []func()
 }
 
 // clean registers a clean-up function, to be called when nothing uses its part any more.
@@ -27,6 +28,18 @@
 	l.leaves = append(l.leaves, f)
 }
 
+// onDrained registers a function to be called when no request is left.
+func (l *lifecycle) onDrained(f func()) {
+	l.drains = append(l.drains, f)
+}
+
+// drained says that no request is left.
+func (l *lifecycle) drained() {
+	for _, f := range l.drains {
+		f()
+	}
+}
+
 // leave says that the VM leaves.
 func (l *lifecycle) leave() {
 	for _, f := range l.leaves {
--- a/internal/process/psvm/slot.go
+++ b/internal/process/psvm/slot.go
@@ -58,6 +58,11 @@
 			defer cancel()
 			bank.Leave(ctx)
 		})
+		l.onDrained(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+			defer cancel()
+			bank.Bequeath(ctx)
+		})
 		return bank, nil
 	})
 }
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -123,6 +123,7 @@
 		_ = v.callers.Close()
 	}
 	left := v.slots.InFlight()
+	v.life.drained()
 	_ = v.operator.Close()
 	_ = o.Listeners.Peer.Close()
 	v.cancel()
