psshift: caps on what a route moves to other regions

The dispatcher could not shift anything: no part of the system counted what runs outside its home region, so a cap could not be kept.

Caps in requests and bytes per second are budgets with loans like those of workspaces; bytes are charged afterwards and may leave a debt, which stops further shifts.

--- a/internal/process/psbudget/account.go
+++ b/internal/process/psbudget/account.go
@@ -16,17 +16,17 @@
 	farFuture = 24 * time.Hour
 )
 
-// account is one workspace's budget at one VM: a token bucket whose rate and burst change
+// account is one budget at one VM: a token bucket whose rate and burst change
 // with loans and fences. It has no clock, does no input or output and is not safe for
 // concurrent use. Between two changes its limits are constant, so that a spend adds and
 // compares a few numbers only.
 type account struct {
-	workspace psdoc.Name
-	self      psdoc.Name
+	key  psdoc.Name
+	self psdoc.Name
 
 	standing standing
 	held     psfence.Span
-	// whole is the workspace's budget over all VMs.
+	// whole is the budget over all VMs.
 	whole Amount
 
 	tokens float64
@@ -53,9 +53,9 @@
 	recalled time.Time
 }
 
-func newAccount(workspace, self psdoc.Name, now time.Time) *account {
+func newAccount(key, self psdoc.Name, now time.Time) *account {
 	return &account{
-		workspace: workspace, self: self, last: now, used: now,
+		key: key, self: self, last: now, used: now,
 		lent:     make(map[borrower]*lending),
 		borrowed: make(map[psdoc.Name]*borrowing),
 	}
@@ -142,13 +142,13 @@
 	a.last = now
 }
 
-// spend takes one token if there is one.
-func (a *account) spend(now time.Time) bool {
+// spend takes n tokens if there are as many.
+func (a *account) spend(n float64, now time.Time) bool {
 	a.fill(now)
-	if a.tokens < minFill {
+	if a.tokens < n-dust {
 		return false
 	}
-	a.tokens--
+	a.tokens -= n
 	return true
 }
 
--- a/internal/process/psbudget/book.go
+++ b/internal/process/psbudget/book.go
@@ -148,12 +148,11 @@
 
 // restand gives an account its part under the present shares.
 func (b *Book) restand(a *account, v *psfence.View, now time.Time) {
-	s := b.regime.standing(b.self, a.workspace, v)
-	whole := Amount{}
+	s := b.regime.standing(b.self, a.key, v)
+	whole, found := wholeOf(v.Plan, a.key)
 	a.lenders = nil
-	if w, found := v.Plan.Workspace(a.workspace); found {
-		whole = Amount{Rate: w.Rate, Burst: w.Burst}
-		a.lenders = b.lenders(v.Plan, Split(v.Plan, w), whole)
+	if found {
+		a.lenders = b.lenders(v.Plan, Split(v.Plan, a.key, whole.Burst), whole)
 	}
 	a.setStanding(s, whole, v.Held, now)
 }
@@ -206,8 +205,8 @@
 	now := b.now()
 	a := b.account(w.Name)
 	a.used = now
-	a.demand.arrive(now)
-	if len(a.waiting) == 0 && a.spend(now) {
+	a.demand.arrive(1, now)
+	if len(a.waiting) == 0 && a.spend(1, now) {
 		low := a.tokens < lowTokens*a.limit.Burst && now.Sub(a.kicked) > kickPause
 		if low {
 			a.kicked = now
--- a/internal/process/psbudget/demand.go
+++ b/internal/process/psbudget/demand.go
@@ -26,23 +26,23 @@
 	return a.perSecond * math.Exp(-passed.Seconds()/span.Seconds())
 }
 
-func (a *average) arrive(now time.Time, span time.Duration) {
-	a.perSecond = a.at(now, span) + 1/span.Seconds()
+func (a *average) arrive(n float64, now time.Time, span time.Duration) {
+	a.perSecond = a.at(now, span) + n/span.Seconds()
 	a.last = now
 }
 
-// demand follows how many requests of a workspace arrive.
+// demand follows how much of a budget is asked for.
 type demand struct {
 	quick  average
 	steady average
 }
 
-func (d *demand) arrive(now time.Time) {
-	d.quick.arrive(now, quickSpan)
-	d.steady.arrive(now, steadySpan)
+func (d *demand) arrive(n float64, now time.Time) {
+	d.quick.arrive(n, now, quickSpan)
+	d.steady.arrive(n, now, steadySpan)
 }
 
-// expected returns the requests per second to prepare for.
+// expected returns the rate to prepare for, per second.
 func (d *demand) expected(now time.Time) float64 {
 	return max(d.quick.at(now, quickSpan), d.steady.at(now, steadySpan))
 }
--- a/internal/process/psbudget/exchange.go
+++ b/internal/process/psbudget/exchange.go
@@ -59,11 +59,11 @@
 	now := b.now()
 	v := b.shares.View()
 	_, member := v.Plan.VM(from)
-	_, known := v.Plan.Workspace(r.Workspace)
+	_, known := wholeOf(v.Plan, r.Key)
 	if !member || !known {
-		return loanAnswer{}, errors.Errorf("VM %q or workspace %q is not in the configuration", from, r.Workspace)
+		return loanAnswer{}, errors.Errorf("VM %q or budget %q is not in the configuration", from, r.Key)
 	}
-	answer, err := b.account(r.Workspace).lend(borrower{vm: from, process: r.Process}, r, now)
+	answer, err := b.account(r.Key).lend(borrower{vm: from, process: r.Process}, r, now)
 	if err == nil {
 		b.metrics.lent(answer)
 	}
@@ -76,7 +76,7 @@
 	b.mutex.Lock()
 	now := b.now()
 	v := b.shares.View()
-	if a, found := b.accounts[r.Workspace]; found {
+	if a, found := b.accounts[r.Key]; found {
 		a.held = v.Held
 		a.fill(now)
 		if most := a.lendable(a.lent[borrower{vm: from, process: r.Process}], now); !r.Want.less(most).empty() {
@@ -90,17 +90,17 @@
 	b.mutex.Unlock()
 	var calls sync.WaitGroup
 	for _, to := range recall {
-		calls.Go(func() { b.recall(ctx, r.Workspace, to) })
+		calls.Go(func() { b.recall(ctx, r.Key, to) })
 	}
 	calls.Wait()
 }
 
 // recall asks a borrower to give back what it does not need.
-func (b *Book) recall(ctx context.Context, workspace psdoc.Name, to *psplan.VM) {
+func (b *Book) recall(ctx context.Context, key psdoc.Name, to *psplan.VM) {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
 	var out recallAnswer
-	err := b.peers.Call(ctx, pspeer.Peer{Name: to.Name, Address: to.Peer}, methodRecall, recallRequest{Workspace: workspace}, &out)
+	err := b.peers.Call(ctx, pspeer.Peer{Name: to.Name, Address: to.Peer}, methodRecall, recallRequest{Key: key}, &out)
 	b.metrics.called("recall", err)
 	if err != nil || out.Tokens < 0 {
 		return
@@ -108,7 +108,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
-	a := b.account(workspace)
+	a := b.account(key)
 	a.yielded(borrower{vm: to.Name, process: out.Process}, out, now)
 	b.serve(a)
 }
@@ -116,7 +116,7 @@
 func (b *Book) answerRecall(from psdoc.Name, r recallRequest) (recallAnswer, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	a, found := b.accounts[r.Workspace]
+	a, found := b.accounts[r.Key]
 	if !found {
 		return recallAnswer{}, errors.New("no loan to give back")
 	}
@@ -139,7 +139,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
-	a, found := b.accounts[q.request.Workspace]
+	a, found := b.accounts[q.request.Key]
 	if !found {
 		return
 	}
@@ -147,6 +147,6 @@
 	a.answered(q, out, err, now)
 	b.serve(a)
 	if len(a.waiting) > 0 {
-		b.kick(a.workspace)
+		b.kick(a.key)
 	}
 }
--- a/internal/process/psbudget/fleet_test.go
+++ b/internal/process/psbudget/fleet_test.go
@@ -281,8 +281,8 @@
 
 func (f *fleet) spend(n *node, times int) error {
 	for range times {
-		n.account.demand.arrive(f.local(n))
-		if !n.account.spend(f.local(n)) {
+		n.account.demand.arrive(1, f.local(n))
+		if !n.account.spend(1, f.local(n)) {
 			return nil
 		}
 		f.spends++
--- a/internal/process/psbudget/limits.go
+++ b/internal/process/psbudget/limits.go
@@ -51,17 +51,17 @@
 	r.layout = v.Layout
 }
 
-// standing computes a VM's own part of a workspace's budget.
-func (r *regime) standing(self psdoc.Name, workspace psdoc.Name, v *psfence.View) standing {
+// standing computes a VM's own part of a budget.
+func (r *regime) standing(self, key psdoc.Name, v *psfence.View) standing {
 	var s standing
-	w, found := v.Plan.Workspace(workspace)
+	whole, found := wholeOf(v.Plan, key)
 	if !found || len(r.plans) == 0 {
 		return s
 	}
 	var splits [][]Share
 	for _, p := range r.plans {
-		if w, found := p.Workspace(workspace); found {
-			splits = append(splits, Split(p, w))
+		if w, found := wholeOf(p, key); found {
+			splits = append(splits, Split(p, key, w.Burst))
 		}
 	}
 	part := func(vm psdoc.Name) float64 {
@@ -72,10 +72,10 @@
 		return smallest
 	}
 	mine := part(self)
-	s.retained = Amount{Rate: psfence.Retained * mine * w.Rate, Burst: mine * w.Burst}
-	s.revocable = (1 - psfence.Retained) * mine * w.Rate
+	s.retained = Amount{Rate: psfence.Retained * mine * whole.Rate, Burst: mine * whole.Burst}
+	s.revocable = (1 - psfence.Retained) * mine * whole.Rate
 	for _, a := range v.Adopted {
-		s.adopted += (1 - psfence.Retained) * part(a.VM) * w.Rate
+		s.adopted += (1 - psfence.Retained) * part(a.VM) * whole.Rate
 	}
 	return s
 }
--- a/internal/process/psbudget/loan.go
+++ b/internal/process/psbudget/loan.go
@@ -44,7 +44,7 @@
 
 // loanRequest asks for a loan, renews it or gives it back.
 type loanRequest struct {
-	Workspace psdoc.Name `json:"workspace"`
+	Key psdoc.Name `json:"key"`
 	// Process identifies the borrower's process; a new one holds nothing of an earlier one.
 	Process string `json:"process"`
 	// Sequence grows with each request of the process to the lender for the workspace.
@@ -317,7 +317,7 @@
 	b.sequence, b.pending = a.sequence, a.sequence
 	tokens := a.lower(b, wanted, now)
 	return ask{to: l.vm, sent: now, request: loanRequest{
-		Workspace: a.workspace, Process: process, Sequence: b.sequence,
+		Key: a.key, Process: process, Sequence: b.sequence,
 		Hold: b.amount, Want: wanted, Tokens: tokens, Short: len(a.waiting) > 0,
 	}}
 }
@@ -357,7 +357,7 @@
 
 // recallRequest asks a borrower to give back what it does not need.
 type recallRequest struct {
-	Workspace psdoc.Name `json:"workspace"`
+	Key psdoc.Name `json:"key"`
 }
 
 // recallAnswer says what the borrower holds now.
--- a/internal/process/psbudget/split.go
+++ b/internal/process/psbudget/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,14 +23,14 @@
 	Part float64
 }
 
-// Split returns the base shares of a workspace's budget in a plan. They follow from the plan
-// alone and add up to 1. A burst that is too small for a whole request in each part is held
-// by as many VMs as it has whole requests.
-func Split(p *psplan.Plan, w *psplan.Workspace) []Share {
-	places := holders(p, w)
-	if n := max(1, int(w.Burst)); n < len(places) {
+// Split returns the base shares of a budget in a plan. They follow from the plan and the
+// budget's key and burst alone, and add up to 1. A burst that is too small for a whole token
+// in each part is held by as many VMs as it has whole tokens.
+func Split(p *psplan.Plan, key psdoc.Name, burst float64) []Share {
+	places := holders(p, key)
+	if n := int(math.Max(1, math.Min(burst, float64(len(places))))); n < len(places) {
 		slices.SortFunc(places, func(a, b Share) int {
-			return cmp.Compare(score(w.Name, b.VM.Name), score(w.Name, a.VM.Name))
+			return cmp.Compare(score(key, b.VM.Name), score(key, a.VM.Name))
 		})
 		places = places[:n]
 		for i := range places {
@@ -47,7 +48,7 @@
 }
 
 // holders lists the VMs that can hold a part, with their weights.
-func holders(p *psplan.Plan, w *psplan.Workspace) []Share {
+func holders(p *psplan.Plan, key psdoc.Name) []Share {
 	if len(p.VMs) <= MaxSplit {
 		out := make([]Share, 0, len(p.VMs))
 		for _, v := range p.VMs {
@@ -68,7 +69,7 @@
 			out = append(out, Share{VM: v, Part: v.Weight})
 		default:
 			out[i].Part += v.Weight
-			if score(w.Name, v.Name) > score(w.Name, out[i].VM.Name) {
+			if score(key, v.Name) > score(key, out[i].VM.Name) {
 				out[i].VM = v
 			}
 		}
@@ -76,9 +77,9 @@
 	return out
 }
 
-func score(workspace, vm psdoc.Name) uint64 {
+func score(key, vm psdoc.Name) uint64 {
 	var d xxhash.Digest
-	_, _ = d.WriteString(string(workspace))
+	_, _ = d.WriteString(string(key))
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(string(vm))
 	return d.Sum64()
--- a/internal/process/psbudget/steady_test.go
+++ b/internal/process/psbudget/steady_test.go
@@ -26,8 +26,8 @@
 		}
 		for due += rate * step.Seconds(); due >= 1; due-- {
 			sent++
-			n.account.demand.arrive(f.local(n))
-			if !n.account.spend(f.local(n)) {
+			n.account.demand.arrive(1, f.local(n))
+			if !n.account.spend(1, f.local(n)) {
 				refused++
 			}
 		}
--- a/internal/process/psbudget/wait.go
+++ b/internal/process/psbudget/wait.go
@@ -31,7 +31,7 @@
 	b.arm(a)
 	if now.Sub(a.kicked) > kickPause {
 		a.kicked = now
-		b.kick(a.workspace)
+		b.kick(a.key)
 	}
 	return q, 0
 }
@@ -100,7 +100,7 @@
 func (b *Book) serve(a *account) {
 	now := b.now()
 	a.held = b.shares.View().Held
-	for len(a.waiting) > 0 && a.spend(now) {
+	for len(a.waiting) > 0 && a.spend(1, now) {
 		q := a.waiting[0]
 		a.waiting = a.waiting[1:]
 		q.done = true
--- a/internal/process/psfence/layout.go
+++ b/internal/process/psfence/layout.go
@@ -103,12 +103,20 @@
 		writeName(&d, v.Domain.Region.Name)
 		number(math.Float64bits(v.Weight))
 	}
+	small := func(n psdoc.Name, burst float64) {
+		if burst < float64(len(vms)) {
+			writeName(&d, n)
+			number(uint64(burst))
+		}
+	}
 	spaces := slices.SortedFunc(slices.Values(p.Workspaces), func(a, b *psplan.Workspace) int { return cmp.Compare(a.Name, b.Name) })
 	for _, w := range spaces {
-		if w.Burst < float64(len(vms)) {
-			writeName(&d, w.Name)
-			number(uint64(w.Burst))
-		}
+		small(w.Name, w.Burst)
+	}
+	routes := slices.SortedFunc(slices.Values(p.Routes), func(a, b *psplan.Route) int { return cmp.Compare(a.Name, b.Name) })
+	for _, r := range routes {
+		small(r.Name, math.Max(1, r.Shift.Rate))
+		small(r.Name, math.Max(1, r.Shift.BytesPerSecond))
 	}
 	return d.Sum64()
 }
--- a/internal/process/psvm/budget.go
+++ b/internal/process/psvm/budget.go
@@ -11,6 +11,7 @@
 	"persimmonstep/internal/process/psfence"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psplatform"
+	"persimmonstep/internal/request/psshift"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -18,6 +19,9 @@
 func provideBudgets(i do.Injector, o Options, l *lifecycle) {
 	do.Provide(i, func(i do.Injector) (*psfence.Fence, error) { return newFence(i, o, l), nil })
 	do.Provide(i, func(i do.Injector) (*psbudget.Book, error) { return newBook(i, o, l), nil })
+	do.Provide(i, func(i do.Injector) (*psshift.Caps, error) {
+		return psshift.New(do.MustInvoke[*psbudget.Book](i), time.Now), nil
+	})
 }
 
 func newFence(i do.Injector, o Options, l *lifecycle) *psfence.Fence {
