pshealth, psretry: own observation first, retries from a budget

Cause: every server counted as healthy for ever, a failed request was retried without a bound on the added load, and the refusal after two attempts spoke only of the last one, so that an order that may have run and was then shed was refused as "not run".

Servers leave by configuration, platform list, answer header or health path, and VMs tell each other. psretry decides on further attempts and keeps the budget; "not run" is said only if every attempt was unreachable or shed. Exclusive requests get a connection of their own, because a server may close an idle one just as a request is written to it. The answer to an upload is due within the route's deadline after its body: before, an upload to a server that hung had no end.

--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -2,7 +2,9 @@
 //
 // Each backend server has a connection pool of its own, bounded by this VM's part of the
 // connections that the server holds. A connection whose answer was not read to its end is
-// closed and never reused.
+// closed and never reused. A request that must not run twice gets a connection of its own,
+// because a server may close an idle connection just as a request is written to it, and
+// nobody can tell then whether the request ran.
 package pstransport
 
 import (
@@ -26,12 +28,19 @@
 // Transports holds one connection pool for each backend server.
 type Transports struct {
 	mutex sync.Mutex
-	pools map[netip.AddrPort]*http.Transport
+	pools map[poolKey]*http.Transport
+}
+
+// poolKey identifies a connection pool.
+type poolKey struct {
+	address netip.AddrPort
+	// single pools use each connection for one request.
+	single bool
 }
 
 // New returns an empty set and its clean-up function.
 func New() (*Transports, func()) {
-	t := &Transports{pools: make(map[netip.AddrPort]*http.Transport)}
+	t := &Transports{pools: make(map[poolKey]*http.Transport)}
 	return t, t.close
 }
 
@@ -43,10 +52,10 @@
 	}
 }
 
-func (t *Transports) pool(address netip.AddrPort, limit int) *http.Transport {
+func (t *Transports) pool(k poolKey, limit int) *http.Transport {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	p, found := t.pools[address]
+	p, found := t.pools[k]
 	if !found {
 		p = &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -56,8 +65,9 @@
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			ReadBufferSize:         readBufferBytes,
 			DisableCompression:     true,
+			DisableKeepAlives:      k.single,
 		}
-		t.pools[address] = p
+		t.pools[k] = p
 	}
 	return p
 }
@@ -70,10 +80,11 @@
 	Sent bool
 }
 
-// Send sends a request to the server at the address, over at most limit connections.
+// Send sends a request to the server at the address, over at most limit connections. A
+// request with Close set gets a connection of its own.
 func (t *Transports) Send(ctx context.Context, address netip.AddrPort, limit int, r *http.Request) (Result, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	answer, err := t.pool(address, limit).RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	answer, err := t.pool(poolKey{address: address, single: r.Close}, limit).RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	return Result{Response: answer, Sent: sent.Load()}, err
 }
--- a/internal/process/psvm/health.go
+++ b/internal/process/psvm/health.go
@@ -1,12 +1,38 @@
 package psvm
 
 import (
+	"time"
+
 	"github.com/samber/do/v2"
 
+	"persimmonstep/internal/connection/psheartbeat"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/psmetric"
+	"persimmonstep/internal/process/psplatform"
+	"persimmonstep/internal/process/pspool"
+	"persimmonstep/internal/version/psversion"
 )
 
 // provideHealth makes what judges backend servers.
-func provideHealth(i do.Injector, _ Options, _ *lifecycle) {
-	do.ProvideValue(i, pshealth.NewTracker())
+func provideHealth(i do.Injector, o Options, l *lifecycle) {
+	do.Provide(i, func(i do.Injector) (*pshealth.Tracker, error) {
+		t := pshealth.New(pshealth.Options{
+			Self: o.Settings.Name, Plans: do.MustInvoke[*psversion.Follower](i), Now: time.Now, Logger: o.Logger,
+			Metrics: pshealth.NewMetrics(do.MustInvoke[*psmetric.Metrics](i).Registry),
+		})
+		l.task(t.Run)
+		return t, nil
+	})
+	do.Provide(i, func(i do.Injector) (*pshealth.Lister, error) {
+		h := do.MustInvoke[*psheartbeat.Heart](i)
+		t := do.MustInvoke[*pshealth.Tracker](i)
+		h.Add(t)
+		t.OnChange(do.MustInvoke[*pspool.Dispatcher](i).Wake)
+		s := &pshealth.Lister{
+			Self: o.Settings.Name, Plans: do.MustInvoke[*psversion.Follower](i),
+			List: do.MustInvoke[*psplatform.Client](i), Heard: h.Heard, Tracker: t,
+		}
+		l.task(s.Run)
+		return s, nil
+	})
 }
--- a/internal/process/psvm/provide.go
+++ b/internal/process/psvm/provide.go
@@ -19,6 +19,7 @@
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/process/pswithdrawal"
 	"persimmonstep/internal/request/psgate"
+	"persimmonstep/internal/request/psretry"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -53,6 +54,7 @@
 		Slots:       do.MustInvoke[*pspool.Dispatcher](i),
 		Claims:      do.MustInvoke[psgate.Claims](i),
 		Observer:    do.MustInvoke[*pshealth.Tracker](i),
+		Retries:     &psretry.Budget{},
 		Homes:       psdirectory.BlockLocator{Self: o.Settings.Name},
 		Transports:  do.MustInvoke[*pstransport.Transports](i),
 		Directory:   do.MustInvoke[*psdirectory.Directory](i),
@@ -105,6 +107,9 @@
 	if _, err := do.Invoke[*pscredit.Bank](i); err != nil {
 		return p, errors.Wrap(err, "make the slot loans")
 	}
+	if _, err := do.Invoke[*pshealth.Lister](i); err != nil {
+		return p, errors.Wrap(err, "make the watch on backend servers")
+	}
 	// The heart is wanted by nobody; it registers its task when it is made.
 	if _, err := do.Invoke[*psheartbeat.Heart](i); err != nil {
 		return p, errors.Wrap(err, "make the heartbeats")
--- a/internal/process/psvm/slot.go
+++ b/internal/process/psvm/slot.go
@@ -33,7 +33,7 @@
 		d := pspool.NewDispatcher(pspool.Config{
 			Self:   self,
 			Plans:  do.MustInvoke[*psversion.Follower](i),
-			Health: weighted{do.MustInvoke[*pshealth.Tracker](i)},
+			Health: do.MustInvoke[*pshealth.Tracker](i),
 			Fence:  slotFence{do.MustInvoke[*psfence.Fence](i)},
 			Shifts: noShifts{},
 			Links:  do.MustInvoke[*pslink.Meter](i),
@@ -67,14 +67,6 @@
 	})
 }
 
-// weighted gives every server its full weight.
-type weighted struct {
-	*pshealth.Tracker
-}
-
-// Weight is 1.
-func (weighted) Weight(*psplan.Server) float64 { return 1 }
-
 // slotFence shows the fence as slots need it.
 type slotFence struct {
 	*psfence.Fence
--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -5,131 +5,332 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/request/psproblem"
+	"persimmonstep/internal/request/psretry"
 	"persimmonstep/internal/request/psroute"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
 )
 
 const (
-	// maxAttempts bounds the backend servers that one request is sent to.
-	maxAttempts = 3
 	// maxQueueWait bounds the wait for a slot.
 	maxQueueWait = 500 * time.Millisecond
 	// maxConnectionsPerServer bounds this VM's connections to one backend server.
 	maxConnectionsPerServer = 32
+	// retryAfterFailure is the advice to a caller for whom no server was found.
+	retryAfterFailure = time.Second
 	// headerVia names this VM to the backend server.
 	headerVia = "Via"
 	// headerNotRun is set by a backend server that shed a request without running it.
 	headerNotRun = "X-Not-Run"
 )
 
+// tries are the attempts of one request.
+type tries struct {
+	// servers lists those that the request must not be sent to again.
+	servers []*psplan.Server
+	history psretry.History
+	// held is a whole answer that reports a server's failure, kept for the case that no
+	// other server gives a better one.
+	held *attempt
+	// consumed says that some of a streamed body was read.
+	consumed atomic.Bool
+}
+
 // attempt is an answer whose body is still to be read, with the slot that it occupies.
 type attempt struct {
 	response *http.Response
 	slot     *pspool.Slot
+	cancel   context.CancelFunc
 }
 
 // close ends the attempt; a body that was not read to its end takes its connection along.
 func (a *attempt) close() {
 	_ = a.response.Body.Close()
+	a.cancel()
 	a.slot.Release()
 }
 
-// failure is an attempt that brought no answer.
-type failure struct {
-	err error
-	// sent says that a byte may have reached the backend server.
-	sent bool
-}
-
 // send tries backend servers until one answers or no further try is allowed.
 func (x *exchange) send(ctx context.Context) (*attempt, error) {
-	var tried []*psplan.Server
-	var last *failure
-	for len(tried) < maxAttempts {
-		slot, err := x.acquire(ctx, tried)
+	for {
+		slot, err := x.acquire(ctx)
 		if err != nil {
-			return nil, x.giveUp(ctx, last, err)
+			return x.giveUp(ctx, err)
 		}
-		tried = append(tried, slot.Server)
-		psevent.Routed.Log(x.gate.Logger, x.id, x.workspaceName(), x.routeName(), slot.Server.Name, slot.Server.Domain.Name, len(tried), string(slot.Reason))
-		answer, fail := x.try(ctx, slot)
-		if fail == nil {
-			return &attempt{response: answer, slot: slot}, nil
+		a, ending := x.try(ctx, slot)
+		if ending == nil {
+			x.dropHeld()
+			return a, nil
 		}
-		slot.Release()
-		last = fail
-		if !x.mayRetry(ctx, fail) {
-			break
+		x.tries.history.Add(ending)
+		x.hold(a)
+		if !x.again(ctx) {
+			return x.giveUp(ctx, nil)
 		}
 	}
-	return nil, x.giveUp(ctx, last, nil)
 }
 
-func (x *exchange) acquire(ctx context.Context, tried []*psplan.Server) (*pspool.Slot, error) {
+// hold keeps an answer that reports a server's failure, in place of an earlier one.
+func (x *exchange) hold(a *attempt) {
+	if a != nil {
+		x.dropHeld()
+		x.tries.held = a
+	}
+}
+
+func (x *exchange) dropHeld() {
+	if x.tries.held != nil {
+		x.tries.held.close()
+		x.tries.held = nil
+	}
+}
+
+// again decides whether the request may be sent to another server, and pays for that.
+func (x *exchange) again(ctx context.Context) bool {
+	h := x.tries.history
+	r := x.retryRequest(ctx)
+	r.Expected = x.expected()
+	decision := psretry.Decide(r, h)
+	retry, allowed := decision.(psretry.Retry)
+	reason := psretry.ReasonBudget
+	switch {
+	case ctx.Err() != nil:
+		allowed, reason = false, psretry.ReasonCallerGone
+	case !allowed:
+		reason = decision.(psretry.Stop).Reason
+	case retry.Paid:
+		allowed = x.gate.Retries.Spend(x.route.Pool, time.Now())
+	}
+	if !allowed {
+		psevent.RetryRefused.Log(x.gate.Logger, x.id, x.workspaceName(), x.routeName(), h.Attempts, string(reason))
+		return false
+	}
+	psevent.Retried.Log(x.gate.Logger, x.id, x.workspaceName(), x.routeName(), h.Attempts, retry.Paid)
+	return true
+}
+
+func (x *exchange) retryRequest(ctx context.Context) psretry.Request {
+	r := psretry.Request{
+		Kind: x.route.Kind, Streamed: x.isStreamed(), Consumed: x.tries.consumed.Load(), Left: -1,
+	}
+	if d, found := ctx.Deadline(); found {
+		r.Left = max(0, time.Until(d))
+	}
+	return r
+}
+
+// expected is the least time that a server is expected to take to which the request was not
+// sent; 0 when unknown.
+func (x *exchange) expected() time.Duration {
+	var least time.Duration
+	for _, s := range x.route.Servers {
+		d := x.gate.Observer.Latency(s)
+		if d > 0 && (least == 0 || d < least) && !slices.Contains(x.tries.servers, s) {
+			least = d
+		}
+	}
+	return least
+}
+
+func (x *exchange) isStreamed() bool {
+	return x.route.Kind == psdoc.KindUpload
+}
+
+func (x *exchange) acquire(ctx context.Context) (*pspool.Slot, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxQueueWait)
 	defer cancel()
 	self, _ := x.plan.VM(x.gate.Self)
-	r := psroute.Request{Route: x.route, Workspace: x.workspace, Home: x.home, Tried: tried}
+	r := psroute.Request{Route: x.route, Workspace: x.workspace, Home: x.home, Tried: x.tries.servers}
 	if self != nil {
 		r.Domain = self.Domain
 	}
-	return x.gate.Slots.Acquire(ctx, r)
+	slot, err := x.gate.Slots.Acquire(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if x.tries.history.Attempts == 0 {
+		x.gate.Retries.First(x.route.Pool, time.Now())
+	}
+	x.tries.servers = append(x.tries.servers, slot.Server)
+	psevent.Routed.Log(x.gate.Logger, x.id, x.workspaceName(), x.routeName(), slot.Server.Name, slot.Server.Domain.Name, x.tries.history.Attempts+1, string(slot.Reason))
+	return slot, nil
 }
 
-// try sends the request to one server. A shed request counts as a failure that did not run.
-func (x *exchange) try(ctx context.Context, slot *pspool.Slot) (*http.Response, *failure) {
-	ctx = slot.Bind(ctx)
+// try sends the request to one server. It returns an answer, an ending, or both where the
+// whole answer reports a failure of the server. The slot is released unless there is an answer.
+func (x *exchange) try(parent context.Context, slot *pspool.Slot) (*attempt, psretry.Ending) {
+	ctx, cancel := context.WithCancel(slot.Bind(parent))
+	r := x.retryRequest(parent)
+	r.Expected = x.gate.Observer.Latency(slot.Server)
+	patience := newPatience(cancel)
+	if d := psretry.AttemptTime(r, x.tries.history); d > 0 {
+		patience.begin(d)
+	}
+	if !x.isStreamed() {
+		x.gate.Observer.Begin(slot.Server)
+	}
 	began := time.Now()
-	result, err := x.gate.Transports.Send(ctx, slot.Server.Address, maxConnectionsPerServer, x.outgoing(ctx, slot.Server))
-	o := Observation{Server: slot.Server, Duration: time.Since(began), Err: err}
+	out := x.outgoing(parent, slot.Server)
+	if x.isStreamed() {
+		// An upload may take any time, but its answer is due once the whole body was read.
+		out.Body = &uploadBody{reader: x.request.Body, consumed: &x.tries.consumed, atEnd: func() { patience.begin(x.route.Deadline) }}
+	}
+	result, err := x.gate.Transports.Send(ctx, slot.Server.Address, maxConnectionsPerServer, out)
+	o := Observation{Server: slot.Server, Streamed: x.isStreamed(), Duration: time.Since(began), Err: err}
+	if patience.end() && parent.Err() == nil && err != nil {
+		o.Err = context.DeadlineExceeded
+	}
 	if err == nil {
 		o.Status, o.Header = result.Response.StatusCode, result.Response.Header
 	}
 	x.gate.Observer.Observe(o)
 	if err != nil {
-		return nil, &failure{err: err, sent: result.Sent}
+		ending := endingOf(ctx, result.Sent)
+		cancel()
+		if ending == (psretry.Unreachable{}) {
+			slot.Refund()
+		}
+		slot.Release()
+		return nil, ending
 	}
+	a := &attempt{response: result.Response, slot: slot, cancel: cancel}
+	a.response.Body = &answerBody{ReadCloser: a.response.Body, exchange: x, context: ctx, server: slot.Server}
 	if o.Status == http.StatusServiceUnavailable && o.Header.Get(headerNotRun) != "" {
-		_ = result.Response.Body.Close()
-		return nil, &failure{err: errShed}
+		slot.Refund()
+		a.close()
+		return nil, psretry.Shed{}
+	}
+	if x.route.Kind == psdoc.KindLookup && isServerError(o.Status) {
+		return a, psretry.ServerError{}
 	}
-	return result.Response, nil
+	return a, nil
 }
 
-var errShed = psproblem.New(http.StatusServiceUnavailable, "shed", "the backend server shed the request")
+// patience cancels an attempt whose answer does not begin in time.
+type patience struct {
+	cancel  context.CancelFunc
+	mutex   sync.Mutex
+	timer   *time.Timer
+	ended   bool
+	expired bool
+}
 
-// mayRetry allows another server where the request certainly did not run or is idempotent.
-func (x *exchange) mayRetry(ctx context.Context, f *failure) bool {
-	if ctx.Err() != nil {
-		return false
+func newPatience(cancel context.CancelFunc) *patience {
+	return &patience{cancel: cancel}
+}
+
+// begin starts the time, at most once.
+func (p *patience) begin(d time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.timer == nil && !p.ended {
+		p.timer = time.AfterFunc(d, p.expire)
+	}
+}
+
+func (p *patience) expire() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.ended {
+		p.expired = true
+		p.cancel()
 	}
-	if x.route.Kind == psdoc.KindUpload {
-		return !f.sent && f.err != errShed
+}
+
+// end stops the time and reports whether it had run out.
+func (p *patience) end() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.ended = true
+	if p.timer != nil {
+		p.timer.Stop()
 	}
-	return !f.sent || x.route.Kind == psdoc.KindLookup
+	return p.expired
 }
 
-// giveUp makes the final refusal out of the last failure and the refusal of a slot.
-func (x *exchange) giveUp(ctx context.Context, last *failure, refused error) error {
+func endingOf(ctx context.Context, sent bool) psretry.Ending {
 	switch {
-	case last == nil && refused != nil:
-		return refused
-	case last == nil || !last.sent:
-		return psproblem.New(http.StatusServiceUnavailable, "noCapacity", "no backend server took the request").After(time.Second)
+	case !sent:
+		return psretry.Unreachable{}
 	case ctx.Err() != nil:
-		return psproblem.Unknown(http.StatusGatewayTimeout, "timeout", "no backend server answered in time")
+		return psretry.TimedOut{}
+	}
+	return psretry.Lost{}
+}
+
+func isServerError(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+// errTruncated is an answer that broke off.
+var errTruncated = errors.New("the answer broke off")
+
+// answerBody notes that an answer broke off.
+type answerBody struct {
+	io.ReadCloser
+	exchange *exchange
+	context  context.Context
+	server   *psplan.Server
+	broken   bool
+}
+
+// Read reads and notes the first failure.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil || errors.Is(err, io.EOF) || b.broken {
+		return n, err
+	}
+	b.broken = true
+	var ending psretry.Ending = psretry.Lost{}
+	if b.context.Err() != nil {
+		ending = psretry.TimedOut{}
+	} else {
+		b.exchange.gate.Observer.Observe(Observation{Server: b.server, Streamed: true, Err: errTruncated})
+	}
+	b.exchange.tries.history.Add(ending)
+	return n, err
+}
+
+// giveUp returns the held answer, or else the final refusal. It says that the request did
+// not run only if no attempt can have run it.
+func (x *exchange) giveUp(ctx context.Context, refused error) (*attempt, error) {
+	if a := x.tries.held; a != nil {
+		x.tries.held = nil
+		return a, nil
+	}
+	h := x.tries.history
+	switch {
+	case h.MayHaveRun && (ctx.Err() != nil || isTimeout(h.Last)):
+		return nil, psproblem.Unknown(http.StatusGatewayTimeout, "timeout", "no backend server answered in time")
+	case h.MayHaveRun:
+		return nil, psproblem.Unknown(http.StatusBadGateway, "badGateway", "the backend server's answer did not arrive")
+	case refused != nil:
+		return nil, refused
 	}
-	return psproblem.Unknown(http.StatusBadGateway, "badGateway", "the backend server's answer did not arrive")
+	return nil, psproblem.New(http.StatusServiceUnavailable, "noCapacity", "no backend server took the request").After(retryAfterFailure)
 }
 
-// outgoing makes the request for a backend server.
+func isTimeout(e psretry.Ending) bool {
+	_, ok := e.(psretry.TimedOut)
+	return ok
+}
+
+// outgoing makes the request for a backend server. The body of an upload is left out.
 func (x *exchange) outgoing(ctx context.Context, s *psplan.Server) *http.Request {
 	out := &http.Request{
 		Method:        x.request.Method,
@@ -138,6 +339,8 @@
 		Header:        endToEnd(x.request.Header),
 		ContentLength: x.request.ContentLength,
 		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		// A request that must not run twice gets a connection of its own.
+		Close: x.route.Kind == psdoc.KindExclusive,
 	}
 	out.Header.Set(headerRequestID, x.id)
 	out.Header.Set(headerVia, "1.1 "+string(x.gate.Self))
@@ -147,12 +350,33 @@
 	if d, found := ctx.Deadline(); found {
 		out.Header.Set(headerDeadline, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
 	}
-	if x.route.Kind == psdoc.KindUpload {
-		out.Body = x.request.Body
+	if x.isStreamed() {
 		return out
 	}
 	out.ContentLength = int64(len(x.body))
-	// A reader without GetBody keeps the transport from repeating the request by itself.
+	// A reader without GetBody keeps the transport from repeating the request by itself,
+	// which it otherwise does even for requests with an Idempotency-Key header.
 	out.Body = io.NopCloser(bytes.NewReader(x.body))
 	return out
 }
+
+// uploadBody notes that some of the body was read. Its Close does nothing, because the
+// transport closes a body that it has not begun to read and that can still go elsewhere.
+type uploadBody struct {
+	reader   io.Reader
+	consumed *atomic.Bool
+	atEnd    func()
+}
+
+// Read reads and notes that.
+func (b *uploadBody) Read(p []byte) (int, error) {
+	b.consumed.Store(true)
+	n, err := b.reader.Read(p)
+	if err != nil {
+		b.atEnd()
+	}
+	return n, err
+}
+
+// Close does nothing.
+func (b *uploadBody) Close() error { return nil }
--- a/internal/request/psgate/exchange.go
+++ b/internal/request/psgate/exchange.go
@@ -31,6 +31,8 @@
 	home      *psplan.Region
 	// body is the whole body; nil where it is streamed.
 	body []byte
+	// tries are the attempts so far.
+	tries tries
 	// status is the status of the answer.
 	status int
 }
--- a/internal/request/psgate/gate.go
+++ b/internal/request/psgate/gate.go
@@ -19,6 +19,7 @@
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/request/psclaim"
 	"persimmonstep/internal/request/psproblem"
+	"persimmonstep/internal/request/psretry"
 	"persimmonstep/internal/request/psroute"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
@@ -54,13 +55,19 @@
 
 // Observer learns how each attempt ended.
 type Observer interface {
+	// Begin learns that an attempt begins; streamed requests are not reported.
+	Begin(s *psplan.Server)
 	Observe(o Observation)
+	// Latency returns the expected time of one request; 0 when unknown.
+	Latency(s *psplan.Server) time.Duration
 }
 
 // Observation is the end of one attempt on a backend server.
 type Observation struct {
 	// Server is the backend server.
 	Server *psplan.Server
+	// Streamed marks an upload, whose duration says nothing about the server.
+	Streamed bool
 	// Duration is the time until the answer's header, or until the failure.
 	Duration time.Duration
 	// Status is the answer's status; 0 where none came.
@@ -91,6 +98,7 @@
 	Slots       Slots
 	Claims      Claims
 	Observer    Observer
+	Retries     *psretry.Budget
 	Homes       Homes
 	Transports  *pstransport.Transports
 	Directory   http.Handler
--- a/internal/request/psgate/relay.go
+++ b/internal/request/psgate/relay.go
@@ -26,12 +26,12 @@
 	if x.route.Kind == psdoc.KindUpload {
 		x.request.Body = watch(x.request.Body, x.route.Deadline, cancel)
 	}
-	for n := 1; ; n++ {
+	for {
 		a, err := x.send(ctx)
 		if err != nil {
 			return err
 		}
-		again, err := x.relay(ctx, a, n < maxAttempts)
+		again, err := x.relay(ctx, a)
 		a.close()
 		if !again {
 			return err
@@ -41,7 +41,7 @@
 
 // relay copies an answer to the caller. It reports true if the answer broke off before the
 // caller saw any of it and another try is allowed.
-func (x *exchange) relay(ctx context.Context, a *attempt, mayRetry bool) (bool, error) {
+func (x *exchange) relay(ctx context.Context, a *attempt) (bool, error) {
 	body := a.response.Body
 	if x.route.Kind == psdoc.KindUpload {
 		body = watch(body, x.route.Deadline, func() { _ = a.response.Body.Close() })
@@ -49,7 +49,7 @@
 	head := make([]byte, prefetchBytes)
 	n, whole, err := readHead(body, head)
 	if err != nil {
-		if mayRetry && x.route.Kind == psdoc.KindLookup && ctx.Err() == nil {
+		if x.again(ctx) {
 			return true, nil
 		}
 		return false, psproblem.Unknown(http.StatusBadGateway, "truncated", "the backend server's answer broke off")
