--- a/internal/process/psevent/state.go
+++ b/internal/process/psevent/state.go
@@ -18,8 +18,12 @@
 	EpochAdvanced = Event{4013, hclog.Info, "claim epoch advanced", []string{"epoch"}}
 	// ClaimsForgotten says that claims past their retention were deleted.
 	ClaimsForgotten = Event{4014, hclog.Info, "claims forgotten", []string{"epoch", "claims"}}
+	// PlatformDown says that calls to the platform are no longer tried.
+	PlatformDown = Event{4020, hclog.Warn, "platform does not answer", nil}
+	// PlatformBack says that the platform answers again.
+	PlatformBack = Event{4021, hclog.Info, "platform answers again", nil}
 )
 
 func stateEvents() []Event {
-	return []Event{KeyWithdrawn, WithdrawalSpread, Claimed, ClaimSettled, ClaimLost, EpochAdvanced, ClaimsForgotten}
+	return []Event{KeyWithdrawn, WithdrawalSpread, Claimed, ClaimSettled, ClaimLost, EpochAdvanced, ClaimsForgotten, PlatformDown, PlatformBack}
 }
--- a/internal/process/psstandin/fault.go
+++ b/internal/process/psstandin/fault.go
@@ -20,16 +20,20 @@
 	FaultLoseCall FaultKind = "loseCall"
 	// FaultSlow delays the call.
 	FaultSlow FaultKind = "slow"
+	// FaultNever answers nothing until the client gives up; the call takes no effect.
+	FaultNever FaultKind = "never"
+	// FaultStale answers a reading call as the store was when it was last frozen.
+	FaultStale FaultKind = "stale"
 )
 
 // UnmarshalText checks the kind.
 func (k *FaultKind) UnmarshalText(text []byte) error {
 	switch v := FaultKind(text); v {
-	case FaultRefuse, FaultLoseAnswer, FaultLoseCall, FaultSlow:
+	case FaultRefuse, FaultLoseAnswer, FaultLoseCall, FaultSlow, FaultNever, FaultStale:
 		*k = v
 		return nil
 	}
-	return errors.Errorf("%q is not a fault: use refuse, loseAnswer, loseCall or slow", text)
+	return errors.Errorf("%q is not a fault: use refuse, loseAnswer, loseCall, slow, never or stale", text)
 }
 
 // Fault is one row of the fault table.
--- a/internal/process/psstandin/server.go
+++ b/internal/process/psstandin/server.go
@@ -62,6 +62,11 @@
 			return
 		case FaultLoseCall:
 			panic(http.ErrAbortHandler)
+		case FaultNever:
+			// The server notices that the client has gone only once the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
 		case FaultSlow:
 			select {
 			case <-time.After(fault.Delay):
@@ -70,7 +75,7 @@
 			}
 		}
 	}
-	status, body := s.answer(r)
+	status, body := s.answer(r, faulty && fault.Kind == FaultStale)
 	if faulty && fault.Kind == FaultLoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
@@ -78,8 +83,8 @@
 	_, _ = w.Write(body)
 }
 
-// answer carries out a call.
-func (s *Server) answer(r *http.Request) (int, []byte) {
+// answer carries out a call, a reading one on the frozen rows if it is to be stale.
+func (s *Server) answer(r *http.Request, stale bool) (int, []byte) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return http.StatusBadRequest, nil
@@ -87,11 +92,11 @@
 	switch path := r.URL.Path; {
 	case path == psplatform.PathRead:
 		return decoded(body, func(in psplatform.ReadRequest) any {
-			return psplatform.RowsResponse{Rows: s.Store.Read(in.Keys)}
+			return psplatform.RowsResponse{Rows: s.Store.read(in.Keys, stale)}
 		})
 	case path == psplatform.PathScan:
 		return decoded(body, func(in psplatform.ScanRequest) any {
-			return psplatform.RowsResponse{Rows: s.Store.Scan(in.Prefix, in.After, in.Limit)}
+			return psplatform.RowsResponse{Rows: s.Store.scan(in.Prefix, in.After, in.Limit, stale)}
 		})
 	case path == psplatform.PathCommit:
 		return decoded(body, func(in psplatform.Transaction) any {
--- a/internal/process/psstandin/store.go
+++ b/internal/process/psstandin/store.go
@@ -6,6 +6,7 @@
 package psstandin
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 type Store struct {
 	mutex    sync.Mutex
 	rows     map[string]psplatform.Row
+	frozen   map[string]psplatform.Row
 	objects  map[string][]byte
 	machines map[string]psplatform.MachineState
 	revision uint64
@@ -24,14 +26,34 @@
 	reads    uint64
 }
 
+// Freeze keeps the rows as they are now for stale reads.
+func (s *Store) Freeze() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.frozen = maps.Clone(s.rows)
+}
+
+// view returns the rows, or the frozen ones. The mutex is held.
+func (s *Store) view(stale bool) map[string]psplatform.Row {
+	if stale {
+		return s.frozen
+	}
+	return s.rows
+}
+
 // Read returns rows by key.
 func (s *Store) Read(keys []string) []psplatform.Row {
+	return s.read(keys, false)
+}
+
+func (s *Store) read(keys []string, stale bool) []psplatform.Row {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reads++
+	rows := s.view(stale)
 	out := make([]psplatform.Row, len(keys))
 	for i, k := range keys {
-		out[i] = s.rows[k]
+		out[i] = rows[k]
 		out[i].Key = k
 	}
 	return out
@@ -39,11 +61,16 @@
 
 // Scan returns rows by prefix in key order.
 func (s *Store) Scan(prefix, after string, limit int) []psplatform.Row {
+	return s.scan(prefix, after, limit, false)
+}
+
+func (s *Store) scan(prefix, after string, limit int, stale bool) []psplatform.Row {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reads++
+	rows := s.view(stale)
 	var keys []string
-	for k := range s.rows {
+	for k := range rows {
 		if strings.HasPrefix(k, prefix) && k > after {
 			keys = append(keys, k)
 		}
@@ -54,7 +81,7 @@
 	}
 	out := make([]psplatform.Row, len(keys))
 	for i, k := range keys {
-		out[i] = s.rows[k]
+		out[i] = rows[k]
 	}
 	return out
 }
--- a/internal/process/psvm/budget.go
+++ b/internal/process/psvm/budget.go
@@ -31,7 +31,7 @@
 		Plans:  do.MustInvoke[*psversion.Follower](i),
 		Heads:  latestVersion{do.MustInvoke[*psversion.Store](i)},
 		Peers:  hub,
-		Table:  do.MustInvoke[*psplatform.Client](i),
+		Table:  do.MustInvoke[*psplatform.Guard](i),
 		Now:    time.Now,
 		Drain:  psbudget.Drain,
 		Logger: o.Logger,
--- a/internal/process/psvm/claim.go
+++ b/internal/process/psvm/claim.go
@@ -23,13 +23,13 @@
 	c := psclaim.New(psclaim.Options{
 		VM:          o.Settings.Name,
 		Incarnation: string(do.MustInvoke[psmember.Incarnation](i)),
-		Platform:    do.MustInvoke[*psplatform.Client](i),
+		Platform:    do.MustInvoke[*psplatform.Guard](i),
 		Observe:     m.observe,
 		Logger:      o.Logger,
 	})
 	l.task(c.Run)
 	cleaner := &psclaim.Cleaner{
-		Table:  do.MustInvoke[*psplatform.Client](i),
+		Table:  do.MustInvoke[*psplatform.Guard](i),
 		Chosen: claimCleaner{o.Settings.Name, do.MustInvoke[*psversion.Follower](i)}.chosen,
 		Now:    time.Now,
 		Logger: o.Logger,
--- a/internal/process/psvm/connection.go
+++ b/internal/process/psvm/connection.go
@@ -21,6 +21,7 @@
 		l.clean(clean)
 		return p, nil
 	})
+	do.Provide(i, func(i do.Injector) (*psplatform.Guard, error) { return newGuard(i, o, l), nil })
 	do.Provide(i, func(do.Injector) (*pstransport.Transports, error) {
 		t, clean := pstransport.New()
 		l.clean(clean)
--- a/internal/process/psvm/state.go
+++ b/internal/process/psvm/state.go
@@ -11,6 +11,7 @@
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/process/pswithdrawal"
 	"persimmonstep/internal/request/psgate"
+	"persimmonstep/internal/version/psplan"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -19,6 +20,7 @@
 func provideState(i do.Injector, o Options, l *lifecycle) {
 	self := o.Settings.Name
 	do.ProvideValue(i, psmember.NewIncarnation())
+	do.ProvideValue(i, &fleetSize{})
 	do.ProvideValue(i, &pswithdrawal.Set{})
 	do.Provide(i, func(i do.Injector) (*psfanout.Fanout, error) {
 		return psfanout.New(self, do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*pspeer.Hub](i)), nil
@@ -29,7 +31,7 @@
 			Plans:  do.MustInvoke[*psversion.Follower](i),
 			Peers:  do.MustInvoke[*pspeer.Hub](i),
 			Fanout: do.MustInvoke[*psfanout.Fanout](i),
-			Table:  do.MustInvoke[*psplatform.Client](i),
+			Table:  do.MustInvoke[*psplatform.Guard](i),
 			Logger: o.Logger,
 		}
 		s.Start()
@@ -42,10 +44,12 @@
 		return v, nil
 	})
 	do.Provide(i, func(i do.Injector) (*psversion.Store, error) {
-		return &psversion.Store{Platform: do.MustInvoke[*psplatform.Client](i), Now: time.Now}, nil
+		return &psversion.Store{Platform: do.MustInvoke[*psplatform.Guard](i), Now: time.Now}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*psversion.Follower, error) {
 		f := psversion.NewFollower(do.MustInvoke[*psversion.Store](i), o.Logger)
+		size := do.MustInvoke[*fleetSize](i)
+		f.OnInstall(func(p *psplan.Plan) { size.Store(int64(len(p.VMs))) })
 		l.task(f.Run)
 		return f, nil
 	})
--- a/internal/version/psversion/follower.go
+++ b/internal/version/psversion/follower.go
@@ -20,15 +20,23 @@
 	logger hclog.Logger
 	plan   atomic.Pointer[psplan.Plan]
 	hints  chan uint64
+	// installed is called with each plan before it is in force.
+	installed func(*psplan.Plan)
 }
 
 // NewFollower returns a follower with the empty plan.
 func NewFollower(s *Store, l hclog.Logger) *Follower {
-	f := &Follower{store: s, logger: l, hints: make(chan uint64, 1)}
+	f := &Follower{store: s, logger: l, hints: make(chan uint64, 1), installed: func(*psplan.Plan) {}}
 	f.plan.Store(psplan.Empty())
 	return f
 }
 
+// OnInstall sets a function that is called with each plan before it is in force. It must be
+// called before Run.
+func (f *Follower) OnInstall(g func(*psplan.Plan)) {
+	f.installed = g
+}
+
 // Plan returns the plan in force.
 func (f *Follower) Plan() *psplan.Plan {
 	return f.plan.Load()
@@ -80,6 +88,7 @@
 		psevent.VersionFailed.Log(f.logger, err)
 		return
 	}
+	f.installed(p)
 	f.plan.Store(p)
 	psevent.VersionInForce.Log(f.logger, p.Version)
 }
