psquarantine: requests that crash each server that runs them are refused

Cause: a request that takes down the backend server that runs it was retried elsewhere and repeated by its caller, and each run cost one server more.

Change: the end of a server's connection under a request counts as a crash. The first makes the request suspect, the second refuses it fleet-wide with 422 for ten minutes. Every VM is told through the fan-out before the caller gets its answer, for at most 200 ms; heartbeats carry a digest for VMs that the call missed. Bystanders of a crash are told from its cause by separate servers for suspects, by whole answers, and by losses on servers that the request was never sent to. Operators list and clear requests (API and command line). The fingerprint is made of the content and not of the idempotency key, which a caller changes.

--- a/internal/process/psadmin/admin.go
+++ b/internal/process/psadmin/admin.go
@@ -80,6 +80,7 @@
 	Withdrawer Withdrawer
 	Slots      Slots
 	Homes      Homes
+	Quarantine Quarantine
 	Registry   *prometheus.Registry
 	Logger     hclog.Logger
 }
@@ -113,6 +114,7 @@
 	a.registerDocuments(h)
 	a.registerKeys(h)
 	a.registerDrains(h)
+	a.registerQuarantine(h)
 	a.registerExplain(h)
 	a.registerStatus(h)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/process/pscli/cli.go
+++ b/internal/process/pscli/cli.go
@@ -49,10 +49,11 @@
 	History historyCommand `cmd:"" help:"Show who changed what."`
 	Explain explainCommand `cmd:"" help:"Explain what would be decided for a request, without sending it."`
 
-	Key      keyCommands      `cmd:"" help:"Issue and withdraw keys."`
-	Drain    drainCommand     `cmd:"" help:"Send a backend server no new work."`
-	Undrain  undrainCommand   `cmd:"" help:"Send a drained backend server work again."`
-	Document documentCommands `cmd:"" help:"Show the documents in force."`
+	Key        keyCommands        `cmd:"" help:"Issue and withdraw keys."`
+	Drain      drainCommand       `cmd:"" help:"Send a backend server no new work."`
+	Undrain    undrainCommand     `cmd:"" help:"Send a drained backend server work again."`
+	Quarantine quarantineCommands `cmd:"" help:"List and clear requests that take down backend servers."`
+	Document   documentCommands   `cmd:"" help:"Show the documents in force."`
 }
 
 // streams are where commands write.
--- a/internal/process/psevent/health.go
+++ b/internal/process/psevent/health.go
@@ -24,11 +24,26 @@
 	Retried = Event{5101, hclog.Info, "request sent again", []string{"requestId", "workspace", "route", "attempts", "paid"}}
 	// RetryRefused says why a request is not sent to another backend server.
 	RetryRefused = Event{5102, hclog.Info, "request not sent again", []string{"requestId", "workspace", "route", "attempts", "reason"}}
+	// RequestCrashed says that a run ended with its backend server's connection.
+	RequestCrashed = Event{5201, hclog.Warn, "request took down a connection", []string{"fingerprint", "workspace", "route", "server", "crashes"}}
+	// RequestQuarantined says that a request is refused from now on.
+	RequestQuarantined = Event{5202, hclog.Warn, "request quarantined", []string{"fingerprint", "workspace", "route", "target", "duration"}}
+	// QuarantineLearned says that another VM told of a quarantined request.
+	QuarantineLearned = Event{5203, hclog.Info, "quarantined request learned", []string{"fingerprint", "workspace", "route", "vm"}}
+	// CrashExcused says why the loss of a connection is not held against a request.
+	CrashExcused = Event{5204, hclog.Info, "lost connection not held against the request", []string{"fingerprint", "workspace", "route", "server", "reason"}}
+	// SuspectCleared says that a suspect request got its whole answer.
+	SuspectCleared = Event{5205, hclog.Info, "suspect request cleared by an answer", []string{"fingerprint", "workspace", "route"}}
+	// QuarantineCleared says that an operator cleared a request.
+	QuarantineCleared = Event{5206, hclog.Info, "request cleared by an operator", []string{"fingerprint", "workspace", "route"}}
+	// QuarantineRefused says that a quarantined request was refused.
+	QuarantineRefused = Event{5207, hclog.Info, "quarantined request refused", []string{"requestId", "workspace", "route", "fingerprint", "left"}}
 )
 
 func healthEvents() []Event {
 	return []Event{
 		ServerEjected, ServerDown, ServerReturned, ServerWarm, EjectionWithheld, ServerProbed,
 		ServerLeaving, ServerStays, Retried, RetryRefused,
+		RequestCrashed, RequestQuarantined, QuarantineLearned, CrashExcused, SuspectCleared, QuarantineCleared, QuarantineRefused,
 	}
 }
--- a/internal/process/psvm/health.go
+++ b/internal/process/psvm/health.go
@@ -5,11 +5,14 @@
 
 	"github.com/samber/do/v2"
 
+	"persimmonstep/internal/connection/psfanout"
 	"persimmonstep/internal/connection/psheartbeat"
+	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/process/pspool"
+	"persimmonstep/internal/process/psquarantine"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -35,4 +38,19 @@
 		l.task(s.Run)
 		return s, nil
 	})
+	do.Provide(i, func(i do.Injector) (*psquarantine.Set, error) {
+		return psquarantine.New(psquarantine.Options{
+			Now: time.Now, Leaving: do.MustInvoke[*pshealth.Tracker](i).Leaving, Logger: o.Logger,
+		}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*psquarantine.Spreader, error) {
+		s := &psquarantine.Spreader{
+			Set: do.MustInvoke[*psquarantine.Set](i), Plans: do.MustInvoke[*psversion.Follower](i),
+			Peers: do.MustInvoke[*pspeer.Hub](i), Fanout: do.MustInvoke[*psfanout.Fanout](i),
+		}
+		s.Start()
+		do.MustInvoke[*psheartbeat.Heart](i).Add(s)
+		l.task(s.Run)
+		return s, nil
+	})
 }
--- a/internal/process/psvm/provide.go
+++ b/internal/process/psvm/provide.go
@@ -17,6 +17,7 @@
 	"persimmonstep/internal/process/psmember"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/pspool"
+	"persimmonstep/internal/process/psquarantine"
 	"persimmonstep/internal/process/pswithdrawal"
 	"persimmonstep/internal/request/psgate"
 	"persimmonstep/internal/request/psretry"
@@ -55,6 +56,7 @@
 		Claims:      do.MustInvoke[psgate.Claims](i),
 		Observer:    do.MustInvoke[*pshealth.Tracker](i),
 		Retries:     &psretry.Budget{},
+		Quarantine:  do.MustInvoke[*psquarantine.Set](i),
 		Homes:       psdirectory.BlockLocator{Self: o.Settings.Name},
 		Transports:  do.MustInvoke[*pstransport.Transports](i),
 		Directory:   do.MustInvoke[*psdirectory.Directory](i),
@@ -78,6 +80,7 @@
 		Withdrawer: newWithdrawer(i),
 		Slots:      do.MustInvoke[*pspool.Dispatcher](i),
 		Homes:      psdirectory.BlockLocator{Self: o.Settings.Name},
+		Quarantine: do.MustInvoke[*psquarantine.Set](i),
 		Registry:   do.MustInvoke[*psmetric.Metrics](i).Registry,
 		Logger:     o.Logger,
 	}
@@ -110,6 +113,9 @@
 	if _, err := do.Invoke[*pshealth.Lister](i); err != nil {
 		return p, errors.Wrap(err, "make the watch on backend servers")
 	}
+	if _, err := do.Invoke[*psquarantine.Spreader](i); err != nil {
+		return p, errors.Wrap(err, "make the quarantine")
+	}
 	// The heart is wanted by nobody; it registers its task when it is made.
 	if _, err := do.Invoke[*psheartbeat.Heart](i); err != nil {
 		return p, errors.Wrap(err, "make the heartbeats")
--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -45,6 +45,8 @@
 	held *attempt
 	// consumed says that some of a streamed body was read.
 	consumed atomic.Bool
+	// suspect is what is known of the request as a cause of crashes.
+	suspect suspect
 }
 
 // attempt is an answer whose body is still to be read, with the slot that it occupies.
@@ -52,17 +54,23 @@
 	response *http.Response
 	slot     *pspool.Slot
 	cancel   context.CancelFunc
+	// unreserve ends the reservation of the server.
+	unreserve func()
 }
 
 // close ends the attempt; a body that was not read to its end takes its connection along.
 func (a *attempt) close() {
 	_ = a.response.Body.Close()
 	a.cancel()
+	a.unreserve()
 	a.slot.Release()
 }
 
 // send tries backend servers until one answers or no further try is allowed.
 func (x *exchange) send(ctx context.Context) (*attempt, error) {
+	if err := x.checkQuarantine(); err != nil {
+		return nil, err
+	}
 	for {
 		slot, err := x.acquire(ctx)
 		if err != nil {
@@ -109,6 +117,8 @@
 		allowed, reason = false, psretry.ReasonCallerGone
 	case !allowed:
 		reason = decision.(psretry.Stop).Reason
+	case x.isQuarantined():
+		allowed, reason = false, psretry.ReasonCrashes
 	case retry.Paid:
 		allowed = x.gate.Retries.Spend(x.route.Pool, time.Now())
 	}
@@ -159,6 +169,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if !x.reserve(slot.Server) {
+		slot.Refund()
+		x.tries.servers = append(x.tries.servers, slot.Server)
+		return x.acquire(ctx)
+	}
 	if x.tries.history.Attempts == 0 {
 		x.gate.Retries.First(x.route.Pool, time.Now())
 	}
@@ -197,6 +212,8 @@
 	x.gate.Observer.Observe(o)
 	if err != nil {
 		ending := endingOf(ctx, result.Sent)
+		x.noteLoss(slot.Server, ending, err)
+		x.unreserve(slot.Server)
 		cancel()
 		if ending == (psretry.Unreachable{}) {
 			slot.Refund()
@@ -204,7 +221,7 @@
 		slot.Release()
 		return nil, ending
 	}
-	a := &attempt{response: result.Response, slot: slot, cancel: cancel}
+	a := &attempt{response: result.Response, slot: slot, cancel: cancel, unreserve: func() { x.unreserve(slot.Server) }}
 	a.response.Body = &answerBody{ReadCloser: a.response.Body, exchange: x, context: ctx, server: slot.Server}
 	if o.Status == http.StatusServiceUnavailable && o.Header.Get(headerNotRun) != "" {
 		slot.Refund()
@@ -292,6 +309,9 @@
 // Read reads and notes the first failure.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.exchange.noteAnswer()
+	}
 	if err == nil || errors.Is(err, io.EOF) || b.broken {
 		return n, err
 	}
@@ -302,6 +322,7 @@
 	} else {
 		b.exchange.gate.Observer.Observe(Observation{Server: b.server, Streamed: true, Err: errTruncated})
 	}
+	b.exchange.noteLoss(b.server, ending, err)
 	b.exchange.tries.history.Add(ending)
 	return n, err
 }
@@ -313,6 +334,7 @@
 		x.tries.held = nil
 		return a, nil
 	}
+	x.settle(ctx)
 	h := x.tries.history
 	switch {
 	case h.MayHaveRun && (ctx.Err() != nil || isTimeout(h.Last)):
--- a/internal/request/psgate/gate.go
+++ b/internal/request/psgate/gate.go
@@ -17,6 +17,7 @@
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pspool"
+	"persimmonstep/internal/process/psquarantine"
 	"persimmonstep/internal/request/psclaim"
 	"persimmonstep/internal/request/psproblem"
 	"persimmonstep/internal/request/psretry"
@@ -78,6 +79,20 @@
 	Err error
 }
 
+// Quarantine knows the requests that take down the backend servers that run them.
+type Quarantine interface {
+	// Held returns how much longer the request is refused; 0 if it is not.
+	Held(f psquarantine.Fingerprint) time.Duration
+	// Answered takes in that the request got a whole answer.
+	Answered(f psquarantine.Fingerprint)
+	// Crashed takes in that a run ended with the connection of its server.
+	Crashed(r psquarantine.Run) psquarantine.Verdict
+	// Reserve keeps a server for the run of a suspect; false where another one has it.
+	Reserve(f psquarantine.Fingerprint, server psdoc.Name) bool
+	// Return ends a reservation.
+	Return(f psquarantine.Fingerprint, server psdoc.Name)
+}
+
 // Homes finds the region in which a caller's requests run without being shifted.
 type Homes interface {
 	Home(p *psplan.Plan, caller netip.Addr) *psplan.Region
@@ -99,6 +114,7 @@
 	Claims      Claims
 	Observer    Observer
 	Retries     *psretry.Budget
+	Quarantine  Quarantine
 	Homes       Homes
 	Transports  *pstransport.Transports
 	Directory   http.Handler
