--- a/internal/process/psbudget/account.go
+++ b/internal/process/psbudget/account.go
@@ -65,6 +65,7 @@
 func (a *account) setStanding(s standing, whole Amount, held psfence.Span, now time.Time) {
 	a.fill(now)
 	a.standing, a.whole, a.held = s, whole, held
+	a.demand.most = whole.Rate
 	a.relimit(now)
 }
 
--- a/internal/process/psbudget/loan.go
+++ b/internal/process/psbudget/loan.go
@@ -28,10 +28,10 @@
 	spareMemory = time.Second
 	// firstPause and longestPause bound the time before a lender with nothing to spare, or
 	// without an answer, is asked again.
-	firstPause   = 50 * time.Millisecond
+	firstPause   = 10 * time.Millisecond
 	longestPause = time.Second
 	// recallPause is the time between two recalls of the same budget.
-	recallPause = 50 * time.Millisecond
+	recallPause = 15 * time.Millisecond
 	// headroom is how much more than its demand a VM tries to hold.
 	headroom = 1.25
 	// reserveSpan is the time for whose expected arrivals a lender keeps tokens.
@@ -151,9 +151,13 @@
 			own = own.less(l.amount())
 		}
 	}
-	steady := a.demand.steady.at(now, steadySpan)
-	keep := Amount{Rate: a.demand.expected(now), Burst: math.Max(steady*reserveSpan.Seconds(), float64(len(a.waiting)))}
-	return own.less(keep)
+	return own.less(a.needs(now))
+}
+
+// needs returns what this VM keeps for its own requests.
+func (a *account) needs(now time.Time) Amount {
+	present := a.demand.present(now)
+	return Amount{Rate: headroom * present, Burst: math.Max(present*reserveSpan.Seconds(), float64(len(a.waiting)))}
 }
 
 // lend answers a request for a loan. What is lent leaves this VM's limits at once.
@@ -204,6 +208,9 @@
 		return Amount{}
 	}
 	rate := math.Min(a.whole.Rate, headroom*expected)
+	if a.demand.silent(now) {
+		rate = math.Min(rate, a.limit.Rate)
+	}
 	burst := math.Max(minBurst, a.whole.Burst*rate/math.Max(a.whole.Rate, dust))
 	if n := float64(len(a.waiting)); n > 0 {
 		burst = math.Max(burst, a.limit.Burst+n-a.tokens)
@@ -395,9 +402,7 @@
 	if b == nil || b.pending != 0 || !now.Before(b.expires) {
 		return recallAnswer{}, errors.New("no loan to give back")
 	}
-	quick := a.demand.quick.at(now, quickSpan)
-	need := Amount{Rate: headroom * quick, Burst: math.Max(quick*reserveSpan.Seconds(), float64(len(a.waiting)))}
-	tokens := a.lower(b, b.amount.less(a.limit.less(need)), now)
+	tokens := a.lower(b, b.amount.less(a.limit.less(a.needs(now))), now)
 	return recallAnswer{Sequence: b.sequence, Hold: b.amount, Tokens: tokens}, nil
 }
 
--- a/internal/process/psbudget/wait.go
+++ b/internal/process/psbudget/wait.go
@@ -47,7 +47,7 @@
 	}
 	for _, l := range a.lenders {
 		b := a.borrowed[l.vm.Name]
-		if b == nil || b.pending != 0 || !now.Before(b.resume) {
+		if b == nil || b.pending != 0 || b.resume.Sub(now) < MaxWait/2 {
 			return true
 		}
 	}
