pspool: a lender keeps off slots until the borrower knows that they are wanted

A lender with waiting requests took slots back while its answer to the renewal was under way, and the borrower started requests in them meanwhile. The fleet property delivered question and answer in one step and could not see it.

Change: a renewal frees only what the borrower itself gave up before it asked; the answer names the size to go down to. The property sends messages that arrive later, out of order or never, and VMs whose judgement of servers changes.

Conclusion: no answer that is under way is taken for one that has arrived.

--- a/internal/process/pspool/borrow.go
+++ b/internal/process/pspool/borrow.go
@@ -40,7 +40,8 @@
 	}
 }
 
-// Renewed enters the answer to a renewal that was sent at the given time.
+// Renewed enters the answer to a renewal that was sent at the given time: the size to go
+// down to, which never rises.
 func (d *Dispatcher) Renewed(id GrantID, n int, sent time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -48,7 +49,7 @@
 	if !found {
 		return
 	}
-	b.Slots = n
+	b.Slots = min(b.Slots, max(n, len(b.slots)))
 	b.startUntil, b.holdUntil = sent.Add(Term), sent.Add(HoldTime)
 	d.wake(d.poolOf(d.servers[b.Server].server.Pool))
 }
--- a/internal/process/pspool/fleet_test.go
+++ b/internal/process/pspool/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +37,14 @@
 // healthy judges every server healthy.
 type healthy struct{}
 
+// moody is a VM's judgement that changes; a lender asks for slots of excluded servers back.
+type moody struct {
+	healthy
+	excluded bool
+}
+
+func (m *moody) Excluded(*psplan.Server) bool { return m.excluded }
+
 func (healthy) Excluded(*psplan.Server) bool         { return false }
 func (healthy) Latency(*psplan.Server) time.Duration { return 0 }
 func (healthy) Weight(*psplan.Server) float64        { return 1 }
@@ -67,6 +76,7 @@
 type machine struct {
 	name       psdoc.Name
 	fence      *fence
+	health     *moody
 	dispatcher *pspool.Dispatcher
 	running    map[*pspool.Slot]context.Context
 	// wholeSince is when the fence came back; blockedSince when the process started.
@@ -80,14 +90,49 @@
 	clock *clock
 	plan  *psplan.Plan
 	vms   []*machine
-	down  map[psdoc.Name]bool
 	made  int
+	// messages are under way.
+	messages []message
+}
+
+// message is something that arrives later, or never if one of its ends has restarted.
+type message struct {
+	// answers is the VM whose answer to a loan it is; empty for other messages.
+	answers psdoc.Name
+	to      *machine
+	ends    [2]*pspool.Dispatcher
+	deliver func()
+}
+
+// post sends a message, which may get lost.
+func (f *fleet) post(from, to *machine, answers psdoc.Name, deliver func()) {
+	if !f.lost("message") {
+		ends := [2]*pspool.Dispatcher{from.dispatcher, to.dispatcher}
+		f.messages = append(f.messages, message{answers: answers, to: to, ends: ends, deliver: deliver})
+	}
+}
+
+// arrive delivers a message that is under way.
+func (f *fleet) arrive() {
+	if len(f.messages) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(f.messages)-1).Draw(f.t, "message")
+	m := f.messages[i]
+	f.messages = slices.Delete(f.messages, i, i+1)
+	if f.lives(m.ends[0]) && f.lives(m.ends[1]) {
+		m.deliver()
+	}
+}
+
+func (f *fleet) lives(d *pspool.Dispatcher) bool {
+	return slices.ContainsFunc(f.vms, func(m *machine) bool { return m.dispatcher == d })
 }
 
 func newFleet(t *rapid.T) *fleet {
-	f := &fleet{t: t, clock: &clock{now: time.Unix(1000, 0)}, plan: fleetPlan(), down: make(map[psdoc.Name]bool)}
+	f := &fleet{t: t, clock: &clock{now: time.Unix(1000, 0)}, plan: fleetPlan()}
 	for _, v := range f.plan.VMs {
-		m := &machine{name: v.Name, fence: &fence{whole: true, adopted: make(map[psdoc.Name]time.Time)}}
+		m := &machine{name: v.Name, health: &moody{}, fence: &fence{whole: true, adopted: make(map[psdoc.Name]time.Time)}}
 		f.start(m)
 		m.dispatcher.Unblock(m.name)
 		m.dispatcher.SetCleared(true)
@@ -119,7 +164,7 @@
 
 func (f *fleet) start(m *machine) {
 	m.dispatcher = pspool.NewDispatcher(pspool.Config{
-		Self: m.name, Plans: fixed{f.plan}, Health: healthy{}, Fence: m.fence, Shifts: shiftAll{}, Now: f.clock.Now,
+		Self: m.name, Plans: fixed{f.plan}, Health: m.health, Fence: m.fence, Shifts: shiftAll{}, Now: f.clock.Now,
 	})
 	m.dispatcher.Block(m.name)
 	m.running = make(map[*pspool.Slot]context.Context)
@@ -170,9 +215,8 @@
 	for range rapid.IntRange(1, 3).Draw(f.t, "calls") {
 		f.made++
 		grants := lender.dispatcher.Lend(borrower.name, "prices", rapid.IntRange(1, 4).Draw(f.t, "want"), fmt.Sprint(f.made))
-		if !f.lost("answer") {
-			borrower.dispatcher.Borrow(lender.name, grants, f.clock.now)
-		}
+		sent := f.clock.now
+		f.post(lender, borrower, lender.name, func() { borrower.dispatcher.Borrow(lender.name, grants, sent) })
 	}
 }
 
@@ -189,16 +233,16 @@
 	m := f.pick("vm")
 	for _, due := range m.dispatcher.Tick() {
 		lender := f.machine(due.Lender)
-		if f.lost("call") {
-			continue
-		}
-		lender.dispatcher.TakeBack(m.name, due.Return)
-		for _, h := range due.Renew {
-			n, found := lender.dispatcher.Renew(m.name, h)
-			if found && !f.lost("answer") {
-				m.dispatcher.Renewed(h.ID, n, f.clock.now)
+		sent := f.clock.now
+		f.post(m, lender, "", func() {
+			lender.dispatcher.TakeBack(m.name, due.Return)
+			for _, h := range due.Renew {
+				n, found := lender.dispatcher.Renew(m.name, h)
+				if found {
+					f.post(lender, m, "", func() { m.dispatcher.Renewed(h.ID, n, sent) })
+				}
 			}
-		}
+		})
 	}
 	m.reap()
 }
@@ -283,6 +327,7 @@
 			all = false
 			continue
 		}
+		f.messages = slices.DeleteFunc(f.messages, func(g message) bool { return g.to == v && g.answers == m.name })
 		v.dispatcher.Disinherit(m.name)
 		for _, h := range v.dispatcher.HeldOf(m.name) {
 			m.dispatcher.Reinstate(v.name, h.Grant)
@@ -370,8 +415,12 @@
 			"recover": func(*rapid.T) { f.recover() },
 			"cut":     func(*rapid.T) { f.cut() },
 			"heal":    func(*rapid.T) { f.heal() },
-			"clear":   func(*rapid.T) { f.clear() },
-			"":        func(*rapid.T) { f.check() },
+			"mood": func(*rapid.T) {
+				m := f.pick("vm")
+				m.health.excluded = !m.health.excluded
+			},
+			"clear": func(*rapid.T) { f.clear() },
+			"":      func(*rapid.T) { f.check() },
 		})
 	})
 }
--- a/internal/process/pspool/lend.go
+++ b/internal/process/pspool/lend.go
@@ -75,14 +75,17 @@
 	return g
 }
 
-// Renew extends a grant for another term and returns its new size: what the borrower asks
-// for, but no more than runs now while requests wait here. It reports false for a grant
-// that is not lent to the borrower, or whose slots this VM may not use any more.
+// Renew extends a grant for another term and returns the size that the borrower should go
+// down to: what it asks for, or what runs now if requests wait here. It reports false for a
+// grant that is not lent to the borrower, or whose slots this VM may not use any more.
+//
+// Only what the borrower itself asked for bounds it until the answer arrives, so slots that
+// it should give up come back with its next renewal.
 func (d *Dispatcher) Renew(borrower psdoc.Name, h Held) (int, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	l, found := d.lent[h.ID]
-	if !found || l.borrower != borrower || h.InUse > l.Slots {
+	if !found || l.borrower != borrower || h.InUse > l.Slots || h.InUse > h.Slots {
 		return 0, false
 	}
 	t := d.servers[l.Server]
@@ -90,15 +93,15 @@
 		// The slots are this VM's no more; the borrower stops within a hold time.
 		return 0, false
 	}
+	p := d.poolOf(t.server.Pool)
 	n := min(h.Slots, l.Slots)
-	if d.poolOf(t.server.Pool).waitingCount() > 0 || d.excluded(t.server) {
-		n = min(n, h.InUse)
-	}
-	n = max(n, h.InUse)
 	t.lentSlots -= l.Slots - n
 	l.Slots = n
 	l.heldUntil = d.config.Now().Add(HoldTime + driftMargin)
-	d.wake(d.poolOf(t.server.Pool))
+	d.wake(p)
+	if p.waitingCount() > 0 || d.excluded(t.server) {
+		return h.InUse, true
+	}
 	return n, true
 }
 
--- a/internal/process/pspool/queue_test.go
+++ b/internal/process/pspool/queue_test.go
@@ -198,3 +198,30 @@
 	_, known = d.RunningFor("vm-1")
 	c.Assert(known, qt.IsTrue)
 }
+
+func TestLenderKeepsOffSlotsUntilTheBorrowerKnows(t *testing.T) {
+	c := qt.New(t)
+	ck := &clock{now: time.Unix(1000, 0)}
+	p := fleetPlan()
+	mood := &moody{}
+	lender := pspool.NewDispatcher(pspool.Config{Self: "vm-0", Plans: fixed{p}, Health: mood, Fence: &fence{whole: true}, Shifts: shiftAll{}, Now: ck.Now})
+	lender.SetCleared(true)
+	borrower := pspool.NewDispatcher(pspool.Config{Self: "vm-1", Plans: fixed{p}, Health: healthy{}, Fence: &fence{}, Shifts: shiftAll{}, Now: ck.Now})
+	borrower.Block("vm-1")
+	borrower.Borrow("vm-0", lender.Lend("vm-1", "prices", 2, "1"), ck.now)
+	r := psroute.Request{Route: p.Routes[0], Domain: p.VMs[1].Domain}
+	_, err := borrower.Acquire(context.Background(), r)
+	c.Assert(err, qt.IsNil)
+	ck.now = ck.now.Add(500 * time.Millisecond)
+	due := borrower.Tick()
+	c.Assert(due, qt.HasLen, 1)
+	// The borrower starts another request while its question is under way.
+	_, err = borrower.Acquire(context.Background(), r)
+	c.Assert(err, qt.IsNil)
+	mood.excluded = true
+	n, renewed := lender.Renew("vm-1", due[0].Renew[0])
+	c.Assert(renewed, qt.IsTrue)
+	c.Assert(n, qt.Equals, 1, qt.Commentf("the lender asks for a slot back"))
+	mood.excluded = false
+	c.Assert(lender.Candidates(p.Routes[0])[0].Limit, qt.Equals, fleetSlots-2)
+}
