psvm: a leaving VM closes connections after answers, not under requests

Cause: a stop closed the callers' idle connections at its very beginning, so that a request written at that moment was cut off.

Change: while the VM leaves, each answer carries Connection: close (GOAWAY on HTTP/2), and idle connections stay open until the VM stops listening, which is after callers' directory answers have aged out. Event 5301 says how long that took and how much still runs.

--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -224,7 +224,7 @@
 func (s *System) startVMs(ctx context.Context) error {
 	for _, n := range s.nodes {
 		v, stop, err := psvm.New(ctx, psvm.Options{
-			Settings: n.settings, Listeners: n.listeners, Logger: s.logger.Named(string(n.settings.Name)), StopTimeout: stopTimeout,
+			Settings: n.settings, Listeners: n.listeners, Logger: s.logger.Named(string(n.settings.Name)), StopTimeout: stopTimeout, LeaveWait: s.topology.LeaveWait,
 			Adjust: s.topology.Adjust,
 		})
 		if err != nil {
--- a/internal/process/psdev/topology.go
+++ b/internal/process/psdev/topology.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
@@ -25,6 +26,8 @@
 	ClientBlocks []psdoc.ClientBlock
 	// RegionalPlatforms gives each region a platform stand-in with faults of its own.
 	RegionalPlatforms bool
+	// LeaveWait is how long a stopping VM goes on accepting callers.
+	LeaveWait time.Duration
 	// Adjust, unless nil, changes the request path of each VM.
 	Adjust func(*psgate.Gate)
 }
--- a/internal/process/psevent/health.go
+++ b/internal/process/psevent/health.go
@@ -38,6 +38,8 @@
 	QuarantineCleared = Event{5206, hclog.Info, "request cleared by an operator", []string{"fingerprint", "workspace", "route"}}
 	// QuarantineRefused says that a quarantined request was refused.
 	QuarantineRefused = Event{5207, hclog.Info, "quarantined request refused", []string{"requestId", "workspace", "route", "fingerprint", "left"}}
+	// StoppedListening says that a leaving VM takes no new connections and waits for requests.
+	StoppedListening = Event{5301, hclog.Info, "VM takes no new connections", []string{"vm", "after", "inFlight"}}
 )
 
 func healthEvents() []Event {
@@ -45,5 +47,6 @@
 		ServerEjected, ServerDown, ServerReturned, ServerWarm, EjectionWithheld, ServerProbed,
 		ServerLeaving, ServerStays, Retried, RetryRefused,
 		RequestCrashed, RequestQuarantined, QuarantineLearned, CrashExcused, SuspectCleared, QuarantineCleared, QuarantineRefused,
+		StoppedListening,
 	}
 }
--- a/internal/process/psvm/fault_test.go
+++ b/internal/process/psvm/fault_test.go
@@ -37,6 +37,11 @@
 	for i := range topology.Routes {
 		topology.Routes[i].Deadline = &psdoc.Duration{Duration: deadline}
 	}
+	return startTopology(t, topology)
+}
+
+func startTopology(t *testing.T, topology psdev.Topology) *fleet {
+	t.Helper()
 	s, stop, err := psdev.New(context.Background(), topology, hclog.NewNullLogger())
 	qt.Assert(t, err, qt.IsNil)
 	transport := &http.Transport{}
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -54,6 +55,7 @@
 	follower *psversion.Follower
 	slots    *pspool.Dispatcher
 	book     *psbudget.Book
+	leaving  atomic.Bool
 	callers  *http.Server
 	operator *http.Server
 	life     *lifecycle
@@ -78,7 +80,7 @@
 		return nil, nil, err
 	}
 	v := &VM{options: o, follower: parts.follower, slots: parts.slots, book: parts.book, life: life, cancel: cancel}
-	v.callers = newServer(parts.gate)
+	v.callers = newServer(v.closeWhenLeaving(parts.gate))
 	v.callers.Protocols = &http.Protocols{}
 	v.callers.Protocols.SetHTTP1(true)
 	v.callers.Protocols.SetUnencryptedHTTP2(true)
@@ -110,13 +112,27 @@
 	_ = s.Serve(l)
 }
 
+// closeWhenLeaving has each connection closed after an answer once the VM leaves. Idle ones
+// stay open as long as the VM listens: to close one just as its caller writes a request to
+// it would cut the request off. On HTTP/2 the header makes the server send GOAWAY.
+func (v *VM) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // stop says that the VM leaves, serves on until callers know, and waits for running requests.
 func (v *VM) stop() {
 	o := v.options
+	began := time.Now()
 	psevent.Stopping.Log(o.Logger, o.Settings.Name)
-	v.callers.SetKeepAlivesEnabled(false)
+	v.leaving.Store(true)
 	v.life.leave()
-	time.Sleep(o.LeaveWait)
+	time.Sleep(o.LeaveWait - time.Since(began))
+	psevent.StoppedListening.Log(o.Logger, o.Settings.Name, time.Since(began), v.slots.InFlight())
 	ctx, cancel := context.WithTimeout(context.Background(), o.StopTimeout)
 	defer cancel()
 	if v.callers.Shutdown(ctx) != nil {
