pstransport: answers that are whole, uploads both ways, true ends

An exchange rested on http.Transport, which can hand a connection to the next request before it sees that a second answer follows the first; answers without a length passed for whole when they broke off; an answer that broke off towards the caller left its slot occupied for ever; uploads could not be answered before their end; a stalled caller was told 504. The transport now speaks HTTP/1.1 on connections of its own: a connection is reused only after an answer that is whole with nothing behind it, and only if the socket is still quiet. Sent is true from the first byte handed to the socket. Each VM keeps at most its part of a server's connections (psplan.ConnectionsOf), and pools of servers that left are closed. Uploads stream in both directions under progress timeouts: 408 where the caller stalls, 504 where the backend server does, 413 in the middle of a chunked body, each with a true ran.

--- /dev/null
+++ b/internal/connection/pstransport/conn.go
@@ -0,0 +1,68 @@
+package pstransport
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	readBufferBytes  = 16 << 10
+	writeBufferBytes = 8 << 10
+)
+
+// conn is one connection to a backend server.
+type conn struct {
+	pool *pool
+	raw  net.Conn
+	// limit bounds what is read from the connection while a header is expected.
+	limit  *io.LimitedReader
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// once closes the connection after one exchange.
+	once      bool
+	idleSince time.Time
+	discarded sync.Once
+}
+
+func newConn(p *pool, raw net.Conn, once bool) *conn {
+	l := &io.LimitedReader{R: raw}
+	return &conn{
+		pool: p, raw: raw, limit: l, once: once,
+		reader: bufio.NewReaderSize(l, readBufferBytes), writer: bufio.NewWriterSize(nil, writeBufferBytes),
+	}
+}
+
+// discard closes the connection for good.
+func (c *conn) discard() {
+	c.discarded.Do(func() {
+		_ = c.raw.Close()
+		c.pool.forget()
+	})
+}
+
+// quiet reports whether the server has neither closed the connection nor sent anything
+// since the last answer. It looks without taking anything from the socket.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	s, found := c.raw.(syscall.Conn)
+	if !found {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && peeked == syscall.EAGAIN //nolint:errorlint // a bare error number
+}
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -1,73 +1,65 @@
 // Package pstransport holds the connections to backend servers.
 //
 // Each backend server has a connection pool of its own, bounded by this VM's part of the
-// connections that the server holds. A connection whose answer was not read to its end is
-// closed and never reused. A request that must not run twice gets a connection of its own,
+// connections that the server holds. A connection is used again only after its answer was
+// read to its end and nothing followed it, so that a late or surplus answer can never be
+// taken for that of another request. A request with Close set gets a connection of its own,
 // because a server may close an idle connection just as a request is written to it, and
-// nobody can tell then whether the request ran.
+// nobody can tell then whether the request ran. An answer whose end cannot be known, because nothing
+// but the closed connection marks it, counts as truncated.
 package pstransport
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"sync"
-	"sync/atomic"
-	"time"
-)
-
-const (
-	dialTimeout     = time.Second
-	idleTimeout     = 90 * time.Second
-	maxHeaderBytes  = 64 << 10
-	readBufferBytes = 16 << 10
 )
 
 // Transports holds one connection pool for each backend server.
 type Transports struct {
 	mutex sync.Mutex
-	pools map[poolKey]*http.Transport
-}
-
-// poolKey identifies a connection pool.
-type poolKey struct {
-	address netip.AddrPort
-	// single pools use each connection for one request.
-	single bool
+	pools map[netip.AddrPort]*pool
 }
 
-// New returns an empty set and its clean-up function.
+// New returns an empty set and its clean-up function, which closes what is not in use.
 func New() (*Transports, func()) {
-	t := &Transports{pools: make(map[poolKey]*http.Transport)}
-	return t, t.close
+	t := &Transports{pools: make(map[netip.AddrPort]*pool)}
+	return t, func() { t.Retain(func(netip.AddrPort) bool { return false }) }
 }
 
-func (t *Transports) close() {
+// Retain closes the pools of servers that are not to be kept. Their running exchanges go on.
+func (t *Transports) Retain(keep func(netip.AddrPort) bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, p := range t.pools {
-		p.CloseIdleConnections()
+	for a, p := range t.pools {
+		if !keep(a) {
+			delete(t.pools, a)
+			p.close()
+		}
+	}
+}
+
+// Open returns the number of open connections to a server.
+func (t *Transports) Open(address netip.AddrPort) int {
+	t.mutex.Lock()
+	p, found := t.pools[address]
+	t.mutex.Unlock()
+	if !found {
+		return 0
 	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.open
 }
 
-func (t *Transports) pool(k poolKey, limit int) *http.Transport {
+func (t *Transports) pool(address netip.AddrPort) *pool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	p, found := t.pools[k]
+	p, found := t.pools[address]
 	if !found {
-		p = &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxConnsPerHost:        limit,
-			MaxIdleConnsPerHost:    limit,
-			IdleConnTimeout:        idleTimeout,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-			ReadBufferSize:         readBufferBytes,
-			DisableCompression:     true,
-			DisableKeepAlives:      k.single,
-		}
-		t.pools[k] = p
+		p = &pool{address: address}
+		t.pools[address] = p
 	}
 	return p
 }
@@ -80,11 +72,26 @@
 	Sent bool
 }
 
-// Send sends a request to the server at the address, over at most limit connections. A
-// request with Close set gets a connection of its own.
+// Send sends a request to the server at the address, over at most limit connections. With
+// a limit of 0, or with Close set, the connection serves this exchange only. The request's ContentLength must
+// be its body's length, or -1 where that is unknown. Send closes the request's body when it
+// reads no more of it, which may be after Send has returned.
 func (t *Transports) Send(ctx context.Context, address netip.AddrPort, limit int, r *http.Request) (Result, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	answer, err := t.pool(poolKey{address: address, single: r.Close}, limit).RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	return Result{Response: answer, Sent: sent.Load()}, err
+	if r.Close {
+		limit = 0
+	}
+	c, err := t.pool(address).get(ctx, limit)
+	if err != nil {
+		closeBody(r)
+		return Result{}, err
+	}
+	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{})}
+	answer, err := e.run()
+	return Result{Response: answer, Sent: e.sent.Load()}, err
+}
+
+func closeBody(r *http.Request) {
+	if r.Body != nil {
+		_ = r.Body.Close()
+	}
 }
--- a/internal/process/psdev/key_test.go
+++ b/internal/process/psdev/key_test.go
@@ -56,6 +56,7 @@
 }
 
 func TestKeyReachesNoBackendServer(t *testing.T) {
+	t.Parallel()
 	log := &lockedBuffer{}
 	s, stop, err := psdev.New(context.Background(), psdev.Example(), hclog.New(&hclog.LoggerOptions{Output: log, Level: hclog.Trace}))
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/process/psevent/request.go
+++ b/internal/process/psevent/request.go
@@ -12,8 +12,10 @@
 	Answered = Event{2003, hclog.Debug, "request answered", []string{"requestId", "status", "duration"}}
 	// Directed says which VMs a caller was told to use.
 	Directed = Event{2004, hclog.Info, "directory answered", []string{"client", "workspace", "vms", "reason"}}
+	// BrokenOff says that a caller's connection was aborted because its answer broke off.
+	BrokenOff = Event{2005, hclog.Warn, "answer broke off", []string{"requestId", "workspace", "route"}}
 )
 
 func requestEvents() []Event {
-	return []Event{Routed, Refused, Answered, Directed}
+	return []Event{Routed, Refused, Answered, Directed, BrokenOff}
 }
--- a/internal/process/psvm/connection.go
+++ b/internal/process/psvm/connection.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
+	"time"
 
 	"github.com/samber/do/v2"
 
@@ -10,6 +13,7 @@
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/process/pswithdrawal"
+	"persimmonstep/internal/version/psplan"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -22,9 +26,11 @@
 		return p, nil
 	})
 	do.Provide(i, func(i do.Injector) (*psplatform.Guard, error) { return newGuard(i, o, l), nil })
-	do.Provide(i, func(do.Injector) (*pstransport.Transports, error) {
+	do.Provide(i, func(i do.Injector) (*pstransport.Transports, error) {
 		t, clean := pstransport.New()
 		l.clean(clean)
+		f := do.MustInvoke[*psversion.Follower](i)
+		l.task(func(ctx context.Context) { retainTransports(ctx, t, f) })
 		return t, nil
 	})
 	do.Provide(i, func(do.Injector) (*pspeer.Hub, error) {
@@ -39,3 +45,28 @@
 		return h, nil
 	})
 }
+
+// retainInterval is the time between two looks for backend servers that left the plan.
+const retainInterval = time.Second
+
+// retainTransports closes the connections to backend servers that left the plan.
+func retainTransports(ctx context.Context, t *pstransport.Transports, f *psversion.Follower) {
+	tick := time.NewTicker(retainInterval)
+	defer tick.Stop()
+	var version uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p := f.Plan()
+		if p.Version == version {
+			continue
+		}
+		version = p.Version
+		t.Retain(func(a netip.AddrPort) bool {
+			return slices.ContainsFunc(p.Servers, func(s *psplan.Server) bool { return s.Address == a })
+		})
+	}
+}
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/do/v2"
 
+	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/process/psadmin"
 	"persimmonstep/internal/process/psbudget"
 	"persimmonstep/internal/process/psevent"
@@ -102,7 +103,7 @@
 		v.running.Go(func() { f(ctx) })
 	}
 	v.running.Go(func() { p.hub.Serve(l.Peer) })
-	v.running.Go(func() { serve(v.callers, l.Callers) })
+	v.running.Go(func() { serve(v.callers, pscaller.Listener(l.Callers)) })
 	v.running.Go(func() { serve(v.operator, l.Operator) })
 	psevent.Started.Log(v.options.Logger, v.options.Settings.Name, l.Callers.Addr(), l.Peer.Addr(), l.Operator.Addr())
 }
--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -1,7 +1,6 @@
 package psgate
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/request/psproblem"
@@ -25,8 +25,6 @@
 const (
 	// maxQueueWait bounds the wait for a slot.
 	maxQueueWait = 500 * time.Millisecond
-	// maxConnectionsPerServer bounds this VM's connections to one backend server.
-	maxConnectionsPerServer = 32
 	// retryAfterFailure is the advice to a caller for whom no server was found.
 	retryAfterFailure = time.Second
 	// headerVia names this VM to the backend server.
@@ -201,9 +199,14 @@
 		// An upload may take any time, but its answer is due once the whole body was read.
 		out.Body = &uploadBody{reader: x.request.Body, consumed: &x.tries.consumed, atEnd: func() { patience.begin(x.route.Deadline) }}
 	}
-	result, err := x.gate.Transports.Send(ctx, slot.Server.Address, maxConnectionsPerServer, out)
+	result, err := x.gate.Transports.Send(ctx, slot.Server.Address, x.connections(slot.Server), out)
 	o := Observation{Server: slot.Server, Streamed: x.isStreamed(), Duration: time.Since(began), Err: err}
-	if patience.end() && parent.Err() == nil && err != nil {
+	var body *pstransport.BodyError
+	switch expired := patience.end(); {
+	case errors.As(err, &body):
+		// The caller failed, not the server.
+		o.Err = context.Canceled
+	case expired && parent.Err() == nil && err != nil:
 		o.Err = context.DeadlineExceeded
 	}
 	if err == nil {
@@ -376,9 +379,7 @@
 		return out
 	}
 	out.ContentLength = int64(len(x.body))
-	// A reader without GetBody keeps the transport from repeating the request by itself,
-	// which it otherwise does even for requests with an Idempotency-Key header.
-	out.Body = io.NopCloser(bytes.NewReader(x.body))
+	out.Body = pstransport.Body(x.body)
 	return out
 }
 
--- a/internal/request/psgate/exchange.go
+++ b/internal/request/psgate/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,8 @@
 	began   time.Time
 	writer  http.ResponseWriter
 	request *http.Request
+	// controller sets the deadlines of the caller's connection.
+	controller *http.ResponseController
 
 	plan      *psplan.Plan
 	route     *psplan.Route
@@ -35,10 +38,15 @@
 	tries tries
 	// status is the status of the answer.
 	status int
+	// broken says that the answer broke off after the caller saw a part of it.
+	broken bool
 }
 
 func newExchange(g *Gate, w http.ResponseWriter, r *http.Request) *exchange {
-	return &exchange{gate: g, id: newID(), began: time.Now(), writer: w, request: r, plan: g.Plans.Plan()}
+	return &exchange{
+		gate: g, id: newID(), began: time.Now(), plan: g.Plans.Plan(),
+		writer: w, request: r, controller: http.NewResponseController(w),
+	}
 }
 
 // identifierBytes is the entropy of a request id.
@@ -59,10 +67,13 @@
 		}
 	}
 	x.home = x.gate.Homes.Home(x.plan, clientAddress(x.request))
-	if x.route.Kind == psdoc.KindExclusive {
+	switch x.route.Kind {
+	case psdoc.KindExclusive:
 		return x.runExclusive()
+	case psdoc.KindUpload:
+		return x.runUpload()
 	}
-	return x.runPlain()
+	return x.runLookup()
 }
 
 // clientAddress is the caller's address as the connection shows it.
@@ -83,6 +94,7 @@
 		return psproblem.New(http.StatusNotFound, "noRoute", "no route matches the path")
 	}
 	x.route = r
+	x.allowWrite(r.Deadline + callerTimeout)
 	return nil
 }
 
@@ -141,26 +153,52 @@
 	if x.request.ContentLength > x.route.MaxBodyBytes {
 		return tooLarge()
 	}
+	if x.request.ContentLength == 0 {
+		return nil
+	}
 	x.request.Body = http.MaxBytesReader(x.writer, x.request.Body, x.route.MaxBodyBytes)
 	if x.route.Kind == psdoc.KindUpload {
 		return nil
 	}
-	body, err := io.ReadAll(x.request.Body)
+	_ = x.controller.SetReadDeadline(x.began.Add(x.route.Deadline))
+	body, err := x.readAll()
 	var m *http.MaxBytesError
-	if errors.As(err, &m) {
+	switch {
+	case errors.As(err, &m):
 		return tooLarge()
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return psproblem.New(http.StatusRequestTimeout, "slowBody", "the body did not arrive in time")
+	case err != nil:
 		return psproblem.New(http.StatusBadRequest, "badBody", "the body could not be read to its end")
 	}
+	_ = x.controller.SetReadDeadline(time.Time{})
 	x.body = body
 	return nil
 }
 
-func tooLarge() error {
+// readAll reads the body into a buffer of its length where that is known.
+func (x *exchange) readAll() ([]byte, error) {
+	if x.request.ContentLength < 0 {
+		return io.ReadAll(x.request.Body)
+	}
+	body := make([]byte, x.request.ContentLength)
+	_, err := io.ReadFull(x.request.Body, body)
+	return body, err
+}
+
+func tooLarge() *psproblem.Problem {
 	return psproblem.New(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body is larger than the route allows")
 }
 
+// connections is this VM's part of the connections that a backend server holds.
+func (x *exchange) connections(s *psplan.Server) int {
+	self, found := x.plan.VM(x.gate.Self)
+	if !found {
+		return 0
+	}
+	return psplan.ConnectionsOf(x.plan, s, self.Domain)
+}
+
 func (x *exchange) workspaceName() psdoc.Name {
 	if x.workspace == nil {
 		return ""
@@ -175,10 +213,7 @@
 	return x.route.Name
 }
 
-// deadline bounds the exchange; uploads are bounded by progress instead.
+// deadline bounds the exchange.
 func (x *exchange) deadline(parent context.Context) (context.Context, context.CancelFunc) {
-	if x.route.Kind == psdoc.KindUpload {
-		return context.WithCancel(parent)
-	}
 	return context.WithDeadline(parent, x.began.Add(x.route.Deadline))
 }
--- a/internal/request/psgate/gate.go
+++ b/internal/request/psgate/gate.go
@@ -125,6 +125,7 @@
 // ServeHTTP answers one request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := newExchange(g, w, r)
+	x.allowWrite(callerTimeout)
 	w.Header().Set(headerRequestID, x.id)
 	if r.URL.Path == DirectoryPath {
 		hideUnknownWorkspace(x.plan, r)
@@ -144,6 +145,11 @@
 	took := time.Since(x.began)
 	g.Metrics.Answered(route, workspace, x.status, took)
 	psevent.Answered.Log(g.Logger, x.id, x.status, took)
+	if x.broken {
+		psevent.BrokenOff.Log(g.Logger, x.id, workspace, route)
+		// The server resets the stream or closes the connection without an end of the body.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // hideUnknownWorkspace keeps whatever a caller may have put in place of a workspace's name,
@@ -161,6 +167,7 @@
 		p = psproblem.Unknown(http.StatusInternalServerError, "internal", err.Error())
 	}
 	x.status = p.Status
+	x.allowWrite(callerTimeout)
 	psevent.Refused.Log(x.gate.Logger, x.id, x.workspaceName(), x.routeName(), p.Code, string(p.Ran))
 	p.Write(x.writer)
 }
--- a/internal/request/psgate/relay.go
+++ b/internal/request/psgate/relay.go
@@ -4,12 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/request/psproblem"
-	"persimmonstep/internal/version/psdoc"
 )
 
 const (
@@ -17,15 +18,15 @@
 	// truncated answer can be tried again while the caller has seen nothing of it.
 	prefetchBytes = 64 << 10
 	copyBytes     = 32 << 10
+	// callerTimeout bounds the wait for a caller to take a part of its answer.
+	callerTimeout = 30 * time.Second
+	headerTrailer = "Trailer"
 )
 
-// runPlain sends a request that needs no claim and relays its answer.
-func (x *exchange) runPlain() error {
+// runLookup sends an idempotent request and relays its answer.
+func (x *exchange) runLookup() error {
 	ctx, cancel := x.deadline(x.request.Context())
 	defer cancel()
-	if x.route.Kind == psdoc.KindUpload {
-		x.request.Body = watch(x.request.Body, x.route.Deadline, cancel)
-	}
 	for {
 		a, err := x.send(ctx)
 		if err != nil {
@@ -43,25 +44,45 @@
 // caller saw any of it and another try is allowed.
 func (x *exchange) relay(ctx context.Context, a *attempt) (bool, error) {
 	body := a.response.Body
-	if x.route.Kind == psdoc.KindUpload {
-		body = watch(body, x.route.Deadline, func() { _ = a.response.Body.Close() })
-	}
-	head := make([]byte, prefetchBytes)
+	head := prefetch(a.response)
 	n, whole, err := readHead(body, head)
 	if err != nil {
 		if x.again(ctx) {
 			return true, nil
 		}
+		if ctx.Err() != nil {
+			return false, psproblem.Unknown(http.StatusGatewayTimeout, "timeout", "the backend server's answer did not end in time")
+		}
 		return false, psproblem.Unknown(http.StatusBadGateway, "truncated", "the backend server's answer broke off")
 	}
+	if whole {
+		// A caller that is slow to take its answer occupies no slot.
+		a.close()
+	}
 	x.writeHeader(a.response)
-	if _, err := x.writer.Write(head[:n]); err != nil || whole {
+	if n > 0 {
+		if _, err := x.writer.Write(head[:n]); err != nil {
+			return false, nil
+		}
+	}
+	if whole {
+		x.writeTrailer(a.response)
 		return false, nil
 	}
 	x.copyRest(body)
+	x.writeTrailer(a.response)
 	return false, nil
 }
 
+// prefetch makes the buffer for the answer's first part.
+func prefetch(r *http.Response) []byte {
+	if n := r.ContentLength; n >= 0 && n < prefetchBytes {
+		// One byte more lets the reader meet the end.
+		return make([]byte, n+1)
+	}
+	return make([]byte, prefetchBytes)
+}
+
 // readHead fills the buffer or reads to the body's end, and reports whether it met the end.
 // It can't be io.ReadFull, which takes a short body and a broken one for the same.
 func readHead(body io.Reader, buffer []byte) (int, bool, error) {
@@ -84,59 +105,60 @@
 	for k, v := range endToEnd(r.Header) {
 		h[k] = v
 	}
+	for n := range r.Trailer {
+		if !dropped(n) {
+			h.Add(headerTrailer, n)
+		}
+	}
 	h.Set(headerRequestID, x.id)
 	x.status = r.StatusCode
+	x.allowWrite(callerTimeout)
 	x.writer.WriteHeader(r.StatusCode)
 }
 
-// copyRest streams the rest of an answer. Where it breaks off, the caller's connection is
-// aborted, so that the answer cannot pass for whole.
+// writeTrailer passes on the trailers, which are known when the body was read to its end.
+func (x *exchange) writeTrailer(r *http.Response) {
+	if x.broken {
+		return
+	}
+	announced := x.writer.Header()[headerTrailer]
+	for n, v := range r.Trailer {
+		if dropped(n) {
+			continue
+		}
+		if !slices.ContainsFunc(announced, func(a string) bool { return strings.EqualFold(a, n) }) {
+			n = http.TrailerPrefix + n
+		}
+		x.writer.Header()[n] = v
+	}
+}
+
+// copyRest streams the rest of an answer. Where it breaks off, the exchange is broken: the
+// caller's connection is aborted, so that the answer cannot pass for whole.
 func (x *exchange) copyRest(body io.Reader) {
-	flusher := http.NewResponseController(x.writer)
 	buffer := make([]byte, copyBytes)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
+			x.allowWrite(callerTimeout)
 			if _, werr := x.writer.Write(buffer[:n]); werr != nil {
+				x.broken = true
 				return
 			}
-			_ = flusher.Flush()
+			_ = x.controller.Flush()
 		}
 		if errors.Is(err, io.EOF) {
 			return
 		}
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			x.broken = true
+			return
 		}
 	}
 }
 
-// progressReader calls stop when no byte came for a span.
-type progressReader struct {
-	io.ReadCloser
-	timer *time.Timer
-	span  time.Duration
-}
-
-// watch bounds the time between two reads that bring something.
-func watch(r io.ReadCloser, span time.Duration, stop func()) io.ReadCloser {
-	return &progressReader{ReadCloser: r, timer: time.AfterFunc(span, stop), span: span}
-}
-
-// Read reads and starts the span anew.
-func (p *progressReader) Read(b []byte) (int, error) {
-	n, err := p.ReadCloser.Read(b)
-	switch {
-	case err != nil:
-		p.timer.Stop()
-	case n > 0:
-		p.timer.Reset(p.span)
-	}
-	return n, err
-}
-
-// Close ends the watch.
-func (p *progressReader) Close() error {
-	p.timer.Stop()
-	return p.ReadCloser.Close()
+// allowWrite gives the caller a time to take what is written next. Writers without
+// deadlines, which only tests have, go without.
+func (x *exchange) allowWrite(d time.Duration) {
+	_ = x.controller.SetWriteDeadline(time.Now().Add(d))
 }
--- a/internal/request/psproblem/problem.go
+++ b/internal/request/psproblem/problem.go
@@ -65,6 +65,15 @@
 	return p.Code + ": " + p.Detail
 }
 
+// Body is the refusal as problem details.
+func (p *Problem) Body() []byte {
+	text, err := json.Marshal(p)
+	if err != nil {
+		panic("psproblem: " + err.Error())
+	}
+	return append(text, '\n')
+}
+
 // Write answers a call with the refusal.
 func (p *Problem) Write(w http.ResponseWriter) {
 	h := w.Header()
@@ -76,5 +85,5 @@
 		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
 	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(p.Body())
 }
