--- a/internal/process/psdev/links.go
+++ b/internal/process/psdev/links.go
@@ -3,12 +3,14 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"persimmonstep/internal/version/psdoc"
 )
 
-// Links can cut the links that lead to VMs.
+// Links can cut the links that lead to VMs, and counts the bytes on them.
 type Links struct {
+	bytes atomic.Int64
 	mutex sync.Mutex
 	cut   map[psdoc.Name]bool
 	open  map[*linkConn]struct{}
@@ -37,6 +39,11 @@
 	delete(l.cut, vm)
 }
 
+// Bytes returns the number of bytes that passed between VMs, in both directions.
+func (l *Links) Bytes() int64 {
+	return l.bytes.Load()
+}
+
 // wrap puts the links that a listener of the VM accepts under control.
 func (l *Links) wrap(vm psdoc.Name, inner net.Listener) net.Listener {
 	return &linkListener{Listener: inner, links: l, vm: vm}
@@ -88,6 +95,20 @@
 	to    psdoc.Name
 }
 
+// Read counts what it reads.
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.links.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *linkConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.links.bytes.Add(int64(n))
+	return n, err
+}
+
 // Close closes the connection and forgets it.
 func (c *linkConn) Close() error {
 	c.links.leave(c)
