psmeasure: the test of a broken promise holds on a busy machine

On a machine with a load of 47 the answers took seconds, so that no window was left in which the excess had surely been admitted, and the count stayed 0.

The smallest workspace now sends forty times its rate: some 450 requests where 50 s would be needed to admit as many. The check itself is the same.

--- a/internal/process/psmeasure/scenario_test.go
+++ b/internal/process/psmeasure/scenario_test.go
@@ -55,12 +55,13 @@
 
 func (unlimited) Spend(context.Context, *psplan.Plan, *psplan.Workspace) error { return nil }
 
-// TestBrokenPromiseIsCounted turns the rate limit off and sees the count rise.
+// TestBrokenPromiseIsCounted turns the rate limit off and sees the count rise. The smallest
+// workspace sends some 450 requests, far above its rate even if they take many seconds.
 func TestBrokenPromiseIsCounted(t *testing.T) {
 	s := &psmeasure.Scenario{
 		Name: "unlimited", Seed: 1, Load: 0.01,
 		Span: psdoc.Duration{Duration: time.Second}, WarmUp: psdoc.Duration{Duration: time.Millisecond},
-		Busy: &psmeasure.Busy{Workspace: 3, Factor: 6},
+		Busy: &psmeasure.Busy{Workspace: 7, Factor: 40},
 	}
 	off := psmeasure.Policy{Name: "off", Choice: psload.TakeRandom{}, Adjust: func(g *psgate.Gate) { g.Limiter = unlimited{} }}
 	for _, p := range []psmeasure.Policy{off, psmeasure.Own()} {
