pstls: mutual TLS between VMs, and links that end and come back soon

Links between VMs were plain: whoever reached the peer port could call as any VM. A dead path was noticed by calls of 2 s only, which heartbeats of 1 s never were; a dial to a dead VM was tried by each call; a message could be of any length. Each end now shows a certificate with the VM's name, signed by the VMs' authority; the name must be that of the greeting and of the plan. Files are read again while the VM runs, and callers may use TLS with HTTP/2 by ALPN. dev makes an authority in memory. A link on which nothing arrives for 800 ms of a call is replaced, failed dials pause for 50 ms to 1 s with jitter, messages end at 64 MB, and a connection without a greeting is closed.

--- a/internal/connection/pspeer/hub.go
+++ b/internal/connection/pspeer/hub.go
@@ -20,7 +20,6 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
 	// callTimeout bounds a call whose context has no earlier deadline.
 	callTimeout = 2 * time.Second
 	methodHello = "peer.hello"
@@ -67,13 +66,6 @@
 	closed   bool
 }
 
-// link is the dialed connection to one VM.
-type link struct {
-	address netip.AddrPort
-	mutex   sync.Mutex
-	conn    *jsonrpc2.Conn
-}
-
 // hello is the first message on a connection.
 type hello struct {
 	VM psdoc.Name `json:"vm"`
@@ -102,25 +94,35 @@
 
 // Serve accepts connections until the listener is closed.
 func (h *Hub) Serve(l net.Listener) {
+	var accepting sync.WaitGroup
+	defer accepting.Wait()
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
-		s := &session{hub: h}
-		h.mutex.Lock()
-		if h.closed {
-			h.mutex.Unlock()
-			_ = c.Close()
-			return
-		}
-		conn := jsonrpc2.NewConn(h.base, stream(h.wrapper.Server(c)), s)
-		h.accepted[conn] = struct{}{}
-		h.mutex.Unlock()
-		go h.forgetWhenClosed(conn)
+		accepting.Go(func() { h.accept(c) })
 	}
 }
 
+// accept secures a connection and answers its calls.
+func (h *Hub) accept(c net.Conn) {
+	secure := h.wrapper.Server(watch(c))
+	if handshake(h.base, secure) != nil {
+		_ = c.Close()
+		return
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		_ = c.Close()
+		return
+	}
+	conn := jsonrpc2.NewConn(h.base, newStream(secure), &session{hub: h, conn: secure}, jsonrpc2.SetLogger(discard{}))
+	h.accepted[conn] = struct{}{}
+	go h.forgetWhenClosed(conn)
+}
+
 func (h *Hub) forgetWhenClosed(c *jsonrpc2.Conn) {
 	<-c.DisconnectNotify()
 	h.mutex.Lock()
@@ -128,10 +130,6 @@
 	delete(h.accepted, c)
 }
 
-func stream(c net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
-}
-
 // Call sends a call to another VM and decodes its answer into result unless that is nil.
 func (h *Hub) Call(ctx context.Context, to Peer, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -144,8 +142,7 @@
 	}
 	err = c.Call(ctx, method, params, result)
 	// A caller with little patience must not end the calls of others on the same link.
-	stalled := err != nil && time.Since(began) >= callTimeout
-	if stalled || errors.Is(err, jsonrpc2.ErrClosed) {
+	if errors.Is(err, jsonrpc2.ErrClosed) || (ctx.Err() != nil && l.stalled(c, began)) {
 		l.drop(c)
 	}
 	return errors.Wrapf(err, "call %s of VM %s", method, to.Name)
@@ -162,43 +159,6 @@
 	return l
 }
 
-// connect returns the open connection or dials one.
-func (l *link) connect(ctx context.Context, h *Hub, to Peer) (*jsonrpc2.Conn, error) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.conn != nil {
-		select {
-		case <-l.conn.DisconnectNotify():
-		default:
-			return l.conn, nil
-		}
-	}
-	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", l.address.String())
-	if err != nil {
-		return nil, err
-	}
-	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
-	})
-	c := jsonrpc2.NewConn(h.base, stream(h.wrapper.Client(raw, to.Name)), refuse)
-	if err := c.Notify(ctx, methodHello, hello{VM: h.self}); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	l.conn = c
-	return c, nil
-}
-
-// drop closes a connection that is stalled, so that the next call dials a new one.
-func (l *link) drop(c *jsonrpc2.Conn) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.conn == c {
-		l.conn = nil
-	}
-	_ = c.Close()
-}
-
 func (h *Hub) close() {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -211,38 +171,58 @@
 	}
 }
 
-func (l *link) close() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.conn != nil {
-		_ = l.conn.Close()
-	}
-}
-
 // session is an accepted connection.
 type session struct {
 	hub   *Hub
+	conn  net.Conn
 	mutex sync.Mutex
 	from  psdoc.Name
 }
 
-// Handle answers one call. The greeting is read in order, before any call that follows it.
+// verifier is a connection that knows which names its other end may bear.
+type verifier interface {
+	VerifyPeer(vm psdoc.Name) error
+}
+
+// Handle answers one call. The greeting is read in order, before any call that follows it;
+// a connection that does not begin with a greeting, or with another VM's, is closed.
 func (s *session) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	if r.Method == methodHello {
-		s.greet(r)
+		if !s.greet(r) {
+			_ = c.Close()
+		}
+		return
+	}
+	if s.peer() == "" {
+		_ = c.Close()
 		return
 	}
 	go s.serve(ctx, c, r)
 }
 
-func (s *session) greet(r *jsonrpc2.Request) {
+// greet takes the other VM's name and reports whether it may bear it.
+func (s *session) greet(r *jsonrpc2.Request) bool {
 	var in hello
-	if r.Params == nil || json.Unmarshal(*r.Params, &in) != nil {
-		return
+	if r.Params == nil || json.Unmarshal(*r.Params, &in) != nil || in.VM == "" {
+		return false
+	}
+	if v, found := s.conn.(verifier); found && v.VerifyPeer(in.VM) != nil {
+		return false
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.from != "" {
+		return false
+	}
 	s.from = in.VM
+	return true
+}
+
+// peer is the name of the VM on the other end; empty before its greeting.
+func (s *session) peer() psdoc.Name {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.from
 }
 
 func (s *session) serve(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
@@ -268,8 +248,5 @@
 	if !found {
 		return nil, errors.Errorf("unknown method %q", r.Method)
 	}
-	s.mutex.Lock()
-	from := s.from
-	s.mutex.Unlock()
-	return f(ctx, from, params)
+	return f(ctx, s.peer(), params)
 }
--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/connection/pstls"
 	"persimmonstep/internal/process/psbackend"
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/process/pssettings"
@@ -222,9 +223,18 @@
 }
 
 func (s *System) startVMs(ctx context.Context) error {
+	authority, err := pstls.NewAuthority()
+	if err != nil {
+		return err
+	}
 	for _, n := range s.nodes {
+		identity, err := authority.Issue(n.settings.Name)
+		if err != nil {
+			return err
+		}
 		v, stop, err := psvm.New(ctx, psvm.Options{
-			Settings: n.settings, Listeners: n.listeners, Logger: s.logger.Named(string(n.settings.Name)), StopTimeout: stopTimeout, LeaveWait: s.topology.LeaveWait,
+			PeerIdentity: pstls.Fixed{Value: identity},
+			Settings:     n.settings, Listeners: n.listeners, Logger: s.logger.Named(string(n.settings.Name)), StopTimeout: stopTimeout, LeaveWait: s.topology.LeaveWait,
 			Adjust: s.topology.Adjust,
 		})
 		if err != nil {
--- a/internal/process/psvm/connection.go
+++ b/internal/process/psvm/connection.go
@@ -33,8 +33,8 @@
 		l.task(func(ctx context.Context) { retainTransports(ctx, t, f) })
 		return t, nil
 	})
-	do.Provide(i, func(do.Injector) (*pspeer.Hub, error) {
-		h, clean := pspeer.New(ctx, self, pspeer.Plain{})
+	do.Provide(i, func(i do.Injector) (*pspeer.Hub, error) {
+		h, clean := pspeer.New(ctx, self, do.MustInvoke[security](i).wrapper(do.MustInvoke[*psversion.Follower](i)))
 		l.clean(clean)
 		return h, nil
 	})
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -16,7 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/do/v2"
 
-	"persimmonstep/internal/connection/pscaller"
+	"persimmonstep/internal/connection/pstls"
 	"persimmonstep/internal/process/psadmin"
 	"persimmonstep/internal/process/psbudget"
 	"persimmonstep/internal/process/psevent"
@@ -43,6 +43,9 @@
 	// LeaveWait is how long the VM goes on accepting callers after it said that it leaves;
 	// it should cover the time that callers keep directory answers.
 	LeaveWait time.Duration
+	// PeerIdentity secures the links to other VMs where the settings name no files; without
+	// either they are plain.
+	PeerIdentity pstls.Source
 	// StopTimeout bounds the wait for running requests.
 	StopTimeout time.Duration
 	// Adjust, unless nil, changes the request path before it serves, such as to compare
@@ -70,9 +73,14 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	secure, err := newSecurity(o)
+	if err != nil {
+		return nil, nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	life := &lifecycle{}
 	i := do.New()
+	do.ProvideValue(i, secure)
 	provide(ctx, i, o, token, life)
 	parts, err := invoke(i)
 	if err != nil {
@@ -81,12 +89,9 @@
 		return nil, nil, err
 	}
 	v := &VM{options: o, follower: parts.follower, slots: parts.slots, book: parts.book, life: life, cancel: cancel}
-	v.callers = newServer(v.closeWhenLeaving(parts.gate))
-	v.callers.Protocols = &http.Protocols{}
-	v.callers.Protocols.SetHTTP1(true)
-	v.callers.Protocols.SetUnencryptedHTTP2(true)
+	v.callers = newCallerServer(v.closeWhenLeaving(parts.gate))
 	v.operator = newServer(parts.admin.Handler())
-	v.start(ctx, parts)
+	v.start(ctx, parts, secure)
 	return v, func() {
 		v.stop()
 		life.cleanUp()
@@ -97,13 +102,23 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func (v *VM) start(ctx context.Context, p parts) {
+// newCallerServer serves callers by HTTP/1.1 and HTTP/2, the latter without TLS as well.
+func newCallerServer(h http.Handler) *http.Server {
+	s := newServer(h)
+	s.Protocols = &http.Protocols{}
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetHTTP2(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	return s
+}
+
+func (v *VM) start(ctx context.Context, p parts, s security) {
 	l := v.options.Listeners
 	for _, f := range v.life.tasks {
 		v.running.Go(func() { f(ctx) })
 	}
 	v.running.Go(func() { p.hub.Serve(l.Peer) })
-	v.running.Go(func() { serve(v.callers, pscaller.Listener(l.Callers)) })
+	v.running.Go(func() { serve(v.callers, s.listener(l.Callers)) })
 	v.running.Go(func() { serve(v.operator, l.Operator) })
 	psevent.Started.Log(v.options.Logger, v.options.Settings.Name, l.Callers.Addr(), l.Peer.Addr(), l.Operator.Addr())
 }
