psblock: IPv6 pages are found through a hash

A look-up of an IPv6 address searched the sorted list of pages in some 15 steps, each of which waited for the one before.

An open-addressing index now gives the page in one or two steps; it is made anew with each delta from the list of pages.

--- a/internal/version/psblock/delta.go
+++ b/internal/version/psblock/delta.go
@@ -47,8 +47,8 @@
 	}
 	next.blocks += next.four.apply(four) + next.six.apply(six)
 	next.four.makeDense()
-	next.four.setOuters(wideBits4)
-	next.six.setOuters(0)
+	next.four.finish(wideBits4)
+	next.six.finish(0)
 	return &next
 }
 
@@ -207,8 +207,12 @@
 	f.keys, f.slots = keys, slots
 }
 
-// setOuters finds the block around each page. The slots must not be shared.
-func (f *family) setOuters(shift int) {
+// finish indexes the pages and finds the block around each. The slots must not be shared.
+func (f *family) finish(shift int) {
+	f.index = nil
+	if !f.dense() {
+		f.index = newHashIndex(f.keys)
+	}
 	for i := range f.slots {
 		s := &f.slots[i]
 		s.outer, s.hasOuter = f.lookupWide(f.keys[i] << shift)
--- a/internal/version/psblock/table.go
+++ b/internal/version/psblock/table.go
@@ -13,8 +13,8 @@
 
 import (
 	"encoding/binary"
-	"math/bits"
 	"net/netip"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -58,6 +58,8 @@
 	// keys lists the leading bits of the pages in order, and slots the pages themselves.
 	keys  []uint32
 	slots []slot
+	// index finds pages by key; it is nil where the position is the key itself.
+	index hashIndex
 }
 
 // slot is one page of the index.
@@ -91,9 +93,12 @@
 
 // lookup searches the page with the key for low; without a page it searches for high.
 func (f *family) lookup(high, key, low uint32) (Site, bool) {
-	n, found := f.find(key)
-	if !found {
-		return f.lookupWide(high)
+	n := int(key)
+	if !f.dense() {
+		n = f.index.find(f.keys, key)
+		if n < 0 {
+			return f.lookupWide(high)
+		}
 	}
 	v := &f.slots[n]
 	if s, found := v.page.lookup(low); found {
@@ -111,17 +116,7 @@
 
 // find returns the position of a page, or where it would be.
 func (f *family) find(key uint32) (int, bool) {
-	if f.dense() {
-		return int(key), true
-	}
-	n, base := len(f.keys), 0
-	for n > 0 {
-		half := (n + 1) / 2
-		_, less := bits.Sub32(f.keys[base+half-1], key, 0)
-		base += half & -int(less)
-		n -= half
-	}
-	return base, base < len(f.keys) && f.keys[base] == key
+	return slices.BinarySearch(f.keys, key)
 }
 
 // dense reports whether the index lists every IPv4 page.
