psfence: promises without the table, and a fence from the first moment

With the table turned off right after the start, 43 % of the requests at 90 % of the rate through one VM of nine were refused in 20 s: no guardian promises before it saw that its plan is the latest in the table, and VMs lived on their retained half.

A guardian now also promises when every other VM has confirmed the same layout to it, which needs no table. A VM that has just started asks its guardian every 50 ms, and the first process of a VM needs no pause for loans of an earlier one. Ready waits for the fence.

--- a/internal/process/psbudget/book.go
+++ b/internal/process/psbudget/book.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/connection/pspeer"
@@ -72,6 +73,8 @@
 	Now func() time.Time
 	// Metrics counts what happens.
 	Metrics *Metrics
+	// Logger takes the log lines.
+	Logger hclog.Logger
 }
 
 // Book keeps this VM's accounts, one for each workspace in use. It admits requests of a
@@ -82,6 +85,7 @@
 	peers   Caller
 	now     func() time.Time
 	metrics *Metrics
+	logger  hclog.Logger
 	process string
 	kicks   chan psdoc.Name
 
@@ -99,7 +103,7 @@
 // NewBook returns the book of a VM.
 func NewBook(o Options) *Book {
 	b := &Book{
-		self: o.Self, shares: o.Shares, peers: o.Peers, now: o.Now, metrics: o.Metrics,
+		self: o.Self, shares: o.Shares, peers: o.Peers, now: o.Now, metrics: o.Metrics, logger: o.Logger,
 		process: rand.Text(), kicks: make(chan psdoc.Name, 256), accounts: make(map[psdoc.Name]*account),
 		changed: o.Now(),
 	}
@@ -107,11 +111,16 @@
 	return b
 }
 
-// Ready reports whether this VM has a share and its buckets have had the time to fill.
+// Ready reports whether this VM has a share, its buckets have had the time to fill, and it
+// holds its fence or has tried to for a while.
 func (b *Book) Ready() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return len(b.regime.plans) > 0 && !b.now().Before(b.ready)
+	now := b.now()
+	if len(b.regime.plans) == 0 || now.Before(b.ready) {
+		return false
+	}
+	return b.shares.View().Held.Holds(now) || now.Sub(b.ready) > psfence.Term
 }
 
 // follow takes in a change of the shares.
--- a/internal/process/psbudget/exchange.go
+++ b/internal/process/psbudget/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/pspeer"
+	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
 )
@@ -66,6 +67,7 @@
 	answer, err := b.account(r.Key).lend(borrower{vm: from, process: r.Process}, r, now)
 	if err == nil {
 		b.metrics.lent(answer)
+		psevent.ShareLent.Log(b.logger, r.Key, from, answer.Grant.Rate, answer.Grant.Burst)
 	}
 	return answer, err
 }
@@ -145,6 +147,9 @@
 	}
 	a.held = b.shares.View().Held
 	a.answered(q, out, err, now)
+	if err == nil {
+		psevent.ShareBorrowed.Log(b.logger, a.key, q.to.Name, out.Grant.Rate, out.Grant.Burst)
+	}
 	b.serve(a)
 	if len(a.waiting) > 0 {
 		b.kick(a.key)
--- a/internal/process/psbudget/split_test.go
+++ b/internal/process/psbudget/split_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"persimmonstep/internal/process/psfence"
@@ -80,7 +81,7 @@
 
 func newTestBook(now *time.Time) (*Book, *shown) {
 	s := &shown{view: &psfence.View{Plan: psplan.Empty()}}
-	b := NewBook(Options{Self: "vm0", Shares: s, Now: func() time.Time { return *now }, Metrics: NewMetrics(prometheus.NewRegistry())})
+	b := NewBook(Options{Self: "vm0", Shares: s, Logger: hclog.NewNullLogger(), Now: func() time.Time { return *now }, Metrics: NewMetrics(prometheus.NewRegistry())})
 	return b, s
 }
 
--- a/internal/process/psevent/budget.go
+++ b/internal/process/psevent/budget.go
@@ -16,8 +16,12 @@
 	LayoutChanged = Event{3005, hclog.Info, "split of budgets changed", []string{"version", "unconfirmed"}}
 	// LayoutSettled says that shares that grew with the latest split may be used.
 	LayoutSettled = Event{3006, hclog.Info, "split of budgets settled", []string{"version"}}
+	// ShareLent says how much of a budget a VM lent to another one.
+	ShareLent = Event{3007, hclog.Debug, "budget share lent", []string{"budget", "to", "rate", "burst"}}
+	// ShareBorrowed says how much of a budget a VM holds from another one.
+	ShareBorrowed = Event{3008, hclog.Debug, "budget share borrowed", []string{"budget", "from", "rate", "burst"}}
 )
 
 func budgetEvents() []Event {
-	return []Event{FenceHeld, FenceLost, ShareAdopted, ShareReturned, LayoutChanged, LayoutSettled}
+	return []Event{FenceHeld, FenceLost, ShareAdopted, ShareReturned, LayoutChanged, LayoutSettled, ShareLent, ShareBorrowed}
 }
--- a/internal/process/psfence/core.go
+++ b/internal/process/psfence/core.go
@@ -59,7 +59,7 @@
 	started time.Time
 
 	settlement settlement
-	guardian   psdoc.Name
+	guardian   *psplan.VM
 	wards      map[psdoc.Name]*ward
 	// held is the span for which the VM may use its own revocable part.
 	held Span
@@ -84,18 +84,19 @@
 	for _, vm := range wards(p, c.self) {
 		// An earlier process of this VM may have lent what it had adopted.
 		c.wards[vm] = &ward{quiet: now, free: c.started.Add(c.drain)}
+		if c.settlement.first {
+			c.wards[vm].free = time.Time{}
+		}
 		if w := old[vm]; w != nil {
 			c.wards[vm] = w
 		}
 	}
-	guardian := psdoc.Name("")
-	if g := Guardian(p, c.self); g != nil {
-		guardian = g.Name
-	}
-	if guardian != c.guardian {
+	guardian := Guardian(p, c.self)
+	if guardian == nil || c.guardian == nil || guardian.Name != c.guardian.Name {
 		// A promise binds only the VM that gave it.
-		c.guardian, c.held = guardian, Span{}
+		c.held = Span{}
 	}
+	c.guardian = guardian
 	return true
 }
 
@@ -113,7 +114,7 @@
 	if w.stage == stageAdopted || w.nonce != "" {
 		w.stage, w.nonce = stageClearing, ""
 	}
-	return c.current && c.mayAct(vm, now) && !now.Before(w.free)
+	return c.informed() && c.mayAct(vm, now) && !now.Before(w.free)
 }
 
 // processPrefix begins the keys of the rows that say that a VM has had a process.
@@ -130,7 +131,13 @@
 
 // announced takes in the end of the announcement. An unknown end counts as a later process.
 func (c *core) announced(err error) {
-	c.settlement.first = err == nil
+	if err != nil {
+		return
+	}
+	c.settlement.first = true
+	for _, w := range c.wards {
+		w.free = time.Time{}
+	}
 }
 
 // latest takes in which version is the latest of all.
@@ -138,10 +145,16 @@
 	c.current = c.current || version <= c.settlement.version
 }
 
+// informed reports whether no earlier process of this VM can have confirmed a later layout
+// under which another VM acts: the plan was the latest, or all others have the same layout.
+func (c *core) informed() bool {
+	return c.current || len(c.settlement.unheard) == 0
+}
+
 // mayAct reports whether no other guardian can use the ward's part: all have confirmed the
 // layout and loans of before have run out.
 func (c *core) mayAct(vm psdoc.Name, now time.Time) bool {
-	return c.settlement.settled(vm) && !now.Before(c.settlement.completed.Add(c.drain))
+	return c.settlement.settled(vm) && (c.settlement.original() || !now.Before(c.settlement.completed.Add(c.drain)))
 }
 
 // promised takes in the guardian's promise.
--- a/internal/process/psfence/core_test.go
+++ b/internal/process/psfence/core_test.go
@@ -142,7 +142,7 @@
 }
 
 func (w *world) settle(n *node) {
-	for _, v := range n.core.settlement.asks(w.local(n)) {
+	for _, v := range n.core.settlement.asks(n.core.current, w.local(n)) {
 		w.send(w.node(v.Name), func(c *core, _ time.Time) {
 			a := c.settlement.answer()
 			w.send(n, func(c *core, now time.Time) { c.settlement.confirm(v, a, now) })
--- a/internal/process/psfence/fence.go
+++ b/internal/process/psfence/fence.go
@@ -131,6 +131,11 @@
 
 	published atomic.Pointer[View]
 
+	// asked and readAt are when the guardian and the table were last asked; they belong to
+	// the loop that renews the fence.
+	asked  time.Time
+	readAt time.Time
+
 	// mutex guards what follows. It is held while changes are told.
 	mutex   sync.Mutex
 	core    *core
@@ -223,7 +228,7 @@
 	loops := []struct {
 		interval time.Duration
 		step     func(context.Context)
-	}{{tick, f.renew}, {tick, f.guard}, {settleTick, f.settle}}
+	}{{settleTick, f.renew}, {tick, f.guard}, {settleTick, f.settle}}
 	for _, l := range loops {
 		calls.Go(func() { repeat(ctx, l.interval, l.step) })
 	}
@@ -326,17 +331,34 @@
 	return c
 }
 
-// renew asks the guardian for its promise, and the table where that fails.
+// renew asks the guardian for its promise, and the table where that fails. It asks sooner
+// while a process that has just started holds nothing yet.
 func (f *Fence) renew(ctx context.Context) {
-	f.update(nil)
-	p := f.plans.Plan()
+	var guardian *psplan.VM
+	var held Span
+	var began time.Time
+	f.update(func(c *core, _ time.Time) { guardian, held, began = c.guardian, c.held, c.settlement.began })
+	now := f.now()
+	hurry := !held.Holds(now) && now.Sub(began) < quickAsks
+	if !hurry && now.Sub(f.asked) < tick {
+		return
+	}
+	f.asked = now
+	if guardian != nil && f.askGuardian(ctx, guardian) {
+		f.update(func(c *core, at time.Time) { c.promised(now, at) })
+		return
+	}
+	f.readTable(ctx)
+}
+
+// readTable holds the fence by a read that does not show this VM, at most once each tick.
+func (f *Fence) readTable(ctx context.Context) {
 	began := f.now()
-	if g := Guardian(p, f.self); g != nil && f.askGuardian(ctx, g) {
-		f.update(func(c *core, now time.Time) { c.promised(began, now) })
+	if began.Sub(f.readAt) < tick {
 		return
 	}
-	began = f.now()
-	names, err := f.readRows(ctx, p)
+	f.readAt = began
+	names, err := f.readRows(ctx, f.plans.Plan())
 	if err != nil {
 		return
 	}
@@ -379,7 +401,7 @@
 // settle asks the VMs that have not confirmed the layout.
 func (f *Fence) settle(ctx context.Context) {
 	var asks []*psplan.VM
-	f.update(func(c *core, now time.Time) { asks = c.settlement.asks(now) })
+	f.update(func(c *core, now time.Time) { asks = c.settlement.asks(c.current, now) })
 	var asking sync.WaitGroup
 	for _, v := range asks {
 		asking.Go(func() {
--- a/internal/process/psfence/settlement.go
+++ b/internal/process/psfence/settlement.go
@@ -37,6 +37,8 @@
 	// it to end.
 	contradicted time.Time
 	missing      map[psdoc.Name]bool
+	// unheard are the VMs that have not confirmed themselves, whatever others say.
+	unheard map[psdoc.Name]bool
 	// removed are the VMs of earlier layouts that the present one does not have.
 	removed map[psdoc.Name]*psplan.VM
 	domains map[psdoc.Name][]*psplan.VM
@@ -64,6 +66,7 @@
 	s.remembers = !first
 	s.contradicted = time.Time{}
 	s.missing = make(map[psdoc.Name]bool, len(p.VMs))
+	s.unheard = make(map[psdoc.Name]bool, len(p.VMs))
 	s.remember(p)
 	s.domains = newNeighbours(p).domains
 	s.domain = ""
@@ -73,6 +76,7 @@
 			continue
 		}
 		s.missing[v.Name] = true
+		s.unheard[v.Name] = true
 	}
 	return true
 }
@@ -122,8 +126,13 @@
 }
 
 // asks lists the VMs to be asked now: all that are missing in this VM's own failure domain
-// and one of each other domain where some are missing.
-func (s *settlement) asks(now time.Time) []*psplan.VM {
+// and one of each other domain where some are missing. A VM that does not know whether its
+// plan is the latest wants to hear of all others.
+func (s *settlement) asks(current bool, now time.Time) []*psplan.VM {
+	wanted := func(v *psplan.VM) bool { return s.missing[v.Name] || !current && s.unheard[v.Name] }
+	if len(s.missing) == 0 && (current || len(s.unheard) == 0) {
+		return nil
+	}
 	if now.Sub(s.began) > quickAsks && now.Sub(s.asked) < slowTick {
 		return nil
 	}
@@ -139,13 +148,13 @@
 		members := s.domains[name]
 		if name == s.domain {
 			for _, v := range members {
-				if s.missing[v.Name] {
+				if wanted(v) {
 					out = append(out, v)
 				}
 			}
 			continue
 		}
-		if slices.ContainsFunc(members, func(v *psplan.VM) bool { return s.missing[v.Name] }) {
+		if slices.ContainsFunc(members, wanted) {
 			out = append(out, members[s.turn%len(members)])
 		}
 	}
@@ -170,10 +179,12 @@
 		clear(s.missing)
 	}
 	delete(s.missing, from.Name)
+	delete(s.unheard, from.Name)
 	if from.Domain.Name != s.domain && s.removed[from.Name] == nil {
 		for _, v := range s.domains[from.Domain.Name] {
 			if !slices.Contains(c.Missing, v.Name) {
 				delete(s.missing, v.Name)
+				delete(s.unheard, v.Name)
 			}
 		}
 	}
--- a/internal/process/psvm/budget.go
+++ b/internal/process/psvm/budget.go
@@ -49,6 +49,7 @@
 		Peers:   hub,
 		Now:     time.Now,
 		Metrics: psbudget.NewMetrics(do.MustInvoke[*psmetric.Metrics](i).Registry),
+		Logger:  o.Logger,
 	})
 	b.Register(hub)
 	l.task(b.Run)
