--- a/internal/process/psbudget/socket_test.go
+++ b/internal/process/psbudget/socket_test.go
@@ -59,6 +59,8 @@
 	admitted  atomic.Int64
 	refused   atomic.Int64
 	other     atomic.Int64
+	// last is how the last other request ended.
+	last atomic.Value
 	// wrongful counts the refused requests that one bucket for the whole fleet would admit.
 	wrongful atomic.Int64
 }
@@ -93,10 +95,11 @@
 	a, err := l.client.Do(r)
 	if err != nil {
 		l.other.Add(1)
+		l.last.Store(err.Error())
 		return false
 	}
 	defer a.Body.Close() //nolint:errcheck // the body was read
-	_, _ = io.Copy(io.Discard, a.Body)
+	text, _ := io.ReadAll(a.Body)
 	switch a.StatusCode {
 	case http.StatusOK:
 		l.admitted.Add(1)
@@ -105,6 +108,7 @@
 		return true
 	default:
 		l.other.Add(1)
+		l.last.Store(a.Status + " " + string(text))
 	}
 	return false
 }
@@ -152,7 +156,7 @@
 			t.Logf("%d admitted, %d refused, %d other in %v", admitted, l.refused.Load(), l.other.Load(), span)
 			qt.Check(t, float64(admitted) <= rate*span.Seconds()+burst, qt.IsTrue)
 			qt.Check(t, float64(total) <= rate*time.Since(began).Seconds()+burst, qt.IsTrue)
-			qt.Check(t, l.other.Load(), qt.Equals, int64(0))
+			qt.Check(t, l.other.Load(), qt.Equals, int64(0), qt.Commentf("%v", l.last.Load()))
 		})
 	}
 }
@@ -197,7 +201,7 @@
 				t.Logf("%d sent, %d refused, %d of these wrongfully", sent, l.refused.Load(), l.wrongful.Load())
 				// The calm target of 0.1 % is kept by TestSteadyFlowAtOneVM, without a wall clock.
 				qt.Check(t, float64(l.wrongful.Load()) <= 0.01*float64(sent), qt.IsTrue)
-				qt.Check(t, l.other.Load(), qt.Equals, int64(0))
+				qt.Check(t, l.other.Load(), qt.Equals, int64(0), qt.Commentf("%v", l.last.Load()))
 			}
 		})
 	}
