psmeasure: what control costs in a run

The cost of loans, claims and heartbeats under load did not show in results.

Each run now reports the bytes that a VM exchanged with others and the reads and commits of the table for each second of load, in the table and as JSON.

The counters are those of the links and of the platform stand-in, which exist already; a run takes no longer than before.

--- a/internal/process/psmeasure/experiment.go
+++ b/internal/process/psmeasure/experiment.go
@@ -67,6 +67,7 @@
 	evidence := e.evidence(observations)
 	r := e.result(evidence, use)
 	r.Unsent = unsent
+	use.control(r)
 	psevent.Measured.Log(l, s.Name, f.Name, p.Name, len(observations), r.Broken.Total())
 	return r, nil
 }
@@ -112,9 +113,11 @@
 	var beside sync.WaitGroup
 	use := newUsage(e)
 	e.start = time.Now()
+	use.before = e.counters()
 	beside.Go(func() { e.follow(ctx) })
 	beside.Go(func() { use.sample(ctx) })
 	observations, unsent := psload.Run(ctx, callers, schedule, e.start)
+	use.after = e.counters()
 	cancel()
 	beside.Wait()
 	return observations, unsent, use
--- a/internal/process/psmeasure/report.go
+++ b/internal/process/psmeasure/report.go
@@ -25,10 +25,11 @@
 		}
 	}
 	_, _ = fmt.Fprintln(t)
-	_, _ = fmt.Fprintln(t, "firm\tscenario\tpolicy\tworst served\tworkspace\tin-rate refused\tentitled\tshifted\tdrain ms\tstop ms\tbroken promises")
+	_, _ = fmt.Fprintln(t, "firm\tscenario\tpolicy\tworst served\tworkspace\tin-rate refused\tentitled\tshifted\tdrain ms\tstop ms\tpeer B/s/VM\treads/s\tcommits/s\tbroken promises")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.1f%%\t%s\t%d\t%d\t%.1f%%\t%.0f\t%.0f\t%s\n", r.Firm, r.Scenario, r.Policy,
-			100*r.WorstServed, r.WorstWorkspace, r.InRateRefused, r.Entitled, 100*r.Shifted, r.DrainMilliseconds, r.StopMilliseconds, brokenText(r))
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.1f%%\t%s\t%d\t%d\t%.1f%%\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%s\n", r.Firm, r.Scenario, r.Policy,
+			100*r.WorstServed, r.WorstWorkspace, r.InRateRefused, r.Entitled, 100*r.Shifted, r.DrainMilliseconds, r.StopMilliseconds,
+			r.PeerBytesPerSecond, r.ReadsPerSecond, r.CommitsPerSecond, brokenText(r))
 	}
 	for _, r := range results {
 		for _, n := range r.Notes {
--- a/internal/process/psmeasure/result.go
+++ b/internal/process/psmeasure/result.go
@@ -34,6 +34,11 @@
 	StopMilliseconds float64 `json:"stopMilliseconds"`
 	// Shifted is the part of all served requests that ran outside the callers' home region.
 	Shifted float64 `json:"shifted"`
+	// PeerBytesPerSecond is what each VM exchanged with others on average.
+	PeerBytesPerSecond float64 `json:"peerBytesPerSecond"`
+	// ReadsPerSecond and CommitsPerSecond are the calls of all VMs to the table.
+	ReadsPerSecond   float64 `json:"readsPerSecond"`
+	CommitsPerSecond float64 `json:"commitsPerSecond"`
 	// Unsent counts arrivals that the load generator could not send.
 	Unsent int `json:"unsent"`
 	// Broken counts broken promises.
--- a/internal/process/psmeasure/usage.go
+++ b/internal/process/psmeasure/usage.go
@@ -12,6 +12,28 @@
 	experiment *experiment
 	slots      map[psdoc.Name]int
 	samples    []sample
+	// before and after count the work of control at the ends of the run.
+	before, after counters
+}
+
+// counters count the work of control since the start of the system.
+type counters struct {
+	at             time.Time
+	bytes          int64
+	reads, commits uint64
+}
+
+func (e *experiment) counters() counters {
+	store := e.system.Platform.Store
+	return counters{at: time.Now(), bytes: e.system.Peers.Bytes(), reads: store.Reads(), commits: store.Commits()}
+}
+
+// control works out what control cost in the run.
+func (u *usage) control(r *Result) {
+	span := u.after.at.Sub(u.before.at).Seconds()
+	r.PeerBytesPerSecond = float64(u.after.bytes-u.before.bytes) / span / float64(len(u.experiment.topology.VMs))
+	r.ReadsPerSecond = float64(u.after.reads-u.before.reads) / span
+	r.CommitsPerSecond = float64(u.after.commits-u.before.commits) / span
 }
 
 // sample is the part of each pool's slots in use at one time.
