--- a/internal/process/psevent/event.go
+++ b/internal/process/psevent/event.go
@@ -9,6 +9,8 @@
 	"slices"
 
 	"github.com/hashicorp/go-hclog"
+
+	"persimmonstep/internal/version/psdoc"
 )
 
 // Number identifies an event.
@@ -34,6 +36,10 @@
 	args := make([]any, 0, 2+2*len(values))
 	args = append(args, "event", int(e.Number))
 	for i, v := range values {
+		if n, found := v.(psdoc.Name); found {
+			// The logger formats strings without reflection.
+			v = string(n)
+		}
 		args = append(args, e.Fields[i], v)
 	}
 	l.Log(e.Level, e.Text, args...)
--- a/internal/request/psgate/exchange.go
+++ b/internal/request/psgate/exchange.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
@@ -49,13 +50,15 @@
 	}
 }
 
-// identifierBytes is the entropy of a request id.
-const identifierBytes = 12
-
+// newID makes a request id. It need not be secret, so it takes no random bytes from the system.
 func newID() string {
-	var b [identifierBytes]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
+	const bytes = 12
+	var b [bytes]byte
+	binary.BigEndian.PutUint64(b[:], rand.Uint64())
+	binary.BigEndian.PutUint32(b[8:], rand.Uint32())
+	var text [2 * bytes]byte
+	hex.Encode(text[:], b[:])
+	return string(text[:])
 }
 
 // run takes the request through its steps.
--- a/internal/version/psplan/compile.go
+++ b/internal/version/psplan/compile.go
@@ -73,6 +73,17 @@
 	return true
 }
 
+// define claims an object's name; one without a name has its finding already.
+func (c *compiler) define(d *psdoc.Document, path, kind string, name psdoc.Name) bool {
+	return name != "" && c.claim(d, path, kind, name)
+}
+
+// enter puts an object under its name and at the end of its list.
+func enter[T any](byName map[psdoc.Name]*T, list *[]*T, name psdoc.Name, v *T) {
+	byName[name] = v
+	*list = append(*list, v)
+}
+
 // lookUp finds a referenced object and reports an unknown or empty name.
 func lookUp[T any](c *compiler, d *psdoc.Document, path, kind string, name psdoc.Name, among map[psdoc.Name]*T) (*T, bool) {
 	v, found := among[name]
@@ -84,12 +95,11 @@
 
 func (c *compiler) addRegions(d *psdoc.Document) {
 	for i, r := range d.Regions {
-		if r.Name == "" || !c.claim(d, fmt.Sprintf("regions[%d].name", i), "region", r.Name) {
+		if !c.define(d, fmt.Sprintf("regions[%d].name", i), "region", r.Name) {
 			continue
 		}
 		v := &Region{Name: r.Name}
-		c.plan.regions[r.Name] = v
-		c.plan.Regions = append(c.plan.Regions, v)
+		enter(c.plan.regions, &c.plan.Regions, v.Name, v)
 	}
 }
 
@@ -97,12 +107,11 @@
 	for i, f := range d.FailureDomains {
 		at := fmt.Sprintf("failureDomains[%d]", i)
 		r, found := lookUp(c, d, at+".region", "region", f.Region, c.plan.regions)
-		if f.Name == "" || !c.claim(d, at+".name", "failure domain", f.Name) || !found {
+		if !c.define(d, at+".name", "failure domain", f.Name) || !found {
 			continue
 		}
 		v := &Domain{Name: f.Name, Region: r}
-		c.plan.domains[f.Name] = v
-		c.plan.Domains = append(c.plan.Domains, v)
+		enter(c.plan.domains, &c.plan.Domains, v.Name, v)
 		r.Domains = append(r.Domains, v)
 	}
 }
@@ -111,14 +120,13 @@
 	for i, v := range d.VMs {
 		at := fmt.Sprintf("vms[%d]", i)
 		f, found := lookUp(c, d, at+".failureDomain", "failure domain", v.FailureDomain, c.plan.domains)
-		if v.Name == "" || !c.claim(d, at+".name", "VM", v.Name) || !found {
+		if !c.define(d, at+".name", "VM", v.Name) || !found {
 			continue
 		}
 		c.claim(d, at+".callers", "caller address", v.Callers)
 		c.claim(d, at+".peer", "peer address", v.Peer)
 		w := &VM{Name: v.Name, Domain: f, Callers: v.Callers, Peer: v.Peer, Operator: v.Operator, Weight: lo.FromPtrOr(v.Weight, 1)}
-		c.plan.vms[v.Name] = w
-		c.plan.VMs = append(c.plan.VMs, w)
+		enter(c.plan.vms, &c.plan.VMs, w.Name, w)
 		f.VMs = append(f.VMs, w)
 	}
 }
@@ -127,7 +135,7 @@
 	for i, s := range d.Servers {
 		at := fmt.Sprintf("servers[%d]", i)
 		f, found := lookUp(c, d, at+".failureDomain", "failure domain", s.FailureDomain, c.plan.domains)
-		if s.Name == "" || !c.claim(d, at+".name", "backend server", s.Name) || !found {
+		if !c.define(d, at+".name", "backend server", s.Name) || !found {
 			continue
 		}
 		c.claim(d, at+".address", "backend server address", s.Address)
@@ -135,8 +143,7 @@
 			Name: s.Name, Domain: f, Address: s.Address, Pool: s.Pool, Slots: s.Slots,
 			Connections: lo.FromPtrOr(s.Connections, DefaultConnections),
 		}
-		c.plan.servers[s.Name] = v
-		c.plan.Servers = append(c.plan.Servers, v)
+		enter(c.plan.servers, &c.plan.Servers, v.Name, v)
 		c.plan.pools[s.Pool] = append(c.plan.pools[s.Pool], v)
 	}
 }
@@ -153,7 +160,7 @@
 func (c *compiler) addRoutes(d *psdoc.Document) {
 	for i, r := range d.Routes {
 		at := fmt.Sprintf("routes[%d]", i)
-		if r.Name == "" || !c.claim(d, at+".name", "route", r.Name) {
+		if !c.define(d, at+".name", "route", r.Name) {
 			continue
 		}
 		c.claim(d, at+".prefix", "route prefix", r.Prefix)
@@ -173,8 +180,7 @@
 		}
 		v := newRoute(r, servers)
 		v.regions = regions
-		c.plan.routes[r.Name] = v
-		c.plan.Routes = append(c.plan.Routes, v)
+		enter(c.plan.routes, &c.plan.Routes, v.Name, v)
 	}
 }
 
@@ -211,7 +217,7 @@
 func (c *compiler) addWorkspaces(d *psdoc.Document) {
 	for i, w := range d.Workspaces {
 		at := fmt.Sprintf("workspaces[%d]", i)
-		if w.Name == "" || !c.claim(d, at+".name", "workspace", w.Name) {
+		if !c.define(d, at+".name", "workspace", w.Name) {
 			continue
 		}
 		v := &Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst, Weight: lo.FromPtrOr(w.Weight, w.Rate)}
@@ -222,8 +228,7 @@
 			lookUp(c, d, at+".routes", "route", n, c.plan.routes)
 			v.routes[n] = true
 		}
-		c.plan.workspaces[w.Name] = v
-		c.plan.Workspaces = append(c.plan.Workspaces, v)
+		enter(c.plan.workspaces, &c.plan.Workspaces, v.Name, v)
 	}
 }
 
@@ -231,7 +236,7 @@
 	for i, k := range d.Keys {
 		at := fmt.Sprintf("keys[%d]", i)
 		w, found := lookUp(c, d, at+".workspace", "workspace", k.Workspace, c.plan.workspaces)
-		if k.ID == "" || !c.claim(d, at+".id", "key", k.ID) || !found {
+		if !c.define(d, at+".id", "key", k.ID) || !found {
 			continue
 		}
 		c.plan.keys[k.ID] = &Key{ID: k.ID, Workspace: w, Digest: k.Digest}
@@ -240,7 +245,7 @@
 
 func (c *compiler) addLinks(d *psdoc.Document) {
 	for i, l := range d.Links {
-		if len(l.Between) != 2 {
+		if len(l.Between) != 2 || l.Between[0] == l.Between[1] {
 			continue
 		}
 		at := fmt.Sprintf("links[%d].between", i)
--- a/internal/version/psplan/plan.go
+++ b/internal/version/psplan/plan.go
@@ -173,46 +173,45 @@
 	return &Plan{}
 }
 
+// find looks an object up by its name.
+func find[T any](among map[psdoc.Name]*T, n psdoc.Name) (*T, bool) {
+	v, found := among[n]
+	return v, found
+}
+
 // Region finds a region by name.
 func (p *Plan) Region(n psdoc.Name) (*Region, bool) {
-	r, found := p.regions[n]
-	return r, found
+	return find(p.regions, n)
 }
 
 // Domain finds a failure domain by name.
 func (p *Plan) Domain(n psdoc.Name) (*Domain, bool) {
-	d, found := p.domains[n]
-	return d, found
+	return find(p.domains, n)
 }
 
 // VM finds a VM by name.
 func (p *Plan) VM(n psdoc.Name) (*VM, bool) {
-	v, found := p.vms[n]
-	return v, found
+	return find(p.vms, n)
 }
 
 // Server finds a backend server by name.
 func (p *Plan) Server(n psdoc.Name) (*Server, bool) {
-	s, found := p.servers[n]
-	return s, found
+	return find(p.servers, n)
 }
 
 // Workspace finds a workspace by name.
 func (p *Plan) Workspace(n psdoc.Name) (*Workspace, bool) {
-	w, found := p.workspaces[n]
-	return w, found
+	return find(p.workspaces, n)
 }
 
 // Route finds a route by name.
 func (p *Plan) Route(n psdoc.Name) (*Route, bool) {
-	r, found := p.routes[n]
-	return r, found
+	return find(p.routes, n)
 }
 
 // Key finds an issued key by its id.
 func (p *Plan) Key(id psdoc.Name) (*Key, bool) {
-	k, found := p.keys[id]
-	return k, found
+	return find(p.keys, id)
 }
 
 // Keys lists the issued keys in no particular order.
