--- a/internal/version/psversion/head.go
+++ b/internal/version/psversion/head.go
@@ -19,6 +19,8 @@
 const (
 	headKey       = "config/head"
 	historyPrefix = "config/history/"
+	// operationPrefix names the rows that lead from an operation's id to its version.
+	operationPrefix = "config/operation/"
 )
 
 // Head describes a configuration version.
@@ -61,6 +63,10 @@
 	return fmt.Sprintf("%s%020d", historyPrefix, version)
 }
 
+func operationKey(id string) string {
+	return operationPrefix + id
+}
+
 func objectName(version uint64, operationID string) string {
 	return fmt.Sprintf("config-%d-%s", version, operationID)
 }
--- a/internal/version/psversion/store.go
+++ b/internal/version/psversion/store.go
@@ -16,6 +16,9 @@
 	"persimmonstep/internal/version/pstoml"
 )
 
+// commitTries bounds the tries of an apply's commit whose end is unknown.
+const commitTries = 3
+
 // Change is what an operator asks for.
 type Change struct {
 	// OperationID makes the apply idempotent.
@@ -116,13 +119,15 @@
 // configuration has faults, *ConflictError where another apply came first, and for which
 // psplatform.IsUnknown holds where the outcome could not be found out.
 func (s *Store) Apply(ctx context.Context, c Change) (Head, error) {
+	// The operation is looked up first: if it is done, the head is not older than it.
+	done, found, err := s.operation(ctx, c.OperationID)
+	if err != nil || found {
+		return done, err
+	}
 	latest, row, err := s.head(ctx)
 	if err != nil {
 		return Head{}, err
 	}
-	if latest.OperationID == c.OperationID {
-		return latest, nil
-	}
 	if c.Base != 0 && c.Base != latest.Version {
 		return Head{}, &ConflictError{Winner: latest}
 	}
@@ -152,36 +157,72 @@
 	if err != nil {
 		return Head{}, errors.Wrap(err, "encode the configuration head")
 	}
-	_, err = s.Platform.Commit(ctx, psplatform.Transaction{
-		Conditions: []psplatform.Condition{{Key: headKey, Revision: row.Revision}},
-		Writes:     []psplatform.Write{{Key: headKey, Value: value}, {Key: historyKey(h.Version), Value: value}},
-	})
-	if err == nil {
-		return h, nil
+	t := psplatform.Transaction{
+		Conditions: []psplatform.Condition{{Key: headKey, Revision: row.Revision}, {Key: operationKey(h.OperationID)}},
+		Writes: []psplatform.Write{
+			{Key: headKey, Value: value}, {Key: historyKey(h.Version), Value: value}, {Key: operationKey(h.OperationID), Value: value},
+		},
+	}
+	// The conditions let the transaction take effect once, so it may be sent again.
+	doubtful := false
+	for n := 1; ; n++ {
+		_, err = s.Platform.Commit(ctx, t)
+		if err == nil {
+			return h, nil
+		}
+		doubtful = doubtful || psplatform.IsUnknown(err)
+		out, err := s.settle(ctx, h, err)
+		var conflict *ConflictError
+		switch {
+		case err == nil || errors.As(err, &conflict):
+			return out, err
+		case !doubtful:
+			return Head{}, err
+		case n == commitTries:
+			return Head{}, &psplatform.UnknownError{Cause: err}
+		}
+	}
+}
+
+// operation finds the version that an operation made.
+func (s *Store) operation(ctx context.Context, id string) (Head, bool, error) {
+	rows, err := s.Platform.Read(ctx, operationKey(id))
+	if err != nil {
+		return Head{}, false, errors.Wrap(err, "look up the operation")
 	}
-	return s.settle(ctx, h, err)
+	return decodeHead(rows[0])
+}
+
+func decodeHead(r psplatform.Row) (Head, bool, error) {
+	if r.Revision == 0 {
+		return Head{}, false, nil
+	}
+	var h Head
+	err := json.Unmarshal(r.Value, &h)
+	return h, err == nil, errors.Wrapf(err, "decode %q", r.Key)
 }
 
-// settle finds out how a commit ended that was refused or whose answer was lost.
+// settle finds out how a commit ended that was refused or whose answer was lost. Both rows
+// are read together, so that no other apply can come between them.
 func (s *Store) settle(ctx context.Context, h Head, cause error) (Head, error) {
 	if !psplatform.IsRefused(cause) && !psplatform.IsUnknown(cause) {
 		return Head{}, cause
 	}
-	rows, err := s.Platform.Read(ctx, historyKey(h.Version))
+	rows, err := s.Platform.Read(ctx, operationKey(h.OperationID), headKey)
 	if err != nil {
-		return Head{}, &psplatform.UnknownError{Cause: err}
+		return Head{}, errors.Wrap(err, "settle an apply")
 	}
-	if rows[0].Revision == 0 {
-		return Head{}, cause
+	if done, found, err := decodeHead(rows[0]); err != nil || found {
+		return done, err
 	}
-	var winner Head
-	if err := json.Unmarshal(rows[0].Value, &winner); err != nil {
-		return Head{}, errors.Wrap(err, "decode the winner's history row")
+	latest, _, err := decodeHead(rows[1])
+	if err != nil {
+		return Head{}, err
 	}
-	if winner.OperationID == h.OperationID {
-		return winner, nil
+	if latest.Version >= h.Version {
+		return Head{}, &ConflictError{Winner: latest}
 	}
-	return Head{}, &ConflictError{Winner: winner}
+	return Head{}, cause
 }
 
 // Merge carries out a change on a content and checks the outcome as a whole.
