psheartbeat: cost by domain and domains, and a view of members

Cause: each VM beat to every other VM four times a second, and psmember took every VM for usable that had not said that it leaves. Change: a VM beats to its own failure domain and to one VM of each other domain, at most 16 times a second at rest, and not to VMs that were just heard of; a silent VM of another domain is replaced by the next. Reports in the heartbeats say which VMs of a domain are silent or leaving and are relayed, at most four domains a beat; psmember merges them by time, knows incarnations and says which VM acts for its domain. A leaving VM says so at once. Tests: targets at 90 domains of 24 VMs, relayed silence and leaving, restarts, takeover of the first VM.

--- a/internal/connection/psheartbeat/heart.go
+++ b/internal/connection/psheartbeat/heart.go
@@ -3,6 +3,10 @@
 // A heartbeat shows that its sender is alive and carries the sections that other packages
 // have to say, such as the configuration version in force or spare budget. The answer to a
 // heartbeat carries the same sections back.
+//
+// A VM beats to all VMs of its own failure domain and to one VM of each other domain, so
+// that the cost grows with the size of a domain and the number of domains. A VM that was
+// heard of lately, in a heartbeat or in an answer to one, is not sent another.
 package psheartbeat
 
 import (
@@ -19,11 +23,15 @@
 )
 
 const (
-	// Interval is the time between two heartbeats to the same VM.
+	// Interval is the least time between two heartbeats to the same VM.
 	Interval = 250 * time.Millisecond
 	// timeout bounds one heartbeat.
 	timeout    = time.Second
 	methodBeat = "heartbeat"
+	// tick is the time between two looks for VMs that are due.
+	tick = 50 * time.Millisecond
+	// silentIntervals is the number of intervals after which a VM counts as silent.
+	silentIntervals = 4
 )
 
 // Section is a part of each heartbeat that belongs to one package.
@@ -55,7 +63,14 @@
 	mutex    sync.Mutex
 	sections map[string]Section
 	heard    map[psdoc.Name]time.Time
+	sent     map[psdoc.Name]time.Time
 	pending  map[psdoc.Name]bool
+	last     time.Time
+	plan     *psplan.Plan
+	targets  targets
+	urgent   bool
+
+	wake chan struct{}
 }
 
 // New returns the heart of a VM. Sections must be added before it runs.
@@ -64,7 +79,9 @@
 		self: self, plans: p, hub: h,
 		sections: make(map[string]Section),
 		heard:    make(map[psdoc.Name]time.Time),
+		sent:     make(map[psdoc.Name]time.Time),
 		pending:  make(map[psdoc.Name]bool),
+		wake:     make(chan struct{}, 1),
 	}
 	h.Handle(methodBeat, t.answer)
 	return t
@@ -79,33 +96,80 @@
 
 // Run beats until the context ends.
 func (h *Heart) Run(ctx context.Context) {
-	t := time.NewTicker(Interval)
+	t := time.NewTicker(tick)
 	defer t.Stop()
 	var beating sync.WaitGroup
 	defer beating.Wait()
 	for {
-		for _, v := range h.plans.Plan().VMs {
-			if v.Name != h.self && h.begin(v.Name) {
-				beating.Go(func() { h.beat(ctx, v) })
-			}
+		for _, v := range h.due() {
+			beating.Go(func() { h.beat(ctx, v) })
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-h.wake:
 		}
 	}
 }
 
-// begin marks a heartbeat as under way, so that a stalled VM has at most one.
-func (h *Heart) begin(vm psdoc.Name) bool {
+// Now has a heartbeat sent to all targets at once.
+func (h *Heart) Now() {
+	h.mutex.Lock()
+	h.urgent = true
+	h.mutex.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// due picks the VMs that are due for a heartbeat and marks them, so that a stalled VM has
+// at most one under way.
+func (h *Heart) due() []*psplan.VM {
+	p := h.plans.Plan()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.pending[vm] {
-		return false
+	if p != h.plan {
+		h.plan, h.targets = p, newTargets(p, h.self)
+	}
+	interval := h.targets.interval()
+	if h.urgent {
+		interval = 0
+	}
+	h.urgent = false
+	now := time.Now()
+	var out []*psplan.VM
+	pick := func(v *psplan.VM) {
+		if !h.pending[v.Name] && now.Sub(h.heard[v.Name]) >= interval && now.Sub(h.sent[v.Name]) >= interval {
+			h.pending[v.Name], h.sent[v.Name] = true, now
+			out = append(out, v)
+		}
+	}
+	for _, v := range h.targets.near {
+		pick(v)
 	}
-	h.pending[vm] = true
-	return true
+	for _, vms := range h.targets.far {
+		pick(h.preferred(vms, now))
+	}
+	return out
+}
+
+// preferred returns the first VM that is not silent. Where all are, each is tried in turn.
+// The mutex is held.
+func (h *Heart) preferred(vms []*psplan.VM, now time.Time) *psplan.VM {
+	interval := h.targets.interval()
+	oldest := vms[0]
+	for _, v := range vms {
+		waiting := now.Sub(h.sent[v.Name]) < interval
+		if waiting || now.Sub(h.heard[v.Name]) < silentIntervals*interval {
+			return v
+		}
+		if h.sent[v.Name].Before(h.sent[oldest.Name]) {
+			oldest = v
+		}
+	}
+	return oldest
 }
 
 func (h *Heart) beat(ctx context.Context, v *psplan.VM) {
@@ -152,7 +216,8 @@
 
 func (h *Heart) consume(from psdoc.Name, b beat) {
 	h.mutex.Lock()
-	h.heard[from] = time.Now()
+	h.last = time.Now()
+	h.heard[from] = h.last
 	h.mutex.Unlock()
 	for _, s := range h.list() {
 		if data, found := b.Sections[s.Name()]; found {
@@ -167,3 +232,10 @@
 	defer h.mutex.Unlock()
 	return h.heard[vm]
 }
+
+// LastHeard returns when any VM was last heard of; the zero time says never.
+func (h *Heart) LastHeard() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.last
+}
--- a/internal/process/psvm/claim.go
+++ b/internal/process/psvm/claim.go
@@ -23,6 +23,7 @@
 	c := psclaim.New(psclaim.Options{
 		VM:          o.Settings.Name,
 		Incarnation: string(do.MustInvoke[psmember.Incarnation](i)),
+		Members:     do.MustInvoke[*psmember.View](i),
 		Platform:    do.MustInvoke[*psplatform.Guard](i),
 		Observe:     m.observe,
 		Logger:      o.Logger,
--- a/internal/process/psvm/confirm.go
+++ b/internal/process/psvm/confirm.go
@@ -12,6 +12,8 @@
 
 const (
 	topicVersion = "version"
+	// learnWait bounds the wait for a version before a VM answers that it does not have it.
+	learnWait = 250 * time.Millisecond
 	// learnInterval is the time between two looks at the own version.
 	learnInterval = 10 * time.Millisecond
 )
@@ -22,16 +24,18 @@
 	fanout   *psfanout.Fanout
 }
 
-func newConfirmer(f *psversion.Follower, o *psfanout.Fanout) *confirmer {
-	o.Handle(topicVersion, func(_ context.Context, _ psdoc.Name, params json.RawMessage) bool {
+func newConfirmer(self psdoc.Name, f *psversion.Follower, o *psfanout.Fanout) *confirmer {
+	o.Handle(topicVersion, func(ctx context.Context, from psdoc.Name, params json.RawMessage) bool {
 		var version uint64
 		if json.Unmarshal(params, &version) != nil {
 			return false
 		}
-		if version > f.Plan().Version {
-			f.Learn(version)
+		if from == self {
+			from = ""
 		}
-		return f.Plan().Version >= version
+		ctx, cancel := context.WithTimeout(ctx, learnWait)
+		defer cancel()
+		return awaitVersion(ctx, f, version, from)
 	})
 	return &confirmer{follower: f, fanout: o}
 }
@@ -39,7 +43,7 @@
 // Confirm waits until all VMs of the plan have the version or the context ends.
 func (c *confirmer) Confirm(ctx context.Context, version uint64) (confirmed, missing []psdoc.Name) {
 	// The plan of the version itself lists the VMs that are to confirm it.
-	c.awaitOwn(ctx, version)
+	awaitVersion(ctx, c.follower, version, "")
 	confirmed, missing, err := c.fanout.Ask(ctx, topicVersion, version)
 	if err != nil {
 		panic("psvm: " + err.Error())
@@ -47,15 +51,20 @@
 	return confirmed, missing
 }
 
-func (c *confirmer) awaitOwn(ctx context.Context, version uint64) {
+// awaitVersion has the follower fetch a version and reports whether it came into force
+// before the context ended.
+func awaitVersion(ctx context.Context, f *psversion.Follower, version uint64, from psdoc.Name) bool {
 	t := time.NewTicker(learnInterval)
 	defer t.Stop()
-	for c.follower.Plan().Version < version {
-		c.follower.Learn(version)
+	if f.Plan().Version < version {
+		f.LearnFrom(version, from)
+	}
+	for f.Plan().Version < version {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-t.C:
 		}
 	}
+	return true
 }
--- a/internal/process/psvm/connection.go
+++ b/internal/process/psvm/connection.go
@@ -12,7 +12,6 @@
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psplatform"
-	"persimmonstep/internal/process/pswithdrawal"
 	"persimmonstep/internal/version/psplan"
 	"persimmonstep/internal/version/psversion"
 )
@@ -38,12 +37,7 @@
 		l.clean(clean)
 		return h, nil
 	})
-	do.Provide(i, func(i do.Injector) (*psheartbeat.Heart, error) {
-		h := psheartbeat.New(self, do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*pspeer.Hub](i))
-		h.Add(do.MustInvoke[*pswithdrawal.Spreader](i))
-		l.task(h.Run)
-		return h, nil
-	})
+	do.Provide(i, func(i do.Injector) (*psheartbeat.Heart, error) { return newHeart(i, self, l), nil })
 }
 
 // retainInterval is the time between two looks for backend servers that left the plan.
--- a/internal/process/psvm/state.go
+++ b/internal/process/psvm/state.go
@@ -11,7 +11,6 @@
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/process/pswithdrawal"
 	"persimmonstep/internal/request/psgate"
-	"persimmonstep/internal/version/psplan"
 	"persimmonstep/internal/version/psversion"
 )
 
@@ -38,23 +37,22 @@
 		l.task(s.Run)
 		return s, nil
 	})
-	do.Provide(i, func(do.Injector) (*psmember.View, error) {
-		v := &psmember.View{}
-		l.onLeave(func() { v.SetLeaving(self) })
-		return v, nil
+	do.Provide(i, func(i do.Injector) (*psmember.View, error) {
+		return &psmember.View{
+			Self: self, Incarnation: do.MustInvoke[psmember.Incarnation](i),
+			Plans: do.MustInvoke[*psversion.Follower](i), Now: time.Now,
+		}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*psversion.Store, error) {
 		return &psversion.Store{Platform: do.MustInvoke[*psplatform.Guard](i), Now: time.Now}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*psversion.Follower, error) {
 		f := psversion.NewFollower(do.MustInvoke[*psversion.Store](i), o.Logger)
-		size := do.MustInvoke[*fleetSize](i)
-		f.OnInstall(func(p *psplan.Plan) { size.Store(int64(len(p.VMs))) })
 		l.task(f.Run)
 		return f, nil
 	})
 	do.Provide(i, func(i do.Injector) (*confirmer, error) {
-		return newConfirmer(do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*psfanout.Fanout](i)), nil
+		return newConfirmer(self, do.MustInvoke[*psversion.Follower](i), do.MustInvoke[*psfanout.Fanout](i)), nil
 	})
 	do.Provide(i, func(i do.Injector) (psgate.Claims, error) { return newClaims(i, o, l), nil })
 }
