--- a/internal/process/pscredit/bank_test.go
+++ b/internal/process/pscredit/bank_test.go
@@ -134,6 +134,7 @@
 func (unshifted) MayShift(*psplan.Route) bool { return false }
 func (unshifted) Spend(*psplan.Route) bool    { return false }
 func (unshifted) Refund(*psplan.Route)        {}
+func (unshifted) Charge(*psplan.Route, int64) {}
 
 // node is one VM with its bank.
 type node struct {
--- a/internal/process/pspool/dispatcher.go
+++ b/internal/process/pspool/dispatcher.go
@@ -64,12 +64,16 @@
 	Spend(r *psplan.Route) bool
 	// Refund takes a shifted request back that certainly did not run.
 	Refund(r *psplan.Route)
+	// Charge enters bytes that a shifted request moved.
+	Charge(r *psplan.Route, bytes int64)
 }
 
 // Links bounds what crosses the links between regions.
 type Links interface {
 	// MayCross reports whether a request may be sent to another region.
 	MayCross(to *psplan.Region) bool
+	// Charge pays for bytes that crossed the link to a region in either direction.
+	Charge(to *psplan.Region, bytes int64)
 }
 
 // Config is what a dispatcher needs.
@@ -318,11 +322,16 @@
 
 // mayCross reports whether the link from this VM's region to another one has room.
 func (d *Dispatcher) mayCross(to *psplan.Region) bool {
+	return !d.crosses(to) || d.config.Links.MayCross(to)
+}
+
+// crosses reports whether a bounded link may lie between this VM and a region.
+func (d *Dispatcher) crosses(to *psplan.Region) bool {
 	if d.config.Links == nil {
-		return true
+		return false
 	}
 	self, found := d.plan.VM(d.config.Self)
-	return !found || self.Domain.Region.Name == to.Name || d.config.Links.MayCross(to)
+	return found && self.Domain.Region.Name != to.Name
 }
 
 // scale reduces a limit to a part, but never below one slot unless the part is 0.
--- a/internal/process/pspool/fleet_test.go
+++ b/internal/process/pspool/fleet_test.go
@@ -56,6 +56,7 @@
 func (shiftAll) MayShift(*psplan.Route) bool { return true }
 func (shiftAll) Spend(*psplan.Route) bool    { return true }
 func (shiftAll) Refund(*psplan.Route)        {}
+func (shiftAll) Charge(*psplan.Route, int64) {}
 
 // fence is a VM's view of the shares that are gone.
 type fence struct {
--- a/internal/process/pspool/queue_test.go
+++ b/internal/process/pspool/queue_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -225,3 +227,43 @@
 	mood.excluded = false
 	c.Assert(lender.Candidates(p.Routes[0])[0].Limit, qt.Equals, fleetSlots-2)
 }
+
+// counted notes what was charged.
+type counted struct {
+	shiftAll
+	bytes int64
+}
+
+func (c *counted) Charge(_ *psplan.Route, bytes int64) { c.bytes += bytes }
+
+// link is a link that is open and counts.
+type link struct{ bytes int64 }
+
+func (l *link) MayCross(*psplan.Region) bool         { return true }
+func (l *link) Charge(_ *psplan.Region, bytes int64) { l.bytes += bytes }
+
+func TestBodiesCountWhereTheyCrossOrShift(t *testing.T) {
+	c := qt.New(t)
+	p := fleetPlan()
+	south := &psplan.Region{Name: "south"}
+	shifts, links := &counted{}, &link{}
+	d := pspool.NewDispatcher(pspool.Config{
+		Self: "vm-0", Plans: fixed{p}, Health: healthy{}, Fence: &fence{whole: true}, Shifts: shifts, Links: links, Now: time.Now,
+	})
+	d.SetCleared(true)
+	read := func(home *psplan.Region) {
+		s, err := d.Acquire(context.Background(), psroute.Request{Route: p.Routes[0], Domain: p.VMs[0].Domain, Home: home})
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, s.Meter(io.NopCloser(strings.NewReader("12345678"))))
+		c.Assert(err, qt.IsNil)
+	}
+	read(p.Regions[0])
+	c.Assert(shifts.bytes, qt.Equals, int64(0))
+	// The caller's home is elsewhere, though the server stands beside this VM.
+	read(south)
+	c.Assert(shifts.bytes, qt.Equals, int64(8))
+	c.Assert(links.bytes, qt.Equals, int64(0))
+	p.Servers[0].Domain.Region, p.VMs[0].Domain = south, p.VMs[1].Domain
+	read(p.Regions[0])
+	c.Assert(links.bytes, qt.Equals, int64(8))
+}
--- a/internal/process/psvm/slot.go
+++ b/internal/process/psvm/slot.go
@@ -13,6 +13,7 @@
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/request/pskey"
 	"persimmonstep/internal/request/pslink"
+	"persimmonstep/internal/request/psshift"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
 	"persimmonstep/internal/version/psversion"
@@ -35,7 +36,7 @@
 			Plans:  do.MustInvoke[*psversion.Follower](i),
 			Health: do.MustInvoke[*pshealth.Tracker](i),
 			Fence:  slotFence{do.MustInvoke[*psfence.Fence](i)},
-			Shifts: noShifts{},
+			Shifts: do.MustInvoke[*psshift.Caps](i),
 			Links:  do.MustInvoke[*pslink.Meter](i),
 			Now:    time.Now,
 			Hungry: func(pool psdoc.Name) { bank.Hungry(pool) },
@@ -86,18 +87,3 @@
 func (slotFence) Guardian(p *psplan.Plan, vm psdoc.Name) *psplan.VM {
 	return psfence.Guardian(p, vm)
 }
-
-// noShifts keeps every request in its home region.
-type noShifts struct{}
-
-// Count does nothing.
-func (noShifts) Count(*psplan.Route) {}
-
-// MayShift reports false.
-func (noShifts) MayShift(*psplan.Route) bool { return false }
-
-// Spend reports false.
-func (noShifts) Spend(*psplan.Route) bool { return false }
-
-// Refund does nothing.
-func (noShifts) Refund(*psplan.Route) {}
--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -199,6 +199,7 @@
 		// An upload may take any time, but its answer is due once the whole body was read.
 		out.Body = &uploadBody{reader: x.request.Body, consumed: &x.tries.consumed, atEnd: func() { patience.begin(x.route.Deadline) }}
 	}
+	out.Body = slot.Meter(out.Body)
 	result, err := x.gate.Transports.Send(ctx, slot.Server.Address, x.connections(slot.Server), out)
 	o := Observation{Server: slot.Server, Streamed: x.isStreamed(), Duration: time.Since(began), Err: err}
 	var body *pstransport.BodyError
@@ -225,7 +226,7 @@
 		return nil, ending
 	}
 	a := &attempt{response: result.Response, slot: slot, cancel: cancel, unreserve: func() { x.unreserve(slot.Server) }}
-	a.response.Body = &answerBody{ReadCloser: a.response.Body, exchange: x, context: ctx, server: slot.Server}
+	a.response.Body = &answerBody{ReadCloser: slot.Meter(a.response.Body), exchange: x, context: ctx, server: slot.Server}
 	if o.Status == http.StatusServiceUnavailable && o.Header.Get(headerNotRun) != "" {
 		slot.Refund()
 		a.close()
--- a/internal/request/pslink/meter.go
+++ b/internal/request/pslink/meter.go
@@ -8,7 +8,6 @@
 package pslink
 
 import (
-	"io"
 	"sync"
 	"time"
 
@@ -70,33 +69,6 @@
 	}
 }
 
-// Body wraps a body that crosses the link to a region, so that its bytes are paid for as
-// they are read. It returns the body itself where nothing is bounded.
-func (m *Meter) Body(to *psplan.Region, body io.ReadCloser) io.ReadCloser {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if _, found := m.part(to.Name); !found {
-		return body
-	}
-	return &meteredBody{ReadCloser: body, meter: m, to: to}
-}
-
-// meteredBody pays for the bytes that are read.
-type meteredBody struct {
-	io.ReadCloser
-	meter *Meter
-	to    *psplan.Region
-}
-
-// Read reads and pays.
-func (b *meteredBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		b.meter.Charge(b.to, int64(n))
-	}
-	return n, err
-}
-
 // part returns this VM's part of the link to a region, filled up to now. The mutex is held.
 func (m *Meter) part(to psdoc.Name) (*part, bool) {
 	m.refresh()
--- a/internal/request/pslink/meter_test.go
+++ b/internal/request/pslink/meter_test.go
@@ -1,8 +1,6 @@
 package pslink_test
 
 import (
-	"io"
-	"strings"
 	"testing"
 	"time"
 
@@ -84,7 +82,7 @@
 	})
 }
 
-func TestBodiesArePaidForAsTheyAreRead(t *testing.T) {
+func TestDebtIsPaidBeforeMoreCrosses(t *testing.T) {
 	c := qt.New(t)
 	p := plan(t)
 	k := &clock{now: time.Unix(1000, 0)}
@@ -95,8 +93,7 @@
 	k.now = k.now.Add(time.Second)
 	c.Assert(m.MayCross(south), qt.IsTrue)
 	// A quarter of the weight gives 250,000 bytes a second, of which a quarter is saved up.
-	_, err := io.Copy(io.Discard, m.Body(south, io.NopCloser(strings.NewReader(strings.Repeat("x", 100_000)))))
-	c.Assert(err, qt.IsNil)
+	m.Charge(south, 100_000)
 	c.Assert(m.MayCross(south), qt.IsFalse)
 	k.now = k.now.Add(100 * time.Millisecond)
 	c.Assert(m.MayCross(south), qt.IsFalse, qt.Commentf("a debt of 37,500 bytes takes 150 ms"))
