psplan: each VM owns its part of a pool's servers in its domain

Cause: plain rendezvous hashing gave all servers of a small pool to one of two VMs in half of the cases; the other VM had to borrow for every request, and under an overloaded machine a test saw it refuse.

Change: the plan names the owner of each server: the highest hash among the VMs that have room left for their part by weight.

Conclusion: ownership is even, and still moves little when a VM comes or goes.

--- a/internal/process/pscredit/lender.go
+++ b/internal/process/pscredit/lender.go
@@ -21,7 +21,7 @@
 	seen := map[psdoc.Name]bool{self.Name: true}
 	var out []*psplan.VM
 	for _, s := range p.Pool(pool) {
-		v := pspool.Owner(s)
+		v := s.Owner
 		if v == nil || s.Leaving || !h.Regions[s.Domain.Region.Name] || seen[v.Name] {
 			continue
 		}
--- a/internal/process/pshealth/tracker.go
+++ b/internal/process/pshealth/tracker.go
@@ -19,7 +19,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/request/psgate"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
@@ -194,7 +193,7 @@
 			r = newRecord(t.firstPhase(now), now)
 		}
 		r.server = s
-		v := pspool.Owner(s)
+		v := s.Owner
 		r.owned = v != nil && v.Name == t.options.Self
 		t.enter(r)
 		next[s.Name] = r
--- a/internal/process/pspool/queue_test.go
+++ b/internal/process/pspool/queue_test.go
@@ -149,7 +149,7 @@
 	old, next := fleetPlan(), fleetPlan()
 	// The next plan puts server-1 into the domain of vm-0.
 	moved, _ := next.Server("server-1")
-	moved.Domain = next.VMs[0].Domain
+	moved.Domain, moved.Owner = next.VMs[0].Domain, next.VMs[0]
 	plans := &changing{old}
 	f := &fence{whole: true}
 	d := pspool.NewDispatcher(pspool.Config{Self: "vm-0", Plans: plans, Health: healthy{}, Fence: f, Shifts: shiftAll{}, Now: ck.Now})
--- a/internal/process/pspool/server.go
+++ b/internal/process/pspool/server.go
@@ -141,8 +141,8 @@
 // assign takes over a server as the plan in force has it.
 func (d *Dispatcher) assign(t *server, s *psplan.Server) {
 	var owner psdoc.Name
-	if v := Owner(s); v != nil {
-		owner = v.Name
+	if s.Owner != nil {
+		owner = s.Owner.Name
 	}
 	known := t.server != nil
 	if known && owner != t.owner {
--- a/internal/version/psplan/compile.go
+++ b/internal/version/psplan/compile.go
@@ -47,6 +47,7 @@
 			s(d)
 		}
 	}
+	c.assignOwners()
 	slices.SortStableFunc(c.plan.Routes, func(a, b *Route) int {
 		return cmp.Compare(len(b.Prefix), len(a.Prefix))
 	})
--- /dev/null
+++ b/internal/version/psplan/owner.go
@@ -0,0 +1,80 @@
+package psplan
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonstep/internal/version/psdoc"
+)
+
+// group is a pool's servers in one failure domain.
+type group struct {
+	domain psdoc.Name
+	pool   psdoc.Name
+}
+
+// assignOwners gives the slots of each server to one VM of the server's failure domain.
+//
+// Each VM gets its part, by weight, of a pool's servers in the domain, and each server goes
+// to the VM with the highest rendezvous hash that has room left. So a change of VMs or
+// servers moves few of the others, and no VM stands without servers while another has many.
+func (c *compiler) assignOwners() {
+	groups := make(map[group][]*Server)
+	for _, s := range c.plan.Servers {
+		k := group{domain: s.Domain.Name, pool: s.Pool}
+		groups[k] = append(groups[k], s)
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(groups), compareGroups) {
+		assignGroup(groups[k])
+	}
+}
+
+func compareGroups(a, b group) int {
+	return cmp.Or(cmp.Compare(a.domain, b.domain), cmp.Compare(a.pool, b.pool))
+}
+
+func assignGroup(servers []*Server) {
+	vms := servers[0].Domain.VMs
+	weight := 0.0
+	for _, v := range vms {
+		weight += v.Weight
+	}
+	room := make(map[*VM]int, len(vms))
+	for _, v := range vms {
+		room[v] = int(math.Ceil(float64(len(servers)) * v.Weight / weight))
+	}
+	byName := slices.SortedFunc(slices.Values(servers), func(a, b *Server) int { return cmp.Compare(a.Name, b.Name) })
+	for _, s := range byName {
+		s.Owner = bestOwner(s, vms, room)
+		if s.Owner != nil {
+			room[s.Owner]--
+		}
+	}
+}
+
+// bestOwner is the VM with room and the highest rendezvous hash; nil in a domain without VMs.
+func bestOwner(s *Server, vms []*VM, room map[*VM]int) *VM {
+	var best *VM
+	var highest uint64
+	for _, v := range vms {
+		if room[v] <= 0 {
+			continue
+		}
+		if h := rendezvous(v.Name, s.Name); best == nil || h > highest {
+			best, highest = v, h
+		}
+	}
+	return best
+}
+
+func rendezvous(vm, server psdoc.Name) uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(string(vm))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(server))
+	return d.Sum64()
+}
--- a/internal/version/psplan/plan.go
+++ b/internal/version/psplan/plan.go
@@ -91,6 +91,8 @@
 	Pool        psdoc.Name
 	Slots       int
 	Connections int
+	// Owner is the VM to which the server's slots belong; nil in a domain without VMs.
+	Owner *VM
 	// Leaving marks a server that must receive no new work.
 	Leaving bool
 }
