pscredit: one missed answer does not make a request hopeless

Cause: TestBoundOverSockets failed on an overloaded machine (load average 40): a VM that owned no server of the pool met one slow answer, took its only lender for gone and refused 19 of 300 requests at once instead of waiting for a slot.

Change: a VM is taken for gone after two failures in a row; until then requests wait for their bounded time.

Conclusion: slow is not gone.

--- a/internal/process/pscredit/bank.go
+++ b/internal/process/pscredit/bank.go
@@ -31,6 +31,8 @@
 	maxAsked = 8
 	// silentFor is how long a VM that did not answer is not asked again.
 	silentFor = time.Second
+	// goneAfter is after how many failures in a row a VM is taken for gone.
+	goneAfter = 2
 	// maxAskedAtStart bounds the VMs that are asked for loans of an earlier process; in a
 	// larger fleet a started VM waits until all such loans have run out.
 	maxAskedAtStart = 256
@@ -74,7 +76,7 @@
 
 	mutex     sync.Mutex
 	borrowing map[psdoc.Name]bool
-	silent    map[psdoc.Name]time.Time
+	silent    map[psdoc.Name]silence
 	spare     map[spareKey]spareHint
 	epoch     map[psdoc.Name]int
 	offers    map[psdoc.Name]offer
@@ -96,7 +98,7 @@
 		config:    c,
 		hungry:    make(chan psdoc.Name, 64),
 		borrowing: make(map[psdoc.Name]bool),
-		silent:    make(map[psdoc.Name]time.Time),
+		silent:    make(map[psdoc.Name]silence),
 		spare:     make(map[spareKey]spareHint),
 		epoch:     make(map[psdoc.Name]int),
 		offers:    make(map[psdoc.Name]offer),
@@ -161,13 +163,13 @@
 		if h.Want == 0 {
 			return
 		}
-		lenders := b.lenders(pool, h)
+		lenders, hope := b.lenders(pool, h)
 		got := b.round(ctx, pool, h.Want, lenders)
 		if got > 0 && b.config.Dispatcher.Hunger(pool).Want < h.Want {
 			backoff = minBackoff
 			continue
 		}
-		if len(lenders) == 0 {
+		if !hope {
 			b.config.Dispatcher.RefuseHopeless(pool)
 		}
 		select {
@@ -218,6 +220,7 @@
 		b.setSilent(v.Name)
 		return 0
 	}
+	b.setHeard(v.Name)
 	b.setSpare(pool, v.Name, out.Spare)
 	return b.take(v.Name, out.Grants, sent, epoch)
 }
@@ -275,21 +278,31 @@
 	return got
 }
 
+// silence is what is known of a VM that did not answer.
+type silence struct {
+	// at is when it last failed to answer, and failures how often in a row.
+	at       time.Time
+	failures int
+}
+
 func (b *Bank) setSilent(vm psdoc.Name) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.silent[vm] = b.config.Now()
+	b.silent[vm] = silence{at: b.config.Now(), failures: b.silent[vm].failures + 1}
 }
 
-func (b *Bank) isSilent(vm psdoc.Name) bool {
+func (b *Bank) setHeard(vm psdoc.Name) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	at, found := b.silent[vm]
-	if found && b.config.Now().Sub(at) > silentFor {
-		delete(b.silent, vm)
-		return false
-	}
-	return found
+	delete(b.silent, vm)
+}
+
+// isSilent reports whether a VM should not be asked now, and whether it is probably gone.
+func (b *Bank) isSilent(vm psdoc.Name) (silent, gone bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	s, found := b.silent[vm]
+	return found && b.config.Now().Sub(s.at) <= silentFor, s.failures >= goneAfter
 }
 
 func peerOf(v *psplan.VM) pspeer.Peer {
