pspeer: calls wait for a dial only as long as they may

A call that needed a connection held the link's lock through the dial and the handshake. A loan that may wait a few milliseconds was held for up to a second behind the dial of a VM behind a partition, and the request that needed it as well. The dial now runs by itself, once for all calls, and each call waits for it within its own context; its failure starts the pause as before. A hub that is closed during a dial closes the connection when it comes. TestShortCallsDoNotWaitForADial dials an end that never answers the handshake: calls with 10 ms end before that dial does.

--- a/internal/connection/pspeer/link.go
+++ b/internal/connection/pspeer/link.go
@@ -28,44 +28,81 @@
 	mutex sync.Mutex
 	conn  *jsonrpc2.Conn
 	raw   *watched
+	// dialing is closed when the dial under way is over; nil while there is none.
+	dialing chan struct{}
 	// failures counts the dials that failed since the last success.
 	failures int
 	// retryAt is when the next dial may begin, and failure why the last one failed.
 	retryAt time.Time
 	failure error
+	closed  bool
 }
 
-// connect returns the open connection or dials one, unless the last dial failed just now.
+// connect returns the open connection or waits for a dial, unless the last one failed just
+// now. All calls wait for the same dial, each for as long as its own context allows.
 func (l *link) connect(ctx context.Context, h *Hub, to Peer) (*jsonrpc2.Conn, error) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.conn != nil {
+	for {
+		c, dialing, err := l.current(h, to)
+		if c != nil || err != nil {
+			return c, err
+		}
 		select {
-		case <-l.conn.DisconnectNotify():
-		default:
-			return l.conn, nil
+		case <-dialing:
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		}
 	}
-	if l.failure != nil && time.Now().Before(l.retryAt) {
-		return nil, l.failure
+}
+
+// current returns the open connection, the dial under way, or why there is neither.
+func (l *link) current(h *Hub, to Peer) (*jsonrpc2.Conn, <-chan struct{}, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch {
+	case l.closed:
+		return nil, nil, jsonrpc2.ErrClosed
+	case l.isOpen():
+		return l.conn, nil, nil
+	case l.dialing != nil:
+		return nil, l.dialing, nil
+	case l.failure != nil && time.Now().Before(l.retryAt):
+		return nil, nil, l.failure
 	}
-	c, raw, err := h.dial(ctx, to)
-	if err != nil {
-		l.fail(ctx, err)
-		return nil, err
+	l.dialing = make(chan struct{})
+	go l.dial(h, to)
+	return nil, l.dialing, nil
+}
+
+// isOpen reports whether the connection can be used. The mutex is held.
+func (l *link) isOpen() bool {
+	if l.conn == nil {
+		return false
+	}
+	select {
+	case <-l.conn.DisconnectNotify():
+		return false
+	default:
+		return true
 	}
-	l.conn, l.raw, l.failures, l.failure = c, raw, 0, nil
-	return c, nil
 }
 
-// fail notes a failed dial. One that its caller gave up says nothing about the VM.
-func (l *link) fail(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
+// dial makes the connection and wakes those that wait for it.
+func (l *link) dial(h *Hub, to Peer) {
+	c, raw, err := h.dial(h.base, to)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	close(l.dialing)
+	l.dialing = nil
+	switch {
+	case err != nil:
+		l.failure = err
+		l.retryAt = time.Now().Add(backoff(l.failures))
+		l.failures++
+	case l.closed:
+		_ = c.Close()
+	default:
+		l.conn, l.raw, l.failures, l.failure = c, raw, 0, nil
 	}
-	l.failure = err
-	l.retryAt = time.Now().Add(backoff(l.failures))
-	l.failures++
 }
 
 // backoff is the pause after the n-th failure in a row, counted from 0: it doubles up to its
@@ -143,6 +180,7 @@
 func (l *link) close() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.closed = true
 	if l.conn != nil {
 		_ = l.conn.Close()
 	}
--- a/internal/connection/pstls/pstls_test.go
+++ b/internal/connection/pstls/pstls_test.go
@@ -85,6 +85,28 @@
 	}
 }
 
+func TestShortCallsDoNotWaitForADial(t *testing.T) {
+	// The other end takes connections and never answers the handshake.
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	h := newHub(t, "a", pstls.Peers{Source: issue(t, authority(t), "a")})
+	to := pspeer.Peer{Name: "b", Address: netip.MustParseAddrPort(l.Addr().String())}
+	patient := make(chan error, 1)
+	go func() { patient <- h.Call(t.Context(), to, "who", 1, nil) }()
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		qt.Check(t, h.Call(ctx, to, "who", 1, nil), qt.ErrorIs, context.DeadlineExceeded)
+		cancel()
+	}
+	select {
+	case <-patient:
+		t.Error("the handshake was given up before the short calls were")
+	default:
+	}
+	qt.Assert(t, <-patient, qt.ErrorMatches, "reach VM b: secure the link: .*")
+}
+
 func TestPeerPortWantsACertificate(t *testing.T) {
 	a := authority(t)
 	to := serve(t, newHub(t, "b", pstls.Peers{Source: issue(t, a, "b")}), "b")
