pstransport: the cause of a failed upload is known before its connection closes

When a caller's body failed, the writer closed the connection first and then said that it was over; the reader of the answer could see the closed connection before it could see why, and blamed the server for what the caller did. TestFailureOfTheCallersBodyIsReported failed so once under load. The cause is now set, then published, then the connection closes.

--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -115,7 +115,6 @@
 
 // write writes the request.
 func (e *exchange) write() {
-	defer close(e.written)
 	defer closeBody(e.request)
 	w := e.conn.writer
 	w.Reset(connWriter{e})
@@ -123,13 +122,16 @@
 	if err == nil {
 		err = w.Flush()
 	}
-	if e.failure != nil {
+	e.callerFailed = e.failure != nil
+	if !e.callerFailed {
+		e.failure = err
+	}
+	// The reader of the answer looks for the cause once the connection is closed.
+	close(e.written)
+	if e.callerFailed {
 		// Half a request must not look like one that the server is slow to answer.
-		e.callerFailed = true
 		e.conn.discard()
-		return
 	}
-	e.failure = err
 }
 
 // connWriter passes the request to the connection and notes that it did.
