psgate: an upload that was not read to its end closes its connection

Cause: runs of psvm's fault tables logged "invalid concurrent Body.Read call" panics of the HTTP server: with full duplex it reads the rest of the body after the handler, which starts its background read too late to be stopped before the next request is awaited.

Change: an answer that begins before the upload's end, and a refusal of an upload that was not read to its end, close the caller's HTTP/1 connection. Tests bound each request by 30 s, so that none hangs (TestUploadStreamsBothWays held a run for ten minutes).

The new test fails without the change.

Conclusion: a full-duplex body must be read to its end or end its connection.

--- a/internal/process/psdev/caller_test.go
+++ b/internal/process/psdev/caller_test.go
@@ -27,6 +27,9 @@
 // routeDeadline bounds the runs on the routes of these tests.
 const routeDeadline = "700ms"
 
+// requestTimeout bounds each request of a test, so that none hangs.
+const requestTimeout = 30 * time.Second
+
 // backend is a backend server that answers as a test wants, in one slot.
 type backend struct {
 	system *psdev.System
@@ -107,7 +110,9 @@
 
 func (b *backend) request(t *testing.T, method, path string, body io.Reader) *http.Request {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+b.system.Ready.Callers[0].String()+b.path+path, body)
+	ctx, cancel := context.WithTimeout(t.Context(), requestTimeout)
+	t.Cleanup(cancel)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+b.system.Ready.Callers[0].String()+b.path+path, body)
 	qt.Assert(t, err, qt.IsNil)
 	r.Header.Set("Authorization", "Bearer "+b.system.Ready.Workspaces[0].Key)
 	return r
@@ -255,6 +260,27 @@
 	}
 }
 
+// TestUploadThatIsAnsweredEarlyEndsItsConnection covers a panic of the HTTP server, which read
+// the rest of a full-duplex body after the handler.
+func TestUploadThatIsAnsweredEarlyEndsItsConnection(t *testing.T) {
+	t.Parallel()
+	s := start(t)
+	b := attach(t, s, "early", "upload", func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	reader, writer := io.Pipe()
+	defer writer.Close() //nolint:errcheck // ends the upload
+	a, err := clients(t)["HTTP/1.1"].Do(b.request(t, "POST", "x", reader))
+	qt.Assert(t, err, qt.IsNil)
+	defer a.Body.Close() //nolint:errcheck // the body was read
+	text, err := io.ReadAll(a.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(text), qt.Equals, "ok")
+	qt.Assert(t, a.Close, qt.IsTrue)
+}
+
 // stalls brings some bytes and then nothing until the test ends.
 type stalls struct {
 	first io.Reader
--- a/internal/request/psgate/upload.go
+++ b/internal/request/psgate/upload.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithCancelCause(x.request.Context())
 	defer cancel(nil)
 	u := newUpload(x.request.Body, x.route.Deadline, cancel)
-	defer u.finish(x.controller)
+	defer x.endUpload(u)
 	x.request.Body = u
 	// Answers may begin before the upload ends; HTTP/2 needs no permission for that.
 	_ = x.controller.EnableFullDuplex()
@@ -72,6 +72,7 @@
 	if x.request.ContentLength == 0 || u.isEnded() {
 		return x.relay(ctx, a)
 	}
+	x.closeAfter()
 	x.writeHeader(a.response)
 	_ = x.controller.Flush()
 	x.copyRest(a.response.Body)
@@ -79,6 +80,24 @@
 	return false, nil
 }
 
+// endUpload ends the reading of the body. A connection on which some of it is left is not
+// used again.
+func (x *exchange) endUpload(u *upload) {
+	u.finish(x.controller)
+	if !u.isEnded() {
+		x.closeAfter()
+	}
+}
+
+// closeAfter closes the caller's HTTP/1 connection after the answer, unless its header has
+// been written. The HTTP server would otherwise read the rest of a full-duplex body after the
+// handler and then panic, because it starts its background read too late to stop it.
+func (x *exchange) closeAfter() {
+	if x.request.ProtoMajor == 1 {
+		x.writer.Header().Set("Connection", "close")
+	}
+}
+
 // stall ends the exchange and names the side that was waited for.
 func (u *upload) stall() {
 	u.mutex.Lock()
