psseed: property tests draw the same cases in every run

Change: packages with property tests fix rapid's seed; the command line's goes before it.

Conclusion: one verdict for one tree. Long searches with other seeds are run by hand, such as `go test ./internal/process/pspool -rapid.checks=60000 -rapid.seed=7`.

--- /dev/null
+++ b/internal/process/psbudget/seed_test.go
@@ -0,0 +1,7 @@
+package psbudget
+
+import "persimmonstep/internal/process/psseed"
+
+func init() {
+	psseed.Fix()
+}
--- /dev/null
+++ b/internal/process/psfence/seed_test.go
@@ -0,0 +1,7 @@
+package psfence
+
+import "persimmonstep/internal/process/psseed"
+
+func init() {
+	psseed.Fix()
+}
--- /dev/null
+++ b/internal/process/pshealth/seed_test.go
@@ -0,0 +1,7 @@
+package pshealth
+
+import "persimmonstep/internal/process/psseed"
+
+func init() {
+	psseed.Fix()
+}
--- /dev/null
+++ b/internal/process/psquarantine/seed_test.go
@@ -0,0 +1,7 @@
+package psquarantine
+
+import "persimmonstep/internal/process/psseed"
+
+func init() {
+	psseed.Fix()
+}
--- /dev/null
+++ b/internal/request/pskey/seed_test.go
@@ -0,0 +1,7 @@
+package pskey_test
+
+import "persimmonstep/internal/process/psseed"
+
+func init() {
+	psseed.Fix()
+}
--- /dev/null
+++ b/internal/request/pslink/seed_test.go
@@ -0,0 +1,7 @@
+package pslink_test
+
+import "persimmonstep/internal/process/psseed"
+
+func init() {
+	psseed.Fix()
+}
--- /dev/null
+++ b/internal/version/psblock/seed_test.go
@@ -0,0 +1,7 @@
+package psblock_test
+
+import "persimmonstep/internal/process/psseed"
+
+func init() {
+	psseed.Fix()
+}
--- /dev/null
+++ b/internal/version/psversion/seed_test.go
@@ -0,0 +1,7 @@
+package psversion_test
+
+import "persimmonstep/internal/process/psseed"
+
+func init() {
+	psseed.Fix()
+}
