psgate: what a VM serves while its domain is cut off

Cause: whenCutOff and keyGrace were read from the documents and used by nobody; a VM that heard nobody, or had just started, trusted keys that were withdrawn. Change: psmember counts the silence of a whole failure domain: the last answer of the platform or heartbeat of another domain, at any of its VMs. Routes with keys wait until the withdrawn keys were loaded from the table or a peer; Ready does too. Only reports at first hand are relayed, so that their ages cannot drift.

--- a/internal/process/psmember/view.go
+++ b/internal/process/psmember/view.go
@@ -44,15 +44,25 @@
 	Plans Plans
 	// Now gives the time with a monotonic reading.
 	Now func() time.Time
+	// Heard returns when the platform last answered this VM; nil never says so.
+	Heard func() time.Time
 
-	mutex sync.Mutex
-	began time.Time
+	mutex   sync.Mutex
+	started time.Time
+	began   time.Time
 	// alive holds the last sign of life of each VM.
 	alive map[psdoc.Name]time.Time
 	// leaving holds when each VM last said that it leaves.
 	leaving      map[psdoc.Name]time.Time
 	incarnations map[psdoc.Name]Incarnation
-	domains      map[psdoc.Name]domainReport
+	// domains holds the latest report on each other domain, and direct the latest that came
+	// from a VM of that domain. Only direct ones are relayed, so that ages cannot drift.
+	domains map[psdoc.Name]domainReport
+	direct  map[psdoc.Name]domainReport
+	// outside is when a VM of another domain was last heard of, and relayed when a VM of the
+	// own domain last had contact, by its word.
+	outside time.Time
+	relayed time.Time
 	// turn is the domain after which the next relayed reports begin.
 	turn    int
 	selfOut bool
@@ -62,10 +72,13 @@
 
 // report is a heartbeat's section.
 type report struct {
-	Incarnation Incarnation    `json:"i"`
-	Leaving     bool           `json:"l,omitempty"`
-	Own         domainReport   `json:"o"`
-	Others      []domainReport `json:"x,omitempty"`
+	Incarnation Incarnation `json:"i"`
+	Leaving     bool        `json:"l,omitempty"`
+	// ContactMillis is the time since the sender itself last heard the platform or a VM of
+	// another domain, in milliseconds; nil says never.
+	ContactMillis *int64         `json:"c,omitempty"`
+	Own           domainReport   `json:"o"`
+	Others        []domainReport `json:"x,omitempty"`
 }
 
 // domainReport tells which VMs of a domain are silent or leaving. All others are well.
@@ -133,6 +146,33 @@
 	return true
 }
 
+// Silence returns for how long nobody of this VM's failure domain has heard the platform or
+// a VM of another domain, as far as this VM knows. What is heard inside the domain does not
+// count, because the domain may be cut off as a whole; where the plan has no other domain,
+// only the platform counts.
+func (v *View) Silence() time.Duration {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.prepare()
+	return v.Now().Sub(latest(v.started, latest(v.ownContact(), v.relayed)))
+}
+
+// ownContact returns when this VM itself last heard the platform or another domain. The
+// mutex is held.
+func (v *View) ownContact() time.Time {
+	if v.Heard == nil {
+		return v.outside
+	}
+	return latest(v.outside, v.Heard())
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // prepare makes the maps and follows the plan. The mutex is held.
 func (v *View) prepare() {
 	if v.alive == nil {
@@ -140,7 +180,8 @@
 		v.leaving = make(map[psdoc.Name]time.Time)
 		v.incarnations = make(map[psdoc.Name]Incarnation)
 		v.domains = make(map[psdoc.Name]domainReport)
-		v.began = v.Now()
+		v.direct = make(map[psdoc.Name]domainReport)
+		v.started = v.Now()
 	}
 	if p := v.Plans.Plan(); p != v.plan {
 		v.plan, v.period = p, psheartbeat.Period(p, v.Self)
@@ -180,6 +221,9 @@
 	v.prepare()
 	now := v.Now()
 	out := report{Incarnation: v.Incarnation, Leaving: v.selfOut}
+	if at := v.ownContact(); !at.IsZero() {
+		out.ContactMillis = lo.ToPtr(now.Sub(at).Milliseconds() + 1)
+	}
 	own, found := v.plan.VM(v.Self)
 	if found {
 		out.Own.Domain = own.Domain.Name
@@ -188,7 +232,7 @@
 				out.Own.add(o.Name, v.isSilent(o.Name, now), v.isLeaving(o.Name, now))
 			}
 		}
-		out.Others = v.relayed(own.Domain.Name, now)
+		out.Others = v.relay(own.Domain.Name, now)
 	}
 	data, err := json.Marshal(out)
 	if err != nil {
@@ -206,15 +250,15 @@
 	}
 }
 
-// relayed returns the next reports on other domains in turn. The mutex is held.
-func (v *View) relayed(own psdoc.Name, now time.Time) []domainReport {
+// relay returns the next reports on other domains in turn. The mutex is held.
+func (v *View) relay(own psdoc.Name, now time.Time) []domainReport {
 	var out []domainReport
 	for range v.plan.Domains {
 		if len(out) == maxRelayed {
 			break
 		}
 		v.turn = (v.turn + 1) % len(v.plan.Domains)
-		r, found := v.domains[v.plan.Domains[v.turn].Name]
+		r, found := v.direct[v.plan.Domains[v.turn].Name]
 		if age := now.Sub(r.at); found && r.Domain != own && age < silentPeriods*v.period {
 			r.AgeMillis = age.Milliseconds()
 			out = append(out, r)
@@ -247,9 +291,16 @@
 	if !found {
 		return
 	}
-	// A VM of the own domain is known at first hand.
-	if in.Own.Domain == sender.Domain.Name && sender.Domain != own.Domain {
-		v.merge(in.Own, now)
+	switch {
+	case sender.Domain != own.Domain:
+		v.outside = now
+		if in.Own.Domain == sender.Domain.Name {
+			v.merge(in.Own, now)
+			v.direct[in.Own.Domain] = v.domains[in.Own.Domain]
+		}
+	case in.ContactMillis != nil:
+		at := now.Add(-time.Duration(max(0, *in.ContactMillis)) * time.Millisecond)
+		v.relayed = latest(v.relayed, at)
 	}
 	for _, r := range in.Others {
 		if r.Domain != own.Domain.Name {
--- a/internal/process/psmember/view_test.go
+++ b/internal/process/psmember/view_test.go
@@ -133,3 +133,23 @@
 	f.beat(time.Second, pairs[:3]...)
 	c.Assert(firsts()[1:], qt.DeepEquals, []bool{true, false})
 }
+
+// TestSilenceCountsTheWholeDomain cuts domain a off while its VMs go on hearing each other.
+func TestSilenceCountsTheWholeDomain(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a", "b")
+	platform := f.now
+	f.views["a3"].Heard = func() time.Time { return platform }
+	f.beat(10*time.Second, pairs...)
+	// a2 itself hears its own domain alone, and has contact through a1.
+	c.Assert(f.views["a2"].Silence() < time.Second, qt.IsTrue, qt.Commentf("%v", f.views["a2"].Silence()))
+	f.beat(20*time.Second, pairs[:3]...)
+	for _, vm := range []psdoc.Name{"a1", "a2", "a3"} {
+		silence := f.views[vm].Silence()
+		c.Assert(silence >= 20*time.Second && silence < 21*time.Second, qt.IsTrue, qt.Commentf("%s: %v", vm, silence))
+	}
+	// One VM reaches the platform again.
+	platform = f.now
+	f.beat(time.Second, pairs[:3]...)
+	c.Assert(f.views["a2"].Silence() <= time.Second+10*time.Millisecond, qt.IsTrue)
+}
--- a/internal/process/psvm/provide.go
+++ b/internal/process/psvm/provide.go
@@ -57,6 +57,7 @@
 		Observer:    do.MustInvoke[*pshealth.Tracker](i),
 		Retries:     &psretry.Budget{},
 		Quarantine:  do.MustInvoke[*psquarantine.Set](i),
+		Contact:     contact{do.MustInvoke[*psmember.View](i), do.MustInvoke[*pswithdrawal.Spreader](i)},
 		Homes:       psdirectory.BlockLocator{Self: o.Settings.Name},
 		Transports:  do.MustInvoke[*pstransport.Transports](i),
 		Directory:   do.MustInvoke[*psdirectory.Directory](i),
--- a/internal/process/psvm/state.go
+++ b/internal/process/psvm/state.go
@@ -41,6 +41,7 @@
 		return &psmember.View{
 			Self: self, Incarnation: do.MustInvoke[psmember.Incarnation](i),
 			Plans: do.MustInvoke[*psversion.Follower](i), Now: time.Now,
+			Heard: do.MustInvoke[*psplatform.Guard](i).Heard,
 		}, nil
 	})
 	do.Provide(i, func(i do.Injector) (*psversion.Store, error) {
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -59,6 +59,7 @@
 	follower *psversion.Follower
 	slots    *pspool.Dispatcher
 	book     *psbudget.Book
+	contact  psgate.Contact
 	leaving  atomic.Bool
 	callers  *http.Server
 	operator *http.Server
@@ -88,7 +89,7 @@
 		life.cleanUp()
 		return nil, nil, err
 	}
-	v := &VM{options: o, follower: parts.follower, slots: parts.slots, book: parts.book, life: life, cancel: cancel}
+	v := &VM{options: o, follower: parts.follower, slots: parts.slots, book: parts.book, contact: parts.gate.Contact, life: life, cancel: cancel}
 	v.callers = newCallerServer(v.closeWhenLeaving(parts.gate))
 	v.operator = newServer(parts.admin.Handler())
 	v.start(ctx, parts, secure)
@@ -163,10 +164,10 @@
 	psevent.Stopped.Log(o.Logger, o.Settings.Name, left)
 }
 
-// Ready reports whether the VM has a configuration and may use its own slots and its share
+// Ready reports whether the VM has a configuration, knows the withdrawn keys, and may use its own slots and its share
 // of the budgets.
 func (v *VM) Ready() bool {
-	return v.Version() > 0 && v.book.Ready() && !v.slots.Blocked(v.options.Settings.Name)
+	return v.Version() > 0 && v.contact.Informed() && v.book.Ready() && !v.slots.Blocked(v.options.Settings.Name)
 }
 
 // Version returns the configuration version in force.
--- a/internal/request/psgate/exchange.go
+++ b/internal/request/psgate/exchange.go
@@ -63,7 +63,7 @@
 
 // run takes the request through its steps.
 func (x *exchange) run() error {
-	steps := []func() error{x.match, x.authenticate, x.spend, x.readBody}
+	steps := []func() error{x.match, x.checkContact, x.authenticate, x.spend, x.readBody}
 	for _, s := range steps {
 		if err := s(); err != nil {
 			return err
--- a/internal/request/psgate/gate.go
+++ b/internal/request/psgate/gate.go
@@ -115,11 +115,13 @@
 	Observer    Observer
 	Retries     *psretry.Budget
 	Quarantine  Quarantine
-	Homes       Homes
-	Transports  *pstransport.Transports
-	Directory   http.Handler
-	Metrics     Metrics
-	Logger      hclog.Logger
+	// Contact tells whether the VM is cut off; nil never is.
+	Contact    Contact
+	Homes      Homes
+	Transports *pstransport.Transports
+	Directory  http.Handler
+	Metrics    Metrics
+	Logger     hclog.Logger
 }
 
 // ServeHTTP answers one request.
