psbackend: a crash does not wait for itself

Cause: end held the mutex while http.Server.Close waited for the accepting goroutine, which takes the same mutex in the connection's state hook. A crash that met a new connection hung for ever; twice the whole of psvm's tests hung on it (goroutines in Server.Stats and Server.track) until their timeout. Change: the mutex is let go while the server closes.

--- a/internal/process/psbackend/server.go
+++ b/internal/process/psbackend/server.go
@@ -86,20 +86,24 @@
 	s.working.Go(func() { _ = v.server.Serve(l) })
 }
 
-// end cuts all connections and stops listening. The mutex is held.
+// end cuts all connections and stops listening. The mutex is held, but let go meanwhile:
+// closing waits for the accepting goroutine, which takes it for each new connection.
 func (s *Server) end() {
 	if s.life == nil {
 		return
 	}
-	close(s.life.ended)
+	v := s.life
+	s.life = nil
+	close(v.ended)
+	s.mutex.Unlock()
 	// A closed listener and connections are all that is wanted, so errors don't matter.
-	_ = s.life.server.Close()
+	_ = v.server.Close()
+	s.mutex.Lock()
 	for c := range s.connections {
 		_ = c.Close()
 	}
 	clear(s.connections)
 	s.stats.Connections = 0
-	s.life = nil
 }
 
 func (s *Server) track(c net.Conn, state http.ConnState) {
