--- a/internal/process/psmetric/metric.go
+++ b/internal/process/psmetric/metric.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"persimmonstep/internal/request/psproblem"
 	"persimmonstep/internal/version/psdoc"
 )
 
@@ -19,6 +20,8 @@
 
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
+	refusals *prometheus.CounterVec
+	broken   *prometheus.CounterVec
 }
 
 // New returns the metrics of a VM.
@@ -32,8 +35,14 @@
 			Namespace: namespace, Name: "request_duration_seconds", Help: "Time from a request's first step to the end of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
 		}, []string{"route"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "refusals_total", Help: "Refused requests by code and by whether they ran.",
+		}, []string{"code", "ran"}),
+		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "broken_answers_total", Help: "Answers that broke off after the caller saw a part of them.",
+		}, []string{"route"}),
 	}
-	m.Registry.MustRegister(m.requests, m.duration)
+	m.Registry.MustRegister(m.requests, m.duration, m.refusals, m.broken)
 	return m
 }
 
@@ -42,3 +51,13 @@
 	m.requests.WithLabelValues(string(route), string(workspace), strconv.Itoa(status)).Inc()
 	m.duration.WithLabelValues(string(route)).Observe(took.Seconds())
 }
+
+// Refused counts a refusal by its code and by whether the request ran.
+func (m *Metrics) Refused(code string, ran psproblem.Ran) {
+	m.refusals.WithLabelValues(code, string(ran)).Inc()
+}
+
+// BrokenOff counts an answer that broke off after the caller saw a part of it.
+func (m *Metrics) BrokenOff(route psdoc.Name) {
+	m.broken.WithLabelValues(string(route)).Inc()
+}
--- a/internal/request/psgate/gate.go
+++ b/internal/request/psgate/gate.go
@@ -102,6 +102,10 @@
 type Metrics interface {
 	// Answered counts an answered or refused request.
 	Answered(route, workspace psdoc.Name, status int, took time.Duration)
+	// Refused counts a refusal by its code and by whether the request ran.
+	Refused(code string, ran psproblem.Ran)
+	// BrokenOff counts an answer that broke off after the caller saw a part of it.
+	BrokenOff(route psdoc.Name)
 }
 
 // Gate is the handler for callers.
@@ -149,6 +153,7 @@
 	psevent.Answered.Log(g.Logger, x.id, x.status, took)
 	if x.broken {
 		psevent.BrokenOff.Log(g.Logger, x.id, workspace, route)
+		g.Metrics.BrokenOff(route)
 		// The server resets the stream or closes the connection without an end of the body.
 		panic(http.ErrAbortHandler)
 	}
@@ -170,6 +175,7 @@
 	}
 	x.status = p.Status
 	x.allowWrite(callerTimeout)
+	x.gate.Metrics.Refused(p.Code, p.Ran)
 	psevent.Refused.Log(x.gate.Logger, x.id, x.workspaceName(), x.routeName(), p.Code, string(p.Ran))
 	p.Write(x.writer)
 }
