pspool: every server keeps at least one retained slot; dev waits for whole shares

Cause: requests to a server with one slot were refused (503 noServer) in the first moments of a system and would be in a domain that is cut off: half of one slot was rounded to none.

Change: the retained part is rounded up; `dev` is ready when each VM may use its whole share.

Figures: retained slots of a server with 1, 3, 5 slots: 0, 1, 2 before; 1, 2, 3 after.

Conclusion: a cut-off domain goes on with all of its servers.

--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -253,7 +253,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, v := range s.VMs {
-		for !v.Ready() {
+		for !v.Ready() || !v.Whole() {
 			select {
 			case <-ctx.Done():
 				return errors.New("the VMs did not become ready")
--- a/internal/process/pspool/server.go
+++ b/internal/process/pspool/server.go
@@ -1,6 +1,7 @@
 package pspool
 
 import (
+	"math"
 	"time"
 
 	"persimmonstep/internal/version/psdoc"
@@ -33,9 +34,10 @@
 	settledAt time.Time
 }
 
-// retained returns the slots that the owner keeps whatever happens.
+// retained returns the slots that the owner keeps whatever happens, at least one of each
+// server, so that a VM that is cut off can go on with all of its servers.
 func retained(slots int) int {
-	return int(float64(slots) * RetainedPart)
+	return int(math.Ceil(float64(slots) * RetainedPart))
 }
 
 // base returns the slots of the server that belong to this VM now.
@@ -251,6 +253,13 @@
 	}
 }
 
+// Cleared reports whether this VM may use the revocable part of its share.
+func (d *Dispatcher) Cleared() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.cleared
+}
+
 // RunningFor returns the requests that run here, or under a loan from here, on the base
 // slots of another VM. It reports false while this VM does not know what an earlier process
 // of its name lent.
--- a/internal/process/psvm/vm.go
+++ b/internal/process/psvm/vm.go
@@ -170,6 +170,12 @@
 	return v.Version() > 0 && v.contact.Informed() && v.book.Ready() && !v.slots.Blocked(v.options.Settings.Name)
 }
 
+// Whole reports whether the VM uses all of its slots, not only the part that it keeps
+// while it is cut off.
+func (v *VM) Whole() bool {
+	return v.slots.Cleared()
+}
+
 // Version returns the configuration version in force.
 func (v *VM) Version() uint64 {
 	return v.follower.Plan().Version
