psevent: the catalogue's page is checked against the code

docs/EVENTS.md was named by the package and did not exist.

The page is written from the catalogue with go test ./internal/process/psevent -update, and a test keeps the two equal. Another checks that numbers rise and that each event has a text.

--- /dev/null
+++ b/internal/process/psevent/catalogue_test.go
@@ -0,0 +1,55 @@
+package psevent_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/psevent"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md anew")
+
+const page = "../../../docs/EVENTS.md"
+
+// TestCatalogueEqualsItsPage keeps docs/EVENTS.md equal to the code.
+func TestCatalogueEqualsItsPage(t *testing.T) {
+	text := render()
+	if *update {
+		qt.Assert(t, os.WriteFile(page, []byte(text), 0o600), qt.IsNil)
+	}
+	held, err := os.ReadFile(page)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(held), qt.Equals, text, qt.Commentf("run: go test ./internal/process/psevent -update"))
+}
+
+func TestNumbersAreUnique(t *testing.T) {
+	last := psevent.Number(0)
+	for _, e := range psevent.Catalogue() {
+		qt.Check(t, e.Number > last, qt.IsTrue, qt.Commentf("event %d follows event %d", e.Number, last))
+		qt.Check(t, e.Text, qt.Not(qt.Equals), "")
+		last = e.Number
+	}
+}
+
+// render writes the page.
+func render() string {
+	var b strings.Builder
+	b.WriteString(`# Events
+
+Each log line is an event with a fixed number, in the field "event". Numbers never change
+their meaning. This page is written from the code:
+` + "`go test ./internal/process/psevent -update`" + `.
+
+| number | level | text | fields |
+| --- | --- | --- | --- |
+`)
+	for _, e := range psevent.Catalogue() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Number, e.Level, e.Text, strings.Join(e.Fields, ", "))
+	}
+	return b.String()
+}
