--- a/internal/process/psvm/fault_test.go
+++ b/internal/process/psvm/fault_test.go
@@ -28,6 +28,8 @@
 type fleet struct {
 	*psdev.System
 	client *http.Client
+	// keyed is the Idempotency-Key to send; empty sends none.
+	keyed string
 }
 
 // startFleet starts the example system with a deadline for lookups and orders.
@@ -73,6 +75,9 @@
 	r.GetBody = nil
 	r.Header.Set("Authorization", "Bearer "+f.Ready.Workspaces[0].Key)
 	r.Header.Set(psbackend.HeaderMarker, marker)
+	if f.keyed != "" {
+		r.Header.Set("Idempotency-Key", f.keyed)
+	}
 	a, err := f.client.Do(r)
 	if err != nil {
 		return reply{broken: true}
