pshealth: an answer that breaks off counts against its server

Cause: a server whose answers break off was observed as good at each answer's header, which ended its row of failures, so that it was ejected only after twenty samples.

--- a/internal/process/pshealth/record.go
+++ b/internal/process/pshealth/record.go
@@ -27,7 +27,9 @@
 	unreachable    bool
 	probedWell     bool
 	failuresInARow int
-	ejections      int
+	// spared is the value of failuresInARow before the last good answer.
+	spared    int
+	ejections int
 	// outAt is when the server was last ejected or found down.
 	outAt    time.Time
 	withheld Reason
@@ -76,6 +78,10 @@
 // take enters the end of an attempt.
 func (r *record) take(o psgate.Observation, now time.Time) {
 	r.seenAt = now
+	if o.Truncated {
+		r.takeTruncation(now)
+		return
+	}
 	if !o.Streamed {
 		r.inFlight = max(0, r.inFlight-1)
 	}
@@ -87,6 +93,7 @@
 		if now.Add(-o.Duration).After(r.outAt) {
 			r.probedWell = true
 		}
+		r.spared = r.failuresInARow
 		r.failuresInARow, r.unreachable = 0, false
 		r.count(now, 0)
 		if !o.Streamed {
@@ -116,6 +123,13 @@
 	}
 }
 
+// takeTruncation turns an answer that was taken for good into a failure.
+func (r *record) takeTruncation(now time.Time) {
+	r.count(now, 1)
+	r.samples--
+	r.failuresInARow = max(r.failuresInARow, r.spared) + 1
+}
+
 // takeReports enters what the server says of itself. Reports only ever narrow.
 func (r *record) takeReports(o psgate.Observation, now time.Time) {
 	if o.Header == nil {
--- a/internal/process/pshealth/tracker.go
+++ b/internal/process/pshealth/tracker.go
@@ -306,7 +306,7 @@
 			r.ejections = 0
 		}
 		r.ejections++
-		r.outAt, r.probedWell, r.failuresInARow = now, false, 0
+		r.outAt, r.probedWell, r.failuresInARow, r.spared = now, false, 0, 0
 		psevent.ServerEjected.Log(t.options.Logger, r.server.Name, r.server.Pool, string(v.reason), v.until.Sub(now), r.ejections)
 	case down:
 		r.outAt, r.probedWell = now, false
@@ -321,7 +321,7 @@
 
 // begin forgets what was held against a server before it returned.
 func (r *record) begin(now time.Time) {
-	r.unreachable, r.failuresInARow = false, 0
+	r.unreachable, r.failuresInARow, r.spared = false, 0, 0
 	r.samples, r.failures = 0, 0
 	r.goodAt, r.progressAt = now, now
 	r.latencyAt, r.latency = time.Time{}, 0
--- a/internal/process/pshealth/tracker_test.go
+++ b/internal/process/pshealth/tracker_test.go
@@ -178,6 +178,16 @@
 	c.Assert(b.isExcluded(0), qt.IsTrue, qt.Commentf("a quarter fails, and none elsewhere"))
 }
 
+func TestTruncatedAnswersEject(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4)
+	for range failuresInARow {
+		b.end(0, 1, isGood)
+		b.Observe(psgate.Observation{Server: b.servers[0], Truncated: true, Err: errors.New("broke off")})
+	}
+	c.Assert(b.isExcluded(0), qt.IsTrue)
+}
+
 func TestFailuresEverywhereEjectNobody(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(4)
--- a/internal/process/psvm/fault_test.go
+++ b/internal/process/psvm/fault_test.go
@@ -42,7 +42,7 @@
 	return startTopology(t, topology)
 }
 
-func startTopology(t *testing.T, topology psdev.Topology) *fleet {
+func startTopology(t testing.TB, topology psdev.Topology) *fleet {
 	t.Helper()
 	s, stop, err := psdev.New(context.Background(), topology, hclog.NewNullLogger())
 	qt.Assert(t, err, qt.IsNil)
@@ -59,6 +59,7 @@
 	status int
 	ran    string
 	code   string
+	detail string
 	echo   psbackend.Echo
 	// broken says that no whole answer came.
 	broken bool
@@ -86,9 +87,9 @@
 	text, err := io.ReadAll(a.Body)
 	out := reply{status: a.StatusCode, ran: a.Header.Get("Persimmonstep-Ran"), broken: err != nil}
 	if out.ran != "" {
-		var p struct{ Code string }
+		var p struct{ Code, Detail string }
 		_ = json.Unmarshal(text, &p)
-		out.code = p.Code
+		out.code, out.detail = p.Code, p.Detail
 	} else if a.StatusCode == http.StatusOK {
 		out.broken = out.broken || json.Unmarshal(text, &out.echo) != nil
 	}
--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -324,7 +324,7 @@
 	if b.context.Err() != nil {
 		ending = psretry.TimedOut{}
 	} else {
-		b.exchange.gate.Observer.Observe(Observation{Server: b.server, Streamed: true, Err: errTruncated})
+		b.exchange.gate.Observer.Observe(Observation{Server: b.server, Truncated: true, Err: errTruncated})
 	}
 	b.exchange.noteLoss(b.server, ending, err)
 	b.exchange.tries.history.Add(ending)
--- a/internal/request/psgate/gate.go
+++ b/internal/request/psgate/gate.go
@@ -69,6 +69,8 @@
 	Server *psplan.Server
 	// Streamed marks an upload, whose duration says nothing about the server.
 	Streamed bool
+	// Truncated says that the body of an answer broke off that was observed before.
+	Truncated bool
 	// Duration is the time until the answer's header, or until the failure.
 	Duration time.Duration
 	// Status is the answer's status; 0 where none came.
