--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,8 +40,6 @@
 	// held is a whole answer that reports a server's failure, kept for the case that no
 	// other server gives a better one.
 	held *attempt
-	// consumed says that some of a streamed body was read.
-	consumed atomic.Bool
 	// suspect is what is known of the request as a cause of crashes.
 	suspect suspect
 }
@@ -130,7 +127,7 @@
 
 func (x *exchange) retryRequest(ctx context.Context) psretry.Request {
 	r := psretry.Request{
-		Kind: x.route.Kind, Streamed: x.isStreamed(), Consumed: x.tries.consumed.Load(), Left: -1,
+		Kind: x.route.Kind, Streamed: x.isStreamed(), Consumed: x.wasRead(), Left: -1,
 	}
 	if d, found := ctx.Deadline(); found {
 		r.Left = max(0, time.Until(d))
@@ -155,6 +152,12 @@
 	return x.route.Kind == psdoc.KindUpload
 }
 
+// wasRead reports whether some of a streamed body was read, so that it can't be sent again.
+func (x *exchange) wasRead() bool {
+	u, ok := x.request.Body.(*upload)
+	return ok && u.wasRead()
+}
+
 func (x *exchange) acquire(ctx context.Context) (*pspool.Slot, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxQueueWait)
 	defer cancel()
@@ -195,10 +198,6 @@
 	}
 	began := time.Now()
 	out := x.outgoing(parent, slot.Server)
-	if x.isStreamed() {
-		// An upload may take any time, but its answer is due once the whole body was read.
-		out.Body = &uploadBody{reader: x.request.Body, consumed: &x.tries.consumed, atEnd: func() { patience.begin(x.route.Deadline) }}
-	}
 	out.Body = slot.Meter(out.Body)
 	result, err := x.gate.Transports.Send(ctx, slot.Server.Address, x.connections(slot.Server), out)
 	o := Observation{Server: slot.Server, Streamed: x.isStreamed(), Duration: time.Since(began), Err: err}
@@ -338,7 +337,6 @@
 		x.tries.held = nil
 		return a, nil
 	}
-	x.settle(ctx)
 	h := x.tries.history
 	switch {
 	case h.MayHaveRun && (ctx.Err() != nil || isTimeout(h.Last)):
@@ -356,7 +354,7 @@
 	return ok
 }
 
-// outgoing makes the request for a backend server. The body of an upload is left out.
+// outgoing makes the request for a backend server.
 func (x *exchange) outgoing(ctx context.Context, s *psplan.Server) *http.Request {
 	out := &http.Request{
 		Method:        x.request.Method,
@@ -377,30 +375,10 @@
 		out.Header.Set(headerDeadline, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
 	}
 	if x.isStreamed() {
+		out.Body = x.request.Body
 		return out
 	}
 	out.ContentLength = int64(len(x.body))
 	out.Body = pstransport.Body(x.body)
 	return out
 }
-
-// uploadBody notes that some of the body was read. Its Close does nothing, because the
-// transport closes a body that it has not begun to read and that can still go elsewhere.
-type uploadBody struct {
-	reader   io.Reader
-	consumed *atomic.Bool
-	atEnd    func()
-}
-
-// Read reads and notes that.
-func (b *uploadBody) Read(p []byte) (int, error) {
-	b.consumed.Store(true)
-	n, err := b.reader.Read(p)
-	if err != nil {
-		b.atEnd()
-	}
-	return n, err
-}
-
-// Close does nothing.
-func (b *uploadBody) Close() error { return nil }
--- a/internal/request/psgate/gate.go
+++ b/internal/request/psgate/gate.go
@@ -171,6 +171,7 @@
 
 // refuse answers with a problem.
 func (x *exchange) refuse(err error) {
+	x.settle(x.request.Context())
 	p, found := err.(*psproblem.Problem) //nolint:errorlint // steps return problems unwrapped
 	if !found {
 		p = psproblem.Unknown(http.StatusInternalServerError, "internal", err.Error())
--- a/internal/request/psgate/upload.go
+++ b/internal/request/psgate/upload.go
@@ -30,6 +30,8 @@
 	idle     sync.Cond
 	reading  bool
 	finished bool
+	// read says that reading has begun once.
+	read bool
 	// ended says that the whole body was read.
 	ended bool
 	// failure is what ended the body before its end.
@@ -149,6 +151,13 @@
 	return u.ended
 }
 
+// wasRead reports whether any of the body may have been read.
+func (u *upload) wasRead() bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.read
+}
+
 // setReading reports false if no reading may begin.
 func (u *upload) setReading(reading bool) bool {
 	u.mutex.Lock()
@@ -157,6 +166,7 @@
 		return false
 	}
 	u.reading = reading
+	u.read = true
 	u.idle.Broadcast()
 	return true
 }
