pshealth: a VM's own pause and a single dial timeout blame no server

Cause: silence was taken by the clock alone, so that a VM that was paused or starved for a second ejected servers whose answers it had not read; one dial that timed out took a server down like a refused one.

Change: the time that lies between two reviews above three intervals is not counted as silence. A dial that times out counts from the second in a row; a refused one at once.

Conclusion: both rows are in the tracker's table and tests.

--- a/internal/process/pshealth/ending.go
+++ b/internal/process/pshealth/ending.go
@@ -37,7 +37,10 @@
 type shed struct{}
 
 // unreachable is a connection that could not be opened.
-type unreachable struct{}
+type unreachable struct {
+	// timeout says that nothing answered, which may as well be this VM's own trouble.
+	timeout bool
+}
 
 // silent says nothing, such as a request whose caller went away.
 type silent struct{}
@@ -57,13 +60,12 @@
 	if o.Err == nil {
 		return sortStatus(o)
 	}
-	var n net.Error
 	switch {
 	case errors.Is(o.Err, context.Canceled):
 		return silent{}
 	case isDial(o.Err):
 		return sortDial(o)
-	case errors.Is(o.Err, context.DeadlineExceeded) || (errors.As(o.Err, &n) && n.Timeout()):
+	case isTimeout(o.Err):
 		if o.Duration < minTimeout {
 			return silent{}
 		}
@@ -82,7 +84,12 @@
 	if errors.Is(o.Err, context.DeadlineExceeded) && o.Duration < minTimeout {
 		return silent{}
 	}
-	return unreachable{}
+	return unreachable{timeout: isTimeout(o.Err)}
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &n) && n.Timeout())
 }
 
 func sortStatus(o psgate.Observation) ending {
--- a/internal/process/pshealth/prober.go
+++ b/internal/process/pshealth/prober.go
@@ -35,8 +35,8 @@
 
 // result is the end of a probe.
 type result struct {
-	// reached says that a connection was opened.
-	reached bool
+	// reached says that a connection was opened; timeout that it was waited for in vain.
+	reached, timeout bool
 	// answered says that an answer came.
 	answered bool
 	// well says that the answer is 200, or 404 from a server without a health path.
@@ -112,7 +112,7 @@
 func (r *record) takeProbe(v result, now time.Time) {
 	switch {
 	case !v.reached:
-		r.unreachable, r.probedWell = true, false
+		r.missConnection(v.timeout)
 		return
 	case v.draining:
 		r.drainingAt = now
@@ -122,7 +122,7 @@
 	if v.answered {
 		r.seenAt = now
 	}
-	r.unreachable = false
+	r.connect()
 	r.probedWell = v.well
 	if v.answered && !v.well && !v.draining {
 		r.unwellAt = now
@@ -150,7 +150,7 @@
 	}
 	a, err := p.client.Do(r)
 	if err != nil {
-		return result{reached: !isDial(err)}
+		return result{reached: !isDial(err), timeout: isTimeout(err)}
 	}
 	defer a.Body.Close() //nolint:errcheck // the connection is closed anyway
 	_, _ = io.CopyN(io.Discard, a.Body, maxProbeBytes)
--- a/internal/process/pshealth/record.go
+++ b/internal/process/pshealth/record.go
@@ -25,6 +25,7 @@
 
 	phase          phase
 	unreachable    bool
+	dialTimeouts   int
 	probedWell     bool
 	failuresInARow int
 	// spared is the value of failuresInARow before the last good answer.
@@ -94,7 +95,8 @@
 			r.probedWell = true
 		}
 		r.spared = r.failuresInARow
-		r.failuresInARow, r.unreachable = 0, false
+		r.failuresInARow = 0
+		r.connect()
 		r.count(now, 0)
 		if !o.Streamed {
 			r.takeLatency(o.Duration, now)
@@ -110,11 +112,11 @@
 		}
 	case shed:
 		r.progressAt = now
-		r.unreachable = false
+		r.connect()
 		r.cutShare(now)
 	case unreachable:
 		r.progressAt = now
-		r.unreachable, r.probedWell = true, false
+		r.missConnection(v.timeout)
 	case silent:
 		// A cancelled request took at least this long.
 		if o.Duration > r.latency && !o.Streamed && r.latency > 0 {
@@ -123,6 +125,22 @@
 	}
 }
 
+// timeoutsToBeDown is the number of timeouts in a row after which a server that can't be
+// connected to counts as down; a refusal counts at once.
+const timeoutsToBeDown = 2
+
+func (r *record) missConnection(timeout bool) {
+	r.probedWell = false
+	if timeout {
+		r.dialTimeouts++
+	}
+	r.unreachable = r.unreachable || !timeout || r.dialTimeouts >= timeoutsToBeDown
+}
+
+func (r *record) connect() {
+	r.unreachable, r.dialTimeouts = false, 0
+}
+
 // takeTruncation turns an answer that was taken for good into a failure.
 func (r *record) takeTruncation(now time.Time) {
 	r.count(now, 1)
--- a/internal/process/pshealth/tracker.go
+++ b/internal/process/pshealth/tracker.go
@@ -54,6 +54,8 @@
 	pools   map[psdoc.Name]*pool
 	leaving *leaving
 	changed []func()
+	// steppedAt is the time of the last step.
+	steppedAt time.Time
 }
 
 // groupKey identifies servers that are compared with each other: those of a pool in a region.
@@ -167,6 +169,7 @@
 	defer t.mutex.Unlock()
 	now := t.options.Now()
 	t.sync(now)
+	t.excusePause(now)
 	for _, g := range t.groups {
 		g.compare(now)
 	}
@@ -177,6 +180,25 @@
 	return changed
 }
 
+// maxStepGap is the time between two steps above which this VM itself was paused.
+const maxStepGap = 3 * stepInterval
+
+// excusePause does not hold this VM's own pause against servers: answers may have come that
+// nobody read.
+func (t *Tracker) excusePause(now time.Time) {
+	gap := now.Sub(t.steppedAt)
+	paused := !t.steppedAt.IsZero() && gap > maxStepGap
+	t.steppedAt = now
+	if !paused {
+		return
+	}
+	for _, r := range *t.records.Load() {
+		if r.inFlight > 0 {
+			r.progressAt = r.progressAt.Add(gap)
+		}
+	}
+}
+
 // sync takes over a new plan. Servers that join a plan in force begin on a ramp; those of
 // the first plan are taken for warm, since this VM can't know how long they have run.
 func (t *Tracker) sync(now time.Time) {
@@ -321,7 +343,8 @@
 
 // begin forgets what was held against a server before it returned.
 func (r *record) begin(now time.Time) {
-	r.unreachable, r.failuresInARow, r.spared = false, 0, 0
+	r.failuresInARow, r.spared = 0, 0
+	r.connect()
 	r.samples, r.failures = 0, 0
 	r.goodAt, r.progressAt = now, now
 	r.latencyAt, r.latency = time.Time{}, 0
--- a/internal/process/pshealth/tracker_test.go
+++ b/internal/process/pshealth/tracker_test.go
@@ -72,16 +72,17 @@
 func (b *bench) isExcluded(server int) bool { return b.Excluded(b.servers[server]) }
 
 var (
-	isGood    = psgate.Observation{Status: http.StatusOK}
-	isError   = psgate.Observation{Status: http.StatusInternalServerError}
-	isLost    = psgate.Observation{Err: errors.New("EOF")}
-	isShed    = psgate.Observation{Status: 503, Header: http.Header{headerNotRun: {"true"}}}
-	isRefused = psgate.Observation{Err: &net.OpError{Op: "dial", Err: errors.New("refused")}}
-	isLeft    = psgate.Observation{Err: context.Canceled}
-	isLate    = psgate.Observation{Err: context.DeadlineExceeded, Duration: time.Second}
-	isHurried = psgate.Observation{Err: context.DeadlineExceeded, Duration: time.Millisecond}
-	isDrain   = psgate.Observation{Status: http.StatusOK, Header: http.Header{headerDraining: {"true"}}}
-	isLoaded  = psgate.Observation{Status: http.StatusOK, Header: http.Header{headerLoad: {"2"}}}
+	isGood     = psgate.Observation{Status: http.StatusOK}
+	isError    = psgate.Observation{Status: http.StatusInternalServerError}
+	isLost     = psgate.Observation{Err: errors.New("EOF")}
+	isShed     = psgate.Observation{Status: 503, Header: http.Header{headerNotRun: {"true"}}}
+	isRefused  = psgate.Observation{Err: &net.OpError{Op: "dial", Err: errors.New("refused")}}
+	isNoAnswer = psgate.Observation{Duration: time.Second, Err: &net.OpError{Op: "dial", Err: context.DeadlineExceeded}}
+	isLeft     = psgate.Observation{Err: context.Canceled}
+	isLate     = psgate.Observation{Err: context.DeadlineExceeded, Duration: time.Second}
+	isHurried  = psgate.Observation{Err: context.DeadlineExceeded, Duration: time.Millisecond}
+	isDrain    = psgate.Observation{Status: http.StatusOK, Header: http.Header{headerDraining: {"true"}}}
+	isLoaded   = psgate.Observation{Status: http.StatusOK, Header: http.Header{headerLoad: {"2"}}}
 )
 
 // Each row lets one server of four end requests in one way while the others are well.
@@ -101,6 +102,8 @@
 		{"no time left", isHurried, 50, false, false},
 		{"callers that leave", isLeft, 50, false, false},
 		{"one refused connection", isRefused, 1, true, true},
+		{"one connection that times out", isNoAnswer, 1, false, false},
+		{"connections that time out", isNoAnswer, 2, true, true},
 		{"shed", isShed, 5, false, true},
 		{"leaving", isDrain, 1, true, false},
 		{"reports too much load", isLoaded, 1, false, true},
@@ -166,6 +169,17 @@
 	c.Assert(b.isExcluded(0), qt.IsTrue)
 }
 
+func TestOwnPauseIsNotHeldAgainstServers(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4)
+	b.Begin(b.servers[0])
+	b.now = b.now.Add(5 * stallFloor)
+	b.Step()
+	c.Assert(b.isExcluded(0), qt.IsFalse)
+	b.pass(2 * stallFloor)
+	c.Assert(b.isExcluded(0), qt.IsTrue, qt.Commentf("silence while this VM runs"))
+}
+
 func TestPartialFailureRate(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(4)
