psdev: each client of the broken answers asks for its own target

Cause: TestAnswersReachCallersWholeOrNotAtAll sends the same lookup by HTTP/1.1 and HTTP/2. Where its answer breaks off, that is one crash each, and a repeat of the client on top makes the second one quarantine it: 422 in place of the broken 200, in one full run under load.

Change: the protocol stands in the target's query, so that the two are different requests. All assertions stay.

Check: the test passes under the race detector.

--- a/internal/process/psdev/caller_test.go
+++ b/internal/process/psdev/caller_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -185,7 +186,8 @@
 	for protocol, client := range clients(t) {
 		for _, tt := range tests {
 			t.Run(protocol+" "+tt.path, func(t *testing.T) {
-				a, err := client.Do(b.request(t, "GET", tt.path, nil))
+				// One target for each client: a repeat of an answer that broke off is quarantined.
+				a, err := client.Do(b.request(t, "GET", tt.path+"?by="+url.QueryEscape(protocol), nil))
 				qt.Assert(t, err, qt.IsNil)
 				defer a.Body.Close() //nolint:errcheck // the body was read
 				text, err := io.ReadAll(a.Body)
