psvm: the drain test names its source in the log

Cause: the lines of the three sources could not be told apart, since they run side by side.

Change: each line begins with the source's name. Nothing is checked otherwise.

--- a/internal/process/psvm/drain_test.go
+++ b/internal/process/psvm/drain_test.go
@@ -270,7 +270,7 @@
 			leaving.Crash(-1)
 			time.Sleep(300 * time.Millisecond)
 			lost := l.stop()
-			t.Logf("last new work after %v; %d requests, lost %d", after.LastRun.Sub(said).Round(time.Millisecond), l.sent.Load(), len(lost))
+			t.Logf("%s: last new work after %v; %d requests, lost %d", tt.name, after.LastRun.Sub(said).Round(time.Millisecond), l.sent.Load(), len(lost))
 			c.Assert(lost, qt.HasLen, 0)
 		})
 	}
