psbudget: small bursts are pooled at one VM

Each VM held a fraction of the burst, and loans of a second locked it there.

A budget with less than two tokens of burst for each holder is now pooled at the first VM by rendezvous hash that answers. Others lend it all and ask it for single tokens, whose burst stays locked while they are on their way.

--- a/internal/process/psbudget/account.go
+++ b/internal/process/psbudget/account.go
@@ -6,6 +6,7 @@
 
 	"persimmonstep/internal/process/psfence"
 	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psplan"
 )
 
 const (
@@ -43,6 +44,11 @@
 	borrowed map[psdoc.Name]*borrowing
 	lenders  []lender
 	waiting  []*waiter
+	// ranked are the lenders by rendezvous hash, silentPools until when those that did not
+	// answer are passed over, and locks the tokens given away that may not be used yet.
+	ranked      []*psplan.VM
+	silentPools map[psdoc.Name]time.Time
+	locks       []lock
 	// armed says that a timer will serve the requests that wait.
 	armed bool
 	// kicked is when a spend last had loans looked for.
@@ -56,8 +62,9 @@
 func newAccount(key, self psdoc.Name, now time.Time) *account {
 	return &account{
 		key: key, self: self, last: now, used: now,
-		lent:     make(map[borrower]*lending),
-		borrowed: make(map[psdoc.Name]*borrowing),
+		lent:        make(map[borrower]*lending),
+		borrowed:    make(map[psdoc.Name]*borrowing),
+		silentPools: make(map[psdoc.Name]time.Time),
 	}
 }
 
@@ -100,6 +107,9 @@
 		limit = limit.plus(b.amount)
 		until = earlier(until, b.expires)
 	}
+	locked, next := a.locked(now)
+	limit.Burst = math.Max(0, limit.Burst-locked)
+	until = earlier(until, next)
 	if until.IsZero() {
 		until = now.Add(farFuture)
 	}
@@ -168,5 +178,5 @@
 func (a *account) idle(now time.Time) bool {
 	a.fill(now)
 	full := a.tokens >= a.limit.Burst-dust
-	return full && len(a.waiting) == 0 && len(a.lent) == 0 && len(a.borrowed) == 0 && now.Sub(a.used) > idleTime
+	return full && len(a.waiting) == 0 && len(a.lent) == 0 && len(a.locks) == 0 && len(a.borrowed) == 0 && now.Sub(a.used) > idleTime
 }
--- a/internal/process/psbudget/book.go
+++ b/internal/process/psbudget/book.go
@@ -163,6 +163,7 @@
 	if found {
 		a.lenders = b.lenders(v.Plan, Split(v.Plan, a.key, whole.Burst), whole)
 	}
+	a.rank()
 	a.setStanding(s, whole, v.Held, now)
 }
 
@@ -216,18 +217,20 @@
 	a.used = now
 	a.demand.arrive(1, now)
 	if len(a.waiting) == 0 && a.spend(1, now) {
-		low := a.tokens < lowTokens*a.limit.Burst && now.Sub(a.kicked) > kickPause
-		if low {
-			a.kicked = now
-		}
+		b.kickWhenLow(a, now)
 		b.mutex.Unlock()
 		b.metrics.admitted.Inc()
-		if low {
-			b.kick(w.Name)
-		}
 		return nil
 	}
-	q, advice := b.enqueue(a, now)
+	if pool := a.poolOf(now); pool != nil {
+		b.mutex.Unlock()
+		if answered, err := b.take(ctx, w.Name, pool); answered {
+			return err
+		}
+		b.mutex.Lock()
+		now = b.now()
+	}
+	q, advice := b.enqueue(a, false, now)
 	b.mutex.Unlock()
 	if q == nil {
 		b.metrics.refused.Inc()
@@ -236,6 +239,14 @@
 	return b.await(ctx, q)
 }
 
+// kickWhenLow has loans looked for when tokens run low. The mutex is held.
+func (b *Book) kickWhenLow(a *account, now time.Time) {
+	if a.tokens < lowTokens*a.limit.Burst && now.Sub(a.kicked) > kickPause {
+		a.kicked = now
+		b.kick(a.key)
+	}
+}
+
 func overRate(advice time.Duration) *psproblem.Problem {
 	return psproblem.New(http.StatusTooManyRequests, "overRate", "the workspace is over its rate").After(max(advice, leastRetryAfter))
 }
--- a/internal/process/psbudget/exchange.go
+++ b/internal/process/psbudget/exchange.go
@@ -37,6 +37,7 @@
 		}
 		return b.answerLoan(ctx, from, in)
 	})
+	h.Handle(methodToken, b.answerToken)
 	h.Handle(methodRecall, func(_ context.Context, from psdoc.Name, params json.RawMessage) (any, error) {
 		var in recallRequest
 		if err := json.Unmarshal(params, &in); err != nil {
--- a/internal/process/psbudget/fleet_test.go
+++ b/internal/process/psbudget/fleet_test.go
@@ -34,6 +34,9 @@
 	spends    int
 	loans     int
 	adoptions int
+	tokens    int
+	// fault is what a token that was used broke.
+	fault error
 }
 
 // version is a budget with its split.
@@ -261,6 +264,31 @@
 	}
 }
 
+// token has a VM ask another one for a token and use it if it comes in time.
+func (f *fleet) token(n, of *node) {
+	process, sent := n.process, f.local(n)
+	f.send(of, func(of *node) {
+		if !of.account.give(f.local(of)) {
+			return
+		}
+		f.tokens++
+		f.send(n, func(n *node) {
+			if n.process == process && f.local(n).Sub(sent) < tokenLife && f.fault == nil {
+				f.fault = f.enter()
+			}
+		})
+	})
+}
+
+// enter counts one spend of the fleet.
+func (f *fleet) enter() error {
+	f.spends++
+	if err := f.strict.spend(f.now); err != nil {
+		return err
+	}
+	return f.loose.spend(f.now)
+}
+
 func (f *fleet) node(name psdoc.Name) *node {
 	for _, n := range f.nodes {
 		if n.vm.Name == name {
@@ -285,15 +313,11 @@
 		if !n.account.spend(1, f.local(n)) {
 			return nil
 		}
-		f.spends++
-		if err := f.strict.spend(f.now); err != nil {
-			return err
-		}
-		if err := f.loose.spend(f.now); err != nil {
+		if err := f.enter(); err != nil {
 			return err
 		}
 	}
-	return nil
+	return f.fault
 }
 
 // check compares the limits of all VMs together with the whole.
@@ -348,7 +372,7 @@
 }
 
 func TestFleetKeepsRateAndBurst(t *testing.T) {
-	var spends, loans, adoptions int
+	var spends, loans, adoptions, tokens int
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(4, func() float64 { return rapid.Float64Range(1-maxDrift, 1+maxDrift).Draw(t, "drift") },
 			version{Amount{20, 10}, []float64{0.25, 0.25, 0.25, 0.25}},
@@ -373,6 +397,9 @@
 						f.upkeep(n)
 					}
 				}
+				for range rapid.IntRange(0, 3).Draw(t, "tokens") {
+					f.token(hot, pick())
+				}
 				f.deliver(t, 20)
 				check(f.spend(hot, 12))
 				if rapid.Bool().Draw(t, "checked") {
@@ -391,6 +418,14 @@
 				f.now = f.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
 				f.adopt(n, by)
 			},
+			"tokens": func(t *rapid.T) {
+				for range 10 {
+					f.token(pick(), pick())
+				}
+				f.deliver(t, 30)
+				f.now = f.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+				check(f.spendAll())
+			},
 			"spend":   func(*rapid.T) { check(f.spendAll()) },
 			"check":   func(*rapid.T) { check(f.check()) },
 			"deliver": func(t *rapid.T) { f.deliver(t, 5) },
@@ -407,8 +442,8 @@
 				}
 			},
 		})
-		spends, loans, adoptions = spends+f.spends, loans+f.loans, adoptions+f.adoptions
+		spends, loans, adoptions, tokens = spends+f.spends, loans+f.loans, adoptions+f.adoptions, tokens+f.tokens
 	})
 	c := qt.New(t)
-	c.Assert(spends > 0 && loans > 0 && adoptions > 0, qt.IsTrue, qt.Commentf("%d spends, %d loans, %d adoptions", spends, loans, adoptions))
+	c.Assert(min(spends, loans, adoptions, tokens) > 0, qt.IsTrue, qt.Commentf("%d spends, %d loans, %d adoptions, %d tokens", spends, loans, adoptions, tokens))
 }
--- a/internal/process/psbudget/loan.go
+++ b/internal/process/psbudget/loan.go
@@ -156,6 +156,9 @@
 
 // needs returns what this VM keeps for its own requests.
 func (a *account) needs(now time.Time) Amount {
+	if len(a.waiting) == 0 && a.poolOf(now) != nil {
+		return Amount{}
+	}
 	present := a.demand.present(now)
 	return Amount{Rate: headroom * present, Burst: math.Max(present*reserveSpan.Seconds(), float64(len(a.waiting)))}
 }
@@ -207,11 +210,18 @@
 	if expected < dust && len(a.waiting) == 0 {
 		return Amount{}
 	}
+	if len(a.waiting) == 0 && a.poolOf(now) != nil {
+		// The tokens come from the pool, one by one.
+		return Amount{}
+	}
 	rate := math.Min(a.whole.Rate, headroom*expected)
 	if a.demand.silent(now) {
 		rate = math.Min(rate, a.limit.Rate)
 	}
 	burst := math.Max(minBurst, a.whole.Burst*rate/math.Max(a.whole.Rate, dust))
+	if a.pooled() {
+		rate, burst = a.whole.Rate, a.whole.Burst
+	}
 	if n := float64(len(a.waiting)); n > 0 {
 		burst = math.Max(burst, a.limit.Burst+n-a.tokens)
 	}
--- a/internal/process/psbudget/wait.go
+++ b/internal/process/psbudget/wait.go
@@ -12,6 +12,8 @@
 	// ready is closed when the request has its token.
 	ready chan struct{}
 	done  bool
+	// remote says that the token goes to another VM.
+	remote bool
 }
 
 // kickPause is the least time between two looks for loans that spends cause.
@@ -19,14 +21,14 @@
 
 // enqueue lets a request wait if it has a prospect, or advises when to come back. The mutex
 // is held.
-func (b *Book) enqueue(a *account, now time.Time) (*waiter, time.Duration) {
+func (b *Book) enqueue(a *account, remote bool, now time.Time) (*waiter, time.Duration) {
 	a.fill(now)
 	turn := float64(len(a.waiting) + 1)
 	wait := a.wait(turn)
 	if wait > MaxWait && !a.hopeful(turn, now) {
 		return nil, a.advice()
 	}
-	q := &waiter{account: a, ready: make(chan struct{})}
+	q := &waiter{account: a, ready: make(chan struct{}), remote: remote}
 	a.waiting = append(a.waiting, q)
 	b.arm(a)
 	if now.Sub(a.kicked) > kickPause {
@@ -63,28 +65,37 @@
 	return advice
 }
 
-// await waits until the request has its token, its time is over or its caller is gone.
+// await lets a request of this VM wait.
 func (b *Book) await(ctx context.Context, q *waiter) error {
 	b.metrics.waited.Inc()
+	if b.wait(ctx, q) {
+		b.metrics.admitted.Inc()
+		return nil
+	}
+	b.metrics.refused.Inc()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return overRate(q.account.advice())
+}
+
+// wait waits until the request has its token, its time is over or its caller is gone, and
+// reports whether it has the token.
+func (b *Book) wait(ctx context.Context, q *waiter) bool {
 	t := time.NewTimer(MaxWait)
 	defer t.Stop()
 	select {
 	case <-q.ready:
-		b.metrics.admitted.Inc()
-		return nil
+		return true
 	case <-t.C:
 	case <-ctx.Done():
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.serve(q.account)
-	if q.done {
-		b.metrics.admitted.Inc()
-		return nil
+	if !q.done {
+		q.account.forget(q)
 	}
-	q.account.forget(q)
-	b.metrics.refused.Inc()
-	return overRate(q.account.advice())
+	return q.done
 }
 
 func (a *account) forget(q *waiter) {
@@ -100,7 +111,7 @@
 func (b *Book) serve(a *account) {
 	now := b.now()
 	a.held = b.shares.View().Held
-	for len(a.waiting) > 0 && a.spend(1, now) {
+	for len(a.waiting) > 0 && a.pay(a.waiting[0], now) {
 		q := a.waiting[0]
 		a.waiting = a.waiting[1:]
 		q.done = true
@@ -109,6 +120,14 @@
 	b.arm(a)
 }
 
+// pay takes the token of a request that waits.
+func (a *account) pay(q *waiter, now time.Time) bool {
+	if q.remote {
+		return a.give(now)
+	}
+	return a.spend(1, now)
+}
+
 // arm sets the timer that serves the next request that waits. The mutex is held.
 func (b *Book) arm(a *account) {
 	if len(a.waiting) == 0 || a.armed {
