psbudget: requests that wait have lenders asked again in time

TestPlannedStopOfAVMLosesNothing failed twice without the race detector: when a VM began to leave, its six callers moved to another VM at once and each had one request refused. The lender recalled too early, before the old flow counted as silent, and nothing asked again within the 50 ms that the requests waited: only new arrivals and the upkeep did.

A VM whose requests wait now asks again as soon as a lender may be asked, and a flow counts as stopped after 10 ms at least in place of 20.

--- a/internal/process/psbudget/demand.go
+++ b/internal/process/psbudget/demand.go
@@ -12,7 +12,7 @@
 	// A flow has stopped after a silence of silentArrivals times its usual interval, and of
 	// minSilence at least.
 	silentArrivals = 4
-	minSilence     = 20 * time.Millisecond
+	minSilence     = 10 * time.Millisecond
 )
 
 // average is an exponentially decaying rate of arrivals. Its zero value is ready.
--- a/internal/process/psbudget/exchange.go
+++ b/internal/process/psbudget/exchange.go
@@ -153,6 +153,17 @@
 	}
 	b.serve(a)
 	if len(a.waiting) > 0 {
-		b.kick(a.key)
+		time.AfterFunc(a.retryAfter(now), func() { b.kick(q.request.Key) })
 	}
 }
+
+// retryAfter returns how long until some lender may be asked again.
+func (a *account) retryAfter(now time.Time) time.Duration {
+	out := MaxWait
+	for _, b := range a.borrowed {
+		if b.pending == 0 {
+			out = min(out, b.resume.Sub(now))
+		}
+	}
+	return max(out, 0)
+}
