--- a/internal/connection/psfanout/fanout.go
+++ b/internal/connection/psfanout/fanout.go
@@ -16,6 +16,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/connection/pspeer"
+	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
 )
@@ -117,7 +118,7 @@
 		for _, n := range f.askThrough(ctx, vms[round%len(vms)], q) {
 			known[n] = true
 		}
-		if len(known) == len(vms) || !sleep(ctx, retryInterval) {
+		if len(known) == len(vms) || !pswait.Sleep(ctx, retryInterval) {
 			break
 		}
 	}
@@ -205,15 +206,3 @@
 	}
 	return reply{Confirmed: f.askEach(ctx, from, q)}, nil
 }
-
-// sleep waits and reports whether the context still lives.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/process/psplatform/guard.go
+++ b/internal/process/psplatform/guard.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"persimmonstep/internal/process/pswait"
 )
 
 const (
@@ -116,7 +118,7 @@
 
 // Run probes the platform while the breaker is open, until the context ends.
 func (g *Guard) Run(ctx context.Context) {
-	for sleep(ctx, g.probeWait()) {
+	for pswait.Sleep(ctx, g.probeWait()) {
 		if closed, _ := g.breaker.allow(); closed {
 			continue
 		}
@@ -199,7 +201,7 @@
 		if EndOf(err) == EndDone || EndOf(err) == EndNotTried || n == readTries {
 			return err
 		}
-		if !sleep(ctx, rand.N(backoff)) {
+		if !pswait.Sleep(ctx, rand.N(backoff)) {
 			return err
 		}
 		backoff = min(2*backoff, maxBackoff)
--- a/internal/process/psplatform/pacer.go
+++ b/internal/process/psplatform/pacer.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"persimmonstep/internal/process/pswait"
 )
 
 const (
@@ -93,21 +95,9 @@
 		p.giveBack()
 		return false
 	}
-	if sleep(ctx, d) {
+	if pswait.Sleep(ctx, d) {
 		return true
 	}
 	p.giveBack()
 	return false
 }
-
-// sleep waits and reports whether the context still lives.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/request/psclaim/claims.go
+++ b/internal/request/psclaim/claims.go
@@ -13,6 +13,7 @@
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psplatform"
+	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/request/psproblem"
 	"persimmonstep/internal/version/psdoc"
 )
@@ -224,7 +225,7 @@
 			c.leave(e)
 			return result, err
 		}
-		if v.running && !sleep(ctx, poll) {
+		if v.running && !pswait.Sleep(ctx, poll) {
 			c.leave(e)
 			return nil, inProgress()
 		}
@@ -393,7 +394,7 @@
 		if c.options.Platform.Put(ctx, name, body) == nil {
 			return true
 		}
-		if !sleep(ctx, wait) {
+		if !pswait.Sleep(ctx, wait) {
 			return false
 		}
 	}
@@ -414,15 +415,3 @@
 func unknown() error {
 	return psproblem.Unknown(http.StatusConflict, "outcomeUnknown", "a request with the same Idempotency-Key may have run; its outcome is not known")
 }
-
-// sleep waits and reports whether the context still lives.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/request/psclaim/retention.go
+++ b/internal/request/psclaim/retention.go
@@ -13,6 +13,7 @@
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psplatform"
+	"persimmonstep/internal/process/pswait"
 )
 
 const (
@@ -51,7 +52,7 @@
 	for {
 		// A failed look is made up for by the next one.
 		_ = c.Look(ctx)
-		if !sleep(ctx, lookInterval/2+rand.N(lookInterval)) {
+		if !pswait.Sleep(ctx, lookInterval/2+rand.N(lookInterval)) {
 			return
 		}
 	}
--- a/internal/version/psversion/spread.go
+++ b/internal/version/psversion/spread.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/pspeer"
+	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/version/psdoc"
 )
 
@@ -148,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, contentWait)
 	defer cancel()
 	for f.shelf.latest().Version < in.Want {
-		if !sleep(ctx, contentPoll) {
+		if !pswait.Sleep(ctx, contentPoll) {
 			return nil, errors.Errorf("version %d is not here", in.Want)
 		}
 	}
@@ -206,15 +207,3 @@
 	}
 	f.LearnFrom(in.Version, from)
 }
-
-// sleep waits and reports whether the context still lives.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
