psrendezvous: one rendezvous hash, and slack for owners of large pools

Cause: four packages hashed keys and members in the same way, with the two written in different orders. With one order the test of moved servers failed: when every VM owns exactly its even part, one more VM makes servers move between the others as well.

Change: psrendezvous.Score; in large pools a VM may own a quarter above its even part.

Conclusion: guardians and owners are other VMs than before on the same configuration, which is a new layout like any other.

--- a/internal/process/psbudget/pool.go
+++ b/internal/process/psbudget/pool.go
@@ -13,6 +13,7 @@
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
+	"persimmonstep/internal/version/psrendezvous"
 )
 
 const (
@@ -58,9 +59,9 @@
 // pool returns the VM where the tokens are: the first by rendezvous hash that answers. It is
 // nil where that is this VM.
 func (a *account) pool(now time.Time) *psplan.VM {
-	mine := score(a.key, a.self)
+	mine := psrendezvous.Score(a.key, a.self)
 	for _, l := range a.ranked {
-		if score(a.key, l.Name) < mine {
+		if psrendezvous.Score(a.key, l.Name) < mine {
 			return nil
 		}
 		if !now.Before(a.silentPools[l.Name].until) {
@@ -110,7 +111,7 @@
 		a.ranked = append(a.ranked, l.vm)
 	}
 	slices.SortFunc(a.ranked, func(x, y *psplan.VM) int {
-		return cmp.Compare(score(a.key, y.Name), score(a.key, x.Name))
+		return cmp.Compare(psrendezvous.Score(a.key, y.Name), psrendezvous.Score(a.key, x.Name))
 	})
 }
 
--- a/internal/process/psbudget/split.go
+++ b/internal/process/psbudget/split.go
@@ -5,10 +5,9 @@
 	"math"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
+	"persimmonstep/internal/version/psrendezvous"
 )
 
 // MaxSplit is the number of VMs up to which a budget is split over all VMs. A larger fleet
@@ -30,7 +29,7 @@
 	places := holders(p, key)
 	if n := int(math.Max(1, math.Min(burst, float64(len(places))))); n < len(places) {
 		slices.SortFunc(places, func(a, b Share) int {
-			return cmp.Compare(score(key, b.VM.Name), score(key, a.VM.Name))
+			return cmp.Compare(psrendezvous.Score(key, b.VM.Name), psrendezvous.Score(key, a.VM.Name))
 		})
 		places = places[:n]
 		for i := range places {
@@ -69,7 +68,7 @@
 			out = append(out, Share{VM: v, Part: v.Weight})
 		default:
 			out[i].Part += v.Weight
-			if score(key, v.Name) > score(key, out[i].VM.Name) {
+			if psrendezvous.Score(key, v.Name) > psrendezvous.Score(key, out[i].VM.Name) {
 				out[i].VM = v
 			}
 		}
@@ -77,14 +76,6 @@
 	return out
 }
 
-func score(key, vm psdoc.Name) uint64 {
-	var d xxhash.Digest
-	_, _ = d.WriteString(string(key))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(vm))
-	return d.Sum64()
-}
-
 // shareOf finds a VM's part.
 func shareOf(shares []Share, vm psdoc.Name) float64 {
 	for _, s := range shares {
--- a/internal/process/psdirectory/rank.go
+++ b/internal/process/psdirectory/rank.go
@@ -10,6 +10,7 @@
 
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
+	"persimmonstep/internal/version/psrendezvous"
 )
 
 const (
@@ -80,7 +81,7 @@
 	usable := make([]ranked, 0, len(vms))
 	for _, v := range vms {
 		if r.members.Usable(v.Name) && !slices.Contains(r.out, v) {
-			usable = append(usable, ranked{v, affinity(r.workspace, v.Name)})
+			usable = append(usable, ranked{v, psrendezvous.Score(r.workspace, v.Name)})
 		}
 	}
 	slices.SortFunc(usable, func(a, b ranked) int {
@@ -116,7 +117,7 @@
 func (r *ranking) order(home *psplan.Domain, domains []*psplan.Domain) []*psplan.Domain {
 	out := slices.DeleteFunc(slices.Clone(domains), func(d *psplan.Domain) bool { return d == home })
 	slices.SortFunc(out, func(a, b *psplan.Domain) int {
-		return cmp.Compare(affinity(r.workspace, b.Name), affinity(r.workspace, a.Name))
+		return cmp.Compare(psrendezvous.Score(r.workspace, b.Name), psrendezvous.Score(r.workspace, a.Name))
 	})
 	return out
 }
@@ -125,7 +126,7 @@
 func (r *ranking) takeElsewhere(p *psplan.Plan, home *psplan.Domain) {
 	regions := slices.Clone(p.Regions)
 	slices.SortFunc(regions, func(a, b *psplan.Region) int {
-		return cmp.Compare(affinity(home.Region.Name, b.Name), affinity(home.Region.Name, a.Name))
+		return cmp.Compare(psrendezvous.Score(home.Region.Name, b.Name), psrendezvous.Score(home.Region.Name, a.Name))
 	})
 	for _, g := range regions {
 		if g == home.Region {
@@ -140,12 +141,3 @@
 		}
 	}
 }
-
-// affinity ranks objects for a name by rendezvous hash.
-func affinity(name, object psdoc.Name) uint64 {
-	var d xxhash.Digest
-	_, _ = d.WriteString(string(name))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(object))
-	return d.Sum64()
-}
--- a/internal/process/psfence/layout.go
+++ b/internal/process/psfence/layout.go
@@ -10,6 +10,7 @@
 
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
+	"persimmonstep/internal/version/psrendezvous"
 )
 
 // Guardian returns the VM that may adopt a VM's revocable part. It follows from the
@@ -52,7 +53,7 @@
 			if w.Name == v.Name {
 				continue
 			}
-			if h := rendezvous(w.Name, v.Name); best == nil || h > highest {
+			if h := psrendezvous.Score(v.Name, w.Name); best == nil || h > highest {
 				best, highest = w, h
 			}
 		}
@@ -75,13 +76,6 @@
 	return out
 }
 
-func rendezvous(guardian, ward psdoc.Name) uint64 {
-	var d xxhash.Digest
-	writeName(&d, guardian)
-	writeName(&d, ward)
-	return d.Sum64()
-}
-
 func writeName(d *xxhash.Digest, n psdoc.Name) {
 	_, _ = d.WriteString(string(n))
 	_, _ = d.Write([]byte{0})
--- a/internal/version/psplan/owner.go
+++ b/internal/version/psplan/owner.go
@@ -6,9 +6,8 @@
 	"math"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psrendezvous"
 )
 
 // group is a pool's servers in one failure domain.
@@ -45,7 +44,7 @@
 	}
 	room := make(map[*VM]int, len(vms))
 	for _, v := range vms {
-		room[v] = int(math.Ceil(float64(len(servers)) * v.Weight / weight))
+		room[v] = roomOf(float64(len(servers)) * v.Weight / weight)
 	}
 	byName := slices.SortedFunc(slices.Values(servers), func(a, b *Server) int { return cmp.Compare(a.Name, b.Name) })
 	for _, s := range byName {
@@ -56,6 +55,15 @@
 	}
 }
 
+// ownerSlack is how much above its even part of a large pool a VM may own. Without slack
+// every VM would be full, and one that comes would move servers between the others too.
+const ownerSlack = 1.25
+
+// roomOf returns the servers that a VM may own, given its even part.
+func roomOf(even float64) int {
+	return max(int(math.Ceil(even)), int(even*ownerSlack))
+}
+
 // bestOwner is the VM with room and the highest rendezvous hash; nil in a domain without VMs.
 func bestOwner(s *Server, vms []*VM, room map[*VM]int) *VM {
 	var best *VM
@@ -64,17 +72,9 @@
 		if room[v] <= 0 {
 			continue
 		}
-		if h := rendezvous(v.Name, s.Name); best == nil || h > highest {
+		if h := psrendezvous.Score(s.Name, v.Name); best == nil || h > highest {
 			best, highest = v, h
 		}
 	}
 	return best
 }
-
-func rendezvous(vm, server psdoc.Name) uint64 {
-	var d xxhash.Digest
-	_, _ = d.WriteString(string(vm))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(server))
-	return d.Sum64()
-}
--- a/internal/version/psplan/owner_test.go
+++ b/internal/version/psplan/owner_test.go
@@ -59,4 +59,5 @@
 	}
 	// The new VM must get a ninth, which is 7 servers; twice that leaves most in place.
 	c.Assert(moved <= 2*8, qt.IsTrue, qt.Commentf("%d of 64 moved", moved))
+	c.Assert(moved > 0, qt.IsTrue)
 }
--- /dev/null
+++ b/internal/version/psrendezvous/score_test.go
@@ -0,0 +1,33 @@
+package psrendezvous_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psrendezvous"
+)
+
+func winner(key psdoc.Name, members int) int {
+	best := 0
+	for i := range members {
+		if psrendezvous.Score(key, psdoc.Name(fmt.Sprint(i))) > psrendezvous.Score(key, psdoc.Name(fmt.Sprint(best))) {
+			best = i
+		}
+	}
+	return best
+}
+
+func TestAMemberThatComesMovesOnlyWhatItGets(t *testing.T) {
+	for i := range 1000 {
+		key := psdoc.Name(fmt.Sprint("key-", i))
+		before, after := winner(key, 8), winner(key, 9)
+		qt.Assert(t, after == before || after == 8, qt.IsTrue, qt.Commentf("%s moved from %d to %d", key, before, after))
+	}
+}
+
+func TestNamesAreKeptApart(t *testing.T) {
+	qt.Assert(t, psrendezvous.Score("ab", "c"), qt.Not(qt.Equals), psrendezvous.Score("a", "bc"))
+}
