psvm: one incarnation names a process in all peer messages

Change: both use psmember's incarnation of 16 characters.

Conclusion: a log or a trace shows the same name everywhere. Batching the loans of one lender into one message is the next step and is not done.

--- a/internal/process/psbudget/book.go
+++ b/internal/process/psbudget/book.go
@@ -13,6 +13,7 @@
 package psbudget
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"net/http"
@@ -65,6 +66,8 @@
 type Options struct {
 	// Self is this VM.
 	Self psdoc.Name
+	// Process identifies this process among those of the VM; a random one when empty.
+	Process string
 	// Shares tells what is this VM's own.
 	Shares Shares
 	// Peers reaches other VMs.
@@ -104,7 +107,7 @@
 func NewBook(o Options) *Book {
 	b := &Book{
 		self: o.Self, shares: o.Shares, peers: o.Peers, now: o.Now, metrics: o.Metrics, logger: o.Logger,
-		process: rand.Text(), kicks: make(chan psdoc.Name, 256), accounts: make(map[psdoc.Name]*account),
+		process: cmp.Or(o.Process, rand.Text()), kicks: make(chan psdoc.Name, 256), accounts: make(map[psdoc.Name]*account),
 		changed: o.Now(),
 	}
 	o.Shares.OnChange(b.follow)
--- a/internal/process/psvm/budget.go
+++ b/internal/process/psvm/budget.go
@@ -9,6 +9,7 @@
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psbudget"
 	"persimmonstep/internal/process/psfence"
+	"persimmonstep/internal/process/psmember"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psplatform"
 	"persimmonstep/internal/request/psshift"
@@ -45,6 +46,7 @@
 	hub := do.MustInvoke[*pspeer.Hub](i)
 	b := psbudget.NewBook(psbudget.Options{
 		Self:    o.Settings.Name,
+		Process: string(do.MustInvoke[psmember.Incarnation](i)),
 		Shares:  do.MustInvoke[*psfence.Fence](i),
 		Peers:   hub,
 		Now:     time.Now,
--- a/internal/process/psvm/slot.go
+++ b/internal/process/psvm/slot.go
@@ -10,8 +10,8 @@
 	"persimmonstep/internal/process/pscredit"
 	"persimmonstep/internal/process/psfence"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/psmember"
 	"persimmonstep/internal/process/pspool"
-	"persimmonstep/internal/request/pskey"
 	"persimmonstep/internal/request/pslink"
 	"persimmonstep/internal/request/psshift"
 	"persimmonstep/internal/version/psdoc"
@@ -47,7 +47,7 @@
 	do.Provide(i, func(i do.Injector) (*pscredit.Bank, error) {
 		hub := do.MustInvoke[*pspeer.Hub](i)
 		bank = pscredit.New(pscredit.Config{
-			Self: self, Incarnation: pskey.New().Secret,
+			Self: self, Incarnation: string(do.MustInvoke[psmember.Incarnation](i)),
 			Plans: do.MustInvoke[*psversion.Follower](i), Fence: slotFence{do.MustInvoke[*psfence.Fence](i)},
 			Dispatcher: do.MustInvoke[*pspool.Dispatcher](i), Peers: hub,
 			Logger: o.Logger, Now: time.Now,
