psversion: a change parses only the documents that it changed

Change: the follower's compiler keeps the parsed documents without their positions and parses those whose text differs.

--- a/internal/version/psdoc/parse.go
+++ b/internal/version/psdoc/parse.go
@@ -31,6 +31,12 @@
 	return d.source.File()
 }
 
+// ForgetPositions frees the memory of where each value stands, for a document without
+// findings that is kept. Later findings name its first line.
+func (d *Document) ForgetPositions() {
+	d.source = pstoml.NewSource(d.File())
+}
+
 // Text returns the document as it was written.
 func (d *Document) Text() string {
 	return d.text
--- a/internal/version/psversion/bench_test.go
+++ b/internal/version/psversion/bench_test.go
@@ -85,6 +85,50 @@
 	}
 }
 
+// BenchmarkCompileChange compiles versions that differ in one document of some lines.
+func BenchmarkCompileChange(b *testing.B) {
+	for _, s := range sizes {
+		c := s.content()
+		b.Run(s.String(), func(b *testing.B) {
+			b.ReportAllocs()
+			var k psversion.Compiler
+			before := heap()
+			for b.Loop() {
+				c.Version++
+				c.Documents["drains"] = fmt.Sprintf("document = \"drains\"\n[[drains]]\nserver = \"s%d\"\n", c.Version%uint64(s.servers))
+				_, err := k.Compile(c)
+				qt.Assert(b, err, qt.IsNil)
+			}
+			b.ReportMetric(float64(heap()-before), "keptB")
+			runtime.KeepAlive(&k)
+		})
+	}
+}
+
+func TestCompilerTakesOverEachChange(t *testing.T) {
+	c := qt.New(t)
+	var k psversion.Compiler
+	content := sizes[0].content()
+	leaving := func(name psdoc.Name) bool {
+		content.Version++
+		p, err := k.Compile(content)
+		c.Assert(err, qt.IsNil)
+		c.Assert(p.Version, qt.Equals, content.Version)
+		s, found := p.Server(name)
+		c.Assert(found, qt.IsTrue)
+		return s.Leaving
+	}
+	c.Assert(leaving("s1"), qt.IsFalse)
+	content.Documents["drains"] = "document = \"drains\"\n[[drains]]\nserver = \"s1\"\n"
+	c.Assert(leaving("s1"), qt.IsTrue)
+	// A version with faults changes nothing of what the next ones are compiled from.
+	content.Documents["drains"] = "document = \"drains\"\n[[drains]]\nserver = \"nowhere\"\n"
+	_, err := k.Compile(content)
+	c.Assert(err, qt.ErrorMatches, `.*unknown backend server "nowhere"`)
+	delete(content.Documents, "drains")
+	c.Assert(leaving("s1"), qt.IsFalse)
+}
+
 func heap() uint64 {
 	var m runtime.MemStats
 	runtime.GC()
--- a/internal/version/psversion/follower.go
+++ b/internal/version/psversion/follower.go
@@ -40,6 +40,8 @@
 	// polls reports whether this VM is its domain's poller.
 	polls func() bool
 	peers Peers
+	// compiler belongs to the goroutine that installs versions.
+	compiler Compiler
 }
 
 // hint says that a version exists.
@@ -171,7 +173,7 @@
 	if c.Version <= f.Plan().Version {
 		return
 	}
-	p, err := c.Compile()
+	p, err := f.compiler.Compile(c)
 	if err != nil {
 		psevent.VersionFailed.Log(f.logger, err)
 		return
