pspeer: a VM that dials is dialed at once

Cause: a trial with two VMs, one server and a caller at 10 requests a second: after a planned restart of the server's owner two requests got 503, because the other VM still paused its dials to the owner (up to 1 s) and took it for gone.

Change: a greeting ends the pause before the next dial to its sender, and a VM that asks what others hold of its slots is heard again for loans.

--- a/internal/connection/pspeer/hub.go
+++ b/internal/connection/pspeer/hub.go
@@ -215,9 +215,20 @@
 		return false
 	}
 	s.from = in.VM
+	s.hub.revive(in.VM)
 	return true
 }
 
+// revive ends the pause before the next dial to a VM that has just dialed this one.
+func (h *Hub) revive(vm psdoc.Name) {
+	h.mutex.Lock()
+	l, found := h.links[vm]
+	h.mutex.Unlock()
+	if found {
+		l.retryNow()
+	}
+}
+
 // peer is the name of the VM on the other end; empty before its greeting.
 func (s *session) peer() psdoc.Name {
 	s.mutex.Lock()
--- a/internal/connection/pspeer/hub_test.go
+++ b/internal/connection/pspeer/hub_test.go
@@ -187,3 +187,21 @@
 		})
 	}
 }
+
+func TestVMThatDialsIsDialedAtOnce(t *testing.T) {
+	a, b := newHub(t, "a"), newHub(t, "b")
+	a.Handle("echo", echo)
+	b.Handle("echo", echo)
+	toA, _ := serve(t, a, "127.0.0.1:0")
+	toB, stop := serve(t, newHub(t, "gone"), "127.0.0.1:0")
+	stop()
+	toB.Name = "b"
+	var out string
+	// The pause grows to half a second and more.
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, a.Call(t.Context(), toB, "echo", 1, &out), qt.IsNotNil)
+	}
+	serve(t, b, toB.Address.String())
+	qt.Assert(t, b.Call(t.Context(), toA, "echo", 1, &out), qt.IsNil)
+	qt.Assert(t, a.Call(t.Context(), toB, "echo", 1, &out), qt.IsNil)
+}
--- a/internal/connection/pspeer/link.go
+++ b/internal/connection/pspeer/link.go
@@ -73,6 +73,13 @@
 	return nil, l.dialing, nil
 }
 
+// retryNow lets the next call dial at once.
+func (l *link) retryNow() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.failures, l.failure = 0, nil
+}
+
 // isOpen reports whether the connection can be used. The mutex is held.
 func (l *link) isOpen() bool {
 	if l.conn == nil {
--- a/internal/process/pscredit/bank.go
+++ b/internal/process/pscredit/bank.go
@@ -383,6 +383,7 @@
 }
 
 func (b *Bank) onHeld(_ context.Context, from psdoc.Name, _ json.RawMessage) (any, error) {
+	b.setHeard(from)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.epoch[from]++
