--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -80,9 +80,11 @@
 	logger   hclog.Logger
 	topology Topology
 	nodes    []node
-	cleanups []func()
-	stops    []func()
-	kills    []func()
+	// authority signs the certificates of the links between VMs.
+	authority *pstls.Authority
+	cleanups  []func()
+	stops     []func()
+	kills     []func()
 }
 
 // node is a VM that is yet to be started.
@@ -227,27 +229,55 @@
 	if err != nil {
 		return err
 	}
-	for _, n := range s.nodes {
-		identity, err := authority.Issue(n.settings.Name)
-		if err != nil {
-			return err
-		}
-		v, stop, err := psvm.New(ctx, psvm.Options{
-			PeerIdentity: pstls.Fixed{Value: identity},
-			Settings:     n.settings, Listeners: n.listeners, Logger: s.logger.Named(string(n.settings.Name)), StopTimeout: stopTimeout, LeaveWait: s.topology.LeaveWait,
-			Adjust: s.topology.Adjust,
-		})
-		if err != nil {
+	s.authority = authority
+	s.VMs = make([]*psvm.VM, len(s.nodes))
+	s.stops = make([]func(), len(s.nodes))
+	s.kills = make([]func(), len(s.nodes))
+	for i := range s.nodes {
+		s.stops[i], s.kills[i] = func() {}, func() {}
+	}
+	for i := range s.nodes {
+		if err := s.startVM(ctx, i); err != nil {
 			return err
 		}
-		s.VMs = append(s.VMs, v)
-		var once sync.Once
-		s.stops = append(s.stops, func() { once.Do(stop) })
-		s.kills = append(s.kills, func() { once.Do(v.Kill) })
 	}
 	return nil
 }
 
+// startVM starts a process of the VM of a position on its open sockets.
+func (s *System) startVM(ctx context.Context, vm int) error {
+	n := s.nodes[vm]
+	identity, err := s.authority.Issue(n.settings.Name)
+	if err != nil {
+		return err
+	}
+	v, stop, err := psvm.New(ctx, psvm.Options{
+		PeerIdentity: pstls.Fixed{Value: identity},
+		Settings:     n.settings, Listeners: n.listeners, Logger: s.logger.Named(string(n.settings.Name)),
+		StopTimeout: stopTimeout, LeaveWait: s.topology.LeaveWait, Adjust: s.topology.Adjust,
+	})
+	if err != nil {
+		return err
+	}
+	var once sync.Once
+	s.VMs[vm] = v
+	s.stops[vm] = func() { once.Do(stop) }
+	s.kills[vm] = func() { once.Do(v.Kill) }
+	return nil
+}
+
+// Start starts a new process of a VM that was stopped or killed, at the same addresses.
+func (s *System) Start(ctx context.Context, vm int) error {
+	n := &s.nodes[vm]
+	l, err := psvm.Listen(ctx, n.settings)
+	if err != nil {
+		return err
+	}
+	l.Peer = s.Peers.wrap(n.settings.Name, l.Peer)
+	n.listeners = l
+	return s.startVM(ctx, vm)
+}
+
 // await waits until every VM has the configuration in force and uses its share of the budgets.
 func (s *System) await(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
