--- a/internal/process/psdev/restart_test.go
+++ b/internal/process/psdev/restart_test.go
@@ -57,7 +57,8 @@
 	})
 	time.Sleep(200 * time.Millisecond)
 	s.Stop(0)
-	time.Sleep(500 * time.Millisecond)
+	// Longer than loans and queued requests last.
+	time.Sleep(2500 * time.Millisecond)
 	c.Check(s.Start(t.Context(), 0), qt.IsNil)
 	eventually(t, func() bool { return s.VMs[0].Ready() && s.VMs[0].Whole() })
 	time.Sleep(200 * time.Millisecond)
