--- a/internal/process/pspool/queue_test.go
+++ b/internal/process/pspool/queue_test.go
@@ -267,3 +267,12 @@
 	read(p.Regions[0])
 	c.Assert(links.bytes, qt.Equals, int64(8))
 }
+
+func TestUsageCountsSlots(t *testing.T) {
+	c := qt.New(t)
+	d, p := newDispatcher(&clock{now: time.Unix(1000, 0)})
+	_, err := d.Acquire(context.Background(), psroute.Request{Route: p.Routes[0], Domain: p.VMs[0].Domain})
+	c.Assert(err, qt.IsNil)
+	d.Lend("vm-1", "prices", 2, "1")
+	c.Assert(d.Usage(), qt.Equals, pspool.Usage{Running: 1, Base: fleetSlots, Lent: 2})
+}
--- a/internal/process/psvm/slot.go
+++ b/internal/process/psvm/slot.go
@@ -11,6 +11,7 @@
 	"persimmonstep/internal/process/psfence"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psmember"
+	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/pspool"
 	"persimmonstep/internal/request/pslink"
 	"persimmonstep/internal/request/psshift"
@@ -53,6 +54,7 @@
 			Logger: o.Logger, Now: time.Now,
 		})
 		bank.Register(hub)
+		pscredit.RegisterMetrics(do.MustInvoke[*psmetric.Metrics](i).Registry, bank, do.MustInvoke[*pspool.Dispatcher](i))
 		l.task(bank.Run)
 		l.onLeave(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
