pspool: an exchange that was given up frees its slot a little later

Cause: when an attempt timed out or broke, its slot was free at once, while the server runs the request until it notices the closed connection: the next request could be one too many.

Change: a slot whose request may have reached the server comes back after 50 ms; the attempt's function is split by what it tells the observer and the slot.

Conclusion: slots count what a server may still run, not what this VM still waits for.

--- a/internal/process/pspool/dispatcher.go
+++ b/internal/process/pspool/dispatcher.go
@@ -149,6 +149,20 @@
 	s.once.Do(func() { s.dispatcher.release(s) })
 }
 
+// AbandonTime is how long a server may need to notice that an exchange was given up.
+const AbandonTime = 50 * time.Millisecond
+
+// Abandon ends the exchange and gives the slot back a little later, because the server may
+// run the request until it notices.
+func (s *Slot) Abandon() {
+	s.dispatcher.mutex.Lock()
+	if s.cancel != nil {
+		s.cancel()
+	}
+	s.dispatcher.mutex.Unlock()
+	time.AfterFunc(AbandonTime, s.Release)
+}
+
 // Refund gives the slot back after an attempt that certainly did not run, so that it does
 // not count as shifted.
 func (s *Slot) Refund() {
--- a/internal/process/pspool/queue_test.go
+++ b/internal/process/pspool/queue_test.go
@@ -276,3 +276,16 @@
 	d.Lend("vm-1", "prices", 2, "1")
 	c.Assert(d.Usage(), qt.Equals, pspool.Usage{Running: 1, Base: fleetSlots, Lent: 2})
 }
+
+func TestAbandonedSlotComesBackLater(t *testing.T) {
+	c := qt.New(t)
+	d, p := newDispatcher(&clock{now: time.Unix(1000, 0)})
+	s, err := d.Acquire(context.Background(), psroute.Request{Route: p.Routes[0], Domain: p.VMs[0].Domain})
+	c.Assert(err, qt.IsNil)
+	ctx := s.Bind(context.Background())
+	began := time.Now()
+	s.Abandon()
+	c.Assert(ctx.Err(), qt.IsNotNil)
+	waitFor(t, func() bool { return d.InFlight() == 0 })
+	c.Assert(time.Since(began) >= pspool.AbandonTime, qt.IsTrue)
+}
--- a/internal/request/psgate/attempt.go
+++ b/internal/request/psgate/attempt.go
@@ -216,16 +216,8 @@
 	out := x.outgoing(parent, slot.Server)
 	out.Body = slot.Meter(out.Body)
 	result, err := x.gate.Transports.Send(ctx, slot.Server.Address, x.connections(slot.Server), out)
-	o := Observation{Server: slot.Server, Streamed: x.isStreamed(), Duration: time.Since(began), Err: err}
-	var body *pstransport.BodyError
 	x.tries.next = patience.end()
-	switch {
-	case errors.As(err, &body):
-		// The caller failed, not the server.
-		o.Err = context.Canceled
-	case err != nil && (x.tries.next != nil || errors.Is(context.Cause(parent), errBackendStalled)):
-		o.Err = context.DeadlineExceeded
-	}
+	o := Observation{Server: slot.Server, Streamed: x.isStreamed(), Duration: time.Since(began), Err: x.causeOf(parent, err)}
 	if err == nil {
 		x.dropNext()
 		o.Status, o.Header = result.Response.StatusCode, result.Response.Header
@@ -236,10 +228,7 @@
 		x.noteLoss(slot.Server, ending, err)
 		x.unreserve(slot.Server)
 		cancel()
-		if ending == (psretry.Unreachable{}) {
-			slot.Refund()
-		}
-		slot.Release()
+		giveBack(slot, ending)
 		return nil, ending
 	}
 	a := &attempt{response: result.Response, slot: slot, cancel: cancel, unreserve: func() { x.unreserve(slot.Server) }}
@@ -255,6 +244,28 @@
 	return a, nil
 }
 
+// causeOf tells the observer whose failure it was: the caller's, the deadline's or the server's.
+func (x *exchange) causeOf(parent context.Context, err error) error {
+	var body *pstransport.BodyError
+	switch {
+	case errors.As(err, &body):
+		return context.Canceled
+	case err != nil && (x.tries.next != nil || errors.Is(context.Cause(parent), errBackendStalled)):
+		return context.DeadlineExceeded
+	}
+	return err
+}
+
+// giveBack gives the slot of a failed attempt back. A server that got any of the request may
+// go on with it until it notices that the exchange is over.
+func giveBack(s *pspool.Slot, e psretry.Ending) {
+	if e == (psretry.Unreachable{}) {
+		s.Refund()
+		return
+	}
+	s.Abandon()
+}
+
 func endingOf(ctx context.Context, sent bool) psretry.Ending {
 	switch {
 	case !sent:
