pshealth: returned servers come back on a ramp of 4 s from three tenths

Change: the ramp lasts 4 s instead of 10 s and begins at 0.3 instead of 0.1. Servers that are out while all of a pool are keep their tenth.

How cold servers fare on the shorter ramp was not measured; the slots that crashed servers leave idle remain the larger part.

--- a/internal/process/pshealth/judge.go
+++ b/internal/process/pshealth/judge.go
@@ -8,9 +8,11 @@
 const (
 	// RampSpan is the time in which a new or returned server gets from rampFloor to its
 	// whole share.
-	RampSpan = 10 * time.Second
+	RampSpan = 4 * time.Second
 	// rampFloor is the part of its slots that such a server begins with.
-	rampFloor = 0.1
+	rampFloor = 0.3
+	// outPart is the part of its slots that a server gets which is out while all are.
+	outPart = 0.1
 	// maxEjectedShare bounds the part of a pool's servers that may be ejected at a time.
 	maxEjectedShare = 0.5
 	// failuresInARow eject a server, and failuresInRamp one that has just returned.
@@ -215,7 +217,7 @@
 	case ramping:
 		return rampFloor + (1-rampFloor)*min(1, float64(now.Sub(v.since))/float64(RampSpan))
 	case ejected, down:
-		return rampFloor
+		return outPart
 	}
 	return 1
 }
