--- a/internal/process/psfence/socket_test.go
+++ b/internal/process/psfence/socket_test.go
@@ -11,9 +11,13 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psdev"
 	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psfence"
+	"persimmonstep/internal/process/psstandin"
+	"persimmonstep/internal/process/psvm"
 )
 
 // journal keeps log lines.
@@ -64,3 +68,23 @@
 	await(t, "the guardian gives back", func() bool { return j.count(guardian, psevent.ShareReturned, vm) > 0 })
 	await(t, "the VM holds its fence again", func() bool { return j.count(vm, psevent.FenceHeld, "") > held })
 }
+
+// TestFenceOutlivesTheTable switches the table off for longer than any fence lasts: promises
+// alone keep every VM's whole share, and nobody adopts.
+func TestFenceOutlivesTheTable(t *testing.T) {
+	t.Parallel()
+	j := &journal{}
+	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: io.Writer(j)})
+	s, stop, err := psdev.New(context.Background(), psdev.Example(), logger)
+	qt.Assert(t, err, qt.IsNil)
+	defer stop()
+	s.Platform.Faults.Set(psstandin.Fault{Path: "/", Kind: psstandin.FaultRefuse})
+	time.Sleep(2 * (psfence.Term + psfence.Margin))
+	// A VM that lost its fence to the outage could not get it back without the table.
+	await(t, "every VM holds its whole share", func() bool {
+		return lo.EveryBy(s.VMs, func(v *psvm.VM) bool { return v.Whole() })
+	})
+	for _, v := range psdev.Example().VMs {
+		qt.Check(t, j.count(string(v.Name), psevent.ShareAdopted, ""), qt.Equals, 0)
+	}
+}
