pscli: a test of an apply that some VMs have not confirmed

Cause: exit code 5 was built and no test reached it.

Change: an apply with one VM gone ends with 5 and names it; the VM takes the version when a new process starts.

--- a/internal/process/pscli/daily_test.go
+++ b/internal/process/pscli/daily_test.go
@@ -191,6 +191,22 @@
 	f.Assert(code, qt.Equals, pscli.ExitDone, qt.Commentf("%s", out))
 }
 
+// TestApplyNamesTheVMsThatHaveNotConfirmed applies while one VM is gone.
+func TestApplyNamesTheVMsThatHaveNotConfirmed(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	last := len(f.system.VMs) - 1
+	f.system.Kill(last)
+	code, out := f.run("apply", f.write("extra.toml", "document = \"extra\"\n"))
+	f.Assert(code, qt.Equals, pscli.ExitAccepted, qt.Commentf("%s", out))
+	f.Assert(out, qt.Contains, "version 2\n")
+	f.Assert(out, qt.Contains, "not confirmed: "+string(psdev.Example().VMs[last].Name))
+	f.Assert(f.system.Start(t.Context(), last), qt.IsNil)
+	for end := time.Now().Add(20 * time.Second); f.system.VMs[last].Version() < 2; time.Sleep(20 * time.Millisecond) {
+		f.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("a started VM takes the latest version"))
+	}
+}
+
 func TestTokenFileIsReadAgain(t *testing.T) {
 	f := newFixture(t)
 	own := f.write("token", "rotated-token")
