psdev: restarted VMs and servers find their ports free

Change: the development system listens on ports from 20000 to 31999, below those of outgoing connections, and tries others where one is taken.

Conclusion: the failure was the harness's, not the VM's.

--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -178,7 +179,7 @@
 
 func (s *System) startServers(ctx context.Context) error {
 	for _, v := range s.topology.Servers {
-		b, clean, err := psbackend.New(ctx, v.Name, loopback())
+		b, clean, err := startServer(ctx, v.Name)
 		if err != nil {
 			return err
 		}
@@ -193,16 +194,12 @@
 	for _, v := range s.topology.VMs {
 		settings := &pssettings.Settings{
 			Name: v.Name, Region: v.Region, FailureDomain: v.Domain,
-			Callers: loopback(), Peer: loopback(), Operator: loopback(),
 			Platform: s.Platforms[v.Region].Address, TokenFile: s.Ready.OperatorTokenFile,
 		}
-		l, err := psvm.Listen(ctx, settings)
+		l, err := listenAnywhere(ctx, settings)
 		if err != nil {
 			return err
 		}
-		settings.Callers = netip.MustParseAddrPort(l.Callers.Addr().String())
-		settings.Peer = netip.MustParseAddrPort(l.Peer.Addr().String())
-		settings.Operator = netip.MustParseAddrPort(l.Operator.Addr().String())
 		l.Peer = s.Peers.wrap(v.Name, l.Peer)
 		s.nodes = append(s.nodes, node{settings: settings, listeners: l})
 		s.Ready.Callers = append(s.Ready.Callers, settings.Callers)
@@ -211,6 +208,44 @@
 	return nil
 }
 
+const (
+	// firstPort and portCount name the ports for VMs and backend servers. They lie below those
+	// that the system gives to outgoing connections, so that one that restarts finds its own
+	// free.
+	firstPort = 20000
+	portCount = 12000
+	// maxListens bounds the tries to find free ports.
+	maxListens = 100
+)
+
+// somePort is an address that is probably free.
+func somePort() netip.AddrPort {
+	return netip.AddrPortFrom(loopback().Addr(), uint16(firstPort+rand.IntN(portCount)))
+}
+
+// startServer starts a backend server stand-in on a free port.
+func startServer(ctx context.Context, name psdoc.Name) (b *psbackend.Server, clean func(), err error) {
+	for range maxListens {
+		if b, clean, err = psbackend.New(ctx, name, somePort()); err == nil {
+			return b, clean, nil
+		}
+	}
+	return nil, nil, err
+}
+
+// listenAnywhere opens the sockets of a VM on free ports and enters them into its settings.
+func listenAnywhere(ctx context.Context, s *pssettings.Settings) (psvm.Listeners, error) {
+	var l psvm.Listeners
+	var err error
+	for range maxListens {
+		s.Callers, s.Peer, s.Operator = somePort(), somePort(), somePort()
+		if l, err = psvm.Listen(ctx, s); err == nil {
+			return l, nil
+		}
+	}
+	return psvm.Listeners{}, err
+}
+
 // apply makes the example configuration the first version.
 func (s *System) apply(ctx context.Context) error {
 	for _, w := range s.topology.Workspaces {
