pspool: the weight of open requests is worked out once a version

Cause: read over, the regrouping of servers that each VM does ten times a second summed the weights of all workspaces anew for each usable server and each pool, although they follow from the plan.

Change: the dispatcher keeps the mean weight of the plan in force.

Conclusion: decisions are the same.

--- a/internal/process/pspool/dispatcher.go
+++ b/internal/process/pspool/dispatcher.go
@@ -97,14 +97,16 @@
 	// began is when this process started.
 	began time.Time
 
-	mutex    sync.Mutex
-	plan     *psplan.Plan
-	servers  map[psdoc.Name]*server
-	pools    map[psdoc.Name]*pool
-	lent     map[GrantID]*lent
-	borrowed map[GrantID]*borrowed
-	blocked  map[psdoc.Name]bool
-	running  int
+	mutex sync.Mutex
+	plan  *psplan.Plan
+	// openWeight is the weight of requests without a workspace, by the plan.
+	openWeight float64
+	servers    map[psdoc.Name]*server
+	pools      map[psdoc.Name]*pool
+	lent       map[GrantID]*lent
+	borrowed   map[GrantID]*borrowed
+	blocked    map[psdoc.Name]bool
+	running    int
 	// cleared says that no other VM runs requests on the revocable part of this VM's share.
 	cleared bool
 	seed    uint64
@@ -114,13 +116,14 @@
 // NewDispatcher returns a dispatcher without any request.
 func NewDispatcher(c Config) *Dispatcher {
 	return &Dispatcher{
-		config:   c,
-		began:    c.Now(),
-		servers:  make(map[psdoc.Name]*server),
-		pools:    make(map[psdoc.Name]*pool),
-		lent:     make(map[GrantID]*lent),
-		borrowed: make(map[GrantID]*borrowed),
-		blocked:  make(map[psdoc.Name]bool),
+		config:     c,
+		began:      c.Now(),
+		openWeight: 1,
+		servers:    make(map[psdoc.Name]*server),
+		pools:      make(map[psdoc.Name]*pool),
+		lent:       make(map[GrantID]*lent),
+		borrowed:   make(map[GrantID]*borrowed),
+		blocked:    make(map[psdoc.Name]bool),
 	}
 }
 
--- a/internal/process/pspool/server.go
+++ b/internal/process/pspool/server.go
@@ -108,7 +108,7 @@
 func (d *Dispatcher) poolOf(n psdoc.Name) *pool {
 	p, found := d.pools[n]
 	if !found {
-		p = &pool{queues: make(map[psdoc.Name]*queue), openWeight: 1}
+		p = &pool{queues: make(map[psdoc.Name]*queue), openWeight: d.openWeight}
 		d.pools[n] = p
 	}
 	return p
@@ -121,6 +121,7 @@
 		return
 	}
 	d.plan = p
+	d.openWeight = d.meanWeight()
 	for _, s := range p.Servers {
 		t, found := d.servers[s.Name]
 		if !found {
@@ -180,7 +181,7 @@
 func (d *Dispatcher) regroup() {
 	for _, p := range d.pools {
 		p.servers = nil
-		p.openWeight = d.meanWeight()
+		p.openWeight = d.openWeight
 	}
 	// The order of the plan keeps decisions repeatable.
 	for _, s := range d.plan.Servers {
@@ -188,7 +189,6 @@
 		if d.mayUse(t) {
 			p := d.poolOf(s.Pool)
 			p.servers = append(p.servers, t)
-			p.openWeight = d.meanWeight()
 		}
 	}
 }
