pspool: the retained part is the fence's

Cause: the fraction that nobody ever adopts stood as 0.5 in pspool and in psfence; changed in one place, a guardian would adopt other slots than their owner gave up.

Change: pspool takes psfence's constant.

Conclusion: one fraction for rates and slots.

--- a/internal/process/pspool/server.go
+++ b/internal/process/pspool/server.go
@@ -4,13 +4,14 @@
 	"math"
 	"time"
 
+	"persimmonstep/internal/process/psfence"
 	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psplan"
 )
 
 // RetainedPart is the part of a server's slots that its owner keeps whatever happens.
 // The rest may be adopted by another VM when the owner is gone.
-const RetainedPart = 0.5
+const RetainedPart = psfence.Retained
 
 // server counts this VM's slots on one backend server.
 type server struct {
