--- /dev/null
+++ b/internal/connection/psfront/call.go
@@ -0,0 +1,175 @@
+package psfront
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psrate"
+	"persimmonstep/internal/request/pspoison"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform"
+)
+
+const (
+	// defaultLeft is the time of a caller that names none, on a route without a timeout.
+	defaultLeft = 30 * time.Second
+	// unreadyAfter is when callers come back to a VM that knows no configuration yet.
+	unreadyAfter = 500 * time.Millisecond
+	// poisonAfter is when callers may repeat a request that crashes servers.
+	poisonAfter = 20 * time.Second
+	// maxRateAfter bounds when callers over their rate come back.
+	maxRateAfter = 5 * time.Second
+)
+
+// call is one request of a caller.
+type call struct {
+	gate     *Gate
+	writer   http.ResponseWriter
+	request  *http.Request
+	arrived  time.Time
+	headers  platform.Call
+	snapshot *pscontrol.Snapshot
+
+	route     *psconfig.Route
+	workspace *psconfig.Workspace
+	body      body
+	// deadline is when a final answer is due.
+	deadline    time.Time
+	object      uint64
+	fingerprint pspoison.Fingerprint
+	tries       []try
+}
+
+// outcome is how a call ends: [rejected], [failed], [left] or [answered].
+type outcome interface{ outcome() }
+
+// rejected calls were not run and never will be.
+type rejected struct {
+	status int
+	reason string
+	// after is when the caller should come back; 0 says nothing.
+	after time.Duration
+}
+
+// failed calls may have run.
+type failed struct {
+	status int
+	reason string
+}
+
+// left calls have no caller any more.
+type left struct{}
+
+// answered calls have a backend server's answer.
+type answered struct {
+	answer *answer
+}
+
+func (rejected) outcome() {}
+func (failed) outcome()   {}
+func (left) outcome()     {}
+func (answered) outcome() {}
+
+// serve decides about the call and carries it out.
+func (c *call) serve() outcome {
+	if c.snapshot.Index == nil || c.snapshot.ServersAt.IsZero() {
+		return rejected{http.StatusServiceUnavailable, "notReady", unreadyAfter}
+	}
+	if o := c.match(); o != nil {
+		return o
+	}
+	c.setDeadline()
+	if o := c.readBody(); o != nil {
+		return o
+	}
+	if o := c.checkRate(); o != nil {
+		return o
+	}
+	c.object = c.objectOf()
+	c.fingerprint = pspoison.FingerprintOf(c.workspaceName(), c.request.Method, c.request.Host+c.request.URL.RequestURI(), c.body.held)
+	if c.gate.poison.Held(c.fingerprint, c.arrived) {
+		return rejected{http.StatusServiceUnavailable, "crashesServers", poisonAfter}
+	}
+	ctx, stop := c.until()
+	defer stop()
+	return c.dispatch(ctx)
+}
+
+// match finds the route and the workspace.
+func (c *call) match() outcome {
+	x := c.snapshot.Index
+	host := c.request.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	r, found := x.Route(host, c.request.URL.Path)
+	if !found {
+		return rejected{http.StatusNotFound, "noRoute", 0}
+	}
+	c.route = r
+	if r.Public || !x.HasWorkspaces() {
+		return nil
+	}
+	c.workspace, found = x.Workspace(c.headers.Key)
+	if !found {
+		return rejected{http.StatusUnauthorized, "unknownKey", 0}
+	}
+	return nil
+}
+
+func (c *call) setDeadline() {
+	limit := c.headers.Left
+	if limit <= 0 {
+		limit = defaultLeft
+	}
+	if c.route.Timeout > 0 {
+		limit = min(limit, c.route.Timeout)
+	}
+	c.deadline = c.arrived.Add(limit)
+}
+
+// checkRate counts the call against its workspace's rate.
+func (c *call) checkRate() outcome {
+	w := c.workspace
+	if w == nil {
+		return nil
+	}
+	part, found := c.snapshot.Parts[w.Name]
+	if !found {
+		part = c.snapshot.EvenPart
+	}
+	granted, wait := c.gate.takeRate(w.Name, psrate.Limit{Rate: w.Rate, Burst: w.Burst}, part, c.gate.options.Now())
+	if granted {
+		return nil
+	}
+	after := wait + time.Duration(c.gate.spread()*float64(wait+minRateSpread))
+	return rejected{http.StatusTooManyRequests, "overRate", min(maxRateAfter, after)}
+}
+
+// minRateSpread is the span over which callers over their rate come back at least.
+const minRateSpread = 100 * time.Millisecond
+
+// objectOf identifies what the request is about. Without affinity, requests of a route are alike.
+func (c *call) objectOf() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(c.route.Name)
+	if c.route.Affinity {
+		_, _ = d.WriteString(c.headers.Object)
+	}
+	return d.Sum64()
+}
+
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
+// left returns the time until a final answer is due.
+func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
--- /dev/null
+++ b/internal/connection/psfront/choose.go
@@ -0,0 +1,126 @@
+package psfront
+
+import (
+	"slices"
+	"time"
+
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/request/psadmit"
+	"persimmonstep/internal/request/psplace"
+	"persimmonstep/internal/version/psconfig"
+)
+
+const (
+	// travelDomain and travelRegion are the times there and back to a server of the same
+	// region and of another one.
+	travelDomain = 3 * time.Millisecond
+	travelRegion = 25 * time.Millisecond
+	// travelPerKB is what it is worth to keep a kilobyte within the failure domain.
+	travelPerKB = time.Millisecond
+	// coldSlowness is how much slower a cold server is taken to be.
+	coldSlowness = 2
+	// noServerAfter is when callers come back to a service that has no usable server.
+	noServerAfter = 400 * time.Millisecond
+)
+
+// option is a server that may run the call.
+type option struct {
+	server *psserver.Server
+	view   psserver.View
+}
+
+// selection is the server that is to run the call.
+type selection struct {
+	option
+	choice psplace.Choice
+}
+
+// choose picks a server of the service that was not tried yet.
+func (c *call) choose(service string, tried []*psserver.Server) (selection, outcome) {
+	now := c.gate.options.Now()
+	options := c.options(service, tried, now)
+	for len(options) > 0 {
+		request := c.placing(service)
+		choice := psplace.Choose(c.candidates(options), request)
+		o := options[choice.Index]
+		verdict := c.admit(choice, len(tried) > 0, now)
+		if v, found := verdict.(psadmit.Rejected); found {
+			return selection{}, rejected{503, v.Reason, v.After}
+		}
+		if !o.view.Cold || o.server.TakeCold(c.snapshot.ColdShares[o.view.Entry.ID], now) {
+			return selection{o, choice}, nil
+		}
+		options = slices.Delete(options, choice.Index, choice.Index+1)
+	}
+	return selection{}, rejected{503, "noServer", min(noServerAfter, c.left(now)/3)}
+}
+
+// options lists the servers that may run the call now.
+func (c *call) options(service string, tried []*psserver.Server, now time.Time) []option {
+	blind := c.snapshot.Blind(now)
+	regions, all := psconfig.AllowedRegions(c.route, c.workspace)
+	var list []option
+	for _, s := range c.snapshot.Servers[service] {
+		if !all && !slices.Contains(regions, s.Region) || slices.Contains(tried, s) {
+			continue
+		}
+		v := s.View(now, blind)
+		if !v.Usable || c.snapshot.Evacuated[v.Entry.FailureDomain] || v.Trial && !c.route.Kind.Repeatable() {
+			continue
+		}
+		if _, found := c.snapshot.ColdShares[v.Entry.ID]; v.Cold && !found {
+			continue
+		}
+		list = append(list, option{s, v})
+	}
+	return list
+}
+
+func (c *call) placing(service string) psplace.Request {
+	runs := c.gate.estimates.Runs(c.route.Name, c.route.TargetLatency)
+	return psplace.Request{
+		WarmRun: runs.Warm, ColdRun: runs.Cold, Target: c.route.TargetLatency,
+		MeanRun: c.gate.estimates.Mean(service, runs.Warm),
+	}
+}
+
+func (c *call) candidates(options []option) []psplace.Candidate {
+	list := make([]psplace.Candidate, len(options))
+	for i, o := range options {
+		slowness := o.view.Slowness
+		if o.view.Cold {
+			slowness = max(slowness, coldSlowness)
+		}
+		list[i] = psplace.Candidate{
+			Load: o.view.Load, Slots: o.view.Entry.Slots, Slowness: slowness,
+			Failures: o.view.Failures, Silent: o.view.Silent, Sent: o.server.Objects.Has(c.object),
+			Score: psplace.Score(c.object, o.view.Entry.ID), Travel: c.travel(o),
+		}
+	}
+	return list
+}
+
+// travel returns the time there and back, and what the bytes are worth on that way.
+func (c *call) travel(o option) time.Duration {
+	s := c.gate.options.Settings
+	if o.view.Entry.FailureDomain == s.FailureDomain {
+		return 0
+	}
+	bytes := time.Duration(len(c.body.held)/1024) * travelPerKB
+	if o.server.Region == s.Region {
+		return travelDomain + bytes
+	}
+	return travelRegion + bytes
+}
+
+func (c *call) admit(choice psplace.Choice, repeat bool, now time.Time) psadmit.Verdict {
+	expected := choice.Finish()
+	if repeat {
+		// What was sent once already is worth finishing.
+		expected = choice.Run
+	}
+	return psadmit.Decide(psadmit.Request{
+		Expected: expected, Wait: choice.Wait, Spent: now.Sub(c.arrived), Target: c.route.TargetLatency,
+		Left: c.left(now), Priority: psconfig.Priority(c.route, c.workspace), Spread: c.gate.spread(),
+	})
+}
--- /dev/null
+++ b/internal/connection/psfront/dispatch.go
@@ -0,0 +1,249 @@
+package psfront
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/connection/pstransport"
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/request/psestimate"
+	"persimmonstep/internal/request/psrepeat"
+	"persimmonstep/platform"
+)
+
+const (
+	// connectionPart is the part of a server's connections that all VMs together use.
+	connectionPart = 0.8
+	// minConnections is the least number of connections of one VM to one server.
+	minConnections = 2
+	// maxIdleRepeatable and maxIdleOnce are how long a kept connection may have been unused.
+	// A server may close it just as a request is written, which only matters where the
+	// request can't be sent again.
+	maxIdleRepeatable = 6 * time.Second
+	maxIdleOnce       = time.Second
+)
+
+// ending is how a try ended.
+type ending string
+
+const (
+	endAnswered    ending = "answered"
+	endUnreachable ending = "unreachable"
+	endShed        ending = "shed"
+	endMoved       ending = "moved"
+	endLost        ending = "lost"
+	endSpoilt      ending = "spoilt"
+	endError       ending = "error"
+	endTimeout     ending = "timeout"
+	endLeft        ending = "left"
+)
+
+// mayHaveRun reports whether the server may have run the request.
+func (e ending) mayHaveRun() bool {
+	return e != endUnreachable && e != endShed && e != endMoved
+}
+
+// try is one request to a backend server.
+type try struct {
+	selection
+	ending ending
+	at     time.Time
+	took   time.Duration
+}
+
+// dispatch sends the call to servers until one of them answers it.
+func (c *call) dispatch(ctx context.Context) outcome {
+	service := c.gate.spreads.Next(c.route)
+	c.gate.repeats.Request(service, c.gate.options.Settings.Bounds.RetryWindow, c.arrived)
+	var last *answer
+	for {
+		s, refused := c.choose(service, c.tried())
+		if refused != nil {
+			return c.giveUp(refused, last)
+		}
+		a, end := c.try(ctx, s)
+		switch {
+		case end == endAnswered:
+			return answered{a}
+		case end == endLeft:
+			return left{}
+		case end == endTimeout:
+			return failed{http.StatusGatewayTimeout, string(endTimeout)}
+		case end == endError:
+			last = a
+		}
+		if !c.mayRepeat(service, end) {
+			return c.giveUp(nil, last)
+		}
+	}
+}
+
+// giveUp returns the outcome of a call that is not sent again.
+func (c *call) giveUp(refused outcome, last *answer) outcome {
+	if last != nil {
+		return answered{last}
+	}
+	if len(c.tries) == 0 {
+		return refused
+	}
+	for _, t := range c.tries {
+		if t.ending.mayHaveRun() {
+			return failed{http.StatusBadGateway, string(t.ending)}
+		}
+	}
+	if r, found := refused.(rejected); found {
+		return r
+	}
+	t := c.tries[len(c.tries)-1]
+	after := min(t.choice.Wait+t.choice.Run, c.left(c.gate.options.Now())/3)
+	return rejected{http.StatusServiceUnavailable, string(t.ending), max(time.Millisecond, after)}
+}
+
+// mayRepeat reports whether the call may be sent to another server.
+func (c *call) mayRepeat(service string, end ending) bool {
+	if end.mayHaveRun() && !c.route.Kind.Repeatable() {
+		return false
+	}
+	if len(c.tries) >= c.route.MaxAttempts || c.body.rest != nil {
+		return false
+	}
+	if end == endUnreachable {
+		// Nothing arrived at a server.
+		return true
+	}
+	b := c.gate.options.Settings.Bounds
+	bound := psrepeat.Bound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack / float64(c.snapshot.FleetSize)}
+	return c.gate.repeats.Take(service, bound, c.gate.options.Now())
+}
+
+func (c *call) tried() []*psserver.Server {
+	list := make([]*psserver.Server, len(c.tries))
+	for i, t := range c.tries {
+		list[i] = t.server
+	}
+	return list
+}
+
+// try sends the call to one server and reads its whole answer.
+func (c *call) try(ctx context.Context, s selection) (*answer, ending) {
+	begun := c.gate.options.Now()
+	s.server.Sent(begun)
+	if s.view.Trial {
+		s.server.Tried(begun)
+	}
+	s.server.Objects.Note(c.object)
+	result, err := c.send(ctx, s, begun)
+	var a *answer
+	end := endAnswered
+	if err == nil {
+		a, end = c.read(result.Response)
+	} else {
+		end = c.endingOf(ctx, result.Sent, err)
+	}
+	s.server.Ended()
+	now := c.gate.options.Now()
+	c.tries = append(c.tries, try{selection: s, ending: end, at: begun, took: now.Sub(begun)})
+	c.judge(s, a, end, begun, now)
+	return a, end
+}
+
+// endingOf sorts a try that has no answer.
+func (c *call) endingOf(ctx context.Context, sent bool, err error) ending {
+	var body *pstransport.BodyError
+	switch {
+	case c.request.Context().Err() != nil || errors.As(err, &body):
+		return endLeft
+	case ctx.Err() != nil && sent:
+		return endTimeout
+	case !sent:
+		return endUnreachable
+	}
+	return endLost
+}
+
+func (c *call) send(ctx context.Context, s selection, now time.Time) (pstransport.Result, error) {
+	e := s.view.Entry
+	service, _ := c.snapshot.Index.Service(e.Service)
+	limit := minConnections
+	if service != nil {
+		limit = max(limit, int(connectionPart*float64(service.MaxConnections))/c.snapshot.FleetSize)
+	}
+	rules := pstransport.Rules{MaxIdle: maxIdleOnce, EndByClose: true, Mine: func(r *http.Response) bool {
+		id := platform.ReadAnswer(r.StatusCode, r.Header).ID
+		return id == "" || id == c.headers.ID
+	}}
+	if c.route.Kind.Repeatable() {
+		rules.MaxIdle = maxIdleRepeatable
+	}
+	return c.gate.options.Transports.SendWith(ctx, e.Address, limit, c.outgoing(e, now), rules)
+}
+
+// outgoing returns the request as a server gets it.
+func (c *call) outgoing(e psserver.Entry, now time.Time) *http.Request {
+	h := forwardable(c.request.Header)
+	platform.WriteDispatch(h, platform.Dispatch{Server: e.ID, Workspace: c.workspaceName(), Left: c.left(now)})
+	if h.Get("User-Agent") == "" {
+		// net/http adds its own otherwise.
+		h["User-Agent"] = []string{""}
+	}
+	u := *c.request.URL
+	u.Scheme, u.Host = "http", e.Address.String()
+	return &http.Request{
+		Method: c.request.Method, URL: &url.URL{Scheme: u.Scheme, Host: u.Host, Path: u.Path, RawPath: u.RawPath, RawQuery: u.RawQuery, ForceQuery: u.ForceQuery},
+		Host: c.request.Host, Header: h, Body: c.body.open(), ContentLength: c.body.length,
+	}
+}
+
+// judge takes in what a try says about its server.
+func (c *call) judge(s selection, a *answer, end ending, begun, now time.Time) {
+	service := s.view.Entry.Service
+	if a != nil {
+		c.takeAnswer(s, a, now)
+	}
+	took := now.Sub(begun)
+	switch end {
+	case endAnswered:
+		c.gate.poison.Answered(c.fingerprint)
+		expected := s.choice.Wait + s.choice.Run + s.choice.Travel
+		s.server.Judge(float64(took)/float64(max(time.Millisecond, expected)), false, now)
+		if s.choice.Wait == 0 && !s.view.Cold {
+			c.gate.estimates.Observe(psestimate.Observed{
+				Route: c.route.Name, Service: service, Target: c.route.TargetLatency, Warm: s.choice.Warm, Took: took,
+			})
+		}
+	case endUnreachable:
+		c.gate.beliefs.ServerFailed(s.server, string(end))
+	case endMoved:
+		s.server.Move(now)
+		psevent.ServerFailed.Log(c.gate.options.Logger, s.view.Entry.ID, service, string(end), s.view.Entry.Sequence)
+	case endTimeout:
+		s.server.Judge(float64(took)/float64(max(time.Millisecond, s.choice.Finish())), false, now)
+		if !s.server.AnsweredSince(begun) && took > silentTimeout {
+			c.gate.beliefs.ServerFailed(s.server, "silent")
+		}
+	case endShed, endError, endSpoilt:
+		s.server.Judge(0, true, now)
+	case endLost:
+		s.server.Judge(0, true, now)
+		c.gate.checkCrash(c, s)
+	}
+}
+
+// silentTimeout is the least time without any answer after which a server counts as failed.
+const silentTimeout = 700 * time.Millisecond
+
+func (c *call) takeAnswer(s selection, a *answer, now time.Time) {
+	coldStart := time.Duration(0)
+	if v, found := c.snapshot.Index.Service(s.view.Entry.Service); found {
+		coldStart = v.ColdStart
+	}
+	s.server.Answered(now, coldStart)
+	if l := a.said.Load; l != nil {
+		s.server.Reported(l.Running, l.Waiting, now)
+	}
+}
--- /dev/null
+++ b/internal/connection/psfront/finish.go
@@ -0,0 +1,95 @@
+package psfront
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/platform"
+)
+
+// finish answers the caller and logs how the call ended.
+func (c *call) finish(o outcome) {
+	defer c.gate.memory.giveBack(c.body.memory)
+	switch o := o.(type) {
+	case answered:
+		c.log(psevent.RequestAnswered, o.answer.status, "", 0)
+		c.write(o.answer)
+	case rejected:
+		c.log(psevent.RequestRejected, o.status, o.reason, o.after)
+		c.refuse(o.status, o.after)
+	case failed:
+		c.log(psevent.RequestFailed, o.status, o.reason, 0)
+		c.refuse(o.status, 0)
+	case left:
+		c.log(psevent.RequestLeft, 0, "", 0)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse answers without a backend server.
+func (c *call) refuse(status int, after time.Duration) {
+	h := c.writer.Header()
+	platform.WriteID(h, c.headers.ID)
+	if after > 0 {
+		platform.WriteRetryAfter(h, after)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.closeIfLeaving()
+	c.writer.WriteHeader(status)
+	_, _ = c.writer.Write([]byte(http.StatusText(status) + "\n"))
+}
+
+// log writes one line for the call. Failures have a budget of their own.
+func (c *call) log(e psevent.Event, status int, reason string, after time.Duration) {
+	now := c.gate.options.Now()
+	c.gate.options.Metrics.ended(c, e, status, reason, now.Sub(c.arrived))
+	budget := &c.gate.failures
+	if e.Number == psevent.RequestAnswered.Number {
+		budget = &c.gate.successes
+	}
+	if !budget.Take(now) {
+		return
+	}
+	version, route := int64(0), ""
+	if c.snapshot.Index != nil {
+		version = c.snapshot.Index.Configuration.Version
+	}
+	if c.route != nil {
+		route = c.route.Name
+	}
+	e.Log(c.gate.options.Logger, c.headers.ID, c.workspaceName(), route, version, status, reason, c.describe(),
+		milliseconds(now.Sub(c.arrived)), milliseconds(c.headers.Left), milliseconds(now.Sub(c.snapshot.ServersAt)), milliseconds(after))
+}
+
+// describe tells each try with the inputs that chose its server.
+func (c *call) describe() string {
+	var b strings.Builder
+	for i, t := range c.tries {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s",
+			t.view.Entry.ID, t.ending, t.choice.Rank, t.view.Load, milliseconds(t.view.LoadAge), t.view.Slowness, t.view.Failures,
+			milliseconds(t.choice.Wait), milliseconds(t.choice.Run), milliseconds(t.choice.Travel), t.choice.Warm, t.view.Cold, milliseconds(t.took))
+	}
+	return b.String()
+}
+
+// LogLeftOut logs how many lines the budgets left out since the last call.
+func (g *Gate) LogLeftOut() {
+	if n := g.successes.LeftOut() + g.failures.LeftOut(); n > 0 {
+		psevent.LinesLeftOut.Log(g.options.Logger, n)
+	}
+}
+
+// milliseconds is a short text of a span.
+func milliseconds(d time.Duration) string {
+	if d > time.Hour {
+		return "never"
+	}
+	return strconv.FormatInt(d.Milliseconds(), 10) + "ms"
+}
--- /dev/null
+++ b/internal/connection/psfront/gate.go
@@ -0,0 +1,192 @@
+// Package psfront serves callers' requests on the users' platform.
+//
+// A request is matched with a route and a workspace, counted against the workspace's rate,
+// placed on a backend server, and answered with that server's whole answer. Where it can't
+// be served it is rejected at once, with a time to come back, or fails without a promise
+// once it may have run.
+package psfront
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"persimmonstep/internal/connection/pstransport"
+	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/psrate"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/request/psestimate"
+	"persimmonstep/internal/request/pspoison"
+	"persimmonstep/internal/request/psrepeat"
+	"persimmonstep/internal/request/psspread"
+	"persimmonstep/platform"
+)
+
+const (
+	// successLines and failureLines bound the log lines a second.
+	successLines = 100
+	failureLines = 150
+)
+
+// Beliefs is what a request needs of the control.
+type Beliefs interface {
+	Snapshot() *pscontrol.Snapshot
+	ServerFailed(s *psserver.Server, reason string)
+}
+
+// Options are what a gate needs.
+type Options struct {
+	Settings   *psnode.Settings
+	Transports *pstransport.Transports
+	Logger     hclog.Logger
+	Metrics    *Metrics
+	// Now gives monotonic time.
+	Now func() time.Time
+}
+
+// Gate serves requests.
+type Gate struct {
+	options   Options
+	beliefs   Beliefs
+	estimates psestimate.Estimates
+	spreads   psspread.Spreads
+	repeats   psrepeat.Budgets
+	poison    pspoison.Set
+	checks    checks
+	memory    memoryBudget
+
+	successes pslog.Budget
+	failures  pslog.Budget
+
+	mutex   sync.Mutex
+	buckets map[string]*psrate.Bucket
+	// leaving closes callers' connections after their next answer.
+	leaving  bool
+	inFlight int
+	nonce    uint64
+}
+
+// New returns a gate. [Gate.Follow] must be called before it serves.
+func New(o Options) *Gate {
+	return &Gate{
+		options: o, buckets: make(map[string]*psrate.Bucket),
+		successes: pslog.Budget{PerSecond: successLines}, failures: pslog.Budget{PerSecond: failureLines},
+	}
+}
+
+// Follow sets what the gate goes by.
+func (g *Gate) Follow(b Beliefs) { g.beliefs = b }
+
+// Leave closes callers' connections with their next answer.
+func (g *Gate) Leave() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.leaving = true
+}
+
+// InFlight returns the number of requests that have no answer yet.
+func (g *Gate) InFlight() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.inFlight
+}
+
+// Demands returns the requests per second that callers ask for, by workspace.
+func (g *Gate) Demands(now time.Time) map[string]float64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m := make(map[string]float64, len(g.buckets))
+	for name, b := range g.buckets {
+		if d := b.Demand(now); d > 0 {
+			m[name] = d
+		}
+	}
+	return m
+}
+
+// Crashes returns the counts of crashes by request.
+func (g *Gate) Crashes(now time.Time) map[uint64]int {
+	m := make(map[uint64]int)
+	for f, n := range g.poison.Own(now) {
+		m[uint64(f)] = n
+	}
+	return m
+}
+
+// Learn takes in what another VM says of crashes.
+func (g *Gate) Learn(vm string, crashes map[uint64]int, now time.Time) {
+	for f, n := range crashes {
+		g.poison.Learned(vm, pspoison.Fingerprint(f), n, now)
+	}
+}
+
+// ServeHTTP serves one request.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := g.newCall(w, r)
+	g.enter()
+	defer g.exit()
+	c.finish(c.serve())
+}
+
+func (g *Gate) enter() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.inFlight++
+}
+
+func (g *Gate) exit() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.inFlight--
+}
+
+func (g *Gate) isLeaving() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.leaving
+}
+
+// spread returns a number in 0..1 that differs between calls.
+func (g *Gate) spread() float64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.nonce++
+	return float64(g.nonce*spreadStep%spreadRange) / spreadRange
+}
+
+// spreadStep and spreadRange make numbers that follow each other lie far apart.
+const (
+	spreadStep  = 618
+	spreadRange = 1000
+)
+
+// takeRate takes a token of a workspace.
+func (g *Gate) takeRate(name string, l psrate.Limit, part float64, now time.Time) (bool, time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	b, found := g.buckets[name]
+	if !found {
+		b = &psrate.Bucket{}
+		g.buckets[name] = b
+	}
+	return b.Take(l, part, now)
+}
+
+// newCall reads a request's headers.
+func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
+	now := g.options.Now()
+	return &call{
+		gate: g, writer: w, request: r, arrived: now,
+		headers: platform.ReadCall(r.Header), snapshot: g.beliefs.Snapshot(),
+	}
+}
+
+// until returns a context that ends at a time, or with the caller.
+func (c *call) until() (context.Context, context.CancelFunc) {
+	return context.WithDeadline(c.request.Context(), c.deadline)
+}
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -16,16 +16,17 @@
 const (
 	// maxHeaderBytes bounds an answer's header.
 	maxHeaderBytes = 64 << 10
-	// maxInformational bounds the 1xx answers before the final one.
-	maxInformational = 8
+	// maxSkipped bounds the 1xx answers, and those to other requests, before the final one.
+	maxSkipped = 8
 	// maxInlineBodyBytes is the length up to which a body in memory is written before the
 	// answer is read; all others are written while the answer is read.
 	maxInlineBodyBytes = 16 << 10
 )
 
 var (
-	errUpgrade       = errors.New("the server switched protocols unasked")
-	errInformational = errors.New("the server sent too many 1xx answers")
+	errUpgrade = errors.New("the server switched protocols unasked")
+	errSkipped = errors.New("the server sent too many answers before the final one")
+	errSurplus = errors.New("the server sent an answer without an end to another request")
 )
 
 // BodyError says that the request's body could not be read; the server is not to blame.
@@ -45,6 +46,7 @@
 	conn    *conn
 	request *http.Request
 	context context.Context
+	rules   Rules
 	// sent says that a byte of the request may have reached the server.
 	sent atomic.Bool
 	// written is closed when nothing more of the request is written.
@@ -82,7 +84,7 @@
 	answer.Body = &answerBody{
 		exchange: e, inner: answer.Body,
 		// Without a length or chunks the end of the body is a closed connection, as a break is.
-		endless: answer.ContentLength < 0 && len(answer.TransferEncoding) == 0,
+		endless: answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && !e.rules.EndByClose,
 	}
 	return answer, nil
 }
@@ -192,7 +194,7 @@
 // read reads the final answer's header.
 func (e *exchange) read() (*http.Response, error) {
 	defer func() { e.conn.limit.N = math.MaxInt64 }()
-	for range maxInformational {
+	for range maxSkipped {
 		e.conn.limit.N = maxHeaderBytes
 		answer, err := http.ReadResponse(e.conn.reader, e.request)
 		switch {
@@ -200,11 +202,26 @@
 			return nil, err
 		case answer.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
-		case answer.StatusCode >= http.StatusOK:
+		case answer.StatusCode < http.StatusOK:
+		case e.rules.Mine == nil || e.rules.Mine(answer):
 			return answer, nil
+		default:
+			if err := e.drop(answer); err != nil {
+				return nil, err
+			}
 		}
 	}
-	return nil, errInformational
+	return nil, errSkipped
+}
+
+// drop reads the rest of an answer that belongs to another request.
+func (e *exchange) drop(answer *http.Response) error {
+	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
+		return errSurplus
+	}
+	e.conn.limit.N = math.MaxInt64
+	_, err := io.Copy(io.Discard, answer.Body)
+	return err
 }
 
 // cause prefers what made the connection fail over the failure itself.
--- a/internal/connection/pstransport/pool.go
+++ b/internal/connection/pstransport/pool.go
@@ -6,15 +6,35 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
-	dialTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
+	// unackedTimeout is how long the server's machine may leave sent bytes unacknowledged.
+	unackedTimeout = 1200 * time.Millisecond
 	// idleTimeout is how long a connection is kept without a request.
 	idleTimeout = 90 * time.Second
 )
 
+// keepAlive finds connections whose other end is gone without a word.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
+// limitSilence ends a connection whose other end no longer acknowledges what is sent.
+func limitSilence(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
 // pool holds the connections to one server.
 type pool struct {
 	address netip.AddrPort
@@ -38,7 +58,7 @@
 }
 
 // get returns an unused connection or dials one, and waits while the limit is reached.
-func (p *pool) get(ctx context.Context, limit int) (*conn, error) {
+func (p *pool) get(ctx context.Context, limit int, maxIdle time.Duration) (*conn, error) {
 	if limit <= 0 {
 		return p.dialOnce(ctx)
 	}
@@ -50,7 +70,7 @@
 		if g.conn == nil {
 			return p.dial(ctx)
 		}
-		if g.conn.quiet() {
+		if g.conn.quiet() && (maxIdle <= 0 || time.Since(g.conn.idleSince) <= maxIdle) {
 			return g.conn, nil
 		}
 		g.conn.discard()
@@ -102,7 +122,8 @@
 
 // dial opens a connection that take has counted.
 func (p *pool) dial(ctx context.Context) (*conn, error) {
-	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", p.address.String())
+	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitSilence}
+	raw, err := d.DialContext(ctx, "tcp", p.address.String())
 	if err != nil {
 		p.forget()
 		return nil, err
@@ -132,11 +153,11 @@
 		p.release()
 		return
 	}
+	c.idleSince = time.Now()
 	if len(p.waiting) > 0 {
 		p.grant(grant{c})
 		return
 	}
-	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
 	if p.expiry == nil {
 		p.expiry = time.AfterFunc(idleTimeout, p.expire)
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 )
 
 // Transports holds one connection pool for each backend server.
@@ -77,15 +78,31 @@
 // be its body's length, or -1 where that is unknown. Send closes the request's body when it
 // reads no more of it, which may be after Send has returned.
 func (t *Transports) Send(ctx context.Context, address netip.AddrPort, limit int, r *http.Request) (Result, error) {
+	return t.SendWith(ctx, address, limit, r, Rules{})
+}
+
+// Rules say which connections and which answers an exchange takes. The zero value takes any
+// connection that is kept, and the first answer if its end is certain.
+type Rules struct {
+	// MaxIdle is how long a connection may have been unused; 0 means any time.
+	MaxIdle time.Duration
+	// Mine reports whether an answer is that of the request. Others are read and dropped.
+	Mine func(*http.Response) bool
+	// EndByClose takes an answer without a length as whole when its connection is closed in order.
+	EndByClose bool
+}
+
+// SendWith is [Transports.Send] with rules.
+func (t *Transports) SendWith(ctx context.Context, address netip.AddrPort, limit int, r *http.Request, rules Rules) (Result, error) {
 	if r.Close {
 		limit = 0
 	}
-	c, err := t.pool(address).get(ctx, limit)
+	c, err := t.pool(address).get(ctx, limit, rules.MaxIdle)
 	if err != nil {
 		closeBody(r)
 		return Result{}, err
 	}
-	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{})}
+	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{}), rules: rules}
 	answer, err := e.run()
 	return Result{Response: answer, Sent: e.sent.Load()}, err
 }
--- a/internal/process/pscli/cli.go
+++ b/internal/process/pscli/cli.go
@@ -40,6 +40,7 @@
 // commands is the command line's grammar.
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run one entry VM."`
+	Steer   steerCommand   `cmd:"" help:"Run one VM on the users' platform."`
 	Dev     devCommand     `cmd:"" help:"Run the whole system in this process on loopback, with stand-ins."`
 	Standin standinCommand `cmd:"" help:"Run the platform stand-in alone."`
 	Measure measureCommand `cmd:"" help:"Run experiments and print what was measured."`
--- /dev/null
+++ b/internal/process/pscli/steer.go
@@ -0,0 +1,23 @@
+package pscli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"persimmonstep/internal/process/pssteer"
+)
+
+// steerCommand runs a VM on the users' platform.
+type steerCommand struct {
+	Settings string `required:"" help:"The settings file that the machine provides."`
+}
+
+// Run serves until the context ends.
+func (c *steerCommand) Run(ctx context.Context, s streams) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return pssteer.Run(ctx, pssteer.Options{SettingsPath: c.Settings, Output: s.out, Reload: reload})
+}
--- /dev/null
+++ b/internal/process/pscontrol/control.go
@@ -0,0 +1,262 @@
+package pscontrol
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform"
+)
+
+// Store is what the control reads and writes of the platform's store.
+type Store interface {
+	Orders(ctx context.Context) (platform.Orders, error)
+	OrdersChanged(ctx context.Context, after int64, wait time.Duration) (bool, int64, error)
+	Servers(ctx context.Context) ([]psserver.Entry, []platform.Unread, error)
+	VMs(ctx context.Context) (map[string][]byte, error)
+	PublishVM(ctx context.Context, name string, value []byte) error
+}
+
+// Peers sends this VM's reports.
+type Peers interface {
+	// Send sends a report to each of the VMs.
+	Send(r *psfleet.Report, to []psfleet.Identity)
+}
+
+// Requests is what the control asks of the request path.
+type Requests interface {
+	// Demands returns the requests per second that callers ask for, by workspace.
+	Demands(now time.Time) map[string]float64
+	// Crashes returns this VM's counts of crashes by request.
+	Crashes(now time.Time) map[uint64]int
+	// Learn takes in what another VM says of crashes.
+	Learn(vm string, crashes map[uint64]int, now time.Time)
+}
+
+// Options are what a control needs.
+type Options struct {
+	Settings *psnode.Settings
+	Identity psfleet.Identity
+	Store    Store
+	Peers    Peers
+	Requests Requests
+	Logger   hclog.Logger
+	// Now gives monotonic time.
+	Now func() time.Time
+}
+
+// Control owns what a VM believes. Its state belongs to the goroutine of [Control.Run].
+type Control struct {
+	options  Options
+	events   chan event
+	snapshot atomic.Pointer[Snapshot]
+	// leaving says that the VM takes no new callers.
+	leaving atomic.Bool
+
+	index     *psconfig.Index
+	evacuated map[string]bool
+	servers   *registry
+	fleet     *psfleet.Fleet
+	shares    *shares
+	// unread holds the rows that were logged, by key and version.
+	unread   map[string]int64
+	sequence int64
+	failed   map[string]failedServer
+	silent   map[string]bool
+}
+
+// failedServer is a server that this VM found down.
+type failedServer struct {
+	sequence int64
+	at       time.Time
+}
+
+// New returns a control that knows nothing yet.
+func New(o Options) *Control {
+	c := &Control{
+		options: o, events: make(chan event, eventBacklog), evacuated: map[string]bool{},
+		servers: newRegistry(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity.VM), shares: newShares(),
+		unread: map[string]int64{}, failed: map[string]failedServer{}, silent: map[string]bool{},
+	}
+	c.publish()
+	return c
+}
+
+// eventBacklog is the number of events that may wait for the control's goroutine.
+const eventBacklog = 256
+
+// Snapshot returns what the VM believes now.
+func (c *Control) Snapshot() *Snapshot { return c.snapshot.Load() }
+
+// Leave takes the VM out of the directory and tells the other VMs.
+func (c *Control) Leave() {
+	c.leaving.Store(true)
+	c.tell(leaveEvent{})
+}
+
+// Ready reports whether the VM can serve and takes callers.
+func (c *Control) Ready() bool {
+	s := c.Snapshot()
+	return !c.leaving.Load() && s.Index != nil && !s.ServersAt.IsZero()
+}
+
+// Heard takes in another VM's report.
+func (c *Control) Heard(r *psfleet.Report) { c.tell(reportEvent{r}) }
+
+// ServerFailed takes in that a server could not be connected to, or that none of its requests was answered.
+func (c *Control) ServerFailed(s *psserver.Server, reason string) {
+	e := s.Entry()
+	if !s.Fail(c.options.Now()) {
+		return
+	}
+	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, reason, e.Sequence)
+	c.tell(failedEvent{e.ID, e.Sequence})
+}
+
+// event is something that changes what the VM believes.
+type event interface{ event() }
+
+type (
+	ordersEvent  struct{ orders platform.Orders }
+	serversEvent struct {
+		entries []psserver.Entry
+		unread  []platform.Unread
+		// away is when the store was lost since the last reading; zero if it wasn't.
+		away time.Time
+	}
+	vmsEvent    struct{ rows map[string][]byte }
+	reportEvent struct{ report *psfleet.Report }
+	failedEvent struct {
+		server   string
+		sequence int64
+	}
+	leaveEvent struct{}
+)
+
+func (ordersEvent) event()  {}
+func (serversEvent) event() {}
+func (vmsEvent) event()     {}
+func (reportEvent) event()  {}
+func (failedEvent) event()  {}
+func (leaveEvent) event()   {}
+
+// tell passes an event to the control's goroutine. Reports may be dropped; the next one says the same.
+func (c *Control) tell(e event) {
+	if _, found := e.(reportEvent); found {
+		select {
+		case c.events <- e:
+		default:
+		}
+		return
+	}
+	c.events <- e
+}
+
+// Run follows the store and the other VMs until the context ends.
+func (c *Control) Run(ctx context.Context) {
+	go c.followOrders(ctx)
+	go c.followServers(ctx)
+	go c.followVMs(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.events:
+			c.take(e)
+		case <-timer.C:
+			c.report()
+			timer.Reset(c.fleet.Interval())
+		}
+		c.publish()
+	}
+}
+
+func (c *Control) take(e event) {
+	now := c.options.Now()
+	switch e := e.(type) {
+	case ordersEvent:
+		c.takeOrders(e.orders, now)
+	case serversEvent:
+		c.logUnread(e.unread)
+		c.servers.update(e.entries, e.away, now)
+	case vmsEvent:
+		c.takeVMs(e.rows, now)
+	case reportEvent:
+		c.takeReport(e.report, now)
+	case failedEvent:
+		c.failed[e.server] = failedServer{e.sequence, now}
+	case leaveEvent:
+		c.report()
+	}
+}
+
+func (c *Control) takeOrders(o platform.Orders, now time.Time) {
+	c.logUnread(o.Unread)
+	c.takeEvacuations(o.Evacuated, now)
+	if o.Configuration == nil {
+		return
+	}
+	before := int64(0)
+	if c.index != nil {
+		before = c.index.Configuration.Version
+	}
+	if c.index != nil && o.Configuration.Version <= before {
+		return
+	}
+	if findings := o.Configuration.Check(); len(findings) > 0 {
+		psevent.ConfigurationKept.Log(c.options.Logger, o.Version, findings)
+		return
+	}
+	c.index = psconfig.NewIndex(o.Configuration)
+	psevent.ConfigurationTaken.Log(c.options.Logger, o.Configuration.Version, before,
+		len(o.Configuration.Routes), len(o.Configuration.Workspaces), o.Version)
+}
+
+func (c *Control) takeEvacuations(list []string, now time.Time) {
+	next := make(map[string]bool, len(list))
+	for _, d := range list {
+		next[d] = true
+	}
+	changed := len(next) != len(c.evacuated)
+	for d := range c.evacuated {
+		if !next[d] {
+			changed = true
+			c.servers.assumeCold(d, c.coldStart, now)
+		}
+	}
+	c.evacuated = next
+	if changed {
+		psevent.EvacuationChanged.Log(c.options.Logger, list)
+	}
+}
+
+// coldStart returns how long servers of a service stay cold.
+func (c *Control) coldStart(service string) time.Duration {
+	if c.index == nil {
+		return 0
+	}
+	s, found := c.index.Service(service)
+	if !found {
+		return 0
+	}
+	return s.ColdStart
+}
+
+func (c *Control) logUnread(list []platform.Unread) {
+	for _, u := range list {
+		if c.unread[u.Key] == u.Version {
+			continue
+		}
+		c.unread[u.Key] = u.Version
+		psevent.RowUnread.Log(c.options.Logger, u.Key, u.Version, u.Err.Error())
+	}
+}
--- /dev/null
+++ b/internal/process/pscontrol/fleet.go
@@ -0,0 +1,116 @@
+package pscontrol
+
+import (
+	"maps"
+	"time"
+
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psfleet"
+)
+
+// failedSpan is how long other VMs are told of a failed server.
+const failedSpan = 3 * time.Second
+
+func (c *Control) takeVMs(rows map[string][]byte, now time.Time) {
+	for name, value := range rows {
+		i, err := psfleet.DecodeIdentity(value)
+		if err != nil {
+			psevent.RowUnread.Log(c.options.Logger, name, 0, err.Error())
+			continue
+		}
+		c.fleet.Know(i, now)
+	}
+}
+
+func (c *Control) takeReport(r *psfleet.Report, now time.Time) {
+	before, fresh := c.fleet.Hear(r, now)
+	if !fresh {
+		return
+	}
+	if before.Report == nil || before.Report.Incarnation != r.Incarnation || c.silent[r.VM] {
+		delete(c.silent, r.VM)
+		psevent.PeerHeard.Log(c.options.Logger, r.VM, r.Incarnation, now.Sub(before.HeardAt).String())
+	}
+	c.options.Requests.Learn(r.VM, r.Crashes, now)
+	for id, sequence := range r.Failed {
+		c.learnFailed(id, sequence, r.VM, now)
+	}
+}
+
+// learnFailed takes out a server that another VM found down, unless its heartbeats went on.
+func (c *Control) learnFailed(id string, sequence int64, vm string, now time.Time) {
+	s, found := c.servers.servers[id]
+	if !found || s.Entry().Sequence > sequence {
+		return
+	}
+	if e := s.Entry(); s.Fail(now) {
+		psevent.ServerFailed.Log(c.options.Logger, id, e.Service, "told by "+vm, e.Sequence)
+	}
+}
+
+// report tells the other VMs about this one and notes which of them are silent.
+func (c *Control) report() {
+	now := c.options.Now()
+	c.sequence++
+	r := &psfleet.Report{
+		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(),
+		Demands: c.options.Requests.Demands(now), Crashes: c.options.Requests.Crashes(now), Failed: c.failures(now),
+	}
+	if c.index != nil {
+		r.Version = c.index.Configuration.Version
+	}
+	c.shares.reported = r.Demands
+	peers := c.fleet.Peers()
+	to := make([]psfleet.Identity, 0, len(peers))
+	for _, p := range peers {
+		to = append(to, p.Identity)
+		c.noteSilence(p, now)
+	}
+	c.options.Peers.Send(r, to)
+}
+
+func (c *Control) noteSilence(p *psfleet.Peer, now time.Time) {
+	if p.Report == nil || c.fleet.Live(p, now) || c.silent[p.Identity.VM] {
+		return
+	}
+	c.silent[p.Identity.VM] = true
+	psevent.PeerSilent.Log(c.options.Logger, p.Identity.VM, now.Sub(p.HeardAt).String())
+}
+
+func (c *Control) failures(now time.Time) map[string]int64 {
+	maps.DeleteFunc(c.failed, func(_ string, f failedServer) bool { return now.Sub(f.at) > failedSpan })
+	m := make(map[string]int64, len(c.failed))
+	for id, f := range c.failed {
+		m[id] = f.sequence
+	}
+	return m
+}
+
+// publish makes what the VM believes visible to requests.
+func (c *Control) publish() {
+	now := c.options.Now()
+	parts, even := c.shares.parts(c.fleet, c.index, now)
+	c.snapshot.Store(&Snapshot{
+		Index: c.index, Servers: c.servers.byService(), ServersAt: c.servers.readAt, Evacuated: c.evacuated,
+		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
+		ColdShares: coldShares(c.options.Identity.VM, c.fleet, c.servers.servers, c.index, now),
+	})
+}
+
+// vms lists the VMs that take callers.
+func (c *Control) vms(now time.Time) []VM {
+	var list []VM
+	if !c.leaving.Load() {
+		list = append(list, vmOf(c.options.Identity))
+	}
+	for _, p := range c.fleet.Peers() {
+		if c.fleet.Live(p, now) && p.Report.Ready {
+			list = append(list, vmOf(p.Identity))
+		}
+	}
+	return list
+}
+
+func vmOf(i psfleet.Identity) VM {
+	return VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.Callers.String()}
+}
--- /dev/null
+++ b/internal/process/pscontrol/snapshot.go
@@ -0,0 +1,49 @@
+// Package pscontrol owns what a VM believes of the system.
+//
+// One goroutine takes in what the store, the other VMs and the request path tell, and
+// publishes an immutable [Snapshot] that requests read without waiting.
+package pscontrol
+
+import (
+	"time"
+
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psconfig"
+)
+
+// Snapshot is what a VM believes at one moment.
+type Snapshot struct {
+	// Index is nil until the first configuration is known.
+	Index *psconfig.Index
+	// Servers lists the registered servers of each service.
+	Servers map[string][]*psserver.Server
+	// ServersAt is when the servers were last read from the store.
+	ServersAt time.Time
+	// Evacuated holds the failure domains whose servers get nothing.
+	Evacuated map[string]bool
+	// Parts gives this VM's part of each workspace's rate.
+	Parts map[string]float64
+	// EvenPart is the part of a workspace that isn't listed.
+	EvenPart float64
+	// ColdShares gives this VM's part of what cold servers bear, by the server's id. Servers
+	// that aren't listed get nothing from this VM while they are cold.
+	ColdShares map[string]psserver.ColdShare
+	// FleetSize is the number of VMs that may be in use.
+	FleetSize int
+	// VMs lists the VMs that take callers, this one first.
+	VMs []VM
+}
+
+// VM is a VM that takes callers.
+type VM struct {
+	Name          string
+	Region        string
+	FailureDomain string
+	Callers       string
+}
+
+// blindAfter is the age of the list of servers from which heartbeats no longer tell who lives.
+const blindAfter = 3 * time.Second
+
+// Blind reports whether the list of servers is too old to tell who lives.
+func (s *Snapshot) Blind(now time.Time) bool { return now.Sub(s.ServersAt) > blindAfter }
--- a/internal/process/psevent/event.go
+++ b/internal/process/psevent/event.go
@@ -51,5 +51,5 @@
 
 // Catalogue lists all events by number.
 func Catalogue() []Event {
-	return slices.Concat(processEvents(), requestEvents(), budgetEvents(), slotEvents(), stateEvents(), healthEvents(), measureEvents())
+	return slices.Concat(processEvents(), requestEvents(), budgetEvents(), slotEvents(), stateEvents(), healthEvents(), measureEvents(), steerEvents())
 }
--- /dev/null
+++ b/internal/process/psevent/steer.go
@@ -0,0 +1,80 @@
+package psevent
+
+import "github.com/hashicorp/go-hclog"
+
+// Events of a VM on the users' platform.
+var (
+	// VMStarted says that the process runs and with which settings.
+	VMStarted = Event{7001, hclog.Info, "VM process started", []string{"vm", "failureDomain", "region", "callers", "store"}}
+	// VMStopping says that a graceful shutdown began.
+	VMStopping = Event{7002, hclog.Info, "VM process stopping", []string{"vm", "inFlight"}}
+	// VMStopped says that the process ends.
+	VMStopped = Event{7003, hclog.Info, "VM process stopped", []string{"vm", "inFlight", "after"}}
+	// SettingsReloaded says that the settings file was read again.
+	SettingsReloaded = Event{7004, hclog.Info, "settings read again", []string{"cause", "changed"}}
+	// SettingsKept says that a changed settings file is faulty and the old settings stay.
+	SettingsKept = Event{7005, hclog.Warn, "settings faulty, the old ones stay", []string{"cause", "error"}}
+	// LinesLeftOut says how many log lines the budget left out, by event.
+	LinesLeftOut = Event{7006, hclog.Warn, "log lines left out", []string{"lines"}}
+
+	// ConfigurationTaken says that a configuration version is in force.
+	ConfigurationTaken = Event{7101, hclog.Info, "configuration in force", []string{"version", "before", "routes", "workspaces", "storeVersion"}}
+	// ConfigurationKept says that a newer configuration is faulty and the old one stays.
+	ConfigurationKept = Event{7102, hclog.Warn, "configuration faulty, the old one stays", []string{"storeVersion", "findings"}}
+	// RowUnread says that a row of the store could not be read and is passed over.
+	RowUnread = Event{7103, hclog.Warn, "row of the store passed over", []string{"key", "version", "error"}}
+	// EvacuationChanged says which failure domains are evacuated.
+	EvacuationChanged = Event{7104, hclog.Info, "evacuations changed", []string{"failureDomains"}}
+	// StoreLost says that the store doesn't answer.
+	StoreLost = Event{7105, hclog.Warn, "store lost", []string{"call", "error"}}
+	// StoreRegained says that the store answers again.
+	StoreRegained = Event{7106, hclog.Info, "store regained", []string{"call", "after"}}
+
+	// ServerRegistered says that a backend server is new.
+	ServerRegistered = Event{7201, hclog.Info, "backend server registered", []string{"server", "service", "failureDomain", "slots", "cold"}}
+	// ServerDraining says that a backend server gets no new requests.
+	ServerDraining = Event{7202, hclog.Info, "backend server draining", []string{"server", "service", "sequence"}}
+	// ServerRemoved says that a backend server is no longer registered.
+	ServerRemoved = Event{7203, hclog.Info, "backend server removed", []string{"server", "service", "missingFor"}}
+	// ServerHeld says that a missing server is kept because the store was away.
+	ServerHeld = Event{7204, hclog.Info, "missing backend server kept while entries return", []string{"server", "service"}}
+	// ServerFailed says that a backend server gets no requests until its heartbeats go on.
+	ServerFailed = Event{7205, hclog.Warn, "backend server failed", []string{"server", "service", "reason", "sequence"}}
+	// ServerBack says that a backend server is used again.
+	ServerBack = Event{7206, hclog.Info, "backend server back", []string{"server", "service", "sequence", "cold"}}
+
+	// PeerHeard says that another VM reports, or reports again.
+	PeerHeard = Event{7301, hclog.Info, "VM heard", []string{"vm", "incarnation", "silentFor"}}
+	// PeerSilent says that another VM has stopped reporting.
+	PeerSilent = Event{7302, hclog.Warn, "VM silent", []string{"vm", "silentFor"}}
+	// ReportUnread says that a datagram is no report.
+	ReportUnread = Event{7303, hclog.Warn, "report passed over", []string{"from", "error"}}
+
+	// RequestAnswered says how a request ended that a backend server answered.
+	RequestAnswered = Event{7401, hclog.Info, "request answered", requestFields}
+	// RequestRejected says why a request was rejected without being run.
+	RequestRejected = Event{7402, hclog.Info, "request rejected", requestFields}
+	// RequestFailed says why a request failed that may have run.
+	RequestFailed = Event{7403, hclog.Warn, "request failed", requestFields}
+	// RequestLeft says that the caller left before the answer.
+	RequestLeft = Event{7404, hclog.Info, "caller left", requestFields}
+	// DirectoryAnswered says which VMs a caller was told to use.
+	DirectoryAnswered = Event{7405, hclog.Debug, "directory answered", []string{"host", "region", "failureDomain", "vms"}}
+	// RequestCounted says that a crash is counted against a request.
+	RequestCounted = Event{7406, hclog.Warn, "request was at a server that crashed", []string{"requestId", "fingerprint", "server", "crashes"}}
+)
+
+// requestFields are the inputs and the outcome of a request's decisions.
+var requestFields = []string{
+	"requestId", "workspace", "route", "version", "status", "reason", "tries", "took", "left", "serversAge", "retryAfter",
+}
+
+func steerEvents() []Event {
+	return []Event{
+		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsKept, LinesLeftOut,
+		ConfigurationTaken, ConfigurationKept, RowUnread, EvacuationChanged, StoreLost, StoreRegained,
+		ServerRegistered, ServerDraining, ServerRemoved, ServerHeld, ServerFailed, ServerBack,
+		PeerHeard, PeerSilent, ReportUnread,
+		RequestAnswered, RequestRejected, RequestFailed, RequestLeft, DirectoryAnswered, RequestCounted,
+	}
+}
--- /dev/null
+++ b/internal/process/psfleet/fleet.go
@@ -0,0 +1,163 @@
+// Package psfleet keeps the view of the VMs of the fleet.
+//
+// VMs publish where they are in the platform's store, and from then on send each other
+// reports. A VM that was heard of lately is live. One that has been silent for longer may be
+// dead or only unreachable, so what it had stays reserved for it for a while.
+package psfleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// baseInterval is the time between reports in a small fleet, and intervalPerVM what each
+	// VM adds in a larger one, so that a VM's work stays bounded.
+	baseInterval  = 250 * time.Millisecond
+	intervalPerVM = 18 * time.Millisecond
+	// liveIntervals is the number of intervals after which a silent VM is no longer live.
+	liveIntervals = 4
+	// liveSlack is added to them for delays on the way.
+	liveSlack = 300 * time.Millisecond
+	// reserveSpan is how long the part of a silent VM is reserved.
+	reserveSpan = 10 * time.Second
+)
+
+// Identity is what a VM publishes of itself.
+type Identity struct {
+	VM            string         `json:"vm"`
+	FailureDomain string         `json:"failureDomain"`
+	Region        string         `json:"region"`
+	Callers       netip.AddrPort `json:"callers"`
+	Peers         netip.AddrPort `json:"peers"`
+	// Incarnation tells a restarted process.
+	Incarnation int64 `json:"incarnation"`
+}
+
+// Check returns what is wrong with a decoded identity.
+func (i Identity) Check() error {
+	if i.VM == "" || i.FailureDomain == "" || i.Region == "" || !i.Callers.IsValid() || !i.Peers.IsValid() {
+		return errors.New("a part of the VM's identity is missing")
+	}
+	return nil
+}
+
+// DecodeIdentity reads a published identity.
+func DecodeIdentity(data []byte) (Identity, error) {
+	var i Identity
+	if err := json.Unmarshal(data, &i); err != nil {
+		return Identity{}, errors.Wrap(err, "decode a VM's identity")
+	}
+	return i, i.Check()
+}
+
+// Report is what a VM tells the others at each interval.
+type Report struct {
+	Identity
+	// Sequence grows with each report of one incarnation.
+	Sequence int64 `json:"sequence"`
+	// Ready says that the VM takes callers.
+	Ready bool `json:"ready"`
+	// Version is the configuration version in force; 0 before the first.
+	Version int64 `json:"version"`
+	// Demands are the requests per second that callers ask for, by workspace.
+	Demands map[string]float64 `json:"demands,omitempty"`
+	// Crashes counts crashes by the fingerprint of the request.
+	Crashes map[uint64]int `json:"crashes,omitempty"`
+	// Failed names servers that the VM found down, with the heartbeat that it knew then.
+	Failed map[string]int64 `json:"failed,omitempty"`
+}
+
+// Peer is another VM.
+type Peer struct {
+	Identity Identity
+	// Report is the latest one; nil before the first.
+	Report  *Report
+	HeardAt time.Time
+	// KnownAt is when the VM was first known of.
+	KnownAt time.Time
+}
+
+// Fleet is the view of one VM. It isn't safe for concurrent use.
+type Fleet struct {
+	self  string
+	peers map[string]*Peer
+}
+
+// New returns the view of a VM that knows itself only.
+func New(self string) *Fleet {
+	return &Fleet{self: self, peers: make(map[string]*Peer)}
+}
+
+// Know takes in a published identity.
+func (f *Fleet) Know(i Identity, now time.Time) {
+	if i.VM == f.self {
+		return
+	}
+	p, found := f.peers[i.VM]
+	if !found {
+		f.peers[i.VM] = &Peer{Identity: i, KnownAt: now}
+		return
+	}
+	if i.Incarnation > p.Identity.Incarnation {
+		p.Identity = i
+	}
+}
+
+// Hear takes in a report. It returns the peer's earlier state, and false for reports that are
+// out of date.
+func (f *Fleet) Hear(r *Report, now time.Time) (Peer, bool) {
+	if r.VM == f.self {
+		return Peer{}, false
+	}
+	f.Know(r.Identity, now)
+	p := f.peers[r.VM]
+	if r.Incarnation < p.Identity.Incarnation {
+		return Peer{}, false
+	}
+	if p.Report != nil && p.Report.Incarnation == r.Incarnation && p.Report.Sequence >= r.Sequence {
+		return Peer{}, false
+	}
+	before := *p
+	p.Identity = r.Identity
+	p.Report = r
+	p.HeardAt = now
+	return before, true
+}
+
+// Size returns the number of known VMs, this one included.
+func (f *Fleet) Size() int { return len(f.peers) + 1 }
+
+// Interval returns the time between reports.
+func (f *Fleet) Interval() time.Duration {
+	return max(baseInterval, time.Duration(f.Size())*intervalPerVM)
+}
+
+// Peers returns the other VMs by name.
+func (f *Fleet) Peers() []*Peer {
+	list := make([]*Peer, 0, len(f.peers))
+	for _, p := range f.peers {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *Peer) int { return cmp.Compare(a.Identity.VM, b.Identity.VM) })
+	return list
+}
+
+// Live reports whether a VM was heard of lately.
+func (f *Fleet) Live(p *Peer, now time.Time) bool {
+	return p.Report != nil && now.Sub(p.HeardAt) < liveIntervals*f.Interval()+liveSlack
+}
+
+// Reserved reports whether a VM may still use its part of what the fleet shares.
+func (f *Fleet) Reserved(p *Peer, now time.Time) bool {
+	since := p.HeardAt
+	if p.Report == nil {
+		since = p.KnownAt
+	}
+	return now.Sub(since) < reserveSpan
+}
--- /dev/null
+++ b/internal/process/psrate/rate.go
@@ -0,0 +1,91 @@
+// Package psrate bounds what a workspace gets from all VMs together.
+//
+// It answers this load pattern: one workspace sends many times its rate to all VMs at once
+// while the others stay within theirs, VMs are killed and come back, and some can't hear
+// each other. Each VM has a part of the rate, in proportion to what callers ask of it. A VM
+// computes the parts from the demands that were exchanged, its own included, so that all
+// come to nearly the same split. What a silent VM last asked for stays reserved for it, and
+// a VM that can't hear the others doesn't grow.
+//
+// The package does no I/O and reads no clock.
+package psrate
+
+import "time"
+
+const (
+	// floorPart is the part of a rate that is split evenly, whatever is asked.
+	floorPart = 0.25
+	// rateFactor lets buckets fill a little faster than the limit, within the tolerance.
+	rateFactor = 1.02
+	// burstOfRate is the additional depth of all buckets, in seconds of the rate.
+	burstOfRate = 0.15
+	// demandSpan is the time over which a demand is averaged.
+	demandSpan = 1500 * time.Millisecond
+)
+
+// Limit is a workspace's rate and burst over all VMs.
+type Limit struct {
+	// Rate is in requests per second; 0 means no limit.
+	Rate  float64
+	Burst float64
+}
+
+// Part returns the part of a limit that belongs to the VM with the own demand, among VMs
+// with the demands of others. Demands are in requests per second.
+func Part(own float64, others []float64) float64 {
+	n := float64(len(others) + 1)
+	sum := own
+	for _, d := range others {
+		sum += d
+	}
+	if sum <= 0 {
+		return 1 / n
+	}
+	return floorPart/n + (1-floorPart)*own/sum
+}
+
+// Bucket holds one VM's tokens of a workspace. The zero value is empty.
+type Bucket struct {
+	tokens float64
+	last   time.Time
+	// asked is the averaged demand.
+	asked float64
+}
+
+// Take takes a token. Without one it returns how long to wait for it.
+func (b *Bucket) Take(l Limit, part float64, now time.Time) (bool, time.Duration) {
+	b.refill(l, part, now)
+	b.asked += 1 / demandSpan.Seconds()
+	if l.Rate <= 0 {
+		return true, 0
+	}
+	if b.tokens >= 1 {
+		b.tokens--
+		return true, 0
+	}
+	rate := l.Rate * part * rateFactor
+	return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+}
+
+// Demand returns the averaged number of requests asked for per second.
+func (b *Bucket) Demand(now time.Time) float64 {
+	return b.asked * b.fade(now)
+}
+
+// fade returns how much of what was asked still counts.
+func (b *Bucket) fade(now time.Time) float64 {
+	if b.last.IsZero() {
+		return 1
+	}
+	return max(0, 1-float64(now.Sub(b.last))/float64(demandSpan))
+}
+
+func (b *Bucket) refill(l Limit, part float64, now time.Time) {
+	depth := part*(l.Burst+burstOfRate*l.Rate) + 1
+	if !b.last.IsZero() {
+		b.asked *= b.fade(now)
+		b.tokens += l.Rate * part * rateFactor * now.Sub(b.last).Seconds()
+	}
+	b.tokens = min(depth, b.tokens)
+	b.last = now
+}
--- /dev/null
+++ b/internal/process/psserver/entry.go
@@ -0,0 +1,37 @@
+// Package psserver holds what a VM knows of one backend server.
+//
+// An [Entry] is what the server registered. A [Server] adds what this VM saw of it: the
+// requests it has there, the load that its answers tell, its failures and its speed.
+package psserver
+
+import (
+	"net/netip"
+	"time"
+)
+
+// State is what a server says of itself.
+type State uint8
+
+const (
+	// Ready servers take requests.
+	Ready State = iota
+	// Draining servers get no new requests.
+	Draining
+)
+
+// Entry is a registered backend server.
+type Entry struct {
+	// ID identifies the server, and with Incarnation one run of it.
+	ID string
+	// Incarnation is the time of its start; it tells a restart under the same id.
+	Incarnation   time.Time
+	Service       string
+	Address       netip.AddrPort
+	FailureDomain string
+	Slots         int
+	State         State
+	// ColdFor is how much longer the server stays cold.
+	ColdFor time.Duration
+	// Sequence grows with each heartbeat of one incarnation.
+	Sequence int64
+}
--- /dev/null
+++ b/internal/process/psserver/server.go
@@ -0,0 +1,292 @@
+package psserver
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// loadSpan is the time after which a load report counts for about a third.
+	loadSpan = 400 * time.Millisecond
+	// judgeSpan is the time after which a judgement of speed or failures counts for about a third.
+	judgeSpan = 3 * time.Second
+	// judgeWeight is the weight of one answer in a judgement.
+	judgeWeight = 0.15
+	// minSlowness and maxSlowness bound the ratio of measured to expected time.
+	minSlowness = 0.3
+	maxSlowness = 20
+	// trialInterval is the time between two requests to a server of which only requests can tell.
+	trialInterval = time.Second
+	// beatsAfterFailure is the number of heartbeats that show that a failed server lives.
+	beatsAfterFailure = 2
+)
+
+// Server is one run of a backend server as this VM sees it. It is safe for concurrent use.
+type Server struct {
+	// Region is where the server runs.
+	Region string
+	// Objects are what the server handled lately.
+	Objects *Memory
+
+	mutex sync.Mutex
+	entry Entry
+
+	inFlight int
+	// waitingSince is when the oldest unanswered request was sent, or the last answer came.
+	waitingSince time.Time
+	lastAnswer   time.Time
+
+	// others is the load of other VMs by the latest report.
+	others     float64
+	reportedAt time.Time
+
+	slowness float64
+	failures float64
+	judgedAt time.Time
+
+	failed failure
+	// coldUntil is when the server bears its whole load.
+	coldUntil time.Time
+	// assumed is the sequence at which the server was taken for cold without its word.
+	assumed   int64
+	isAssumed bool
+	// tokens are the requests that the cold server may get from this VM now.
+	tokens     float64
+	refilledAt time.Time
+}
+
+// failure is why a server gets no requests though it is registered.
+type failure struct {
+	since    time.Time
+	sequence int64
+	trialAt  time.Time
+	// moved says that another server answered at the address.
+	moved bool
+}
+
+// New returns a server that was just registered.
+func New(e Entry, region string, now time.Time) *Server {
+	s := &Server{Region: region, Objects: NewMemory(), entry: e, slowness: 1, judgedAt: now}
+	if e.ColdFor > 0 {
+		s.coldUntil = now.Add(e.ColdFor)
+	}
+	return s
+}
+
+// Entry returns the latest entry.
+func (s *Server) Entry() Entry {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.entry
+}
+
+// Renew takes in a newer entry of the same incarnation. It reports whether the server had
+// failed and is taken back.
+func (s *Server) Renew(e Entry, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if e.Sequence != s.entry.Sequence || e.ColdFor != s.entry.ColdFor {
+		s.renewCold(e, now)
+	}
+	s.entry = e
+	if s.failed.since.IsZero() || s.failed.moved || e.Sequence < s.failed.sequence+beatsAfterFailure {
+		return false
+	}
+	s.failed = failure{}
+	return true
+}
+
+func (s *Server) renewCold(e Entry, now time.Time) {
+	switch {
+	case e.ColdFor > 0:
+		s.coldUntil = now.Add(e.ColdFor)
+		s.isAssumed = false
+	case !s.isAssumed || e.Sequence >= s.assumed+beatsAfterFailure:
+		s.coldUntil = time.Time{}
+		s.isAssumed = false
+	}
+}
+
+// AssumeCold takes the server for cold until it says otherwise or the time is over.
+func (s *Server) AssumeCold(d time.Duration, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.assumeCold(d, now)
+}
+
+func (s *Server) assumeCold(d time.Duration, now time.Time) {
+	if until := now.Add(d); until.After(s.coldUntil) {
+		s.coldUntil = until
+		s.assumed = s.entry.Sequence
+		s.isAssumed = true
+	}
+}
+
+// Fail takes the server out until its heartbeats go on. It reports whether it was in use.
+func (s *Server) Fail(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.failed.since.IsZero() {
+		return false
+	}
+	s.failed = failure{since: now, sequence: s.entry.Sequence, trialAt: now.Add(trialInterval)}
+	return true
+}
+
+// Move takes the server out for good because another one has its address.
+func (s *Server) Move(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.failed.moved {
+		return false
+	}
+	s.failed = failure{since: now, moved: true}
+	return true
+}
+
+// Failed reports whether the server was taken out, and since when.
+func (s *Server) Failed() (time.Time, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.failed.since, !s.failed.since.IsZero()
+}
+
+// Sent takes in that a request goes to the server.
+func (s *Server) Sent(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.inFlight == 0 {
+		s.waitingSince = now
+	}
+	s.inFlight++
+}
+
+// Ended takes in that a request no longer waits for the server.
+func (s *Server) Ended() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.inFlight--
+}
+
+// Answered takes in that the server answered anything at all.
+func (s *Server) Answered(now time.Time, coldStart time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastAnswer = now
+	s.waitingSince = now
+	if !s.failed.since.IsZero() && !s.failed.moved && s.failed.since.Before(now.Add(-trialInterval)) {
+		s.failed = failure{}
+		s.assumeCold(coldStart, now)
+	}
+}
+
+// AnsweredSince reports whether any answer came after a moment.
+func (s *Server) AnsweredSince(t time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lastAnswer.After(t)
+}
+
+// Reported takes in the load that an answer tells, which includes this VM's other requests.
+func (s *Server) Reported(running, waiting int, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.others = max(0, float64(running+waiting-s.inFlight))
+	s.reportedAt = now
+}
+
+// Judge takes in how an answer's time compares with what was expected, and whether it failed.
+func (s *Server) Judge(ratio float64, failed bool, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	slowness, failures := s.judgement(now)
+	s.judgedAt = now
+	s.failures = failures * (1 - judgeWeight)
+	s.slowness = slowness
+	if failed {
+		s.failures += judgeWeight
+		return
+	}
+	if ratio > 0 {
+		s.slowness = slowness*(1-judgeWeight) + judgeWeight*min(maxSlowness, max(minSlowness, ratio))
+	}
+}
+
+// judgement returns the judgement as it counts now; older ones fade.
+func (s *Server) judgement(now time.Time) (slowness, failures float64) {
+	fade := math.Exp(-float64(now.Sub(s.judgedAt)) / float64(judgeSpan))
+	return 1 + (s.slowness-1)*fade, s.failures * fade
+}
+
+// ColdShare is this VM's part of what a cold server bears.
+type ColdShare struct {
+	// PerSecond is a rate of requests, and Depth how many may come at once.
+	PerSecond float64
+	Depth     float64
+}
+
+// TakeCold takes a token of a cold server. It reports false if there is none left.
+func (s *Server) TakeCold(c ColdShare, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.refill(c, now)
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
+
+func (s *Server) refill(c ColdShare, now time.Time) {
+	if s.refilledAt.IsZero() {
+		s.tokens = c.Depth
+	} else {
+		s.tokens = min(c.Depth, s.tokens+c.PerSecond*now.Sub(s.refilledAt).Seconds())
+	}
+	s.refilledAt = now
+}
+
+// View is what a decision needs to know of a server at one moment.
+type View struct {
+	Entry Entry
+	// Usable says that the server may get a request now.
+	Usable bool
+	// Trial says that only a request that may be repeated should be sent.
+	Trial bool
+	// Cold says that each request needs a token.
+	Cold bool
+	// Load is the estimated number of requests at the server, and LoadAge the report's age.
+	Load    float64
+	LoadAge time.Duration
+	// Slowness is the ratio of measured to expected time; 1 is as expected.
+	Slowness float64
+	// Failures is the part of answers that failed.
+	Failures float64
+	// Silent is how long requests have been waiting with no answer at all.
+	Silent time.Duration
+}
+
+// View returns the server as it looks now.
+func (s *Server) View(now time.Time, blind bool) View {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	v := View{Entry: s.entry, Usable: s.entry.State == Ready && s.failed.since.IsZero(), Cold: now.Before(s.coldUntil)}
+	v.Slowness, v.Failures = s.judgement(now)
+	v.LoadAge = now.Sub(s.reportedAt)
+	v.Load = float64(s.inFlight) + s.others*math.Exp(-float64(v.LoadAge)/float64(loadSpan))
+	if s.inFlight > 0 {
+		v.Silent = now.Sub(s.waitingSince)
+	}
+	if blind && s.entry.State == Ready && !s.failed.since.IsZero() && !s.failed.moved && now.After(s.failed.trialAt) {
+		v.Usable, v.Trial, v.Cold = true, true, true
+	}
+	return v
+}
+
+// Tried takes in that a failed server gets a request as a trial.
+func (s *Server) Tried(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failed.trialAt = now.Add(trialInterval)
+}
--- /dev/null
+++ b/internal/process/pssteer/listen.go
@@ -0,0 +1,108 @@
+package pssteer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"persimmonstep/platform"
+)
+
+const (
+	// maxHeaderBytes bounds a caller's header; the configuration's limit lies below it.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout is how long a caller may take to send a header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's connection may be unused.
+	idleTimeout = 120 * time.Second
+	// directoryTTL is how long callers keep an answer of the directory.
+	directoryTTL = 2 * time.Second
+)
+
+// servers are the listeners of a VM.
+type servers struct {
+	list      []*http.Server
+	listeners []net.Listener
+}
+
+// listen opens all listeners.
+func listen(ctx context.Context, v *vm, r *prometheus.Registry) (*servers, error) {
+	s := &servers{}
+	handlers := map[netip.AddrPort]*http.ServeMux{}
+	mux := func(a netip.AddrPort) *http.ServeMux {
+		if handlers[a] == nil {
+			handlers[a] = http.NewServeMux()
+		}
+		return handlers[a]
+	}
+	mux(v.settings.Ready).HandleFunc(platform.PathReady, v.serveReady)
+	mux(v.settings.Directory).HandleFunc(platform.PathDirectory, v.serveDirectory)
+	mux(metricsAddress(v.settings)).Handle("/metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	for a, m := range handlers {
+		if err := s.add(ctx, a, m); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.add(ctx, v.settings.Callers, v.gate)
+}
+
+func (s *servers) add(ctx context.Context, a netip.AddrPort, h http.Handler) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", a.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", a)
+	}
+	s.listeners = append(s.listeners, l)
+	s.list = append(s.list, &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	})
+	return nil
+}
+
+// serve serves all listeners. The channel gets the first failure.
+func (s *servers) serve() <-chan error {
+	failed := make(chan error, len(s.list))
+	for i, v := range s.list {
+		go func() {
+			if err := v.Serve(s.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	return failed
+}
+
+// shutdown lets running requests end, callers' first.
+func (s *servers) shutdown(ctx context.Context) {
+	for i := len(s.list) - 1; i >= 0; i-- {
+		if err := s.list[i].Shutdown(ctx); err != nil {
+			_ = s.list[i].Close()
+		}
+	}
+}
+
+// serveReady says whether the VM takes callers.
+func (v *vm) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !v.control.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveDirectory says which VMs a caller should use.
+func (v *vm) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	list := directed(v.control.Snapshot().VMs, platform.ReadPlace(r))
+	body, err := platform.EncodeDirectory(list, directoryTTL)
+	if err != nil || len(list) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/process/pssteer/steer.go
@@ -0,0 +1,219 @@
+// Package pssteer runs one VM on the users' platform.
+package pssteer
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+
+	"persimmonstep/internal/connection/psfront"
+	"persimmonstep/internal/connection/psreport"
+	"persimmonstep/internal/connection/pstransport"
+	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/pswait"
+	"persimmonstep/platform"
+)
+
+const (
+	// storeConnectTimeout bounds a connection's set-up to the store.
+	storeConnectTimeout = 500 * time.Millisecond
+	// leftOutInterval is the time between log lines on what was left out.
+	leftOutInterval = 5 * time.Second
+	// servePart is the part of the grace time in which a leaving VM takes new connections.
+	servePart = 0.5
+	// drainPart is the part of the grace time after which a leaving VM ends whatever runs.
+	drainPart = 0.95
+)
+
+// Options are what a VM needs to run.
+type Options struct {
+	// SettingsPath is the settings file that the machine provides.
+	SettingsPath string
+	// Output takes the log.
+	Output io.Writer
+	// Reload tells that the settings file has changed.
+	Reload <-chan os.Signal
+}
+
+// Run serves until the context ends, and then leaves gracefully.
+func Run(ctx context.Context, o Options) error {
+	settings, err := platform.ReadSettings(o.SettingsPath)
+	if err != nil {
+		return err
+	}
+	w, clean := pslog.New(o.Output)
+	defer clean()
+	v, err := newVM(ctx, settings, hclog.New(&hclog.LoggerOptions{Name: "persimmonstep", Output: w, JSONFormat: true, Level: hclog.Info}))
+	if err != nil {
+		return err
+	}
+	defer v.clean()
+	return v.run(ctx, o)
+}
+
+// vm is one VM.
+type vm struct {
+	settings *psnode.Settings
+	logger   hclog.Logger
+	gate     *psfront.Gate
+	control  *pscontrol.Control
+	link     *psreport.Link
+	servers  *servers
+	cleanUps []func()
+}
+
+func (v *vm) clean() {
+	for i := len(v.cleanUps) - 1; i >= 0; i-- {
+		v.cleanUps[i]()
+	}
+}
+
+// newVM builds the parts of a VM and opens its listeners.
+func newVM(ctx context.Context, s *psnode.Settings, l hclog.Logger) (*vm, error) {
+	v := &vm{settings: s, logger: l}
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, l)
+	do.ProvideValue(i, prometheus.NewRegistry())
+	provide(ctx, i, v)
+	var err error
+	if v.link, err = do.Invoke[*psreport.Link](i); err != nil {
+		v.clean()
+		return nil, err
+	}
+	v.gate = do.MustInvoke[*psfront.Gate](i)
+	v.control = do.MustInvoke[*pscontrol.Control](i)
+	v.gate.Follow(v.control)
+	if v.servers, err = listen(ctx, v, do.MustInvoke[*prometheus.Registry](i)); err != nil {
+		v.clean()
+		return nil, err
+	}
+	return v, nil
+}
+
+func provide(ctx context.Context, i do.Injector, v *vm) {
+	do.Provide(i, func(i do.Injector) (*psreport.Link, error) {
+		s := do.MustInvoke[*psnode.Settings](i)
+		link, clean, err := psreport.Listen(ctx, peerAddress(s))
+		if err == nil {
+			v.cleanUps = append(v.cleanUps, clean)
+		}
+		return link, err
+	})
+	do.Provide(i, func(i do.Injector) (*psfront.Gate, error) {
+		t, clean := pstransport.New()
+		v.cleanUps = append(v.cleanUps, clean)
+		return psfront.New(psfront.Options{
+			Settings: do.MustInvoke[*psnode.Settings](i), Transports: t, Logger: do.MustInvoke[hclog.Logger](i),
+			Metrics: psfront.NewMetrics(do.MustInvoke[*prometheus.Registry](i)), Now: time.Now,
+		}), nil
+	})
+	do.Provide(i, func(i do.Injector) (*pscontrol.Control, error) {
+		s := do.MustInvoke[*psnode.Settings](i)
+		store, clean := platform.NewStore(s.Store.Address, storeConnectTimeout)
+		v.cleanUps = append(v.cleanUps, clean)
+		return pscontrol.New(pscontrol.Options{
+			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
+			Peers: &sender{do.MustInvoke[*psreport.Link](i), do.MustInvoke[hclog.Logger](i)}, Requests: do.MustInvoke[*psfront.Gate](i),
+		}), nil
+	})
+}
+
+func peerAddress(s *psnode.Settings) netip.AddrPort {
+	return netip.AddrPortFrom(s.Callers.Addr(), s.PeerPorts[0])
+}
+
+func metricsAddress(s *psnode.Settings) netip.AddrPort {
+	return netip.AddrPortFrom(s.Callers.Addr(), s.PeerPorts[0]+1)
+}
+
+func identity(s *psnode.Settings) psfleet.Identity {
+	return psfleet.Identity{
+		VM: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Callers: s.Callers,
+		Peers: peerAddress(s), Incarnation: time.Now().UnixMilli(),
+	}
+}
+
+// run serves until the context ends and then leaves.
+func (v *vm) run(ctx context.Context, o Options) error {
+	s := v.settings
+	psevent.VMStarted.Log(v.logger, s.Name, s.FailureDomain, s.Region, s.Callers.String(), s.Store.Address.String())
+	// The control goes on while the VM leaves, so that it keeps what it promised.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go v.control.Run(running)
+	go v.receive()
+	go v.watchSettings(running, o)
+	go v.logLeftOut(running)
+	failed := v.servers.serve()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	v.leave(failed)
+	return nil
+}
+
+// leave serves what still comes for a while and lets everything end that runs.
+func (v *vm) leave(failed <-chan error) {
+	begun := time.Now()
+	psevent.VMStopping.Log(v.logger, v.settings.Name, v.gate.InFlight())
+	v.gate.Leave()
+	v.control.Leave()
+	grace := float64(v.settings.Bounds.Grace)
+	select {
+	case <-failed:
+	case <-time.After(time.Duration(servePart * grace)):
+	}
+	ctx, stop := context.WithTimeout(context.Background(), time.Duration((drainPart-servePart)*grace))
+	defer stop()
+	v.servers.shutdown(ctx)
+	psevent.VMStopped.Log(v.logger, v.settings.Name, v.gate.InFlight(), time.Since(begun).String())
+}
+
+// receive passes on the other VMs' reports.
+func (v *vm) receive() {
+	err := v.link.Receive(v.control.Heard, func(from netip.AddrPort, err error) {
+		psevent.ReportUnread.Log(v.logger, from.String(), err.Error())
+	})
+	if err != nil {
+		psevent.ReportUnread.Log(v.logger, "", err.Error())
+	}
+}
+
+func (v *vm) logLeftOut(ctx context.Context) {
+	for pswait.Sleep(ctx, leftOutInterval) {
+		v.gate.LogLeftOut()
+	}
+}
+
+// sender sends reports.
+type sender struct {
+	link   *psreport.Link
+	logger hclog.Logger
+}
+
+// Send sends a report to each of the VMs. One that can't be reached is shown by its silence.
+func (s *sender) Send(r *psfleet.Report, to []psfleet.Identity) {
+	data, err := psreport.Encode(r)
+	if err != nil {
+		psevent.ReportUnread.Log(s.logger, r.VM, err.Error())
+		return
+	}
+	for _, i := range to {
+		if err := s.link.Send(data, i.Peers); err != nil {
+			s.logger.Debug("report not sent", "vm", i.VM, "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/psplace/place.go
@@ -0,0 +1,140 @@
+// Package psplace chooses the backend server that runs a request.
+//
+// It answers this load pattern: at peak, the work of requests whose objects a server doesn't
+// hold exceeds all slots, while the same requests fit with room to spare on servers that
+// handled the object lately. So an object belongs to a stable order of servers that all VMs
+// compute alike, and a request leaves the first of them only if a later one is expected to
+// finish it sooner: the first is busy, slow, failing or far away.
+//
+// The package does no I/O and reads no clock.
+package psplace
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// rankStep is the time by which a later server in the object's order must be better.
+	// It keeps an object on few servers while several are idle.
+	rankStep = 4 * time.Millisecond
+	// maxRankSteps bounds the steps, so that a long order doesn't shut out its end.
+	maxRankSteps = 10
+	// failureFactor is how many target latencies a certain failure costs.
+	failureFactor = 3
+	// silentAfter is how long a server with requests may be silent before it is avoided, in
+	// target latencies, and silentFactor what avoiding costs, in the same unit.
+	silentAfter  = 3
+	silentFactor = 10
+)
+
+// warmChance is how likely the server at each place of an object's order holds the object,
+// where this VM hasn't sent it there itself. Later places have the last value.
+var warmChance = [...]float64{0.9, 0.6, 0.4, 0.25}
+
+// ownWarmChance is how likely a server holds an object that this VM sent there lately.
+const ownWarmChance = 0.95
+
+// Candidate is a server that may run the request.
+type Candidate struct {
+	// Load is the number of requests at the server, Slots how many it runs at once.
+	Load  float64
+	Slots int
+	// Slowness is the ratio of measured to expected time, Failures the part that fails.
+	Slowness float64
+	Failures float64
+	// Silent is how long the server's requests have been waiting without any answer.
+	Silent time.Duration
+	// Sent says that this VM sent the object there lately.
+	Sent bool
+	// Score orders the servers of an object; the highest comes first.
+	Score uint64
+	// Travel is the time there and back, with what the bytes are worth on that way.
+	Travel time.Duration
+}
+
+// Request is what is known of the request.
+type Request struct {
+	// WarmRun and ColdRun are the run times on a server that holds the object, and on one that doesn't.
+	WarmRun, ColdRun time.Duration
+	// MeanRun is the run time of the service's other requests.
+	MeanRun time.Duration
+	// Target is the latency objective.
+	Target time.Duration
+}
+
+// Choice is the chosen server and what is expected of it.
+type Choice struct {
+	// Index is the candidate's place in the list.
+	Index int
+	// Rank is the server's place in the object's order.
+	Rank int
+	// Wait, Run and Travel add up to the expected latency.
+	Wait, Run, Travel time.Duration
+	// Warm says that the server is expected to hold the object.
+	Warm bool
+}
+
+// Finish returns the expected latency.
+func (c Choice) Finish() time.Duration { return c.Wait + c.Run + c.Travel }
+
+// Score returns a server's score for an object.
+func Score(object uint64, server string) uint64 {
+	h := xxhash.Sum64String(server) ^ object
+	// The finalizer of a 64-bit mixing function spreads close values.
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// Choose returns the candidate with the least cost. The list must not be empty.
+func Choose(list []Candidate, r Request) Choice {
+	if len(list) == 0 {
+		panic("psplace: no candidates")
+	}
+	best, bestCost := Choice{}, time.Duration(-1)
+	for i := range list {
+		c, cost := weigh(list, i, r)
+		if bestCost < 0 || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best
+}
+
+// weigh returns what is expected of a candidate and its cost.
+func weigh(list []Candidate, index int, r Request) (Choice, time.Duration) {
+	c := &list[index]
+	rank := rank(list, index)
+	chance := warmChance[min(rank, len(warmChance)-1)]
+	if c.Sent {
+		chance = max(chance, ownWarmChance)
+	}
+	slowness := max(1, c.Slowness)
+	run := slowness * (chance*float64(r.WarmRun) + (1-chance)*float64(r.ColdRun))
+	wait := slowness * max(0, c.Load+1-float64(c.Slots)) / float64(max(1, c.Slots)) * float64(r.MeanRun)
+	choice := Choice{
+		Index: index, Rank: rank, Warm: chance >= warmChance[0],
+		Wait: time.Duration(wait), Run: time.Duration(run), Travel: c.Travel,
+	}
+	cost := choice.Finish() + time.Duration(min(rank, maxRankSteps))*rankStep
+	cost += time.Duration(failureFactor * c.Failures * float64(r.Target))
+	if c.Silent > silentAfter*r.Target {
+		cost += silentFactor * r.Target
+	}
+	return choice, cost
+}
+
+// rank returns a candidate's place in the object's order.
+func rank(list []Candidate, index int) int {
+	n := 0
+	for i := range list {
+		if list[i].Score > list[index].Score {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/request/psspread/spread.go
@@ -0,0 +1,84 @@
+// Package psspread splits the requests of a route over weighted services.
+package psspread
+
+import (
+	"sync"
+
+	"persimmonstep/internal/version/psconfig"
+)
+
+// maxCount is the number of requests after which older ones count for half.
+const maxCount = 400
+
+// Spreads holds the split of each route. The zero value is empty.
+type Spreads struct {
+	mutex  sync.Mutex
+	routes map[string]*split
+}
+
+// split counts what each service of a route got.
+type split struct {
+	backends []psconfig.Backend
+	counts   []float64
+	total    float64
+}
+
+// Next returns the service of a route's next request: the one furthest below its weight.
+func (s *Spreads) Next(r *psconfig.Route) string {
+	if len(r.Backends) == 1 {
+		return r.Backends[0].Service
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.of(r).next()
+}
+
+func (s *Spreads) of(r *psconfig.Route) *split {
+	if s.routes == nil {
+		s.routes = make(map[string]*split)
+	}
+	v, found := s.routes[r.Name]
+	if !found || !same(v.backends, r.Backends) {
+		v = &split{backends: r.Backends, counts: make([]float64, len(r.Backends))}
+		s.routes[r.Name] = v
+	}
+	return v
+}
+
+func same(a, b []psconfig.Backend) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *split) next() string {
+	best, least := -1, 0.0
+	for i, b := range v.backends {
+		if b.Weight <= 0 {
+			continue
+		}
+		if c := (v.counts[i] + 1) / b.Weight; best < 0 || c < least {
+			best, least = i, c
+		}
+	}
+	v.counts[best]++
+	v.total++
+	if v.total > maxCount {
+		v.fade()
+	}
+	return v.backends[best].Service
+}
+
+func (v *split) fade() {
+	v.total = 0
+	for i := range v.counts {
+		v.counts[i] /= 2
+		v.total += v.counts[i]
+	}
+}
