--- a/internal/connection/psfront/choose.go
+++ b/internal/connection/psfront/choose.go
@@ -15,8 +15,8 @@
 	// region and of another one.
 	travelDomain = 3 * time.Millisecond
 	travelRegion = 25 * time.Millisecond
-	// travelPerKB is what it is worth to keep a kilobyte within the failure domain.
-	travelPerKB = time.Millisecond
+	// worthPerKB is what it is worth to keep a kilobyte within the failure domain.
+	worthPerKB = time.Millisecond
 	// coldSlowness is how much slower a cold server is taken to be.
 	coldSlowness = 2
 	// noServerAfter is when callers come back to a service that has no usable server.
@@ -57,15 +57,14 @@
 
 // options lists the servers that may run the call now.
 func (c *call) options(service string, tried []*psserver.Server, now time.Time) []option {
-	blind := c.snapshot.Blind(now)
 	regions, all := psconfig.AllowedRegions(c.route, c.workspace)
 	var list []option
 	for _, s := range c.snapshot.Servers[service] {
 		if !all && !slices.Contains(regions, s.Region) || slices.Contains(tried, s) {
 			continue
 		}
-		v := s.View(now, blind)
-		if !v.Usable || c.snapshot.Evacuated[v.Entry.FailureDomain] || v.Trial && !c.route.Kind.Repeatable() {
+		v := s.View(now)
+		if !v.Usable || c.snapshot.Evacuated[v.Entry.FailureDomain] {
 			continue
 		}
 		if _, found := c.snapshot.ColdShares[v.Entry.ID]; v.Cold && !found {
@@ -79,8 +78,8 @@
 func (c *call) placing(service string) psplace.Request {
 	runs := c.gate.estimates.Runs(c.route.Name, c.route.TargetLatency)
 	return psplace.Request{
-		WarmRun: runs.Warm, ColdRun: runs.Cold, Target: c.route.TargetLatency,
-		MeanRun: c.gate.estimates.Mean(service, runs.Warm),
+		WarmRun: runs.Held, ColdRun: runs.Missing, Target: c.route.TargetLatency,
+		MeanRun: c.gate.estimates.Mean(service, runs.Held),
 	}
 }
 
@@ -94,23 +93,31 @@
 		list[i] = psplace.Candidate{
 			Load: o.view.Load, Slots: o.view.Entry.Slots, Slowness: slowness,
 			Failures: o.view.Failures, Silent: o.view.Silent, Sent: o.server.Objects.Has(c.object),
-			Score: psplace.Score(c.object, o.view.Entry.ID), Travel: c.travel(o),
+			HomeRecall: o.view.HomeRecall, AwayRecall: o.view.AwayRecall,
+			Score: psplace.Score(c.object, o.view.Entry.ID), Travel: c.travel(o), Bytes: c.bytes(o),
 		}
 	}
 	return list
 }
 
-// travel returns the time there and back, and what the bytes are worth on that way.
+// travel returns the time there and back.
 func (c *call) travel(o option) time.Duration {
 	s := c.gate.options.Settings
-	if o.view.Entry.FailureDomain == s.FailureDomain {
+	switch {
+	case o.view.Entry.FailureDomain == s.FailureDomain:
 		return 0
+	case o.server.Region == s.Region:
+		return travelDomain
 	}
-	bytes := time.Duration(len(c.body.held)/1024) * travelPerKB
-	if o.server.Region == s.Region {
-		return travelDomain + bytes
+	return travelRegion
+}
+
+// bytes returns what it is worth not to carry the body to a server.
+func (c *call) bytes(o option) time.Duration {
+	if o.view.Entry.FailureDomain == c.gate.options.Settings.FailureDomain {
+		return 0
 	}
-	return travelRegion + bytes
+	return time.Duration(len(c.body.held)/1024) * worthPerKB
 }
 
 func (c *call) admit(choice psplace.Choice, repeat bool, now time.Time) psadmit.Verdict {
--- a/internal/connection/psfront/crash.go
+++ b/internal/connection/psfront/crash.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
 )
 
@@ -68,7 +69,7 @@
 	}
 	now = g.options.Now()
 	g.checks.found(id, now)
-	g.beliefs.ServerFailed(s.server, "crashed")
+	g.beliefs.ServerFailed(s.server, pscontrol.ReasonCrashed)
 	g.countCrash(c, s, now)
 }
 
--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/pstransport"
+	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/request/psestimate"
@@ -133,9 +134,6 @@
 func (c *call) try(ctx context.Context, s selection) (*answer, ending) {
 	begun := c.gate.options.Now()
 	s.server.Sent(begun)
-	if s.view.Trial {
-		s.server.Tried(begun)
-	}
 	s.server.Objects.Note(c.object)
 	result, err := c.send(ctx, s, begun)
 	var a *answer
@@ -209,22 +207,17 @@
 	switch end {
 	case endAnswered:
 		c.gate.poison.Answered(c.fingerprint)
-		expected := s.choice.Wait + s.choice.Run + s.choice.Travel
-		s.server.Judge(float64(took)/float64(max(time.Millisecond, expected)), false, now)
-		if s.choice.Wait == 0 && !s.view.Cold {
-			c.gate.estimates.Observe(psestimate.Observed{
-				Route: c.route.Name, Service: service, Target: c.route.TargetLatency, Warm: s.choice.Warm, Took: took,
-			})
-		}
+		s.server.Judge(ratio(took, s.choice.Usual), false, now)
+		c.learn(s, took, now)
 	case endUnreachable:
-		c.gate.beliefs.ServerFailed(s.server, string(end))
+		c.gate.beliefs.ServerFailed(s.server, pscontrol.ReasonUnreachable)
 	case endMoved:
 		s.server.Move(now)
-		psevent.ServerFailed.Log(c.gate.options.Logger, s.view.Entry.ID, service, string(end), s.view.Entry.Sequence)
+		psevent.ServerFailed.Log(c.gate.options.Logger, s.view.Entry.ID, service, string(end), c.headers.ID)
 	case endTimeout:
-		s.server.Judge(float64(took)/float64(max(time.Millisecond, s.choice.Finish())), false, now)
-		if !s.server.AnsweredSince(begun) && took > silentTimeout {
-			c.gate.beliefs.ServerFailed(s.server, "silent")
+		s.server.Judge(ratio(took, s.choice.Usual), false, now)
+		if !s.server.AnsweredSince(begun) && took > max(silentTimeout, silentFactor*s.choice.Finish()) {
+			c.gate.beliefs.ServerFailed(s.server, pscontrol.ReasonSilent)
 		}
 	case endShed, endError, endSpoilt:
 		s.server.Judge(0, true, now)
@@ -237,13 +230,33 @@
 // silentTimeout is the least time without any answer after which a server counts as failed.
 const silentTimeout = 700 * time.Millisecond
 
-func (c *call) takeAnswer(s selection, a *answer, now time.Time) {
-	coldStart := time.Duration(0)
-	if v, found := c.snapshot.Index.Service(s.view.Entry.Service); found {
-		coldStart = v.ColdStart
+// silentFactor is how many times the expected latency must have passed without any answer.
+const silentFactor = 3
+
+// learn takes in how long a run took.
+func (c *call) learn(s selection, took time.Duration, now time.Time) {
+	if s.view.Cold {
+		return
+	}
+	run := took - s.choice.Travel
+	runs := c.gate.estimates.Runs(c.route.Name, c.route.TargetLatency)
+	if s.choice.Warm {
+		s.server.Recalled(s.choice.Rank == 0, runs.Warm(run-s.choice.Wait), now)
+	}
+	if s.choice.Wait == 0 {
+		c.gate.estimates.Observe(psestimate.Observed{
+			Route: c.route.Name, Service: s.view.Entry.Service, Target: c.route.TargetLatency, Took: run,
+		})
 	}
-	s.server.Answered(now, coldStart)
+}
+
+func (c *call) takeAnswer(s selection, a *answer, now time.Time) {
+	s.server.Answered(now)
 	if l := a.said.Load; l != nil {
 		s.server.Reported(l.Running, l.Waiting, now)
 	}
 }
+
+func ratio(took, usual time.Duration) float64 {
+	return float64(took) / float64(max(time.Millisecond, usual))
+}
--- a/internal/connection/psfront/finish.go
+++ b/internal/connection/psfront/finish.go
@@ -61,7 +61,7 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	e.Log(c.gate.options.Logger, c.headers.ID, c.workspaceName(), route, version, status, reason, c.describe(),
+	e.Log(c.gate.options.Logger, c.headers.ID, c.workspaceName(), route, c.headers.Object, version, status, reason, c.describe(),
 		milliseconds(now.Sub(c.arrived)), milliseconds(c.headers.Left), milliseconds(now.Sub(c.snapshot.ServersAt)), milliseconds(after))
 }
 
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -36,7 +36,7 @@
 // Beliefs is what a request needs of the control.
 type Beliefs interface {
 	Snapshot() *pscontrol.Snapshot
-	ServerFailed(s *psserver.Server, reason string)
+	ServerFailed(s *psserver.Server, reason pscontrol.Reason)
 }
 
 // Options are what a gate needs.
@@ -63,6 +63,9 @@
 	successes pslog.Budget
 	failures  pslog.Budget
 
+	// begun is when the process began.
+	begun time.Time
+
 	mutex   sync.Mutex
 	buckets map[string]*psrate.Bucket
 	// leaving closes callers' connections after their next answer.
@@ -74,7 +77,7 @@
 // New returns a gate. [Gate.Follow] must be called before it serves.
 func New(o Options) *Gate {
 	return &Gate{
-		options: o, buckets: make(map[string]*psrate.Bucket),
+		options: o, begun: o.Now(), buckets: make(map[string]*psrate.Bucket),
 		successes: pslog.Budget{PerSecond: successLines}, failures: pslog.Budget{PerSecond: failureLines},
 	}
 }
@@ -171,7 +174,7 @@
 	defer g.mutex.Unlock()
 	b, found := g.buckets[name]
 	if !found {
-		b = &psrate.Bucket{}
+		b = psrate.NewBucket(g.begun)
 		g.buckets[name] = b
 	}
 	return b.Take(l, part, now)
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -24,6 +24,11 @@
 	PublishVM(ctx context.Context, name string, value []byte) error
 }
 
+// Prober asks a backend server how it is.
+type Prober interface {
+	Probe(ctx context.Context, e psserver.Entry, path string) (platform.Health, error)
+}
+
 // Peers sends this VM's reports.
 type Peers interface {
 	// Send sends a report to each of the VMs.
@@ -45,6 +50,7 @@
 	Settings *psnode.Settings
 	Identity psfleet.Identity
 	Store    Store
+	Prober   Prober
 	Peers    Peers
 	Requests Requests
 	Logger   hclog.Logger
@@ -57,6 +63,8 @@
 	options  Options
 	events   chan event
 	snapshot atomic.Pointer[Snapshot]
+	// running ends with the control.
+	running context.Context
 	// leaving says that the VM takes no new callers.
 	leaving atomic.Bool
 
@@ -68,14 +76,9 @@
 	// unread holds the rows that were logged, by key and version.
 	unread   map[string]int64
 	sequence int64
-	failed   map[string]failedServer
-	silent   map[string]bool
-}
-
-// failedServer is a server that this VM found down.
-type failedServer struct {
-	sequence int64
-	at       time.Time
+	// failed says when this VM found servers down.
+	failed map[string]time.Time
+	silent map[string]bool
 }
 
 // New returns a control that knows nothing yet.
@@ -83,8 +86,9 @@
 	c := &Control{
 		options: o, events: make(chan event, eventBacklog), evacuated: map[string]bool{},
 		servers: newRegistry(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity.VM), shares: newShares(),
-		unread: map[string]int64{}, failed: map[string]failedServer{}, silent: map[string]bool{},
+		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{},
 	}
+	c.running = context.Background()
 	c.publish()
 	return c
 }
@@ -111,15 +115,29 @@
 func (c *Control) Heard(r *psfleet.Report) { c.tell(reportEvent{r}) }
 
 // ServerFailed takes in that a server could not be connected to, or that none of its requests was answered.
-func (c *Control) ServerFailed(s *psserver.Server, reason string) {
+func (c *Control) ServerFailed(s *psserver.Server, reason Reason) {
 	e := s.Entry()
 	if !s.Fail(c.options.Now()) {
 		return
 	}
-	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, reason, e.Sequence)
-	c.tell(failedEvent{e.ID, e.Sequence})
+	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, string(reason), "")
+	c.tell(failedEvent{s, reason})
 }
 
+// Reason is why a server is taken for failed.
+type Reason string
+
+const (
+	// ReasonUnreachable servers took no connection.
+	ReasonUnreachable Reason = "unreachable"
+	// ReasonCrashed servers lost a request and took no connection then.
+	ReasonCrashed Reason = "crashed"
+	// ReasonSilent servers left all requests unanswered.
+	ReasonSilent Reason = "silent"
+	// ReasonTold servers are down according to another VM.
+	ReasonTold Reason = "told"
+)
+
 // event is something that changes what the VM believes.
 type event interface{ event() }
 
@@ -134,8 +152,8 @@
 	vmsEvent    struct{ rows map[string][]byte }
 	reportEvent struct{ report *psfleet.Report }
 	failedEvent struct {
-		server   string
-		sequence int64
+		server *psserver.Server
+		reason Reason
 	}
 	leaveEvent struct{}
 )
@@ -161,6 +179,7 @@
 
 // Run follows the store and the other VMs until the context ends.
 func (c *Control) Run(ctx context.Context) {
+	c.running = ctx
 	go c.followOrders(ctx)
 	go c.followServers(ctx)
 	go c.followVMs(ctx)
@@ -193,7 +212,7 @@
 	case reportEvent:
 		c.takeReport(e.report, now)
 	case failedEvent:
-		c.failed[e.server] = failedServer{e.sequence, now}
+		c.takeFailed(e, now)
 	case leaveEvent:
 		c.report()
 	}
@@ -230,7 +249,7 @@
 	for d := range c.evacuated {
 		if !next[d] {
 			changed = true
-			c.servers.assumeCold(d, c.coldStart, now)
+			c.takeBack(d, now)
 		}
 	}
 	c.evacuated = next
@@ -239,16 +258,22 @@
 	}
 }
 
-// coldStart returns how long servers of a service stay cold.
-func (c *Control) coldStart(service string) time.Duration {
-	if c.index == nil {
-		return 0
+// takeBack takes the servers of a failure domain for cold until probes tell how they are.
+func (c *Control) takeBack(domain string, now time.Time) {
+	for _, s := range c.servers.in(domain) {
+		if v, found := c.service(s); found {
+			s.AssumeCold(v.ColdStart, now)
+			c.probe(s, 0)
+		}
 	}
-	s, found := c.index.Service(service)
-	if !found {
-		return 0
+}
+
+// service returns the service of a server.
+func (c *Control) service(s *psserver.Server) (*psconfig.Service, bool) {
+	if c.index == nil {
+		return nil, false
 	}
-	return s.ColdStart
+	return c.index.Service(s.Entry().Service)
 }
 
 func (c *Control) logUnread(list []platform.Unread) {
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -2,10 +2,14 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psserver"
 )
 
 // failedSpan is how long other VMs are told of a failed server.
@@ -32,20 +36,21 @@
 		psevent.PeerHeard.Log(c.options.Logger, r.VM, r.Incarnation, now.Sub(before.HeardAt).String())
 	}
 	c.options.Requests.Learn(r.VM, r.Crashes, now)
-	for id, sequence := range r.Failed {
-		c.learnFailed(id, sequence, r.VM, now)
+	for _, id := range r.Failed {
+		if s, found := c.servers.servers[id]; found && before.Report != nil && !slices.Contains(before.Report.Failed, id) {
+			c.learnFailed(s, now)
+		}
 	}
 }
 
-// learnFailed takes out a server that another VM found down, unless its heartbeats went on.
-func (c *Control) learnFailed(id string, sequence int64, vm string, now time.Time) {
-	s, found := c.servers.servers[id]
-	if !found || s.Entry().Sequence > sequence {
+// learnFailed takes out a server that another VM found down, until a probe tells otherwise.
+func (c *Control) learnFailed(s *psserver.Server, now time.Time) {
+	if !s.Fail(now) {
 		return
 	}
-	if e := s.Entry(); s.Fail(now) {
-		psevent.ServerFailed.Log(c.options.Logger, id, e.Service, "told by "+vm, e.Sequence)
-	}
+	e := s.Entry()
+	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, string(ReasonTold), "")
+	c.takeFailed(failedEvent{s, ReasonTold}, now)
 }
 
 // report tells the other VMs about this one and notes which of them are silent.
@@ -77,13 +82,9 @@
 	psevent.PeerSilent.Log(c.options.Logger, p.Identity.VM, now.Sub(p.HeardAt).String())
 }
 
-func (c *Control) failures(now time.Time) map[string]int64 {
-	maps.DeleteFunc(c.failed, func(_ string, f failedServer) bool { return now.Sub(f.at) > failedSpan })
-	m := make(map[string]int64, len(c.failed))
-	for id, f := range c.failed {
-		m[id] = f.sequence
-	}
-	return m
+func (c *Control) failures(now time.Time) []string {
+	maps.DeleteFunc(c.failed, func(_ string, at time.Time) bool { return now.Sub(at) > failedSpan })
+	return lo.Keys(c.failed)
 }
 
 // publish makes what the VM believes visible to requests.
--- a/internal/process/pscontrol/registry.go
+++ b/internal/process/pscontrol/registry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psserver"
@@ -55,9 +56,7 @@
 		return
 	}
 	before := s.Entry()
-	if s.Renew(e, now) {
-		psevent.ServerBack.Log(r.logger, e.ID, e.Service, e.Sequence, e.ColdFor.String())
-	}
+	s.Renew(e, now)
 	if e.State == psserver.Draining && before.State != psserver.Draining {
 		psevent.ServerDraining.Log(r.logger, e.ID, e.Service, e.Sequence)
 	}
@@ -88,13 +87,9 @@
 	psevent.ServerRemoved.Log(r.logger, id, e.Service, now.Sub(since).String())
 }
 
-// assumeCold takes the servers of a failure domain for cold.
-func (r *registry) assumeCold(domain string, span func(service string) time.Duration, now time.Time) {
-	for _, s := range r.servers {
-		if e := s.Entry(); e.FailureDomain == domain {
-			s.AssumeCold(span(e.Service), now)
-		}
-	}
+// in lists the servers of a failure domain.
+func (r *registry) in(domain string) []*psserver.Server {
+	return lo.Filter(lo.Values(r.servers), func(s *psserver.Server, _ int) bool { return s.Entry().FailureDomain == domain })
 }
 
 // byService lists the servers of each service.
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -41,9 +41,3 @@
 	FailureDomain string
 	Callers       string
 }
-
-// blindAfter is the age of the list of servers from which heartbeats no longer tell who lives.
-const blindAfter = 3 * time.Second
-
-// Blind reports whether the list of servers is too old to tell who lives.
-func (s *Snapshot) Blind(now time.Time) bool { return now.Sub(s.ServersAt) > blindAfter }
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -38,8 +38,8 @@
 	ServerRemoved = Event{7203, hclog.Info, "backend server removed", []string{"server", "service", "missingFor"}}
 	// ServerHeld says that a missing server is kept because the store was away.
 	ServerHeld = Event{7204, hclog.Info, "missing backend server kept while entries return", []string{"server", "service"}}
-	// ServerFailed says that a backend server gets no requests until its heartbeats go on.
-	ServerFailed = Event{7205, hclog.Warn, "backend server failed", []string{"server", "service", "reason", "sequence"}}
+	// ServerFailed says that a backend server gets no requests until a probe finds it.
+	ServerFailed = Event{7205, hclog.Warn, "backend server failed", []string{"server", "service", "reason", "requestId"}}
 	// ServerBack says that a backend server is used again.
 	ServerBack = Event{7206, hclog.Info, "backend server back", []string{"server", "service", "sequence", "cold"}}
 
@@ -66,7 +66,7 @@
 
 // requestFields are the inputs and the outcome of a request's decisions.
 var requestFields = []string{
-	"requestId", "workspace", "route", "version", "status", "reason", "tries", "took", "left", "serversAge", "retryAfter",
+	"requestId", "workspace", "route", "object", "version", "status", "reason", "tries", "took", "left", "serversAge", "retryAfter",
 }
 
 func steerEvents() []Event {
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -69,8 +69,8 @@
 	Demands map[string]float64 `json:"demands,omitempty"`
 	// Crashes counts crashes by the fingerprint of the request.
 	Crashes map[uint64]int `json:"crashes,omitempty"`
-	// Failed names servers that the VM found down, with the heartbeat that it knew then.
-	Failed map[string]int64 `json:"failed,omitempty"`
+	// Failed names servers that the VM found down lately.
+	Failed []string `json:"failed,omitempty"`
 }
 
 // Peer is another VM.
--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -44,7 +44,7 @@
 	return floorPart/n + (1-floorPart)*own/sum
 }
 
-// Bucket holds one VM's tokens of a workspace. The zero value is empty.
+// Bucket holds one VM's tokens of a workspace.
 type Bucket struct {
 	tokens float64
 	last   time.Time
@@ -52,6 +52,9 @@
 	asked float64
 }
 
+// NewBucket returns a bucket that is empty at a time.
+func NewBucket(now time.Time) *Bucket { return &Bucket{last: now} }
+
 // Take takes a token. Without one it returns how long to wait for it.
 func (b *Bucket) Take(l Limit, part float64, now time.Time) (bool, time.Duration) {
 	b.refill(l, part, now)
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -16,10 +16,6 @@
 	// minSlowness and maxSlowness bound the ratio of measured to expected time.
 	minSlowness = 0.3
 	maxSlowness = 20
-	// trialInterval is the time between two requests to a server of which only requests can tell.
-	trialInterval = time.Second
-	// beatsAfterFailure is the number of heartbeats that show that a failed server lives.
-	beatsAfterFailure = 2
 )
 
 // Server is one run of a backend server as this VM sees it. It is safe for concurrent use.
@@ -45,12 +41,12 @@
 	failures float64
 	judgedAt time.Time
 
+	// home and away are the recalls of objects of which this server is the first choice, and of others.
+	home, away Recall
+
 	failed failure
 	// coldUntil is when the server bears its whole load.
 	coldUntil time.Time
-	// assumed is the sequence at which the server was taken for cold without its word.
-	assumed   int64
-	isAssumed bool
 	// tokens are the requests that the cold server may get from this VM now.
 	tokens     float64
 	refilledAt time.Time
@@ -58,9 +54,7 @@
 
 // failure is why a server gets no requests though it is registered.
 type failure struct {
-	since    time.Time
-	sequence int64
-	trialAt  time.Time
+	since time.Time
 	// moved says that another server answered at the address.
 	moved bool
 }
@@ -81,56 +75,46 @@
 	return s.entry
 }
 
-// Renew takes in a newer entry of the same incarnation. It reports whether the server had
-// failed and is taken back.
-func (s *Server) Renew(e Entry, now time.Time) bool {
+// Renew takes in a newer entry of the same incarnation. An entry is written only when it changes.
+func (s *Server) Renew(e Entry, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if e.Sequence != s.entry.Sequence || e.ColdFor != s.entry.ColdFor {
-		s.renewCold(e, now)
+	if e.ColdFor != s.entry.ColdFor {
+		s.coldUntil = now.Add(e.ColdFor)
 	}
 	s.entry = e
-	if s.failed.since.IsZero() || s.failed.moved || e.Sequence < s.failed.sequence+beatsAfterFailure {
+}
+
+// Found takes in what a probe found: the server lives and stays cold for a time. It reports
+// whether the server had failed and is taken back.
+func (s *Server) Found(coldFor time.Duration, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.coldUntil = now.Add(coldFor)
+	if s.failed.since.IsZero() || s.failed.moved {
 		return false
 	}
 	s.failed = failure{}
 	return true
 }
 
-func (s *Server) renewCold(e Entry, now time.Time) {
-	switch {
-	case e.ColdFor > 0:
-		s.coldUntil = now.Add(e.ColdFor)
-		s.isAssumed = false
-	case !s.isAssumed || e.Sequence >= s.assumed+beatsAfterFailure:
-		s.coldUntil = time.Time{}
-		s.isAssumed = false
-	}
-}
-
-// AssumeCold takes the server for cold until it says otherwise or the time is over.
+// AssumeCold takes the server for cold for a time, or until it says otherwise.
 func (s *Server) AssumeCold(d time.Duration, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.assumeCold(d, now)
-}
-
-func (s *Server) assumeCold(d time.Duration, now time.Time) {
 	if until := now.Add(d); until.After(s.coldUntil) {
 		s.coldUntil = until
-		s.assumed = s.entry.Sequence
-		s.isAssumed = true
 	}
 }
 
-// Fail takes the server out until its heartbeats go on. It reports whether it was in use.
+// Fail takes the server out until a probe finds it. It reports whether it was in use.
 func (s *Server) Fail(now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !s.failed.since.IsZero() {
 		return false
 	}
-	s.failed = failure{since: now, sequence: s.entry.Sequence, trialAt: now.Add(trialInterval)}
+	s.failed = failure{since: now}
 	return true
 }
 
@@ -170,15 +154,11 @@
 }
 
 // Answered takes in that the server answered anything at all.
-func (s *Server) Answered(now time.Time, coldStart time.Duration) {
+func (s *Server) Answered(now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lastAnswer = now
 	s.waitingSince = now
-	if !s.failed.since.IsZero() && !s.failed.moved && s.failed.since.Before(now.Add(-trialInterval)) {
-		s.failed = failure{}
-		s.assumeCold(coldStart, now)
-	}
 }
 
 // AnsweredSince reports whether any answer came after a moment.
@@ -213,6 +193,17 @@
 	}
 }
 
+// Recalled takes in whether the server held an object that was sent there before.
+func (s *Server) Recalled(home, held bool, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if home {
+		s.home.Note(held, now)
+		return
+	}
+	s.away.Note(held, now)
+}
+
 // judgement returns the judgement as it counts now; older ones fade.
 func (s *Server) judgement(now time.Time) (slowness, failures float64) {
 	fade := math.Exp(-float64(now.Sub(s.judgedAt)) / float64(judgeSpan))
@@ -252,8 +243,6 @@
 	Entry Entry
 	// Usable says that the server may get a request now.
 	Usable bool
-	// Trial says that only a request that may be repeated should be sent.
-	Trial bool
 	// Cold says that each request needs a token.
 	Cold bool
 	// Load is the estimated number of requests at the server, and LoadAge the report's age.
@@ -263,30 +252,23 @@
 	Slowness float64
 	// Failures is the part of answers that failed.
 	Failures float64
+	// HomeRecall and AwayRecall are how often the server still held an object that was sent there.
+	HomeRecall, AwayRecall float64
 	// Silent is how long requests have been waiting with no answer at all.
 	Silent time.Duration
 }
 
 // View returns the server as it looks now.
-func (s *Server) View(now time.Time, blind bool) View {
+func (s *Server) View(now time.Time) View {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	v := View{Entry: s.entry, Usable: s.entry.State == Ready && s.failed.since.IsZero(), Cold: now.Before(s.coldUntil)}
 	v.Slowness, v.Failures = s.judgement(now)
+	v.HomeRecall, v.AwayRecall = s.home.Value(now), s.away.Value(now)
 	v.LoadAge = now.Sub(s.reportedAt)
 	v.Load = float64(s.inFlight) + s.others*math.Exp(-float64(v.LoadAge)/float64(loadSpan))
 	if s.inFlight > 0 {
 		v.Silent = now.Sub(s.waitingSince)
 	}
-	if blind && s.entry.State == Ready && !s.failed.since.IsZero() && !s.failed.moved && now.After(s.failed.trialAt) {
-		v.Usable, v.Trial, v.Cold = true, true, true
-	}
 	return v
 }
-
-// Tried takes in that a failed server gets a request as a trial.
-func (s *Server) Tried(now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.failed.trialAt = now.Add(trialInterval)
-}
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -13,6 +13,7 @@
 	"github.com/samber/do/v2"
 
 	"persimmonstep/internal/connection/psfront"
+	"persimmonstep/internal/connection/psprobe"
 	"persimmonstep/internal/connection/psreport"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
@@ -110,11 +111,14 @@
 		}
 		return link, err
 	})
-	do.Provide(i, func(i do.Injector) (*psfront.Gate, error) {
+	do.Provide(i, func(do.Injector) (*pstransport.Transports, error) {
 		t, clean := pstransport.New()
 		v.cleanUps = append(v.cleanUps, clean)
+		return t, nil
+	})
+	do.Provide(i, func(i do.Injector) (*psfront.Gate, error) {
 		return psfront.New(psfront.Options{
-			Settings: do.MustInvoke[*psnode.Settings](i), Transports: t, Logger: do.MustInvoke[hclog.Logger](i),
+			Settings: do.MustInvoke[*psnode.Settings](i), Transports: do.MustInvoke[*pstransport.Transports](i), Logger: do.MustInvoke[hclog.Logger](i),
 			Metrics: psfront.NewMetrics(do.MustInvoke[*prometheus.Registry](i)), Now: time.Now,
 		}), nil
 	})
@@ -124,7 +128,8 @@
 		v.cleanUps = append(v.cleanUps, clean)
 		return pscontrol.New(pscontrol.Options{
 			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
-			Peers: &sender{do.MustInvoke[*psreport.Link](i), do.MustInvoke[hclog.Logger](i)}, Requests: do.MustInvoke[*psfront.Gate](i),
+			Prober: psprobe.New(do.MustInvoke[*pstransport.Transports](i)),
+			Peers:  &sender{do.MustInvoke[*psreport.Link](i), do.MustInvoke[hclog.Logger](i)}, Requests: do.MustInvoke[*psfront.Gate](i),
 		}), nil
 	})
 }
--- a/internal/request/psadmit/admit.go
+++ b/internal/request/psadmit/admit.go
@@ -14,10 +14,10 @@
 const (
 	// patience is the expected latency up to which the most urgent requests are sent, in
 	// target latencies, and patienceStep how much less each less urgent rank gets.
-	patience     = 2.0
-	patienceStep = 0.15
+	patience     = 1.15
+	patienceStep = 0.05
 	// minPatience is the least patience of any rank.
-	minPatience = 1.2
+	minPatience = 1.0
 	// returnPart is the part of a caller's remaining time up to which it waits to come back.
 	returnPart = 0.3
 	// minReturn and maxReturn bound when a caller comes back.
--- a/internal/request/psestimate/estimate.go
+++ b/internal/request/psestimate/estimate.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// firstCold and firstWarm are the estimates before the first answer, in target latencies.
-	firstCold = 1.2
-	firstWarm = 0.36
+	// firstMissing and firstHeld are the estimates before the first answer, in target latencies.
+	firstMissing = 1.3
+	firstHeld    = 0.38
 	// weight is the weight of one answer.
 	weight = 0.05
 	// maxTargets bounds what one answer may say, in target latencies.
@@ -21,7 +21,8 @@
 
 // Runs are the estimated run times of a route.
 type Runs struct {
-	Warm, Cold time.Duration
+	// Held is the run time on a server that holds the object, Missing on one that doesn't.
+	Held, Missing time.Duration
 }
 
 // Estimates holds the estimates of all routes and services. The zero value is empty.
@@ -45,7 +46,7 @@
 	}
 	r, found := e.routes[route]
 	if !found {
-		r = &Runs{Warm: scale(target, firstWarm), Cold: scale(target, firstCold)}
+		r = &Runs{Held: scale(target, firstHeld), Missing: scale(target, firstMissing)}
 		e.routes[route] = r
 	}
 	return r
@@ -65,21 +66,23 @@
 type Observed struct {
 	Route, Service string
 	Target         time.Duration
-	// Warm says that the server was expected to hold the object.
-	Warm bool
+	// Took is the run time, without the way there and back.
 	Took time.Duration
 }
 
+// Warm reports whether a run time is nearer to that of a server that holds the object.
+func (r Runs) Warm(took time.Duration) bool { return took < (r.Held+r.Missing)/2 }
+
 // Observe takes in a run.
 func (e *Estimates) Observe(o Observed) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	took := min(o.Took, maxTargets*o.Target)
 	r := e.route(o.Route, o.Target)
-	if o.Warm {
-		r.Warm = blend(r.Warm, took)
+	if r.Warm(took) {
+		r.Held = blend(r.Held, took)
 	} else {
-		r.Cold = blend(r.Cold, took)
+		r.Missing = blend(r.Missing, took)
 	}
 	if d, found := e.services[o.Service]; found {
 		took = blend(d, took)
--- a/internal/request/psplace/place.go
+++ b/internal/request/psplace/place.go
@@ -18,9 +18,12 @@
 const (
 	// rankStep is the time by which a later server in the object's order must be better.
 	// It keeps an object on few servers while several are idle.
-	rankStep = 4 * time.Millisecond
+	rankStep = 8 * time.Millisecond
 	// maxRankSteps bounds the steps, so that a long order doesn't shut out its end.
-	maxRankSteps = 10
+	maxRankSteps = 5
+	// travelDivisor divides the time on the way: within the target latency, holding the
+	// object counts for more than being near.
+	travelDivisor = 3
 	// failureFactor is how many target latencies a certain failure costs.
 	failureFactor = 3
 	// silentAfter is how long a server with requests may be silent before it is avoided, in
@@ -29,12 +32,15 @@
 	silentFactor = 10
 )
 
-// warmChance is how likely the server at each place of an object's order holds the object,
-// where this VM hasn't sent it there itself. Later places have the last value.
-var warmChance = [...]float64{0.9, 0.6, 0.4, 0.25}
-
-// ownWarmChance is how likely a server holds an object that this VM sent there lately.
-const ownWarmChance = 0.95
+const (
+	// unsentHome and unsentAway are how likely a server holds an object that this VM didn't
+	// send there lately: the first server of the object's order, and a later one.
+	unsentHome = 0.6
+	unsentAway = 0.2
+	// pollution is how many times a run without the object counts on a later server. It
+	// displaces another object there, which then runs longer as well.
+	pollution = 3
+)
 
 // Candidate is a server that may run the request.
 type Candidate struct {
@@ -48,10 +54,14 @@
 	Silent time.Duration
 	// Sent says that this VM sent the object there lately.
 	Sent bool
+	// HomeRecall and AwayRecall are how often the server still held such an object, where it
+	// is the first in the object's order, and where it isn't.
+	HomeRecall, AwayRecall float64
 	// Score orders the servers of an object; the highest comes first.
 	Score uint64
-	// Travel is the time there and back, with what the bytes are worth on that way.
+	// Travel is the time there and back, and Bytes what it is worth not to carry the body there.
 	Travel time.Duration
+	Bytes  time.Duration
 }
 
 // Request is what is known of the request.
@@ -72,7 +82,9 @@
 	Rank int
 	// Wait, Run and Travel add up to the expected latency.
 	Wait, Run, Travel time.Duration
-	// Warm says that the server is expected to hold the object.
+	// Usual is the latency expected of a server that is as fast as others.
+	Usual time.Duration
+	// Warm says that the server is expected to hold the object, because it was sent there.
 	Warm bool
 }
 
@@ -109,18 +121,19 @@
 func weigh(list []Candidate, index int, r Request) (Choice, time.Duration) {
 	c := &list[index]
 	rank := rank(list, index)
-	chance := warmChance[min(rank, len(warmChance)-1)]
-	if c.Sent {
-		chance = max(chance, ownWarmChance)
-	}
+	chance := chance(c, rank)
 	slowness := max(1, c.Slowness)
-	run := slowness * (chance*float64(r.WarmRun) + (1-chance)*float64(r.ColdRun))
-	wait := slowness * max(0, c.Load+1-float64(c.Slots)) / float64(max(1, c.Slots)) * float64(r.MeanRun)
+	run := chance*float64(r.WarmRun) + (1-chance)*float64(r.ColdRun)
+	wait := max(0, c.Load+1-float64(c.Slots)) / float64(max(1, c.Slots)) * float64(r.MeanRun)
 	choice := Choice{
-		Index: index, Rank: rank, Warm: chance >= warmChance[0],
-		Wait: time.Duration(wait), Run: time.Duration(run), Travel: c.Travel,
+		Index: index, Rank: rank, Warm: c.Sent,
+		Wait: time.Duration(slowness * wait), Run: time.Duration(slowness * run), Travel: c.Travel,
+		Usual: time.Duration(wait+run) + c.Travel,
+	}
+	cost := choice.Wait + choice.Run + c.Travel/travelDivisor + c.Bytes + time.Duration(min(rank, maxRankSteps))*rankStep
+	if rank > 0 {
+		cost += time.Duration((pollution - 1) * (1 - chance) * float64(r.ColdRun-r.WarmRun))
 	}
-	cost := choice.Finish() + time.Duration(min(rank, maxRankSteps))*rankStep
 	cost += time.Duration(failureFactor * c.Failures * float64(r.Target))
 	if c.Silent > silentAfter*r.Target {
 		cost += silentFactor * r.Target
@@ -128,6 +141,19 @@
 	return choice, cost
 }
 
+// chance returns how likely the server holds the object.
+func chance(c *Candidate, rank int) float64 {
+	switch {
+	case c.Sent && rank == 0:
+		return c.HomeRecall
+	case c.Sent:
+		return c.AwayRecall
+	case rank == 0:
+		return min(unsentHome, c.HomeRecall)
+	}
+	return min(unsentAway, c.AwayRecall)
+}
+
 // rank returns a candidate's place in the object's order.
 func rank(list []Candidate, index int) int {
 	n := 0
