--- a/internal/connection/psfront/choose.go
+++ b/internal/connection/psfront/choose.go
@@ -16,7 +16,7 @@
 	travelDomain = 3 * time.Millisecond
 	travelRegion = 25 * time.Millisecond
 	// worthPerKB is what it is worth to keep a kilobyte within the failure domain.
-	worthPerKB = time.Millisecond
+	worthPerKB = 2 * time.Millisecond
 	// coldSlowness is how much slower a cold server is taken to be.
 	coldSlowness = 2
 	// noServerAfter is when callers come back to a service that has no usable server.
@@ -94,7 +94,7 @@
 			Load: o.view.Load, Slots: o.view.Entry.Slots, Slowness: slowness,
 			Failures: o.view.Failures, Silent: o.view.Silent, Sent: o.server.Objects.Has(c.object),
 			HomeRecall: o.view.HomeRecall, AwayRecall: o.view.AwayRecall,
-			Score: psplace.Score(c.object, o.view.Entry.ID), Travel: c.travel(o), Bytes: c.bytes(o),
+			Score: c.score(o), Travel: c.travel(o), Bytes: c.bytes(o),
 		}
 	}
 	return list
@@ -112,6 +112,15 @@
 	return travelRegion
 }
 
+// score orders the servers of the call's object. Large bodies stay in the failure domain.
+func (c *call) score(o option) uint64 {
+	v := psplace.Score(c.object, o.view.Entry.ID)
+	if c.route.Kind != psconfig.Upload {
+		return v
+	}
+	return psplace.Near(v, o.view.Entry.FailureDomain == c.gate.options.Settings.FailureDomain)
+}
+
 // bytes returns what it is worth not to carry the body to a server.
 func (c *call) bytes(o option) time.Duration {
 	if o.view.Entry.FailureDomain == c.gate.options.Settings.FailureDomain {
--- a/internal/process/pscontrol/follow.go
+++ b/internal/process/pscontrol/follow.go
@@ -19,7 +19,7 @@
 	// callTimeout bounds a call to the store, on top of the time that it waits.
 	callTimeout = 900 * time.Millisecond
 	// retryInterval is the time before a failed call is repeated.
-	retryInterval = 300 * time.Millisecond
+	retryInterval = 200 * time.Millisecond
 	// ordersPause is the least time between two readings of the orders.
 	ordersPause = 150 * time.Millisecond
 	// vmsInterval is the time between readings of the published VMs, and firstVMsInterval at the start.
--- a/internal/process/pscontrol/registry.go
+++ b/internal/process/pscontrol/registry.go
@@ -11,7 +11,7 @@
 )
 
 // returnSpan is how long after the store's return servers write their entries again.
-const returnSpan = 2200 * time.Millisecond
+const returnSpan = 1900 * time.Millisecond
 
 // registry holds the registered servers.
 type registry struct {
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -27,7 +27,7 @@
 
 const (
 	// storeConnectTimeout bounds a connection's set-up to the store.
-	storeConnectTimeout = 500 * time.Millisecond
+	storeConnectTimeout = 300 * time.Millisecond
 	// leftOutInterval is the time between log lines on what was left out.
 	leftOutInterval = 5 * time.Second
 	// servePart is the part of the grace time in which a leaving VM takes new connections.
--- a/internal/request/psadmit/admit.go
+++ b/internal/request/psadmit/admit.go
@@ -14,7 +14,7 @@
 const (
 	// patience is the expected latency up to which the most urgent requests are sent, in
 	// target latencies, and patienceStep how much less each less urgent rank gets.
-	patience     = 1.15
+	patience     = 2.0
 	patienceStep = 0.05
 	// minPatience is the least patience of any rank.
 	minPatience = 1.0
--- a/internal/request/psplace/place.go
+++ b/internal/request/psplace/place.go
@@ -102,6 +102,15 @@
 	return h ^ h>>33
 }
 
+// Near puts the near servers of an object before all others, each in their own order.
+func Near(score uint64, near bool) uint64 {
+	score >>= 1
+	if near {
+		score |= 1 << 63
+	}
+	return score
+}
+
 // Choose returns the candidate with the least cost. The list must not be empty.
 func Choose(list []Candidate, r Request) Choice {
 	if len(list) == 0 {
