--- a/internal/connection/psfront/choose.go
+++ b/internal/connection/psfront/choose.go
@@ -27,6 +27,8 @@
 type option struct {
 	server *psserver.Server
 	view   psserver.View
+	// share is this VM's part of what the server bears while it is cold.
+	share psserver.ColdShare
 }
 
 // selection is the server that is to run the call.
@@ -47,7 +49,7 @@
 		if v, found := verdict.(psadmit.Rejected); found {
 			return selection{}, rejected{503, v.Reason, v.After}
 		}
-		if !o.view.Cold || o.server.TakeCold(c.snapshot.ColdShares[o.view.Entry.ID], now) {
+		if !o.view.Cold || o.server.TakeCold(o.share, now) {
 			return selection{o, choice}, nil
 		}
 		options = slices.Delete(options, choice.Index, choice.Index+1)
@@ -67,10 +69,14 @@
 		if !v.Usable || c.snapshot.Evacuated[v.Entry.FailureDomain] {
 			continue
 		}
-		if _, found := c.snapshot.ColdShares[v.Entry.ID]; v.Cold && !found {
-			continue
+		o := option{server: s, view: v}
+		if v.Cold {
+			var found bool
+			if o.share, found = c.snapshot.ColdShare(v.Entry); !found {
+				continue
+			}
 		}
-		list = append(list, option{s, v})
+		list = append(list, o)
 	}
 	return list
 }
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -191,6 +191,10 @@
 			return
 		case e := <-c.events:
 			c.take(e)
+			if _, found := e.(reportEvent); found {
+				// What other VMs report counts from this VM's next report on.
+				continue
+			}
 		case <-timer.C:
 			c.report()
 			timer.Reset(c.fleet.Interval())
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -94,7 +94,7 @@
 	c.snapshot.Store(&Snapshot{
 		Index: c.index, Servers: c.servers.byService(), ServersAt: c.servers.readAt, Evacuated: c.evacuated,
 		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		ColdShares: coldShares(c.options.Identity.VM, c.fleet, c.servers.servers, c.index, now),
+		holders: holders(c.options.Identity.VM, c.fleet, now),
 	})
 }
 
--- a/internal/process/pscontrol/shares.go
+++ b/internal/process/pscontrol/shares.go
@@ -1,8 +1,6 @@
 package pscontrol
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -59,37 +57,35 @@
 	return parts, even
 }
 
-// coldShares returns this VM's part of each server that it may send requests while cold.
-func coldShares(self string, f *psfleet.Fleet, servers map[string]*psserver.Server, x *psconfig.Index, now time.Time) map[string]psserver.ColdShare {
-	if x == nil {
-		return nil
-	}
+// holders lists this VM and those that may still use their part of what the fleet shares.
+func holders(self string, f *psfleet.Fleet, now time.Time) []string {
 	names := []string{self}
 	for _, p := range f.Peers() {
 		if f.Reserved(p, now) {
 			names = append(names, p.Identity.VM)
 		}
 	}
-	shares := make(map[string]psserver.ColdShare, len(servers))
-	for id, s := range servers {
-		service, found := x.Service(s.Entry().Service)
-		if !found || service.ColdPerSecond <= 0 || !owns(self, id, names) {
-			continue
-		}
-		n := float64(min(coldVMs, len(names)))
-		shares[id] = psserver.ColdShare{PerSecond: service.ColdPerSecond / n, Depth: 1}
-	}
-	return shares
+	return names
 }
 
-// owns reports whether a VM is among those that may send requests to a cold server.
-func owns(self, server string, names []string) bool {
-	if len(names) <= coldVMs {
-		return true
+// ColdShare returns this VM's part of what a cold server bears. Only a few VMs, which all
+// compute alike, send requests to a cold server.
+func (s *Snapshot) ColdShare(server psserver.Entry) (psserver.ColdShare, bool) {
+	if s.Index == nil {
+		return psserver.ColdShare{}, false
 	}
-	list := slices.Clone(names)
-	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Compare(psrendezvous.Score(psdoc.Name(server), psdoc.Name(b)), psrendezvous.Score(psdoc.Name(server), psdoc.Name(a)))
+	service, found := s.Index.Service(server.Service)
+	if !found || service.ColdPerSecond <= 0 || !owns(server.ID, s.holders) {
+		return psserver.ColdShare{}, false
+	}
+	return psserver.ColdShare{PerSecond: service.ColdPerSecond / float64(min(coldVMs, len(s.holders))), Depth: 1}, true
+}
+
+// owns reports whether the first of the VMs is among those that send requests to a cold server.
+func owns(server string, names []string) bool {
+	own := psrendezvous.Score(psdoc.Name(server), psdoc.Name(names[0]))
+	before := lo.CountBy(names[1:], func(n string) bool {
+		return psrendezvous.Score(psdoc.Name(server), psdoc.Name(n)) > own
 	})
-	return slices.Contains(list[:coldVMs], self)
+	return before < coldVMs
 }
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -25,9 +25,8 @@
 	Parts map[string]float64
 	// EvenPart is the part of a workspace that isn't listed.
 	EvenPart float64
-	// ColdShares gives this VM's part of what cold servers bear, by the server's id. Servers
-	// that aren't listed get nothing from this VM while they are cold.
-	ColdShares map[string]psserver.ColdShare
+	// holders lists this VM and those that may still use their part of what the fleet shares.
+	holders []string
 	// FleetSize is the number of VMs that may be in use.
 	FleetSize int
 	// VMs lists the VMs that take callers, this one first.
--- a/internal/request/psplace/place.go
+++ b/internal/request/psplace/place.go
@@ -19,7 +19,7 @@
 	// rankStep is the time by which a later server in the object's order must be better.
 	// It keeps an object on few servers while several are idle.
 	rankStep = 8 * time.Millisecond
-	// maxRankSteps bounds the steps, so that a long order doesn't shut out its end.
+	// maxRankSteps is the number of places that are told apart.
 	maxRankSteps = 5
 	// travelDivisor divides the time on the way: within the target latency, holding the
 	// object counts for more than being near.
@@ -78,7 +78,7 @@
 type Choice struct {
 	// Index is the candidate's place in the list.
 	Index int
-	// Rank is the server's place in the object's order.
+	// Rank is the server's place in the object's order, of which only the first ones are told apart.
 	Rank int
 	// Wait, Run and Travel add up to the expected latency.
 	Wait, Run, Travel time.Duration
@@ -116,30 +116,59 @@
 	if len(list) == 0 {
 		panic("psplace: no candidates")
 	}
+	order := newOrder(list)
 	best, bestCost := Choice{}, time.Duration(-1)
 	for i := range list {
-		c, cost := weigh(list, i, r)
+		c, cost := weigh(&list[i], order.rank(list[i].Score), r)
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = c, cost
+			best.Index = i
 		}
 	}
 	return best
 }
 
+// order holds the highest scores, the highest first.
+type order [maxRankSteps]uint64
+
+func newOrder(list []Candidate) *order {
+	o := &order{}
+	for i := range list {
+		o.insert(list[i].Score)
+	}
+	return o
+}
+
+func (o *order) insert(score uint64) {
+	for i := range o {
+		if score > o[i] {
+			score, o[i] = o[i], score
+		}
+	}
+}
+
+// rank returns the place of a score; all later places count as one.
+func (o *order) rank(score uint64) int {
+	for i, v := range o {
+		if score >= v {
+			return i
+		}
+	}
+	return maxRankSteps
+}
+
 // weigh returns what is expected of a candidate and its cost.
-func weigh(list []Candidate, index int, r Request) (Choice, time.Duration) {
-	c := &list[index]
-	rank := rank(list, index)
-	chance := chance(c, rank)
+func weigh(c *Candidate, rank int, r Request) (Choice, time.Duration) {
 	slowness := max(1, c.Slowness)
+	chance := chance(c, rank)
 	run := chance*float64(r.WarmRun) + (1-chance)*float64(r.ColdRun)
 	wait := max(0, c.Load+1-float64(c.Slots)) / float64(max(1, c.Slots)) * float64(r.MeanRun)
 	choice := Choice{
-		Index: index, Rank: rank, Warm: c.Sent,
+		Rank: rank, Warm: c.Sent,
 		Wait: time.Duration(slowness * wait), Run: time.Duration(slowness * run), Travel: c.Travel,
 		Usual: time.Duration(wait+run) + c.Travel,
 	}
-	cost := choice.Wait + choice.Run + c.Travel/travelDivisor + c.Bytes + time.Duration(min(rank, maxRankSteps))*rankStep
+	cost := choice.Wait + choice.Run + c.Travel/travelDivisor + c.Bytes + time.Duration(rank)*rankStep
 	if rank > 0 {
 		cost += time.Duration((pollution - 1) * (1 - chance) * float64(r.ColdRun-r.WarmRun))
 	}
@@ -162,14 +191,3 @@
 	}
 	return min(unsentAway, c.AwayRecall)
 }
-
-// rank returns a candidate's place in the object's order.
-func rank(list []Candidate, index int) int {
-	n := 0
-	for i := range list {
-		if list[i].Score > list[index].Score {
-			n++
-		}
-	}
-	return n
-}
