--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
@@ -18,8 +20,9 @@
 // Store is what the control reads and writes of the platform's store.
 type Store interface {
 	Orders(ctx context.Context) (platform.Orders, error)
-	OrdersChanged(ctx context.Context, after int64, wait time.Duration) (bool, int64, error)
-	Servers(ctx context.Context) ([]psserver.Entry, []platform.Unread, error)
+	OrderChanges(ctx context.Context, after int64, wait time.Duration) (platform.Orders, error)
+	Servers(ctx context.Context) (platform.Servers, error)
+	ServerChanges(ctx context.Context, after int64, wait time.Duration) (platform.Servers, error)
 	VMs(ctx context.Context) (map[string][]byte, error)
 	PublishVM(ctx context.Context, name string, value []byte) error
 }
@@ -142,12 +145,16 @@
 type event interface{ event() }
 
 type (
-	ordersEvent  struct{ orders platform.Orders }
+	ordersEvent struct {
+		orders platform.Orders
+		// whole says that the orders are all there are, not what changed.
+		whole bool
+	}
 	serversEvent struct {
-		entries []psserver.Entry
-		unread  []platform.Unread
-		// away is when the store was lost since the last reading; zero if it wasn't.
-		away time.Time
+		servers platform.Servers
+		whole   bool
+		// returning says that the store was away, so that missing entries may come back.
+		returning bool
 	}
 	vmsEvent    struct{ rows map[string][]byte }
 	reportEvent struct{ report *psfleet.Report }
@@ -207,10 +214,10 @@
 	now := c.options.Now()
 	switch e := e.(type) {
 	case ordersEvent:
-		c.takeOrders(e.orders, now)
+		c.takeOrders(e, now)
 	case serversEvent:
-		c.logUnread(e.unread)
-		c.servers.update(e.entries, e.away, now)
+		c.logUnread(e.servers.Unread)
+		c.servers.take(e, now)
 	case vmsEvent:
 		c.takeVMs(e.rows, now)
 	case reportEvent:
@@ -222,9 +229,10 @@
 	}
 }
 
-func (c *Control) takeOrders(o platform.Orders, now time.Time) {
+func (c *Control) takeOrders(e ordersEvent, now time.Time) {
+	o := e.orders
 	c.logUnread(o.Unread)
-	c.takeEvacuations(o.Evacuated, now)
+	c.takeEvacuations(e, now)
 	if o.Configuration == nil {
 		return
 	}
@@ -244,22 +252,27 @@
 		len(o.Configuration.Routes), len(o.Configuration.Workspaces), o.Version)
 }
 
-func (c *Control) takeEvacuations(list []string, now time.Time) {
-	next := make(map[string]bool, len(list))
-	for _, d := range list {
+func (c *Control) takeEvacuations(e ordersEvent, now time.Time) {
+	next := map[string]bool{}
+	if !e.whole {
+		next = maps.Clone(c.evacuated)
+	}
+	for _, d := range e.orders.Released {
+		delete(next, d)
+	}
+	for _, d := range e.orders.Evacuated {
 		next[d] = true
 	}
-	changed := len(next) != len(c.evacuated)
+	if maps.Equal(next, c.evacuated) {
+		return
+	}
 	for d := range c.evacuated {
 		if !next[d] {
-			changed = true
 			c.takeBack(d, now)
 		}
 	}
 	c.evacuated = next
-	if changed {
-		psevent.EvacuationChanged.Log(c.options.Logger, list)
-	}
+	psevent.EvacuationChanged.Log(c.options.Logger, lo.Keys(next))
 }
 
 // takeBack takes the servers of a failure domain for cold until probes tell how they are.
--- a/internal/process/pscontrol/follow.go
+++ b/internal/process/pscontrol/follow.go
@@ -10,22 +10,25 @@
 )
 
 const (
-	// serversInterval is the time between readings of the servers. With a call's timeout it
-	// stays below the time in which a leaving server must get no more requests.
-	serversInterval = 1000 * time.Millisecond
-	// ordersWait is how long one call waits for changes. A connection that has gone silent
-	// is noticed after it.
-	ordersWait = 2500 * time.Millisecond
+	// changesWait is how long one call waits for changes. Keep-alive probes find a connection
+	// that goes silent meanwhile.
+	changesWait = 12 * time.Second
+	// changesPause is the least time between two calls for changes of the servers, so that
+	// changes that come together cost one call. It lies far below the time in which a
+	// leaving server must get no more requests.
+	changesPause = 500 * time.Millisecond
+	// ordersPause is the same for the operator's changes.
+	ordersPause = 150 * time.Millisecond
 	// callTimeout bounds a call to the store, on top of the time that it waits.
 	callTimeout = 900 * time.Millisecond
 	// retryInterval is the time before a failed call is repeated.
 	retryInterval = 200 * time.Millisecond
-	// ordersPause is the least time between two readings of the orders.
-	ordersPause = 150 * time.Millisecond
+	// returnSpan is how long after the store's return servers write their entries again.
+	returnSpan = 1900 * time.Millisecond
 	// vmsInterval is the time between readings of the published VMs, and firstVMsInterval at the start.
-	vmsInterval      = 15 * time.Second
+	vmsInterval      = 60 * time.Second
 	firstVMsInterval = 1500 * time.Millisecond
-	firstVMsReadings = 3
+	firstVMsReadings = 2
 )
 
 // follower calls the store again and again and notes when it is lost and regained.
@@ -55,66 +58,93 @@
 	return err == nil
 }
 
-func (c *Control) followServers(ctx context.Context) {
-	f := &follower{control: c, call: "servers"}
-	for ctx.Err() == nil {
-		away := f.lostAt
-		begun := c.options.Now()
-		done := f.do(ctx, callTimeout, func(ctx context.Context) error {
-			entries, unread, err := c.options.Store.Servers(ctx)
-			if err == nil {
-				c.tell(serversEvent{entries, unread, away})
-			}
-			return err
-		})
-		pause := retryInterval
-		if done {
-			pause = serversInterval - c.options.Now().Sub(begun)
-		}
-		pswait.Sleep(ctx, pause)
-	}
+// table is a table of the store that is followed.
+type table struct {
+	call string
+	// pause is the least time between two calls for changes.
+	pause time.Duration
+	// read reads all rows, and changes waits for changes after a version. Both return the
+	// version that is known then.
+	read    func(ctx context.Context, returning bool) (int64, error)
+	changes func(ctx context.Context, after int64) (int64, error)
 }
 
-func (c *Control) followOrders(ctx context.Context) {
-	f := &follower{control: c, call: "orders"}
+// follow keeps up with a table. After the store was away it reads the table again once
+// entries had time to return.
+func (c *Control) follow(ctx context.Context, t table) {
+	f := &follower{control: c, call: t.call}
 	version := int64(0)
 	for ctx.Err() == nil {
-		done := f.do(ctx, callTimeout, func(ctx context.Context) error {
-			o, err := c.options.Store.Orders(ctx)
-			if err == nil {
-				version = o.Version
-				c.tell(ordersEvent{o})
-			}
+		returning := !f.lostAt.IsZero()
+		done := f.do(ctx, callTimeout, func(ctx context.Context) (err error) {
+			version, err = t.read(ctx, returning)
 			return err
 		})
-		if !done {
+		switch {
+		case !done:
 			pswait.Sleep(ctx, retryInterval)
-			continue
+		case returning:
+			pswait.Sleep(ctx, returnSpan)
+		default:
+			c.followChanges(ctx, f, t, version)
 		}
-		pswait.Sleep(ctx, ordersPause)
-		c.awaitOrders(ctx, f, &version)
 	}
 }
 
-// awaitOrders returns when the orders have to be read again.
-func (c *Control) awaitOrders(ctx context.Context, f *follower, version *int64) {
-	for ctx.Err() == nil {
-		changed := false
-		done := f.do(ctx, ordersWait+callTimeout, func(ctx context.Context) error {
-			var err error
-			var next int64
-			changed, next, err = c.options.Store.OrdersChanged(ctx, *version, ordersWait)
-			if err == nil {
-				*version = max(*version, next)
-			}
+// followChanges returns when the table has to be read again.
+func (c *Control) followChanges(ctx context.Context, f *follower, t table, version int64) {
+	for pswait.Sleep(ctx, t.pause) {
+		done := f.do(ctx, changesWait+callTimeout, func(ctx context.Context) error {
+			next, err := t.changes(ctx, version)
+			version = max(version, next)
 			return err
 		})
-		if changed || !done {
+		if !done {
 			return
 		}
 	}
 }
 
+func (c *Control) followServers(ctx context.Context) {
+	c.follow(ctx, table{
+		call: "servers", pause: changesPause,
+		read: func(ctx context.Context, returning bool) (int64, error) {
+			v, err := c.options.Store.Servers(ctx)
+			if err == nil {
+				c.tell(serversEvent{servers: v, whole: true, returning: returning})
+			}
+			return v.Version, err
+		},
+		changes: func(ctx context.Context, after int64) (int64, error) {
+			v, err := c.options.Store.ServerChanges(ctx, after, changesWait)
+			if err == nil {
+				c.tell(serversEvent{servers: v})
+			}
+			return v.Version, err
+		},
+	})
+}
+
+func (c *Control) followOrders(ctx context.Context) {
+	c.follow(ctx, table{
+		call: "orders", pause: ordersPause,
+		read: func(ctx context.Context, _ bool) (int64, error) {
+			o, err := c.options.Store.Orders(ctx)
+			if err == nil {
+				c.tell(ordersEvent{o, true})
+			}
+			return o.Version, err
+		},
+		changes: func(ctx context.Context, after int64) (int64, error) {
+			o, err := c.options.Store.OrderChanges(ctx, after, changesWait)
+			if err == nil {
+				c.tell(ordersEvent{o, false})
+			}
+			return o.Version, err
+		},
+	})
+}
+
 // followVMs publishes this VM and reads where the others are.
 func (c *Control) followVMs(ctx context.Context) {
 	f := &follower{control: c, call: "vms"}
--- a/internal/process/pscontrol/registry.go
+++ b/internal/process/pscontrol/registry.go
@@ -10,42 +10,52 @@
 	"persimmonstep/internal/process/psserver"
 )
 
-// returnSpan is how long after the store's return servers write their entries again.
-const returnSpan = 1900 * time.Millisecond
-
 // registry holds the registered servers.
 type registry struct {
 	regions map[string]string
 	logger  hclog.Logger
 	servers map[string]*psserver.Server
-	// missing says since when a server's entry has been missing.
-	missing map[string]time.Time
-	// returnUntil is until when missing entries may come back.
-	returnUntil time.Time
-	readAt      time.Time
+	readAt  time.Time
 }
 
 func newRegistry(regions map[string]string, l hclog.Logger) *registry {
-	return &registry{regions: regions, logger: l, servers: map[string]*psserver.Server{}, missing: map[string]time.Time{}}
+	return &registry{regions: regions, logger: l, servers: map[string]*psserver.Server{}}
 }
 
-// update takes in a reading of all entries. away says since when the store had not been read.
-func (r *registry) update(entries []psserver.Entry, away, now time.Time) {
-	if !away.IsZero() {
-		r.returnUntil = now.Add(returnSpan)
-	}
+// take takes in all entries, or what changed of them.
+func (r *registry) take(e serversEvent, now time.Time) {
 	r.readAt = now
-	seen := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		seen[e.ID] = true
-		delete(r.missing, e.ID)
-		r.renew(e, now)
+	seen := make(map[string]bool, len(e.servers.Entries))
+	for _, v := range e.servers.Entries {
+		seen[v.ID] = true
+		r.renew(v, now)
+	}
+	for _, id := range e.servers.Removed {
+		r.drop(id)
+	}
+	if !e.whole {
+		return
 	}
 	for id, s := range r.servers {
-		if !seen[id] {
-			r.miss(id, s, now)
+		if seen[id] {
+			continue
 		}
+		if e.returning && s.Entry().State == psserver.Ready {
+			psevent.ServerHeld.Log(r.logger, id, s.Entry().Service)
+			continue
+		}
+		r.drop(id)
+	}
+}
+
+// drop forgets a server that is no longer registered.
+func (r *registry) drop(id string) {
+	s, found := r.servers[id]
+	if !found {
+		return
 	}
+	delete(r.servers, id)
+	psevent.ServerRemoved.Log(r.logger, id, s.Entry().Service)
 }
 
 func (r *registry) renew(e psserver.Entry, now time.Time) {
@@ -68,25 +78,6 @@
 		after.Service != before.Service || after.Sequence < before.Sequence
 }
 
-// miss drops a server whose entry is gone, unless entries may still come back.
-func (r *registry) miss(id string, s *psserver.Server, now time.Time) {
-	since, found := r.missing[id]
-	if !found {
-		since = now
-		r.missing[id] = now
-	}
-	e := s.Entry()
-	if now.Before(r.returnUntil) && e.State == psserver.Ready {
-		if !found {
-			psevent.ServerHeld.Log(r.logger, id, e.Service)
-		}
-		return
-	}
-	delete(r.servers, id)
-	delete(r.missing, id)
-	psevent.ServerRemoved.Log(r.logger, id, e.Service, now.Sub(since).String())
-}
-
 // in lists the servers of a failure domain.
 func (r *registry) in(domain string) []*psserver.Server {
 	return lo.Filter(lo.Values(r.servers), func(s *psserver.Server, _ int) bool { return s.Entry().FailureDomain == domain })
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -35,7 +35,7 @@
 	// ServerDraining says that a backend server gets no new requests.
 	ServerDraining = Event{7202, hclog.Info, "backend server draining", []string{"server", "service", "sequence"}}
 	// ServerRemoved says that a backend server is no longer registered.
-	ServerRemoved = Event{7203, hclog.Info, "backend server removed", []string{"server", "service", "missingFor"}}
+	ServerRemoved = Event{7203, hclog.Info, "backend server removed", []string{"server", "service"}}
 	// ServerHeld says that a missing server is kept because the store was away.
 	ServerHeld = Event{7204, hclog.Info, "missing backend server kept while entries return", []string{"server", "service"}}
 	// ServerFailed says that a backend server gets no requests until a probe finds it.
