--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"persimmonstep/internal/process/pscontrol"
-	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/request/pspoison"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
@@ -21,8 +20,6 @@
 	unreadyAfter = 500 * time.Millisecond
 	// poisonAfter is when callers may repeat a request that crashes servers.
 	poisonAfter = 20 * time.Second
-	// maxRateAfter bounds when callers over their rate come back.
-	maxRateAfter = 5 * time.Second
 )
 
 // call is one request of a caller.
@@ -86,7 +83,9 @@
 	if o := c.readBody(); o != nil {
 		return o
 	}
-	if o := c.checkRate(); o != nil {
+	ctx, stop := c.until()
+	defer stop()
+	if o := c.checkRate(ctx); o != nil {
 		return o
 	}
 	c.object = c.objectOf()
@@ -94,8 +93,6 @@
 	if c.gate.poison.Held(c.fingerprint, c.arrived) {
 		return rejected{http.StatusServiceUnavailable, "crashesServers", poisonAfter}
 	}
-	ctx, stop := c.until()
-	defer stop()
 	return c.dispatch(ctx)
 }
 
@@ -132,27 +129,6 @@
 	c.deadline = c.arrived.Add(limit)
 }
 
-// checkRate counts the call against its workspace's rate.
-func (c *call) checkRate() outcome {
-	w := c.workspace
-	if w == nil {
-		return nil
-	}
-	part, found := c.snapshot.Parts[w.Name]
-	if !found {
-		part = c.snapshot.EvenPart
-	}
-	granted, wait := c.gate.takeRate(w.Name, psrate.Limit{Rate: w.Rate, Burst: w.Burst}, part, c.gate.options.Now())
-	if granted {
-		return nil
-	}
-	after := wait + time.Duration(c.gate.spread()*float64(wait+minRateSpread))
-	return rejected{http.StatusTooManyRequests, "overRate", min(maxRateAfter, after)}
-}
-
-// minRateSpread is the span over which callers over their rate come back at least.
-const minRateSpread = 100 * time.Millisecond
-
 // objectOf identifies what the request is about. Without affinity, requests of a route are alike.
 func (c *call) objectOf() uint64 {
 	var d xxhash.Digest
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -16,6 +16,7 @@
 
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psrate"
@@ -45,6 +46,7 @@
 	Transports *pstransport.Transports
 	Logger     hclog.Logger
 	Metrics    *Metrics
+	Lenders    Lenders
 	// Now gives monotonic time.
 	Now func() time.Time
 }
@@ -68,6 +70,10 @@
 
 	mutex   sync.Mutex
 	buckets map[string]*psrate.Bucket
+	// kept are the tokens that this VM keeps for all, by workspace and whether it stands in.
+	kept map[psfleet.Take]*psrate.Bucket
+	// silentUntil says until when a keeper that didn't answer isn't asked.
+	silentUntil map[string]time.Time
 	// leaving closes callers' connections after their next answer.
 	leaving  bool
 	inFlight int
@@ -78,6 +84,7 @@
 func New(o Options) *Gate {
 	return &Gate{
 		options: o, begun: o.Now(), buckets: make(map[string]*psrate.Bucket),
+		kept: make(map[psfleet.Take]*psrate.Bucket), silentUntil: make(map[string]time.Time),
 		successes: pslog.Budget{PerSecond: successLines}, failures: pslog.Budget{PerSecond: failureLines},
 	}
 }
@@ -168,18 +175,6 @@
 	spreadRange = 1000
 )
 
-// takeRate takes a token of a workspace.
-func (g *Gate) takeRate(name string, l psrate.Limit, part float64, now time.Time) (bool, time.Duration) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	b, found := g.buckets[name]
-	if !found {
-		b = psrate.NewBucket(g.begun)
-		g.buckets[name] = b
-	}
-	return b.Take(l, part, now)
-}
-
 // newCall reads a request's headers.
 func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
 	now := g.options.Now()
--- a/internal/connection/psreport/report.go
+++ b/internal/connection/psreport/report.go
@@ -1,7 +1,8 @@
-// Package psreport carries the reports of VMs to each other.
+// Package psreport carries what VMs say to each other.
 //
-// A report is a JSON-RPC notification in one datagram. A datagram that is lost is replaced
-// by the next one, and a VM that can't be reached holds nothing up.
+// Each message is a JSON-RPC message in one datagram. A report is a notification; one that is
+// lost is replaced by the next one. A question has an answer; one that is lost is asked
+// again. A VM that can't be reached holds nothing up.
 package psreport
 
 import (
@@ -9,6 +10,8 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -17,14 +20,35 @@
 )
 
 const (
-	method = "report"
-	// maxDatagramBytes bounds a report.
+	methodReport = "report"
+	methodTake   = "take"
+	// maxDatagramBytes bounds a message.
 	maxDatagramBytes = 32 << 10
+	// askTimeout is how long a question waits for its answer, and asks how often it is sent.
+	askTimeout = 70 * time.Millisecond
+	asks       = 2
 )
 
-// Link sends and receives reports.
+// ErrSilent says that a question has no answer.
+var ErrSilent = errors.New("the VM does not answer")
+
+// Handler takes what other VMs say.
+type Handler interface {
+	// Heard takes a report.
+	Heard(r *psfleet.Report)
+	// Lend answers a question for a token of a workspace.
+	Lend(t psfleet.Take) psfleet.Grant
+	// Unread takes a datagram that can't be read.
+	Unread(from netip.AddrPort, err error)
+}
+
+// Link sends and receives messages. It is safe for concurrent use.
 type Link struct {
 	socket *net.UDPConn
+
+	mutex   sync.Mutex
+	last    uint64
+	waiting map[uint64]chan psfleet.Grant
 }
 
 // Listen opens a link at an address. The clean-up function closes it.
@@ -37,43 +61,79 @@
 	if !found {
 		return nil, nil, errors.Errorf("a datagram socket is a %T", c)
 	}
-	return &Link{socket: u}, func() { _ = u.Close() }, nil
+	return &Link{socket: u, waiting: make(map[uint64]chan psfleet.Grant)}, func() { _ = u.Close() }, nil
 }
 
-// Encode returns the datagram of a report.
-func Encode(r *psfleet.Report) ([]byte, error) {
-	n := &jsonrpc2.Request{Method: method, Notif: true}
+// Report sends a report to each of the VMs. One that can't be reached is shown by its silence.
+func (l *Link) Report(r *psfleet.Report, to []psfleet.Identity) error {
+	n := &jsonrpc2.Request{Method: methodReport, Notif: true}
 	if err := n.SetParams(r); err != nil {
-		return nil, errors.Wrap(err, "encode a report")
+		return errors.Wrap(err, "encode a report")
 	}
 	data, err := json.Marshal(n)
-	return data, errors.Wrap(err, "encode a report")
+	if err != nil {
+		return errors.Wrap(err, "encode a report")
+	}
+	for _, i := range to {
+		if _, failed := l.socket.WriteToUDPAddrPort(data, i.Peers); failed != nil {
+			err = errors.Wrapf(failed, "send a report to %s", i.VM)
+		}
+	}
+	return err
 }
 
-// Decode reads a datagram.
-func Decode(data []byte) (*psfleet.Report, error) {
-	var n jsonrpc2.Request
-	if err := json.Unmarshal(data, &n); err != nil {
-		return nil, errors.Wrap(err, "decode a report")
+// Take asks a VM for a token of a workspace.
+func (l *Link) Take(ctx context.Context, to netip.AddrPort, t psfleet.Take) (psfleet.Grant, error) {
+	id, answer := l.open()
+	defer l.close(id)
+	q := &jsonrpc2.Request{Method: methodTake, ID: jsonrpc2.ID{Num: id}}
+	if err := q.SetParams(t); err != nil {
+		return psfleet.Grant{}, errors.Wrap(err, "encode a question")
 	}
-	if n.Method != method || n.Params == nil {
-		return nil, errors.Errorf("the method %q is unknown", n.Method)
+	data, err := json.Marshal(q)
+	if err != nil {
+		return psfleet.Grant{}, errors.Wrap(err, "encode a question")
 	}
-	r := &psfleet.Report{}
-	if err := json.Unmarshal(*n.Params, r); err != nil {
-		return nil, errors.Wrap(err, "decode a report")
+	for range asks {
+		if _, err := l.socket.WriteToUDPAddrPort(data, to); err != nil {
+			return psfleet.Grant{}, errors.Wrap(err, "ask")
+		}
+		select {
+		case g := <-answer:
+			return g, nil
+		case <-ctx.Done():
+			return psfleet.Grant{}, ctx.Err()
+		case <-time.After(askTimeout):
+		}
 	}
-	return r, r.Check()
+	return psfleet.Grant{}, ErrSilent
+}
+
+func (l *Link) open() (uint64, chan psfleet.Grant) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.last++
+	c := make(chan psfleet.Grant, 1)
+	l.waiting[l.last] = c
+	return l.last, c
 }
 
-// Send sends a datagram to a VM.
-func (l *Link) Send(data []byte, to netip.AddrPort) error {
-	_, err := l.socket.WriteToUDPAddrPort(data, to)
-	return errors.Wrap(err, "send a report")
+func (l *Link) close(id uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.waiting, id)
 }
 
-// Receive passes on reports until the link is closed. Datagrams that can't be read go to unread.
-func (l *Link) Receive(take func(*psfleet.Report), unread func(netip.AddrPort, error)) error {
+// message is any JSON-RPC message.
+type message struct {
+	Method string           `json:"method"`
+	ID     jsonrpc2.ID      `json:"id"`
+	Params *json.RawMessage `json:"params"`
+	Result *json.RawMessage `json:"result"`
+}
+
+// Receive passes on messages until the link is closed.
+func (l *Link) Receive(h Handler) error {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, from, err := l.socket.ReadFromUDPAddrPort(buffer)
@@ -81,13 +141,70 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "receive reports")
+			return errors.Wrap(err, "receive")
 		}
-		r, err := Decode(buffer[:n])
-		if err != nil {
-			unread(from, err)
-			continue
+		if err := l.take(h, buffer[:n], from); err != nil {
+			h.Unread(from, err)
 		}
-		take(r)
 	}
 }
+
+// take handles one datagram.
+func (l *Link) take(h Handler, data []byte, from netip.AddrPort) error {
+	var m message
+	if err := json.Unmarshal(data, &m); err != nil {
+		return errors.Wrap(err, "decode a message")
+	}
+	switch {
+	case m.Method == methodReport && m.Params != nil:
+		return takeReport(h, *m.Params)
+	case m.Method == methodTake && m.Params != nil:
+		return l.answer(h, m, from)
+	case m.Method == "" && m.Result != nil:
+		return l.answered(m)
+	}
+	return errors.Errorf("the method %q is unknown", m.Method)
+}
+
+func takeReport(h Handler, params []byte) error {
+	r := &psfleet.Report{}
+	if err := json.Unmarshal(params, r); err != nil {
+		return errors.Wrap(err, "decode a report")
+	}
+	if err := r.Check(); err != nil {
+		return err
+	}
+	h.Heard(r)
+	return nil
+}
+
+func (l *Link) answer(h Handler, m message, from netip.AddrPort) error {
+	var t psfleet.Take
+	if err := json.Unmarshal(*m.Params, &t); err != nil {
+		return errors.Wrap(err, "decode a question")
+	}
+	a := &jsonrpc2.Response{ID: m.ID}
+	if err := a.SetResult(h.Lend(t)); err != nil {
+		return errors.Wrap(err, "encode an answer")
+	}
+	data, err := json.Marshal(a)
+	if err != nil {
+		return errors.Wrap(err, "encode an answer")
+	}
+	_, err = l.socket.WriteToUDPAddrPort(data, from)
+	return errors.Wrap(err, "answer")
+}
+
+func (l *Link) answered(m message) error {
+	var g psfleet.Grant
+	if err := json.Unmarshal(*m.Result, &g); err != nil {
+		return errors.Wrap(err, "decode an answer")
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if c, found := l.waiting[m.ID.Num]; found {
+		delete(l.waiting, m.ID.Num)
+		c <- g
+	}
+	return nil
+}
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -34,8 +34,8 @@
 
 // Peers sends this VM's reports.
 type Peers interface {
-	// Send sends a report to each of the VMs.
-	Send(r *psfleet.Report, to []psfleet.Identity)
+	// Report sends a report to each of the VMs.
+	Report(r *psfleet.Report, to []psfleet.Identity) error
 }
 
 // Requests is what the control asks of the request path.
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -71,7 +71,9 @@
 		to = append(to, p.Identity)
 		c.noteSilence(p, now)
 	}
-	c.options.Peers.Send(r, to)
+	if err := c.options.Peers.Report(r, to); err != nil {
+		c.options.Logger.Debug("report not sent to all VMs", "error", err.Error())
+	}
 }
 
 func (c *Control) noteSilence(p *psfleet.Peer, now time.Time) {
@@ -94,7 +96,7 @@
 	c.snapshot.Store(&Snapshot{
 		Index: c.index, Servers: c.servers.byService(), ServersAt: c.servers.readAt, Evacuated: c.evacuated,
 		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		holders: holders(c.options.Identity.VM, c.fleet, now),
+		holders: holders(c.options.Identity, c.fleet, now),
 	})
 }
 
--- a/internal/process/pscontrol/shares.go
+++ b/internal/process/pscontrol/shares.go
@@ -58,14 +58,14 @@
 }
 
 // holders lists this VM and those that may still use their part of what the fleet shares.
-func holders(self string, f *psfleet.Fleet, now time.Time) []string {
-	names := []string{self}
+func holders(self psfleet.Identity, f *psfleet.Fleet, now time.Time) []psfleet.Identity {
+	list := []psfleet.Identity{self}
 	for _, p := range f.Peers() {
 		if f.Reserved(p, now) {
-			names = append(names, p.Identity.VM)
+			list = append(list, p.Identity)
 		}
 	}
-	return names
+	return list
 }
 
 // ColdShare returns this VM's part of what a cold server bears. Only a few VMs, which all
@@ -82,10 +82,32 @@
 }
 
 // owns reports whether the first of the VMs is among those that send requests to a cold server.
-func owns(server string, names []string) bool {
-	own := psrendezvous.Score(psdoc.Name(server), psdoc.Name(names[0]))
-	before := lo.CountBy(names[1:], func(n string) bool {
-		return psrendezvous.Score(psdoc.Name(server), psdoc.Name(n)) > own
+func owns(server string, list []psfleet.Identity) bool {
+	own := psrendezvous.Score(psdoc.Name(server), psdoc.Name(list[0].VM))
+	before := lo.CountBy(list[1:], func(i psfleet.Identity) bool {
+		return psrendezvous.Score(psdoc.Name(server), psdoc.Name(i.VM)) > own
 	})
 	return before < coldVMs
 }
+
+// Keepers returns the VMs that keep the tokens of a workspace for all: the first, and the
+// one to ask if it doesn't answer. They are the same one in a fleet of one.
+func (s *Snapshot) Keepers(workspace string) (first, second psfleet.Identity) {
+	var best, next uint64
+	for _, i := range s.holders {
+		switch v := psrendezvous.Score(psdoc.Name(workspace), psdoc.Name(i.VM)); {
+		case v >= best:
+			second, next = first, best
+			first, best = i, v
+		case v >= next:
+			second, next = i, v
+		}
+	}
+	if second.VM == "" {
+		second = first
+	}
+	return first, second
+}
+
+// HeardPart is the part of the known VMs that were heard of lately.
+func (s *Snapshot) HeardPart() float64 { return float64(len(s.holders)) / float64(s.FleetSize) }
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -26,7 +27,7 @@
 	// EvenPart is the part of a workspace that isn't listed.
 	EvenPart float64
 	// holders lists this VM and those that may still use their part of what the fleet shares.
-	holders []string
+	holders []psfleet.Identity
 	// FleetSize is the number of VMs that may be in use.
 	FleetSize int
 	// VMs lists the VMs that take callers, this one first.
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -73,6 +73,20 @@
 	Failed []string `json:"failed,omitempty"`
 }
 
+// Take asks for a token of a workspace's rate.
+type Take struct {
+	Workspace string `json:"workspace"`
+	// Second says that the first VM to ask didn't answer.
+	Second bool `json:"second,omitempty"`
+}
+
+// Grant answers a [Take].
+type Grant struct {
+	Granted bool `json:"granted"`
+	// Wait is how long until there is a token again.
+	Wait time.Duration `json:"wait,omitempty"`
+}
+
 // Peer is another VM.
 type Peer struct {
 	Identity Identity
--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -30,6 +30,33 @@
 	Burst float64
 }
 
+const (
+	// minSplitRate is the rate of one VM, in requests per second, below which a workspace's
+	// rate is not split: callers' chance arrivals would find one VM's part empty while
+	// another's is full. Its tokens are kept by one VM for all.
+	minSplitRate = 3
+	// firstKept and secondKept are the parts of a rate that the first keeper of the tokens
+	// grants, and the VM that stands in for it.
+	firstKept  = 0.88
+	secondKept = 0.12
+)
+
+// Kept reports whether one VM keeps the tokens of a limit for a fleet of a size.
+func Kept(l Limit, fleet int) bool {
+	return l.Rate > 0 && l.Rate < minSplitRate*float64(fleet)
+}
+
+// KeptLimit returns what a keeper grants of a limit while it hears a part of the fleet.
+// What the others of the fleet may be granted elsewhere is left out.
+func KeptLimit(l Limit, second bool, heard float64) Limit {
+	part := firstKept
+	if second {
+		part = secondKept
+	}
+	part *= min(1, heard)
+	return Limit{Rate: l.Rate * part, Burst: l.Burst * part}
+}
+
 // Part returns the part of a limit that belongs to the VM with the own demand, among VMs
 // with the demands of others. Demands are in requests per second.
 func Part(own float64, others []float64) float64 {
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -119,6 +119,7 @@
 	do.Provide(i, func(i do.Injector) (*psfront.Gate, error) {
 		return psfront.New(psfront.Options{
 			Settings: do.MustInvoke[*psnode.Settings](i), Transports: do.MustInvoke[*pstransport.Transports](i), Logger: do.MustInvoke[hclog.Logger](i),
+			Lenders: do.MustInvoke[*psreport.Link](i),
 			Metrics: psfront.NewMetrics(do.MustInvoke[*prometheus.Registry](i)), Now: time.Now,
 		}), nil
 	})
@@ -129,7 +130,7 @@
 		return pscontrol.New(pscontrol.Options{
 			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
 			Prober: psprobe.New(do.MustInvoke[*pstransport.Transports](i)),
-			Peers:  &sender{do.MustInvoke[*psreport.Link](i), do.MustInvoke[hclog.Logger](i)}, Requests: do.MustInvoke[*psfront.Gate](i),
+			Peers:  do.MustInvoke[*psreport.Link](i), Requests: do.MustInvoke[*psfront.Gate](i),
 		}), nil
 	})
 }
@@ -187,38 +188,31 @@
 	psevent.VMStopped.Log(v.logger, v.settings.Name, v.gate.InFlight(), time.Since(begun).String())
 }
 
-// receive passes on the other VMs' reports.
+// receive passes on what the other VMs say.
 func (v *vm) receive() {
-	err := v.link.Receive(v.control.Heard, func(from netip.AddrPort, err error) {
-		psevent.ReportUnread.Log(v.logger, from.String(), err.Error())
-	})
-	if err != nil {
+	if err := v.link.Receive(handler{v}); err != nil {
 		psevent.ReportUnread.Log(v.logger, "", err.Error())
 	}
 }
 
-func (v *vm) logLeftOut(ctx context.Context) {
-	for pswait.Sleep(ctx, leftOutInterval) {
-		v.gate.LogLeftOut()
-	}
+// handler takes what the other VMs say.
+type handler struct {
+	vm *vm
 }
 
-// sender sends reports.
-type sender struct {
-	link   *psreport.Link
-	logger hclog.Logger
+// Heard takes a report.
+func (h handler) Heard(r *psfleet.Report) { h.vm.control.Heard(r) }
+
+// Lend answers a question for a token.
+func (h handler) Lend(t psfleet.Take) psfleet.Grant { return h.vm.gate.Lend(t) }
+
+// Unread logs a datagram that can't be read.
+func (h handler) Unread(from netip.AddrPort, err error) {
+	psevent.ReportUnread.Log(h.vm.logger, from.String(), err.Error())
 }
 
-// Send sends a report to each of the VMs. One that can't be reached is shown by its silence.
-func (s *sender) Send(r *psfleet.Report, to []psfleet.Identity) {
-	data, err := psreport.Encode(r)
-	if err != nil {
-		psevent.ReportUnread.Log(s.logger, r.VM, err.Error())
-		return
-	}
-	for _, i := range to {
-		if err := s.link.Send(data, i.Peers); err != nil {
-			s.logger.Debug("report not sent", "vm", i.VM, "error", err)
-		}
+func (v *vm) logLeftOut(ctx context.Context) {
+	for pswait.Sleep(ctx, leftOutInterval) {
+		v.gate.LogLeftOut()
 	}
 }
--- a/internal/version/psconfig/index.go
+++ b/internal/version/psconfig/index.go
@@ -14,6 +14,8 @@
 	hosts    map[string][]*Route
 	keys     map[string]*Workspace
 	services map[string]*Service
+	// named are the workspaces by name.
+	named map[string]*Workspace
 }
 
 // NewIndex indexes a configuration that has no findings.
@@ -21,6 +23,7 @@
 	x := &Index{
 		Configuration: c, hosts: make(map[string][]*Route),
 		keys: make(map[string]*Workspace), services: make(map[string]*Service),
+		named: make(map[string]*Workspace),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -31,6 +34,7 @@
 	}
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
+		x.named[w.Name] = w
 		for _, key := range w.Keys {
 			x.keys[key] = w
 		}
@@ -57,6 +61,12 @@
 	return w, found
 }
 
+// Named returns a workspace by its name.
+func (x *Index) Named(name string) (*Workspace, bool) {
+	w, found := x.named[name]
+	return w, found
+}
+
 // Service returns a service by its name.
 func (x *Index) Service(name string) (*Service, bool) {
 	s, found := x.services[name]
