pscontrol: in large fleets one VM of each region reads the store for the others

Ruled out: long waits at the reading VM, whose notices then don't show how fresh the others are; relaying in small fleets, where short polls cost more than nine long ones.

--- a/internal/connection/psreport/report.go
+++ b/internal/connection/psreport/report.go
@@ -21,6 +21,7 @@
 
 const (
 	methodReport = "report"
+	methodNotice = "notice"
 	methodTake   = "take"
 	// maxDatagramBytes bounds a message.
 	maxDatagramBytes = 32 << 10
@@ -36,6 +37,8 @@
 type Handler interface {
 	// Heard takes a report.
 	Heard(r *psfleet.Report)
+	// Noticed takes a notice.
+	Noticed(n *psfleet.Notice)
 	// Lend answers a question for a token of a workspace.
 	Lend(t psfleet.Take) psfleet.Grant
 	// Unread takes a datagram that can't be read.
@@ -66,17 +69,26 @@
 
 // Report sends a report to each of the VMs. One that can't be reached is shown by its silence.
 func (l *Link) Report(r *psfleet.Report, to []psfleet.Identity) error {
-	n := &jsonrpc2.Request{Method: methodReport, Notif: true}
-	if err := n.SetParams(r); err != nil {
-		return errors.Wrap(err, "encode a report")
+	return l.notify(methodReport, r, to)
+}
+
+// Notice sends a notice to each of the VMs.
+func (l *Link) Notice(n *psfleet.Notice, to []psfleet.Identity) error {
+	return l.notify(methodNotice, n, to)
+}
+
+func (l *Link) notify(method string, params any, to []psfleet.Identity) error {
+	n := &jsonrpc2.Request{Method: method, Notif: true}
+	if err := n.SetParams(params); err != nil {
+		return errors.Wrapf(err, "encode a %s", method)
 	}
 	data, err := json.Marshal(n)
 	if err != nil {
-		return errors.Wrap(err, "encode a report")
+		return errors.Wrapf(err, "encode a %s", method)
 	}
 	for _, i := range to {
 		if _, failed := l.socket.WriteToUDPAddrPort(data, i.Peers); failed != nil {
-			err = errors.Wrapf(failed, "send a report to %s", i.VM)
+			err = errors.Wrapf(failed, "send a %s to %s", method, i.VM)
 		}
 	}
 	return err
@@ -158,6 +170,8 @@
 	switch {
 	case m.Method == methodReport && m.Params != nil:
 		return takeReport(h, *m.Params)
+	case m.Method == methodNotice && m.Params != nil:
+		return takeNotice(h, *m.Params)
 	case m.Method == methodTake && m.Params != nil:
 		return l.answer(h, m, from)
 	case m.Method == "" && m.Result != nil:
@@ -178,6 +192,15 @@
 	return nil
 }
 
+func takeNotice(h Handler, params []byte) error {
+	n := &psfleet.Notice{}
+	if err := json.Unmarshal(params, n); err != nil {
+		return errors.Wrap(err, "decode a notice")
+	}
+	h.Noticed(n)
+	return nil
+}
+
 func (l *Link) answer(h Handler, m message, from netip.AddrPort) error {
 	var t psfleet.Take
 	if err := json.Unmarshal(*m.Params, &t); err != nil {
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -36,6 +36,8 @@
 type Peers interface {
 	// Report sends a report to each of the VMs.
 	Report(r *psfleet.Report, to []psfleet.Identity) error
+	// Notice sends a notice to each of the VMs.
+	Notice(n *psfleet.Notice, to []psfleet.Identity) error
 }
 
 // Requests is what the control asks of the request path.
@@ -74,6 +76,7 @@
 	index     *psconfig.Index
 	evacuated map[string]bool
 	servers   *registry
+	relay     relay
 	fleet     *psfleet.Fleet
 	shares    *shares
 	// unread holds the rows that were logged, by key and version.
@@ -89,7 +92,7 @@
 	c := &Control{
 		options: o, events: make(chan event, eventBacklog), evacuated: map[string]bool{},
 		servers: newRegistry(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity.VM), shares: newShares(),
-		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{},
+		relay: newRelay(), unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{},
 	}
 	c.running = context.Background()
 	c.publish()
--- a/internal/process/pscontrol/follow.go
+++ b/internal/process/pscontrol/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pswait"
 )
 
@@ -21,8 +22,11 @@
 	ordersPause = 150 * time.Millisecond
 	// callTimeout bounds a call to the store, on top of the time that it waits.
 	callTimeout = 900 * time.Millisecond
-	// retryInterval is the time before a failed call is repeated.
-	retryInterval = 200 * time.Millisecond
+	// retryInterval is the time before a failed call is repeated, and maxRetryInterval the
+	// time after several failures. A VM that the store serves again must know it before the
+	// fleet's bounds hold for it.
+	retryInterval    = 200 * time.Millisecond
+	maxRetryInterval = 800 * time.Millisecond
 	// returnSpan is how long after the store's return servers write their entries again.
 	returnSpan = 1900 * time.Millisecond
 	// vmsInterval is the time between readings of the published VMs, and firstVMsInterval at the start.
@@ -66,7 +70,10 @@
 	// read reads all rows, and changes waits for changes after a version. Both return the
 	// version that is known then.
 	read    func(ctx context.Context, returning bool) (int64, error)
-	changes func(ctx context.Context, after int64) (int64, error)
+	changes func(ctx context.Context, after int64, wait time.Duration) (int64, error)
+	// await waits for a notice of the VM that reads for this one. It returns the version
+	// that is known then, and true if changes must be read.
+	await func(ctx context.Context, version int64) (int64, bool)
 }
 
 // follow keeps up with a table. After the store was away it reads the table again once
@@ -74,40 +81,53 @@
 func (c *Control) follow(ctx context.Context, t table) {
 	f := &follower{control: c, call: t.call}
 	version := int64(0)
+	retry := retryInterval
 	for ctx.Err() == nil {
 		returning := !f.lostAt.IsZero()
 		done := f.do(ctx, callTimeout, func(ctx context.Context) (err error) {
 			version, err = t.read(ctx, returning)
 			return err
 		})
-		switch {
-		case !done:
-			pswait.Sleep(ctx, retryInterval)
-		case returning:
+		if !done {
+			pswait.Sleep(ctx, retry)
+			retry = min(maxRetryInterval, 2*retry)
+			continue
+		}
+		retry = retryInterval
+		if returning {
 			pswait.Sleep(ctx, returnSpan)
-		default:
-			c.followChanges(ctx, f, t, version)
+			continue
 		}
+		c.followChanges(ctx, f, t, version)
 	}
 }
 
 // followChanges returns when the table has to be read again.
 func (c *Control) followChanges(ctx context.Context, f *follower, t table, version int64) {
-	for pswait.Sleep(ctx, t.pause) {
-		done := f.do(ctx, changesWait+callTimeout, func(ctx context.Context) error {
-			next, err := t.changes(ctx, version)
+	for ctx.Err() == nil {
+		wait := c.changesWait()
+		if c.relies() {
+			var missing bool
+			if version, missing = t.await(ctx, version); !missing {
+				continue
+			}
+			wait = 0
+		}
+		done := f.do(ctx, wait+callTimeout, func(ctx context.Context) error {
+			next, err := t.changes(ctx, version, wait)
 			version = max(version, next)
 			return err
 		})
 		if !done {
 			return
 		}
+		pswait.Sleep(ctx, t.pause)
 	}
 }
 
 func (c *Control) followServers(ctx context.Context) {
 	c.follow(ctx, table{
-		call: "servers", pause: changesPause,
+		call: "servers", pause: changesPause, await: c.awaitServers,
 		read: func(ctx context.Context, returning bool) (int64, error) {
 			v, err := c.options.Store.Servers(ctx)
 			if err == nil {
@@ -115,10 +135,11 @@
 			}
 			return v.Version, err
 		},
-		changes: func(ctx context.Context, after int64) (int64, error) {
-			v, err := c.options.Store.ServerChanges(ctx, after, changesWait)
+		changes: func(ctx context.Context, after int64, wait time.Duration) (int64, error) {
+			v, err := c.options.Store.ServerChanges(ctx, after, wait)
 			if err == nil {
 				c.tell(serversEvent{servers: v})
+				c.notice(&psfleet.Notice{Servers: &psfleet.ServerChanges{From: after, To: v.Version, Entries: v.Entries, Removed: v.Removed}})
 			}
 			return v.Version, err
 		},
@@ -126,19 +147,23 @@
 }
 
 func (c *Control) followOrders(ctx context.Context) {
+	last := int64(0)
 	c.follow(ctx, table{
-		call: "orders", pause: ordersPause,
+		call: "orders", pause: ordersPause, await: c.awaitOrders,
 		read: func(ctx context.Context, _ bool) (int64, error) {
 			o, err := c.options.Store.Orders(ctx)
 			if err == nil {
 				c.tell(ordersEvent{o, true})
+				last = max(last, o.Changed)
 			}
 			return o.Version, err
 		},
-		changes: func(ctx context.Context, after int64) (int64, error) {
-			o, err := c.options.Store.OrderChanges(ctx, after, changesWait)
+		changes: func(ctx context.Context, after int64, wait time.Duration) (int64, error) {
+			o, err := c.options.Store.OrderChanges(ctx, after, wait)
 			if err == nil {
 				c.tell(ordersEvent{o, false})
+				last = max(last, o.Changed)
+				c.notice(&psfleet.Notice{Orders: last})
 			}
 			return o.Version, err
 		},
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"persimmonstep/internal/process/psserver"
 )
 
 const (
@@ -87,6 +89,24 @@
 	Wait time.Duration `json:"wait,omitempty"`
 }
 
+// Notice tells the VMs of a region what one of them reads in the store.
+type Notice struct {
+	VM     string `json:"vm"`
+	Region string `json:"region"`
+	// Servers are the changes of the servers' entries; nil if it is about orders.
+	Servers *ServerChanges `json:"servers,omitempty"`
+	// Orders is the store's version of the operator's last change; 0 if it is about servers.
+	Orders int64 `json:"orders,omitempty"`
+}
+
+// ServerChanges lead from one version of the store to a later one.
+type ServerChanges struct {
+	From    int64            `json:"from"`
+	To      int64            `json:"to"`
+	Entries []psserver.Entry `json:"entries,omitempty"`
+	Removed []string         `json:"removed,omitempty"`
+}
+
 // Peer is another VM.
 type Peer struct {
 	Identity Identity
--- a/internal/process/psserver/entry.go
+++ b/internal/process/psserver/entry.go
@@ -22,16 +22,16 @@
 // Entry is a registered backend server.
 type Entry struct {
 	// ID identifies the server, and with Incarnation one run of it.
-	ID string
+	ID string `json:"id"`
 	// Incarnation is the time of its start; it tells a restart under the same id.
-	Incarnation   time.Time
-	Service       string
-	Address       netip.AddrPort
-	FailureDomain string
-	Slots         int
-	State         State
+	Incarnation   time.Time      `json:"incarnation"`
+	Service       string         `json:"service"`
+	Address       netip.AddrPort `json:"address"`
+	FailureDomain string         `json:"failureDomain"`
+	Slots         int            `json:"slots"`
+	State         State          `json:"state"`
 	// ColdFor is how much longer the server stays cold.
-	ColdFor time.Duration
+	ColdFor time.Duration `json:"coldFor"`
 	// Sequence grows with each heartbeat of one incarnation.
-	Sequence int64
+	Sequence int64 `json:"sequence"`
 }
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -203,6 +203,9 @@
 // Heard takes a report.
 func (h handler) Heard(r *psfleet.Report) { h.vm.control.Heard(r) }
 
+// Noticed takes a notice.
+func (h handler) Noticed(n *psfleet.Notice) { h.vm.control.Noticed(n) }
+
 // Lend answers a question for a token.
 func (h handler) Lend(t psfleet.Take) psfleet.Grant { return h.vm.gate.Lend(t) }
 
