--- a/internal/connection/psfront/choose.go
+++ b/internal/connection/psfront/choose.go
@@ -19,6 +19,9 @@
 	worthPerKB = 2 * time.Millisecond
 	// coldSlowness is how much slower a cold server is taken to be.
 	coldSlowness = 2
+	// surplusEpoch is how long the same objects are surplus. All VMs go by the time of day,
+	// and one whose clock is off only chooses other objects.
+	surplusEpoch = 40 * time.Second
 	// noServerAfter is when callers come back to a service that has no usable server.
 	noServerAfter = 400 * time.Millisecond
 )
@@ -84,6 +87,7 @@
 func (c *call) placing(service string) psplace.Request {
 	runs := c.gate.estimates.Runs(c.route.Name, c.route.TargetLatency)
 	return psplace.Request{
+		Object: c.object, Epoch: uint64(c.arrived.UnixNano() / int64(surplusEpoch)),
 		WarmRun: runs.Held, ColdRun: runs.Missing, Target: c.route.TargetLatency,
 		MeanRun: c.gate.estimates.Mean(service, runs.Held),
 	}
@@ -99,7 +103,7 @@
 		list[i] = psplace.Candidate{
 			Load: o.view.Load, Slots: o.view.Entry.Slots, Slowness: slowness,
 			Failures: o.view.Failures, Silent: o.view.Silent, Sent: o.server.Objects.Has(c.object),
-			HomeRecall: o.view.HomeRecall, AwayRecall: o.view.AwayRecall,
+			HomeRecall: o.view.HomeRecall, AwayRecall: o.view.AwayRecall, Keeps: o.view.Keeps,
 			Score: c.score(o), Travel: c.travel(o), Bytes: c.bytes(o),
 		}
 	}
@@ -143,6 +147,6 @@
 	}
 	return psadmit.Decide(psadmit.Request{
 		Expected: expected, Wait: choice.Wait, Spent: now.Sub(c.arrived), Target: c.route.TargetLatency,
-		Left: c.left(now), Priority: psconfig.Priority(c.route, c.workspace), Spread: c.gate.spread(),
+		Surplus: choice.Surplus && !repeat, Left: c.left(now), Priority: psconfig.Priority(c.route, c.workspace), Spread: c.gate.spread(),
 	})
 }
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -43,6 +43,7 @@
 
 	// home and away are the recalls of objects of which this server is the first choice, and of others.
 	home, away Recall
+	keep       Keep
 
 	failed failure
 	// coldUntil is when the server bears its whole load.
@@ -197,11 +198,12 @@
 func (s *Server) Recalled(home, held bool, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if home {
-		s.home.Note(held, now)
+	if !home {
+		s.away.Note(held, now)
 		return
 	}
-	s.away.Note(held, now)
+	s.home.Note(held, now)
+	s.keep.Note(held, s.home.Value(now))
 }
 
 // judgement returns the judgement as it counts now; older ones fade.
@@ -254,6 +256,8 @@
 	Failures float64
 	// HomeRecall and AwayRecall are how often the server still held an object that was sent there.
 	HomeRecall, AwayRecall float64
+	// Keeps is the part of its own objects that the server can hold.
+	Keeps float64
 	// Silent is how long requests have been waiting with no answer at all.
 	Silent time.Duration
 }
@@ -264,6 +268,7 @@
 	defer s.mutex.Unlock()
 	v := View{Entry: s.entry, Usable: s.entry.State == Ready && s.failed.since.IsZero(), Cold: now.Before(s.coldUntil)}
 	v.Slowness, v.Failures = s.judgement(now)
+	v.Keeps = s.keep.Part()
 	v.HomeRecall, v.AwayRecall = s.home.Value(now), s.away.Value(now)
 	v.LoadAge = now.Sub(s.reportedAt)
 	v.Load = float64(s.inFlight) + s.others*math.Exp(-float64(v.LoadAge)/float64(loadSpan))
--- a/internal/request/psadmit/admit.go
+++ b/internal/request/psadmit/admit.go
@@ -6,6 +6,10 @@
 // are rejected at once, the less urgent ones first, and told to come back when room is
 // expected, spread over a span so that they don't return together.
 //
+// The second pattern: callers ask for more objects than the only allowed servers hold. If
+// all are sent, each displaces one that is asked for next, and every run is a long one. So
+// a part of the objects is rejected for a while and the others are answered in time.
+//
 // The package does no I/O and reads no clock.
 package psadmit
 
@@ -37,6 +41,8 @@
 	Left   time.Duration
 	// Priority is the rank; 0 is the most urgent.
 	Priority int
+	// Surplus says that the server can't hold the object besides others that it runs.
+	Surplus bool
 	// Spread is a number in 0..1 that differs between requests.
 	Spread float64
 }
@@ -65,6 +71,8 @@
 	switch {
 	case r.Expected >= r.Left:
 		return Rejected{comeBack(r), "deadline"}
+	case r.Surplus:
+		return Rejected{comeBack(r), "surplusObject"}
 	case r.Wait > 0 && r.Spent+r.Expected > time.Duration(patienceOf(r.Priority)*float64(r.Target)):
 		return Rejected{comeBack(r), "overload"}
 	}
--- a/internal/request/psplace/place.go
+++ b/internal/request/psplace/place.go
@@ -25,7 +25,7 @@
 	// object counts for more than being near.
 	travelDivisor = 3
 	// failureFactor is how many target latencies a certain failure costs.
-	failureFactor = 3
+	failureFactor = 8
 	// silentAfter is how long a server with requests may be silent before it is avoided, in
 	// target latencies, and silentFactor what avoiding costs, in the same unit.
 	silentAfter  = 3
@@ -37,6 +37,10 @@
 	// send there lately: the first server of the object's order, and a later one.
 	unsentHome = 0.6
 	unsentAway = 0.2
+	// surplusTargets is what a server costs that can't hold one more object, in target
+	// latencies, and surplusLoad the part of its slots up to which it takes it all the same.
+	surplusTargets = 5
+	surplusLoad    = 0.3
 	// pollution is how many times a run without the object counts on a later server. It
 	// displaces another object there, which then runs longer as well.
 	pollution = 3
@@ -57,6 +61,9 @@
 	// HomeRecall and AwayRecall are how often the server still held such an object, where it
 	// is the first in the object's order, and where it isn't.
 	HomeRecall, AwayRecall float64
+	// Keeps is the part of its own objects that the server can hold. Below 1 it should get
+	// no others, or none stays long enough to be of use.
+	Keeps float64
 	// Score orders the servers of an object; the highest comes first.
 	Score uint64
 	// Travel is the time there and back, and Bytes what it is worth not to carry the body there.
@@ -66,6 +73,10 @@
 
 // Request is what is known of the request.
 type Request struct {
+	// Object identifies what the request is about.
+	Object uint64
+	// Epoch changes now and then, so that not always the same objects are surplus.
+	Epoch uint64
 	// WarmRun and ColdRun are the run times on a server that holds the object, and on one that doesn't.
 	WarmRun, ColdRun time.Duration
 	// MeanRun is the run time of the service's other requests.
@@ -82,6 +93,8 @@
 	Rank int
 	// Wait, Run and Travel add up to the expected latency.
 	Wait, Run, Travel time.Duration
+	// Surplus says that the server can't hold the object besides others that it runs.
+	Surplus bool
 	// Usual is the latency expected of a server that is as fast as others.
 	Usual time.Duration
 	// Warm says that the server is expected to hold the object, because it was sent there.
@@ -93,8 +106,11 @@
 
 // Score returns a server's score for an object.
 func Score(object uint64, server string) uint64 {
-	h := xxhash.Sum64String(server) ^ object
-	// The finalizer of a 64-bit mixing function spreads close values.
+	return mix(xxhash.Sum64String(server) ^ object)
+}
+
+// mix spreads close values, as the finalizer of a 64-bit hash does.
+func mix(h uint64) uint64 {
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
 	h ^= h >> 33
@@ -166,19 +182,31 @@
 	choice := Choice{
 		Rank: rank, Warm: c.Sent,
 		Wait: time.Duration(slowness * wait), Run: time.Duration(slowness * run), Travel: c.Travel,
-		Usual: time.Duration(wait+run) + c.Travel,
+		Usual: time.Duration(wait+run) + c.Travel, Surplus: surplus(c, rank, r),
 	}
 	cost := choice.Wait + choice.Run + c.Travel/travelDivisor + c.Bytes + time.Duration(rank)*rankStep
 	if rank > 0 {
 		cost += time.Duration((pollution - 1) * (1 - chance) * float64(r.ColdRun-r.WarmRun))
 	}
 	cost += time.Duration(failureFactor * c.Failures * float64(r.Target))
+	if choice.Surplus {
+		cost += surplusTargets * r.Target
+	}
 	if c.Silent > silentAfter*r.Target {
 		cost += silentFactor * r.Target
 	}
 	return choice, cost
 }
 
+// surplus reports whether the server can't hold the object besides others that it runs.
+func surplus(c *Candidate, rank int, r Request) bool {
+	if c.Keeps >= 1 || c.Load < surplusLoad*float64(c.Slots) {
+		return false
+	}
+	place := float64(mix(r.Object^r.Epoch)>>32) / (1 << 32)
+	return rank > 0 || place >= c.Keeps
+}
+
 // chance returns how likely the server holds the object.
 func chance(c *Candidate, rank int) float64 {
 	switch {
