--- /dev/null
+++ b/internal/connection/psfront/gate_test.go
@@ -0,0 +1,403 @@
+package psfront_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"persimmonstep/internal/connection/psfront"
+	"persimmonstep/internal/connection/psreport"
+	"persimmonstep/internal/connection/pstransport"
+	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psconfig"
+)
+
+// answerer answers one request on a connection. It returns false to close the connection.
+type answerer func(c net.Conn, r *http.Request) bool
+
+// backend is a backend server that answers byte by byte what a test says.
+type backend struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	requests []*http.Request
+	closed   chan struct{}
+}
+
+// startBackend starts a backend server that answers with a function.
+func startBackend(t *testing.T, answer answerer) *backend {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	b := &backend{listener: l, closed: make(chan struct{}, 16)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c, answer)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(c net.Conn, answer answerer) {
+	defer c.Close() //nolint:errcheck // the test is over with it
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			b.closed <- struct{}{}
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		b.mutex.Lock()
+		b.requests = append(b.requests, r)
+		b.mutex.Unlock()
+		if !answer(c, r) {
+			return
+		}
+	}
+}
+
+func (b *backend) count() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.requests)
+}
+
+// whole answers with a signed body.
+func whole(c net.Conn, r *http.Request) bool {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nServer-Load: 1,0,5\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id"))
+	return true
+}
+
+// shed says that the request did not run.
+func shed(c net.Conn, r *http.Request) bool {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+	return true
+}
+
+// drop closes the connection in the place of an answer.
+func drop(net.Conn, *http.Request) bool { return false }
+
+// beliefs is what the gate under test believes.
+type beliefs struct {
+	snapshot *pscontrol.Snapshot
+}
+
+func (b *beliefs) Snapshot() *pscontrol.Snapshot { return b.snapshot }
+
+func (b *beliefs) ServerFailed(s *psserver.Server, _ pscontrol.Reason) { s.Fail(time.Now()) }
+
+// silentLenders never answer.
+type silentLenders struct{}
+
+func (silentLenders) Take(context.Context, netip.AddrPort, psfleet.Take) (psfleet.Grant, error) {
+	return psfleet.Grant{}, psreport.ErrSilent
+}
+
+var testConfiguration = psconfig.Configuration{
+	Version: 3,
+	Services: []psconfig.Service{
+		{Name: "prices", MaxConnections: 100, ColdStart: time.Second, ColdPerSecond: 10},
+	},
+	Routes: []psconfig.Route{
+		testRoute("boards", "/boards/", psconfig.Idempotent), testRoute("orders", "/orders/", psconfig.AtMostOnce),
+	},
+	Workspaces: []psconfig.Workspace{
+		{Name: "trays", Keys: []string{"k-1"}}, {Name: "slow", Keys: []string{"k-2"}, Rate: 5, Burst: 1},
+	},
+	Limits: psconfig.Limits{MaxBodyBytes: 1 << 20},
+}
+
+func testRoute(name, prefix string, kind psconfig.Kind) psconfig.Route {
+	return psconfig.Route{
+		Name: name, Host: "eggs.test", Prefix: prefix, Kind: kind, Timeout: 400 * time.Millisecond, TargetLatency: 100 * time.Millisecond,
+		Backends: []psconfig.Backend{{Service: "prices", Weight: 1}}, MaxAttempts: 2,
+	}
+}
+
+// startGate serves callers in front of backend servers.
+func startGate(t *testing.T, backends ...*backend) (*httptest.Server, *beliefs) {
+	t.Helper()
+	b := &beliefs{&pscontrol.Snapshot{
+		Index: psconfig.NewIndex(&testConfiguration), Servers: map[string][]*psserver.Server{},
+		ServersAt: time.Now(), EvenPart: 1, FleetSize: 1,
+	}}
+	for i, v := range backends {
+		e := psserver.Entry{
+			ID: fmt.Sprint("i-", i), Service: "prices", Slots: 5, FailureDomain: "north-a",
+			Address: netip.MustParseAddrPort(v.listener.Addr().String()),
+		}
+		b.snapshot.Servers["prices"] = append(b.snapshot.Servers["prices"], psserver.New(e, "north", time.Now()))
+	}
+	transports, clean := pstransport.New()
+	t.Cleanup(clean)
+	g := psfront.New(psfront.Options{
+		Settings:   &psnode.Settings{Name: "vm-1", FailureDomain: "north-a", Region: "north", Bounds: psnode.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}},
+		Transports: transports, Logger: hclog.NewNullLogger(), Metrics: psfront.NewMetrics(prometheus.NewRegistry()),
+		Lenders: silentLenders{}, Now: time.Now,
+	})
+	g.Follow(b)
+	s := httptest.NewServer(g)
+	t.Cleanup(s.Close)
+	return s, b
+}
+
+// request makes a caller's request with the key of the first workspace.
+func request(t *testing.T, s *httptest.Server, method, path, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	r.Host = "eggs.test"
+	r.Header.Set("Authorization", "Bearer k-1")
+	r.Header.Set("Request-Id", "id-1")
+	r.Header.Set("Deadline-Ms", "1000")
+	return r
+}
+
+// do returns the status, header and body of an answer.
+func do(t *testing.T, r *http.Request) (int, http.Header, string) {
+	t.Helper()
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	qt.Assert(t, err, qt.IsNil)
+	defer answer.Body.Close() //nolint:errcheck // the body was read
+	body, err := io.ReadAll(answer.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return answer.StatusCode, answer.Header, string(body)
+}
+
+func TestARequestArrivesUnchanged(t *testing.T) {
+	b := startBackend(t, whole)
+	s, _ := startGate(t, b)
+	r := request(t, s, http.MethodPost, "/orders/a%2Fb?x=%20y", "tray")
+	r.Header.Set("Tenant-Id", "somebody")
+	r.Header.Set("X-Own", "kept")
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "dropped")
+	status, header, body := do(t, r)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "ok")
+	qt.Assert(t, header.Get("Response-Signature"), qt.Equals, "s")
+	got := b.requests[0]
+	qt.Assert(t, got.RequestURI, qt.Equals, "/orders/a%2Fb?x=%20y")
+	qt.Assert(t, got.Host, qt.Equals, "eggs.test")
+	qt.Assert(t, got.Header.Get("Tenant-Id"), qt.Equals, "trays")
+	qt.Assert(t, got.Header.Get("Target-Instance"), qt.Equals, "i-0")
+	qt.Assert(t, got.Header.Get("X-Own"), qt.Equals, "kept")
+	for _, name := range []string{"Authorization", "X-Hop", "Accept-Encoding-Added"} {
+		qt.Check(t, got.Header.Get(name), qt.Equals, "", qt.Commentf("%s", name))
+	}
+}
+
+func TestWhatIsRefusedBeforeAnyServer(t *testing.T) {
+	b := startBackend(t, whole)
+	for name, v := range map[string]struct {
+		change func(r *http.Request, b *beliefs)
+		status int
+	}{
+		"unknown key":      {func(r *http.Request, _ *beliefs) { r.Header.Set("Authorization", "Bearer other") }, 401},
+		"key of any form":  {func(r *http.Request, _ *beliefs) { r.Header.Set("Authorization", "§§") }, 401},
+		"no key":           {func(r *http.Request, _ *beliefs) { r.Header.Del("Authorization") }, 401},
+		"no route":         {func(r *http.Request, _ *beliefs) { r.URL.Path = "/nowhere/" }, 404},
+		"other host":       {func(r *http.Request, _ *beliefs) { r.Host = "carts.test" }, 404},
+		"no configuration": {func(_ *http.Request, b *beliefs) { b.snapshot = &pscontrol.Snapshot{} }, 503},
+		"no server":        {func(_ *http.Request, b *beliefs) { b.snapshot.Servers = nil }, 503},
+		"evacuated":        {func(_ *http.Request, b *beliefs) { b.snapshot.Evacuated = map[string]bool{"north-a": true} }, 503},
+		"body too large":   {func(r *http.Request, _ *beliefs) { r.ContentLength = 2 << 20 }, 413},
+		"keepers silent": {func(r *http.Request, b *beliefs) {
+			r.Header.Set("Authorization", "Bearer k-2")
+			b.snapshot.FleetSize = 2
+		}, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, beliefs := startGate(t, b)
+			r := request(t, s, http.MethodPost, "/orders/1", "")
+			v.change(r, beliefs)
+			if r.ContentLength > 0 {
+				r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", int(r.ContentLength))))
+			}
+			status, header, _ := do(t, r)
+			qt.Assert(t, status, qt.Equals, v.status)
+			qt.Assert(t, header.Get("Retry-After") != "", qt.Equals, status == 503)
+			qt.Assert(t, b.count(), qt.Equals, 0)
+		})
+	}
+}
+
+func TestOverItsRateAWorkspaceIsToldWhenToComeBack(t *testing.T) {
+	s, _ := startGate(t, startBackend(t, whole))
+	var status int
+	var header http.Header
+	for range 3 {
+		r := request(t, s, http.MethodGet, "/boards/1", "")
+		r.Header.Set("Authorization", "Bearer k-2")
+		status, header, _ = do(t, r)
+	}
+	qt.Assert(t, status, qt.Equals, http.StatusTooManyRequests)
+	qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
+}
+
+func TestWhichFailuresAreSentAgain(t *testing.T) {
+	for name, v := range map[string]struct {
+		first  answerer
+		path   string
+		status int
+		// runs is the number of servers that got the request.
+		runs int
+	}{
+		"a lookup whose answer is lost":     {drop, "/boards/1", 200, 2},
+		"an order whose answer is lost":     {drop, "/orders/1", 502, 1},
+		"an order that did not run":         {shed, "/orders/1", 200, 2},
+		"an order at another server":        {elsewhere, "/orders/1", 200, 2},
+		"a lookup with an answer cut short": {cutShort, "/boards/1", 200, 2},
+		"an order with an answer cut short": {cutShort, "/orders/1", 502, 1},
+		"a lookup without a signature":      {unsigned, "/boards/1", 200, 2},
+		"an order without a signature":      {unsigned, "/orders/1", 502, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mutex sync.Mutex
+			met := 0
+			// Whichever server comes first fails.
+			answer := func(c net.Conn, r *http.Request) bool {
+				mutex.Lock()
+				met++
+				first := met == 1
+				mutex.Unlock()
+				if first {
+					return v.first(c, r)
+				}
+				return whole(c, r)
+			}
+			s, _ := startGate(t, startBackend(t, answer), startBackend(t, answer))
+			status, _, _ := do(t, request(t, s, http.MethodPost, v.path, "x"))
+			qt.Assert(t, status, qt.Equals, v.status)
+			mutex.Lock()
+			defer mutex.Unlock()
+			qt.Assert(t, met, qt.Equals, v.runs)
+		})
+	}
+}
+
+func elsewhere(c net.Conn, _ *http.Request) bool {
+	_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n")
+	return true
+}
+
+func cutShort(c net.Conn, _ *http.Request) bool {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 9\r\n\r\nok")
+	return false
+}
+
+func unsigned(c net.Conn, _ *http.Request) bool {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+	return true
+}
+
+func TestTheAnswerOfAnotherRequestIsPassedOver(t *testing.T) {
+	s, _ := startGate(t, startBackend(t, func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nother")
+		return whole(c, r)
+	}))
+	status, _, body := do(t, request(t, s, http.MethodPost, "/orders/1", "x"))
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "ok")
+}
+
+func TestAnAnswerMayEndWithItsConnection(t *testing.T) {
+	s, _ := startGate(t, startBackend(t, func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\nto the end")
+		return false
+	}))
+	status, _, body := do(t, request(t, s, http.MethodPost, "/orders/1", "x"))
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "to the end")
+}
+
+func TestAtTheRoutesTimeoutThereIsAnAnswerWithoutAPromise(t *testing.T) {
+	b := startBackend(t, func(net.Conn, *http.Request) bool {
+		time.Sleep(time.Second)
+		return false
+	})
+	s, _ := startGate(t, b)
+	begun := time.Now()
+	status, _, _ := do(t, request(t, s, http.MethodPost, "/orders/1", "x"))
+	qt.Assert(t, status, qt.Equals, http.StatusGatewayTimeout)
+	qt.Assert(t, time.Since(begun) < 900*time.Millisecond, qt.IsTrue)
+}
+
+func TestACallerThatLeavesEndsTheExchange(t *testing.T) {
+	reached := make(chan struct{})
+	b := startBackend(t, func(c net.Conn, _ *http.Request) bool {
+		close(reached)
+		var one [1]byte
+		_, _ = c.Read(one[:])
+		return false
+	})
+	s, _ := startGate(t, b)
+	ctx, leave := context.WithCancel(context.Background())
+	r := request(t, s, http.MethodPost, "/orders/1", "x").WithContext(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		answer, err := http.DefaultTransport.RoundTrip(r)
+		if err == nil {
+			_ = answer.Body.Close()
+		}
+	}()
+	<-reached
+	leave()
+	<-ended
+	qt.Assert(t, b.count(), qt.Equals, 1)
+}
+
+func TestARequestThatCrashesServersIsHeldBack(t *testing.T) {
+	// Each server takes no connection any more once it has met the request.
+	var all []*backend
+	for range 4 {
+		var b *backend
+		ready := make(chan struct{})
+		b = startBackend(t, func(net.Conn, *http.Request) bool {
+			<-ready
+			_ = b.listener.Close()
+			return false
+		})
+		close(ready)
+		all = append(all, b)
+	}
+	s, _ := startGate(t, all...)
+	met := func() int {
+		n := 0
+		for _, b := range all {
+			n += b.count()
+		}
+		return n
+	}
+	for range 3 {
+		status, _, _ := do(t, request(t, s, http.MethodPost, "/orders/poison", "x"))
+		qt.Assert(t, status, qt.Equals, http.StatusBadGateway)
+	}
+	qt.Assert(t, met(), qt.Equals, 3)
+	status, header, _ := do(t, request(t, s, http.MethodPost, "/orders/poison", "x"))
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	qt.Assert(t, met(), qt.Equals, 3)
+}
--- /dev/null
+++ b/internal/connection/psreport/report_test.go
@@ -0,0 +1,101 @@
+package psreport_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"persimmonstep/internal/connection/psreport"
+	"persimmonstep/internal/process/psfleet"
+)
+
+// heard passes on what a link receives.
+type heard struct {
+	reports chan *psfleet.Report
+	notices chan *psfleet.Notice
+	unread  chan error
+}
+
+func (h *heard) Heard(r *psfleet.Report)          { h.reports <- r }
+func (h *heard) Noticed(n *psfleet.Notice)        { h.notices <- n }
+func (h *heard) Unread(_ netip.AddrPort, e error) { h.unread <- e }
+
+func (h *heard) Lend(t psfleet.Take) psfleet.Grant {
+	return psfleet.Grant{Granted: t.Workspace == "trays", Wait: time.Second}
+}
+
+func start(t *testing.T) (*psreport.Link, netip.AddrPort, *heard) {
+	t.Helper()
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	a := netip.MustParseAddrPort(probe.LocalAddr().String())
+	qt.Assert(t, probe.Close(), qt.IsNil)
+	l, clean, err := psreport.Listen(context.Background(), a)
+	qt.Assert(t, err, qt.IsNil)
+	h := &heard{make(chan *psfleet.Report, 8), make(chan *psfleet.Notice, 8), make(chan error, 8)}
+	ended := make(chan error, 1)
+	go func() { ended <- l.Receive(h) }()
+	t.Cleanup(func() {
+		clean()
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	return l, a, h
+}
+
+func identity(vm string, at netip.AddrPort) psfleet.Identity {
+	return psfleet.Identity{VM: vm, FailureDomain: "north-a", Region: "north", Callers: at, Peers: at, Incarnation: 7}
+}
+
+func TestReportsAndNoticesArrive(t *testing.T) {
+	a, at, _ := start(t)
+	_, bt, h := start(t)
+	to := []psfleet.Identity{identity("vm-2", bt)}
+	sent := &psfleet.Report{Identity: identity("vm-1", at), Sequence: 3, Demands: map[string]float64{"trays": 1.5}, Crashes: map[uint64]int{9: 1}}
+	qt.Assert(t, a.Report(sent, to), qt.IsNil)
+	qt.Assert(t, <-h.reports, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), sent)
+	notice := &psfleet.Notice{VM: "vm-1", Region: "north", Orders: 4}
+	qt.Assert(t, a.Notice(notice, to), qt.IsNil)
+	qt.Assert(t, <-h.notices, qt.DeepEquals, notice)
+}
+
+func TestAQuestionIsAnswered(t *testing.T) {
+	a, _, _ := start(t)
+	_, bt, _ := start(t)
+	g, err := a.Take(context.Background(), bt, psfleet.Take{Workspace: "trays"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, g.Granted, qt.IsTrue)
+	g, err = a.Take(context.Background(), bt, psfleet.Take{Workspace: "carts"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, g, qt.Equals, psfleet.Grant{Wait: time.Second})
+}
+
+func TestASilentVMHoldsNothingUp(t *testing.T) {
+	a, _, _ := start(t)
+	silent, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	defer silent.Close() //nolint:errcheck // nothing follows
+	begun := time.Now()
+	_, err = a.Take(context.Background(), netip.MustParseAddrPort(silent.LocalAddr().String()), psfleet.Take{Workspace: "trays"})
+	qt.Assert(t, err, qt.Equals, psreport.ErrSilent)
+	qt.Assert(t, time.Since(begun) < time.Second, qt.IsTrue)
+}
+
+func TestWhatIsNoMessageIsPassedOver(t *testing.T) {
+	_, at, h := start(t)
+	c, err := net.Dial("udp4", at.String())
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close() //nolint:errcheck // nothing follows
+	for _, text := range []string{"", "{", `{"method":"other","params":{}}`, `{"method":"report","params":{"vm":"x"}}`, `{"method":"take"}`} {
+		if text == "" {
+			continue
+		}
+		_, err := c.Write([]byte(text))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, <-h.unread, qt.IsNotNil, qt.Commentf("%q", text))
+	}
+}
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -16,17 +16,20 @@
 const (
 	// maxHeaderBytes bounds an answer's header.
 	maxHeaderBytes = 64 << 10
-	// maxSkipped bounds the 1xx answers, and those to other requests, before the final one.
-	maxSkipped = 8
+	// maxInformational bounds the 1xx answers before the final one, and maxSurplus the
+	// answers to other requests.
+	maxInformational = 8
+	maxSurplus       = 4
 	// maxInlineBodyBytes is the length up to which a body in memory is written before the
 	// answer is read; all others are written while the answer is read.
 	maxInlineBodyBytes = 16 << 10
 )
 
 var (
-	errUpgrade = errors.New("the server switched protocols unasked")
-	errSkipped = errors.New("the server sent too many answers before the final one")
-	errSurplus = errors.New("the server sent an answer without an end to another request")
+	errUpgrade       = errors.New("the server switched protocols unasked")
+	errInformational = errors.New("the server sent too many 1xx answers")
+	errSurplus       = errors.New("the server sent too many answers to other requests")
+	errEndless       = errors.New("the server sent an answer without an end to another request")
 )
 
 // BodyError says that the request's body could not be read; the server is not to blame.
@@ -191,10 +194,27 @@
 	return n, err
 }
 
-// read reads the final answer's header.
+// read reads the header of the final answer to this request.
 func (e *exchange) read() (*http.Response, error) {
 	defer func() { e.conn.limit.N = math.MaxInt64 }()
-	for range maxSkipped {
+	for range maxSurplus {
+		answer, err := e.readFinal()
+		if err != nil {
+			return nil, err
+		}
+		if e.rules.Mine == nil || e.rules.Mine(answer) {
+			return answer, nil
+		}
+		if err := e.drop(answer); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errSurplus
+}
+
+// readFinal reads the header of the next answer that isn't informational.
+func (e *exchange) readFinal() (*http.Response, error) {
+	for range maxInformational {
 		e.conn.limit.N = maxHeaderBytes
 		answer, err := http.ReadResponse(e.conn.reader, e.request)
 		switch {
@@ -202,22 +222,17 @@
 			return nil, err
 		case answer.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
-		case answer.StatusCode < http.StatusOK:
-		case e.rules.Mine == nil || e.rules.Mine(answer):
+		case answer.StatusCode >= http.StatusOK:
 			return answer, nil
-		default:
-			if err := e.drop(answer); err != nil {
-				return nil, err
-			}
 		}
 	}
-	return nil, errSkipped
+	return nil, errInformational
 }
 
 // drop reads the rest of an answer that belongs to another request.
 func (e *exchange) drop(answer *http.Response) error {
 	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
-		return errSurplus
+		return errEndless
 	}
 	e.conn.limit.N = math.MaxInt64
 	_, err := io.Copy(io.Discard, answer.Body)
--- /dev/null
+++ b/internal/process/pscontrol/control_test.go
@@ -0,0 +1,214 @@
+package pscontrol_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform"
+)
+
+// store is a store whose tables a test sets. Each set wakes those that wait for changes.
+type store struct {
+	mutex   sync.Mutex
+	orders  platform.Orders
+	servers platform.Servers
+	version int64
+	away    bool
+	changed chan struct{}
+}
+
+var errAway = errors.New("the store is away")
+
+func newStore() *store {
+	return &store{changed: make(chan struct{}), version: 1}
+}
+
+func (s *store) set(change func(s *store)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	change(s)
+	s.orders.Version, s.servers.Version = s.version, s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) read() (platform.Orders, platform.Servers, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.away {
+		return platform.Orders{}, platform.Servers{}, errAway
+	}
+	return s.orders, s.servers, nil
+}
+
+func (s *store) Orders(context.Context) (platform.Orders, error) {
+	o, _, err := s.read()
+	return o, err
+}
+
+func (s *store) Servers(context.Context) (platform.Servers, error) {
+	_, v, err := s.read()
+	return v, err
+}
+
+// wait waits for a change. What follows is read as a whole, as after lost history.
+func (s *store) wait(ctx context.Context) error {
+	s.mutex.Lock()
+	changed := s.changed
+	s.mutex.Unlock()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+	return &platform.StoreError{Failure: platform.HistoryGone, Status: 410}
+}
+
+func (s *store) OrderChanges(ctx context.Context, _ int64, _ time.Duration) (platform.Orders, error) {
+	return platform.Orders{}, s.wait(ctx)
+}
+
+func (s *store) ServerChanges(ctx context.Context, _ int64, _ time.Duration) (platform.Servers, error) {
+	return platform.Servers{}, s.wait(ctx)
+}
+
+func (*store) VMs(context.Context) (map[string][]byte, error)   { return nil, nil }
+func (*store) PublishVM(context.Context, string, []byte) error  { return nil }
+func (*store) Report(*psfleet.Report, []psfleet.Identity) error { return nil }
+func (*store) Notice(*psfleet.Notice, []psfleet.Identity) error { return nil }
+func (*store) Demands(time.Time) map[string]float64             { return nil }
+func (*store) Crashes(time.Time) map[uint64]int                 { return nil }
+func (*store) Learn(string, map[uint64]int, time.Time)          {}
+func (*store) Probe(context.Context, psserver.Entry, string) (platform.Health, error) {
+	return platform.Health{Healthy: true, Server: "i-1", ColdFor: time.Minute}, nil
+}
+
+func start(t *testing.T, s *store) *pscontrol.Control {
+	t.Helper()
+	a := netip.MustParseAddrPort("127.0.0.1:1")
+	c := pscontrol.New(pscontrol.Options{
+		Settings: &psnode.Settings{Regions: map[string]string{"north-a": "north"}},
+		Identity: psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", Callers: a, Peers: a},
+		Store:    s, Prober: s, Peers: s, Requests: s, Logger: hclog.NewNullLogger(), Now: time.Now,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go c.Run(ctx)
+	return c
+}
+
+// eventually waits until something holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+func configuration(version int64) *psconfig.Configuration {
+	return &psconfig.Configuration{Version: version, Services: []psconfig.Service{{Name: "prices", ColdStart: time.Minute, ColdPerSecond: 5}}}
+}
+
+func entry(id string) psserver.Entry {
+	return psserver.Entry{ID: id, Service: "prices", FailureDomain: "north-a", Slots: 4}
+}
+
+func version(c *pscontrol.Control) int64 {
+	if x := c.Snapshot().Index; x != nil {
+		return x.Configuration.Version
+	}
+	return 0
+}
+
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	s := newStore()
+	c := start(t, s)
+	s.set(func(s *store) { s.orders.Configuration = configuration(7) })
+	eventually(t, "version 7", func() bool { return version(c) == 7 })
+	s.set(func(s *store) { s.orders.Configuration = configuration(5) })
+	faulty := configuration(8)
+	faulty.Routes = []psconfig.Route{{Name: "without anything"}}
+	s.set(func(s *store) { s.orders.Configuration = faulty })
+	s.set(func(s *store) {
+		s.orders.Configuration = nil
+		s.orders.Evacuated = []string{"north-a"}
+	})
+	eventually(t, "the evacuation", func() bool { return c.Snapshot().Evacuated["north-a"] })
+	qt.Assert(t, version(c), qt.Equals, int64(7))
+	s.set(func(s *store) { s.orders.Configuration = configuration(9) })
+	eventually(t, "version 9", func() bool { return version(c) == 9 })
+}
+
+func servers(c *pscontrol.Control) int { return len(c.Snapshot().Servers["prices"]) }
+
+func TestServersThatAreGoneAreDropped(t *testing.T) {
+	s := newStore()
+	c := start(t, s)
+	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1"), entry("i-2")} })
+	eventually(t, "two servers", func() bool { return servers(c) == 2 })
+	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1")} })
+	eventually(t, "one server", func() bool { return servers(c) == 1 })
+}
+
+// TestEntriesThatLapsedWhileTheStoreWasAwayMayReturn checks that missing entries are kept for
+// the time in which servers write them again, and not for longer.
+func TestEntriesThatLapsedWhileTheStoreWasAwayMayReturn(t *testing.T) {
+	s := newStore()
+	c := start(t, s)
+	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1"), entry("i-2")} })
+	eventually(t, "two servers", func() bool { return servers(c) == 2 })
+	s.set(func(s *store) { s.away = true })
+	time.Sleep(300 * time.Millisecond)
+	s.set(func(s *store) {
+		s.away = false
+		s.servers.Entries = nil
+	})
+	time.Sleep(1200 * time.Millisecond)
+	qt.Assert(t, servers(c), qt.Equals, 2)
+	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1")} })
+	eventually(t, "the entry that is still missing is gone", func() bool { return servers(c) == 1 })
+}
+
+func TestServersOfAnEvacuatedDomainReturnAsColdAsTheySay(t *testing.T) {
+	s := newStore()
+	c := start(t, s)
+	s.set(func(s *store) {
+		s.orders.Configuration = configuration(1)
+		s.servers.Entries = []psserver.Entry{entry("i-1")}
+		s.orders.Evacuated = []string{"north-a"}
+	})
+	eventually(t, "the evacuation", func() bool { return c.Snapshot().Evacuated["north-a"] && servers(c) == 1 })
+	s.set(func(s *store) { s.orders.Evacuated = nil })
+	eventually(t, "a cold server", func() bool {
+		list := c.Snapshot().Servers["prices"]
+		return !c.Snapshot().Evacuated["north-a"] && len(list) == 1 && list[0].View(time.Now()).Cold
+	})
+}
+
+func TestAnotherVMThatTakesCallersIsInTheDirectory(t *testing.T) {
+	s := newStore()
+	c := start(t, s)
+	a := netip.MustParseAddrPort("127.0.0.1:2")
+	r := &psfleet.Report{Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", Callers: a, Peers: a}, Sequence: 1, Ready: true}
+	c.Heard(r)
+	eventually(t, "two VMs", func() bool { return len(c.Snapshot().VMs) == 2 })
+	eventually(t, "one VM after silence", func() bool { return len(c.Snapshot().VMs) == 1 })
+	c.Leave()
+	eventually(t, "no VM after leaving", func() bool { return len(c.Snapshot().VMs) == 0 })
+	qt.Assert(t, c.Ready(), qt.IsFalse)
+}
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -64,7 +64,7 @@
 	if c.index != nil {
 		r.Version = c.index.Configuration.Version
 	}
-	c.shares.reported = r.Demands
+	c.shares.report(r.Demands)
 	peers := c.fleet.Peers()
 	to := make([]psfleet.Identity, 0, len(peers))
 	for _, p := range peers {
--- a/internal/process/pscontrol/shares.go
+++ b/internal/process/pscontrol/shares.go
@@ -18,14 +18,35 @@
 
 // shares are this VM's parts of what the fleet shares.
 type shares struct {
-	// reported are the demands that the other VMs were told last.
-	reported map[string]float64
+	// demands are those of this VM, as the other VMs were told.
+	demands map[string]*psrate.Demand
 	// settled are the parts at the last moment when all VMs were heard.
 	settled map[string]float64
 }
 
 func newShares() *shares {
-	return &shares{reported: map[string]float64{}, settled: map[string]float64{}}
+	return &shares{demands: map[string]*psrate.Demand{}, settled: map[string]float64{}}
+}
+
+// report takes in what the other VMs are told now.
+func (s *shares) report(demands map[string]float64) {
+	for name := range demands {
+		if s.demands[name] == nil {
+			s.demands[name] = &psrate.Demand{}
+		}
+	}
+	for name, d := range s.demands {
+		d.Report(demands[name])
+	}
+}
+
+// own returns this VM's demand as far as the other VMs know of it.
+func (s *shares) own(workspace string) float64 {
+	d, found := s.demands[workspace]
+	if !found {
+		return 0
+	}
+	return d.Usable()
 }
 
 // parts returns this VM's part of each workspace's rate.
@@ -39,7 +60,7 @@
 	parts = make(map[string]float64, len(x.Configuration.Workspaces))
 	for i := range x.Configuration.Workspaces {
 		name := x.Configuration.Workspaces[i].Name
-		own := s.reported[name]
+		own := s.own(name)
 		others := lo.Map(peers, func(p *psfleet.Peer, _ int) float64 {
 			if p.Report == nil {
 				return own
--- /dev/null
+++ b/internal/process/psfleet/fleet_test.go
@@ -0,0 +1,63 @@
+package psfleet_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/psfleet"
+)
+
+var begun = time.Unix(1000, 0)
+
+func identity(vm string, incarnation int64) psfleet.Identity {
+	a := netip.MustParseAddrPort("10.0.0.1:80")
+	return psfleet.Identity{VM: vm, FailureDomain: "north-a", Region: "north", Callers: a, Peers: a, Incarnation: incarnation}
+}
+
+func TestASilentVMIsNoLongerLiveButItsPartIsReserved(t *testing.T) {
+	f := psfleet.New("vm-1")
+	f.Know(identity("vm-2", 1), begun)
+	p := f.Peers()[0]
+	qt.Assert(t, f.Live(p, begun), qt.IsFalse)
+	qt.Assert(t, f.Reserved(p, begun), qt.IsTrue)
+	_, fresh := f.Hear(&psfleet.Report{Identity: identity("vm-2", 1), Sequence: 1}, begun)
+	qt.Assert(t, fresh, qt.IsTrue)
+	qt.Assert(t, f.Live(p, begun.Add(time.Second)), qt.IsTrue)
+	qt.Assert(t, f.Live(p, begun.Add(2*time.Second)), qt.IsFalse)
+	qt.Assert(t, f.Reserved(p, begun.Add(5*time.Second)), qt.IsTrue)
+	qt.Assert(t, f.Reserved(p, begun.Add(11*time.Second)), qt.IsFalse)
+}
+
+func TestReportsThatAreOutOfDateAreDropped(t *testing.T) {
+	f := psfleet.New("vm-1")
+	for _, v := range []struct {
+		incarnation, sequence int64
+		fresh                 bool
+	}{{1, 1, true}, {1, 3, true}, {1, 2, false}, {1, 3, false}, {2, 1, true}, {1, 9, false}} {
+		_, fresh := f.Hear(&psfleet.Report{Identity: identity("vm-2", v.incarnation), Sequence: v.sequence}, begun)
+		qt.Check(t, fresh, qt.Equals, v.fresh, qt.Commentf("%+v", v))
+	}
+	_, fresh := f.Hear(&psfleet.Report{Identity: identity("vm-1", 1), Sequence: 1}, begun)
+	qt.Assert(t, fresh, qt.IsFalse)
+}
+
+func TestALargeFleetReportsLessOften(t *testing.T) {
+	f := psfleet.New("vm-1")
+	qt.Assert(t, f.Interval(), qt.Equals, 250*time.Millisecond)
+	for n := range 73 {
+		f.Know(identity(fmt.Sprint("vm-", n+2), 1), begun)
+	}
+	qt.Assert(t, f.Size(), qt.Equals, 74)
+	qt.Assert(t, f.Interval() > time.Second, qt.IsTrue)
+}
+
+func TestIdentitiesCheckThemselves(t *testing.T) {
+	for _, text := range []string{"", "{}", `{"vm":"a"}`, `{"vm":1}`} {
+		_, err := psfleet.DecodeIdentity([]byte(text))
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
+	}
+}
--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -19,6 +19,8 @@
 	rateFactor = 1.02
 	// burstOfRate is the additional depth of all buckets, in seconds of the rate.
 	burstOfRate = 0.15
+	// wholeToken is a token, less what rounding may take from it.
+	wholeToken = 1 - 1e-6
 	// demandSpan is the time over which a demand is averaged.
 	demandSpan = 1500 * time.Millisecond
 )
@@ -39,6 +41,8 @@
 	// grants, and the VM that stands in for it.
 	firstKept  = 0.88
 	secondKept = 0.12
+	// minKeptRate is granted at least, in requests per second, because 0 stands for no limit.
+	minKeptRate = 1e-3
 )
 
 // Kept reports whether one VM keeps the tokens of a limit for a fleet of a size.
@@ -54,7 +58,7 @@
 		part = secondKept
 	}
 	part *= min(1, heard)
-	return Limit{Rate: l.Rate * part, Burst: l.Burst * part}
+	return Limit{Rate: max(minKeptRate, l.Rate*part), Burst: l.Burst * part}
 }
 
 // Part returns the part of a limit that belongs to the VM with the own demand, among VMs
@@ -79,6 +83,21 @@
 	asked float64
 }
 
+// Demand is what one VM's callers ask for, as the other VMs were told.
+type Demand struct {
+	latest, previous float64
+}
+
+// Report takes in what the other VMs are told now.
+func (d *Demand) Report(v float64) {
+	d.previous = d.latest
+	d.latest = v
+}
+
+// Usable returns the demand by which the VM computes its own part. It grows only once the
+// others know of it and have given way.
+func (d *Demand) Usable() float64 { return min(d.latest, d.previous) }
+
 // NewBucket returns a bucket that is empty at a time.
 func NewBucket(now time.Time) *Bucket { return &Bucket{last: now} }
 
@@ -89,7 +108,7 @@
 	if l.Rate <= 0 {
 		return true, 0
 	}
-	if b.tokens >= 1 {
+	if b.tokens >= wholeToken {
 		b.tokens--
 		return true, 0
 	}
--- /dev/null
+++ b/internal/process/pssteer/steer_test.go
@@ -0,0 +1,219 @@
+package pssteer_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/pssteer"
+	"persimmonstep/platform/platformtest"
+)
+
+// output collects a VM's log.
+type output struct {
+	mutex sync.Mutex
+	data  bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.data.Write(b)
+}
+
+func (o *output) String() string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.data.String()
+}
+
+// vm is a VM under test.
+type vm struct {
+	callers, ready, directory string
+	settings                  string
+	log                       *output
+	reload                    chan os.Signal
+	stop                      context.CancelFunc
+	ended                     chan error
+}
+
+// started counts the VMs of this test process.
+var started atomic.Int32
+
+// ownAddress returns a loopback address that no other test process uses, so that its ports are free.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 10+started.Add(1), pid>>8&255, 1+pid&127)
+}
+
+func startVM(t *testing.T, name string, s *platformtest.Store) *vm {
+	t.Helper()
+	a := ownAddress()
+	v := &vm{
+		callers: a + ":8206", ready: a + ":8201", directory: a + ":8209",
+		settings: filepath.Join(t.TempDir(), "node.yaml"), log: &output{}, reload: make(chan os.Signal), ended: make(chan error, 1),
+	}
+	text := fmt.Sprintf(`{node_name: %s, zone: north-a, region: north, zones: {north-a: north}, heartbeat_s: 1.5,
+  listen: {front: %q, ready: %q, directory: %q}, internal_port_range: [7600, 7615],
+  bounds: ["grace_s=1"], platform: {address: %q, writes_per_s: 400, reads_per_s: 2000}}`,
+		name, v.callers, v.ready, v.directory, s.Address())
+	qt.Assert(t, os.WriteFile(v.settings, []byte(text), 0o600), qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	v.stop = stop
+	go func() {
+		v.ended <- pssteer.Run(ctx, pssteer.Options{SettingsPath: v.settings, Output: v.log, Reload: v.reload})
+	}()
+	t.Cleanup(stop)
+	return v
+}
+
+// startStore starts a store with a configuration and the entry of a backend server.
+func startStore(t *testing.T, server string) *platformtest.Store {
+	t.Helper()
+	s, clean := platformtest.NewStore()
+	t.Cleanup(clean)
+	s.Put("op", "config", `{"version":1,"routes":[{"name":"orders","host":"eggs.test","prefix":"/orders/","route_type":"unsafe",
+	 "timeout_s":2,"target_latency_s":0.2,"service":"orders","max_attempts":1,"public":true}],
+	 "services":[{"name":"orders","health_path":"/healthz","max_conns":50,"cold_start_s":1,"cold_per_s":9}]}`)
+	s.Put("servers", "i-1", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"orders","zone":"north-a","slots":4},"status":{"state":"ready","seq":1}}`, server))
+	return s
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+// call returns the status and body of a call, 0 without an answer.
+func call(address, path string) (int, string) {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, ""
+	}
+	r.Host = "eggs.test"
+	r.Header.Set("Request-Id", "id-1")
+	r.Close = true
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close() //nolint:errcheck // the body was read
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return answer.StatusCode, string(body)
+}
+
+func directed(v *vm) []string {
+	_, body := call(v.directory, "/-/resolve?name=eggs.test&region=north&zone=north-a")
+	var d struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.Unmarshal([]byte(body), &d) != nil {
+		return nil
+	}
+	return d.Addresses
+}
+
+func isReady(v *vm) bool {
+	status, _ := call(v.ready, "/-/ready")
+	return status == http.StatusOK
+}
+
+// startBackend starts a backend server that waits before each answer.
+func startBackend(t *testing.T, wait time.Duration) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(wait)
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Signature", "s")
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestAVMServesAndLeaves(t *testing.T) {
+	s := startStore(t, startBackend(t, 300*time.Millisecond))
+	a, b := startVM(t, "vm-1", s), startVM(t, "vm-2", s)
+	eventually(t, "both VMs are ready", func() bool { return isReady(a) && isReady(b) })
+	eventually(t, "both VMs are in the directory", func() bool { return len(directed(a)) == 2 && len(directed(b)) == 2 })
+	status, body := call(a.callers, "/orders/1")
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "done")
+
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := call(a.callers, "/orders/2")
+		answered <- status
+	}()
+	time.Sleep(50 * time.Millisecond)
+	a.stop()
+	eventually(t, "the other VM knows that it leaves", func() bool { return len(directed(b)) == 1 })
+	qt.Assert(t, isReady(a), qt.IsFalse)
+	qt.Assert(t, <-answered, qt.Equals, http.StatusOK)
+	qt.Assert(t, <-a.ended, qt.IsNil)
+	for _, text := range []string{"VM process started", "VM process stopping", "VM process stopped", "configuration in force", `"requestId":"id-1"`} {
+		qt.Check(t, strings.Contains(a.log.String(), text), qt.IsTrue, qt.Commentf("%s", text))
+	}
+}
+
+func TestAVMServesOnWithoutTheStore(t *testing.T) {
+	s := startStore(t, startBackend(t, 0))
+	v := startVM(t, "vm-1", s)
+	eventually(t, "the VM is ready", func() bool { return isReady(v) })
+	s.Refuse(http.StatusServiceUnavailable)
+	late := startVM(t, "vm-2", s)
+	eventually(t, "the loss is logged", func() bool { return strings.Contains(late.log.String(), "store lost") })
+	qt.Assert(t, isReady(late), qt.IsFalse)
+	status, _ := call(late.callers, "/orders/1")
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	status, _ = call(v.callers, "/orders/1")
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	s.Refuse(0)
+	eventually(t, "the late VM is ready", func() bool { return isReady(late) })
+	qt.Assert(t, strings.Contains(late.log.String(), "store regained"), qt.IsTrue)
+}
+
+func TestADrainingServerGetsNothing(t *testing.T) {
+	server := startBackend(t, 0)
+	s := startStore(t, server)
+	v := startVM(t, "vm-1", s)
+	eventually(t, "the VM is ready", func() bool { return isReady(v) })
+	s.Put("servers", "i-1", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"orders","zone":"north-a","slots":4},"status":{"state":"draining","seq":2}}`, server))
+	eventually(t, "nothing is sent to the server", func() bool {
+		status, _ := call(v.callers, "/orders/1")
+		return status == http.StatusServiceUnavailable
+	})
+}
+
+func TestFaultySettings(t *testing.T) {
+	s := startStore(t, startBackend(t, 0))
+	v := startVM(t, "vm-1", s)
+	eventually(t, "the VM is ready", func() bool { return isReady(v) })
+	qt.Assert(t, os.WriteFile(v.settings, []byte("node_name: ["), 0o600), qt.IsNil)
+	v.reload <- os.Interrupt
+	eventually(t, "the fault is logged", func() bool { return strings.Contains(v.log.String(), "settings faulty") })
+	qt.Assert(t, isReady(v), qt.IsTrue)
+	err := pssteer.Run(context.Background(), pssteer.Options{SettingsPath: v.settings, Output: io.Discard})
+	qt.Assert(t, err, qt.ErrorMatches, ".*settings.*")
+}
--- a/internal/request/psplace/replay_test.go
+++ b/internal/request/psplace/replay_test.go
@@ -203,11 +203,11 @@
 	for seed := range uint64(3) {
 		s := newSteering(l)
 		own := replay(l, seed, s.choose, s.note)
-		any := replay(l, seed, random(seed), func(int, int, uint64, bool, time.Duration) {})
-		t.Logf("seed %d: credit %.3f, random choice %.3f", seed, own.credit(), any.credit())
+		spread := replay(l, seed, random(seed), func(int, int, uint64, bool, time.Duration) {})
+		t.Logf("seed %d: credit %.3f, random choice %.3f", seed, own.credit(), spread.credit())
 		// The users' target for a day's worth.
 		qt.Check(t, own.credit() >= 0.66, qt.IsTrue, qt.Commentf("credit %.3f", own.credit()))
-		qt.Check(t, own.credit() > any.credit(), qt.IsTrue)
+		qt.Check(t, own.credit() > spread.credit(), qt.IsTrue)
 	}
 }
 
--- /dev/null
+++ b/internal/request/psspread/spread_test.go
@@ -0,0 +1,45 @@
+package psspread_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/request/psspread"
+	"persimmonstep/internal/version/psconfig"
+)
+
+func route(weights ...float64) *psconfig.Route {
+	r := &psconfig.Route{Name: "boards"}
+	for i, w := range weights {
+		r.Backends = append(r.Backends, psconfig.Backend{Service: string(rune('a' + i)), Weight: w})
+	}
+	return r
+}
+
+// TestSharesFollowWeights checks each prefix of a route's requests, also right after the
+// weights have changed.
+func TestSharesFollowWeights(t *testing.T) {
+	var s psspread.Spreads
+	for _, weights := range [][]float64{{90, 10}, {1, 1, 2}, {0, 1}, {50, 50}} {
+		r, counts, sum := route(weights...), map[string]float64{}, 0.0
+		for _, w := range weights {
+			sum += w
+		}
+		for n := 1.0; n <= 1000; n++ {
+			counts[s.Next(r)]++
+			if n < 50 {
+				continue
+			}
+			for _, b := range r.Backends {
+				off := counts[b.Service]/n - b.Weight/sum
+				qt.Assert(t, off < 0.02 && off > -0.02, qt.IsTrue, qt.Commentf("%v after %.0f: %.3f off", weights, n, off))
+			}
+		}
+	}
+}
+
+func TestOneServiceNeedsNoCount(t *testing.T) {
+	var s psspread.Spreads
+	qt.Assert(t, s.Next(route(3)), qt.Equals, "a")
+}
--- /dev/null
+++ b/internal/version/psconfig/config_test.go
@@ -0,0 +1,70 @@
+package psconfig_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/version/psconfig"
+)
+
+func route(name, prefix string) psconfig.Route {
+	return psconfig.Route{Name: name, Host: "eggs.test", Prefix: prefix, MaxAttempts: 1, Backends: []psconfig.Backend{{Service: "prices", Weight: 1}}}
+}
+
+func valid() *psconfig.Configuration {
+	return &psconfig.Configuration{
+		Version:    1,
+		Services:   []psconfig.Service{{Name: "prices"}},
+		Routes:     []psconfig.Route{route("all", "/"), route("boards", "/boards/"), route("today", "/boards/today/")},
+		Workspaces: []psconfig.Workspace{{Name: "trays", Keys: []string{"k-1"}}, {Name: "carts", Keys: []string{"k-2"}}},
+	}
+}
+
+func ExampleIndex_Route() {
+	x := psconfig.NewIndex(valid())
+	for _, path := range []string{"/boards/today/1", "/boards/1", "/orders/"} {
+		r, _ := x.Route("eggs.test", path)
+		fmt.Println(path, r.Name)
+	}
+	// Output:
+	// /boards/today/1 today
+	// /boards/1 boards
+	// /orders/ all
+}
+
+func TestCheckNamesEachFaultWithItsPlace(t *testing.T) {
+	qt.Assert(t, valid().Check(), qt.HasLen, 0)
+	for place, change := range map[string]func(c *psconfig.Configuration){
+		"routes[1].prefix":      func(c *psconfig.Configuration) { c.Routes[1].Prefix = "/boards" },
+		"routes[2].prefix":      func(c *psconfig.Configuration) { c.Routes[2].Prefix = "/boards/" },
+		"routes[0].maxAttempts": func(c *psconfig.Configuration) { c.Routes[0].MaxAttempts = 0 },
+		"routes[0].backends":    func(c *psconfig.Configuration) { c.Routes[0].Backends[0].Service = "other" },
+		"routes[0]":             func(c *psconfig.Configuration) { c.Routes[0].Timeout = -1 },
+		"workspaces[1].keys":    func(c *psconfig.Configuration) { c.Workspaces[1].Keys[0] = "k-1" },
+		"workspaces[0]":         func(c *psconfig.Configuration) { c.Workspaces[0].Rate = -1 },
+		"version":               func(c *psconfig.Configuration) { c.Version = -1 },
+	} {
+		t.Run(place, func(t *testing.T) {
+			c := valid()
+			change(c)
+			findings := c.Check()
+			qt.Assert(t, findings, qt.HasLen, 1)
+			qt.Assert(t, findings[0].Place, qt.Equals, place)
+		})
+	}
+}
+
+func TestWhereRouteAndWorkspaceHaveRegionsBothBind(t *testing.T) {
+	r, w := &psconfig.Route{}, &psconfig.Workspace{}
+	_, all := psconfig.AllowedRegions(r, w)
+	qt.Assert(t, all, qt.IsTrue)
+	w.AllowedRegions = []string{"north", "south"}
+	regions, all := psconfig.AllowedRegions(r, w)
+	qt.Assert(t, all, qt.IsFalse)
+	qt.Assert(t, regions, qt.DeepEquals, []string{"north", "south"})
+	r.AllowedRegions = []string{"south", "east"}
+	regions, _ = psconfig.AllowedRegions(r, w)
+	qt.Assert(t, regions, qt.DeepEquals, []string{"south"})
+}
