pssoak: the real programs as processes, harmed from outside in an order that a seed draws

Four VMs, five servers, a store behind loopback proxies; SIGTERM, SIGKILL, SIGSTOP, SIGHUP, harmed connections, configurations, drains, keys taken away. Ruled out: faults inside the programs. Before: none.

--- /dev/null
+++ b/internal/process/pssoak/caller_test.go
@@ -0,0 +1,148 @@
+package pssoak_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// caller sends requests over connections that it keeps, to VMs that the directory names.
+type caller struct {
+	world  *world
+	runs   *runs
+	name   string
+	random *rand.Rand
+	client *http.Client
+	known  []string
+	asked  time.Time
+
+	served, refused, failed atomic.Int64
+}
+
+func newCaller(w *world, r *runs, n int, seed uint64) *caller {
+	return &caller{
+		world: w, runs: r, name: fmt.Sprint("c-", n), random: rand.New(rand.NewPCG(seed, uint64(n))),
+		client: &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{
+			DisableCompression: true, MaxIdleConnsPerHost: 4,
+			DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+		}},
+	}
+}
+
+// run sends requests until the context ends.
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		if vm := c.pick(ctx); vm != "" {
+			c.send(ctx, vm, fmt.Sprintf("%s-%d", c.name, n))
+		}
+		time.Sleep(time.Duration(c.random.IntN(20)) * time.Millisecond)
+	}
+}
+
+// pick returns a VM of the directory's latest answer, which is kept for its time.
+func (c *caller) pick(ctx context.Context) string {
+	if time.Since(c.asked) > 2*time.Second || len(c.known) == 0 {
+		for _, i := range c.random.Perm(len(c.world.all)) {
+			if c.resolve(ctx, c.world.all[i].address+":8209") {
+				break
+			}
+		}
+	}
+	if len(c.known) == 0 {
+		return ""
+	}
+	return c.known[c.random.IntN(len(c.known))]
+}
+
+func (c *caller) resolve(ctx context.Context, directory string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/-/resolve?name=eggs.test&region=north&zone=north-a", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := c.client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close() //nolint:errcheck // the body was read
+	var d struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(answer.Body).Decode(&d) != nil || len(d.Addresses) == 0 {
+		return false
+	}
+	c.known, c.asked = d.Addresses, time.Now()
+	return true
+}
+
+// send sends one request and checks what comes back.
+func (c *caller) send(ctx context.Context, vm, id string) {
+	method, path := http.MethodGet, fmt.Sprint("/boards/", c.random.IntN(20))
+	if c.random.IntN(2) == 0 {
+		method, path = http.MethodPost, "/orders/1"
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+vm+path, strings.NewReader(strings.Repeat("x", c.random.IntN(3000))))
+	if err != nil {
+		return
+	}
+	key := "k-1"
+	if c.random.IntN(4) == 0 {
+		key = "k-2"
+	}
+	r.Host = "eggs.test"
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Affinity-Key", path)
+	r.Header.Set("Deadline-Ms", "1200")
+	r.Header.Set("Authorization", "Bearer "+key)
+	sent := time.Now()
+	answer, err := c.client.Do(r)
+	if err != nil {
+		c.failed.Add(1)
+		return
+	}
+	defer answer.Body.Close() //nolint:errcheck // the body was read
+	body, err := io.ReadAll(answer.Body)
+	c.check(answer, string(body), err, id, path, key, sent)
+}
+
+func (c *caller) check(answer *http.Response, body string, err error, id, path, key string, sent time.Time) {
+	signed := answer.Header.Get("Response-Signature") != ""
+	switch {
+	case answer.StatusCode == http.StatusOK:
+		c.served.Add(1)
+		if err == nil && (body != "answer to "+id || !signed) {
+			c.world.found("%s got %q", id, body)
+		}
+		c.checkKey(id, key, sent)
+	case answer.StatusCode == http.StatusTooManyRequests || answer.StatusCode == http.StatusServiceUnavailable:
+		c.refused.Add(1)
+		if n := c.runs.of(id); n > 0 && strings.HasPrefix(path, "/orders/") {
+			c.world.found("%s was refused as not run and ran %d times", id, n)
+		}
+		if answer.Header.Get("Retry-After") == "" {
+			c.world.found("%s was refused without a time to come back", id)
+		}
+	case answer.StatusCode == http.StatusUnauthorized && key == "k-1", answer.StatusCode == http.StatusNotFound:
+		c.world.found("%s got %d for what every configuration allows", id, answer.StatusCode)
+	default:
+		c.failed.Add(1)
+	}
+}
+
+// checkKey notes a request that was served long after its key was taken away.
+func (c *caller) checkKey(id, key string, sent time.Time) {
+	c.world.mutex.Lock()
+	revoked := c.world.revoked
+	c.world.mutex.Unlock()
+	if key != "k-2" || revoked.IsZero() || sent.Sub(revoked) < 3*time.Second || c.world.isDisturbed(revoked) {
+		return
+	}
+	c.world.found("%s was served %s after its key was taken away", id, sent.Sub(revoked))
+}
--- /dev/null
+++ b/internal/process/pssoak/proxy_test.go
@@ -0,0 +1,144 @@
+package pssoak_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// mode is what a proxy does to its connections.
+type mode int
+
+const (
+	pass mode = iota
+	// delayed holds up each piece.
+	delayed
+	// reset closes all connections and takes no new ones.
+	reset
+	// silent passes nothing on and closes nothing.
+	silent
+	// halfSilent passes on what callers send and loses the answers.
+	halfSilent
+)
+
+const holdUp = 60 * time.Millisecond
+
+// proxy stands between a process and what it connects to.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mutex sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+}
+
+func startProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.set(reset)
+	})
+	go p.accept()
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes what happens to open and new connections.
+func (p *proxy) set(m mode) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.mode = m
+	if m != reset {
+		return
+	}
+	for c := range p.conns {
+		if tcp, found := c.(*net.TCPConn); found {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) current() mode {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.mode
+}
+
+func (p *proxy) keep(c net.Conn, kept bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if kept {
+		p.conns[c] = true
+		return
+	}
+	delete(p.conns, c)
+	_ = c.Close()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	p.keep(c, true)
+	defer p.keep(c, false)
+	if p.current() == reset {
+		return
+	}
+	out, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		return
+	}
+	p.keep(out, true)
+	defer p.keep(out, false)
+	done := make(chan struct{}, 2)
+	go p.copy(out, c, done, false)
+	go p.copy(c, out, done, true)
+	<-done
+}
+
+// copy passes on pieces in one direction.
+func (p *proxy) copy(to io.Writer, from io.Reader, done chan<- struct{}, answers bool) {
+	defer func() { done <- struct{}{} }()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		m := p.current()
+		if m == delayed {
+			time.Sleep(holdUp)
+		}
+		for m == silent || m == halfSilent && answers {
+			time.Sleep(holdUp)
+			m = p.current()
+			if m != silent && m != halfSilent {
+				// What was lost in silence never arrives.
+				return
+			}
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/pssoak/soak_test.go
@@ -0,0 +1,209 @@
+// Package pssoak_test runs the real programs as processes of their own and harms them from
+// outside, in an order that a seed draws. It checks the promises from what callers and
+// backend servers see.
+package pssoak_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "the first seed")
+	seeds     = flag.Int("soak.seeds", 1, "the number of seeds")
+	span      = flag.Duration("soak.span", 6*time.Second, "how long faults come for each seed")
+	keep      = flag.String("soak.keep", "", "a directory for the logs of seeds that fail")
+)
+
+// callers is the number of callers that send at the same time.
+const callers = 12
+
+// regressions are seeds that failed once.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+func TestSoak(t *testing.T) {
+	binary := build(t)
+	for _, r := range regressions {
+		t.Run(fmt.Sprintf("regression-%d", r.seed), func(t *testing.T) { soak(t, binary, r.seed) })
+	}
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, binary, seed) })
+	}
+}
+
+// build builds the program.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "persimmonstep")
+	out, err := exec.Command("go", "build", "-o", binary, "persimmonstep/cmd/persimmonstep").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return binary
+}
+
+func soak(t *testing.T, binary string, seed uint64) {
+	all := &runs{count: map[string]int{}}
+	w := newWorld(t, binary, all)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var wait sync.WaitGroup
+	list := make([]*caller, callers)
+	for i := range list {
+		list[i] = newCaller(w, all, i, seed)
+		wait.Go(func() { list[i].run(ctx) })
+	}
+	time.Sleep(time.Second)
+	w.harm(seed)
+	w.heal()
+	w.checkServed(list)
+	stop()
+	wait.Wait()
+	var served, refused, failed int64
+	for _, c := range list {
+		served, refused, failed = served+c.served.Load(), refused+c.refused.Load(), failed+c.failed.Load()
+	}
+	t.Logf("seed %d: %d served, %d refused, %d failed", seed, served, refused, failed)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, f := range w.findings {
+		t.Errorf("seed %d: %s", seed, f)
+	}
+	if t.Failed() {
+		w.keepLogs(seed)
+	}
+}
+
+// keepLogs copies the VMs' logs to where they outlive the test.
+func (w *world) keepLogs(seed uint64) {
+	if *keep == "" {
+		return
+	}
+	for _, p := range w.all {
+		data, err := os.ReadFile(p.log)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(*keep, fmt.Sprintf("%d-%s.log", seed, p.name)), data, 0o600)
+		}
+		qt.Check(w.t, err, qt.IsNil)
+	}
+}
+
+// harm injects faults one after the other; each lasts for a while, so that they overlap.
+func (w *world) harm(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var wait sync.WaitGroup
+	for end := time.Now().Add(*span); time.Now().Before(end); {
+		fault := random.IntN(10)
+		vm, server := w.all[random.IntN(len(w.all))], w.servers[random.IntN(len(w.servers))]
+		for_ := time.Duration(200+random.IntN(1500)) * time.Millisecond
+		how := []mode{delayed, reset, silent, halfSilent}[random.IntN(4)]
+		wait.Go(func() { w.fault(fault, vm, server, for_, how) })
+		time.Sleep(time.Duration(100+random.IntN(500)) * time.Millisecond)
+	}
+	wait.Wait()
+}
+
+func (w *world) fault(fault int, vm *process, s *server, span time.Duration, how mode) {
+	switch fault {
+	case 0, 1:
+		w.restart(vm, syscall.SIGTERM)
+	case 2:
+		w.restart(vm, syscall.SIGKILL)
+	case 3:
+		vm.signal(syscall.SIGSTOP)
+		time.Sleep(span)
+		vm.signal(syscall.SIGCONT)
+	case 4:
+		vm.signal(syscall.SIGHUP)
+	case 5:
+		w.harmStore(span, how)
+	case 6, 7:
+		s.proxy.set(how)
+		time.Sleep(span)
+		s.proxy.set(pass)
+	case 8:
+		w.configure(span > time.Second)
+	case 9:
+		s.register("draining")
+		time.Sleep(drainBound + 2*time.Second)
+		s.register("ready")
+	}
+}
+
+func (w *world) harmStore(span time.Duration, how mode) {
+	note := func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.storeBad = time.Now()
+	}
+	note()
+	w.toStore.set(how)
+	time.Sleep(span)
+	w.toStore.set(pass)
+	note()
+}
+
+// restart ends a process and starts it again. A process that was asked to stop ends in its grace time.
+func (w *world) restart(p *process, s syscall.Signal) {
+	p.mutex.Lock()
+	// Two restarts of one process don't overlap, and a stopped process can't leave in time.
+	if p.command == nil || p.paused {
+		p.mutex.Unlock()
+		return
+	}
+	c, ended := p.command, p.ended
+	p.command = nil
+	p.disturbed = time.Now()
+	p.mutex.Unlock()
+	_ = c.Process.Signal(s)
+	select {
+	case <-ended:
+	case <-time.After(graceBound + time.Second):
+		w.found("%s has not ended %s after signal %d", p.name, graceBound+time.Second, s)
+		_ = c.Process.Kill()
+		<-ended
+	}
+	p.start(w.t, w.binary)
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.toStore.set(pass)
+	for _, s := range w.servers {
+		s.proxy.set(pass)
+		s.register("ready")
+	}
+	for _, p := range w.all {
+		p.signal(syscall.SIGCONT)
+	}
+	w.configure(true)
+}
+
+// checkServed checks that callers are served again soon after the last fault.
+func (w *world) checkServed(list []*caller) {
+	count := func() (served int64) {
+		for _, c := range list {
+			served += c.served.Load()
+		}
+		return served
+	}
+	time.Sleep(4 * time.Second)
+	before := count()
+	time.Sleep(2 * time.Second)
+	if n := count() - before; n < 2*callers {
+		w.found("%d requests served in 2 s after all faults", n)
+	}
+}
--- /dev/null
+++ b/internal/process/pssoak/world_test.go
@@ -0,0 +1,274 @@
+package pssoak_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/platform/platformtest"
+)
+
+const (
+	vms     = 4
+	servers = 5
+	// drainBound and graceBound stand in the VMs' settings.
+	drainBound = 2 * time.Second
+	graceBound = 3 * time.Second
+	// workTime is how long a backend server works on a request.
+	workTime = 15 * time.Millisecond
+)
+
+// process is a VM as a process of its own.
+type process struct {
+	name, address, settings, log string
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// disturbed is until when the VM may miss what it should know.
+	disturbed time.Time
+	// paused says that the process is stopped.
+	paused bool
+}
+
+// world is a fleet with its store and servers.
+type world struct {
+	t       *testing.T
+	binary  string
+	store   *platformtest.Store
+	toStore *proxy
+	all     []*process
+	servers []*server
+
+	mutex    sync.Mutex
+	version  int
+	revoked  time.Time
+	storeBad time.Time
+	findings []string
+}
+
+// found notes a broken promise.
+func (w *world) found(format string, args ...any) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.findings = append(w.findings, fmt.Sprintf(format, args...))
+}
+
+// server is a backend server that remembers what it ran.
+type server struct {
+	world *world
+	id    string
+	http  *httptest.Server
+	proxy *proxy
+
+	mutex    sync.Mutex
+	draining time.Time
+	left     time.Time
+}
+
+// runs counts the runs of each request over all servers.
+type runs struct {
+	mutex sync.Mutex
+	count map[string]int
+}
+
+func (r *runs) add(id string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.count[id]++
+	return r.count[id]
+}
+
+func (r *runs) of(id string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.count[id]
+}
+
+func newWorld(t *testing.T, binary string, all *runs) *world {
+	t.Helper()
+	store, clean := platformtest.NewStore()
+	t.Cleanup(clean)
+	w := &world{t: t, binary: binary, store: store, toStore: startProxy(t, store.Address().String())}
+	for i := range servers {
+		w.servers = append(w.servers, w.startServer(fmt.Sprint("i-", i), all))
+	}
+	w.configure(true)
+	for i := range vms {
+		w.all = append(w.all, w.newProcess(i))
+		w.all[i].start(t, w.binary)
+	}
+	t.Cleanup(func() {
+		for _, p := range w.all {
+			p.kill()
+		}
+	})
+	return w
+}
+
+// configure writes the next configuration. The second key is in it or taken away.
+func (w *world) configure(second bool) {
+	w.mutex.Lock()
+	w.version++
+	version, keys := w.version, `"k-1"`
+	if second {
+		keys = `"k-1","k-2"`
+		w.revoked = time.Time{}
+	} else if w.revoked.IsZero() {
+		w.revoked = time.Now()
+	}
+	w.mutex.Unlock()
+	w.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[
+	 {"name":"boards","host":"eggs.test","prefix":"/boards/","route_type":"safe","timeout_s":1,"target_latency_s":0.2,"service":"eggs","max_attempts":2,"affinity":true},
+	 {"name":"orders","host":"eggs.test","prefix":"/orders/","route_type":"unsafe","timeout_s":1,"target_latency_s":0.2,"service":"eggs","max_attempts":2}],
+	 "services":[{"name":"eggs","health_path":"/healthz","max_conns":200,"cold_start_s":0.5,"cold_per_s":50}],
+	 "tenants":[{"name":"trays","api_keys":[%s],"rate_per_s":0,"burst":0}]}`, version, keys))
+}
+
+func (w *world) startServer(id string, all *runs) *server {
+	s := &server{world: w, id: id}
+	s.http = httptest.NewServer(http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) { s.serve(a, r, all) }))
+	w.t.Cleanup(s.http.Close)
+	s.proxy = startProxy(w.t, strings.TrimPrefix(s.http.URL, "http://"))
+	s.register("ready")
+	return s
+}
+
+// register writes the server's entry.
+func (s *server) register(state string) {
+	s.world.store.Put("servers", s.id, fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"eggs","zone":"north-a","slots":4},"status":{"state":%q,"seq":%d}}`,
+		s.proxy.address(), state, time.Now().UnixNano()))
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.draining = time.Time{}
+	if state == "draining" {
+		s.draining = time.Now()
+	}
+}
+
+func (s *server) serve(a http.ResponseWriter, r *http.Request, all *runs) {
+	if r.URL.Path == "/healthz" {
+		a.Header().Set("Instance-Id", s.id)
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	if expected := r.Header.Get("Target-Instance"); expected != s.id {
+		s.world.found("%s is for %s and reached %s", id, expected, s.id)
+	}
+	if r.Header.Get("Authorization") != "" || r.Header.Get("Tenant-Id") != "trays" {
+		s.world.found("%s reached a server with a key or for another workspace", id)
+	}
+	s.checkDrain(id)
+	if n := all.add(id); n > 1 && strings.HasPrefix(r.URL.Path, "/orders/") {
+		s.world.found("order %s ran %d times", id, n)
+	}
+	time.Sleep(workTime)
+	a.Header().Set("Request-Id", id)
+	a.Header().Set("Response-Signature", "s")
+	_, _ = io.WriteString(a, "answer to "+id)
+}
+
+// checkDrain notes a request that came long after the server said that it leaves.
+func (s *server) checkDrain(id string) {
+	s.mutex.Lock()
+	since := s.draining
+	s.mutex.Unlock()
+	if since.IsZero() || time.Since(since) < drainBound+time.Second || s.world.isDisturbed(since) {
+		return
+	}
+	s.world.found("%s reached %s %s after it said that it leaves", id, s.id, time.Since(since))
+}
+
+// isDisturbed reports whether anything between the VMs and the store was harmed since a moment.
+func (w *world) isDisturbed(since time.Time) bool {
+	w.mutex.Lock()
+	bad := w.storeBad
+	w.mutex.Unlock()
+	if bad.After(since) {
+		return true
+	}
+	for _, p := range w.all {
+		p.mutex.Lock()
+		disturbed := p.disturbed.After(since)
+		p.mutex.Unlock()
+		if disturbed {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) newProcess(i int) *process {
+	pid := os.Getpid()
+	dir := w.t.TempDir()
+	p := &process{
+		name: fmt.Sprint("vm-", i), address: fmt.Sprintf("127.%d.%d.%d", 100+i, pid>>8&255, 1+pid&127),
+		settings: filepath.Join(dir, "node.yaml"), log: filepath.Join(dir, "log"),
+	}
+	p.write(w.t, w.toStore.address())
+	return p
+}
+
+// write writes the settings file anew.
+func (p *process) write(t *testing.T, store string) {
+	t.Helper()
+	text := fmt.Sprintf(`{node_name: %s, zone: north-a, region: north, zones: {north-a: north}, heartbeat_s: 1.5,
+  listen: {front: "%[2]s:8206", ready: "%[2]s:8201", directory: "%[2]s:8209"}, internal_port_range: [7600, 7615],
+  bounds: ["grace_s=%[3]g"], platform: {address: %[4]q, writes_per_s: 400, reads_per_s: 2000}}`,
+		p.name, p.address, graceBound.Seconds(), store)
+	qt.Assert(t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
+}
+
+func (p *process) start(t *testing.T, binary string) {
+	t.Helper()
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	qt.Assert(t, err, qt.IsNil)
+	c := exec.Command(binary, "steer", "--settings", p.settings)
+	c.Stdout, c.Stderr = out, out
+	qt.Assert(t, c.Start(), qt.IsNil)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = c.Wait()
+		_ = out.Close()
+	}()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.command, p.ended, p.paused = c, ended, false
+	p.disturbed = time.Now()
+}
+
+// signal sends a signal to the process and notes that it is disturbed.
+func (p *process) signal(s syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil {
+		return
+	}
+	p.disturbed = time.Now()
+	p.paused = s == syscall.SIGSTOP
+	_ = p.command.Process.Signal(s)
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+func (p *process) wait() {
+	p.mutex.Lock()
+	ended := p.ended
+	p.mutex.Unlock()
+	<-ended
+}
