--- a/internal/connection/psfront/crash.go
+++ b/internal/connection/psfront/crash.go
@@ -69,7 +69,7 @@
 	}
 	now = g.options.Now()
 	g.checks.found(id, now)
-	g.beliefs.ServerFailed(s.server, pscontrol.ReasonCrashed)
+	g.beliefs.ServerFailed(s.server, pscontrol.ReasonCrashed, c.headers.ID)
 	g.countCrash(c, s, now)
 }
 
--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -210,14 +210,14 @@
 		s.server.Judge(ratio(took, s.choice.Usual), false, now)
 		c.learn(s, took, now)
 	case endUnreachable:
-		c.gate.beliefs.ServerFailed(s.server, pscontrol.ReasonUnreachable)
+		c.gate.beliefs.ServerFailed(s.server, pscontrol.ReasonUnreachable, c.headers.ID)
 	case endMoved:
 		s.server.Move(now)
 		psevent.ServerFailed.Log(c.gate.options.Logger, s.view.Entry.ID, service, string(end), c.headers.ID)
 	case endTimeout:
 		s.server.Judge(ratio(took, s.choice.Usual), false, now)
 		if !s.server.AnsweredSince(begun) && took > max(silentTimeout, silentFactor*s.choice.Finish()) {
-			c.gate.beliefs.ServerFailed(s.server, pscontrol.ReasonSilent)
+			c.gate.beliefs.ServerFailed(s.server, pscontrol.ReasonSilent, c.headers.ID)
 		}
 	case endShed, endError, endSpoilt:
 		s.server.Judge(0, true, now)
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -37,7 +37,7 @@
 // Beliefs is what a request needs of the control.
 type Beliefs interface {
 	Snapshot() *pscontrol.Snapshot
-	ServerFailed(s *psserver.Server, reason pscontrol.Reason)
+	ServerFailed(s *psserver.Server, reason pscontrol.Reason, requestID string)
 }
 
 // Options are what a gate needs.
--- a/internal/connection/psfront/gate_test.go
+++ b/internal/connection/psfront/gate_test.go
@@ -105,7 +105,7 @@
 
 func (b *beliefs) Snapshot() *pscontrol.Snapshot { return b.snapshot }
 
-func (b *beliefs) ServerFailed(s *psserver.Server, _ pscontrol.Reason) { s.Fail(time.Now()) }
+func (b *beliefs) ServerFailed(s *psserver.Server, _ pscontrol.Reason, _ string) { s.Fail(time.Now()) }
 
 // silentLenders never answer.
 type silentLenders struct{}
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -121,12 +121,13 @@
 func (c *Control) Heard(r *psfleet.Report) { c.tell(reportEvent{r}) }
 
 // ServerFailed takes in that a server could not be connected to, or that none of its requests was answered.
-func (c *Control) ServerFailed(s *psserver.Server, reason Reason) {
+// The request that showed it is named in the log.
+func (c *Control) ServerFailed(s *psserver.Server, reason Reason, requestID string) {
 	e := s.Entry()
 	if !s.Fail(c.options.Now()) {
 		return
 	}
-	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, string(reason), "")
+	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, string(reason), requestID)
 	c.tell(failedEvent{s, reason})
 }
 
