--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -1,6 +1,7 @@
 package psfront
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/pspoison"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
@@ -18,6 +20,12 @@
 	defaultLeft = 30 * time.Second
 	// unreadyAfter is when callers come back to a VM that knows no configuration yet.
 	unreadyAfter = 500 * time.Millisecond
+	// keeperAfter is when callers come back if no keeper of their workspace's tokens answers.
+	keeperAfter = 300 * time.Millisecond
+	// maxRateAfter bounds when callers over their rate come back, and minRateSpread is the
+	// span over which they do at least.
+	maxRateAfter  = 5 * time.Second
+	minRateSpread = 100 * time.Millisecond
 	// poisonAfter is when callers may repeat a request that crashes servers.
 	poisonAfter = 20 * time.Second
 )
@@ -129,6 +137,24 @@
 	c.deadline = c.arrived.Add(limit)
 }
 
+// checkRate counts the call against its workspace's rate.
+func (c *call) checkRate(ctx context.Context) outcome {
+	if c.workspace == nil {
+		return nil
+	}
+	switch v := c.gate.options.Tokens.Take(ctx, c.snapshot, c.workspace).(type) {
+	case pstoken.Over:
+		after := v.Wait + time.Duration(c.gate.spread()*float64(v.Wait+minRateSpread))
+		return rejected{http.StatusTooManyRequests, "overRate", min(maxRateAfter, after)}
+	case pstoken.Unasked:
+		if c.request.Context().Err() != nil {
+			return left{}
+		}
+		return rejected{http.StatusServiceUnavailable, "keeperSilent", keeperAfter}
+	}
+	return nil
+}
+
 // objectOf identifies what the request is about. Without affinity, requests of a route are alike.
 func (c *call) objectOf() uint64 {
 	var d xxhash.Digest
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -16,11 +16,10 @@
 
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psnode"
-	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/pspoison"
 	"persimmonstep/internal/request/psrepeat"
@@ -46,7 +45,7 @@
 	Transports *pstransport.Transports
 	Logger     hclog.Logger
 	Metrics    *Metrics
-	Lenders    Lenders
+	Tokens     *pstoken.Tokens
 	// Now gives monotonic time.
 	Now func() time.Time
 }
@@ -65,15 +64,7 @@
 	successes pslog.Budget
 	failures  pslog.Budget
 
-	// begun is when the process began.
-	begun time.Time
-
-	mutex   sync.Mutex
-	buckets map[string]*psrate.Bucket
-	// kept are the tokens that this VM keeps for all, by workspace and whether it stands in.
-	kept map[psfleet.Take]*psrate.Bucket
-	// silentUntil says until when a keeper that didn't answer isn't asked.
-	silentUntil map[string]time.Time
+	mutex sync.Mutex
 	// leaving closes callers' connections after their next answer.
 	leaving  bool
 	inFlight int
@@ -83,9 +74,7 @@
 // New returns a gate. [Gate.Follow] must be called before it serves.
 func New(o Options) *Gate {
 	return &Gate{
-		options: o, begun: o.Now(), buckets: make(map[string]*psrate.Bucket),
-		kept: make(map[psfleet.Take]*psrate.Bucket), silentUntil: make(map[string]time.Time),
-		successes: pslog.Budget{PerSecond: successLines}, failures: pslog.Budget{PerSecond: failureLines},
+		options: o, successes: pslog.Budget{PerSecond: successLines}, failures: pslog.Budget{PerSecond: failureLines},
 	}
 }
 
@@ -106,19 +95,6 @@
 	return g.inFlight
 }
 
-// Demands returns the requests per second that callers ask for, by workspace.
-func (g *Gate) Demands(now time.Time) map[string]float64 {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	m := make(map[string]float64, len(g.buckets))
-	for name, b := range g.buckets {
-		if d := b.Demand(now); d > 0 {
-			m[name] = d
-		}
-	}
-	return m
-}
-
 // Crashes returns the counts of crashes by request.
 func (g *Gate) Crashes(now time.Time) map[uint64]int {
 	m := make(map[uint64]int)
--- a/internal/connection/psfront/gate_test.go
+++ b/internal/connection/psfront/gate_test.go
@@ -25,6 +25,7 @@
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -154,7 +155,7 @@
 	g := psfront.New(psfront.Options{
 		Settings:   &psnode.Settings{Name: "vm-1", FailureDomain: "north-a", Region: "north", Bounds: psnode.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50}},
 		Transports: transports, Logger: hclog.NewNullLogger(), Metrics: psfront.NewMetrics(prometheus.NewRegistry()),
-		Lenders: silentLenders{}, Now: time.Now,
+		Tokens: pstoken.New("vm-1", silentLenders{}, time.Now), Now: time.Now,
 	})
 	g.Follow(b)
 	s := httptest.NewServer(g)
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -40,10 +40,14 @@
 	Notice(n *psfleet.Notice, to []psfleet.Identity) error
 }
 
-// Requests is what the control asks of the request path.
-type Requests interface {
+// Demands tells what callers ask for.
+type Demands interface {
 	// Demands returns the requests per second that callers ask for, by workspace.
 	Demands(now time.Time) map[string]float64
+}
+
+// Crashes tells and learns which requests were at servers that crashed.
+type Crashes interface {
 	// Crashes returns this VM's counts of crashes by request.
 	Crashes(now time.Time) map[uint64]int
 	// Learn takes in what another VM says of crashes.
@@ -57,7 +61,8 @@
 	Store    Store
 	Prober   Prober
 	Peers    Peers
-	Requests Requests
+	Demands  Demands
+	Crashes  Crashes
 	Logger   hclog.Logger
 	// Now gives monotonic time.
 	Now func() time.Time
--- a/internal/process/pscontrol/control_test.go
+++ b/internal/process/pscontrol/control_test.go
@@ -101,7 +101,7 @@
 	c := pscontrol.New(pscontrol.Options{
 		Settings: &psnode.Settings{Regions: map[string]string{"north-a": "north"}},
 		Identity: psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", Callers: a, Peers: a},
-		Store:    s, Prober: s, Peers: s, Requests: s, Logger: hclog.NewNullLogger(), Now: time.Now,
+		Store:    s, Prober: s, Peers: s, Demands: s, Crashes: s, Logger: hclog.NewNullLogger(), Now: time.Now,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -35,7 +35,7 @@
 		delete(c.silent, r.VM)
 		psevent.PeerHeard.Log(c.options.Logger, r.VM, r.Incarnation, now.Sub(before.HeardAt).String())
 	}
-	c.options.Requests.Learn(r.VM, r.Crashes, now)
+	c.options.Crashes.Learn(r.VM, r.Crashes, now)
 	for _, id := range r.Failed {
 		if s, found := c.servers.servers[id]; found && before.Report != nil && !slices.Contains(before.Report.Failed, id) {
 			c.learnFailed(s, now)
@@ -59,7 +59,7 @@
 	c.sequence++
 	r := &psfleet.Report{
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(),
-		Demands: c.options.Requests.Demands(now), Crashes: c.options.Requests.Crashes(now), Failed: c.failures(now),
+		Demands: c.options.Demands.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: c.failures(now),
 	}
 	if c.index != nil {
 		r.Version = c.index.Configuration.Version
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -21,6 +21,7 @@
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/platform"
 )
@@ -67,6 +68,7 @@
 	settings *psnode.Settings
 	logger   hclog.Logger
 	gate     *psfront.Gate
+	tokens   *pstoken.Tokens
 	control  *pscontrol.Control
 	link     *psreport.Link
 	servers  *servers
@@ -93,6 +95,7 @@
 		return nil, err
 	}
 	v.gate = do.MustInvoke[*psfront.Gate](i)
+	v.tokens = do.MustInvoke[*pstoken.Tokens](i)
 	v.control = do.MustInvoke[*pscontrol.Control](i)
 	v.gate.Follow(v.control)
 	if v.servers, err = listen(ctx, v, do.MustInvoke[*prometheus.Registry](i)); err != nil {
@@ -116,10 +119,13 @@
 		v.cleanUps = append(v.cleanUps, clean)
 		return t, nil
 	})
+	do.Provide(i, func(i do.Injector) (*pstoken.Tokens, error) {
+		return pstoken.New(do.MustInvoke[*psnode.Settings](i).Name, do.MustInvoke[*psreport.Link](i), time.Now), nil
+	})
 	do.Provide(i, func(i do.Injector) (*psfront.Gate, error) {
 		return psfront.New(psfront.Options{
 			Settings: do.MustInvoke[*psnode.Settings](i), Transports: do.MustInvoke[*pstransport.Transports](i), Logger: do.MustInvoke[hclog.Logger](i),
-			Lenders: do.MustInvoke[*psreport.Link](i),
+			Tokens:  do.MustInvoke[*pstoken.Tokens](i),
 			Metrics: psfront.NewMetrics(do.MustInvoke[*prometheus.Registry](i)), Now: time.Now,
 		}), nil
 	})
@@ -130,7 +136,7 @@
 		return pscontrol.New(pscontrol.Options{
 			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
 			Prober: psprobe.New(do.MustInvoke[*pstransport.Transports](i)),
-			Peers:  do.MustInvoke[*psreport.Link](i), Requests: do.MustInvoke[*psfront.Gate](i),
+			Peers:  do.MustInvoke[*psreport.Link](i), Demands: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psfront.Gate](i),
 		}), nil
 	})
 }
@@ -207,7 +213,9 @@
 func (h handler) Noticed(n *psfleet.Notice) { h.vm.control.Noticed(n) }
 
 // Lend answers a question for a token.
-func (h handler) Lend(t psfleet.Take) psfleet.Grant { return h.vm.gate.Lend(t) }
+func (h handler) Lend(t psfleet.Take) psfleet.Grant {
+	return h.vm.tokens.Lend(h.vm.control.Snapshot(), t)
+}
 
 // Unread logs a datagram that can't be read.
 func (h handler) Unread(from netip.AddrPort, err error) {
