--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -11,6 +11,7 @@
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psfollow"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
@@ -19,10 +20,7 @@
 
 // Store is what the control reads and writes of the platform's store.
 type Store interface {
-	Orders(ctx context.Context) (platform.Orders, error)
-	OrderChanges(ctx context.Context, after int64, wait time.Duration) (platform.Orders, error)
-	Servers(ctx context.Context) (platform.Servers, error)
-	ServerChanges(ctx context.Context, after int64, wait time.Duration) (platform.Servers, error)
+	psfollow.Store
 	VMs(ctx context.Context) (map[string][]byte, error)
 	PublishVM(ctx context.Context, name string, value []byte) error
 }
@@ -73,6 +71,7 @@
 	options  Options
 	events   chan event
 	snapshot atomic.Pointer[Snapshot]
+	follower *psfollow.Follower
 	// running ends with the control.
 	running context.Context
 	// leaving says that the VM takes no new callers.
@@ -81,7 +80,6 @@
 	index     *psconfig.Index
 	evacuated map[string]bool
 	servers   *registry
-	relay     relay
 	fleet     *psfleet.Fleet
 	shares    *shares
 	// unread holds the rows that were logged, by key and version.
@@ -97,9 +95,12 @@
 	c := &Control{
 		options: o, events: make(chan event, eventBacklog), evacuated: map[string]bool{},
 		servers: newRegistry(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity.VM), shares: newShares(),
-		relay: newRelay(), unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{},
+		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{},
 	}
 	c.running = context.Background()
+	c.follower = psfollow.New(psfollow.Options{
+		VM: o.Identity.VM, Region: o.Identity.Region, Store: o.Store, Sink: c, Peers: c, Logger: o.Logger, Now: o.Now,
+	})
 	c.publish()
 	return c
 }
@@ -125,6 +126,29 @@
 // Heard takes in another VM's report.
 func (c *Control) Heard(r *psfleet.Report) { c.tell(reportEvent{r}) }
 
+// Noticed takes in what the VM that reads the store for the region tells.
+func (c *Control) Noticed(n *psfleet.Notice) { c.follower.Noticed(n) }
+
+// TakeOrders takes in the operator's orders.
+func (c *Control) TakeOrders(o platform.Orders, whole bool) { c.tell(ordersEvent{o, whole}) }
+
+// TakeServers takes in entries of servers.
+func (c *Control) TakeServers(s platform.Servers, whole, returning bool) {
+	c.tell(serversEvent{s, whole, returning})
+}
+
+// FleetSize returns the number of VMs that may be in use.
+func (c *Control) FleetSize() int { return c.Snapshot().FleetSize }
+
+// Notice tells the other VMs of the region.
+func (c *Control) Notice(n *psfleet.Notice) {
+	i := c.options.Identity
+	to := lo.Filter(c.Snapshot().holders, func(v psfleet.Identity, _ int) bool { return v.Region == i.Region && v.VM != i.VM })
+	if err := c.options.Peers.Notice(n, to); err != nil {
+		c.options.Logger.Debug("notice not sent to all VMs", "error", err.Error())
+	}
+}
+
 // ServerFailed takes in that a server could not be connected to, or that none of its requests was answered.
 // The request that showed it is named in the log.
 func (c *Control) ServerFailed(s *psserver.Server, reason Reason, requestID string) {
@@ -196,8 +220,7 @@
 // Run follows the store and the other VMs until the context ends.
 func (c *Control) Run(ctx context.Context) {
 	c.running = ctx
-	go c.followOrders(ctx)
-	go c.followServers(ctx)
+	go c.follower.Run(ctx)
 	go c.followVMs(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/process/psfollow/follow.go
@@ -0,0 +1,236 @@
+// Package psfollow keeps up with the platform's store.
+//
+// A [Follower] reads a table and then waits for its changes. In a large fleet one VM of each
+// region does so for the others and passes on what it reads in notices; a VM that hears no
+// notices reads itself.
+package psfollow
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pswait"
+	"persimmonstep/platform"
+)
+
+const (
+	// changesWait is how long one call waits for changes. Keep-alive probes find a connection
+	// that goes silent meanwhile.
+	changesWait = 12 * time.Second
+	// changesPause is the least time between two calls for changes of the servers, so that
+	// changes that come together cost one call. It lies far below the time in which a
+	// leaving server must get no more requests.
+	changesPause = 500 * time.Millisecond
+	// ordersPause is the same for the operator's changes.
+	ordersPause = 150 * time.Millisecond
+	// callTimeout bounds a call to the store, on top of the time that it waits.
+	callTimeout = 900 * time.Millisecond
+	// retryInterval is the time before a failed call is repeated, and maxRetryInterval the
+	// time after several failures. A VM that the store serves again must know it before the
+	// fleet's bounds hold for it.
+	retryInterval    = 200 * time.Millisecond
+	maxRetryInterval = 800 * time.Millisecond
+	// returnSpan is how long after the store's return servers write their entries again.
+	returnSpan = 1900 * time.Millisecond
+	// relayedFleet is the size of a fleet from which on one VM of each region reads the
+	// store for the others. Below, it costs less that each VM waits for changes itself.
+	relayedFleet = 20
+	// relayWait is how long the reading VM waits for changes. Its notices show the others
+	// how fresh their beliefs are, so they must be frequent.
+	relayWait = 500 * time.Millisecond
+	// relaySpan is how long after a notice the others rely on the reading VM.
+	relaySpan = 1300 * time.Millisecond
+	// noticeBacklog is the number of notices that may wait.
+	noticeBacklog = 16
+)
+
+// Store is what is followed of the platform's store.
+type Store interface {
+	Orders(ctx context.Context) (platform.Orders, error)
+	OrderChanges(ctx context.Context, after int64, wait time.Duration) (platform.Orders, error)
+	Servers(ctx context.Context) (platform.Servers, error)
+	ServerChanges(ctx context.Context, after int64, wait time.Duration) (platform.Servers, error)
+}
+
+// Sink takes what was read.
+type Sink interface {
+	// TakeOrders takes the operator's orders: all there are, or what changed.
+	TakeOrders(o platform.Orders, whole bool)
+	// TakeServers takes entries of servers: all there are, or what changed. While entries may
+	// still return, because the store was away, missing ones don't count as gone.
+	TakeServers(s platform.Servers, whole, returning bool)
+}
+
+// Region is the part of the fleet that shares readings.
+type Region interface {
+	// FleetSize returns the number of VMs of the whole fleet.
+	FleetSize() int
+	// Notice sends a notice to the other VMs of the region.
+	Notice(n *psfleet.Notice)
+}
+
+// Options are what a follower needs.
+type Options struct {
+	// VM and Region name this VM and where it runs.
+	VM, Region string
+	Store      Store
+	Sink       Sink
+	Peers      Region
+	Logger     hclog.Logger
+	// Now gives monotonic time.
+	Now func() time.Time
+}
+
+// Follower follows the store for one VM.
+type Follower struct {
+	options Options
+	relay   relay
+}
+
+// New returns a follower.
+func New(o Options) *Follower { return &Follower{options: o, relay: newRelay()} }
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.followOrders(ctx)
+	f.followServers(ctx)
+}
+
+// watch calls the store again and again and notes when it is lost and regained.
+type watch struct {
+	follower *Follower
+	call     string
+	lostAt   time.Time
+}
+
+// do makes one call and reports whether the store answered it.
+func (w *watch) do(ctx context.Context, timeout time.Duration, call func(context.Context) error) bool {
+	limited, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	err := call(limited)
+	if ctx.Err() != nil {
+		return false
+	}
+	now := w.follower.options.Now()
+	switch {
+	case err != nil && w.lostAt.IsZero():
+		w.lostAt = now
+		psevent.StoreLost.Log(w.follower.options.Logger, w.call, err.Error())
+	case err == nil && !w.lostAt.IsZero():
+		psevent.StoreRegained.Log(w.follower.options.Logger, w.call, now.Sub(w.lostAt).String())
+		w.lostAt = time.Time{}
+	}
+	return err == nil
+}
+
+// table is a table of the store that is followed.
+type table struct {
+	call string
+	// pause is the least time between two calls for changes.
+	pause time.Duration
+	// read reads all rows, and changes waits for changes after a version. Both return the
+	// version that is known then.
+	read    func(ctx context.Context, returning bool) (int64, error)
+	changes func(ctx context.Context, after int64, wait time.Duration) (int64, error)
+	// await waits for a notice of the VM that reads for this one. It returns the version
+	// that is known then, and true if changes must be read.
+	await func(ctx context.Context, version int64) (int64, bool)
+}
+
+// follow keeps up with a table. After the store was away it reads the table again once
+// entries had time to return.
+func (f *Follower) follow(ctx context.Context, t table) {
+	w := &watch{follower: f, call: t.call}
+	version := int64(0)
+	retry := retryInterval
+	for ctx.Err() == nil {
+		returning := !w.lostAt.IsZero()
+		done := w.do(ctx, callTimeout, func(ctx context.Context) (err error) {
+			version, err = t.read(ctx, returning)
+			return err
+		})
+		if !done {
+			pswait.Sleep(ctx, retry)
+			retry = min(maxRetryInterval, 2*retry)
+			continue
+		}
+		retry = retryInterval
+		if returning {
+			pswait.Sleep(ctx, returnSpan)
+			continue
+		}
+		f.followChanges(ctx, w, t, version)
+	}
+}
+
+// followChanges returns when the table has to be read again.
+func (f *Follower) followChanges(ctx context.Context, w *watch, t table, version int64) {
+	for ctx.Err() == nil {
+		wait := f.changesWait()
+		if f.relies() {
+			var missing bool
+			if version, missing = t.await(ctx, version); !missing {
+				continue
+			}
+			wait = 0
+		}
+		done := w.do(ctx, wait+callTimeout, func(ctx context.Context) error {
+			next, err := t.changes(ctx, version, wait)
+			version = max(version, next)
+			return err
+		})
+		if !done {
+			return
+		}
+		pswait.Sleep(ctx, t.pause)
+	}
+}
+
+func (f *Follower) followServers(ctx context.Context) {
+	f.follow(ctx, table{
+		call: "servers", pause: changesPause, await: f.awaitServers,
+		read: func(ctx context.Context, returning bool) (int64, error) {
+			v, err := f.options.Store.Servers(ctx)
+			if err == nil {
+				f.options.Sink.TakeServers(v, true, returning)
+			}
+			return v.Version, err
+		},
+		changes: func(ctx context.Context, after int64, wait time.Duration) (int64, error) {
+			v, err := f.options.Store.ServerChanges(ctx, after, wait)
+			if err == nil {
+				f.options.Sink.TakeServers(v, false, false)
+				f.notice(&psfleet.Notice{Servers: &psfleet.ServerChanges{From: after, To: v.Version, Entries: v.Entries, Removed: v.Removed}})
+			}
+			return v.Version, err
+		},
+	})
+}
+
+func (f *Follower) followOrders(ctx context.Context) {
+	last := int64(0)
+	f.follow(ctx, table{
+		call: "orders", pause: ordersPause, await: f.awaitOrders,
+		read: func(ctx context.Context, _ bool) (int64, error) {
+			o, err := f.options.Store.Orders(ctx)
+			if err == nil {
+				f.options.Sink.TakeOrders(o, true)
+				last = max(last, o.Changed)
+			}
+			return o.Version, err
+		},
+		changes: func(ctx context.Context, after int64, wait time.Duration) (int64, error) {
+			o, err := f.options.Store.OrderChanges(ctx, after, wait)
+			if err == nil {
+				f.options.Sink.TakeOrders(o, false)
+				last = max(last, o.Changed)
+				f.notice(&psfleet.Notice{Orders: last})
+			}
+			return o.Version, err
+		},
+	})
+}
--- /dev/null
+++ b/internal/process/psfollow/relay.go
@@ -0,0 +1,100 @@
+package psfollow
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/platform"
+)
+
+// relay is what a VM knows of the one that reads the store for its region: the first by name.
+type relay struct {
+	// heardAt is when the last notice of an earlier VM came, in nanoseconds since the start.
+	heardAt *atomic.Int64
+	begun   time.Time
+	servers chan *psfleet.ServerChanges
+	orders  chan int64
+}
+
+func newRelay() relay {
+	return relay{
+		heardAt: &atomic.Int64{}, begun: time.Now(),
+		servers: make(chan *psfleet.ServerChanges, noticeBacklog), orders: make(chan int64, noticeBacklog),
+	}
+}
+
+// Noticed takes in what the reading VM tells. A notice that doesn't fit is made up for by the next.
+func (f *Follower) Noticed(n *psfleet.Notice) {
+	if n.Region != f.options.Region || n.VM >= f.options.VM {
+		return
+	}
+	f.relay.heardAt.Store(int64(time.Since(f.relay.begun)))
+	if n.Servers != nil {
+		select {
+		case f.relay.servers <- n.Servers:
+		default:
+		}
+		return
+	}
+	select {
+	case f.relay.orders <- n.Orders:
+	default:
+	}
+}
+
+// relays reports whether one VM of each region reads the store.
+func (f *Follower) relays() bool { return f.options.Peers.FleetSize() >= relayedFleet }
+
+// relies reports whether this VM relies on the notices of another one.
+func (f *Follower) relies() bool {
+	at := f.relay.heardAt.Load()
+	return at > 0 && f.relays() && time.Since(f.relay.begun)-time.Duration(at) < relaySpan
+}
+
+// changesWait returns how long a call waits for changes.
+func (f *Follower) changesWait() time.Duration {
+	if f.relays() {
+		return relayWait
+	}
+	return changesWait
+}
+
+// notice tells the other VMs of the region.
+func (f *Follower) notice(n *psfleet.Notice) {
+	if !f.relays() {
+		return
+	}
+	n.VM, n.Region = f.options.VM, f.options.Region
+	f.options.Peers.Notice(n)
+}
+
+// awaitServers waits for a notice. It returns the version that is known then, and true if
+// changes are missing that must be read.
+func (f *Follower) awaitServers(ctx context.Context, version int64) (int64, bool) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(relayWait / 2):
+	case n := <-f.relay.servers:
+		if n.From > version {
+			return version, true
+		}
+		if n.To > version {
+			f.options.Sink.TakeServers(platform.Servers{Entries: n.Entries, Removed: n.Removed, Version: n.To}, false, false)
+			return n.To, false
+		}
+	}
+	return version, false
+}
+
+// awaitOrders is the same for the operator's changes, which notices only announce.
+func (f *Follower) awaitOrders(ctx context.Context, version int64) (int64, bool) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(relayWait / 2):
+	case v := <-f.relay.orders:
+		return version, v > version
+	}
+	return version, false
+}
--- /dev/null
+++ b/internal/process/psfollow/relay_test.go
@@ -0,0 +1,160 @@
+package psfollow_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psfollow"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/platform"
+)
+
+// world is a store that never changes, the sink, and a region of a fleet.
+type world struct {
+	fleet   int
+	reads   atomic.Int64
+	changes atomic.Int64
+	notices chan *psfleet.Notice
+	taken   chan platform.Servers
+}
+
+func (*world) Orders(context.Context) (platform.Orders, error) {
+	return platform.Orders{Version: 10}, nil
+}
+
+func (*world) OrderChanges(ctx context.Context, after int64, wait time.Duration) (platform.Orders, error) {
+	hold(ctx, wait)
+	return platform.Orders{Version: after}, nil
+}
+
+func (w *world) Servers(context.Context) (platform.Servers, error) {
+	w.reads.Add(1)
+	return platform.Servers{Version: 10}, nil
+}
+
+func (w *world) ServerChanges(ctx context.Context, after int64, wait time.Duration) (platform.Servers, error) {
+	w.changes.Add(1)
+	hold(ctx, wait)
+	return platform.Servers{Version: after}, nil
+}
+
+func hold(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+func (*world) TakeOrders(platform.Orders, bool) {}
+
+func (w *world) TakeServers(s platform.Servers, whole, _ bool) {
+	if !whole {
+		w.taken <- s
+	}
+}
+
+func (w *world) FleetSize() int { return w.fleet }
+
+func (w *world) Notice(n *psfleet.Notice) { w.notices <- n }
+
+func start(t *testing.T, vm string, fleet int) (*psfollow.Follower, *world) {
+	t.Helper()
+	w := &world{fleet: fleet, notices: make(chan *psfleet.Notice, 1000), taken: make(chan platform.Servers, 1000)}
+	f := psfollow.New(psfollow.Options{VM: vm, Region: "north", Store: w, Sink: w, Peers: w, Logger: hclog.NewNullLogger(), Now: time.Now})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	return f, w
+}
+
+func notice(from, to int64, id string) *psfleet.Notice {
+	return &psfleet.Notice{VM: "vm-1", Region: "north", Servers: &psfleet.ServerChanges{From: from, To: to, Entries: []psserver.Entry{{ID: id}}}}
+}
+
+// await returns what was taken with an entry.
+func await(t *testing.T, w *world) platform.Servers {
+	t.Helper()
+	for {
+		select {
+		case s := <-w.taken:
+			if len(s.Entries) > 0 {
+				return s
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("nothing was taken")
+		}
+	}
+}
+
+// feed repeats a notice, as the reading VM's do each half second.
+func feed(t *testing.T, f *psfollow.Follower, n *psfleet.Notice) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() {
+		for ctx.Err() == nil {
+			f.Noticed(n)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+}
+
+func TestChangesComeByNoticesWithoutACall(t *testing.T) {
+	f, w := start(t, "vm-2", 74)
+	feed(t, f, notice(10, 12, "i-1"))
+	qt.Assert(t, await(t, w).Entries[0].ID, qt.Equals, "i-1")
+	before := w.changes.Load()
+	time.Sleep(1200 * time.Millisecond)
+	// One call may have been under way when the first notice came.
+	qt.Assert(t, w.changes.Load()-before <= 1, qt.IsTrue)
+}
+
+func TestMissedChangesAreRead(t *testing.T) {
+	f, w := start(t, "vm-2", 74)
+	feed(t, f, notice(10, 12, "i-1"))
+	await(t, w)
+	time.Sleep(700 * time.Millisecond)
+	before := w.changes.Load()
+	f.Noticed(notice(15, 16, "i-2"))
+	time.Sleep(500 * time.Millisecond)
+	qt.Assert(t, w.changes.Load() > before, qt.IsTrue)
+}
+
+func TestWithoutNoticesAVMReadsItself(t *testing.T) {
+	_, w := start(t, "vm-2", 74)
+	time.Sleep(1500 * time.Millisecond)
+	qt.Assert(t, w.changes.Load() >= 2, qt.IsTrue)
+	qt.Assert(t, len(w.notices) >= 2, qt.IsTrue)
+}
+
+func TestNoticesOfLaterVMsAndOtherRegionsDontCount(t *testing.T) {
+	f, w := start(t, "vm-2", 74)
+	for _, n := range []*psfleet.Notice{
+		{VM: "vm-3", Region: "north", Servers: &psfleet.ServerChanges{From: 10, To: 12, Entries: []psserver.Entry{{ID: "i-1"}}}},
+		{VM: "vm-1", Region: "south", Servers: &psfleet.ServerChanges{From: 10, To: 12, Entries: []psserver.Entry{{ID: "i-1"}}}},
+	} {
+		feed(t, f, n)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	qt.Assert(t, w.changes.Load() >= 2, qt.IsTrue)
+}
+
+func TestInASmallFleetNobodyRelays(t *testing.T) {
+	_, w := start(t, "vm-1", 9)
+	time.Sleep(300 * time.Millisecond)
+	qt.Assert(t, w.notices, qt.HasLen, 0)
+	qt.Assert(t, w.changes.Load(), qt.Equals, int64(1))
+}
