--- a/internal/request/psplace/place.go
+++ b/internal/request/psplace/place.go
@@ -33,9 +33,7 @@
 )
 
 const (
-	// unsentHome and unsentAway are how likely a server holds an object that this VM didn't
-	// send there lately: the first server of the object's order, and a later one.
-	unsentHome = 0.6
+	// unsentAway is how likely a later server holds an object that this VM didn't send there.
 	unsentAway = 0.2
 	// surplusTargets is what a server costs that can't hold one more object, in target
 	// latencies, and surplusLoad the part of its slots up to which it takes it all the same.
@@ -207,15 +205,14 @@
 	return rank > 0 || place >= c.Keeps
 }
 
-// chance returns how likely the server holds the object.
+// chance returns how likely the server holds the object. All VMs send an object to its first
+// server, so that one holds it whoever sent it last; and if it has just joined, it soon will.
 func chance(c *Candidate, rank int) float64 {
 	switch {
-	case c.Sent && rank == 0:
+	case rank == 0:
 		return c.HomeRecall
 	case c.Sent:
 		return c.AwayRecall
-	case rank == 0:
-		return min(unsentHome, c.HomeRecall)
 	}
 	return min(unsentAway, c.AwayRecall)
 }
--- a/internal/request/psplace/replay_test.go
+++ b/internal/request/psplace/replay_test.go
@@ -237,6 +237,15 @@
 	qt.Assert(t, psplace.Choose([]psplace.Candidate{first, second}, r).Index, qt.Equals, 1)
 }
 
+// TestAServerThatJoinsGetsItsObjects checks that an object goes to its new first server though
+// an earlier one holds it.
+func TestAServerThatJoinsGetsItsObjects(t *testing.T) {
+	r := psplace.Request{WarmRun: heldRun, ColdRun: missingRun, MeanRun: heldRun, Target: target}
+	old := psplace.Candidate{Slots: 5, Slowness: 1, Sent: true, HomeRecall: 0.93, AwayRecall: 0.93, Keeps: 1, Score: 1}
+	joined := psplace.Candidate{Slots: 5, Slowness: 1, HomeRecall: 0.93, AwayRecall: 0.93, Keeps: 1, Score: 2}
+	qt.Assert(t, psplace.Choose([]psplace.Candidate{old, joined}, r).Index, qt.Equals, 1)
+}
+
 func TestFailingAndSilentServersAreAvoided(t *testing.T) {
 	r := psplace.Request{WarmRun: heldRun, ColdRun: missingRun, MeanRun: heldRun, Target: target}
 	good := psplace.Candidate{Slots: 5, Slowness: 1, HomeRecall: 0.93, AwayRecall: 0.93, Keeps: 1, Score: 1}
