--- a/internal/process/pspromise/page_test.go
+++ b/internal/process/pspromise/page_test.go
@@ -21,17 +21,19 @@
 // TestPageNamesTestsThatExist keeps docs/PROMISES.md true to the tree.
 func TestPageNamesTestsThatExist(t *testing.T) {
 	declared := make(map[string]bool)
-	err := filepath.WalkDir(filepath.Join(root, "internal"), func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, "_test.go") {
+	for _, directory := range []string{"internal", "platform"} {
+		err := filepath.WalkDir(filepath.Join(root, directory), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for _, m := range declaredTest.FindAllStringSubmatch(string(text), -1) {
+				declared[m[1]] = true
+			}
 			return err
-		}
-		text, err := os.ReadFile(path)
-		for _, m := range declaredTest.FindAllStringSubmatch(string(text), -1) {
-			declared[m[1]] = true
-		}
-		return err
-	})
-	qt.Assert(t, err, qt.IsNil)
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
 	page, err := os.ReadFile(filepath.Join(root, "docs", "PROMISES.md"))
 	qt.Assert(t, err, qt.IsNil)
 	for _, line := range strings.Split(string(page), "\n") {
--- a/internal/process/pssoak/soak_test.go
+++ b/internal/process/pssoak/soak_test.go
@@ -108,9 +108,9 @@
 	for end := time.Now().Add(*span); time.Now().Before(end); {
 		fault := random.IntN(10)
 		vm, server := w.all[random.IntN(len(w.all))], w.servers[random.IntN(len(w.servers))]
-		for_ := time.Duration(200+random.IntN(1500)) * time.Millisecond
+		lasts := time.Duration(200+random.IntN(1500)) * time.Millisecond
 		how := []mode{delayed, reset, silent, halfSilent}[random.IntN(4)]
-		wait.Go(func() { w.fault(fault, vm, server, for_, how) })
+		wait.Go(func() { w.fault(fault, vm, server, lasts, how) })
 		time.Sleep(time.Duration(100+random.IntN(500)) * time.Millisecond)
 	}
 	wait.Wait()
