psbelief: VMs that can't read the store learn from those that do

Red first: TestAVMThatRestartsWithoutTheStoreLearnsFromAnother. Ruled out: passing configurations in datagrams, which 350 more routes outgrow.

--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -58,10 +58,12 @@
 	Identity psfleet.Identity
 	Store    Store
 	Prober   Prober
-	Peers    Peers
-	Demands  Demands
-	Crashes  Crashes
-	Logger   hclog.Logger
+	// Believers is asked while the store is lost.
+	Believers Believers
+	Peers     Peers
+	Demands   Demands
+	Crashes   Crashes
+	Logger    hclog.Logger
 	// Now gives monotonic time.
 	Now func() time.Time
 }
@@ -195,7 +197,11 @@
 		server *psserver.Server
 		reason Reason
 	}
-	leaveEvent struct{}
+	leaveEvent   struct{}
+	beliefsEvent struct {
+		vm      string
+		beliefs psfleet.Beliefs
+	}
 )
 
 func (ordersEvent) event()  {}
@@ -204,6 +210,7 @@
 func (reportEvent) event()  {}
 func (failedEvent) event()  {}
 func (leaveEvent) event()   {}
+func (beliefsEvent) event() {}
 
 // tell passes an event to the control's goroutine. Reports may be dropped; the next one says the same.
 func (c *Control) tell(e event) {
@@ -222,6 +229,7 @@
 	c.running = ctx
 	go c.follower.Run(ctx)
 	go c.followVMs(ctx)
+	go c.followVMsBeliefs(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -258,6 +266,8 @@
 		c.takeFailed(e, now)
 	case leaveEvent:
 		c.report()
+	case beliefsEvent:
+		c.takeBeliefs(e, now)
 	}
 }
 
--- a/internal/process/pscontrol/control_test.go
+++ b/internal/process/pscontrol/control_test.go
@@ -95,13 +95,18 @@
 	return platform.Health{Healthy: true, Server: "i-1", ColdFor: time.Minute}, nil
 }
 
+// Ask returns what a VM that reads the store would believe.
+func (*store) Ask(context.Context, psfleet.Identity) (psfleet.Beliefs, error) {
+	return psfleet.Beliefs{Configuration: configuration(4), Evacuated: []string{"south-a"}, Servers: []psserver.Entry{entry("i-7")}}, nil
+}
+
 func start(t *testing.T, s *store) *pscontrol.Control {
 	t.Helper()
 	a := netip.MustParseAddrPort("127.0.0.1:1")
 	c := pscontrol.New(pscontrol.Options{
 		Settings: &psnode.Settings{Regions: map[string]string{"north-a": "north"}},
 		Identity: psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", Callers: a, Peers: a},
-		Store:    s, Prober: s, Peers: s, Demands: s, Crashes: s, Logger: hclog.NewNullLogger(), Now: time.Now,
+		Store:    s, Prober: s, Believers: s, Peers: s, Demands: s, Crashes: s, Logger: hclog.NewNullLogger(), Now: time.Now,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -212,3 +217,24 @@
 	eventually(t, "no VM after leaving", func() bool { return len(c.Snapshot().VMs) == 0 })
 	qt.Assert(t, c.Ready(), qt.IsFalse)
 }
+
+// TestAVMWithoutTheStoreLearnsFromOneThatReadsIt starts a VM while the store turns it away.
+func TestAVMWithoutTheStoreLearnsFromOneThatReadsIt(t *testing.T) {
+	s := newStore()
+	s.set(func(s *store) { s.away = true })
+	c := start(t, s)
+	time.Sleep(time.Second)
+	qt.Assert(t, c.Ready(), qt.IsFalse)
+	a := netip.MustParseAddrPort("127.0.0.1:2")
+	r := &psfleet.Report{Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", Callers: a, Peers: a}, Sequence: 1, Reads: true}
+	c.Heard(r)
+	eventually(t, "what the other VM believes", func() bool {
+		return c.Ready() && version(c) == 4 && servers(c) == 1 && c.Snapshot().Evacuated["south-a"]
+	})
+	s.set(func(s *store) {
+		s.away = false
+		s.orders.Configuration = configuration(5)
+		s.servers.Entries = []psserver.Entry{entry("i-1"), entry("i-2")}
+	})
+	eventually(t, "what the store says", func() bool { return version(c) == 5 && servers(c) == 2 && !c.Snapshot().Evacuated["south-a"] })
+}
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -58,7 +58,7 @@
 	now := c.options.Now()
 	c.sequence++
 	r := &psfleet.Report{
-		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(),
+		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), Reads: !c.follower.Lost(),
 		Demands: c.options.Demands.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: c.failures(now),
 	}
 	if c.index != nil {
@@ -96,7 +96,7 @@
 	c.snapshot.Store(&Snapshot{
 		Index: c.index, Servers: c.servers.byService(), ServersAt: c.servers.readAt, Evacuated: c.evacuated,
 		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		holders: holders(c.options.Identity, c.fleet, now),
+		readers: c.readers(now), holders: holders(c.options.Identity, c.fleet, now),
 	})
 }
 
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -28,6 +28,8 @@
 	EvenPart float64
 	// holders lists this VM and those that may still use their part of what the fleet shares.
 	holders []psfleet.Identity
+	// readers lists the other VMs that read the store.
+	readers []psfleet.Identity
 	// FleetSize is the number of VMs that may be in use.
 	FleetSize int
 	// VMs lists the VMs that take callers, this one first.
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -49,6 +49,8 @@
 	PeerSilent = Event{7302, hclog.Warn, "VM silent", []string{"vm", "silentFor"}}
 	// ReportUnread says that a datagram is no report.
 	ReportUnread = Event{7303, hclog.Warn, "report passed over", []string{"from", "error"}}
+	// BeliefsTaken says that a VM that reads the store told this one what it can't read.
+	BeliefsTaken = Event{7304, hclog.Info, "beliefs taken from another VM", []string{"vm", "version", "servers", "age"}}
 
 	// RequestAnswered says how a request ended that a backend server answered.
 	RequestAnswered = Event{7401, hclog.Info, "request answered", requestFields}
@@ -74,7 +76,7 @@
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsKept, LinesLeftOut,
 		ConfigurationTaken, ConfigurationKept, RowUnread, EvacuationChanged, StoreLost, StoreRegained,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerHeld, ServerFailed, ServerBack,
-		PeerHeard, PeerSilent, ReportUnread,
+		PeerHeard, PeerSilent, ReportUnread, BeliefsTaken,
 		RequestAnswered, RequestRejected, RequestFailed, RequestLeft, DirectoryAnswered, RequestCounted,
 	}
 }
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -65,6 +65,8 @@
 	Sequence int64 `json:"sequence"`
 	// Ready says that the VM takes callers.
 	Ready bool `json:"ready"`
+	// Reads says that the VM reads the store, or hears from one that does.
+	Reads bool `json:"reads,omitempty"`
 	// Version is the configuration version in force; 0 before the first.
 	Version int64 `json:"version"`
 	// Demands are the requests per second that callers ask for, by workspace.
--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -89,10 +90,22 @@
 type Follower struct {
 	options Options
 	relay   relay
+	// lost counts the tables that can't be read now. At the start no table was read.
+	lost atomic.Int32
 }
 
 // New returns a follower.
-func New(o Options) *Follower { return &Follower{options: o, relay: newRelay()} }
+func New(o Options) *Follower {
+	f := &Follower{options: o, relay: newRelay()}
+	f.lost.Store(tables)
+	return f
+}
+
+// tables is the number of tables that are followed.
+const tables = 2
+
+// Lost reports whether a table can't be read now.
+func (f *Follower) Lost() bool { return f.lost.Load() > 0 }
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -105,6 +118,8 @@
 	follower *Follower
 	call     string
 	lostAt   time.Time
+	// missing says that the table counts as lost.
+	missing bool
 }
 
 // do makes one call and reports whether the store answered it.
@@ -115,6 +130,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	w.count(err != nil)
 	now := w.follower.options.Now()
 	switch {
 	case err != nil && w.lostAt.IsZero():
@@ -127,6 +143,17 @@
 	return err == nil
 }
 
+// count counts the table as lost or not.
+func (w *watch) count(missing bool) {
+	switch {
+	case missing && !w.missing:
+		w.follower.lost.Add(1)
+	case !missing && w.missing:
+		w.follower.lost.Add(-1)
+	}
+	w.missing = missing
+}
+
 // table is a table of the store that is followed.
 type table struct {
 	call string
@@ -144,7 +171,7 @@
 // follow keeps up with a table. After the store was away it reads the table again once
 // entries had time to return.
 func (f *Follower) follow(ctx context.Context, t table) {
-	w := &watch{follower: f, call: t.call}
+	w := &watch{follower: f, call: t.call, missing: true}
 	version := int64(0)
 	retry := retryInterval
 	for ctx.Err() == nil {
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"persimmonstep/internal/connection/psbelief"
 	"persimmonstep/platform"
 )
 
@@ -43,6 +44,7 @@
 	}
 	mux(v.settings.Ready).HandleFunc(platform.PathReady, v.serveReady)
 	mux(v.settings.Directory).HandleFunc(platform.PathDirectory, v.serveDirectory)
+	mux(peerAddress(v.settings)).HandleFunc(psbelief.Path, psbelief.Handler(v.control))
 	mux(metricsAddress(v.settings)).Handle("/metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
 	for a, m := range handlers {
 		if err := s.add(ctx, a, m); err != nil {
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 
+	"persimmonstep/internal/connection/psbelief"
 	"persimmonstep/internal/connection/psfront"
 	"persimmonstep/internal/connection/psprobe"
 	"persimmonstep/internal/connection/psreport"
@@ -133,10 +134,13 @@
 		s := do.MustInvoke[*psnode.Settings](i)
 		store, clean := platform.NewStore(s.Store.Address, storeConnectTimeout)
 		v.cleanUps = append(v.cleanUps, clean)
+		asks, clean := psbelief.NewClient()
+		v.cleanUps = append(v.cleanUps, clean)
 		return pscontrol.New(pscontrol.Options{
 			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
-			Prober: psprobe.New(do.MustInvoke[*pstransport.Transports](i)),
-			Peers:  do.MustInvoke[*psreport.Link](i), Demands: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psfront.Gate](i),
+			Believers: believers{asks},
+			Prober:    psprobe.New(do.MustInvoke[*pstransport.Transports](i)),
+			Peers:     do.MustInvoke[*psreport.Link](i), Demands: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psfront.Gate](i),
 		}), nil
 	})
 }
@@ -194,6 +198,16 @@
 	psevent.VMStopped.Log(v.logger, v.settings.Name, v.gate.InFlight(), time.Since(begun).String())
 }
 
+// believers asks VMs at their peer addresses.
+type believers struct {
+	client *psbelief.Client
+}
+
+// Ask returns what a VM believes.
+func (b believers) Ask(ctx context.Context, vm psfleet.Identity) (psfleet.Beliefs, error) {
+	return b.client.Ask(ctx, vm.Peers)
+}
+
 // receive passes on what the other VMs say.
 func (v *vm) receive() {
 	if err := v.link.Receive(handler{v}); err != nil {
--- a/internal/process/pssteer/steer_test.go
+++ b/internal/process/pssteer/steer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -61,7 +62,11 @@
 
 func startVM(t *testing.T, name string, s *platformtest.Store) *vm {
 	t.Helper()
-	a := ownAddress()
+	return startVMAt(t, name, ownAddress(), s.Address())
+}
+
+func startVMAt(t *testing.T, name, a string, store netip.AddrPort) *vm {
+	t.Helper()
 	v := &vm{
 		callers: a + ":8206", ready: a + ":8201", directory: a + ":8209",
 		settings: filepath.Join(t.TempDir(), "node.yaml"), log: &output{}, reload: make(chan os.Signal), ended: make(chan error, 1),
@@ -69,7 +74,7 @@
 	text := fmt.Sprintf(`{node_name: %s, zone: north-a, region: north, zones: {north-a: north}, heartbeat_s: 1.5,
   listen: {front: %q, ready: %q, directory: %q}, internal_port_range: [7600, 7615],
   bounds: ["grace_s=1"], platform: {address: %q, writes_per_s: 400, reads_per_s: 2000}}`,
-		name, v.callers, v.ready, v.directory, s.Address())
+		name, v.callers, v.ready, v.directory, store)
 	qt.Assert(t, os.WriteFile(v.settings, []byte(text), 0o600), qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
@@ -194,6 +199,23 @@
 	qt.Assert(t, strings.Contains(late.log.String(), "store regained"), qt.IsTrue)
 }
 
+// TestAVMThatRestartsWithoutTheStoreLearnsFromAnother restarts a VM while the store turns it away.
+func TestAVMThatRestartsWithoutTheStoreLearnsFromAnother(t *testing.T) {
+	s := startStore(t, startBackend(t, 0))
+	a := startVM(t, "vm-1", s)
+	address := ownAddress()
+	b := startVMAt(t, "vm-2", address, s.Address())
+	eventually(t, "both VMs are in the directory", func() bool { return len(directed(a)) == 2 && len(directed(b)) == 2 })
+	b.stop()
+	qt.Assert(t, <-b.ended, qt.IsNil)
+	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
+	b = startVMAt(t, "vm-2", address, nowhere)
+	eventually(t, "the restarted VM is ready", func() bool { return isReady(b) })
+	status, _ := call(b.callers, "/orders/1")
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, strings.Contains(b.log.String(), "beliefs taken from another VM"), qt.IsTrue)
+}
+
 func TestADrainingServerGetsNothing(t *testing.T) {
 	server := startBackend(t, 0)
 	s := startStore(t, server)
