--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -27,6 +27,10 @@
 	// request can't be sent again.
 	maxIdleRepeatable = 6 * time.Second
 	maxIdleOnce       = time.Second
+	// silentTimeout is the least time without any answer after which a server counts as
+	// failed, and silentFactor how many times the expected latency must have passed.
+	silentTimeout = 700 * time.Millisecond
+	silentFactor  = 3
 )
 
 // ending is how a try ended.
@@ -35,25 +39,26 @@
 const (
 	endAnswered    ending = "answered"
 	endUnreachable ending = "unreachable"
-	endShed        ending = "shed"
-	endMoved       ending = "moved"
-	endLost        ending = "lost"
-	endSpoilt      ending = "spoilt"
-	endError       ending = "error"
-	endTimeout     ending = "timeout"
-	endLeft        ending = "left"
+	// endUnsent tries ran out of time before anything was sent; the server is not to blame.
+	endUnsent  ending = "unsent"
+	endShed    ending = "shed"
+	endMoved   ending = "moved"
+	endLost    ending = "lost"
+	endSpoilt  ending = "spoilt"
+	endError   ending = "error"
+	endTimeout ending = "timeout"
+	endLeft    ending = "left"
 )
 
 // mayHaveRun reports whether the server may have run the request.
 func (e ending) mayHaveRun() bool {
-	return e != endUnreachable && e != endShed && e != endMoved
+	return e != endUnreachable && e != endUnsent && e != endShed && e != endMoved
 }
 
 // try is one request to a backend server.
 type try struct {
 	selection
 	ending ending
-	at     time.Time
 	took   time.Duration
 }
 
@@ -145,7 +150,7 @@
 	}
 	s.server.Ended()
 	now := c.gate.options.Now()
-	c.tries = append(c.tries, try{selection: s, ending: end, at: begun, took: now.Sub(begun)})
+	c.tries = append(c.tries, try{selection: s, ending: end, took: now.Sub(begun)})
 	c.judge(s, a, end, begun, now)
 	return a, end
 }
@@ -158,6 +163,8 @@
 		return endLeft
 	case ctx.Err() != nil && sent:
 		return endTimeout
+	case ctx.Err() != nil:
+		return endUnsent
 	case !sent:
 		return endUnreachable
 	}
@@ -189,11 +196,13 @@
 		// net/http adds its own otherwise.
 		h["User-Agent"] = []string{""}
 	}
-	u := *c.request.URL
-	u.Scheme, u.Host = "http", e.Address.String()
+	from := c.request.URL
+	to := &url.URL{
+		Scheme: "http", Host: e.Address.String(), Path: from.Path, RawPath: from.RawPath,
+		RawQuery: from.RawQuery, ForceQuery: from.ForceQuery,
+	}
 	return &http.Request{
-		Method: c.request.Method, URL: &url.URL{Scheme: u.Scheme, Host: u.Host, Path: u.Path, RawPath: u.RawPath, RawQuery: u.RawQuery, ForceQuery: u.ForceQuery},
-		Host: c.request.Host, Header: h, Body: c.body.open(), ContentLength: c.body.length,
+		Method: c.request.Method, URL: to, Host: c.request.Host, Header: h, Body: c.body.open(), ContentLength: c.body.length,
 	}
 }
 
@@ -227,12 +236,6 @@
 	}
 }
 
-// silentTimeout is the least time without any answer after which a server counts as failed.
-const silentTimeout = 700 * time.Millisecond
-
-// silentFactor is how many times the expected latency must have passed without any answer.
-const silentFactor = 3
-
 // learn takes in how long a run took.
 func (c *call) learn(s selection, took time.Duration, now time.Time) {
 	if s.view.Cold {
