--- a/internal/connection/psfront/gate_test.go
+++ b/internal/connection/psfront/gate_test.go
@@ -27,6 +27,8 @@
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform"
+	"persimmonstep/platform/platformtest"
 )
 
 // answerer answers one request on a connection. It returns false to close the connection.
@@ -86,13 +88,13 @@
 
 // whole answers with a signed body.
 func whole(c net.Conn, r *http.Request) bool {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nServer-Load: 1,0,5\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id"))
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platformtest.SignedLines(platformtest.ReadArrival(r.Header).ID)+"Content-Length: 2\r\n\r\nok")
 	return true
 }
 
 // shed says that the request did not run.
 func shed(c net.Conn, r *http.Request) bool {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+	_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+platformtest.NotRunLines(platformtest.ReadArrival(r.Header).ID)+"Content-Length: 0\r\n\r\n")
 	return true
 }
 
@@ -169,9 +171,7 @@
 	r, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
 	qt.Assert(t, err, qt.IsNil)
 	r.Host = "eggs.test"
-	r.Header.Set("Authorization", "Bearer k-1")
-	r.Header.Set("Request-Id", "id-1")
-	r.Header.Set("Deadline-Ms", "1000")
+	platformtest.WriteCall(r.Header, platform.Call{ID: "id-1", Object: "7", Left: time.Second, Key: "k-1"})
 	return r
 }
 
@@ -190,19 +190,18 @@
 	b := startBackend(t, whole)
 	s, _ := startGate(t, b)
 	r := request(t, s, http.MethodPost, "/orders/a%2Fb?x=%20y", "tray")
-	r.Header.Set("Tenant-Id", "somebody")
+	platformtest.ClaimWorkspace(r.Header, "somebody")
 	r.Header.Set("X-Own", "kept")
 	r.Header.Set("Connection", "X-Hop")
 	r.Header.Set("X-Hop", "dropped")
 	status, header, body := do(t, r)
 	qt.Assert(t, status, qt.Equals, http.StatusOK)
 	qt.Assert(t, body, qt.Equals, "ok")
-	qt.Assert(t, header.Get("Response-Signature"), qt.Equals, "s")
+	qt.Assert(t, platformtest.IsSigned(header), qt.IsTrue)
 	got := b.requests[0]
 	qt.Assert(t, got.RequestURI, qt.Equals, "/orders/a%2Fb?x=%20y")
 	qt.Assert(t, got.Host, qt.Equals, "eggs.test")
-	qt.Assert(t, got.Header.Get("Tenant-Id"), qt.Equals, "trays")
-	qt.Assert(t, got.Header.Get("Target-Instance"), qt.Equals, "i-0")
+	qt.Assert(t, platformtest.ReadArrival(got.Header), qt.Equals, platformtest.Arrival{ID: "id-1", Server: "i-0", Workspace: "trays"})
 	qt.Assert(t, got.Header.Get("X-Own"), qt.Equals, "kept")
 	for _, name := range []string{"Authorization", "X-Hop", "Accept-Encoding-Added"} {
 		qt.Check(t, got.Header.Get(name), qt.Equals, "", qt.Commentf("%s", name))
@@ -299,12 +298,12 @@
 }
 
 func elsewhere(c net.Conn, _ *http.Request) bool {
-	_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n")
+	_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 	return true
 }
 
 func cutShort(c net.Conn, _ *http.Request) bool {
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 9\r\n\r\nok")
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platformtest.SignedLines("id-1")+"Content-Length: 9\r\n\r\nok")
 	return false
 }
 
@@ -315,7 +314,7 @@
 
 func TestTheAnswerOfAnotherRequestIsPassedOver(t *testing.T) {
 	s, _ := startGate(t, startBackend(t, func(c net.Conn, r *http.Request) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\nContent-Length: 5\r\n\r\nother")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platformtest.SignedLines("other")+"Content-Length: 5\r\n\r\nother")
 		return whole(c, r)
 	}))
 	status, _, body := do(t, request(t, s, http.MethodPost, "/orders/1", "x"))
@@ -325,7 +324,7 @@
 
 func TestAnAnswerMayEndWithItsConnection(t *testing.T) {
 	s, _ := startGate(t, startBackend(t, func(c net.Conn, _ *http.Request) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\nto the end")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platformtest.SignedLines("id-1")+"\r\nto the end")
 		return false
 	}))
 	status, _, body := do(t, request(t, s, http.MethodPost, "/orders/1", "x"))
--- a/internal/process/pssoak/caller_test.go
+++ b/internal/process/pssoak/caller_test.go
@@ -11,6 +11,9 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"persimmonstep/platform"
+	"persimmonstep/platform/platformtest"
 )
 
 // caller sends requests over connections that it keeps, to VMs that the directory names.
@@ -63,7 +66,7 @@
 }
 
 func (c *caller) resolve(ctx context.Context, directory string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+"/-/resolve?name=eggs.test&region=north&zone=north-a", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+platform.PathDirectory+"?name=eggs.test&region=north&zone=north-a", nil)
 	if err != nil {
 		return false
 	}
@@ -97,10 +100,7 @@
 		key = "k-2"
 	}
 	r.Host = "eggs.test"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Affinity-Key", path)
-	r.Header.Set("Deadline-Ms", "1200")
-	r.Header.Set("Authorization", "Bearer "+key)
+	platformtest.WriteCall(r.Header, platform.Call{ID: id, Object: path, Left: 1200 * time.Millisecond, Key: key})
 	sent := time.Now()
 	answer, err := c.client.Do(r)
 	if err != nil {
@@ -113,7 +113,7 @@
 }
 
 func (c *caller) check(answer *http.Response, body string, err error, id, path, key string, sent time.Time) {
-	signed := answer.Header.Get("Response-Signature") != ""
+	signed := platformtest.IsSigned(answer.Header)
 	switch {
 	case answer.StatusCode == http.StatusOK:
 		c.served.Add(1)
--- a/internal/process/pssoak/soak_test.go
+++ b/internal/process/pssoak/soak_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/psserver"
 )
 
 var (
@@ -137,9 +139,9 @@
 	case 8:
 		w.configure(span > time.Second)
 	case 9:
-		s.register("draining")
+		s.register(psserver.Draining)
 		time.Sleep(drainBound + 2*time.Second)
-		s.register("ready")
+		s.register(psserver.Ready)
 	}
 }
 
@@ -184,7 +186,7 @@
 	w.toStore.set(pass)
 	for _, s := range w.servers {
 		s.proxy.set(pass)
-		s.register("ready")
+		s.register(psserver.Ready)
 	}
 	for _, p := range w.all {
 		p.signal(syscall.SIGCONT)
--- a/internal/process/pssoak/world_test.go
+++ b/internal/process/pssoak/world_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +17,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform/platformtest"
 )
 
@@ -52,7 +55,7 @@
 	servers []*server
 
 	mutex    sync.Mutex
-	version  int
+	version  int64
 	revoked  time.Time
 	storeBad time.Time
 	findings []string
@@ -74,7 +77,6 @@
 
 	mutex    sync.Mutex
 	draining time.Time
-	left     time.Time
 }
 
 // runs counts the runs of each request over all servers.
@@ -121,19 +123,25 @@
 func (w *world) configure(second bool) {
 	w.mutex.Lock()
 	w.version++
-	version, keys := w.version, `"k-1"`
+	version, keys := w.version, []string{"k-1"}
 	if second {
-		keys = `"k-1","k-2"`
+		keys = append(keys, "k-2")
 		w.revoked = time.Time{}
 	} else if w.revoked.IsZero() {
 		w.revoked = time.Now()
 	}
 	w.mutex.Unlock()
-	w.store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[
-	 {"name":"boards","host":"eggs.test","prefix":"/boards/","route_type":"safe","timeout_s":1,"target_latency_s":0.2,"service":"eggs","max_attempts":2,"affinity":true},
-	 {"name":"orders","host":"eggs.test","prefix":"/orders/","route_type":"unsafe","timeout_s":1,"target_latency_s":0.2,"service":"eggs","max_attempts":2}],
-	 "services":[{"name":"eggs","health_path":"/healthz","max_conns":200,"cold_start_s":0.5,"cold_per_s":50}],
-	 "tenants":[{"name":"trays","api_keys":[%s],"rate_per_s":0,"burst":0}]}`, version, keys))
+	route := func(name string, kind psconfig.Kind) psconfig.Route {
+		return psconfig.Route{
+			Name: name, Host: "eggs.test", Prefix: "/" + name + "/", Kind: kind, Timeout: time.Second, TargetLatency: 200 * time.Millisecond,
+			Backends: []psconfig.Backend{{Service: "eggs", Weight: 1}}, MaxAttempts: 2, Affinity: kind == psconfig.Idempotent,
+		}
+	}
+	w.store.Configure(&psconfig.Configuration{
+		Version: version, Routes: []psconfig.Route{route("boards", psconfig.Idempotent), route("orders", psconfig.AtMostOnce)},
+		Services:   []psconfig.Service{{Name: "eggs", HealthPath: "/healthz", MaxConnections: 200, ColdStart: 500 * time.Millisecond, ColdPerSecond: 50}},
+		Workspaces: []psconfig.Workspace{{Name: "trays", Keys: keys}},
+	})
 }
 
 func (w *world) startServer(id string, all *runs) *server {
@@ -141,32 +149,35 @@
 	s.http = httptest.NewServer(http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) { s.serve(a, r, all) }))
 	w.t.Cleanup(s.http.Close)
 	s.proxy = startProxy(w.t, strings.TrimPrefix(s.http.URL, "http://"))
-	s.register("ready")
+	s.register(psserver.Ready)
 	return s
 }
 
 // register writes the server's entry.
-func (s *server) register(state string) {
-	s.world.store.Put("servers", s.id, fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"eggs","zone":"north-a","slots":4},"status":{"state":%q,"seq":%d}}`,
-		s.proxy.address(), state, time.Now().UnixNano()))
+func (s *server) register(state psserver.State) {
+	s.world.store.Register(psserver.Entry{
+		ID: s.id, Incarnation: time.UnixMilli(1), Service: "eggs", Address: netip.MustParseAddrPort(s.proxy.address()),
+		FailureDomain: "north-a", Slots: 4, State: state, Sequence: time.Now().UnixNano(),
+	})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.draining = time.Time{}
-	if state == "draining" {
+	if state == psserver.Draining {
 		s.draining = time.Now()
 	}
 }
 
 func (s *server) serve(a http.ResponseWriter, r *http.Request, all *runs) {
 	if r.URL.Path == "/healthz" {
-		a.Header().Set("Instance-Id", s.id)
+		platformtest.WriteHealth(a.Header(), s.id, 0)
 		return
 	}
-	id := r.Header.Get("Request-Id")
-	if expected := r.Header.Get("Target-Instance"); expected != s.id {
-		s.world.found("%s is for %s and reached %s", id, expected, s.id)
+	arrival := platformtest.ReadArrival(r.Header)
+	id := arrival.ID
+	if arrival.Server != s.id {
+		s.world.found("%s is for %s and reached %s", id, arrival.Server, s.id)
 	}
-	if r.Header.Get("Authorization") != "" || r.Header.Get("Tenant-Id") != "trays" {
+	if arrival.Key || arrival.Workspace != "trays" {
 		s.world.found("%s reached a server with a key or for another workspace", id)
 	}
 	s.checkDrain(id)
@@ -174,8 +185,7 @@
 		s.world.found("order %s ran %d times", id, n)
 	}
 	time.Sleep(workTime)
-	a.Header().Set("Request-Id", id)
-	a.Header().Set("Response-Signature", "s")
+	platformtest.Sign(a.Header(), id)
 	_, _ = io.WriteString(a, "answer to "+id)
 }
 
@@ -223,11 +233,8 @@
 // write writes the settings file anew.
 func (p *process) write(t *testing.T, store string) {
 	t.Helper()
-	text := fmt.Sprintf(`{node_name: %s, zone: north-a, region: north, zones: {north-a: north}, heartbeat_s: 1.5,
-  listen: {front: "%[2]s:8206", ready: "%[2]s:8201", directory: "%[2]s:8209"}, internal_port_range: [7600, 7615],
-  bounds: ["grace_s=%[3]g"], platform: {address: %[4]q, writes_per_s: 400, reads_per_s: 2000}}`,
-		p.name, p.address, graceBound.Seconds(), store)
-	qt.Assert(t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
+	text := platformtest.Settings(p.name, "north-a", "north", netip.MustParseAddr(p.address), netip.MustParseAddrPort(store), graceBound)
+	qt.Assert(t, os.WriteFile(p.settings, text, 0o600), qt.IsNil)
 }
 
 func (p *process) start(t *testing.T, binary string) {
--- a/internal/process/pssteer/steer_test.go
+++ b/internal/process/pssteer/steer_test.go
@@ -19,7 +19,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssteer"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform"
 	"persimmonstep/platform/platformtest"
 )
 
@@ -67,15 +70,14 @@
 
 func startVMAt(t *testing.T, name, a string, store netip.AddrPort) *vm {
 	t.Helper()
+	at := netip.MustParseAddr(a)
+	address := func(port uint16) string { return netip.AddrPortFrom(at, port).String() }
 	v := &vm{
-		callers: a + ":8206", ready: a + ":8201", directory: a + ":8209",
+		callers: address(platformtest.CallerPort), ready: address(platformtest.ReadyPort), directory: address(platformtest.DirectoryPort),
 		settings: filepath.Join(t.TempDir(), "node.yaml"), log: &output{}, reload: make(chan os.Signal), ended: make(chan error, 1),
 	}
-	text := fmt.Sprintf(`{node_name: %s, zone: north-a, region: north, zones: {north-a: north}, heartbeat_s: 1.5,
-  listen: {front: %q, ready: %q, directory: %q}, internal_port_range: [7600, 7615],
-  bounds: ["grace_s=1"], platform: {address: %q, writes_per_s: 400, reads_per_s: 2000}}`,
-		name, v.callers, v.ready, v.directory, store)
-	qt.Assert(t, os.WriteFile(v.settings, []byte(text), 0o600), qt.IsNil)
+	text := platformtest.Settings(name, "north-a", "north", at, store, time.Second)
+	qt.Assert(t, os.WriteFile(v.settings, text, 0o600), qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	go func() {
@@ -90,13 +92,26 @@
 	t.Helper()
 	s, clean := platformtest.NewStore()
 	t.Cleanup(clean)
-	s.Put("op", "config", `{"version":1,"routes":[{"name":"orders","host":"eggs.test","prefix":"/orders/","route_type":"unsafe",
-	 "timeout_s":2,"target_latency_s":0.2,"service":"orders","max_attempts":1,"public":true}],
-	 "services":[{"name":"orders","health_path":"/healthz","max_conns":50,"cold_start_s":1,"cold_per_s":9}]}`)
-	s.Put("servers", "i-1", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"orders","zone":"north-a","slots":4},"status":{"state":"ready","seq":1}}`, server))
+	s.Configure(&psconfig.Configuration{
+		Version: 1,
+		Routes: []psconfig.Route{{
+			Name: "orders", Host: "eggs.test", Prefix: "/orders/", Timeout: 2 * time.Second, TargetLatency: 200 * time.Millisecond,
+			Backends: []psconfig.Backend{{Service: "orders", Weight: 1}}, MaxAttempts: 1, Public: true,
+		}},
+		Services: []psconfig.Service{{Name: "orders", HealthPath: "/healthz", MaxConnections: 50, ColdStart: time.Second, ColdPerSecond: 9}},
+	})
+	s.Register(entry(server))
 	return s
 }
 
+// entry is the entry of a backend server at an address.
+func entry(address string) psserver.Entry {
+	return psserver.Entry{
+		ID: "i-1", Incarnation: time.UnixMilli(1), Service: "orders", Address: netip.MustParseAddrPort(address),
+		FailureDomain: "north-a", Slots: 4, Sequence: 1,
+	}
+}
+
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -114,7 +129,7 @@
 		return 0, ""
 	}
 	r.Host = "eggs.test"
-	r.Header.Set("Request-Id", "id-1")
+	platformtest.WriteCall(r.Header, platform.Call{ID: "id-1", Left: 2 * time.Second})
 	r.Close = true
 	answer, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
@@ -129,7 +144,7 @@
 }
 
 func directed(v *vm) []string {
-	_, body := call(v.directory, "/-/resolve?name=eggs.test&region=north&zone=north-a")
+	_, body := call(v.directory, platform.PathDirectory+"?name=eggs.test&region=north&zone=north-a")
 	var d struct {
 		Addresses []string `json:"addresses"`
 	}
@@ -140,7 +155,7 @@
 }
 
 func isReady(v *vm) bool {
-	status, _ := call(v.ready, "/-/ready")
+	status, _ := call(v.ready, platform.PathReady)
 	return status == http.StatusOK
 }
 
@@ -149,8 +164,7 @@
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(wait)
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Response-Signature", "s")
+		platformtest.Sign(w.Header(), platformtest.ReadArrival(r.Header).ID)
 		_, _ = io.WriteString(w, "done")
 	}))
 	t.Cleanup(s.Close)
@@ -221,7 +235,9 @@
 	s := startStore(t, server)
 	v := startVM(t, "vm-1", s)
 	eventually(t, "the VM is ready", func() bool { return isReady(v) })
-	s.Put("servers", "i-1", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"orders","zone":"north-a","slots":4},"status":{"state":"draining","seq":2}}`, server))
+	e := entry(server)
+	e.State, e.Sequence = psserver.Draining, 2
+	s.Register(e)
 	eventually(t, "nothing is sent to the server", func() bool {
 		status, _ := call(v.callers, "/orders/1")
 		return status == http.StatusServiceUnavailable
@@ -232,7 +248,7 @@
 	s := startStore(t, startBackend(t, 0))
 	v := startVM(t, "vm-1", s)
 	eventually(t, "the VM is ready", func() bool { return isReady(v) })
-	qt.Assert(t, os.WriteFile(v.settings, []byte("node_name: ["), 0o600), qt.IsNil)
+	qt.Assert(t, os.WriteFile(v.settings, []byte("["), 0o600), qt.IsNil)
 	v.reload <- os.Interrupt
 	eventually(t, "the fault is logged", func() bool { return strings.Contains(v.log.String(), "settings faulty") })
 	qt.Assert(t, isReady(v), qt.IsTrue)
