--- a/internal/process/pscontrol/control_test.go
+++ b/internal/process/pscontrol/control_test.go
@@ -189,6 +189,26 @@
 	eventually(t, "the entry that is still missing is gone", func() bool { return servers(c) == 1 })
 }
 
+// TestMissingEntriesAreGoneBeforeBoundsHold replays a VM that was cut off from the store while a
+// server left. Bounds hold for it three seconds after the cut, less the time of one connection
+// attempt and some for the request that is on its way.
+func TestMissingEntriesAreGoneBeforeBoundsHold(t *testing.T) {
+	const bound = 2500 * time.Millisecond
+	s := newStore()
+	c := start(t, s)
+	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1"), entry("i-2")} })
+	eventually(t, "two servers", func() bool { return servers(c) == 2 })
+	s.set(func(s *store) { s.away = true })
+	time.Sleep(1500 * time.Millisecond)
+	s.set(func(s *store) {
+		s.away = false
+		s.servers.Entries = []psserver.Entry{entry("i-1")}
+	})
+	begun := time.Now()
+	eventually(t, "the server is gone", func() bool { return servers(c) == 1 })
+	qt.Assert(t, time.Since(begun) < bound, qt.IsTrue, qt.Commentf("%s", time.Since(begun)))
+}
+
 func TestServersOfAnEvacuatedDomainReturnAsColdAsTheySay(t *testing.T) {
 	s := newStore()
 	c := start(t, s)
--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -34,9 +34,9 @@
 	// time after several failures. A VM that the store serves again must know it before the
 	// fleet's bounds hold for it.
 	retryInterval    = 200 * time.Millisecond
-	maxRetryInterval = 800 * time.Millisecond
+	maxRetryInterval = 500 * time.Millisecond
 	// returnSpan is how long after the store's return servers write their entries again.
-	returnSpan = 1900 * time.Millisecond
+	returnSpan = 1700 * time.Millisecond
 	// relayedFleet is the size of a fleet from which on one VM of each region reads the
 	// store for the others. Below, it costs less that each VM waits for changes itself.
 	relayedFleet = 20
