--- a/internal/connection/psfront/gate_test.go
+++ b/internal/connection/psfront/gate_test.go
@@ -126,7 +126,7 @@
 		testRoute("boards", "/boards/", psconfig.Idempotent), testRoute("orders", "/orders/", psconfig.AtMostOnce),
 	},
 	Workspaces: []psconfig.Workspace{
-		{Name: "trays", Keys: []string{"k-1"}}, {Name: "slow", Keys: []string{"k-2"}, Rate: 5, Burst: 1},
+		{Name: "trays", Keys: []psconfig.Digest{psconfig.DigestOf("k-1")}}, {Name: "slow", Keys: []psconfig.Digest{psconfig.DigestOf("k-2")}, Rate: 5, Burst: 1},
 	},
 	Limits: psconfig.Limits{MaxBodyBytes: 1 << 20},
 }
--- a/internal/process/pssoak/world_test.go
+++ b/internal/process/pssoak/world_test.go
@@ -140,8 +140,8 @@
 	w.store.Configure(&psconfig.Configuration{
 		Version: version, Routes: []psconfig.Route{route("boards", psconfig.Idempotent), route("orders", psconfig.AtMostOnce)},
 		Services:   []psconfig.Service{{Name: "eggs", HealthPath: "/healthz", MaxConnections: 200, ColdStart: 500 * time.Millisecond, ColdPerSecond: 50}},
-		Workspaces: []psconfig.Workspace{{Name: "trays", Keys: keys}},
-	})
+		Workspaces: []psconfig.Workspace{{Name: "trays"}},
+	}, map[string][]string{"trays": keys})
 }
 
 func (w *world) startServer(id string, all *runs) *server {
--- a/internal/process/pssteer/steer_test.go
+++ b/internal/process/pssteer/steer_test.go
@@ -19,6 +19,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/connection/psbelief"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssteer"
 	"persimmonstep/internal/version/psconfig"
@@ -98,12 +99,16 @@
 			Name: "orders", Host: "eggs.test", Prefix: "/orders/", Timeout: 2 * time.Second, TargetLatency: 200 * time.Millisecond,
 			Backends: []psconfig.Backend{{Service: "orders", Weight: 1}}, MaxAttempts: 1, Public: true,
 		}},
-		Services: []psconfig.Service{{Name: "orders", HealthPath: "/healthz", MaxConnections: 50, ColdStart: time.Second, ColdPerSecond: 9}},
-	})
+		Services:   []psconfig.Service{{Name: "orders", HealthPath: "/healthz", MaxConnections: 50, ColdStart: time.Second, ColdPerSecond: 9}},
+		Workspaces: []psconfig.Workspace{{Name: "trays"}},
+	}, map[string][]string{"trays": {testKey}})
 	s.Register(entry(server))
 	return s
 }
 
+// testKey is the key of a workspace, which no VM may tell.
+const testKey = "k-secret"
+
 // entry is the entry of a backend server at an address.
 func entry(address string) psserver.Entry {
 	return psserver.Entry{
@@ -227,6 +232,9 @@
 	eventually(t, "the restarted VM is ready", func() bool { return isReady(b) })
 	status, _ := call(b.callers, "/orders/1")
 	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	_, beliefs := call(address+":7600", psbelief.Path)
+	qt.Assert(t, strings.Contains(beliefs, `"configuration"`), qt.IsTrue)
+	qt.Assert(t, strings.Contains(beliefs, testKey), qt.IsFalse)
 	qt.Assert(t, strings.Contains(b.log.String(), "beliefs taken from another VM"), qt.IsTrue)
 }
 
--- a/internal/version/psconfig/check.go
+++ b/internal/version/psconfig/check.go
@@ -72,7 +72,7 @@
 
 func (c *checker) workspaces(list []Workspace) {
 	names := map[string]bool{}
-	keys := map[string]string{}
+	keys := map[Digest]string{}
 	for i, w := range list {
 		place := fmt.Sprintf("workspaces[%d]", i)
 		c.require(w.Name != "", place+".name", "is empty")
--- a/internal/version/psconfig/config.go
+++ b/internal/version/psconfig/config.go
@@ -81,7 +81,8 @@
 // Workspace is a tenant of the system.
 type Workspace struct {
 	Name string
-	Keys []string
+	// Keys are the digests of the workspace's keys.
+	Keys []Digest
 	// Priority goes before a route's priority; nil leaves it to the route.
 	Priority *int
 	// Rate is in requests per second over all VMs; 0 means no limit.
--- a/internal/version/psconfig/config_test.go
+++ b/internal/version/psconfig/config_test.go
@@ -18,7 +18,7 @@
 		Version:    1,
 		Services:   []psconfig.Service{{Name: "prices"}},
 		Routes:     []psconfig.Route{route("all", "/"), route("boards", "/boards/"), route("today", "/boards/today/")},
-		Workspaces: []psconfig.Workspace{{Name: "trays", Keys: []string{"k-1"}}, {Name: "carts", Keys: []string{"k-2"}}},
+		Workspaces: []psconfig.Workspace{{Name: "trays", Keys: []psconfig.Digest{"k-1"}}, {Name: "carts", Keys: []psconfig.Digest{"k-2"}}},
 	}
 }
 
@@ -68,3 +68,14 @@
 	regions, _ = psconfig.AllowedRegions(r, w)
 	qt.Assert(t, regions, qt.DeepEquals, []string{"south"})
 }
+
+func TestAKeyIsFoundByItsDigest(t *testing.T) {
+	c := valid()
+	c.Workspaces[0].Keys = []psconfig.Digest{psconfig.DigestOf("k-9")}
+	x := psconfig.NewIndex(c)
+	w, found := x.Workspace("k-9")
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Assert(t, w.Name, qt.Equals, "trays")
+	_, found = x.Workspace(string(psconfig.DigestOf("k-9")))
+	qt.Assert(t, found, qt.IsFalse)
+}
--- a/internal/version/psconfig/index.go
+++ b/internal/version/psconfig/index.go
@@ -12,7 +12,7 @@
 
 	// hosts lists each host's routes, the longest prefix first.
 	hosts    map[string][]*Route
-	keys     map[string]*Workspace
+	keys     map[Digest]*Workspace
 	services map[string]*Service
 	// named are the workspaces by name.
 	named map[string]*Workspace
@@ -22,7 +22,7 @@
 func NewIndex(c *Configuration) *Index {
 	x := &Index{
 		Configuration: c, hosts: make(map[string][]*Route),
-		keys: make(map[string]*Workspace), services: make(map[string]*Service),
+		keys: make(map[Digest]*Workspace), services: make(map[string]*Service),
 		named: make(map[string]*Workspace),
 	}
 	for i := range c.Routes {
@@ -57,7 +57,7 @@
 
 // Workspace returns the workspace that holds a key.
 func (x *Index) Workspace(key string) (*Workspace, bool) {
-	w, found := x.keys[key]
+	w, found := x.keys[DigestOf(key)]
 	return w, found
 }
 
