--- /dev/null
+++ b/internal/connection/psanswer/answer.go
@@ -0,0 +1,107 @@
+// Package psanswer reads the answers of backend servers.
+//
+// A short answer is read whole before any of it is passed on, so that one that is cut short
+// can be replaced. Of a long one the rest follows while it arrives.
+package psanswer
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"persimmonstep/platform"
+)
+
+// maxHeldBytes is the length up to which an answer is read whole before any of it is passed on.
+const maxHeldBytes = 512 << 10
+
+// Answer is a backend server's answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Said is what the headers say.
+	Said platform.Answer
+	// Body is the whole body of a short answer, or the beginning of a long one.
+	Body []byte
+	// Rest follows the body of a long answer; nil otherwise.
+	Rest io.ReadCloser
+}
+
+// Read reads an answer. It fails if the answer ends early.
+func Read(r *http.Response) (*Answer, error) {
+	a := &Answer{Status: r.StatusCode, Header: r.Header, Said: platform.ReadAnswer(r.StatusCode, r.Header)}
+	var b bytes.Buffer
+	_, err := io.Copy(&b, io.LimitReader(r.Body, maxHeldBytes))
+	a.Body = b.Bytes()
+	if err == nil && len(a.Body) == maxHeldBytes {
+		a.Rest = r.Body
+		return a, nil
+	}
+	// The end of the body ended the exchange; closing it again does nothing.
+	_ = r.Body.Close()
+	if err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// Close gives up the rest of a long answer.
+func (a *Answer) Close() {
+	if a.Rest != nil {
+		_ = a.Rest.Close()
+	}
+}
+
+// Worth is what an answer is worth to the caller.
+type Worth uint8
+
+const (
+	// Good answers are passed on.
+	Good Worth = iota
+	// Moved answers come from another server than the expected one, which ran nothing.
+	Moved
+	// Shed answers say that the server did not run the request.
+	Shed
+	// Spoilt answers don't bear the mark of a backend server.
+	Spoilt
+	// Failing answers report a failure of the server.
+	Failing
+)
+
+// Worth returns what the answer is worth.
+func (a *Answer) Worth() Worth {
+	switch {
+	case a.Status == http.StatusMisdirectedRequest:
+		return Moved
+	case a.Said.NotRun:
+		return Shed
+	case !a.Said.Signed && a.Status < http.StatusInternalServerError:
+		return Spoilt
+	case a.Status >= http.StatusInternalServerError:
+		return Failing
+	}
+	return Good
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Forwardable copies the headers that don't concern one connection only.
+func Forwardable(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	named := strings.Split(strings.Join(h["Connection"], ","), ",")
+	for i := range named {
+		named[i] = http.CanonicalHeaderKey(strings.TrimSpace(named[i]))
+	}
+	for name, values := range h {
+		if !slices.Contains(hopHeaders, name) && !slices.Contains(named, name) {
+			out[name] = slices.Clone(values)
+		}
+	}
+	return out
+}
--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -7,7 +7,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
+	"persimmonstep/internal/connection/psanswer"
+	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/pspoison"
@@ -41,7 +44,7 @@
 
 	route     *psconfig.Route
 	workspace *psconfig.Workspace
-	body      body
+	body      psbody.Body
 	// deadline is when a final answer is due.
 	deadline    time.Time
 	object      uint64
@@ -71,7 +74,7 @@
 
 // answered calls have a backend server's answer.
 type answered struct {
-	answer *answer
+	answer *psanswer.Answer
 }
 
 func (rejected) outcome() {}
@@ -97,7 +100,7 @@
 		return o
 	}
 	c.object = c.objectOf()
-	c.fingerprint = pspoison.FingerprintOf(c.workspaceName(), c.request.Method, c.request.Host+c.request.URL.RequestURI(), c.body.held)
+	c.fingerprint = pspoison.FingerprintOf(c.workspaceName(), c.request.Method, c.request.Host+c.request.URL.RequestURI(), c.body.Held)
 	if c.gate.poison.Held(c.fingerprint, c.arrived) {
 		return rejected{http.StatusServiceUnavailable, "crashesServers", poisonAfter}
 	}
@@ -137,6 +140,23 @@
 	c.deadline = c.arrived.Add(limit)
 }
 
+// readBody holds the body of the call, or the beginning of a long one.
+func (c *call) readBody() outcome {
+	limit := c.snapshot.Index.Configuration.Limits.MaxBodyBytes
+	err := c.body.Read(c.writer, c.request, limit, &c.gate.memory)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, psbody.ErrTooLarge):
+		return rejected{http.StatusRequestEntityTooLarge, "bodyTooLarge", 0}
+	case errors.Is(err, psbody.ErrNoMemory):
+		return rejected{http.StatusServiceUnavailable, "noMemory", unreadyAfter}
+	case c.request.Context().Err() != nil:
+		return left{}
+	}
+	return rejected{http.StatusBadRequest, "bodyBroken", 0}
+}
+
 // checkRate counts the call against its workspace's rate.
 func (c *call) checkRate(ctx context.Context) outcome {
 	if c.workspace == nil {
--- a/internal/connection/psfront/choose.go
+++ b/internal/connection/psfront/choose.go
@@ -136,7 +136,7 @@
 	if o.view.Entry.FailureDomain == c.gate.options.Settings.FailureDomain {
 		return 0
 	}
-	return time.Duration(len(c.body.held)/1024) * worthPerKB
+	return time.Duration(len(c.body.Held)/1024) * worthPerKB
 }
 
 func (c *call) admit(choice psplace.Choice, repeat bool, now time.Time) psadmit.Verdict {
--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/connection/psanswer"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
@@ -66,7 +67,7 @@
 func (c *call) dispatch(ctx context.Context) outcome {
 	service := c.gate.spreads.Next(c.route)
 	c.gate.repeats.Request(service, c.gate.options.Settings.Bounds.RetryWindow, c.arrived)
-	var last *answer
+	var last *psanswer.Answer
 	for {
 		s, refused := c.choose(service, c.tried())
 		if refused != nil {
@@ -90,7 +91,7 @@
 }
 
 // giveUp returns the outcome of a call that is not sent again.
-func (c *call) giveUp(refused outcome, last *answer) outcome {
+func (c *call) giveUp(refused outcome, last *psanswer.Answer) outcome {
 	if last != nil {
 		return answered{last}
 	}
@@ -115,7 +116,7 @@
 	if end.mayHaveRun() && !c.route.Kind.Repeatable() {
 		return false
 	}
-	if len(c.tries) >= c.route.MaxAttempts || c.body.rest != nil {
+	if len(c.tries) >= c.route.MaxAttempts || c.body.Once() {
 		return false
 	}
 	if end == endUnreachable {
@@ -136,12 +137,12 @@
 }
 
 // try sends the call to one server and reads its whole answer.
-func (c *call) try(ctx context.Context, s selection) (*answer, ending) {
+func (c *call) try(ctx context.Context, s selection) (*psanswer.Answer, ending) {
 	begun := c.gate.options.Now()
 	s.server.Sent(begun)
 	s.server.Objects.Note(c.object)
 	result, err := c.send(ctx, s, begun)
-	var a *answer
+	var a *psanswer.Answer
 	end := endAnswered
 	if err == nil {
 		a, end = c.read(result.Response)
@@ -155,6 +156,27 @@
 	return a, end
 }
 
+// read reads an answer and says how the try ended.
+func (c *call) read(r *http.Response) (*psanswer.Answer, ending) {
+	a, err := psanswer.Read(r)
+	if err == nil {
+		return a, endings[a.Worth()]
+	}
+	switch {
+	case c.request.Context().Err() != nil:
+		return nil, endLeft
+	case !c.gate.options.Now().Before(c.deadline):
+		return nil, endTimeout
+	}
+	return nil, endLost
+}
+
+// endings are the endings of tries with a whole answer.
+var endings = map[psanswer.Worth]ending{
+	psanswer.Good: endAnswered, psanswer.Moved: endMoved, psanswer.Shed: endShed,
+	psanswer.Spoilt: endSpoilt, psanswer.Failing: endError,
+}
+
 // endingOf sorts a try that has no answer.
 func (c *call) endingOf(ctx context.Context, sent bool, err error) ending {
 	var body *pstransport.BodyError
@@ -190,24 +212,25 @@
 
 // outgoing returns the request as a server gets it.
 func (c *call) outgoing(e psserver.Entry, now time.Time) *http.Request {
-	h := forwardable(c.request.Header)
+	h := psanswer.Forwardable(c.request.Header)
 	platform.WriteDispatch(h, platform.Dispatch{Server: e.ID, Workspace: c.workspaceName(), Left: c.left(now)})
 	if h.Get("User-Agent") == "" {
 		// net/http adds its own otherwise.
 		h["User-Agent"] = []string{""}
 	}
+	body, length := c.body.Open()
 	from := c.request.URL
 	to := &url.URL{
 		Scheme: "http", Host: e.Address.String(), Path: from.Path, RawPath: from.RawPath,
 		RawQuery: from.RawQuery, ForceQuery: from.ForceQuery,
 	}
 	return &http.Request{
-		Method: c.request.Method, URL: to, Host: c.request.Host, Header: h, Body: c.body.open(), ContentLength: c.body.length,
+		Method: c.request.Method, URL: to, Host: c.request.Host, Header: h, Body: body, ContentLength: length,
 	}
 }
 
 // judge takes in what a try says about its server.
-func (c *call) judge(s selection, a *answer, end ending, begun, now time.Time) {
+func (c *call) judge(s selection, a *psanswer.Answer, end ending, begun, now time.Time) {
 	service := s.view.Entry.Service
 	if a != nil {
 		c.takeAnswer(s, a, now)
@@ -253,9 +276,9 @@
 	}
 }
 
-func (c *call) takeAnswer(s selection, a *answer, now time.Time) {
+func (c *call) takeAnswer(s selection, a *psanswer.Answer, now time.Time) {
 	s.server.Answered(now)
-	if l := a.said.Load; l != nil {
+	if l := a.Said.Load; l != nil {
 		s.server.Reported(l.Running, l.Waiting, now)
 	}
 }
--- a/internal/connection/psfront/finish.go
+++ b/internal/connection/psfront/finish.go
@@ -13,10 +13,10 @@
 
 // finish answers the caller and logs how the call ended.
 func (c *call) finish(o outcome) {
-	defer c.gate.memory.giveBack(c.body.memory)
+	defer c.body.Close(&c.gate.memory)
 	switch o := o.(type) {
 	case answered:
-		c.log(psevent.RequestAnswered, o.answer.status, "", 0)
+		c.log(psevent.RequestAnswered, o.answer.Status, "", 0)
 		c.write(o.answer)
 	case rejected:
 		c.log(psevent.RequestRejected, o.status, o.reason, o.after)
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/pslog"
@@ -59,7 +60,7 @@
 	repeats   psrepeat.Budgets
 	poison    pspoison.Set
 	checks    checks
-	memory    memoryBudget
+	memory    psbody.Memory
 
 	successes pslog.Budget
 	failures  pslog.Budget
