psdev: each process has ports of its own

Test processes that run at the same time drew ports from one range. Ruled out: outgoing connections (their ports begin at 32768), the VM itself (nothing else failed before the bind). Red first: TestPortsOfProcessesAreApart (there was nothing to keep two processes apart).

--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -208,25 +207,17 @@
 	return nil
 }
 
-const (
-	// firstPort and portCount name the ports for VMs and backend servers. They lie below those
-	// that the system gives to outgoing connections, so that one that restarts finds its own
-	// free.
-	firstPort = 20000
-	portCount = 12000
-	// maxListens bounds the tries to find free ports.
-	maxListens = 100
-)
-
-// somePort is an address that is probably free.
-func somePort() netip.AddrPort {
-	return netip.AddrPortFrom(loopback().Addr(), uint16(firstPort+rand.IntN(portCount)))
-}
+// maxListens bounds the tries to find free ports.
+const maxListens = 100
 
 // startServer starts a backend server stand-in on a free port.
 func startServer(ctx context.Context, name psdoc.Name) (b *psbackend.Server, clean func(), err error) {
 	for range maxListens {
-		if b, clean, err = psbackend.New(ctx, name, somePort()); err == nil {
+		address, failed := own.take()
+		if failed != nil {
+			return nil, nil, failed
+		}
+		if b, clean, err = psbackend.New(ctx, name, address); err == nil {
 			return b, clean, nil
 		}
 	}
@@ -238,7 +229,11 @@
 	var l psvm.Listeners
 	var err error
 	for range maxListens {
-		s.Callers, s.Peer, s.Operator = somePort(), somePort(), somePort()
+		for _, address := range []*netip.AddrPort{&s.Callers, &s.Peer, &s.Operator} {
+			if *address, err = own.take(); err != nil {
+				return psvm.Listeners{}, err
+			}
+		}
 		if l, err = psvm.Listen(ctx, s); err == nil {
 			return l, nil
 		}
--- /dev/null
+++ b/internal/process/psdev/port_test.go
@@ -0,0 +1,26 @@
+package psdev
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPortsOfProcessesAreApart takes ports as two processes do that run at the same time. A VM
+// that is stopped for a while must find its own ports free.
+func TestPortsOfProcessesAreApart(t *testing.T) {
+	var a, b ports
+	t.Cleanup(func() {
+		qt.Check(t, a.lock.Close(), qt.IsNil)
+		qt.Check(t, b.lock.Close(), qt.IsNil)
+	})
+	taken := map[uint16]bool{}
+	for range blockPorts {
+		for _, p := range []*ports{&a, &b} {
+			address, err := p.take()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, taken[address.Port()], qt.IsFalse)
+			taken[address.Port()] = true
+		}
+	}
+}
