--- a/internal/connection/psfront/finish.go
+++ b/internal/connection/psfront/finish.go
@@ -79,9 +79,10 @@
 	return b.String()
 }
 
-// LogLeftOut logs how many lines the budgets left out since the last call.
-func (g *Gate) LogLeftOut() {
-	if n := g.successes.LeftOut() + g.failures.LeftOut(); n > 0 {
+// LogLeftOut logs how many lines were left out since the last call: by the budgets, and
+// dropped ones that the output was too slow for.
+func (g *Gate) LogLeftOut(dropped int64) {
+	if n := dropped + g.successes.LeftOut() + g.failures.LeftOut(); n > 0 {
 		psevent.LinesLeftOut.Log(g.options.Logger, n)
 	}
 }
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -61,7 +61,7 @@
 		return err
 	}
 	defer v.clean()
-	return v.run(ctx, o)
+	return v.run(ctx, o, w)
 }
 
 // vm is one VM.
@@ -161,7 +161,7 @@
 }
 
 // run serves until the context ends and then leaves.
-func (v *vm) run(ctx context.Context, o Options) error {
+func (v *vm) run(ctx context.Context, o Options, w *pslog.Writer) error {
 	s := v.settings
 	psevent.VMStarted.Log(v.logger, s.Name, s.FailureDomain, s.Region, s.Callers.String(), s.Store.Address.String())
 	// The control goes on while the VM leaves, so that it keeps what it promised.
@@ -170,7 +170,7 @@
 	go v.control.Run(running)
 	go v.receive()
 	go v.watchSettings(running, o)
-	go v.logLeftOut(running)
+	go v.logLeftOut(running, w)
 	failed := v.servers.serve()
 	select {
 	case err := <-failed:
@@ -236,8 +236,8 @@
 	psevent.ReportUnread.Log(h.vm.logger, from.String(), err.Error())
 }
 
-func (v *vm) logLeftOut(ctx context.Context) {
+func (v *vm) logLeftOut(ctx context.Context, w *pslog.Writer) {
 	for pswait.Sleep(ctx, leftOutInterval) {
-		v.gate.LogLeftOut()
+		v.gate.LogLeftOut(w.Dropped())
 	}
 }
