--- a/internal/process/pscontrol/vms.go
+++ b/internal/process/pscontrol/vms.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psfollow"
 	"persimmonstep/internal/process/pswait"
 )
 
@@ -24,10 +24,10 @@
 func (c *Control) followVMs(ctx context.Context) {
 	published := false
 	readings := 0
-	var lostAt time.Time
+	loss := psfollow.Loss{Call: "vms"}
 	for ctx.Err() == nil {
 		err := c.exchangeVMs(ctx, &published)
-		lostAt = c.noteStore(err, lostAt)
+		loss.Note(err, c.options.Logger, c.options.Now())
 		if err != nil {
 			pswait.Sleep(ctx, vmsRetryInterval)
 			continue
@@ -45,20 +45,6 @@
 	return vmsInterval
 }
 
-// noteStore logs when the store is lost and regained, and returns since when it is lost.
-func (c *Control) noteStore(err error, lostAt time.Time) time.Time {
-	now := c.options.Now()
-	switch {
-	case err != nil && lostAt.IsZero():
-		psevent.StoreLost.Log(c.options.Logger, "vms", err.Error())
-		return now
-	case err == nil && !lostAt.IsZero():
-		psevent.StoreRegained.Log(c.options.Logger, "vms", now.Sub(lostAt).String())
-		return time.Time{}
-	}
-	return lostAt
-}
-
 // exchangeVMs publishes this VM, if that isn't done, and reads the others.
 func (c *Control) exchangeVMs(ctx context.Context, published *bool) error {
 	limited, stop := context.WithTimeout(ctx, vmsTimeout)
--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -12,7 +12,6 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/platform"
@@ -116,8 +115,7 @@
 // watch calls the store again and again and notes when it is lost and regained.
 type watch struct {
 	follower *Follower
-	call     string
-	lostAt   time.Time
+	loss     Loss
 	// missing says that the table counts as lost.
 	missing bool
 }
@@ -131,15 +129,7 @@
 		return false
 	}
 	w.count(err != nil)
-	now := w.follower.options.Now()
-	switch {
-	case err != nil && w.lostAt.IsZero():
-		w.lostAt = now
-		psevent.StoreLost.Log(w.follower.options.Logger, w.call, err.Error())
-	case err == nil && !w.lostAt.IsZero():
-		psevent.StoreRegained.Log(w.follower.options.Logger, w.call, now.Sub(w.lostAt).String())
-		w.lostAt = time.Time{}
-	}
+	w.loss.Note(err, w.follower.options.Logger, w.follower.options.Now())
 	return err == nil
 }
 
@@ -171,11 +161,11 @@
 // follow keeps up with a table. After the store was away it reads the table again once
 // entries had time to return.
 func (f *Follower) follow(ctx context.Context, t table) {
-	w := &watch{follower: f, call: t.call, missing: true}
+	w := &watch{follower: f, loss: Loss{Call: t.call}, missing: true}
 	version := int64(0)
 	retry := retryInterval
 	for ctx.Err() == nil {
-		returning := !w.lostAt.IsZero()
+		returning := w.loss.Lost()
 		done := w.do(ctx, callTimeout, func(ctx context.Context) (err error) {
 			version, err = t.read(ctx, returning)
 			return err
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -130,13 +130,6 @@
 	return true
 }
 
-// Failed reports whether the server was taken out, and since when.
-func (s *Server) Failed() (time.Time, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.failed.since, !s.failed.since.IsZero()
-}
-
 // Sent takes in that a request goes to the server.
 func (s *Server) Sent(now time.Time) {
 	s.mutex.Lock()
