--- a/internal/connection/psbelief/belief.go
+++ b/internal/connection/psbelief/belief.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -51,9 +52,13 @@
 	http *http.Client
 }
 
-// NewClient returns a client and its clean-up function.
-func NewClient() (*Client, func()) {
-	t := &http.Transport{DisableKeepAlives: true}
+// Dial connects to another VM.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client and its clean-up function. A nil dial connects over the
+// machine's own network.
+func NewClient(dial Dial) (*Client, func()) {
+	t := &http.Transport{DisableKeepAlives: true, DialContext: dial}
 	return &Client{&http.Client{Transport: t, Timeout: timeout}}, t.CloseIdleConnections
 }
 
--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/psanswer"
@@ -14,6 +13,7 @@
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/pspoison"
+	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
 )
@@ -99,7 +99,7 @@
 	if o := c.checkRate(ctx); o != nil {
 		return o
 	}
-	c.object = c.objectOf()
+	c.object = psselect.ObjectOf(c.route, c.headers.Object)
 	c.fingerprint = pspoison.FingerprintOf(c.workspaceName(), c.request.Method, c.request.Host+c.request.URL.RequestURI(), c.body.Held)
 	if c.gate.poison.Held(c.fingerprint, c.arrived) {
 		return rejected{http.StatusServiceUnavailable, "crashesServers", poisonAfter}
@@ -175,17 +175,6 @@
 	return nil
 }
 
-// objectOf identifies what the request is about. Without affinity, requests of a route are alike.
-func (c *call) objectOf() uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(c.route.Name)
-	if c.route.Affinity {
-		_, _ = d.WriteString(c.headers.Object)
-	}
-	return d.Sum64()
-}
-
 func (c *call) workspaceName() string {
 	if c.workspace == nil {
 		return ""
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// Estimates returns what the gate has learned of run times.
+func (g *Gate) Estimates() *psestimate.Estimates { return &g.estimates }
+
 // Follow sets what the gate goes by.
 func (g *Gate) Follow(b Beliefs) { g.beliefs = b }
 
--- a/internal/connection/psreport/report.go
+++ b/internal/connection/psreport/report.go
@@ -45,26 +45,38 @@
 	Unread(from netip.AddrPort, err error)
 }
 
+// Socket sends and receives datagrams.
+type Socket interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // Link sends and receives messages. It is safe for concurrent use.
 type Link struct {
-	socket *net.UDPConn
+	socket Socket
 
 	mutex   sync.Mutex
 	last    uint64
 	waiting map[uint64]chan psfleet.Grant
 }
 
-// Listen opens a link at an address. The clean-up function closes it.
-func Listen(ctx context.Context, address netip.AddrPort) (*Link, func(), error) {
+// Listen opens a socket at an address.
+func Listen(ctx context.Context, address netip.AddrPort) (Socket, error) {
 	c, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", address.String())
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "listen for reports")
+		return nil, errors.Wrap(err, "listen for reports")
 	}
 	u, found := c.(*net.UDPConn)
 	if !found {
-		return nil, nil, errors.Errorf("a datagram socket is a %T", c)
+		return nil, errors.Errorf("a datagram socket is a %T", c)
 	}
-	return &Link{socket: u, waiting: make(map[uint64]chan psfleet.Grant)}, func() { _ = u.Close() }, nil
+	return u, nil
+}
+
+// New returns a link over a socket. The clean-up function closes both.
+func New(s Socket) (*Link, func()) {
+	return &Link{socket: s, waiting: make(map[uint64]chan psfleet.Grant)}, func() { _ = s.Close() }
 }
 
 // Report sends a report to each of the VMs. One that can't be reached is shown by its silence.
--- a/internal/connection/pstransport/pool.go
+++ b/internal/connection/pstransport/pool.go
@@ -38,6 +38,8 @@
 // pool holds the connections to one server.
 type pool struct {
 	address netip.AddrPort
+	// source is the address that connections come from, if it is valid.
+	source netip.Addr
 
 	mutex sync.Mutex
 	limit int
@@ -123,6 +125,9 @@
 // dial opens a connection that take has counted.
 func (p *pool) dial(ctx context.Context) (*conn, error) {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitSilence}
+	if p.source.IsValid() {
+		d.LocalAddr = &net.TCPAddr{IP: p.source.AsSlice()}
+	}
 	raw, err := d.DialContext(ctx, "tcp", p.address.String())
 	if err != nil {
 		p.forget()
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -19,6 +19,10 @@
 
 // Transports holds one connection pool for each backend server.
 type Transports struct {
+	// Source is the address that connections come from; the zero value leaves it to the
+	// machine. It must be set before the first use.
+	Source netip.Addr
+
 	mutex sync.Mutex
 	pools map[netip.AddrPort]*pool
 }
@@ -59,7 +63,7 @@
 	defer t.mutex.Unlock()
 	p, found := t.pools[address]
 	if !found {
-		p = &pool{address: address}
+		p = &pool{address: address, source: t.Source}
 		t.pools[address] = p
 	}
 	return p
--- a/internal/process/psbackend/behaviour.go
+++ b/internal/process/psbackend/behaviour.go
@@ -1,35 +1,35 @@
 package psbackend
 
 import (
+	"net/netip"
 	"time"
-
-	"persimmonstep/internal/version/psdoc"
 )
 
 // Behaviour is how a stand-in behaves. Its zero value runs every request at once.
 type Behaviour struct {
-	// Slots is the number of requests that run at a time; those above are shed. 0 sets no bound.
+	// Slots is the number of requests that run at a time; 0 sets no bound.
 	Slots int
+	// Queue is the number of requests that wait for a slot; those above are shed.
+	Queue int
 	// ServiceTime is the time of one run.
 	ServiceTime time.Duration
-	// Latency is added before each run and stands for the network in front of the server.
-	Latency time.Duration
-	// LatencyFrom replaces Latency for requests that came through a VM, by its name in Via.
-	LatencyFrom map[psdoc.Name]time.Duration
+	// Holds is the number of objects that the server keeps at hand. Runs on one of them take
+	// a third of the service time.
+	Holds int
+	// LatencyFrom is added before each run of a request from an address. It stands for the
+	// network in front of the server.
+	LatencyFrom map[netip.Addr]time.Duration
 	// Cold makes the first runs after a start slower.
 	Cold Cold
-	// Draining makes every answer say that the server is leaving.
-	Draining bool
 	// Health is what the health path answers.
 	Health HealthState
-	// Load is the reported part of the capacity in use, as text; empty reports nothing.
-	Load string
-	// AnswerBytes pads the answer of a run to at least this size.
-	AnswerBytes int
 	// Faults is the fault table.
 	Faults []Fault
 }
 
+// heldPart is the part of the service time of a run on an object that is at hand.
+const heldPart = 1.0 / 3
+
 // Cold makes runs slower after a start: the service time begins at Factor times its normal
 // value and falls to it over Span.
 type Cold struct {
@@ -41,30 +41,25 @@
 type HealthState string
 
 const (
-	// HealthTrue answers healthy, or leaving where the server is draining.
+	// HealthTrue answers healthy.
 	HealthTrue HealthState = ""
 	// HealthWrongDown answers unhealthy although requests run.
 	HealthWrongDown HealthState = "wrongDown"
-	// HealthWrongUp answers healthy although the server is draining.
-	HealthWrongUp HealthState = "wrongUp"
 	// HealthHang never answers.
 	HealthHang HealthState = "hang"
 )
 
 // serviceTime is the time of a run that begins at an age since the server's start.
-func (b *Behaviour) serviceTime(age time.Duration) time.Duration {
+func (b *Behaviour) serviceTime(age time.Duration, held bool) time.Duration {
+	span := b.ServiceTime
+	if held {
+		span = time.Duration(heldPart * float64(span))
+	}
 	if b.Cold.Span <= 0 || age >= b.Cold.Span || b.Cold.Factor <= 1 {
-		return b.ServiceTime
+		return span
 	}
 	left := 1 - float64(age)/float64(b.Cold.Span)
-	return time.Duration(float64(b.ServiceTime) * (1 + (b.Cold.Factor-1)*left))
-}
-
-func (b *Behaviour) latency(vm psdoc.Name) time.Duration {
-	if d, found := b.LatencyFrom[vm]; found {
-		return d
-	}
-	return b.Latency
+	return time.Duration(float64(span) * (1 + (b.Cold.Factor-1)*left))
 }
 
 // Stats counts what a stand-in did.
@@ -80,9 +75,6 @@
 	// Running is the number of runs under way, and HighWater its highest value.
 	Running   int
 	HighWater int
-	// Connections is the number of open connections, and ConnectionsHighWater its highest value.
-	Connections          int
-	ConnectionsHighWater int
 	// LastRun is when a run last began.
 	LastRun time.Time
 }
--- a/internal/process/psbackend/server.go
+++ b/internal/process/psbackend/server.go
@@ -1,9 +1,9 @@
 // Package psbackend is a stand-in for a backend server.
 //
 // It answers every request with a JSON description of what it received and counts the runs
-// of each Idempotency-Key, so that tests can see what reached it and how often. A
-// [Behaviour] gives it slots, a service time, a slow start and a table of faults: answers
-// that hang, break off or come late, shed requests, crashes and drains.
+// by request id, so that tests can see what reached it and how often. A [Behaviour] gives it
+// slots, a queue, a service time, objects at hand, a slow start and a table of faults:
+// answers that hang, break off or come late, shed requests and crashes.
 package psbackend
 
 import (
@@ -17,8 +17,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"persimmonstep/internal/version/psdoc"
 )
 
 const (
@@ -29,15 +27,19 @@
 
 // Server is one stand-in.
 type Server struct {
-	// Name is the server's name in the configuration.
-	Name psdoc.Name
+	// ID identifies the server.
+	ID string
 	// Address is where it listens, also after a restart.
 	Address netip.AddrPort
 
-	mutex       sync.Mutex
-	behaviour   Behaviour
-	runs        map[string]int
-	stats       Stats
+	mutex     sync.Mutex
+	behaviour Behaviour
+	runs      map[string]int
+	stats     Stats
+	// waiting holds the turns of requests that wait for a slot, and held the objects at
+	// hand, the latest used last.
+	waiting     []chan struct{}
+	held        []string
 	connections map[net.Conn]struct{}
 	life        *life
 	closed      chan struct{}
@@ -53,13 +55,13 @@
 }
 
 // New starts a stand-in and returns it with its clean-up function.
-func New(ctx context.Context, name psdoc.Name, address netip.AddrPort) (*Server, func(), error) {
+func New(ctx context.Context, id string, address netip.AddrPort) (*Server, func(), error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "listen for a backend server stand-in")
 	}
 	s := &Server{
-		Name: name, Address: l.Addr().(*net.TCPAddr).AddrPort(),
+		ID: id, Address: l.Addr().(*net.TCPAddr).AddrPort(),
 		runs: make(map[string]int), connections: make(map[net.Conn]struct{}), closed: make(chan struct{}),
 	}
 	s.mutex.Lock()
@@ -103,7 +105,6 @@
 		_ = c.Close()
 	}
 	clear(s.connections)
-	s.stats.Connections = 0
 }
 
 func (s *Server) track(c net.Conn, state http.ConnState) {
@@ -115,8 +116,6 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(s.connections, c)
 	}
-	s.stats.Connections = len(s.connections)
-	s.stats.ConnectionsHighWater = max(s.stats.ConnectionsHighWater, s.stats.Connections)
 }
 
 // Set replaces the behaviour.
@@ -183,7 +182,7 @@
 	return true
 }
 
-// Runs returns how often each Idempotency-Key ran.
+// Runs returns how often each request ran, by its id.
 func (s *Server) Runs() map[string]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -196,10 +195,3 @@
 	defer s.mutex.Unlock()
 	return s.stats
 }
-
-// ResetStats sets the counts and high-water marks back.
-func (s *Server) ResetStats() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.stats = Stats{Running: s.stats.Running, HighWater: s.stats.Running, Connections: s.stats.Connections, ConnectionsHighWater: s.stats.Connections}
-}
--- /dev/null
+++ b/internal/process/pscli/check.go
@@ -0,0 +1,84 @@
+package pscli
+
+import (
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/process/psmeasure"
+	"persimmonstep/platform"
+)
+
+// checkCommand checks files.
+type checkCommand struct {
+	Settings      []string `type:"existingfile" help:"Settings files of VMs."`
+	Configuration []string `type:"existingfile" help:"Configurations as the store holds them (JSON)."`
+	Scenarios     []string `arg:"" optional:"" type:"existingfile" help:"Scenarios of experiments (TOML)."`
+}
+
+// Run prints the findings of all files.
+func (c *checkCommand) Run() error {
+	if len(c.Settings)+len(c.Configuration)+len(c.Scenarios) == 0 {
+		return errors.New("name a file to check")
+	}
+	var findings []string
+	collect := func(files []string, check func(path string) error) {
+		for _, f := range files {
+			if err := check(f); err != nil {
+				findings = append(findings, inFile(f, err))
+			}
+		}
+	}
+	collect(c.Settings, checkSettings)
+	collect(c.Configuration, checkConfiguration)
+	collect(c.Scenarios, checkScenario)
+	if len(findings) > 0 {
+		return &exitError{code: ExitFindings, text: strings.Join(findings, "\n")}
+	}
+	return nil
+}
+
+// inFile puts the file's name before each line of an error that doesn't name it.
+func inFile(file string, err error) string {
+	lines := strings.Split(err.Error(), "\n")
+	for i, l := range lines {
+		if !strings.HasPrefix(l, file) {
+			lines[i] = file + ": " + l
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+func checkSettings(path string) error {
+	_, err := platform.ReadSettings(path)
+	return err
+}
+
+func checkConfiguration(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	c, err := platform.DecodeConfiguration(data)
+	if err != nil {
+		return err
+	}
+	var lines []string
+	for _, f := range c.Check() {
+		lines = append(lines, f.String())
+	}
+	if len(lines) > 0 {
+		return errors.New(strings.Join(lines, "\n"))
+	}
+	return nil
+}
+
+func checkScenario(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	_, err = psmeasure.Parse(path, data)
+	return err
+}
--- a/internal/process/pscli/cli.go
+++ b/internal/process/pscli/cli.go
@@ -18,12 +18,8 @@
 	ExitFindings = 1
 	// ExitFailed says that the command could not be carried out.
 	ExitFailed = 2
-	// ExitConflict says that another apply came first.
-	ExitConflict = 3
-	// ExitUnknown says that an apply's outcome is unknown.
-	ExitUnknown = 4
-	// ExitAccepted says that an apply is accepted but not yet confirmed everywhere.
-	ExitAccepted = 5
+	// ExitBroken says that an experiment broke a promise.
+	ExitBroken = 6
 )
 
 // exitError ends a command with a code; its text, if any, goes to the error output.
@@ -39,22 +35,13 @@
 
 // commands is the command line's grammar.
 type commands struct {
-	Serve   serveCommand   `cmd:"" help:"Run one entry VM."`
-	Steer   steerCommand   `cmd:"" help:"Run one VM on the users' platform."`
+	Steer   steerCommand   `cmd:"" help:"Run one VM."`
 	Dev     devCommand     `cmd:"" help:"Run the whole system in this process on loopback, with stand-ins."`
-	Standin standinCommand `cmd:"" help:"Run the platform stand-in alone."`
+	Standin standinCommand `cmd:"" help:"Run the stand-in of the platform's store alone."`
 	Measure measureCommand `cmd:"" help:"Run experiments and print what was measured."`
-	Check   checkCommand   `cmd:"" help:"Check documents and print every finding."`
-	Apply   applyCommand   `cmd:"" help:"Apply documents as a whole."`
-	Status  statusCommand  `cmd:"" help:"Show what runs where."`
-	History historyCommand `cmd:"" help:"Show who changed what."`
+	Check   checkCommand   `cmd:"" help:"Check settings, configurations and scenarios, and print every finding."`
+	Status  statusCommand  `cmd:"" help:"Show what VMs believe."`
 	Explain explainCommand `cmd:"" help:"Explain what would be decided for a request, without sending it."`
-
-	Key        keyCommands        `cmd:"" help:"Issue and withdraw keys."`
-	Drain      drainCommand       `cmd:"" help:"Send a backend server no new work."`
-	Undrain    undrainCommand     `cmd:"" help:"Send a drained backend server work again."`
-	Quarantine quarantineCommands `cmd:"" help:"List and clear requests that take down backend servers."`
-	Document   documentCommands   `cmd:"" help:"Show the documents in force."`
 }
 
 // streams are where commands write.
--- /dev/null
+++ b/internal/process/pscli/cli_test.go
@@ -0,0 +1,103 @@
+package pscli_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/pscli"
+	"persimmonstep/internal/process/psdev"
+)
+
+// run runs a command and returns its exit code and output.
+func run(args ...string) (int, string) {
+	var out bytes.Buffer
+	code := pscli.Run(context.Background(), args, &out, &out)
+	return code, out.String()
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+var (
+	platformData  = filepath.Join("..", "..", "..", "platform", "testdata")
+	goodSettings  = filepath.Join(platformData, "settings.yaml")
+	configuration = filepath.Join(platformData, "configuration.json")
+)
+
+func TestSteerChecksItsSettings(t *testing.T) {
+	code, _ := run("steer", "--settings", goodSettings, "--check")
+	qt.Assert(t, code, qt.Equals, pscli.ExitDone)
+	bad := write(t, "node.yaml", "listen: {front: nowhere}\nbounds: [\"drain_s=soon\"]\n")
+	code, out := run("steer", "--settings", bad, "--check")
+	qt.Assert(t, code, qt.Equals, pscli.ExitFindings)
+	for _, text := range []string{"listen.front", "drain_s", "node_name"} {
+		qt.Check(t, out, qt.Contains, text)
+	}
+}
+
+func TestCheckPrintsTheFindingsOfAllFiles(t *testing.T) {
+	code, out := run("check", "--settings", goodSettings, "--configuration", configuration, filepath.Join("..", "..", "..", "scenarios", "calm.toml"))
+	qt.Assert(t, code, qt.Equals, pscli.ExitDone, qt.Commentf("%s", out))
+	settings := write(t, "node.yaml", "listen: {front: nowhere}\n")
+	data, err := os.ReadFile(configuration)
+	qt.Assert(t, err, qt.IsNil)
+	faulty := write(t, "configuration.json", strings.ReplaceAll(string(data), `"prefix":"/`, `"prefix":"`))
+	scenario := write(t, "scenario.toml", "span = \"2h\"\n")
+	code, out = run("check", "--settings", settings, "--configuration", faulty, scenario)
+	qt.Assert(t, code, qt.Equals, pscli.ExitFindings)
+	for _, text := range []string{settings + ": ", "listen.front", faulty + ": routes[0].prefix", scenario + ":1:1: the span"} {
+		qt.Check(t, out, qt.Contains, text)
+	}
+	code, _ = run("check")
+	qt.Assert(t, code, qt.Equals, pscli.ExitFailed)
+}
+
+// TestExplainTellsTheSameFromAVMAndFromItsSavedState asks a running system.
+func TestExplainTellsTheSameFromAVMAndFromItsSavedState(t *testing.T) {
+	s, stop, err := psdev.New(context.Background(), psdev.Example(), func(string) io.Writer { return io.Discard })
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(stop)
+	vm := s.Ready.VMs[0].Operators.String()
+	saved := filepath.Join(t.TempDir(), "state.json")
+	code, out := run("status", "--vm", vm, "--vm", s.Ready.VMs[1].Operators.String(), "--save", saved)
+	qt.Assert(t, code, qt.Equals, pscli.ExitDone, qt.Commentf("%s", out))
+	for _, text := range []string{s.Ready.VMs[0].Name, s.Ready.VMs[1].Name, s.Ready.Servers[0].ID} {
+		qt.Check(t, out, qt.Contains, text)
+	}
+	text, err := os.ReadFile(saved)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(text), qt.Not(qt.Contains), s.Ready.Workspaces[0].Key)
+
+	question := []string{"--host", s.Ready.Host, "--path", "/prices/eggs", "--object", "eggs", "--workspace", s.Ready.Workspaces[0].Name}
+	code, live := run(append([]string{"explain", "--vm", vm}, question...)...)
+	qt.Assert(t, code, qt.Equals, pscli.ExitDone, qt.Commentf("%s", live))
+	code, old := run(append([]string{"explain", "--state", saved}, question...)...)
+	qt.Assert(t, code, qt.Equals, pscli.ExitDone, qt.Commentf("%s", old))
+	qt.Assert(t, old, qt.Equals, live)
+	qt.Assert(t, live, qt.Contains, "service prices, 100% of the requests: sent")
+
+	code, out = run("explain", "--state", saved, "--host", "elsewhere", "--path", "/")
+	qt.Assert(t, code, qt.Equals, pscli.ExitFindings)
+	qt.Assert(t, out, qt.Contains, `host "elsewhere" has no route`)
+}
+
+func TestStandinServesAConfiguration(t *testing.T) {
+	ctx, stop := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer stop()
+	var out bytes.Buffer
+	code := pscli.Run(ctx, []string{"standin", "--listen", "127.0.0.1:0", "--configuration", configuration}, &out, &out)
+	qt.Assert(t, code, qt.Equals, pscli.ExitDone, qt.Commentf("%s", out.String()))
+	qt.Assert(t, out.String(), qt.Contains, "store: 127.0.0.1:")
+}
--- /dev/null
+++ b/internal/process/pscli/dev.go
@@ -0,0 +1,89 @@
+package pscli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/process/psdev"
+)
+
+// devCommand runs the whole system.
+type devCommand struct {
+	Ready string        `help:"Write where everything is to this file (JSON) when everything answers."`
+	For   time.Duration `help:"Stop after this time; run until a signal when absent."`
+	Logs  string        `type:"existingdir" help:"Write the log of each VM to a file in this directory."`
+}
+
+// Run runs the system until the context or the time ends.
+func (c *devCommand) Run(ctx context.Context, s streams) error {
+	logs := &logFiles{directory: c.Logs}
+	defer logs.close()
+	system, stop, err := psdev.New(context.WithoutCancel(ctx), psdev.Example(), logs.open)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	if logs.failed != nil {
+		return logs.failed
+	}
+	if c.Ready != "" {
+		if err := system.WriteReady(c.Ready); err != nil {
+			return err
+		}
+	}
+	if c.For > 0 {
+		limited, cancel := context.WithTimeout(ctx, c.For)
+		defer cancel()
+		ctx = limited
+	}
+	printReady(s.out, &system.Ready)
+	<-ctx.Done()
+	return nil
+}
+
+// printReady says where everything is, with a request to begin with.
+func printReady(w io.Writer, r *psdev.Ready) {
+	for _, v := range r.VMs {
+		_, _ = fmt.Fprintf(w, "%s: callers %s, directory %s, operators %s\n", v.Name, v.Callers, v.Directory, v.Operators)
+	}
+	_, _ = fmt.Fprintf(w, "store: %s\ntry: curl -H 'Host: %s' -H 'Authorization: Bearer %s' -H 'Request-Id: 1' http://%s/prices/eggs\n",
+		r.Store, r.Host, r.Workspaces[0].Key, r.VMs[0].Callers)
+}
+
+// logFiles holds the log file of each VM. Without a directory, logs are dropped.
+type logFiles struct {
+	directory string
+
+	mutex  sync.Mutex
+	files  []*os.File
+	failed error
+}
+
+// open returns where a VM logs to.
+func (l *logFiles) open(vm string) io.Writer {
+	if l.directory == "" {
+		return io.Discard
+	}
+	f, err := os.OpenFile(filepath.Join(l.directory, vm+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err != nil {
+		l.failed = errors.Wrap(err, "open a log")
+		return io.Discard
+	}
+	l.files = append(l.files, f)
+	return f
+}
+
+func (l *logFiles) close() {
+	for _, f := range l.files {
+		_ = f.Close()
+	}
+}
--- /dev/null
+++ b/internal/process/pscli/explain.go
@@ -0,0 +1,85 @@
+package pscli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"persimmonstep/internal/process/psadmin"
+	"persimmonstep/internal/process/psstate"
+)
+
+// explainCommand explains a decision.
+type explainCommand struct {
+	VM        netip.AddrPort `xor:"from" required:"" help:"The address at which a VM serves operators."`
+	State     string         `xor:"from" required:"" type:"existingfile" help:"A state that status saved."`
+	Host      string         `required:"" help:"The host that the request is for."`
+	Path      string         `required:"" help:"The request's path."`
+	Object    string         `help:"What the request is about, as its caller names it."`
+	Workspace string         `help:"The workspace that holds the request's key."`
+	Bytes     int            `help:"The size of the body."`
+	Left      time.Duration  `help:"How long the caller waits; the route's timeout when absent."`
+	JSON      bool           `name:"json" help:"Print JSON."`
+}
+
+// Run prints what would be decided.
+func (c *explainCommand) Run(ctx context.Context, s streams) error {
+	state, err := c.state(ctx)
+	if err != nil {
+		return err
+	}
+	e, err := psstate.Explain(state, psstate.Question{
+		Host: c.Host, Path: c.Path, Object: c.Object, Workspace: c.Workspace, Bytes: c.Bytes, Left: c.Left,
+	})
+	if err != nil {
+		return &exitError{code: ExitFindings, text: err.Error()}
+	}
+	if c.JSON {
+		return errors.Wrap(json.NewEncoder(s.out).Encode(e), "print the explanation")
+	}
+	return printExplanation(s, e)
+}
+
+func (c *explainCommand) state(ctx context.Context) (psstate.State, error) {
+	if c.State == "" {
+		return psadmin.Ask(ctx, c.VM)
+	}
+	data, err := os.ReadFile(c.State)
+	if err != nil {
+		return psstate.State{}, errors.Wrap(err, "read the state")
+	}
+	var v psstate.State
+	return v, errors.Wrap(json.Unmarshal(data, &v), "decode the state")
+}
+
+func printExplanation(s streams, e psstate.Explanation) error {
+	t := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "version %d, route %s\n", e.Version, e.Route)
+	if e.Rate != nil {
+		_, _ = fmt.Fprintf(t, "workspace %s: %.1f requests/s, burst %.1f, kept by one VM for all: %t\n", e.Workspace, e.Rate.PerSecond, e.Rate.Burst, e.Rate.Kept)
+	}
+	for _, v := range e.Services {
+		_, _ = fmt.Fprintf(t, "service %s, %.0f%% of the requests: %s", v.Name, 100*v.Part, v.Outcome)
+		if v.Reason != "" {
+			_, _ = fmt.Fprintf(t, " (%s), come back after %s", v.Reason, v.RetryAfter)
+		}
+		_, _ = fmt.Fprintln(t, "\nserver\tfailure domain\trank\tcost\twait\trun\ttravel\tload\tslowness\tfailures\tsent before")
+		for _, o := range v.Candidates {
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%.1f\t%.2f\t%.2f\t%t\n", o.Server, o.FailureDomain, o.Rank,
+				short(o.Cost), short(o.Wait), short(o.Run), short(o.Travel), o.Load, o.Slowness, o.Failures, o.Sent)
+		}
+		for _, id := range lo.Keys(v.Passed) {
+			_, _ = fmt.Fprintf(t, "%s\tpassed over: %s\n", id, v.Passed[id])
+		}
+	}
+	return errors.Wrap(t.Flush(), "print the explanation")
+}
+
+func short(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
--- a/internal/process/pscli/steer.go
+++ b/internal/process/pscli/steer.go
@@ -7,10 +7,9 @@
 	"syscall"
 
 	"persimmonstep/internal/process/pssteer"
-	"persimmonstep/platform"
 )
 
-// steerCommand runs a VM on the users' platform.
+// steerCommand runs a VM.
 type steerCommand struct {
 	Settings string `required:"" help:"The settings file that the machine provides."`
 	Check    bool   `help:"Check the settings, print every finding and exit."`
@@ -19,18 +18,13 @@
 // Run serves until the context ends.
 func (c *steerCommand) Run(ctx context.Context, s streams) error {
 	if c.Check {
-		return checkSettings(c.Settings)
+		if err := checkSettings(c.Settings); err != nil {
+			return &exitError{code: ExitFindings, text: err.Error()}
+		}
+		return nil
 	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
 	return pssteer.Run(ctx, pssteer.Options{SettingsPath: c.Settings, Output: s.out, Reload: reload})
 }
-
-// checkSettings reads a settings file without starting a VM.
-func checkSettings(path string) error {
-	if _, err := platform.ReadSettings(path); err != nil {
-		return &exitError{code: ExitFindings, text: err.Error()}
-	}
-	return nil
-}
--- a/internal/process/pscontrol/shares.go
+++ b/internal/process/pscontrol/shares.go
@@ -9,7 +9,6 @@
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
-	"persimmonstep/internal/version/psdoc"
 	"persimmonstep/internal/version/psrendezvous"
 )
 
@@ -104,9 +103,9 @@
 
 // owns reports whether the first of the VMs is among those that send requests to a cold server.
 func owns(server string, list []psfleet.Identity) bool {
-	own := psrendezvous.Score(psdoc.Name(server), psdoc.Name(list[0].VM))
+	own := psrendezvous.Score(server, list[0].VM)
 	before := lo.CountBy(list[1:], func(i psfleet.Identity) bool {
-		return psrendezvous.Score(psdoc.Name(server), psdoc.Name(i.VM)) > own
+		return psrendezvous.Score(server, i.VM) > own
 	})
 	return before < coldVMs
 }
@@ -116,7 +115,7 @@
 func (s *Snapshot) Keepers(workspace string) (first, second psfleet.Identity) {
 	var best, next uint64
 	for _, i := range s.holders {
-		switch v := psrendezvous.Score(psdoc.Name(workspace), psdoc.Name(i.VM)); {
+		switch v := psrendezvous.Score(workspace, i.VM); {
 		case v >= best:
 			second, next = first, best
 			first, best = i, v
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -38,8 +38,8 @@
 
 // VM is a VM that takes callers.
 type VM struct {
-	Name          string
-	Region        string
-	FailureDomain string
-	Callers       string
+	Name          string `json:"name"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+	Callers       string `json:"callers"`
 }
--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -1,13 +1,16 @@
 // Package psdev runs the whole system in one process.
 //
-// It starts the platform stand-in, backend server stand-ins and four VMs in two regions on
-// loopback, applies the example configuration, and writes a ready file that says where
-// everything is. It is meant for trying things out and for tests.
+// It starts the platform stand-in, backend server stand-ins and VMs on loopback, writes a
+// configuration as the operator does, and says where everything is in a ready file. It is
+// meant for trying things out, for tests and for experiments.
 package psdev
 
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -15,88 +18,91 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/connection/pstls"
 	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/internal/process/psplatform"
-	"persimmonstep/internal/process/pssettings"
-	"persimmonstep/internal/process/psstandin"
-	"persimmonstep/internal/process/psvm"
-	"persimmonstep/internal/request/pskey"
-	"persimmonstep/internal/version/psdoc"
-	"persimmonstep/internal/version/psversion"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pswait"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform"
+	"persimmonstep/platform/psstandin"
 )
 
 const (
-	// readyTimeout bounds the wait until every VM has the configuration in force.
+	// readyTimeout bounds the wait until every VM is ready.
 	readyTimeout = 20 * time.Second
-	readyPoll    = 10 * time.Millisecond
-	stopTimeout  = 30 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	// readyCallTimeout bounds one question whether a VM is ready.
+	readyCallTimeout = time.Second
 )
 
 // Ready is the content of the ready file.
 type Ready struct {
-	Callers           []netip.AddrPort `json:"callers"`
-	Operators         []netip.AddrPort `json:"operators"`
-	Platform          netip.AddrPort   `json:"platform"`
-	OperatorTokenFile string           `json:"operatorTokenFile"`
-	Workspaces        []ReadyWorkspace `json:"workspaces"`
-	Servers           []ReadyServer    `json:"servers"`
+	VMs []ReadyVM `json:"vms"`
+	// Store is where the platform stand-in listens.
+	Store      netip.AddrPort   `json:"store"`
+	Host       string           `json:"host"`
+	Workspaces []ReadyWorkspace `json:"workspaces"`
+	Servers    []ReadyServer    `json:"servers"`
+}
+
+// ReadyVM is a VM with its addresses.
+type ReadyVM struct {
+	Name          string         `json:"name"`
+	FailureDomain string         `json:"failureDomain"`
+	Region        string         `json:"region"`
+	Callers       netip.AddrPort `json:"callers"`
+	Directory     netip.AddrPort `json:"directory"`
+	// Operators is where it serves metrics and its state.
+	Operators netip.AddrPort `json:"operators"`
+	Ready     netip.AddrPort `json:"ready"`
 }
 
 // ReadyWorkspace is a workspace with a key that works.
 type ReadyWorkspace struct {
-	Name  psdoc.Name `json:"name"`
-	Key   string     `json:"key"`
-	KeyID psdoc.Name `json:"keyId"`
-	Rate  float64    `json:"rate"`
-	Burst float64    `json:"burst"`
+	Name  string  `json:"name"`
+	Key   string  `json:"key"`
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
 }
 
 // ReadyServer is a backend server stand-in.
 type ReadyServer struct {
-	Name          psdoc.Name     `json:"name"`
+	ID            string         `json:"id"`
+	Service       string         `json:"service"`
+	FailureDomain string         `json:"failureDomain"`
 	Address       netip.AddrPort `json:"address"`
-	FailureDomain psdoc.Name     `json:"failureDomain"`
 }
 
 // System is a running system.
 type System struct {
 	// Ready says where everything is.
 	Ready Ready
-	// Platform is the platform stand-in as the operators reach it.
-	Platform *psstandin.Server
-	// Platforms holds the platform stand-in of each region, all with the same store.
-	Platforms map[psdoc.Name]*psstandin.Server
-	// Peers cuts the links between VMs.
-	Peers *Links
+	// Store is the platform stand-in, and Doors its address for each region.
+	Store *psstandin.Store
+	Doors map[string]*psstandin.Door
+	// Links are the ways between VMs.
+	Links *Links
 	// Servers are the backend server stand-ins.
 	Servers []*psbackend.Server
-	// VMs are the entry VMs.
-	VMs []*psvm.VM
 
-	logger   hclog.Logger
-	topology Topology
-	nodes    []node
-	// authority signs the certificates of the links between VMs.
-	authority *pstls.Authority
-	cleanups  []func()
-	stops     []func()
-	kills     []func()
-}
+	topology  Topology
+	log       func(vm string) io.Writer
+	directory string
+	vms       []*vm
+	cleanUps  []func()
 
-// node is a VM that is yet to be started.
-type node struct {
-	settings  *pssettings.Settings
-	listeners psvm.Listeners
+	mutex         sync.Mutex
+	configuration psconfig.Configuration
+	keys          map[string][]string
+	sequence      int64
 }
 
-// New starts a system and returns it with its clean-up function.
-func New(ctx context.Context, t Topology, l hclog.Logger) (*System, func(), error) {
-	s := &System{logger: l, topology: t, Peers: newLinks()}
-	steps := []func(context.Context) error{s.makeToken, s.startPlatform, s.startServers, s.openVMs, s.apply, s.startVMs, s.await}
+// New starts a system and returns it with its clean-up function. The logs of a VM go to the
+// writer that log returns for its name.
+func New(ctx context.Context, t Topology, log func(vm string) io.Writer) (*System, func(), error) {
+	s := &System{topology: t, log: log, Links: &Links{}, keys: make(map[string][]string)}
+	steps := []func(context.Context) error{s.makeDirectory, s.startStore, s.startServers, s.configure, s.startVMs, s.await}
 	for _, f := range steps {
 		if err := f(ctx); err != nil {
 			s.close()
@@ -109,219 +115,173 @@
 // close stops the VMs together and then what they use.
 func (s *System) close() {
 	var stopping sync.WaitGroup
-	for _, f := range s.stops {
-		stopping.Go(f)
+	for i := range s.vms {
+		stopping.Go(func() { s.Kill(i) })
 	}
 	stopping.Wait()
-	for _, f := range slices.Backward(s.cleanups) {
+	for _, f := range slices.Backward(s.cleanUps) {
 		f()
 	}
 }
 
-// Stop shuts the VM of a position down gracefully.
-func (s *System) Stop(vm int) {
-	s.stops[vm]()
-}
-
-// Kill ends the VM of a position as a crash would.
-func (s *System) Kill(vm int) {
-	s.kills[vm]()
-}
-
-// Apply makes the next configuration version of the running system.
-func (s *System) Apply(ctx context.Context, operation string, put map[string]string) error {
-	client, clean := psplatform.NewClient(s.Ready.Platform)
-	defer clean()
-	store := &psversion.Store{Platform: client, Now: time.Now}
-	_, err := store.Apply(ctx, psversion.Change{OperationID: operation, Author: "dev", Put: put})
-	return errors.Wrap(err, "apply documents")
+// makeDirectory makes a directory for the VMs' settings.
+func (s *System) makeDirectory(context.Context) error {
+	d, err := os.MkdirTemp("", "persimmonstep-dev-")
+	s.directory = d
+	s.cleanUps = append(s.cleanUps, func() { _ = os.RemoveAll(d) })
+	return errors.Wrap(err, "make a directory for settings")
 }
 
-func (s *System) makeToken(context.Context) error {
-	directory, err := os.MkdirTemp("", "persimmonstep-dev-")
-	if err != nil {
-		return errors.Wrap(err, "make a directory for the operators' token")
-	}
-	s.cleanups = append(s.cleanups, func() { _ = os.RemoveAll(directory) })
-	s.Ready.OperatorTokenFile = filepath.Join(directory, "operator.token")
-	token := pskey.New().Secret
-	return errors.Wrap(os.WriteFile(s.Ready.OperatorTokenFile, []byte(token+"\n"), 0o600), "write the operators' token")
-}
-
-// loopback is an address whose port the system chooses.
-func loopback() netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
-}
-
-func (s *System) startPlatform(ctx context.Context) error {
-	p, clean, err := psstandin.NewServer(ctx, loopback())
-	if err != nil {
-		return err
-	}
-	s.Platform, s.Ready.Platform = p, p.Address
-	s.cleanups = append(s.cleanups, clean)
-	s.Platforms = make(map[psdoc.Name]*psstandin.Server)
-	for _, r := range s.topology.Regions {
-		if !s.topology.RegionalPlatforms {
-			s.Platforms[r.Name] = p
+func (s *System) startStore(ctx context.Context) error {
+	store, clean := psstandin.NewStore()
+	s.cleanUps = append(s.cleanUps, clean)
+	s.Store, s.Ready.Store = store, store.Address()
+	s.Doors = make(map[string]*psstandin.Door)
+	for _, d := range s.topology.Domains {
+		if s.Doors[d.Region] != nil {
 			continue
 		}
-		other, clean, err := psstandin.Serve(ctx, loopback(), p.Store)
+		door, clean, err := store.Open(ctx, loopback())
 		if err != nil {
 			return err
 		}
-		s.Platforms[r.Name] = other
-		s.cleanups = append(s.cleanups, clean)
+		s.cleanUps = append(s.cleanUps, clean)
+		s.Doors[d.Region] = door
 	}
 	return nil
 }
 
 func (s *System) startServers(ctx context.Context) error {
-	for _, v := range s.topology.Servers {
-		b, clean, err := startServer(ctx, v.Name)
+	for i, v := range s.topology.Servers {
+		address, err := own.take()
 		if err != nil {
 			return err
 		}
-		s.cleanups = append(s.cleanups, clean)
+		b, clean, err := psbackend.New(ctx, v.ID, address)
+		if err != nil {
+			return err
+		}
+		b.Set(v.Behaviour)
+		s.cleanUps = append(s.cleanUps, clean)
 		s.Servers = append(s.Servers, b)
-		s.Ready.Servers = append(s.Ready.Servers, ReadyServer{Name: v.Name, Address: b.Address, FailureDomain: v.Domain})
+		s.Ready.Servers = append(s.Ready.Servers, ReadyServer{ID: v.ID, Service: v.Service, FailureDomain: v.Domain.Name, Address: address})
+		s.Register(i, psserver.Ready)
 	}
 	return nil
 }
 
-func (s *System) openVMs(ctx context.Context) error {
-	for _, v := range s.topology.VMs {
-		settings := &pssettings.Settings{
-			Name: v.Name, Region: v.Region, FailureDomain: v.Domain,
-			Platform: s.Platforms[v.Region].Address, TokenFile: s.Ready.OperatorTokenFile,
-		}
-		l, err := listenAnywhere(ctx, settings)
-		if err != nil {
-			return err
-		}
-		l.Peer = s.Peers.wrap(v.Name, l.Peer)
-		s.nodes = append(s.nodes, node{settings: settings, listeners: l})
-		s.Ready.Callers = append(s.Ready.Callers, settings.Callers)
-		s.Ready.Operators = append(s.Ready.Operators, settings.Operator)
+// Register writes the entry of the server of a position, as the server does.
+func (s *System) Register(server int, state psserver.State) {
+	s.mutex.Lock()
+	s.sequence++
+	sequence := s.sequence
+	s.mutex.Unlock()
+	v := s.topology.Servers[server]
+	s.Store.Register(psserver.Entry{
+		ID: v.ID, Incarnation: time.UnixMilli(1), Service: v.Service, Address: s.Servers[server].Address,
+		FailureDomain: v.Domain.Name, Slots: v.Behaviour.Slots, State: state, Sequence: sequence,
+	})
+}
+
+// configure writes the first configuration, with a key for each workspace.
+func (s *System) configure(context.Context) error {
+	s.configuration = s.topology.Configuration
+	for _, w := range s.configuration.Workspaces {
+		key := "key-of-" + w.Name
+		s.keys[w.Name] = []string{key}
+		s.Ready.Workspaces = append(s.Ready.Workspaces, ReadyWorkspace{Name: w.Name, Key: key, Rate: w.Rate, Burst: w.Burst})
+	}
+	if len(s.configuration.Routes) > 0 {
+		s.Ready.Host = s.configuration.Routes[0].Host
 	}
+	s.Configure(func(*psconfig.Configuration) {})
 	return nil
 }
 
-// maxListens bounds the tries to find free ports.
-const maxListens = 100
+// Configure writes the next version of the configuration.
+func (s *System) Configure(change func(c *psconfig.Configuration)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(&s.configuration)
+	s.configuration.Version++
+	s.Store.Configure(&s.configuration, s.keys)
+}
 
-// startServer starts a backend server stand-in on a free port.
-func startServer(ctx context.Context, name psdoc.Name) (b *psbackend.Server, clean func(), err error) {
-	for range maxListens {
-		address, failed := own.take()
-		if failed != nil {
-			return nil, nil, failed
-		}
-		if b, clean, err = psbackend.New(ctx, name, address); err == nil {
-			return b, clean, nil
-		}
-	}
-	return nil, nil, err
+// Withdraw takes the key of a workspace away.
+func (s *System) Withdraw(workspace string) {
+	s.mutex.Lock()
+	s.keys[workspace] = nil
+	s.mutex.Unlock()
+	s.Configure(func(*psconfig.Configuration) {})
 }
 
-// listenAnywhere opens the sockets of a VM on free ports and enters them into its settings.
-func listenAnywhere(ctx context.Context, s *pssettings.Settings) (psvm.Listeners, error) {
-	var l psvm.Listeners
-	var err error
-	for range maxListens {
-		for _, address := range []*netip.AddrPort{&s.Callers, &s.Peer, &s.Operator} {
-			if *address, err = own.take(); err != nil {
-				return psvm.Listeners{}, err
-			}
+func (s *System) startVMs(context.Context) error {
+	for _, v := range s.topology.VMs {
+		at, err := own.takeVM()
+		if err != nil {
+			return err
 		}
-		if l, err = psvm.Listen(ctx, s); err == nil {
-			return l, nil
+		n := &vm{name: v.Name, address: at, settings: filepath.Join(s.directory, v.Name+".yaml")}
+		text := psstandin.Settings(psstandin.VM{
+			Name: v.Name, FailureDomain: v.Domain.Name, Region: v.Domain.Region, Regions: s.topology.regions(), Address: at,
+			Store: s.Doors[v.Domain.Region].Address, Grace: s.topology.Grace,
+		})
+		if err := os.WriteFile(n.settings, text, 0o600); err != nil {
+			return errors.Wrap(err, "write the settings of a VM")
 		}
+		s.vms = append(s.vms, n)
+		s.Ready.VMs = append(s.Ready.VMs, ReadyVM{
+			Name: v.Name, FailureDomain: v.Domain.Name, Region: v.Domain.Region,
+			Callers: n.at(psstandin.CallerPort), Directory: n.at(psstandin.DirectoryPort),
+			Operators: n.at(psstandin.OperatorPort), Ready: n.at(psstandin.ReadyPort),
+		})
+		s.Start(len(s.vms) - 1)
 	}
-	return psvm.Listeners{}, err
-}
-
-// apply makes the example configuration the first version.
-func (s *System) apply(ctx context.Context) error {
-	for _, w := range s.topology.Workspaces {
-		k := pskey.New()
-		s.Ready.Workspaces = append(s.Ready.Workspaces, ReadyWorkspace{Name: w.Name, Key: k.String(), KeyID: k.ID, Rate: w.Rate, Burst: w.Burst})
-	}
-	documents, err := s.documents()
-	if err != nil {
-		return err
-	}
-	return s.Apply(ctx, "dev", documents)
+	return nil
 }
 
-func (s *System) startVMs(ctx context.Context) error {
-	authority, err := pstls.NewAuthority()
-	if err != nil {
-		return err
-	}
-	s.authority = authority
-	s.VMs = make([]*psvm.VM, len(s.nodes))
-	s.stops = make([]func(), len(s.nodes))
-	s.kills = make([]func(), len(s.nodes))
-	for i := range s.nodes {
-		s.stops[i], s.kills[i] = func() {}, func() {}
-	}
-	for i := range s.nodes {
-		if err := s.startVM(ctx, i); err != nil {
+// await waits until every VM is ready and knows the others.
+func (s *System) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for i := range s.vms {
+		if err := s.Await(ctx, i); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// startVM starts a process of the VM of a position on its open sockets.
-func (s *System) startVM(ctx context.Context, vm int) error {
-	n := s.nodes[vm]
-	identity, err := s.authority.Issue(n.settings.Name)
-	if err != nil {
-		return err
-	}
-	v, stop, err := psvm.New(ctx, psvm.Options{
-		PeerIdentity: pstls.Fixed{Value: identity},
-		Settings:     n.settings, Listeners: n.listeners, Logger: s.logger.Named(string(n.settings.Name)),
-		StopTimeout: stopTimeout, LeaveWait: s.topology.LeaveWait, Adjust: s.topology.Adjust,
-	})
-	if err != nil {
-		return err
+// Await waits until the VM of a position is ready.
+func (s *System) Await(ctx context.Context, vm int) error {
+	for !isReady(ctx, s.Ready.VMs[vm].Ready) {
+		select {
+		case err := <-s.vms[vm].failures():
+			return errors.Wrapf(err, "VM %s", s.Ready.VMs[vm].Name)
+		default:
+		}
+		if !pswait.Sleep(ctx, readyPoll) {
+			return errors.Errorf("VM %s does not become ready", s.Ready.VMs[vm].Name)
+		}
 	}
-	var once sync.Once
-	s.VMs[vm] = v
-	s.stops[vm] = func() { once.Do(stop) }
-	s.kills[vm] = func() { once.Do(v.Kill) }
 	return nil
 }
 
-// Start starts a new process of a VM that was stopped or killed, at the same addresses.
-func (s *System) Start(ctx context.Context, vm int) error {
-	n := &s.nodes[vm]
-	l, err := psvm.Listen(ctx, n.settings)
+// isReady asks a VM whether it takes callers.
+func isReady(ctx context.Context, at netip.AddrPort) bool {
+	ctx, stop := context.WithTimeout(ctx, readyCallTimeout)
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", at, platform.PathReady), nil)
 	if err != nil {
-		return err
+		return false
 	}
-	l.Peer = s.Peers.wrap(n.settings.Name, l.Peer)
-	n.listeners = l
-	return s.startVM(ctx, vm)
-}
-
-// await waits until every VM has the configuration in force and uses its share of the budgets.
-func (s *System) await(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for _, v := range s.VMs {
-		for !v.Ready() || !v.Whole() {
-			select {
-			case <-ctx.Done():
-				return errors.New("the VMs did not become ready")
-			case <-time.After(readyPoll):
-			}
-		}
+	r.Close = true
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return false
 	}
-	return nil
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
 }
 
 // WriteReady writes the ready file as a whole.
--- a/internal/process/psdev/links.go
+++ b/internal/process/psdev/links.go
@@ -1,116 +1,80 @@
 package psdev
 
 import (
+	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 
-	"persimmonstep/internal/version/psdoc"
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/connection/psreport"
+	"persimmonstep/internal/process/pssteer"
 )
 
-// Links can cut the links that lead to VMs, and counts the bytes on them.
+// Links are the ways between VMs. They can be cut, and count what is sent.
 type Links struct {
 	bytes atomic.Int64
-	mutex sync.Mutex
-	cut   map[psdoc.Name]bool
-	open  map[*linkConn]struct{}
-}
 
-func newLinks() *Links {
-	return &Links{cut: make(map[psdoc.Name]bool), open: make(map[*linkConn]struct{})}
+	mutex sync.Mutex
+	// sides names the side of a cut that a VM is on. VMs of the same side reach each other.
+	sides map[netip.Addr]string
 }
 
-// Cut closes the links that lead to the VM and refuses new ones until [Links.Mend].
-func (l *Links) Cut(vm psdoc.Name) {
+// Cut puts a VM on a side. VMs that are on no side reach each other.
+func (l *Links) Cut(vm netip.Addr, side string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.cut[vm] = true
-	for c := range l.open {
-		if c.to == vm {
-			_ = c.Conn.Close()
-		}
+	if l.sides == nil {
+		l.sides = make(map[netip.Addr]string)
 	}
+	l.sides[vm] = side
 }
 
-// Mend admits links to the VM again.
-func (l *Links) Mend(vm psdoc.Name) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	delete(l.cut, vm)
-}
-
-// Bytes returns the number of bytes that passed between VMs, in both directions.
-func (l *Links) Bytes() int64 {
-	return l.bytes.Load()
-}
-
-// wrap puts the links that a listener of the VM accepts under control.
-func (l *Links) wrap(vm psdoc.Name, inner net.Listener) net.Listener {
-	return &linkListener{Listener: inner, links: l, vm: vm}
-}
-
-// enter registers a connection and reports whether its link is open.
-func (l *Links) enter(c *linkConn) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.cut[c.to] {
-		return false
-	}
-	l.open[c] = struct{}{}
-	return true
-}
+// Bytes returns the number of bytes of all reports that VMs sent.
+func (l *Links) Bytes() int64 { return l.bytes.Load() }
 
-func (l *Links) leave(c *linkConn) {
+func (l *Links) isCut(a, b netip.Addr) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	delete(l.open, c)
-}
-
-// linkListener accepts the links that lead to one VM.
-type linkListener struct {
-	net.Listener
-	links *Links
-	vm    psdoc.Name
+	return l.sides[a] != l.sides[b]
 }
 
-// Accept returns the next connection over an open link.
-func (l *linkListener) Accept() (net.Conn, error) {
-	for {
-		inner, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &linkConn{Conn: inner, links: l.links, to: l.vm}
-		if l.links.enter(c) {
-			return c, nil
-		}
-		_ = inner.Close()
+// network returns how a VM at an address reaches others.
+func (l *Links) network(at netip.Addr) pssteer.Network {
+	return pssteer.Network{
+		Source: at,
+		Listen: func(ctx context.Context, address netip.AddrPort) (psreport.Socket, error) {
+			s, err := psreport.Listen(ctx, address)
+			return &socket{Socket: s, links: l, from: at}, err
+		},
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			to, err := netip.ParseAddrPort(address)
+			if err != nil {
+				return nil, errors.Wrap(err, "connect to a VM")
+			}
+			if l.isCut(at, to.Addr()) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
 	}
 }
 
-// linkConn is one accepted connection.
-type linkConn struct {
-	net.Conn
+// socket loses what is sent over a cut link.
+type socket struct {
+	psreport.Socket
 	links *Links
-	to    psdoc.Name
-}
-
-// Read counts what it reads.
-func (c *linkConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.links.bytes.Add(int64(n))
-	return n, err
+	from  netip.Addr
 }
 
-// Write counts what it writes.
-func (c *linkConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.links.bytes.Add(int64(n))
-	return n, err
-}
-
-// Close closes the connection and forgets it.
-func (c *linkConn) Close() error {
-	c.links.leave(c)
-	return c.Conn.Close()
+// WriteToUDPAddrPort sends a datagram, unless its link is cut.
+func (s *socket) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	if s.links.isCut(s.from, to.Addr()) {
+		return len(b), nil
+	}
+	s.links.bytes.Add(int64(len(b)))
+	return s.Socket.WriteToUDPAddrPort(b, to)
 }
--- a/internal/process/psdev/port.go
+++ b/internal/process/psdev/port.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// firstPort is the first port for VMs and backend servers. All lie below those that the
-	// system gives to outgoing connections, so that one that restarts finds its own free.
+	// firstPort is the first port for backend servers. All lie below those that the system
+	// gives to outgoing connections, so that one that restarts finds its own free.
 	firstPort = 20000
 	// blockPorts is the number of ports of a process, and blocks the number of processes that
 	// may run at the same time.
@@ -19,40 +19,64 @@
 	blocks     = 24
 	// firstLock is the first of the ports whose datagram sockets mark a block as taken.
 	firstLock = 19900
+	// firstNetwork is the second byte of the first block's loopback addresses for VMs.
+	firstNetwork = 64
+	// networkVMs bounds the VMs that have the third byte of their addresses in common.
+	networkVMs = 250
 )
 
-// ports hands out the ports of one process. No other process gets them, and none is handed out
-// again before all others were, so that a stopped VM finds its own free.
+// loopback is an address whose port the system chooses.
+func loopback() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+}
+
+// ports hands out the addresses of one process. No other process gets them, and none is handed
+// out again before all others were, so that a stopped VM or server finds its own free.
 type ports struct {
 	mutex sync.Mutex
 	// lock is held until the process ends; nil before a block was taken.
 	lock  net.PacketConn
-	first int
+	block int
 	next  int
+	vms   int
 }
 
-// own are the ports of this process.
+// own are the addresses of this process.
 var own ports
 
-// take returns the next address.
+// take returns the next address for a backend server.
 func (p *ports) take() (netip.AddrPort, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.lock == nil {
-		if err := p.takeBlock(); err != nil {
-			return netip.AddrPort{}, err
-		}
+	if err := p.lockBlock(); err != nil {
+		return netip.AddrPort{}, err
 	}
-	port := p.first + p.next%blockPorts
+	port := firstPort + p.block*blockPorts + p.next%blockPorts
 	p.next++
 	return netip.AddrPortFrom(loopback().Addr(), uint16(port)), nil
 }
 
-func (p *ports) takeBlock() error {
+// takeVM returns the next address for a VM, all of whose ports are free.
+func (p *ports) takeVM() (netip.Addr, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if err := p.lockBlock(); err != nil {
+		return netip.Addr{}, err
+	}
+	n := p.vms
+	p.vms++
+	return netip.AddrFrom4([4]byte{127, byte(firstNetwork + p.block), byte(n / networkVMs), byte(1 + n%networkVMs)}), nil
+}
+
+// lockBlock takes a block, unless there is one. The mutex is held.
+func (p *ports) lockBlock() error {
+	if p.lock != nil {
+		return nil
+	}
 	for i := range blocks {
 		c, err := net.ListenPacket("udp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(firstLock+i)))
 		if err == nil {
-			p.lock, p.first = c, firstPort+i*blockPorts
+			p.lock, p.block = c, i
 			return nil
 		}
 	}
--- a/internal/process/psevent/event.go
+++ b/internal/process/psevent/event.go
@@ -9,8 +9,6 @@
 	"slices"
 
 	"github.com/hashicorp/go-hclog"
-
-	"persimmonstep/internal/version/psdoc"
 )
 
 // Number identifies an event.
@@ -36,10 +34,6 @@
 	args := make([]any, 0, 2+2*len(values))
 	args = append(args, "event", int(e.Number))
 	for i, v := range values {
-		if n, found := v.(psdoc.Name); found {
-			// The logger formats strings without reflection.
-			v = string(n)
-		}
 		args = append(args, e.Fields[i], v)
 	}
 	l.Log(e.Level, e.Text, args...)
@@ -51,5 +45,5 @@
 
 // Catalogue lists all events by number.
 func Catalogue() []Event {
-	return slices.Concat(processEvents(), requestEvents(), budgetEvents(), slotEvents(), stateEvents(), healthEvents(), measureEvents(), steerEvents())
+	return slices.Concat(measureEvents(), steerEvents())
 }
--- a/internal/process/psload/caller.go
+++ b/internal/process/psload/caller.go
@@ -16,53 +16,67 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/internal/process/psdirectory"
-	"persimmonstep/internal/request/psgate"
-	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform"
+	"persimmonstep/platform/psstandin"
 )
 
 const (
-	// directoryKeep is how long a caller keeps a directory answer.
-	directoryKeep = 2 * time.Second
-	// maxTries bounds the VMs that a caller sends one request to.
+	// maxTries bounds the VMs or servers that a caller sends one request to.
 	maxTries = 3
-	// requestTimeout bounds one try.
-	requestTimeout = 8 * time.Second
 	// directoryTimeout bounds one question to the directory.
 	directoryTimeout = time.Second
 	dialTimeout      = 500 * time.Millisecond
-	idlePerVM        = 256
+	// answerSlack is how much longer than its deadline a caller waits for an answer.
+	answerSlack = time.Second
+	idlePerVM   = 256
 )
 
-// Target is an entry VM.
+// Target is a VM or a backend server.
 type Target struct {
-	Name    psdoc.Name
+	Name    string
 	Address netip.AddrPort
+	// Directory is where a VM answers which VMs to use.
+	Directory netip.AddrPort
 }
 
-// Choice is how callers find their VM: [AskDirectory] or [TakeRandom].
+// Choice is how callers find where to send a request: [AskDirectory], [TakeRandom] or [GoDirect].
 type Choice interface {
 	choice()
 }
 
-// AskDirectory asks the directory and keeps its answers.
+// AskDirectory asks the directory and keeps its answers for their time.
 type AskDirectory struct{}
 
 // TakeRandom takes any VM.
 type TakeRandom struct{}
 
+// GoDirect takes any backend server of the route's service, without a VM in between.
+type GoDirect struct {
+	// Servers are the backend servers by route.
+	Servers map[string][]Target
+}
+
 func (AskDirectory) choice() {}
 func (TakeRandom) choice()   {}
+func (GoDirect) choice()     {}
+
+// Place is where a caller stands.
+type Place struct {
+	Region        string
+	FailureDomain string
+}
 
 // Caller sends the requests of one failure domain.
 type Caller struct {
+	place   Place
 	targets []Target
 	choice  Choice
-	keys    map[psdoc.Name]string
+	keys    map[string]string
 	client  *http.Client
 
 	mutex sync.Mutex
-	known map[psdoc.Name]directions
+	known directions
 }
 
 // directions are a kept directory answer.
@@ -73,19 +87,18 @@
 
 // NewCaller returns the caller of a failure domain with its clean-up function. It sends
 // from the source address with the workspaces' keys.
-func NewCaller(source netip.Addr, targets []Target, choice Choice, keys map[psdoc.Name]string) (*Caller, func()) {
+func NewCaller(source netip.Addr, p Place, targets []Target, choice Choice, keys map[string]string) (*Caller, func()) {
 	d := &net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: source.AsSlice()}}
 	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: idlePerVM, DisableCompression: true}
-	c := &Caller{targets: targets, choice: choice, keys: keys, client: &http.Client{Transport: t}, known: make(map[psdoc.Name]directions)}
-	return c, t.CloseIdleConnections
+	return &Caller{place: p, targets: targets, choice: choice, keys: keys, client: &http.Client{Transport: t}}, t.CloseIdleConnections
 }
 
-// Send sends one request and its repeats, and records what came back. Times are since the
-// start.
+// Send sends one request, and again where it surely did not run, and records what came
+// back. Times are since the start.
 func (c *Caller) Send(ctx context.Context, a Arrival, start time.Time) Observation {
-	o := Observation{Arrival: a, Key: fmt.Sprintf("run-%d", a.Sequence), Sent: time.Since(start)}
-	for _, t := range c.choose(ctx, a.Stream.Workspace) {
-		o.Tries++
+	o := Observation{Arrival: a, Sent: time.Since(start)}
+	for _, t := range c.choose(ctx, a.Stream) {
+		o.IDs = append(o.IDs, fmt.Sprintf("run-%d-%d", a.Sequence, len(o.IDs)))
 		connected, err := c.try(ctx, t, &o)
 		if err == nil {
 			break
@@ -93,8 +106,8 @@
 		if connected {
 			o.Cuts = append(o.Cuts, t.Name)
 		}
-		c.forget(a.Stream.Workspace)
-		if o.Tries == maxTries {
+		c.forget()
+		if len(o.IDs) == maxTries || connected && !a.Stream.Kind.Repeatable() {
 			break
 		}
 	}
@@ -102,79 +115,90 @@
 	return o
 }
 
-// choose lists the VMs to try in order.
-func (c *Caller) choose(ctx context.Context, workspace psdoc.Name) []Target {
-	all := make([]Target, len(c.targets))
-	for i, n := range rand.Perm(len(c.targets)) {
-		all[i] = c.targets[n]
-	}
-	switch c.choice.(type) {
+// choose lists the targets to try in order.
+func (c *Caller) choose(ctx context.Context, s *Stream) []Target {
+	switch v := c.choice.(type) {
 	case TakeRandom:
-		return all
+		return shuffled(c.targets)
+	case GoDirect:
+		return shuffled(v.Servers[s.Route])
 	case AskDirectory:
-		if d, found := c.ask(ctx, workspace, all); found {
-			return append(d, all...)
-		}
-		return all
+		return append(c.ask(ctx, s), shuffled(c.targets)...)
 	}
 	panic("psload: unknown choice")
 }
 
-// ask returns the kept directory answer or gets one from the first VM that gives it.
-func (c *Caller) ask(ctx context.Context, workspace psdoc.Name, all []Target) ([]Target, bool) {
+func shuffled(list []Target) []Target {
+	out := make([]Target, len(list))
+	for i, n := range rand.Perm(len(list)) {
+		out[i] = list[n]
+	}
+	return out
+}
+
+// ask returns the kept directory answer in a new order, or gets one from a VM.
+func (c *Caller) ask(ctx context.Context, s *Stream) []Target {
 	c.mutex.Lock()
-	d, found := c.known[workspace]
+	d := c.known
 	c.mutex.Unlock()
-	if found && time.Now().Before(d.until) {
-		return d.targets[:len(d.targets):len(d.targets)], true
+	if time.Now().Before(d.until) {
+		return shuffled(d.targets)
 	}
-	for _, t := range all[:min(maxTries, len(all))] {
-		v, err := c.question(ctx, t, workspace)
+	for _, t := range shuffled(c.targets)[:min(maxTries, len(c.targets))] {
+		d, err := c.question(ctx, t, s)
 		if err != nil {
 			continue
 		}
 		c.mutex.Lock()
-		c.known[workspace] = directions{targets: v, until: time.Now().Add(directoryKeep)}
+		c.known = d
 		c.mutex.Unlock()
-		return v[:len(v):len(v)], true
+		return shuffled(d.targets)
 	}
-	return nil, false
+	return nil
 }
 
-func (c *Caller) forget(workspace psdoc.Name) {
+func (c *Caller) forget() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	delete(c.known, workspace)
+	c.known = directions{}
 }
 
-func (c *Caller) question(ctx context.Context, t Target, workspace psdoc.Name) ([]Target, error) {
+func (c *Caller) question(ctx context.Context, t Target, s *Stream) (directions, error) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s%s?workspace=%s", t.Address, psgate.DirectoryPath, workspace)
+	p := platform.Place{Host: s.Host, Region: c.place.Region, FailureDomain: c.place.FailureDomain}
+	url := "http://" + t.Directory.String() + psstandin.DirectoryQuestion(p)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "make a question to the directory")
+		return directions{}, errors.Wrap(err, "make a question to the directory")
 	}
 	answer, err := c.client.Do(r)
 	if err != nil {
-		return nil, errors.Wrap(err, "ask the directory")
+		return directions{}, errors.Wrap(err, "ask the directory")
 	}
 	defer answer.Body.Close() //nolint:errcheck // the body was read
-	var a psdirectory.Answer
-	if err := json.NewDecoder(answer.Body).Decode(&a); err != nil {
-		return nil, errors.Wrap(err, "decode a directory answer")
+	addresses, ttl, err := psstandin.ReadDirectory(answer.Body)
+	d := directions{until: time.Now().Add(ttl)}
+	for _, a := range addresses {
+		d.targets = append(d.targets, Target{Name: c.nameOf(a), Address: a})
 	}
-	var out []Target
-	for _, v := range a.VMs {
-		out = append(out, Target{Name: v.Name, Address: v.Address})
+	return d, err
+}
+
+// nameOf returns the name of the VM at an address.
+func (c *Caller) nameOf(a netip.AddrPort) string {
+	for _, t := range c.targets {
+		if t.Address == a {
+			return t.Name
+		}
 	}
-	return out, nil
+	return a.String()
 }
 
-// try sends the request to one VM. It reports whether a connection was there; its error
+// try sends the request to one target. It reports whether a connection was there; its error
 // says that no whole answer came.
 func (c *Caller) try(ctx context.Context, t Target, o *Observation) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, o.Stream.Deadline+answerSlack)
 	defer cancel()
 	r, err := c.request(ctx, t, o)
 	if err != nil {
@@ -197,7 +221,7 @@
 func (c *Caller) request(ctx context.Context, t Target, o *Observation) (*http.Request, error) {
 	s := o.Stream
 	method := http.MethodGet
-	if s.Kind != psdoc.KindLookup {
+	if s.Kind != psconfig.Idempotent {
 		method = http.MethodPost
 	}
 	url := "http://" + t.Address.String() + path(o)
@@ -207,28 +231,33 @@
 	}
 	// A body that cannot be rewound keeps the client from repeating the request by itself.
 	r.GetBody = nil
-	r.Header.Set("Authorization", "Bearer "+c.keys[s.Workspace])
-	r.Header.Set("Idempotency-Key", o.Key)
+	r.Host = s.Host
+	id, object := o.IDs[len(o.IDs)-1], fmt.Sprint(o.Object)
+	if _, found := c.choice.(GoDirect); found {
+		psstandin.Direct(r.Header, psstandin.Arrival{ID: id, Server: t.Name, Workspace: s.Workspace, Object: object})
+	} else {
+		psstandin.WriteCall(r.Header, platform.Call{ID: id, Object: object, Left: s.Deadline, Key: c.keys[s.Workspace]})
+	}
 	if s.Marker != "" {
 		r.Header.Set(psbackend.HeaderMarker, s.Marker)
 	}
 	return r, nil
 }
 
-// path is different for each request, so that a crossed answer shows.
+// path is different for each request, so that a crossed answer shows. Marked requests are
+// the same one again and again.
 func path(o *Observation) string {
+	if o.Stream.Marker != "" {
+		return o.Stream.Prefix + o.Stream.Marker
+	}
 	return fmt.Sprintf("%s%d", o.Stream.Prefix, o.Sequence)
 }
 
 // judge records an answer.
 func (c *Caller) judge(o *Observation, answer *http.Response, body []byte) {
-	o.Status, o.Ran = answer.StatusCode, answer.Header.Get("Persimmonstep-Ran")
+	o.Status = answer.StatusCode
 	if !o.Served() {
-		var p struct {
-			Code string `json:"code"`
-		}
-		_ = json.Unmarshal(body, &p)
-		o.Code = p.Code
+		o.NotRun = o.Status == http.StatusTooManyRequests || o.Status == http.StatusServiceUnavailable
 		return
 	}
 	var e psbackend.Echo
@@ -237,15 +266,14 @@
 		return
 	}
 	o.Server = e.Server
-	o.Foreign = e.Path != path(o) || e.Workspace != string(o.Stream.Workspace) || e.BodyBytes != int64(o.Stream.BodyBytes)
+	o.Foreign = e.Path != path(o) || e.Workspace != o.Stream.Workspace || e.BodyBytes != int64(o.Stream.BodyBytes)
 	o.KeySeen = c.holdsKey(body)
 }
 
 // holdsKey reports whether the echo of what a backend server received holds any key.
 func (c *Caller) holdsKey(body []byte) bool {
 	for _, k := range c.keys {
-		_, secret, _ := bytes.Cut([]byte(k), []byte("."))
-		if bytes.Contains(body, secret) {
+		if bytes.Contains(body, []byte(k)) {
 			return true
 		}
 	}
--- a/internal/process/psload/observation.go
+++ b/internal/process/psload/observation.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"persimmonstep/internal/version/psdoc"
 )
 
 // Observation is what a caller saw of one request.
@@ -11,20 +9,16 @@
 	Arrival
 	// Sent is when the first try was sent, and Done when the last one ended, since the start.
 	Sent, Done time.Duration
-	// Key is the Idempotency-Key.
-	Key string
+	// IDs are the request ids of the tries.
+	IDs []string
 	// Status is the answer's status; 0 where no try was answered.
 	Status int
-	// Ran is what a refusal says of the run: "no", "unknown" or nothing.
-	Ran string
-	// Code is the refusal's code.
-	Code string
+	// NotRun says that the last try was rejected without being run.
+	NotRun bool
 	// Server is the backend server that ran the request.
-	Server psdoc.Name
-	// Tries counts the VMs that the request was sent to.
-	Tries int
+	Server string
 	// Cuts lists the VMs that ended a try without an answer after it was sent.
-	Cuts []psdoc.Name
+	Cuts []string
 	// Foreign says that the answer belongs to another request or is not whole.
 	Foreign bool
 	// KeySeen says that the backend server received a workspace's key.
--- a/internal/process/psload/schedule.go
+++ b/internal/process/psload/schedule.go
@@ -11,18 +11,23 @@
 	"slices"
 	"time"
 
-	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/internal/version/psconfig"
 )
 
 // Stream is a kind of request that one workspace sends.
 type Stream struct {
 	// Workspace is the sending workspace.
-	Workspace psdoc.Name
-	// Route is the route's name and Prefix its path prefix.
-	Route  psdoc.Name
+	Workspace string
+	// Route is the route's name, and Host and Prefix lead to it.
+	Route  string
+	Host   string
 	Prefix string
 	// Kind is the route's kind.
-	Kind psdoc.RouteKind
+	Kind psconfig.Kind
+	// Objects is the number of different objects that the requests are about; 0 for none.
+	Objects int
+	// Deadline is how long a caller waits for an answer.
+	Deadline time.Duration
 	// Rate is the mean number of requests per second.
 	Rate float64
 	// From and To bound the time of sending; a zero To stands for the whole run.
@@ -48,6 +53,8 @@
 	Stream *Stream
 	// Domain is the index of the caller's failure domain.
 	Domain int
+	// Object is what the request is about, from 0.
+	Object int
 }
 
 // Draw draws the arrivals of streams over a run in order of time. Each stream is a Poisson
@@ -62,7 +69,7 @@
 			end = span
 		}
 		for at := s.From + gap(r, s.Rate); at < end; at += gap(r, s.Rate) {
-			out = append(out, Arrival{At: at, Stream: s, Domain: drawDomain(r, s.Home, domains)})
+			out = append(out, Arrival{At: at, Stream: s, Domain: drawDomain(r, s.Home, domains), Object: r.IntN(max(1, s.Objects))})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
--- a/internal/process/psmeasure/report.go
+++ b/internal/process/psmeasure/report.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"html/template"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -25,11 +27,11 @@
 		}
 	}
 	_, _ = fmt.Fprintln(t)
-	_, _ = fmt.Fprintln(t, "firm\tscenario\tpolicy\tworst served\tworkspace\tin-rate refused\tentitled\tshifted\tdrain ms\tstop ms\tpeer B/s/VM\treads/s\tcommits/s\tbroken promises")
+	_, _ = fmt.Fprintln(t, "firm\tscenario\tpolicy\tworst served\tworkspace\tin-rate refused\tentitled\tshifted\tdrain ms\tstop ms\tpeer B/s/VM\treads/s\twrites/s\tbroken promises")
 	for _, r := range results {
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.1f%%\t%s\t%d\t%d\t%.1f%%\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%s\n", r.Firm, r.Scenario, r.Policy,
 			100*r.WorstServed, r.WorstWorkspace, r.InRateRefused, r.Entitled, 100*r.Shifted, r.DrainMilliseconds, r.StopMilliseconds,
-			r.PeerBytesPerSecond, r.ReadsPerSecond, r.CommitsPerSecond, brokenText(r))
+			r.PeerBytesPerSecond, r.ReadsPerSecond, r.WritesPerSecond, brokenText(r))
 	}
 	for _, r := range results {
 		for _, n := range r.Notes {
@@ -60,6 +62,35 @@
 	firstPart = 1.0
 )
 
+// reportPage is the page of a report.
+var reportPage = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>persimmonstep measure</title>
+<style>body{font-family:sans-serif;margin:2em}table{border-collapse:collapse}td,th{border:1px solid #bbb;padding:.2em .6em;text-align:right}th{background:#eee}.bad{background:#fbb}</style>
+</head><body><h1>Measured runs</h1>
+<table><tr><th>firm</th><th>scenario</th><th>policy</th><th>route</th><th>sent</th><th>served</th><th>429</th><th>503</th><th>other</th><th>unanswered</th><th>p50 ms</th><th>p99 ms</th><th>p99.9 ms</th></tr>
+{{range $r := .Results}}{{range .Routes}}<tr><td>{{$r.Firm}}</td><td>{{$r.Scenario}}</td><td>{{$r.Policy}}</td><td>{{.Route}}</td><td>{{.Sent}}</td><td>{{.Served}}</td><td>{{.OverRate}}</td><td>{{.NoCapacity}}</td><td>{{.Other}}</td><td>{{.Unanswered}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .P999}}</td></tr>
+{{end}}{{end}}</table>
+<h2>Promises and costs</h2>
+<table><tr><th>firm</th><th>scenario</th><th>policy</th><th>worst served</th><th>in-rate refused</th><th>entitled</th><th>peer B/s/VM</th><th>reads/s</th><th>broken promises</th></tr>
+{{range .Results}}<tr><td>{{.Firm}}</td><td>{{.Scenario}}</td><td>{{.Policy}}</td><td>{{printf "%.3f" .WorstServed}} {{.WorstWorkspace}}</td><td>{{.InRateRefused}}</td><td>{{.Entitled}}</td><td>{{printf "%.0f" .PeerBytesPerSecond}}</td><td>{{printf "%.1f" .ReadsPerSecond}}</td><td{{if .Broken.Total}} class="bad"{{end}}>{{.Broken.Total}}</td></tr>
+{{end}}</table>
+<h2>Latency</h2>{{.Plot}}</body></html>
+`))
+
+// HTML writes results and their plot as one page.
+func HTML(w io.Writer, results []*Result) error {
+	var plotted strings.Builder
+	if err := Plot(&plotted, results); err != nil {
+		return err
+	}
+	// The plot is drawn here; what precedes its element belongs to a file of its own.
+	_, svg, _ := strings.Cut(plotted.String(), "<svg")
+	return errors.Wrap(reportPage.Execute(w, struct {
+		Results []*Result
+		Plot    template.HTML
+	}{results, template.HTML("<svg" + svg)}), "write the report")
+}
+
 // Plot writes the latency distributions of the results' first routes as SVG.
 func Plot(w io.Writer, results []*Result) error {
 	p := plot.New()
--- a/internal/process/psmeasure/result.go
+++ b/internal/process/psmeasure/result.go
@@ -9,21 +9,20 @@
 
 	"persimmonstep/internal/process/psload"
 	"persimmonstep/internal/process/pspromise"
-	"persimmonstep/internal/version/psdoc"
 )
 
 // Result is what one run measured.
 type Result struct {
-	Scenario psdoc.Name `json:"scenario"`
-	Firm     psdoc.Name `json:"firm"`
-	Policy   string     `json:"policy"`
-	Seed     uint64     `json:"seed"`
+	Scenario string `json:"scenario"`
+	Firm     string `json:"firm"`
+	Policy   string `json:"policy"`
+	Seed     uint64 `json:"seed"`
 	// Routes holds what each kind of request got.
 	Routes []RouteResult `json:"routes"`
 	// WorstServed is the least served workspace's part of what it was entitled to.
 	WorstServed float64 `json:"worstServed"`
 	// WorstWorkspace names it.
-	WorstWorkspace psdoc.Name `json:"worstWorkspace"`
+	WorstWorkspace string `json:"worstWorkspace"`
 	// InRateRefused counts refusals of requests inside their workspace's rate and burst.
 	InRateRefused int `json:"inRateRefused"`
 	// Entitled counts the requests inside their workspace's rate and burst.
@@ -36,9 +35,9 @@
 	Shifted float64 `json:"shifted"`
 	// PeerBytesPerSecond is what each VM exchanged with others on average.
 	PeerBytesPerSecond float64 `json:"peerBytesPerSecond"`
-	// ReadsPerSecond and CommitsPerSecond are the calls of all VMs to the table.
-	ReadsPerSecond   float64 `json:"readsPerSecond"`
-	CommitsPerSecond float64 `json:"commitsPerSecond"`
+	// ReadsPerSecond and WritesPerSecond are the calls of all VMs to the store.
+	ReadsPerSecond  float64 `json:"readsPerSecond"`
+	WritesPerSecond float64 `json:"writesPerSecond"`
 	// Unsent counts arrivals that the load generator could not send.
 	Unsent int `json:"unsent"`
 	// Broken counts broken promises.
@@ -46,14 +45,14 @@
 	// Notes says what went wrong with the experiment itself.
 	Notes []string `json:"notes,omitempty"`
 
-	histograms map[psdoc.Name]*hdrhistogram.Histogram
+	histograms map[string]*hdrhistogram.Histogram
 }
 
 // RouteResult is what one kind of request got.
 type RouteResult struct {
-	Route psdoc.Name      `json:"route"`
-	Kind  psdoc.RouteKind `json:"kind"`
-	Sent  int             `json:"sent"`
+	Route string `json:"route"`
+	Kind  string `json:"kind"`
+	Sent  int    `json:"sent"`
 	// Served counts answers of backend servers.
 	Served int `json:"served"`
 	// OverRate counts refusals with 429, and NoCapacity those with 503.
@@ -85,7 +84,7 @@
 	r := &Result{
 		Scenario: e.scenario.Name, Firm: e.firm.Name, Policy: e.policy.Name, Seed: e.scenario.Seed,
 		StopMilliseconds: milliseconds(e.stopTime), Broken: pspromise.Check(v), Notes: e.notes,
-		histograms: make(map[psdoc.Name]*hdrhistogram.Histogram),
+		histograms: make(map[string]*hdrhistogram.Histogram),
 	}
 	for _, p := range e.firm.Pools {
 		r.Routes = append(r.Routes, r.route(p, v.Observations, use))
@@ -115,7 +114,7 @@
 
 func (r *Result) route(p Pool, observations []psload.Observation, use *usage) RouteResult {
 	h := hdrhistogram.New(1, longestLatency.Microseconds(), histogramFigures)
-	out := RouteResult{Route: p.Name, Kind: p.Kind, PeakUse: use.peak(p.Name, noRefusal), UseBeforeRefusal: 1}
+	out := RouteResult{Route: p.Name, Kind: p.Kind.String(), PeakUse: use.peak(p.Name, noRefusal), UseBeforeRefusal: 1}
 	first := noRefusal
 	for i := range observations {
 		o := &observations[i]
--- a/internal/process/psmeasure/usage.go
+++ b/internal/process/psmeasure/usage.go
@@ -4,13 +4,13 @@
 	"context"
 	"time"
 
-	"persimmonstep/internal/version/psdoc"
+	"persimmonstep/platform/psstandin"
 )
 
 // usage follows the slots in use of each pool.
 type usage struct {
 	experiment *experiment
-	slots      map[psdoc.Name]int
+	slots      map[string]int
 	samples    []sample
 	// before and after count the work of control at the ends of the run.
 	before, after counters
@@ -18,34 +18,33 @@
 
 // counters count the work of control since the start of the system.
 type counters struct {
-	at             time.Time
-	bytes          int64
-	reads, commits uint64
+	at    time.Time
+	bytes int64
+	calls psstandin.Calls
 }
 
 func (e *experiment) counters() counters {
-	store := e.system.Platform.Store
-	return counters{at: time.Now(), bytes: e.system.Peers.Bytes(), reads: store.Reads(), commits: store.Commits()}
+	return counters{at: time.Now(), bytes: e.system.Links.Bytes(), calls: e.system.Store.Calls()}
 }
 
 // control works out what control cost in the run.
 func (u *usage) control(r *Result) {
 	span := u.after.at.Sub(u.before.at).Seconds()
 	r.PeerBytesPerSecond = float64(u.after.bytes-u.before.bytes) / span / float64(len(u.experiment.topology.VMs))
-	r.ReadsPerSecond = float64(u.after.reads-u.before.reads) / span
-	r.CommitsPerSecond = float64(u.after.commits-u.before.commits) / span
+	r.ReadsPerSecond = float64(u.after.calls.Reads-u.before.calls.Reads) / span
+	r.WritesPerSecond = float64(u.after.calls.Writes-u.before.calls.Writes) / span
 }
 
 // sample is the part of each pool's slots in use at one time.
 type sample struct {
 	at    time.Duration
-	pools map[psdoc.Name]float64
+	pools map[string]float64
 }
 
 func newUsage(e *experiment) *usage {
-	u := &usage{experiment: e, slots: make(map[psdoc.Name]int)}
+	u := &usage{experiment: e, slots: make(map[string]int)}
 	for _, v := range e.topology.Servers {
-		u.slots[v.Pool] += v.Slots
+		u.slots[v.Service] += v.Behaviour.Slots
 	}
 	return u
 }
@@ -66,15 +65,15 @@
 
 func (u *usage) take() sample {
 	e := u.experiment
-	out := sample{at: time.Since(e.start), pools: make(map[psdoc.Name]float64)}
+	out := sample{at: time.Since(e.start), pools: make(map[string]float64)}
 	for i, v := range e.topology.Servers {
-		out.pools[v.Pool] += float64(e.system.Servers[i].Stats().Running) / float64(u.slots[v.Pool])
+		out.pools[v.Service] += float64(e.system.Servers[i].Stats().Running) / float64(u.slots[v.Service])
 	}
 	return out
 }
 
 // peak is the greatest part of a pool's slots in use before a time.
-func (u *usage) peak(pool psdoc.Name, before time.Duration) float64 {
+func (u *usage) peak(pool string, before time.Duration) float64 {
 	out := 0.0
 	for _, s := range u.samples {
 		if s.at <= before {
--- a/internal/process/pspromise/check.go
+++ b/internal/process/pspromise/check.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"persimmonstep/internal/process/psload"
-	"persimmonstep/internal/version/psdoc"
 )
 
 // Grace is how long a withdrawal or a drain may take to be in force everywhere.
@@ -19,21 +18,20 @@
 
 // Workspace is the bound of a workspace.
 type Workspace struct {
-	Name psdoc.Name
+	Name string
 	// Rate is in requests per second.
 	Rate float64
 	// Burst is in requests.
 	Burst float64
+	// Over is the tolerated part above the rate, and Slack the requests tolerated on top.
+	Over, Slack float64
 }
 
 // Server is what a backend server saw.
 type Server struct {
-	Name   psdoc.Name
-	Region psdoc.Name
-	Slots  int
-	// HighWater is the greatest number of requests that ran at a time.
-	HighWater int
-	// Runs counts runs by Idempotency-Key.
+	ID     string
+	Region string
+	// Runs counts runs by request id.
 	Runs map[string]int
 	// DrainedAt is when the server's drain began; 0 where it was not drained.
 	DrainedAt time.Duration
@@ -43,33 +41,27 @@
 
 // Withdrawal is the withdrawal of a workspace's only key.
 type Withdrawal struct {
-	Workspace psdoc.Name
+	Workspace string
 	At        time.Duration
 }
 
 // Evidence is what is known of a run.
 type Evidence struct {
 	Workspaces []Workspace
-	// Fractions bounds the shifted part of each route.
-	Fractions map[psdoc.Name]float64
 	// Homes names the region of each caller's failure domain.
-	Homes        []psdoc.Name
+	Homes        []string
 	Servers      []Server
 	Observations []psload.Observation
 	Withdrawals  []Withdrawal
 	// Stopped names the VMs that were shut down gracefully.
-	Stopped []psdoc.Name
+	Stopped []string
 }
 
 // Broken counts broken promises.
 type Broken struct {
-	// ShiftBeyondCap counts shifted requests above their route's cap.
-	ShiftBeyondCap int `json:"shiftBeyondCap"`
 	// RateBeyondBound is the greatest number of runs above rate x window + burst.
 	RateBeyondBound int `json:"rateBeyondBound"`
-	// SlotsBeyondBound counts backend servers that ran more requests than they have slots.
-	SlotsBeyondBound int `json:"slotsBeyondBound"`
-	// RepeatedRuns counts exclusive requests that ran more than once.
+	// RepeatedRuns counts requests that ran more than once and may not.
 	RepeatedRuns int `json:"repeatedRuns"`
 	// FalseNotRun counts refusals that said "not run" of a request that ran.
 	FalseNotRun int `json:"falseNotRun"`
@@ -87,7 +79,7 @@
 
 // Total is the sum of all counts.
 func (b Broken) Total() int {
-	return b.ShiftBeyondCap + b.RateBeyondBound + b.SlotsBeyondBound + b.RepeatedRuns + b.FalseNotRun +
+	return b.RateBeyondBound + b.RepeatedRuns + b.FalseNotRun +
 		b.ForeignAnswers + b.KeysSeen + b.WithdrawnKeys + b.LateWork + b.CutByStop
 }
 
@@ -95,14 +87,12 @@
 func Check(e Evidence) Broken {
 	runs := e.runs()
 	return Broken{
-		ShiftBeyondCap:   e.shiftBeyondCap(),
-		RateBeyondBound:  e.rateBeyondBound(runs),
-		SlotsBeyondBound: count(e.Servers, func(s Server) bool { return s.HighWater > s.Slots }),
+		RateBeyondBound: e.rateBeyondBound(runs),
 		RepeatedRuns: count(e.Observations, func(o psload.Observation) bool {
-			return o.Stream.Kind == psdoc.KindExclusive && runs[o.Key] > 1
+			return !o.Stream.Kind.Repeatable() && runs.of(o) > 1
 		}),
 		FalseNotRun: count(e.Observations, func(o psload.Observation) bool {
-			return o.Ran == "no" && o.Tries == 1 && runs[o.Key] > 0
+			return o.NotRun && runs[o.IDs[len(o.IDs)-1]] > 0
 		}),
 		ForeignAnswers: count(e.Observations, func(o psload.Observation) bool { return o.Foreign }),
 		KeysSeen:       count(e.Observations, func(o psload.Observation) bool { return o.KeySeen }),
@@ -111,7 +101,7 @@
 			return s.DrainedAt > 0 && s.LastRun > s.DrainedAt+Grace
 		}),
 		CutByStop: count(e.Observations, func(o psload.Observation) bool {
-			return slices.ContainsFunc(o.Cuts, func(vm psdoc.Name) bool { return slices.Contains(e.Stopped, vm) })
+			return slices.ContainsFunc(o.Cuts, func(vm string) bool { return slices.Contains(e.Stopped, vm) })
 		}),
 	}
 }
@@ -126,9 +116,20 @@
 	return n
 }
 
-// runs counts the runs of each request over all servers.
-func (e Evidence) runs() map[string]int {
-	out := make(map[string]int)
+// runs counts the runs of each request id over all servers.
+type runs map[string]int
+
+// of counts the runs of a request.
+func (r runs) of(o psload.Observation) int {
+	n := 0
+	for _, id := range o.IDs {
+		n += r[id]
+	}
+	return n
+}
+
+func (e Evidence) runs() runs {
+	out := make(runs)
 	for _, s := range e.Servers {
 		for k, n := range s.Runs {
 			out[k] += n
@@ -139,34 +140,17 @@
 
 // Shifted reports whether a request was served outside its caller's home region.
 func (e Evidence) Shifted(o *psload.Observation) bool {
-	i := slices.IndexFunc(e.Servers, func(s Server) bool { return s.Name == o.Server })
+	i := slices.IndexFunc(e.Servers, func(s Server) bool { return s.ID == o.Server })
 	return i >= 0 && e.Servers[i].Region != e.Homes[o.Domain]
 }
 
-// shiftBeyondCap compares the shifted requests of each route with its cap over the run.
-func (e Evidence) shiftBeyondCap() int {
-	shifted, all := make(map[psdoc.Name]int), make(map[psdoc.Name]int)
-	for i := range e.Observations {
-		o := &e.Observations[i]
-		all[o.Stream.Route]++
-		if o.Served() && e.Shifted(o) {
-			shifted[o.Stream.Route]++
-		}
-	}
-	beyond := 0
-	for route, n := range shifted {
-		beyond += max(0, n-int(e.Fractions[route]*float64(all[route])))
-	}
-	return beyond
-}
-
 // rateBeyondBound returns the worst excess of any workspace.
-func (e Evidence) rateBeyondBound(runs map[string]int) int {
+func (e Evidence) rateBeyondBound(r runs) int {
 	worst := 0
 	for _, w := range e.Workspaces {
 		var admitted []psload.Observation
 		for _, o := range e.Observations {
-			if o.Stream.Workspace == w.Name && runs[o.Key] > 0 {
+			if o.Stream.Workspace == w.Name && r.of(o) > 0 {
 				admitted = append(admitted, o)
 			}
 		}
@@ -192,7 +176,7 @@
 				continue
 			}
 			n++
-			worst = max(worst, float64(n)-w.Rate*(o.Done-from).Seconds()-w.Burst)
+			worst = max(worst, float64(n)-w.Rate*(1+w.Over)*(o.Done-from).Seconds()-w.Burst-w.Slack)
 		}
 	}
 	return int(worst)
--- a/internal/process/psserver/memory.go
+++ b/internal/process/psserver/memory.go
@@ -1,6 +1,10 @@
 package psserver
 
-import "sync"
+import (
+	"maps"
+	"slices"
+	"sync"
+)
 
 // memorySize is the number of objects that a [Memory] holds.
 const memorySize = 64
@@ -49,9 +53,9 @@
 	return oldest
 }
 
-// Clear forgets all objects.
-func (m *Memory) Clear() {
+// Objects returns all remembered objects in ascending order.
+func (m *Memory) Objects() []uint64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	clear(m.used)
+	return slices.Sorted(maps.Keys(m.used))
 }
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -235,24 +235,25 @@
 
 // View is what a decision needs to know of a server at one moment.
 type View struct {
-	Entry Entry
+	Entry Entry `json:"entry"`
 	// Usable says that the server may get a request now.
-	Usable bool
+	Usable bool `json:"usable"`
 	// Cold says that each request needs a token.
-	Cold bool
+	Cold bool `json:"cold"`
 	// Load is the estimated number of requests at the server, and LoadAge the report's age.
-	Load    float64
-	LoadAge time.Duration
+	Load    float64       `json:"load"`
+	LoadAge time.Duration `json:"loadAge"`
 	// Slowness is the ratio of measured to expected time; 1 is as expected.
-	Slowness float64
+	Slowness float64 `json:"slowness"`
 	// Failures is the part of answers that failed.
-	Failures float64
+	Failures float64 `json:"failures"`
 	// HomeRecall and AwayRecall are how often the server still held an object that was sent there.
-	HomeRecall, AwayRecall float64
+	HomeRecall float64 `json:"homeRecall"`
+	AwayRecall float64 `json:"awayRecall"`
 	// Keeps is the part of its own objects that the server can hold.
-	Keeps float64
+	Keeps float64 `json:"keeps"`
 	// Silent is how long requests have been waiting with no answer at all.
-	Silent time.Duration
+	Silent time.Duration `json:"silent"`
 }
 
 // View returns the server as it looks now.
--- /dev/null
+++ b/internal/process/psstate/explain_test.go
@@ -0,0 +1,102 @@
+package psstate_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/psstate"
+	"persimmonstep/internal/request/psestimate"
+	"persimmonstep/internal/version/psconfig"
+)
+
+var begun = time.Unix(1000, 0)
+
+const second = time.Second
+
+// state is that of a VM with three servers of a service, of which the first one is busy, the
+// second one drains and the third one is in another region.
+func state(t *testing.T) psstate.State {
+	t.Helper()
+	c := psconfig.Configuration{
+		Version:  7,
+		Services: []psconfig.Service{{Name: "prices"}},
+		Routes: []psconfig.Route{{
+			Name: "boards", Host: "eggs.test", Prefix: "/boards/", Timeout: 2 * second, TargetLatency: second / 5,
+			MaxAttempts: 1, Backends: []psconfig.Backend{{Service: "prices", Weight: 1}},
+		}},
+		Workspaces: []psconfig.Workspace{
+			{Name: "trays", Keys: []psconfig.Digest{psconfig.DigestOf("k-1")}, Rate: 100, Burst: 10},
+			{Name: "southern", AllowedRegions: []string{"south"}},
+		},
+	}
+	servers := []*psserver.Server{
+		psserver.New(psserver.Entry{ID: "i-1", Service: "prices", FailureDomain: "north-a", Slots: 4}, "north", begun),
+		psserver.New(psserver.Entry{ID: "i-2", Service: "prices", FailureDomain: "north-a", Slots: 4, State: psserver.Draining}, "north", begun),
+		psserver.New(psserver.Entry{ID: "i-3", Service: "prices", FailureDomain: "south-a", Slots: 4}, "south", begun),
+	}
+	servers[0].Reported(4, 60, begun)
+	s := psstate.Of(psstate.Source{
+		Settings: &psnode.Settings{Name: "vm-1", FailureDomain: "north-a", Region: "north"},
+		Snapshot: &pscontrol.Snapshot{
+			Index: psconfig.NewIndex(&c), Servers: map[string][]*psserver.Server{"prices": servers},
+			ServersAt: begun, Parts: map[string]float64{"trays": 0.25}, EvenPart: 0.5, FleetSize: 2,
+		},
+		Estimates: &psestimate.Estimates{}, Ready: true,
+	}, begun)
+	// What is explained is a document.
+	data, err := json.Marshal(s)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(data), qt.Not(qt.Contains), string(psconfig.DigestOf("k-1")))
+	var read psstate.State
+	qt.Assert(t, json.Unmarshal(data, &read), qt.IsNil)
+	return read
+}
+
+func explain(t *testing.T, s psstate.State, workspace string) psstate.Explanation {
+	t.Helper()
+	e, err := psstate.Explain(s, psstate.Question{Host: "eggs.test", Path: "/boards/1", Object: "1", Workspace: workspace})
+	qt.Assert(t, err, qt.IsNil)
+	return e
+}
+
+func TestExplainNamesTheServerAndWhyNotTheOthers(t *testing.T) {
+	e := explain(t, state(t), "trays")
+	qt.Assert(t, e.Route, qt.Equals, "boards")
+	qt.Assert(t, *e.Rate, qt.Equals, psstate.Rate{PerSecond: 25, Burst: 2.5})
+	v := e.Services[0]
+	qt.Assert(t, v.Outcome, qt.Equals, psstate.OutcomeSent)
+	qt.Assert(t, v.Candidates[0].Server, qt.Equals, "i-3")
+	qt.Assert(t, v.Candidates[1].Server, qt.Equals, "i-1")
+	qt.Assert(t, v.Candidates[1].Load, qt.Equals, 64.0)
+	qt.Assert(t, v.Passed, qt.DeepEquals, map[string]string{"i-2": "draining or failed"})
+}
+
+func TestExplainTellsWhyARequestIsRejected(t *testing.T) {
+	s := state(t)
+	s.Evacuated = []string{"south-a"}
+	v := explain(t, s, "trays").Services[0]
+	qt.Assert(t, v.Outcome, qt.Equals, psstate.OutcomeRejected)
+	qt.Assert(t, v.Reason, qt.Equals, "overload")
+	qt.Assert(t, v.RetryAfter > 0, qt.IsTrue)
+	v = explain(t, s, "southern").Services[0]
+	qt.Assert(t, v.Reason, qt.Equals, "noServer")
+	qt.Assert(t, v.Passed["i-1"], qt.Equals, "region not allowed")
+	qt.Assert(t, v.Passed["i-3"], qt.Equals, "failure domain evacuated")
+}
+
+func TestExplainSaysWhatIsMissing(t *testing.T) {
+	s := state(t)
+	for _, q := range []psstate.Question{{Host: "carts.test", Path: "/boards/1"}, {Host: "eggs.test", Path: "/boards/1", Workspace: "nobody"}} {
+		_, err := psstate.Explain(s, q)
+		qt.Check(t, err, qt.IsNotNil)
+	}
+	s.Configuration = nil
+	_, err := psstate.Explain(s, psstate.Question{})
+	qt.Assert(t, err, qt.ErrorMatches, ".*no configuration")
+}
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -12,6 +12,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"persimmonstep/internal/connection/psbelief"
+	"persimmonstep/internal/process/psadmin"
+	"persimmonstep/internal/process/psstate"
 	"persimmonstep/platform"
 )
 
@@ -45,7 +47,7 @@
 	mux(v.settings.Ready).HandleFunc(platform.PathReady, v.serveReady)
 	mux(v.settings.Directory).HandleFunc(platform.PathDirectory, v.serveDirectory)
 	mux(peerAddress(v.settings)).HandleFunc(psbelief.Path, psbelief.Handler(v.control))
-	mux(metricsAddress(v.settings)).Handle("/metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	mux(operatorsAddress(v.settings)).Handle("/", psadmin.Handler(v.state, promhttp.HandlerFor(r, promhttp.HandlerOpts{})))
 	for a, m := range handlers {
 		if err := s.add(ctx, a, m); err != nil {
 			return nil, err
@@ -88,6 +90,21 @@
 	}
 }
 
+// close ends all requests and connections.
+func (s *servers) close() {
+	for _, v := range s.list {
+		_ = v.Close()
+	}
+}
+
+// state returns what the VM believes now.
+func (v *vm) state() psstate.State {
+	return psstate.Of(psstate.Source{
+		Settings: v.settings, Snapshot: v.control.Snapshot(), Estimates: v.gate.Estimates(),
+		Ready: v.control.Ready(), InFlight: v.gate.InFlight(),
+	}, time.Now())
+}
+
 // serveReady says whether the VM takes callers.
 func (v *vm) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !v.control.Ready() {
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -46,6 +46,20 @@
 	Output io.Writer
 	// Reload tells that the settings file has changed.
 	Reload <-chan os.Signal
+	// Kill ends the VM at once when it is closed, as a crash would.
+	Kill <-chan struct{}
+	// Network is how the VM reaches others; the zero value is the machine's own network.
+	Network Network
+}
+
+// Network is how a VM reaches others. Emulators put networks with faults in its place.
+type Network struct {
+	// Source is the address that connections to backend servers come from, if it is valid.
+	Source netip.Addr
+	// Listen opens the socket for reports of other VMs, unless it is nil.
+	Listen func(ctx context.Context, at netip.AddrPort) (psreport.Socket, error)
+	// Dial connects to another VM, unless it is nil.
+	Dial psbelief.Dial
 }
 
 // Run serves until the context ends, and then leaves gracefully.
@@ -56,7 +70,7 @@
 	}
 	w, clean := pslog.New(o.Output)
 	defer clean()
-	v, err := newVM(ctx, settings, hclog.New(&hclog.LoggerOptions{Name: "persimmonstep", Output: w, JSONFormat: true, Level: hclog.Info}))
+	v, err := newVM(ctx, settings, o.Network, hclog.New(&hclog.LoggerOptions{Name: "persimmonstep", Output: w, JSONFormat: true, Level: hclog.Info}))
 	if err != nil {
 		return err
 	}
@@ -83,10 +97,11 @@
 }
 
 // newVM builds the parts of a VM and opens its listeners.
-func newVM(ctx context.Context, s *psnode.Settings, l hclog.Logger) (*vm, error) {
+func newVM(ctx context.Context, s *psnode.Settings, n Network, l hclog.Logger) (*vm, error) {
 	v := &vm{settings: s, logger: l}
 	i := do.New()
 	do.ProvideValue(i, s)
+	do.ProvideValue(i, n)
 	do.ProvideValue(i, l)
 	do.ProvideValue(i, prometheus.NewRegistry())
 	provide(ctx, i, v)
@@ -109,14 +124,21 @@
 func provide(ctx context.Context, i do.Injector, v *vm) {
 	do.Provide(i, func(i do.Injector) (*psreport.Link, error) {
 		s := do.MustInvoke[*psnode.Settings](i)
-		link, clean, err := psreport.Listen(ctx, peerAddress(s))
-		if err == nil {
-			v.cleanUps = append(v.cleanUps, clean)
+		open := do.MustInvoke[Network](i).Listen
+		if open == nil {
+			open = psreport.Listen
 		}
-		return link, err
+		socket, err := open(ctx, peerAddress(s))
+		if err != nil {
+			return nil, err
+		}
+		link, clean := psreport.New(socket)
+		v.cleanUps = append(v.cleanUps, clean)
+		return link, nil
 	})
-	do.Provide(i, func(do.Injector) (*pstransport.Transports, error) {
+	do.Provide(i, func(i do.Injector) (*pstransport.Transports, error) {
 		t, clean := pstransport.New()
+		t.Source = do.MustInvoke[Network](i).Source
 		v.cleanUps = append(v.cleanUps, clean)
 		return t, nil
 	})
@@ -134,7 +156,7 @@
 		s := do.MustInvoke[*psnode.Settings](i)
 		store, clean := platform.NewStore(s.Store.Address, storeConnectTimeout)
 		v.cleanUps = append(v.cleanUps, clean)
-		asks, clean := psbelief.NewClient()
+		asks, clean := psbelief.NewClient(do.MustInvoke[Network](i).Dial)
 		v.cleanUps = append(v.cleanUps, clean)
 		return pscontrol.New(pscontrol.Options{
 			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
@@ -149,7 +171,8 @@
 	return netip.AddrPortFrom(s.Callers.Addr(), s.PeerPorts[0])
 }
 
-func metricsAddress(s *psnode.Settings) netip.AddrPort {
+// operatorsAddress is where the VM serves its metrics and its state.
+func operatorsAddress(s *psnode.Settings) netip.AddrPort {
 	return netip.AddrPortFrom(s.Callers.Addr(), s.PeerPorts[0]+1)
 }
 
@@ -175,14 +198,17 @@
 	select {
 	case err := <-failed:
 		return err
+	case <-o.Kill:
+		v.servers.close()
+		return nil
 	case <-ctx.Done():
 	}
-	v.leave(failed)
+	v.leave(failed, o.Kill)
 	return nil
 }
 
 // leave serves what still comes for a while and lets everything end that runs.
-func (v *vm) leave(failed <-chan error) {
+func (v *vm) leave(failed <-chan error, kill <-chan struct{}) {
 	begun := time.Now()
 	psevent.VMStopping.Log(v.logger, v.settings.Name, v.gate.InFlight())
 	v.gate.Leave()
@@ -190,6 +216,9 @@
 	grace := float64(v.settings.Bounds.Grace)
 	select {
 	case <-failed:
+	case <-kill:
+		v.servers.close()
+		return
 	case <-time.After(time.Duration(servePart * grace)):
 	}
 	ctx, stop := context.WithTimeout(context.Background(), time.Duration((drainPart-servePart)*grace))
--- a/internal/request/psestimate/estimate.go
+++ b/internal/request/psestimate/estimate.go
@@ -22,7 +22,8 @@
 // Runs are the estimated run times of a route.
 type Runs struct {
 	// Held is the run time on a server that holds the object, Missing on one that doesn't.
-	Held, Missing time.Duration
+	Held    time.Duration `json:"held"`
+	Missing time.Duration `json:"missing"`
 }
 
 // Estimates holds the estimates of all routes and services. The zero value is empty.
--- a/internal/request/psplace/place.go
+++ b/internal/request/psplace/place.go
@@ -10,6 +10,8 @@
 package psplace
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -142,6 +144,26 @@
 	return best
 }
 
+// Weighed is what is expected of a candidate.
+type Weighed struct {
+	Choice
+	// Cost is what decides; the least one is chosen.
+	Cost time.Duration
+}
+
+// Rank returns what is expected of each candidate, in the order of their costs.
+func Rank(list []Candidate, r Request) []Weighed {
+	order := newOrder(list)
+	all := make([]Weighed, len(list))
+	for i := range list {
+		c, cost := weigh(&list[i], order.rank(list[i].Score), r)
+		c.Index = i
+		all[i] = Weighed{c, cost}
+	}
+	slices.SortStableFunc(all, func(a, b Weighed) int { return cmp.Compare(a.Cost, b.Cost) })
+	return all
+}
+
 // order holds the highest scores, the highest first.
 type order [maxRankSteps]uint64
 
--- a/internal/version/psrendezvous/score.go
+++ b/internal/version/psrendezvous/score.go
@@ -7,15 +7,13 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
-
-	"persimmonstep/internal/version/psdoc"
 )
 
 // Score returns a member's score for a key.
-func Score(key, member psdoc.Name) uint64 {
+func Score(key, member string) uint64 {
 	var d xxhash.Digest
-	_, _ = d.WriteString(string(key))
+	_, _ = d.WriteString(key)
 	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(string(member))
+	_, _ = d.WriteString(member)
 	return d.Sum64()
 }
--- a/internal/version/pstoml/source.go
+++ b/internal/version/pstoml/source.go
@@ -20,11 +20,6 @@
 	faulty    map[string]bool
 }
 
-// NewSource returns the source of a file without any position.
-func NewSource(file string) *Source {
-	return &Source{file: file}
-}
-
 // File names the file.
 func (s *Source) File() string {
 	return s.file
