psselect: requests without objects are spread over all servers

Cause: on a route without affinity all requests had the same object, so that all of them named the same first server and left it only when it was expected to be busy, by load reports that are old by then.

Ruled out: rates (429 are apart), the queue of the stand-in (12 places, never full).

Changed: without affinity each request is about something else (its id), what a server holds counts for nothing, and a run is as long as the service's mean. Nothing is noted as held.

--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -99,7 +99,7 @@
 	if o := c.checkRate(ctx); o != nil {
 		return o
 	}
-	c.object = psselect.ObjectOf(c.route, c.headers.Object)
+	c.object = psselect.ObjectOf(c.route, c.headers.Object, c.headers.ID)
 	c.fingerprint = pspoison.FingerprintOf(c.workspaceName(), c.request.Method, c.request.Host+c.request.URL.RequestURI(), c.body.Held)
 	if c.gate.poison.Held(c.fingerprint, c.arrived) {
 		return rejected{http.StatusServiceUnavailable, "crashesServers", poisonAfter}
--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -140,7 +140,9 @@
 func (c *call) try(ctx context.Context, s selection) (*psanswer.Answer, ending) {
 	begun := c.gate.options.Now()
 	s.server.Sent(begun)
-	s.server.Objects.Note(c.object)
+	if c.route.Affinity {
+		s.server.Objects.Note(c.object)
+	}
 	result, err := c.send(ctx, s, begun)
 	var a *psanswer.Answer
 	end := endAnswered
--- a/internal/process/psstate/explain.go
+++ b/internal/process/psstate/explain.go
@@ -119,7 +119,7 @@
 
 func (s *State) explainService(service string, q Question, r *psconfig.Route, w *psconfig.Workspace) Service {
 	v := Service{Name: service, Outcome: OutcomeRejected, Reason: "noServer", Passed: make(map[string]string)}
-	object := psselect.ObjectOf(r, q.Object)
+	object := psselect.ObjectOf(r, q.Object, q.Object)
 	request := psselect.Request{
 		Route: r, Workspace: w, Object: object, Bytes: q.Bytes, From: s.Place, ArrivedAt: s.TakenAt,
 		Runs: s.Runs[r.Name], MeanRun: s.MeanRuns[service], Left: q.Left,
--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -2,7 +2,13 @@
 //
 // It turns what a VM knows of a service's servers into candidates, lets psplace choose one of
 // them and psadmit decide on it. The request path and explanations of a saved state decide by
-// the same code. The package does no I/O and reads no clock.
+// the same code.
+//
+// It answers two load patterns of its own. On a route without affinity nothing makes a server
+// better for a request, so requests are spread over all servers, near ones first for long
+// bodies. On other routes an object keeps to its servers, as psplace describes.
+//
+// The package does no I/O and reads no clock.
 package psselect
 
 import (
@@ -70,14 +76,16 @@
 	Spread float64
 }
 
-// ObjectOf identifies what a request is about. Without affinity, requests of a route are alike.
-func ObjectOf(r *psconfig.Route, key string) uint64 {
+// ObjectOf identifies what a request is about: the key that its caller names. Without affinity
+// each request, which its id tells apart, is about something else.
+func ObjectOf(r *psconfig.Route, key, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(r.Name)
-	if r.Affinity {
-		_, _ = d.WriteString(key)
+	if !r.Affinity {
+		key = id
 	}
+	_, _ = d.WriteString(key)
 	return d.Sum64()
 }
 
@@ -111,10 +119,14 @@
 }
 
 func (r Request) placing() psplace.Request {
-	return psplace.Request{
+	p := psplace.Request{
 		Object: r.Object, Epoch: uint64(r.ArrivedAt.UnixNano() / int64(surplusEpoch)),
 		WarmRun: r.Runs.Held, ColdRun: r.Runs.Missing, Target: r.Route.TargetLatency, MeanRun: r.MeanRun,
 	}
+	if !r.Route.Affinity {
+		p.WarmRun, p.ColdRun = r.MeanRun, r.MeanRun
+	}
+	return p
 }
 
 func (r Request) candidates(options []Option) []psplace.Candidate {
@@ -132,12 +144,17 @@
 		slowness = max(slowness, coldSlowness)
 	}
 	near := v.Entry.FailureDomain == r.From.FailureDomain
-	return psplace.Candidate{
+	c := psplace.Candidate{
 		Load: v.Load, Slots: v.Entry.Slots, Slowness: slowness,
 		Failures: v.Failures, Silent: v.Silent, Sent: o.Sent,
 		HomeRecall: v.HomeRecall, AwayRecall: v.AwayRecall, Keeps: v.Keeps,
 		Score: r.score(v.Entry.ID, near), Travel: r.travel(o.Region, near), Bytes: r.bytes(near),
 	}
+	if !r.Route.Affinity {
+		// What a server holds makes no difference.
+		c.HomeRecall, c.AwayRecall, c.Keeps = 1, 1, 1
+	}
+	return c
 }
 
 // travel returns the time there and back.
