--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -139,7 +139,7 @@
 // try sends the call to one server and reads its whole answer.
 func (c *call) try(ctx context.Context, s selection) (*psanswer.Answer, ending) {
 	begun := c.gate.options.Now()
-	pending := s.server.Sent(begun, psserver.Expected{Usual: s.choice.Usual, Longest: s.choice.Longest})
+	s.server.Sent(begun)
 	if c.route.Affinity {
 		s.server.Objects.Note(c.object)
 	}
@@ -151,7 +151,7 @@
 	} else {
 		end = c.endingOf(ctx, result.Sent, err)
 	}
-	s.server.Ended(pending)
+	s.server.Ended()
 	now := c.gate.options.Now()
 	c.tries = append(c.tries, try{selection: s, ending: end, took: now.Sub(begun)})
 	c.judge(s, a, end, begun, now)
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -41,11 +41,6 @@
 			c.learnFailed(s, now)
 		}
 	}
-	for id, slowness := range r.Slow {
-		if s, found := c.servers.servers[id]; found {
-			s.Told(slowness, now)
-		}
-	}
 }
 
 // learnFailed takes out a server that another VM found down, until a probe tells otherwise.
@@ -64,7 +59,7 @@
 	c.sequence++
 	r := &psfleet.Report{
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), Reads: !c.follower.Lost(),
-		Demands: c.options.Demands.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: c.failures(now), Slow: c.servers.slow(now),
+		Demands: c.options.Demands.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: c.failures(now),
 	}
 	if c.index != nil {
 		r.Version = c.index.Configuration.Version
--- a/internal/process/pscontrol/registry.go
+++ b/internal/process/pscontrol/registry.go
@@ -1,7 +1,6 @@
 package pscontrol
 
 import (
-	"math"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -79,17 +78,6 @@
 		after.Service != before.Service || after.Sequence < before.Sequence
 }
 
-// slow gives the servers that are clearly slower than others by this VM's own requests.
-func (r *registry) slow(now time.Time) map[string]float64 {
-	m := make(map[string]float64)
-	for id, s := range r.servers {
-		if v, slow := s.Slow(now); slow {
-			m[id] = math.Round(v)
-		}
-	}
-	return m
-}
-
 // in lists the servers of a failure domain.
 func (r *registry) in(domain string) []*psserver.Server {
 	return lo.Filter(lo.Values(r.servers), func(s *psserver.Server, _ int) bool { return s.Entry().FailureDomain == domain })
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -75,8 +75,6 @@
 	Crashes map[uint64]int `json:"crashes,omitempty"`
 	// Failed names servers that the VM found down lately.
 	Failed []string `json:"failed,omitempty"`
-	// Slow gives how many times slower servers are than others by the VM's own requests.
-	Slow map[string]float64 `json:"slow,omitempty"`
 }
 
 // Take asks for a token of a workspace's rate.
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 )
@@ -14,19 +13,6 @@
 	judgeSpan = 3 * time.Second
 	// judgeWeight is the weight of one answer in a judgement.
 	judgeWeight = 0.15
-	// minLongest is the least time after which an answer can be overdue.
-	minLongest = 20 * time.Millisecond
-	// clearRatio is a slowness that no missing object explains, and clearWeight the weight of
-	// an answer that shows one.
-	clearRatio  = 4
-	clearWeight = 0.8
-	// overdueAfter is how many times its longest expected time a request may take before its
-	// server counts as slow though it has not answered yet. It is expected to take
-	// overdueGrowth times as long as it has by then.
-	overdueAfter  = 1.3
-	overdueGrowth = 2
-	// toldSpan is how long the word of another VM counts.
-	toldSpan = 2 * time.Second
 	// minSlowness and maxSlowness bound the ratio of measured to expected time.
 	minSlowness = 0.3
 	maxSlowness = 20
@@ -42,8 +28,7 @@
 	mutex sync.Mutex
 	entry Entry
 
-	// pending are the requests without an answer, the oldest first.
-	pending []*Pending
+	inFlight int
 	// waitingSince is when the oldest unanswered request was sent, or the last answer came.
 	waitingSince time.Time
 	lastAnswer   time.Time
@@ -55,7 +40,6 @@
 	slowness float64
 	failures float64
 	judgedAt time.Time
-	told     told
 
 	// home and away are the recalls of objects of which this server is the first choice, and of others.
 	home, away Recall
@@ -69,12 +53,6 @@
 	refilledAt time.Time
 }
 
-// Pending is a request that waits for the server's answer.
-type Pending struct {
-	sentAt   time.Time
-	expected Expected
-}
-
 // failure is why a server gets no requests though it is registered.
 type failure struct {
 	since time.Time
@@ -152,31 +130,21 @@
 	return true
 }
 
-// Expected is how long a request takes on a server that is as fast as others.
-type Expected struct {
-	// Usual is the expected latency, and Longest that without the object at hand.
-	Usual, Longest time.Duration
-}
-
-// Sent takes in that a request goes to the server. It must be ended with what is returned.
-func (s *Server) Sent(now time.Time, e Expected) *Pending {
+// Sent takes in that a request goes to the server.
+func (s *Server) Sent(now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.pending) == 0 {
+	if s.inFlight == 0 {
 		s.waitingSince = now
 	}
-	p := &Pending{sentAt: now, expected: e}
-	s.pending = append(s.pending, p)
-	return p
+	s.inFlight++
 }
 
 // Ended takes in that a request no longer waits for the server.
-func (s *Server) Ended(p *Pending) {
+func (s *Server) Ended() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if i := slices.Index(s.pending, p); i >= 0 {
-		s.pending = slices.Delete(s.pending, i, i+1)
-	}
+	s.inFlight--
 }
 
 // Answered takes in that the server answered anything at all.
@@ -198,7 +166,7 @@
 func (s *Server) Reported(running, waiting int, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.others = max(0, float64(running+waiting-len(s.pending)))
+	s.others = max(0, float64(running+waiting-s.inFlight))
 	s.reportedAt = now
 }
 
@@ -215,19 +183,10 @@
 		return
 	}
 	if ratio > 0 {
-		s.slowness = blend(slowness, min(maxSlowness, max(minSlowness, ratio)))
+		s.slowness = slowness*(1-judgeWeight) + judgeWeight*min(maxSlowness, max(minSlowness, ratio))
 	}
 }
 
-// blend adds the ratio of one answer to a slowness.
-func blend(slowness, ratio float64) float64 {
-	w := judgeWeight
-	if ratio >= clearRatio {
-		w = clearWeight
-	}
-	return slowness*(1-w) + w*ratio
-}
-
 // Recalled takes in whether the server held an object that was sent there before.
 func (s *Server) Recalled(home, held bool, now time.Time) {
 	s.mutex.Lock()
@@ -246,49 +205,6 @@
 	return 1 + (s.slowness-1)*fade, s.failures * fade
 }
 
-// Slow returns how slow the server is by this VM's own requests, if it clearly is.
-func (s *Server) Slow(now time.Time) (float64, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	slowness, _ := s.judgement(now)
-	slowness = max(slowness, s.overdue(now))
-	return slowness, slowness >= clearRatio
-}
-
-// Told takes in how slow the server is according to another VM.
-func (s *Server) Told(slowness float64, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.told = told{min(maxSlowness, slowness), now}
-}
-
-// told is what another VM said last.
-type told struct {
-	slowness float64
-	since    time.Time
-}
-
-// at returns how slow the server is by what was told, which counts for a short while.
-func (t told) at(now time.Time) float64 {
-	if now.Sub(t.since) > toldSpan {
-		return 0
-	}
-	return t.slowness
-}
-
-// overdue returns how slow the server looks by the requests that have no answer yet; 0 if each
-// may still be answered in time.
-func (s *Server) overdue(now time.Time) float64 {
-	most := 0.0
-	for _, p := range s.pending {
-		age := now.Sub(p.sentAt)
-		if float64(age) > overdueAfter*float64(max(minLongest, p.expected.Longest)) {
-			most = max(most, overdueGrowth*float64(age)/float64(max(minLongest, p.expected.Usual)))
-		}
-	}
-	return min(maxSlowness, most)
-}
-
 // ColdShare is this VM's part of what a cold server bears.
 type ColdShare struct {
 	// PerSecond is a rate of requests, and Depth how many may come at once.
@@ -346,12 +262,11 @@
 	defer s.mutex.Unlock()
 	v := View{Entry: s.entry, Usable: s.entry.State == Ready && s.failed.since.IsZero(), Cold: now.Before(s.coldUntil)}
 	v.Slowness, v.Failures = s.judgement(now)
-	v.Slowness = max(v.Slowness, s.overdue(now), s.told.at(now))
 	v.Keeps = s.keep.Part()
 	v.HomeRecall, v.AwayRecall = s.home.Value(now), s.away.Value(now)
 	v.LoadAge = now.Sub(s.reportedAt)
-	v.Load = float64(len(s.pending)) + s.others*math.Exp(-float64(v.LoadAge)/float64(loadSpan))
-	if len(s.pending) > 0 {
+	v.Load = float64(s.inFlight) + s.others*math.Exp(-float64(v.LoadAge)/float64(loadSpan))
+	if s.inFlight > 0 {
 		v.Silent = now.Sub(s.waitingSince)
 	}
 	return v
--- a/internal/request/psplace/place.go
+++ b/internal/request/psplace/place.go
@@ -97,8 +97,6 @@
 	Surplus bool
 	// Usual is the latency expected of a server that is as fast as others.
 	Usual time.Duration
-	// Longest is the latency expected of such a server if it doesn't hold the object.
-	Longest time.Duration
 	// Warm says that the server is expected to hold the object, because it was sent there.
 	Warm bool
 }
@@ -204,7 +202,7 @@
 	choice := Choice{
 		Rank: rank, Warm: c.Sent,
 		Wait: time.Duration(slowness * wait), Run: time.Duration(slowness * run), Travel: c.Travel,
-		Usual: time.Duration(wait+run) + c.Travel, Longest: time.Duration(wait) + r.ColdRun + c.Travel, Surplus: surplus(c, rank, r),
+		Usual: time.Duration(wait+run) + c.Travel, Surplus: surplus(c, rank, r),
 	}
 	cost := choice.Wait + choice.Run + c.Travel/travelDivisor + c.Bytes + time.Duration(rank)*rankStep
 	if rank > 0 {
