psbelief: beliefs are told once, and long answers may take their time

Calls that read whole tables ended after 0.9 s, however far the answer had come, and began again; VMs without the store got the whole beliefs of another VM twice a second.

Changed: a call ends early only if no answer has begun (WithAnswerTimeouts). Beliefs carry a mark, and known ones are not told again; they are encoded once for all that ask; near VMs are asked first, and their age counts on (a VM that took beliefs showed them as new). VMs read what others published as changes after the first reading. Reports leave the identity out that others know.

--- a/internal/connection/psbelief/belief.go
+++ b/internal/connection/psbelief/belief.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,30 +23,76 @@
 const (
 	// Path is where a VM serves its beliefs.
 	Path = "/beliefs"
-	// timeout bounds a call.
-	timeout = 700 * time.Millisecond
+	// headerTimeout bounds the time to connect, and then until the VM answers; timeout bounds a whole
+	// call. The beliefs of
+	// a large fleet take seconds over the slowest links.
+	headerTimeout = 700 * time.Millisecond
+	timeout       = 5 * time.Second
 	// maxBytes bounds an answer.
 	maxBytes = 16 << 20
 )
 
 // Source gives what a VM believes.
 type Source interface {
+	// Mark returns a mark that changes whenever the beliefs do, and their age; false before
+	// there are any.
+	Mark() (mark string, age time.Duration, found bool)
 	Beliefs() (psfleet.Beliefs, bool)
 }
 
-// Handler serves beliefs; 404 before there are any.
+// headerAge tells the age of beliefs, as text such as "1.5s".
+const headerAge = "Beliefs-Age"
+
+// Handler serves beliefs; 404 before there are any, and 304 if the caller knows them.
 func Handler(s Source) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		b, found := s.Beliefs()
+	e := &encoder{source: s}
+	return func(w http.ResponseWriter, r *http.Request) {
+		mark, age, found := s.Mark()
 		if !found {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(b); err != nil {
-			panic(http.ErrAbortHandler)
+		w.Header().Set("ETag", quote(mark))
+		w.Header().Set(headerAge, age.String())
+		if r.Header.Get("If-None-Match") == quote(mark) {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		body, err := e.encode(mark)
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
 		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(body)
+	}
+}
+
+func quote(mark string) string { return `"` + mark + `"` }
+
+// encoder keeps the encoded beliefs, which many VMs may ask for at the same time.
+type encoder struct {
+	source Source
+
+	mutex sync.Mutex
+	mark  string
+	body  []byte
+}
+
+func (e *encoder) encode(mark string) ([]byte, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.body != nil && e.mark == mark {
+		return e.body, nil
+	}
+	// What is encoded may be newer than the mark. The next answer then comes as a whole again.
+	b, _ := e.source.Beliefs()
+	body, err := json.Marshal(b)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode beliefs")
 	}
+	e.mark, e.body = mark, body
+	return body, nil
 }
 
 // Client asks other VMs.
@@ -58,25 +106,42 @@
 // NewClient returns a client and its clean-up function. A nil dial connects over the
 // machine's own network.
 func NewClient(dial Dial) (*Client, func()) {
-	t := &http.Transport{DisableKeepAlives: true, DialContext: dial}
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	limited := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, stop := context.WithTimeout(ctx, headerTimeout)
+		defer stop()
+		return dial(ctx, network, address)
+	}
+	t := &http.Transport{DisableKeepAlives: true, DialContext: limited, ResponseHeaderTimeout: headerTimeout}
 	return &Client{&http.Client{Transport: t, Timeout: timeout}}, t.CloseIdleConnections
 }
 
-// Ask returns what the VM at a peer address believes.
-func (c *Client) Ask(ctx context.Context, at netip.AddrPort) (psfleet.Beliefs, error) {
+// Ask returns what the VM at a peer address believes. Beliefs with a mark that is known are not
+// told again.
+func (c *Client) Ask(ctx context.Context, at netip.AddrPort, known string) (psfleet.Told, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+Path, nil)
 	if err != nil {
-		return psfleet.Beliefs{}, errors.Wrap(err, "ask for beliefs")
+		return psfleet.Told{}, errors.Wrap(err, "ask for beliefs")
+	}
+	if known != "" {
+		r.Header.Set("If-None-Match", quote(known))
 	}
 	answer, err := c.http.Do(r)
 	if err != nil {
-		return psfleet.Beliefs{}, errors.Wrap(err, "ask for beliefs")
+		return psfleet.Told{}, errors.Wrap(err, "ask for beliefs")
 	}
 	defer answer.Body.Close() //nolint:errcheck // the body was read
-	if answer.StatusCode != http.StatusOK {
-		return psfleet.Beliefs{}, errors.Errorf("ask for beliefs: status %d", answer.StatusCode)
+	t := psfleet.Told{Mark: strings.Trim(answer.Header.Get("ETag"), `"`), Unchanged: answer.StatusCode == http.StatusNotModified}
+	if !t.Unchanged && answer.StatusCode != http.StatusOK {
+		return psfleet.Told{}, errors.Errorf("ask for beliefs: status %d", answer.StatusCode)
+	}
+	if !t.Unchanged {
+		if err := json.NewDecoder(io.LimitReader(answer.Body, maxBytes)).Decode(&t.Beliefs); err != nil {
+			return psfleet.Told{}, errors.Wrap(err, "decode beliefs")
+		}
 	}
-	var b psfleet.Beliefs
-	err = json.NewDecoder(io.LimitReader(answer.Body, maxBytes)).Decode(&b)
-	return b, errors.Wrap(err, "decode beliefs")
+	t.Beliefs.Age, err = time.ParseDuration(answer.Header.Get(headerAge))
+	return t, errors.Wrap(err, "read the age of beliefs")
 }
--- a/internal/connection/psbelief/belief_test.go
+++ b/internal/connection/psbelief/belief_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -24,13 +26,15 @@
 
 func (s source) Beliefs() (psfleet.Beliefs, bool) { return s.beliefs, s.found }
 
-func ask(t *testing.T, s source) (psfleet.Beliefs, error) {
+func (s source) Mark() (string, time.Duration, bool) { return "7-1", s.beliefs.Age, s.found }
+
+func ask(t *testing.T, s source, known string) (psfleet.Told, error) {
 	t.Helper()
 	server := httptest.NewServer(psbelief.Handler(s))
 	defer server.Close()
 	c, clean := psbelief.NewClient(nil)
 	defer clean()
-	return c.Ask(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	return c.Ask(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), known)
 }
 
 func TestBeliefsArriveWhole(t *testing.T) {
@@ -42,8 +46,11 @@
 		Evacuated: []string{"north-a"}, Age: time.Second,
 		Servers: []psserver.Entry{{ID: "i-1", Incarnation: time.UnixMilli(5).UTC(), Address: netip.MustParseAddrPort("10.0.0.9:80"), State: psserver.Draining}},
 	}
-	got, err := ask(t, source{want, true})
+	told, err := ask(t, source{want, true}, "7-0")
 	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, told.Mark, qt.Equals, "7-1")
+	qt.Assert(t, told.Unchanged, qt.IsFalse)
+	got := told.Beliefs
 	qt.Assert(t, got.Configuration, qt.DeepEquals, want.Configuration)
 	qt.Assert(t, got.Servers[0], qt.Equals, want.Servers[0])
 	qt.Assert(t, got.Evacuated, qt.DeepEquals, want.Evacuated)
@@ -51,6 +58,38 @@
 }
 
 func TestAVMThatKnowsNothingHasNothingToTell(t *testing.T) {
-	_, err := ask(t, source{})
+	_, err := ask(t, source{}, "")
 	qt.Assert(t, err, qt.ErrorMatches, ".*404.*")
 }
+
+// TestBeliefsThatAreKnownAreNotToldAgain asks with the mark of the last answer.
+func TestBeliefsThatAreKnownAreNotToldAgain(t *testing.T) {
+	told, err := ask(t, source{psfleet.Beliefs{Configuration: &psconfig.Configuration{}, Age: time.Minute}, true}, "7-1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, told.Unchanged, qt.IsTrue)
+	qt.Assert(t, told.Beliefs.Configuration, qt.IsNil)
+	qt.Assert(t, told.Beliefs.Age, qt.Equals, time.Minute)
+}
+
+// TestLongBeliefsArriveOverASlowLink sends the beliefs of a large fleet in pieces that take
+// longer than a VM may take to answer.
+func TestLongBeliefsArriveOverASlowLink(t *testing.T) {
+	body, err := json.Marshal(psfleet.Beliefs{Configuration: &psconfig.Configuration{Version: 7}})
+	qt.Assert(t, err, qt.IsNil)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Beliefs-Age", "1s")
+		for i := range body {
+			_, _ = w.Write(body[i : i+1])
+			_ = http.NewResponseController(w).Flush()
+			if i%20 == 0 {
+				time.Sleep(150 * time.Millisecond)
+			}
+		}
+	}))
+	defer server.Close()
+	c, clean := psbelief.NewClient(nil)
+	defer clean()
+	told, err := c.Ask(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, told.Beliefs.Configuration.Version, qt.Equals, int64(7))
+}
--- a/internal/process/pscontrol/belief.go
+++ b/internal/process/pscontrol/belief.go
@@ -1,7 +1,9 @@
 package pscontrol
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -10,6 +12,7 @@
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pswait"
+	"persimmonstep/internal/version/psrendezvous"
 	"persimmonstep/platform"
 )
 
@@ -22,10 +25,18 @@
 
 // Believers asks other VMs what they believe.
 type Believers interface {
-	Ask(ctx context.Context, vm psfleet.Identity) (psfleet.Beliefs, error)
+	// Ask asks a VM. What is known of it already isn't told again.
+	Ask(ctx context.Context, vm psfleet.Identity, known string) (psfleet.Told, error)
 }
 
-// Beliefs returns what this VM believes; false before it knows a configuration.
+// Mark returns how old the VM's beliefs are, and a mark that changes whenever they do; false
+// before it knows a configuration and servers.
+func (c *Control) Mark() (mark string, age time.Duration, found bool) {
+	s := c.Snapshot()
+	return s.Mark, c.options.Now().Sub(s.ServersAt), s.Index != nil && !s.ServersAt.IsZero()
+}
+
+// Beliefs returns what this VM believes; false before it knows a configuration and servers.
 func (c *Control) Beliefs() (psfleet.Beliefs, bool) {
 	s := c.Snapshot()
 	if s.Index == nil || s.ServersAt.IsZero() {
@@ -41,45 +52,86 @@
 	return b, true
 }
 
+// believer is the VM that was asked last.
+type believer struct {
+	vm string
+	// mark is what is known of its beliefs; empty if nothing is.
+	mark string
+}
+
 // followVMsBeliefs learns from a VM that reads the store while this one can't.
 func (c *Control) followVMsBeliefs(ctx context.Context) {
-	for turn := 0; pswait.Sleep(ctx, askInterval); turn++ {
-		if !c.follower.Lost() {
-			continue
-		}
+	last := believer{}
+	for turn := 0; pswait.Sleep(ctx, askInterval); {
 		readers := c.Snapshot().readers
-		if len(readers) == 0 {
+		if !c.follower.Lost() || len(readers) == 0 {
+			last = believer{}
+			turn = 0
 			continue
 		}
 		vm := readers[turn%len(readers)]
-		b, err := c.options.Believers.Ask(ctx, vm)
-		if err != nil || b.Configuration == nil || b.Age > maxBeliefAge {
-			continue
+		if vm.VM != last.vm {
+			last = believer{vm: vm.VM}
+		}
+		if !c.askBeliefs(ctx, vm, &last) {
+			turn++
 		}
-		c.tell(beliefsEvent{vm.VM, b})
 	}
 }
 
+// askBeliefs asks one VM and reports whether it told anything of use.
+func (c *Control) askBeliefs(ctx context.Context, vm psfleet.Identity, last *believer) bool {
+	t, err := c.options.Believers.Ask(ctx, vm, last.mark)
+	if err != nil || t.Beliefs.Age > maxBeliefAge || t.Beliefs.Configuration == nil && !t.Unchanged {
+		last.mark = ""
+		return false
+	}
+	last.mark = t.Mark
+	c.tell(beliefsEvent{vm.VM, t.Beliefs, t.Unchanged})
+	return true
+}
+
 // takeBeliefs takes in what a VM that reads the store believes.
 func (c *Control) takeBeliefs(e beliefsEvent, now time.Time) {
 	if !c.follower.Lost() {
 		return
 	}
+	if e.unchanged {
+		c.servers.readAt = now.Add(-e.beliefs.Age)
+		return
+	}
 	before := len(c.servers.servers)
 	c.takeOrders(ordersEvent{platform.Orders{Configuration: e.beliefs.Configuration, Evacuated: e.beliefs.Evacuated}, true}, now)
-	c.servers.take(serversEvent{servers: platform.Servers{Entries: e.beliefs.Servers}, whole: true}, now)
+	c.servers.take(serversEvent{servers: platform.Servers{Entries: e.beliefs.Servers}, whole: true, age: e.beliefs.Age}, now)
 	if before == 0 {
 		psevent.BeliefsTaken.Log(c.options.Logger, e.vm, e.beliefs.Configuration.Version, len(e.beliefs.Servers), e.beliefs.Age.String())
 	}
 }
 
-// readers lists the other VMs that read the store.
+// readers lists the other VMs that read the store: those of this VM's failure domain, then
+// those of its region, then the others. VMs of one place ask different ones first.
 func (c *Control) readers(now time.Time) []psfleet.Identity {
+	self := c.options.Identity
 	var list []psfleet.Identity
 	for _, p := range c.fleet.Peers() {
 		if c.fleet.Live(p, now) && p.Report.Reads {
 			list = append(list, p.Identity)
 		}
 	}
+	slices.SortStableFunc(list, func(a, b psfleet.Identity) int {
+		return cmp.Or(cmp.Compare(distance(self, a), distance(self, b)),
+			cmp.Compare(psrendezvous.Score(self.VM, a.VM), psrendezvous.Score(self.VM, b.VM)))
+	})
 	return list
 }
+
+// distance is 0 within a failure domain, 1 within a region and 2 beyond.
+func distance(a, b psfleet.Identity) int {
+	switch {
+	case a.FailureDomain == b.FailureDomain:
+		return 0
+	case a.Region == b.Region:
+		return 1
+	}
+	return 2
+}
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -21,7 +21,8 @@
 // Store is what the control reads and writes of the platform's store.
 type Store interface {
 	psfollow.Store
-	VMs(ctx context.Context) (map[string][]byte, error)
+	VMs(ctx context.Context) (platform.VMs, error)
+	VMChanges(ctx context.Context, after int64) (platform.VMs, error)
 	PublishVM(ctx context.Context, name string, value []byte) error
 }
 
@@ -81,9 +82,11 @@
 
 	index     *psconfig.Index
 	evacuated map[string]bool
-	servers   *registry
-	fleet     *psfleet.Fleet
-	shares    *shares
+	// changes counts changes of the configuration and of the evacuations.
+	changes int64
+	servers *registry
+	fleet   *psfleet.Fleet
+	shares  *shares
 	// unread holds the rows that were logged, by key and version.
 	unread   map[string]int64
 	sequence int64
@@ -136,7 +139,7 @@
 
 // TakeServers takes in entries of servers.
 func (c *Control) TakeServers(s platform.Servers, whole, returning bool) {
-	c.tell(serversEvent{s, whole, returning})
+	c.tell(serversEvent{servers: s, whole: whole, returning: returning})
 }
 
 // FleetSize returns the number of VMs that may be in use.
@@ -190,6 +193,8 @@
 		whole   bool
 		// returning says that the store was away, so that missing entries may come back.
 		returning bool
+		// age is how old the entries are.
+		age time.Duration
 	}
 	vmsEvent    struct{ rows map[string][]byte }
 	reportEvent struct{ report *psfleet.Report }
@@ -201,6 +206,8 @@
 	beliefsEvent struct {
 		vm      string
 		beliefs psfleet.Beliefs
+		// unchanged says that the VM believes what it told last.
+		unchanged bool
 	}
 )
 
@@ -290,6 +297,7 @@
 		return
 	}
 	c.index = psconfig.NewIndex(o.Configuration)
+	c.changes++
 	psevent.ConfigurationTaken.Log(c.options.Logger, o.Configuration.Version, before,
 		len(o.Configuration.Routes), len(o.Configuration.Workspaces), o.Version)
 }
@@ -314,6 +322,7 @@
 		}
 	}
 	c.evacuated = next
+	c.changes++
 	psevent.EvacuationChanged.Log(c.options.Logger, lo.Keys(next))
 }
 
--- a/internal/process/pscontrol/control_test.go
+++ b/internal/process/pscontrol/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,8 @@
 	version int64
 	away    bool
 	changed chan struct{}
+	// asked lists which VM was asked, and what was known of its beliefs.
+	asked []string
 }
 
 var errAway = errors.New("the store is away")
@@ -84,7 +87,10 @@
 	return platform.Servers{}, s.wait(ctx)
 }
 
-func (*store) VMs(context.Context) (map[string][]byte, error)   { return nil, nil }
+func (*store) VMs(context.Context) (platform.VMs, error) { return platform.VMs{}, nil }
+func (*store) VMChanges(context.Context, int64) (platform.VMs, error) {
+	return platform.VMs{}, nil
+}
 func (*store) PublishVM(context.Context, string, []byte) error  { return nil }
 func (*store) Report(*psfleet.Report, []psfleet.Identity) error { return nil }
 func (*store) Notice(*psfleet.Notice, []psfleet.Identity) error { return nil }
@@ -96,10 +102,22 @@
 }
 
 // Ask returns what a VM that reads the store would believe.
-func (*store) Ask(context.Context, psfleet.Identity) (psfleet.Beliefs, error) {
-	return psfleet.Beliefs{Configuration: configuration(4), Evacuated: []string{"south-a"}, Servers: []psserver.Entry{entry("i-7")}}, nil
+func (s *store) Ask(_ context.Context, vm psfleet.Identity, known string) (psfleet.Told, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.asked = append(s.asked, vm.VM+" "+known)
+	if known == "mark" {
+		return psfleet.Told{Mark: known, Unchanged: true}, nil
+	}
+	return psfleet.Told{
+		Beliefs: psfleet.Beliefs{Configuration: configuration(4), Evacuated: []string{"south-a"}, Servers: []psserver.Entry{entry("i-7")}, Age: told},
+		Mark:    "mark",
+	}, nil
 }
 
+// told is the age of what the other VM believes.
+const told = 3 * time.Second
+
 func start(t *testing.T, s *store) *pscontrol.Control {
 	t.Helper()
 	a := netip.MustParseAddrPort("127.0.0.1:1")
@@ -251,6 +269,13 @@
 	eventually(t, "what the other VM believes", func() bool {
 		return c.Ready() && version(c) == 4 && servers(c) == 1 && c.Snapshot().Evacuated["south-a"]
 	})
+	qt.Assert(t, time.Since(c.Snapshot().ServersAt) >= told, qt.IsTrue)
+	c.Heard(&psfleet.Report{Identity: r.Identity, Sequence: 2, Reads: true})
+	eventually(t, "a question that says what is known", func() bool {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return slices.Contains(s.asked, "vm-2 mark")
+	})
 	s.set(func(s *store) {
 		s.away = false
 		s.orders.Configuration = configuration(5)
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -1,6 +1,7 @@
 package pscontrol
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -65,6 +66,7 @@
 		r.Version = c.index.Configuration.Version
 	}
 	c.shares.report(r.Demands)
+	r.Shorten()
 	peers := c.fleet.Peers()
 	to := make([]psfleet.Identity, 0, len(peers))
 	for _, p := range peers {
@@ -96,6 +98,7 @@
 	c.snapshot.Store(&Snapshot{
 		Index: c.index, Servers: c.servers.byService(), ServersAt: c.servers.readAt, Evacuated: c.evacuated,
 		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
+		Mark:    fmt.Sprintf("%d-%d-%d", c.options.Identity.Incarnation, c.changes, c.servers.changes),
 		readers: c.readers(now), holders: holders(c.options.Identity, c.fleet, now),
 	})
 }
--- a/internal/process/pscontrol/registry.go
+++ b/internal/process/pscontrol/registry.go
@@ -16,6 +16,8 @@
 	logger  hclog.Logger
 	servers map[string]*psserver.Server
 	readAt  time.Time
+	// changes counts changes of entries.
+	changes int64
 }
 
 func newRegistry(regions map[string]string, l hclog.Logger) *registry {
@@ -24,7 +26,7 @@
 
 // take takes in all entries, or what changed of them.
 func (r *registry) take(e serversEvent, now time.Time) {
-	r.readAt = now
+	r.readAt = now.Add(-e.age)
 	seen := make(map[string]bool, len(e.servers.Entries))
 	for _, v := range e.servers.Entries {
 		seen[v.ID] = true
@@ -55,17 +57,22 @@
 		return
 	}
 	delete(r.servers, id)
+	r.changes++
 	psevent.ServerRemoved.Log(r.logger, id, s.Entry().Service)
 }
 
 func (r *registry) renew(e psserver.Entry, now time.Time) {
 	s, found := r.servers[e.ID]
 	if !found || restarted(s.Entry(), e) {
+		r.changes++
 		r.servers[e.ID] = psserver.New(e, r.regions[e.FailureDomain], now)
 		psevent.ServerRegistered.Log(r.logger, e.ID, e.Service, e.FailureDomain, e.Slots, e.ColdFor.String())
 		return
 	}
 	before := s.Entry()
+	if before != e {
+		r.changes++
+	}
 	s.Renew(e, now)
 	if e.State == psserver.Draining && before.State != psserver.Draining {
 		psevent.ServerDraining.Log(r.logger, e.ID, e.Service, e.Sequence)
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -28,7 +28,9 @@
 	EvenPart float64
 	// holders lists this VM and those that may still use their part of what the fleet shares.
 	holders []psfleet.Identity
-	// readers lists the other VMs that read the store.
+	// Mark changes whenever what the VM would tell another one does.
+	Mark string
+	// readers lists the other VMs that read the store, the near ones first.
 	readers []psfleet.Identity
 	// FleetSize is the number of VMs that may be in use.
 	FleetSize int
--- a/internal/process/pscontrol/vms.go
+++ b/internal/process/pscontrol/vms.go
@@ -7,11 +7,14 @@
 
 	"persimmonstep/internal/process/psfollow"
 	"persimmonstep/internal/process/pswait"
+	"persimmonstep/platform"
 )
 
 const (
-	// vmsTimeout bounds the calls to publish this VM and to read the others.
-	vmsTimeout = 1800 * time.Millisecond
+	// vmsTimeout bounds the time until a call about VMs is answered, and vmsAnswerTimeout the
+	// answer from then on.
+	vmsTimeout       = 1800 * time.Millisecond
+	vmsAnswerTimeout = 5 * time.Second
 	// vmsRetryInterval is the time before failed calls are repeated.
 	vmsRetryInterval = 300 * time.Millisecond
 	// vmsInterval is the time between readings of the published VMs, and firstVMsInterval at the start.
@@ -20,13 +23,21 @@
 	firstVMsReadings = 2
 )
 
+// vmsExchange is what a VM has exchanged with the others over the store.
+type vmsExchange struct {
+	published bool
+	// version is the store's version up to which published VMs are known; 0 before the first
+	// reading.
+	version int64
+}
+
 // followVMs publishes this VM and reads where the others are.
 func (c *Control) followVMs(ctx context.Context) {
-	published := false
+	x := &vmsExchange{}
 	readings := 0
 	loss := psfollow.Loss{Call: "vms"}
 	for ctx.Err() == nil {
-		err := c.exchangeVMs(ctx, &published)
+		err := c.exchangeVMs(ctx, x)
 		loss.Note(err, c.options.Logger, c.options.Now())
 		if err != nil {
 			pswait.Sleep(ctx, vmsRetryInterval)
@@ -46,20 +57,32 @@
 }
 
 // exchangeVMs publishes this VM, if that isn't done, and reads the others.
-func (c *Control) exchangeVMs(ctx context.Context, published *bool) error {
-	limited, stop := context.WithTimeout(ctx, vmsTimeout)
+func (c *Control) exchangeVMs(ctx context.Context, x *vmsExchange) error {
+	limited, stop := platform.WithAnswerTimeouts(ctx, vmsTimeout, vmsAnswerTimeout)
 	defer stop()
-	if !*published {
+	if !x.published {
 		if err := c.publishVM(limited); err != nil {
 			return err
 		}
-		*published = true
+		x.published = true
 	}
-	rows, err := c.options.Store.VMs(limited)
-	if err == nil {
-		c.tell(vmsEvent{rows})
+	v, err := c.readVMs(limited, x.version)
+	if err != nil {
+		// The changes since the last reading may no longer be kept.
+		x.version = 0
+		return err
+	}
+	x.version = v.Version
+	c.tell(vmsEvent{v.Rows})
+	return nil
+}
+
+// readVMs reads all VMs, or those that were published after a version.
+func (c *Control) readVMs(ctx context.Context, version int64) (platform.VMs, error) {
+	if version == 0 {
+		return c.options.Store.VMs(ctx)
 	}
-	return err
+	return c.options.Store.VMChanges(ctx, version)
 }
 
 func (c *Control) publishVM(ctx context.Context) error {
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -33,10 +33,10 @@
 // Identity is what a VM publishes of itself.
 type Identity struct {
 	VM            string         `json:"vm"`
-	FailureDomain string         `json:"failureDomain"`
-	Region        string         `json:"region"`
-	Callers       netip.AddrPort `json:"callers"`
-	Peers         netip.AddrPort `json:"peers"`
+	FailureDomain string         `json:"failureDomain,omitempty"`
+	Region        string         `json:"region,omitempty"`
+	Callers       netip.AddrPort `json:"callers,omitzero"`
+	Peers         netip.AddrPort `json:"peers,omitzero"`
 	// Incarnation tells a restarted process.
 	Incarnation int64 `json:"incarnation"`
 }
@@ -49,6 +49,13 @@
 	return nil
 }
 
+// brief returns what tells the VM's process from others; the rest is known to those that had the
+// whole identity once.
+func (i Identity) brief() Identity { return Identity{VM: i.VM, Incarnation: i.Incarnation} }
+
+// isBrief reports whether only that much is told.
+func (i Identity) isBrief() bool { return i.VM != "" && i.Incarnation != 0 && i == i.brief() }
+
 // DecodeIdentity reads a published identity.
 func DecodeIdentity(data []byte) (Identity, error) {
 	var i Identity
@@ -60,6 +67,8 @@
 
 // Report is what a VM tells the others at each interval.
 type Report struct {
+	// Identity is whole in the first reports of a process and now and then. In between it
+	// only names the process.
 	Identity
 	// Sequence grows with each report of one incarnation.
 	Sequence int64 `json:"sequence"`
@@ -77,6 +86,28 @@
 	Failed []string `json:"failed,omitempty"`
 }
 
+const (
+	// firstWhole is the number of reports with a whole identity at the start of a process, and
+	// wholeEach the distance of later ones.
+	firstWhole = 4
+	wholeEach  = 8
+)
+
+// Shorten leaves out of the report what the other VMs know by now.
+func (r *Report) Shorten() {
+	if r.Sequence > firstWhole && r.Sequence%wholeEach != 0 {
+		r.Identity = r.brief()
+	}
+}
+
+// Check returns what is wrong with a decoded report.
+func (r *Report) Check() error {
+	if r.isBrief() {
+		return nil
+	}
+	return r.Identity.Check()
+}
+
 // Take asks for a token of a workspace's rate.
 type Take struct {
 	Workspace string `json:"workspace"`
@@ -151,6 +182,9 @@
 	if r.VM == f.self {
 		return Peer{}, false
 	}
+	if !f.complete(r) {
+		return Peer{}, false
+	}
 	f.Know(r.Identity, now)
 	p := f.peers[r.VM]
 	if r.Incarnation < p.Identity.Incarnation {
@@ -166,6 +200,20 @@
 	return before, true
 }
 
+// complete fills in a brief identity. It reports false if the process isn't known yet; its next
+// whole report makes up for it.
+func (f *Fleet) complete(r *Report) bool {
+	if !r.isBrief() {
+		return true
+	}
+	p, found := f.peers[r.VM]
+	if !found || p.Identity.Incarnation != r.Incarnation {
+		return false
+	}
+	r.Identity = p.Identity
+	return true
+}
+
 // Size returns the number of known VMs, this one included.
 func (f *Fleet) Size() int { return len(f.peers) + 1 }
 
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -61,3 +61,24 @@
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
 }
+
+// TestBriefReportsCountForAProcessThatIsKnown drops those of an unknown one until a whole one comes.
+func TestBriefReportsCountForAProcessThatIsKnown(t *testing.T) {
+	f := psfleet.New("vm-1")
+	hear := func(incarnation, sequence int64) bool {
+		r := &psfleet.Report{Identity: identity("vm-2", incarnation), Sequence: sequence}
+		r.Shorten()
+		qt.Assert(t, r.Check(), qt.IsNil)
+		_, fresh := f.Hear(r, begun)
+		return fresh
+	}
+	qt.Assert(t, hear(1, 5), qt.IsFalse)
+	qt.Assert(t, f.Size(), qt.Equals, 1)
+	qt.Assert(t, hear(1, 8), qt.IsTrue)
+	qt.Assert(t, hear(1, 9), qt.IsTrue)
+	qt.Assert(t, f.Peers()[0].Identity, qt.Equals, identity("vm-2", 1))
+	qt.Assert(t, hear(2, 9), qt.IsFalse)
+	qt.Assert(t, hear(2, 1), qt.IsTrue)
+	qt.Assert(t, hear(2, 5), qt.IsTrue)
+	qt.Assert(t, f.Peers()[0].Identity.Incarnation, qt.Equals, int64(2))
+}
--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -27,8 +27,11 @@
 	changesPause = 500 * time.Millisecond
 	// ordersPause is the same for the operator's changes.
 	ordersPause = 150 * time.Millisecond
-	// callTimeout bounds a call to the store, on top of the time that it waits.
+	// callTimeout bounds the time until the store answers, on top of the time that it waits.
 	callTimeout = 900 * time.Millisecond
+	// answerTimeout bounds the answer from then on. A table of thousands of rows takes seconds
+	// over the slowest links.
+	answerTimeout = 5 * time.Second
 	// retryInterval is the time before a failed call is repeated, and maxRetryInterval the
 	// time after several failures. A VM that the store serves again must know it before the
 	// fleet's bounds hold for it.
@@ -122,7 +125,7 @@
 
 // do makes one call and reports whether the store answered it.
 func (w *watch) do(ctx context.Context, timeout time.Duration, call func(context.Context) error) bool {
-	limited, stop := context.WithTimeout(ctx, timeout)
+	limited, stop := platform.WithAnswerTimeouts(ctx, timeout, answerTimeout)
 	defer stop()
 	err := call(limited)
 	if ctx.Err() != nil {
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -233,8 +233,8 @@
 }
 
 // Ask returns what a VM believes.
-func (b believers) Ask(ctx context.Context, vm psfleet.Identity) (psfleet.Beliefs, error) {
-	return b.client.Ask(ctx, vm.Peers)
+func (b believers) Ask(ctx context.Context, vm psfleet.Identity, known string) (psfleet.Told, error) {
+	return b.client.Ask(ctx, vm.Peers, known)
 }
 
 // receive passes on what the other VMs say.
