--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -162,11 +162,16 @@
 	if c.workspace == nil {
 		return nil
 	}
+	tokens := c.gate.options.Metrics.tokens
 	switch v := c.gate.options.Tokens.Take(ctx, c.snapshot, c.workspace).(type) {
+	case pstoken.Granted:
+		tokens.WithLabelValues("granted").Inc()
 	case pstoken.Over:
+		tokens.WithLabelValues("over").Inc()
 		after := v.Wait + time.Duration(c.gate.spread()*float64(v.Wait+minRateSpread))
 		return rejected{http.StatusTooManyRequests, "overRate", min(maxRateAfter, after)}
 	case pstoken.Unasked:
+		tokens.WithLabelValues("unasked").Inc()
 		if c.request.Context().Err() != nil {
 			return left{}
 		}
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -122,6 +122,9 @@
 	c.tell(leaveEvent{})
 }
 
+// StoreLost reports whether a table of the store can't be read now.
+func (c *Control) StoreLost() bool { return c.follower.Lost() }
+
 // Ready reports whether the VM can serve and takes callers.
 func (c *Control) Ready() bool {
 	s := c.Snapshot()
--- /dev/null
+++ b/internal/process/psmetric/metric.go
@@ -0,0 +1,89 @@
+// Package psmetric tells Prometheus what a VM believes.
+//
+// The figures are worked out when they are asked for, so that they cost nothing in between.
+package psmetric
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"persimmonstep/internal/process/pscontrol"
+)
+
+const namespace = "persimmonstep"
+
+// Source is what the figures are worked out from.
+type Source interface {
+	Snapshot() *pscontrol.Snapshot
+	// StoreLost reports whether a table of the store can't be read now.
+	StoreLost() bool
+	Ready() bool
+}
+
+var (
+	ready = prometheus.NewDesc(namespace+"_ready", "1 if the VM takes callers.", nil, nil)
+	lost  = prometheus.NewDesc(namespace+"_store_lost", "1 if a table of the store can't be read now.", nil, nil)
+	// version is a gauge so that alerts can compare VMs.
+	version    = prometheus.NewDesc(namespace+"_configuration_version", "The configuration version in force; 0 before the first.", nil, nil)
+	serversAge = prometheus.NewDesc(namespace+"_servers_age_seconds", "Time since the servers' entries were read.", nil, nil)
+	servers    = prometheus.NewDesc(namespace+"_servers", "Registered backend servers by service and state.", []string{"service", "state"}, nil)
+	vms        = prometheus.NewDesc(namespace+"_vms", "VMs by state: directed ones take callers, known ones may be in use.", []string{"state"}, nil)
+)
+
+// Collector is a collector of a VM's figures.
+type Collector struct {
+	source Source
+	now    func() time.Time
+}
+
+// New returns a collector.
+func New(s Source, now func() time.Time) *Collector { return &Collector{source: s, now: now} }
+
+// Describe tells which figures there are.
+func (*Collector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{ready, lost, version, serversAge, servers, vms} {
+		out <- d
+	}
+}
+
+// Collect works the figures out.
+func (c *Collector) Collect(out chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	s, now := c.source.Snapshot(), c.now()
+	gauge(ready, number(c.source.Ready()))
+	gauge(lost, number(c.source.StoreLost()))
+	if s.Index != nil {
+		gauge(version, float64(s.Index.Configuration.Version))
+	}
+	if !s.ServersAt.IsZero() {
+		gauge(serversAge, now.Sub(s.ServersAt).Seconds())
+	}
+	gauge(vms, float64(len(s.VMs)), "directed")
+	gauge(vms, float64(s.FleetSize), "known")
+	for service, list := range s.Servers {
+		states := map[string]int{"usable": 0, "cold": 0, "out": 0}
+		for _, v := range list {
+			switch view := v.View(now); {
+			case !view.Usable:
+				states["out"]++
+			case view.Cold:
+				states["cold"]++
+			default:
+				states["usable"]++
+			}
+		}
+		for state, n := range states {
+			gauge(servers, float64(n), service, state)
+		}
+	}
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/process/psmetric/metric_test.go
@@ -0,0 +1,66 @@
+package psmetric_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psmetric"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psconfig"
+)
+
+var begun = time.Unix(1000, 0)
+
+// source believes what a test says.
+type source struct {
+	snapshot *pscontrol.Snapshot
+}
+
+func (s source) Snapshot() *pscontrol.Snapshot { return s.snapshot }
+
+func (source) StoreLost() bool { return true }
+
+func (source) Ready() bool { return true }
+
+func TestFiguresFollowWhatTheVMBelieves(t *testing.T) {
+	servers := []*psserver.Server{
+		psserver.New(psserver.Entry{ID: "i-1"}, "north", begun),
+		psserver.New(psserver.Entry{ID: "i-2", ColdFor: time.Minute}, "north", begun),
+		psserver.New(psserver.Entry{ID: "i-3", State: psserver.Draining}, "north", begun),
+	}
+	s := source{&pscontrol.Snapshot{
+		Index: psconfig.NewIndex(&psconfig.Configuration{Version: 7}), Servers: map[string][]*psserver.Server{"prices": servers},
+		ServersAt: begun, FleetSize: 3, VMs: []pscontrol.VM{{Name: "vm-1"}, {Name: "vm-2"}},
+	}}
+	r := prometheus.NewRegistry()
+	qt.Assert(t, r.Register(psmetric.New(s, func() time.Time { return begun.Add(2 * time.Second) })), qt.IsNil)
+	qt.Assert(t, testutil.GatherAndCompare(r, strings.NewReader(`
+# HELP persimmonstep_configuration_version The configuration version in force; 0 before the first.
+# TYPE persimmonstep_configuration_version gauge
+persimmonstep_configuration_version 7
+# HELP persimmonstep_ready 1 if the VM takes callers.
+# TYPE persimmonstep_ready gauge
+persimmonstep_ready 1
+# HELP persimmonstep_servers Registered backend servers by service and state.
+# TYPE persimmonstep_servers gauge
+persimmonstep_servers{service="prices",state="cold"} 1
+persimmonstep_servers{service="prices",state="out"} 1
+persimmonstep_servers{service="prices",state="usable"} 1
+# HELP persimmonstep_servers_age_seconds Time since the servers' entries were read.
+# TYPE persimmonstep_servers_age_seconds gauge
+persimmonstep_servers_age_seconds 2
+# HELP persimmonstep_store_lost 1 if a table of the store can't be read now.
+# TYPE persimmonstep_store_lost gauge
+persimmonstep_store_lost 1
+# HELP persimmonstep_vms VMs by state: directed ones take callers, known ones may be in use.
+# TYPE persimmonstep_vms gauge
+persimmonstep_vms{state="directed"} 2
+persimmonstep_vms{state="known"} 3
+`)), qt.IsNil)
+}
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -21,6 +21,7 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/process/pswait"
@@ -114,6 +115,7 @@
 	v.tokens = do.MustInvoke[*pstoken.Tokens](i)
 	v.control = do.MustInvoke[*pscontrol.Control](i)
 	v.gate.Follow(v.control)
+	do.MustInvoke[*prometheus.Registry](i).MustRegister(psmetric.New(v.control, time.Now))
 	if v.servers, err = listen(ctx, v, do.MustInvoke[*prometheus.Registry](i)); err != nil {
 		v.clean()
 		return nil, err
