psscenario, psregistry: rooms that had grown are split

A scenario with its firm, and the registry of backend servers, are matters of their own. Nothing else changed; the tests moved along.

--- a/internal/process/pscli/check.go
+++ b/internal/process/pscli/check.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psmeasure"
+	"persimmonstep/internal/process/psscenario"
 	"persimmonstep/platform"
 )
 
@@ -79,6 +79,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = psmeasure.Parse(path, data)
+	_, err = psscenario.Parse(path, data)
 	return err
 }
--- a/internal/process/pscli/measure.go
+++ b/internal/process/pscli/measure.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psmeasure"
+	"persimmonstep/internal/process/psscenario"
 )
 
 // measureCommand runs experiments.
@@ -48,7 +49,7 @@
 }
 
 // scenarios reads the scenario files.
-func (c *measureCommand) scenarios() ([]*psmeasure.Scenario, error) {
+func (c *measureCommand) scenarios() ([]*psscenario.Scenario, error) {
 	files := c.Scenarios
 	if c.All {
 		found, err := filepath.Glob(filepath.Join(c.Directory, "*.toml"))
@@ -60,13 +61,13 @@
 	if len(files) == 0 {
 		return nil, errors.New("name a scenario file or use --all")
 	}
-	var out []*psmeasure.Scenario
+	var out []*psscenario.Scenario
 	for _, f := range files {
 		data, err := os.ReadFile(f)
 		if err != nil {
 			return nil, errors.Wrap(err, "read a scenario")
 		}
-		v, err := psmeasure.Parse(f, data)
+		v, err := psscenario.Parse(f, data)
 		if err != nil {
 			return nil, &exitError{code: ExitFindings, text: err.Error()}
 		}
@@ -79,13 +80,13 @@
 }
 
 // runOne runs a scenario for each firm and policy.
-func (c *measureCommand) runOne(ctx context.Context, v *psmeasure.Scenario, l hclog.Logger) ([]*psmeasure.Result, error) {
+func (c *measureCommand) runOne(ctx context.Context, v *psscenario.Scenario, l hclog.Logger) ([]*psmeasure.Result, error) {
 	policies := []psmeasure.Policy{psmeasure.Own()}
 	if c.Baseline {
 		policies = append(policies, psmeasure.Baseline())
 	}
 	var out []*psmeasure.Result
-	for _, f := range psmeasure.Firms() {
+	for _, f := range psscenario.Firms() {
 		if c.Firm != "" && string(f.Name) != c.Firm {
 			continue
 		}
--- a/internal/process/pscontrol/belief.go
+++ b/internal/process/pscontrol/belief.go
@@ -10,6 +10,7 @@
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/version/psrendezvous"
@@ -97,12 +98,12 @@
 		return
 	}
 	if e.unchanged {
-		c.servers.readAt = now.Add(-e.beliefs.Age)
+		c.servers.ReadAt = now.Add(-e.beliefs.Age)
 		return
 	}
-	before := len(c.servers.servers)
+	before := c.servers.Len()
 	c.takeOrders(ordersEvent{platform.Orders{Configuration: e.beliefs.Configuration, Evacuated: e.beliefs.Evacuated}, true}, now)
-	c.servers.take(serversEvent{servers: platform.Servers{Entries: e.beliefs.Servers}, whole: true, age: e.beliefs.Age}, now)
+	c.servers.Take(platform.Servers{Entries: e.beliefs.Servers}, psregistry.Reading{Whole: true, Age: e.beliefs.Age}, now)
 	if before == 0 {
 		psevent.BeliefsTaken.Log(c.options.Logger, e.vm, e.beliefs.Configuration.Version, len(e.beliefs.Servers), e.beliefs.Age.String())
 	}
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -13,6 +13,7 @@
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psfollow"
 	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
@@ -84,7 +85,7 @@
 	evacuated map[string]bool
 	// changes counts changes of the configuration and of the evacuations.
 	changes int64
-	servers *registry
+	servers *psregistry.Registry
 	fleet   *psfleet.Fleet
 	shares  *shares
 	// unread holds the rows that were logged, by key and version.
@@ -99,7 +100,7 @@
 func New(o Options) *Control {
 	c := &Control{
 		options: o, events: make(chan event, eventBacklog), evacuated: map[string]bool{},
-		servers: newRegistry(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity.VM), shares: newShares(),
+		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity.VM), shares: newShares(),
 		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{},
 	}
 	c.running = context.Background()
@@ -142,7 +143,7 @@
 
 // TakeServers takes in entries of servers.
 func (c *Control) TakeServers(s platform.Servers, whole, returning bool) {
-	c.tell(serversEvent{servers: s, whole: whole, returning: returning})
+	c.tell(serversEvent{s, psregistry.Reading{Whole: whole, Returning: returning}})
 }
 
 // FleetSize returns the number of VMs that may be in use.
@@ -193,11 +194,7 @@
 	}
 	serversEvent struct {
 		servers platform.Servers
-		whole   bool
-		// returning says that the store was away, so that missing entries may come back.
-		returning bool
-		// age is how old the entries are.
-		age time.Duration
+		reading psregistry.Reading
 	}
 	vmsEvent    struct{ rows map[string][]byte }
 	reportEvent struct{ report *psfleet.Report }
@@ -267,7 +264,7 @@
 		c.takeOrders(e, now)
 	case serversEvent:
 		c.logUnread(e.servers.Unread)
-		c.servers.take(e, now)
+		c.servers.Take(e.servers, e.reading, now)
 	case vmsEvent:
 		c.takeVMs(e.rows, now)
 	case reportEvent:
@@ -331,7 +328,7 @@
 
 // takeBack takes the servers of a failure domain for cold until probes tell how they are.
 func (c *Control) takeBack(domain string, now time.Time) {
-	for _, s := range c.servers.in(domain) {
+	for _, s := range c.servers.In(domain) {
 		if v, found := c.service(s); found {
 			s.AssumeCold(v.ColdStart, now)
 			c.probe(s, 0)
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -38,7 +38,7 @@
 	}
 	c.options.Crashes.Learn(r.VM, r.Crashes, now)
 	for _, id := range r.Failed {
-		if s, found := c.servers.servers[id]; found && before.Report != nil && !slices.Contains(before.Report.Failed, id) {
+		if s, found := c.servers.Get(id); found && before.Report != nil && !slices.Contains(before.Report.Failed, id) {
 			c.learnFailed(s, now)
 		}
 	}
@@ -96,9 +96,9 @@
 	now := c.options.Now()
 	parts, even := c.shares.parts(c.fleet, c.index, now)
 	c.snapshot.Store(&Snapshot{
-		Index: c.index, Servers: c.servers.byService(), ServersAt: c.servers.readAt, Evacuated: c.evacuated,
+		Index: c.index, Servers: c.servers.ByService(), ServersAt: c.servers.ReadAt, Evacuated: c.evacuated,
 		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		Mark:    fmt.Sprintf("%d-%d-%d", c.options.Identity.Incarnation, c.changes, c.servers.changes),
+		Mark:    fmt.Sprintf("%d-%d-%d", c.options.Identity.Incarnation, c.changes, c.servers.Changes()),
 		readers: c.readers(now), holders: holders(c.options.Identity, c.fleet, now),
 	})
 }
--- a/internal/process/psmeasure/experiment.go
+++ b/internal/process/psmeasure/experiment.go
@@ -1,3 +1,10 @@
+// Package psmeasure runs experiments on the system and measures what its users care for.
+//
+// An experiment starts the entry VMs of a firm's size over loopback, with stand-ins for the
+// platform and the backend servers, sends a drawn load while faults come on a timetable,
+// and counts latency, headroom, goodput, wrongful refusals and broken promises. Each
+// scenario runs through the system and beside it under a named baseline. It is a tool
+// for experiments on this system and not a simulator: what it starts is the real thing.
 package psmeasure
 
 import (
@@ -15,6 +22,7 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psload"
 	"persimmonstep/internal/process/pspromise"
+	"persimmonstep/internal/process/psscenario"
 )
 
 const (
@@ -28,8 +36,8 @@
 
 // experiment is one run of a scenario under one policy.
 type experiment struct {
-	firm     Firm
-	scenario *Scenario
+	firm     psscenario.Firm
+	scenario *psscenario.Scenario
 	policy   Policy
 	logger   hclog.Logger
 	topology psdev.Topology
@@ -52,8 +60,8 @@
 }
 
 // Run runs a scenario of a firm under a policy.
-func Run(ctx context.Context, f Firm, s *Scenario, p Policy, l hclog.Logger) (*Result, error) {
-	e := &experiment{firm: f, scenario: s, policy: p, logger: l, topology: f.topology(), drained: make(map[int]time.Duration)}
+func Run(ctx context.Context, f psscenario.Firm, s *psscenario.Scenario, p Policy, l hclog.Logger) (*Result, error) {
+	e := &experiment{firm: f, scenario: s, policy: p, logger: l, topology: f.Topology(), drained: make(map[int]time.Duration)}
 	system, stop, err := psdev.New(ctx, e.topology, func(string) io.Writer { return io.Discard })
 	if err != nil {
 		return nil, err
@@ -86,10 +94,10 @@
 			b.LatencyFrom[e.system.Ready.VMs[j].Callers.Addr()] = e.latency(m.Domain, v.Domain)
 		}
 		for n, d := range e.topology.Domains {
-			b.LatencyFrom[source(n)] = e.latency(d, v.Domain)
+			b.LatencyFrom[psscenario.Source(n)] = e.latency(d, v.Domain)
 		}
-		if e.hasFault(FaultPoison) {
-			b.Faults = []psbackend.Fault{{Marker: poisonMarker, Kind: psbackend.FaultCrash, Delay: crashSpan}}
+		if e.hasFault(psscenario.FaultPoison) {
+			b.Faults = []psbackend.Fault{{Marker: psscenario.PoisonMarker, Kind: psbackend.FaultCrash, Delay: crashSpan}}
 		}
 		e.behaviours = append(e.behaviours, b)
 		e.system.Servers[i].Set(b)
@@ -111,7 +119,7 @@
 func (e *experiment) load(ctx context.Context) ([]psload.Observation, int, *usage) {
 	callers, clean := e.callers()
 	defer clean()
-	schedule := psload.Draw(e.scenario.Seed, e.firm.streams(e.scenario), domainCount, e.scenario.Span.Duration)
+	schedule := psload.Draw(e.scenario.Seed, e.firm.Streams(e.scenario), psscenario.DomainCount, e.scenario.Span.Duration)
 	ctx, cancel := context.WithCancel(ctx)
 	var beside sync.WaitGroup
 	use := newUsage(e)
@@ -138,9 +146,9 @@
 	}
 	var out []*psload.Caller
 	var cleanups []func()
-	for n := range domainCount {
+	for n := range psscenario.DomainCount {
 		d := e.topology.Domains[n]
-		c, clean := psload.NewCaller(source(n), psload.Place{Region: d.Region, FailureDomain: d.Name}, targets, e.policy.choice(e.system), keys)
+		c, clean := psload.NewCaller(psscenario.Source(n), psload.Place{Region: d.Region, FailureDomain: d.Name}, targets, e.policy.choice(e.system), keys)
 		out = append(out, c)
 		cleanups = append(cleanups, clean)
 	}
@@ -157,8 +165,8 @@
 	for _, w := range e.topology.Configuration.Workspaces {
 		out.Workspaces = append(out.Workspaces, pspromise.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst, Over: quotaOver, Slack: quotaSlack})
 	}
-	for n := range domainCount {
-		out.Homes = append(out.Homes, e.firm.region(n))
+	for n := range psscenario.DomainCount {
+		out.Homes = append(out.Homes, e.firm.Region(n))
 	}
 	for i, v := range e.topology.Servers {
 		stats := e.system.Servers[i].Stats()
--- a/internal/process/psmeasure/fault.go
+++ b/internal/process/psmeasure/fault.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"persimmonstep/internal/process/psbackend"
+	"persimmonstep/internal/process/psscenario"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform/psstandin"
 )
@@ -14,9 +15,6 @@
 const (
 	// slowFactor is how much slower a slow backend server is.
 	slowFactor = 10
-	// poisonRate is in requests per second.
-	poisonRate   = 3
-	poisonMarker = "poison"
 	// crashSpan is how long a crashed backend server is down.
 	crashSpan = time.Second
 	// refusedStatus is what the store answers while it is down.
@@ -50,49 +48,49 @@
 }
 
 // begin lets a fault happen.
-func (e *experiment) begin(f Fault) {
+func (e *experiment) begin(f psscenario.Fault) {
 	switch f.Kind {
-	case FaultKillVM:
+	case psscenario.FaultKillVM:
 		e.system.Kill(f.Target)
-	case FaultStopVM:
+	case psscenario.FaultStopVM:
 		e.stop(f.Target)
-	case FaultKillRegion:
+	case psscenario.FaultKillRegion:
 		e.killRegion(e.firm.Regions[f.Target])
-	case FaultCutRegion:
+	case psscenario.FaultCutRegion:
 		e.cut(e.firm.Regions[f.Target], e.firm.Regions[f.Target])
-	case FaultCutAll:
+	case psscenario.FaultCutAll:
 		for i, v := range e.system.Ready.VMs {
 			e.system.Links.Cut(v.Callers.Addr(), e.topology.VMs[i].Name)
 		}
 		e.setStore(psstandin.Fault{Silent: true})
-	case FaultPlatformDown:
+	case psscenario.FaultPlatformDown:
 		e.setStore(psstandin.Fault{Status: refusedStatus})
-	case FaultSlowServer:
+	case psscenario.FaultSlowServer:
 		e.behave(f.Target, func(b *psbackend.Behaviour) { b.ServiceTime *= slowFactor })
-	case FaultKillServer:
+	case psscenario.FaultKillServer:
 		e.system.Servers[f.Target].Crash(-1)
-	case FaultDrain:
+	case psscenario.FaultDrain:
 		e.drain(f.Target)
-	case FaultWithdrawKey:
+	case psscenario.FaultWithdrawKey:
 		e.withdraw(f.Target)
 	}
 }
 
 // end takes back a cut or an outage.
-func (e *experiment) end(f Fault) {
+func (e *experiment) end(f psscenario.Fault) {
 	switch f.Kind {
-	case FaultCutRegion:
+	case psscenario.FaultCutRegion:
 		e.cut(e.firm.Regions[f.Target], "")
-	case FaultCutAll:
+	case psscenario.FaultCutAll:
 		for _, v := range e.system.Ready.VMs {
 			e.system.Links.Cut(v.Callers.Addr(), "")
 		}
 		e.setStore(psstandin.Fault{})
-	case FaultPlatformDown:
+	case psscenario.FaultPlatformDown:
 		e.setStore(psstandin.Fault{})
-	case FaultSlowServer:
+	case psscenario.FaultSlowServer:
 		e.behave(f.Target, func(b *psbackend.Behaviour) { b.ServiceTime /= slowFactor })
-	case FaultKillServer:
+	case psscenario.FaultKillServer:
 		e.system.Servers[f.Target].Start()
 	}
 }
@@ -165,6 +163,6 @@
 }
 
 // hasFault reports whether the timetable names a fault of a kind.
-func (e *experiment) hasFault(k FaultKind) bool {
-	return slices.ContainsFunc(e.scenario.Faults, func(f Fault) bool { return f.Kind == k })
+func (e *experiment) hasFault(k psscenario.FaultKind) bool {
+	return slices.ContainsFunc(e.scenario.Faults, func(f psscenario.Fault) bool { return f.Kind == k })
 }
--- a/internal/process/psmeasure/result.go
+++ b/internal/process/psmeasure/result.go
@@ -9,6 +9,7 @@
 
 	"persimmonstep/internal/process/psload"
 	"persimmonstep/internal/process/pspromise"
+	"persimmonstep/internal/process/psscenario"
 )
 
 // Result is what one run measured.
@@ -112,7 +113,7 @@
 	return float64(d.Microseconds()) / 1000
 }
 
-func (r *Result) route(p Pool, observations []psload.Observation, use *usage) RouteResult {
+func (r *Result) route(p psscenario.Pool, observations []psload.Observation, use *usage) RouteResult {
 	h := hdrhistogram.New(1, longestLatency.Microseconds(), histogramFigures)
 	out := RouteResult{Route: p.Name, Kind: p.Kind.String(), PeakUse: use.peak(p.Name, noRefusal), UseBeforeRefusal: 1}
 	first := noRefusal
--- a/internal/process/psmeasure/firm.go
+++ b/internal/process/psscenario/firm.go
@@ -1,4 +1,4 @@
-package psmeasure
+package psscenario
 
 import (
 	"fmt"
@@ -14,11 +14,14 @@
 )
 
 const (
+	// poisonRate is in requests per second.
+	poisonRate       = 3
 	regionCount      = 3
 	domainsPerRegion = 2
-	domainCount      = regionCount * domainsPerRegion
-	vmCount          = 9
-	serverCount      = 16 + 12 + 12
+	// DomainCount is the number of failure domains.
+	DomainCount = regionCount * domainsPerRegion
+	vmCount     = 9
+	serverCount = 16 + 12 + 12
 	// uploadBytes is the size of an uploaded file.
 	uploadBytes = 64 << 10
 	// promisedPart is the part of the lookup capacity that all rates together promise.
@@ -38,6 +41,9 @@
 // workspaceWeights shares the promised rate between the workspaces: a few are large.
 var workspaceWeights = []float64{6, 4, 3, 1, 1, 0.5, 0.3, 0.2}
 
+// PoisonMarker marks the requests that crash backend servers.
+const PoisonMarker = "poison"
+
 // Firm is one of the users' installations.
 type Firm struct {
 	// Name identifies the firm.
@@ -101,31 +107,31 @@
 	return fmt.Sprintf("%s-%c", f.Regions[n/domainsPerRegion], 'a'+n%domainsPerRegion)
 }
 
-// region is the region of a failure domain by its index.
-func (f Firm) region(domain int) string {
+// Region is the region of a failure domain by its index.
+func (f Firm) Region(domain int) string {
 	return f.Regions[domain/domainsPerRegion]
 }
 
-// source is the loopback address of the callers of a failure domain.
-func source(domain int) netip.Addr {
+// Source is the loopback address of the callers of a failure domain.
+func Source(domain int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, 1, byte(domain), 1})
 }
 
-// topology is what the firm runs.
-func (f Firm) topology() psdev.Topology {
+// Topology is what the firm runs.
+func (f Firm) Topology() psdev.Topology {
 	t := psdev.Topology{Grace: grace, Configuration: psconfig.Configuration{Workspaces: f.workspaces()}}
-	for n := range domainCount {
-		t.Domains = append(t.Domains, psdev.Domain{Name: f.domain(n), Region: f.region(n)})
+	for n := range DomainCount {
+		t.Domains = append(t.Domains, psdev.Domain{Name: f.domain(n), Region: f.Region(n)})
 	}
 	for n := range vmCount {
-		t.VMs = append(t.VMs, psdev.VM{Name: fmt.Sprintf("vm-%d", n), Domain: t.Domains[n%domainCount]})
+		t.VMs = append(t.VMs, psdev.VM{Name: fmt.Sprintf("vm-%d", n), Domain: t.Domains[n%DomainCount]})
 	}
 	for _, p := range f.Pools {
 		t.Configuration.Services = append(t.Configuration.Services, psdev.ServiceOf(p.Name))
 		t.Configuration.Routes = append(t.Configuration.Routes, p.route())
 		for n := range p.Servers {
 			t.Servers = append(t.Servers, psdev.Server{
-				ID: fmt.Sprintf("%s-%d", p.Name, n), Domain: t.Domains[n%domainCount], Service: p.Name, Behaviour: p.behaviour(),
+				ID: fmt.Sprintf("%s-%d", p.Name, n), Domain: t.Domains[n%DomainCount], Service: p.Name, Behaviour: p.behaviour(),
 			})
 		}
 	}
@@ -156,8 +162,8 @@
 	})
 }
 
-// streams is the load of a scenario: each workspace sends to each route.
-func (f Firm) streams(s *Scenario) []psload.Stream {
+// Streams is the load of a scenario: each workspace sends to each route.
+func (f Firm) Streams(s *Scenario) []psload.Stream {
 	var out []psload.Stream
 	for i, w := range f.workspaces() {
 		load := s.Load
@@ -171,7 +177,7 @@
 	for _, v := range s.Faults {
 		if v.Kind == FaultPoison {
 			p := f.stream(v.Target, f.workspaces()[v.Target], f.Pools[0], poisonRate)
-			p.Marker, p.From, p.To = poisonMarker, v.At.Duration, v.Until.Duration
+			p.Marker, p.From, p.To = PoisonMarker, v.At.Duration, v.Until.Duration
 			out = append(out, p)
 		}
 	}
@@ -181,6 +187,6 @@
 func (f Firm) stream(n int, w psconfig.Workspace, p Pool, rate float64) psload.Stream {
 	return psload.Stream{
 		Workspace: w.Name, Route: p.Name, Host: psdev.Host, Prefix: "/" + p.Name + "/", Kind: p.Kind,
-		Rate: rate, Home: n % domainCount, BodyBytes: p.BodyBytes, Objects: p.Objects, Deadline: deadline,
+		Rate: rate, Home: n % DomainCount, BodyBytes: p.BodyBytes, Objects: p.Objects, Deadline: deadline,
 	}
 }
--- a/internal/process/psmeasure/scenario.go
+++ b/internal/process/psscenario/scenario.go
@@ -1,11 +1,5 @@
-// Package psmeasure runs experiments on the system and measures what its users care for.
-//
-// An experiment starts the entry VMs of a firm's size over loopback, with stand-ins for the
-// platform and the backend servers, sends a drawn load while faults come on a timetable,
-// and counts latency, headroom, goodput, wrongful refusals and broken promises. Each
-// scenario runs through the system and beside it under a named baseline. It is a tool
-// for experiments on this system and not a simulator: what it starts is the real thing.
-package psmeasure
+// Package psscenario says what an experiment plays: the size of a firm, and a timetable of faults.
+package psscenario
 
 import (
 	"fmt"
--- /dev/null
+++ b/internal/process/psscenario/scenario_test.go
@@ -0,0 +1,44 @@
+package psscenario_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/psscenario"
+)
+
+func TestScenariosAreSound(t *testing.T) {
+	files, err := filepath.Glob("../../../scenarios/*.toml")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		qt.Assert(t, err, qt.IsNil)
+		s, err := psscenario.Parse(f, data)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, s.Name+".toml", qt.Equals, filepath.Base(f))
+	}
+}
+
+func TestParseReportsEveryFinding(t *testing.T) {
+	_, err := psscenario.Parse("x.toml", []byte(`
+seed = 1
+span = "2h"
+[busy]
+workspace = 8
+[[faults]]
+at = "2s"
+until = "1s"
+kind = "killVM"
+target = 9
+[[faults]]
+kind = "rain"
+`))
+	qt.Assert(t, err, qt.IsNotNil)
+	for _, text := range []string{"needs a name", "at most one minute", "no such workspace", "no such target", "ends before it begins", `"rain" is not a fault`} {
+		qt.Check(t, err.Error(), qt.Contains, text)
+	}
+}
