--- a/internal/connection/psanswer/answer.go
+++ b/internal/connection/psanswer/answer.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
 	"persimmonstep/platform"
@@ -105,3 +106,30 @@
 	}
 	return out
 }
+
+// Relay passes the answer on to a caller. One that breaks off takes the caller's connection along.
+func (a *Answer) Relay(w http.ResponseWriter) {
+	h := w.Header()
+	for name, values := range Forwardable(a.Header) {
+		h[name] = values
+	}
+	if len(h["Content-Type"]) == 0 {
+		// net/http guesses one otherwise.
+		h["Content-Type"] = nil
+	}
+	if a.Rest == nil && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(a.Body); err != nil {
+		a.Close()
+		return
+	}
+	if a.Rest == nil {
+		return
+	}
+	defer a.Close()
+	if _, err := io.Copy(w, a.Rest); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/connection/psfront/finish.go
+++ b/internal/connection/psfront/finish.go
@@ -17,7 +17,8 @@
 	switch o := o.(type) {
 	case answered:
 		c.log(psevent.RequestAnswered, o.answer.Status, "", 0)
-		c.write(o.answer)
+		c.closeIfLeaving()
+		o.answer.Relay(c.writer)
 	case rejected:
 		c.log(psevent.RequestRejected, o.status, o.reason, o.after)
 		c.refuse(o.status, o.after)
@@ -94,3 +95,10 @@
 	}
 	return strconv.FormatInt(d.Milliseconds(), 10) + "ms"
 }
+
+// closeIfLeaving announces that the connection ends with this answer.
+func (c *call) closeIfLeaving() {
+	if c.gate.isLeaving() {
+		c.writer.Header().Set("Connection", "close")
+	}
+}
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/connection/psbody"
+	"persimmonstep/internal/connection/pscrash"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/pslog"
@@ -59,7 +60,7 @@
 	spreads   psspread.Spreads
 	repeats   psrepeat.Budgets
 	poison    pspoison.Set
-	checks    checks
+	looks     pscrash.Looks
 	memory    psbody.Memory
 
 	successes pslog.Budget
