pscontrol: a VM that is reading the store asks no other VM for its beliefs

Cause: at 300 VMs 1.0 GB went between failure domains and 0.4 GB from the store in 37 s, and the service did not recover within 30 s after all VMs were killed. A VM counts as having lost the store until its first reading ends. The table of 3,000 servers takes a second and more over a link of 10 Mbit/s, and meanwhile the VM asked another one for the same, over the same link.

Ruled out: reports (brief ones changed nothing there), notices (a reader's 2 MB/s explain a tenth).

Changed: beliefs are asked for only after a call to the store failed.

Test: TestWhoReadsTheStoreDoesNotAskOtherVMs (asked twice in 1.8 s before, not at all now).

--- a/internal/process/pscontrol/belief.go
+++ b/internal/process/pscontrol/belief.go
@@ -65,7 +65,7 @@
 	last := believer{}
 	for turn := 0; pswait.Sleep(ctx, askInterval); {
 		readers := c.Snapshot().readers
-		if !c.follower.Lost() || len(readers) == 0 {
+		if !c.follower.Failing() || len(readers) == 0 {
 			last = believer{}
 			turn = 0
 			continue
--- a/internal/process/pscontrol/control_test.go
+++ b/internal/process/pscontrol/control_test.go
@@ -28,6 +28,8 @@
 	version int64
 	away    bool
 	changed chan struct{}
+	// slow is how long a whole reading takes.
+	slow time.Duration
 	// asked lists which VM was asked, and what was known of its beliefs.
 	asked []string
 }
@@ -49,6 +51,7 @@
 }
 
 func (s *store) read() (platform.Orders, platform.Servers, error) {
+	time.Sleep(s.slow)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.away {
@@ -283,3 +286,17 @@
 	})
 	eventually(t, "what the store says", func() bool { return version(c) == 5 && servers(c) == 2 && !c.Snapshot().Evacuated["south-a"] })
 }
+
+// TestWhoReadsTheStoreDoesNotAskOtherVMs replays a VM that starts behind a slow link, over which the
+// table of a large fleet takes its time. Beliefs of other VMs would come over the same link.
+func TestWhoReadsTheStoreDoesNotAskOtherVMs(t *testing.T) {
+	s := newStore()
+	s.slow = 2 * time.Second
+	c := start(t, s)
+	a := netip.MustParseAddrPort("127.0.0.1:2")
+	c.Heard(&psfleet.Report{Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", Callers: a, Peers: a}, Sequence: 1, Reads: true})
+	time.Sleep(1800 * time.Millisecond)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	qt.Assert(t, s.asked, qt.HasLen, 0)
+}
--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -94,6 +94,8 @@
 	relay   relay
 	// lost counts the tables that can't be read now. At the start no table was read.
 	lost atomic.Int32
+	// failing counts the tables of which the last call failed.
+	failing atomic.Int32
 }
 
 // New returns a follower.
@@ -109,6 +111,10 @@
 // Lost reports whether a table can't be read now.
 func (f *Follower) Lost() bool { return f.lost.Load() > 0 }
 
+// Failing reports whether the store failed to answer the last call for a table. A table that is
+// being read for the first time is lost but doesn't fail.
+func (f *Follower) Failing() bool { return f.failing.Load() > 0 }
+
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.followOrders(ctx)
@@ -132,10 +138,21 @@
 		return false
 	}
 	w.count(err != nil)
+	failed := w.loss.Lost()
 	w.loss.Note(err, w.follower.options.Logger, w.follower.options.Now())
+	if w.loss.Lost() != failed {
+		w.follower.failing.Add(1 - 2*toInt(failed))
+	}
 	return err == nil
 }
 
+func toInt(b bool) int32 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // count counts the table as lost or not.
 func (w *watch) count(missing bool) {
 	switch {
