psfleet: in a large fleet a VM that is gone leaves the directory after two intervals

A VM counted as live for four intervals between reports, which are 1.3 s at 74 VMs and 5.4 s at 300, and callers were sent there meanwhile.

Changed: two intervals in large fleets, one second in small ones as before. What a silent VM had stays reserved for four intervals at least, which only matters above 138 VMs.

Ruled out: more frequent reports (bytes between failure domains and regions are dear).

Test: TestALostDomainLeavesTheDirectorySoon (73 of 73 still named 3.2 s after the loss of twelve; 61 now).

--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -22,12 +22,17 @@
 	// VM adds in a larger one, so that a VM's work stays bounded.
 	baseInterval  = 250 * time.Millisecond
 	intervalPerVM = 18 * time.Millisecond
-	// liveIntervals is the number of intervals after which a silent VM is no longer live.
-	liveIntervals = 4
+	// minLiveSpan is how long a VM may be silent in a small fleet, and liveIntervals the number
+	// of intervals in a large one. Callers are sent to a VM that is gone for that long, while
+	// one that is left out by chance is back with its next report.
+	minLiveSpan   = time.Second
+	liveIntervals = 2
 	// liveSlack is added to them for delays on the way.
 	liveSlack = 300 * time.Millisecond
-	// reserveSpan is how long the part of a silent VM is reserved.
-	reserveSpan = 10 * time.Second
+	// reserveSpan is how long the part of a silent VM is reserved, and reserveIntervals the
+	// least number of intervals.
+	reserveSpan      = 10 * time.Second
+	reserveIntervals = 4
 )
 
 // Identity is what a VM publishes of itself.
@@ -234,7 +239,7 @@
 
 // Live reports whether a VM was heard of lately.
 func (f *Fleet) Live(p *Peer, now time.Time) bool {
-	return p.Report != nil && now.Sub(p.HeardAt) < liveIntervals*f.Interval()+liveSlack
+	return p.Report != nil && now.Sub(p.HeardAt) < max(minLiveSpan, liveIntervals*f.Interval())+liveSlack
 }
 
 // Reserved reports whether a VM may still use its part of what the fleet shares.
@@ -243,5 +248,5 @@
 	if p.Report == nil {
 		since = p.KnownAt
 	}
-	return now.Sub(since) < reserveSpan
+	return now.Sub(since) < max(reserveSpan, reserveIntervals*f.Interval())
 }
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -82,3 +82,37 @@
 	qt.Assert(t, hear(2, 5), qt.IsTrue)
 	qt.Assert(t, f.Peers()[0].Identity.Incarnation, qt.Equals, int64(2))
 }
+
+// TestALostDomainLeavesTheDirectorySoon replays a fleet of 74 VMs of which twelve are lost at once.
+// Callers wait for two seconds before they try another VM, so that few may be sent to those.
+func TestALostDomainLeavesTheDirectorySoon(t *testing.T) {
+	f := psfleet.New("vm-0")
+	interval := 74 * 18 * time.Millisecond
+	now := begun
+	for sequence := range int64(20) {
+		for vm := range 73 {
+			if sequence < 10 || vm >= 12 {
+				f.Hear(&psfleet.Report{Identity: identity(fmt.Sprint("vm-", vm+1), 1), Sequence: sequence + 1}, now)
+			}
+		}
+		now = now.Add(interval)
+	}
+	live := func(at time.Time) int {
+		n := 0
+		for _, p := range f.Peers() {
+			if f.Live(p, at) {
+				n++
+			}
+		}
+		return n
+	}
+	lost := begun.Add(9 * interval)
+	qt.Assert(t, live(lost.Add(3200*time.Millisecond)), qt.Equals, 61)
+	reserved := 0
+	for _, p := range f.Peers() {
+		if f.Reserved(p, lost.Add(9*time.Second)) {
+			reserved++
+		}
+	}
+	qt.Assert(t, reserved, qt.Equals, 73)
+}
