--- a/internal/connection/psbelief/belief.go
+++ b/internal/connection/psbelief/belief.go
@@ -141,6 +141,9 @@
 		if err := json.NewDecoder(io.LimitReader(answer.Body, maxBytes)).Decode(&t.Beliefs); err != nil {
 			return psfleet.Told{}, errors.Wrap(err, "decode beliefs")
 		}
+		if err := t.Beliefs.Check(); err != nil {
+			return psfleet.Told{}, err
+		}
 	}
 	t.Beliefs.Age, err = time.ParseDuration(answer.Header.Get(headerAge))
 	return t, errors.Wrap(err, "read the age of beliefs")
--- /dev/null
+++ b/internal/connection/psbelief/fuzz_test.go
@@ -0,0 +1,39 @@
+package psbelief
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+)
+
+// FuzzAsk lets a VM answer anything. What is taken must be sound.
+func FuzzAsk(f *testing.F) {
+	for _, text := range []string{
+		`{"configuration":{"version":1},"servers":[{"id":"i-1","service":"s","address":"1.2.3.4:5","failureDomain":"a","slots":4}]}`,
+		`{"configuration":{"version":-1}}`, `{"configuration":{"routes":[{}]}}`, `{"servers":[{}]}`, `{`, `null`,
+	} {
+		f.Add([]byte(text))
+	}
+	var body []byte
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerAge, "1s")
+		_, _ = w.Write(body)
+	}))
+	f.Cleanup(server.Close)
+	c, clean := NewClient(nil)
+	f.Cleanup(clean)
+	at := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body = data
+		told, err := c.Ask(context.Background(), at, "")
+		if err != nil {
+			return
+		}
+		if err := told.Beliefs.Check(); err != nil {
+			t.Fatalf("taken: %s", err)
+		}
+	})
+}
--- a/internal/connection/psreport/report.go
+++ b/internal/connection/psreport/report.go
@@ -209,6 +209,9 @@
 	if err := json.Unmarshal(params, n); err != nil {
 		return errors.Wrap(err, "decode a notice")
 	}
+	if err := n.Check(); err != nil {
+		return err
+	}
 	h.Noticed(n)
 	return nil
 }
--- a/internal/process/psfleet/belief.go
+++ b/internal/process/psfleet/belief.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -17,6 +19,22 @@
 	Age time.Duration `json:"-"`
 }
 
+// Check returns what is wrong with decoded beliefs.
+func (b Beliefs) Check() error {
+	if b.Configuration == nil {
+		return errors.New("beliefs without a configuration")
+	}
+	if findings := b.Configuration.Check(); len(findings) > 0 {
+		return errors.Errorf("beliefs with a faulty configuration: %s", findings[0])
+	}
+	for _, e := range b.Servers {
+		if err := e.Check(); err != nil {
+			return errors.Wrap(err, "beliefs")
+		}
+	}
+	return nil
+}
+
 // Told is the answer of a VM that was asked for its beliefs.
 type Told struct {
 	Beliefs Beliefs
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -137,6 +137,22 @@
 	Orders int64 `json:"orders,omitempty"`
 }
 
+// Check returns what is wrong with a decoded notice.
+func (n *Notice) Check() error {
+	if n.VM == "" || n.Region == "" {
+		return errors.New("a notice without its VM or region")
+	}
+	if n.Servers == nil {
+		return nil
+	}
+	for _, e := range n.Servers.Entries {
+		if err := e.Check(); err != nil {
+			return errors.Wrap(err, "notice")
+		}
+	}
+	return nil
+}
+
 // ServerChanges lead from one version of the store to a later one.
 type ServerChanges struct {
 	From    int64            `json:"from"`
--- a/internal/process/psserver/entry.go
+++ b/internal/process/psserver/entry.go
@@ -7,6 +7,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // State is what a server says of itself.
@@ -35,3 +37,16 @@
 	// Sequence grows with each heartbeat of one incarnation.
 	Sequence int64 `json:"sequence"`
 }
+
+// Check returns what is wrong with a decoded entry.
+func (e Entry) Check() error {
+	switch {
+	case e.ID == "" || e.Service == "" || e.FailureDomain == "":
+		return errors.New("a name of the entry is missing")
+	case !e.Address.IsValid():
+		return errors.New("the entry has no address")
+	case e.Slots <= 0 || e.ColdFor < 0 || e.State > Draining:
+		return errors.New("a value of the entry is out of range")
+	}
+	return nil
+}
