--- a/internal/process/pscontrol/belief.go
+++ b/internal/process/pscontrol/belief.go
@@ -70,7 +70,7 @@
 			turn = 0
 			continue
 		}
-		vm := readers[turn%len(readers)]
+		vm := nearFirst(c.options.Identity, readers)[turn%len(readers)]
 		if vm.VM != last.vm {
 			last = believer{vm: vm.VM}
 		}
@@ -109,16 +109,21 @@
 	}
 }
 
-// readers lists the other VMs that read the store: those of this VM's failure domain, then
-// those of its region, then the others. VMs of one place ask different ones first.
+// readers lists the other VMs that read the store.
 func (c *Control) readers(now time.Time) []psfleet.Identity {
-	self := c.options.Identity
 	var list []psfleet.Identity
 	for _, p := range c.fleet.Peers() {
 		if c.fleet.Live(p, now) && p.Report.Reads {
 			list = append(list, p.Identity)
 		}
 	}
+	return list
+}
+
+// nearFirst returns the VMs of a VM's failure domain, then those of its region, then the others.
+// VMs of one place come to different orders, so that they don't all ask the same one.
+func nearFirst(self psfleet.Identity, list []psfleet.Identity) []psfleet.Identity {
+	list = slices.Clone(list)
 	slices.SortStableFunc(list, func(a, b psfleet.Identity) int {
 		return cmp.Or(cmp.Compare(distance(self, a), distance(self, b)),
 			cmp.Compare(psrendezvous.Score(self.VM, a.VM), psrendezvous.Score(self.VM, b.VM)))
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -32,7 +32,7 @@
 	tells bool
 	// Mark changes whenever what the VM would tell another one does.
 	Mark string
-	// readers lists the other VMs that read the store, the near ones first.
+	// readers lists the other VMs that read the store.
 	readers []psfleet.Identity
 	// FleetSize is the number of VMs that may be in use.
 	FleetSize int
--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -144,19 +144,15 @@
 	w.count(err != nil)
 	failed := w.loss.Lost()
 	w.loss.Note(err, w.follower.options.Logger, w.follower.options.Now())
-	if w.loss.Lost() != failed {
-		w.follower.failing.Add(1 - 2*toInt(failed))
+	switch {
+	case w.loss.Lost() && !failed:
+		w.follower.failing.Add(1)
+	case !w.loss.Lost() && failed:
+		w.follower.failing.Add(-1)
 	}
 	return err == nil
 }
 
-func toInt(b bool) int32 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // count counts the table as lost or not.
 func (w *watch) count(missing bool) {
 	switch {
