--- a/internal/request/psspread/spread.go
+++ b/internal/request/psspread/spread.go
@@ -2,6 +2,7 @@
 package psspread
 
 import (
+	"slices"
 	"sync"
 
 	"persimmonstep/internal/version/psconfig"
@@ -38,25 +39,13 @@
 		s.routes = make(map[string]*split)
 	}
 	v, found := s.routes[r.Name]
-	if !found || !same(v.backends, r.Backends) {
+	if !found || !slices.Equal(v.backends, r.Backends) {
 		v = &split{backends: r.Backends, counts: make([]float64, len(r.Backends))}
 		s.routes[r.Name] = v
 	}
 	return v
 }
 
-func same(a, b []psconfig.Backend) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (v *split) next() string {
 	best, least := -1, 0.0
 	for i, b := range v.backends {
