psfollow: a lost table is one that was never read or fails

Cause: two counters, each with a flag of its own, were kept in step with nearly the same state: tables that can't be read and tables of which the last call failed. They differ only before the first reading, so that is what is counted now, and Lost follows from both. Behaviour is the same; tests of psfollow and pscontrol as before.

--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -96,24 +96,23 @@
 type Follower struct {
 	options Options
 	relay   relay
-	// lost counts the tables that can't be read now. At the start no table was read.
-	lost atomic.Int32
-	// failing counts the tables of which the last call failed.
-	failing atomic.Int32
+	// unread counts the tables that were never read, and failing those of which the last call
+	// failed.
+	unread, failing atomic.Int32
 }
 
 // New returns a follower.
 func New(o Options) *Follower {
 	f := &Follower{options: o, relay: newRelay()}
-	f.lost.Store(tables)
+	f.unread.Store(tables)
 	return f
 }
 
 // tables is the number of tables that are followed.
 const tables = 2
 
-// Lost reports whether a table can't be read now.
-func (f *Follower) Lost() bool { return f.lost.Load() > 0 }
+// Lost reports whether a table can't be read now, or has not been yet.
+func (f *Follower) Lost() bool { return f.unread.Load() > 0 || f.Failing() }
 
 // Failing reports whether the store failed to answer the last call for a table. A table that is
 // being read for the first time is lost but doesn't fail.
@@ -129,8 +128,8 @@
 type watch struct {
 	follower *Follower
 	loss     Loss
-	// missing says that the table counts as lost.
-	missing bool
+	// read says that the table was read once.
+	read bool
 }
 
 // do makes one call and reports whether the store answered it.
@@ -142,26 +141,22 @@
 		return false
 	}
 	w.count(err != nil)
-	failed := w.loss.Lost()
 	w.loss.Note(err, w.follower.options.Logger, w.follower.options.Now())
-	switch {
-	case w.loss.Lost() && !failed:
-		w.follower.failing.Add(1)
-	case !w.loss.Lost() && failed:
-		w.follower.failing.Add(-1)
-	}
 	return err == nil
 }
 
-// count counts the table as lost or not.
-func (w *watch) count(missing bool) {
+// count counts how a call ended, before the loss is noted.
+func (w *watch) count(failed bool) {
 	switch {
-	case missing && !w.missing:
-		w.follower.lost.Add(1)
-	case !missing && w.missing:
-		w.follower.lost.Add(-1)
+	case failed && !w.loss.Lost():
+		w.follower.failing.Add(1)
+	case !failed && w.loss.Lost():
+		w.follower.failing.Add(-1)
+	}
+	if !failed && !w.read {
+		w.read = true
+		w.follower.unread.Add(-1)
 	}
-	w.missing = missing
 }
 
 // table is a table of the store that is followed.
@@ -181,7 +176,7 @@
 // follow keeps up with a table. After the store was away it reads the table again once
 // entries had time to return.
 func (f *Follower) follow(ctx context.Context, t table) {
-	w := &watch{follower: f, loss: Loss{Call: t.call}, missing: true}
+	w := &watch{follower: f, loss: Loss{Call: t.call}}
 	version := int64(0)
 	retry := retryInterval
 	for ctx.Err() == nil {
