--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -84,7 +84,7 @@
 
 // serve decides about the call and carries it out.
 func (c *call) serve() outcome {
-	if c.snapshot.Index == nil || c.snapshot.ServersAt.IsZero() {
+	if !c.snapshot.Serves() {
 		return rejected{http.StatusServiceUnavailable, "notReady", unreadyAfter}
 	}
 	if o := c.match(); o != nil {
--- a/internal/process/pscontrol/belief.go
+++ b/internal/process/pscontrol/belief.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -34,13 +35,14 @@
 // before it knows a configuration and servers.
 func (c *Control) Mark() (mark string, age time.Duration, found bool) {
 	s := c.Snapshot()
-	return s.Mark, c.options.Now().Sub(s.ServersAt), s.Index != nil && !s.ServersAt.IsZero()
+	mark = fmt.Sprintf("%d-%d", c.options.Identity.Incarnation, s.changes)
+	return mark, c.options.Now().Sub(s.ServersAt), s.Serves()
 }
 
 // Beliefs returns what this VM believes; false before it knows a configuration and servers.
 func (c *Control) Beliefs() (psfleet.Beliefs, bool) {
 	s := c.Snapshot()
-	if s.Index == nil || s.ServersAt.IsZero() {
+	if !s.Serves() {
 		return psfleet.Beliefs{}, false
 	}
 	b := psfleet.Beliefs{
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -129,7 +129,7 @@
 // Ready reports whether the VM can serve and takes callers.
 func (c *Control) Ready() bool {
 	s := c.Snapshot()
-	return !c.leaving.Load() && s.Index != nil && !s.ServersAt.IsZero()
+	return !c.leaving.Load() && s.Serves()
 }
 
 // Heard takes in another VM's report.
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -1,7 +1,6 @@
 package pscontrol
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -98,7 +97,7 @@
 	c.snapshot.Store(&Snapshot{
 		Index: c.index, Servers: c.servers.ByService(), ServersAt: c.servers.ReadAt, Evacuated: c.evacuated,
 		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		Mark:    fmt.Sprintf("%d-%d-%d", c.options.Identity.Incarnation, c.changes, c.servers.Changes()),
+		changes: c.changes + c.servers.Changes(),
 		tells:   c.tells(now),
 		readers: c.readers(now), holders: holders(c.options.Identity, c.fleet, now),
 	})
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -30,8 +30,8 @@
 	holders []psfleet.Identity
 	// tells says that this VM tells the others of its region what it reads in the store.
 	tells bool
-	// Mark changes whenever what the VM would tell another one does.
-	Mark string
+	// changes grows whenever what the VM would tell another one changes.
+	changes int64
 	// readers lists the other VMs that read the store.
 	readers []psfleet.Identity
 	// FleetSize is the number of VMs that may be in use.
@@ -40,6 +40,9 @@
 	VMs []VM
 }
 
+// Serves reports whether the VM knows enough to serve: a configuration and the servers.
+func (s *Snapshot) Serves() bool { return s.Index != nil && !s.ServersAt.IsZero() }
+
 // VM is a VM that takes callers.
 type VM struct {
 	Name          string `json:"name"`
