--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -175,6 +176,8 @@
 type Fleet struct {
 	self  string
 	peers map[string]*Peer
+	// sorted are the peers by name; nil after one was added.
+	sorted []*Peer
 }
 
 // New returns the view of a VM that knows itself only.
@@ -190,6 +193,7 @@
 	p, found := f.peers[i.VM]
 	if !found {
 		f.peers[i.VM] = &Peer{Identity: i, KnownAt: now}
+		f.sorted = nil
 		return
 	}
 	if i.Incarnation > p.Identity.Incarnation {
@@ -243,14 +247,12 @@
 	return max(baseInterval, time.Duration(f.Size())*intervalPerVM)
 }
 
-// Peers returns the other VMs by name.
+// Peers returns the other VMs by name. The list must not be changed.
 func (f *Fleet) Peers() []*Peer {
-	list := make([]*Peer, 0, len(f.peers))
-	for _, p := range f.peers {
-		list = append(list, p)
+	if f.sorted == nil {
+		f.sorted = slices.SortedFunc(maps.Values(f.peers), func(a, b *Peer) int { return cmp.Compare(a.Identity.VM, b.Identity.VM) })
 	}
-	slices.SortFunc(list, func(a, b *Peer) int { return cmp.Compare(a.Identity.VM, b.Identity.VM) })
-	return list
+	return f.sorted
 }
 
 // Live reports whether a VM was heard of lately.
