pscontrol: a part of a rate and the soundness of beliefs are told in one place

Cause: which part of a workspace's rate is a VM's own was looked up alike in pstoken and psstate; PartOf serves both. A check for beliefs without a configuration stood beside its twin: psbelief refuses them when it decodes them (FuzzAsk).

--- a/internal/process/pscontrol/belief.go
+++ b/internal/process/pscontrol/belief.go
@@ -27,7 +27,7 @@
 
 // Believers asks other VMs what they believe.
 type Believers interface {
-	// Ask asks a VM. What is known of it already isn't told again.
+	// Ask asks a VM. What is told is sound, and what is known of it already isn't told again.
 	Ask(ctx context.Context, vm psfleet.Identity, known string) (psfleet.Told, error)
 }
 
@@ -85,7 +85,7 @@
 // askBeliefs asks one VM and reports whether it told anything of use.
 func (c *Control) askBeliefs(ctx context.Context, vm psfleet.Identity, last *believer) bool {
 	t, err := c.options.Believers.Ask(ctx, vm, last.mark)
-	if err != nil || t.Beliefs.Age > maxBeliefAge || t.Beliefs.Configuration == nil && !t.Unchanged {
+	if err != nil || t.Beliefs.Age > maxBeliefAge {
 		last.mark = ""
 		return false
 	}
--- a/internal/process/pscontrol/shares.go
+++ b/internal/process/pscontrol/shares.go
@@ -88,6 +88,14 @@
 	return list
 }
 
+// PartOf returns the part of a workspace's rate; the even one unless the parts list it.
+func PartOf(parts map[string]float64, even float64, workspace string) float64 {
+	if part, found := parts[workspace]; found {
+		return part
+	}
+	return even
+}
+
 // ColdShare returns this VM's part of what a cold server bears. Only a few VMs, which all
 // compute alike, send requests to a cold server.
 func (s *Snapshot) ColdShare(server psserver.Entry) (psserver.ColdShare, bool) {
--- a/internal/process/psstate/state.go
+++ b/internal/process/psstate/state.go
@@ -123,9 +123,6 @@
 	if psrate.Kept(l, s.FleetSize) {
 		return Rate{PerSecond: w.Rate, Burst: w.Burst, Kept: true}
 	}
-	part, found := s.Parts[w.Name]
-	if !found {
-		part = s.EvenPart
-	}
+	part := pscontrol.PartOf(s.Parts, s.EvenPart, w.Name)
 	return Rate{PerSecond: w.Rate * part, Burst: w.Burst * part}
 }
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -86,10 +86,7 @@
 	case psrate.Kept(l, s.FleetSize):
 		return t.ask(ctx, s, w.Name)
 	}
-	part, found := s.Parts[w.Name]
-	if !found {
-		part = s.EvenPart
-	}
+	part := pscontrol.PartOf(s.Parts, s.EvenPart, w.Name)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return verdict(t.bucket(w.Name).Take(l, part, t.now()))
