psbackend, psload, psdev, psevent: what the move to steer left without a user goes

Cause: the change made it dead: a slow start, false health answers and two counts of the server stand-in, callers that take any VM, a logger in an experiment, an event that nothing logs (7405), and Configure with a change that both callers left empty.

--- a/internal/process/psbackend/behaviour.go
+++ b/internal/process/psbackend/behaviour.go
@@ -19,10 +19,6 @@
 	// LatencyFrom is added before each run of a request from an address. It stands for the
 	// network in front of the server.
 	LatencyFrom map[netip.Addr]time.Duration
-	// Cold makes the first runs after a start slower.
-	Cold Cold
-	// Health is what the health path answers.
-	Health HealthState
 	// Faults is the fault table.
 	Faults []Fault
 }
@@ -30,36 +26,12 @@
 // heldPart is the part of the service time of a run on an object that is at hand.
 const heldPart = 1.0 / 3
 
-// Cold makes runs slower after a start: the service time begins at Factor times its normal
-// value and falls to it over Span.
-type Cold struct {
-	Factor float64
-	Span   time.Duration
-}
-
-// HealthState is what the health path answers, true or not.
-type HealthState string
-
-const (
-	// HealthTrue answers healthy.
-	HealthTrue HealthState = ""
-	// HealthWrongDown answers unhealthy although requests run.
-	HealthWrongDown HealthState = "wrongDown"
-	// HealthHang never answers.
-	HealthHang HealthState = "hang"
-)
-
-// serviceTime is the time of a run that begins at an age since the server's start.
-func (b *Behaviour) serviceTime(age time.Duration, held bool) time.Duration {
-	span := b.ServiceTime
+// serviceTime is the time of one run.
+func (b *Behaviour) serviceTime(held bool) time.Duration {
 	if held {
-		span = time.Duration(heldPart * float64(span))
-	}
-	if b.Cold.Span <= 0 || age >= b.Cold.Span || b.Cold.Factor <= 1 {
-		return span
+		return time.Duration(heldPart * float64(b.ServiceTime))
 	}
-	left := 1 - float64(age)/float64(b.Cold.Span)
-	return time.Duration(float64(span) * (1 + (b.Cold.Factor-1)*left))
+	return b.ServiceTime
 }
 
 // Stats counts what a stand-in did.
@@ -68,10 +40,6 @@
 	Runs int
 	// Shed counts requests answered as not run.
 	Shed int
-	// Crashes counts runs that took the server down.
-	Crashes int
-	// Cancelled counts runs whose caller went away.
-	Cancelled int
 	// Running is the number of runs under way, and HighWater its highest value.
 	Running   int
 	HighWater int
--- a/internal/process/psbackend/run.go
+++ b/internal/process/psbackend/run.go
@@ -13,7 +13,7 @@
 	"persimmonstep/platform/psstandin"
 )
 
-// HealthPath answers 200 where the server is well and 503 where it is not.
+// HealthPath answers 200.
 const HealthPath = "/healthz"
 
 // Echo is the stand-in's answer.
@@ -30,26 +30,12 @@
 // serve answers one request of a life.
 func (s *Server) serve(v *life, w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == HealthPath {
-		s.health(v, w, r)
+		psstandin.WriteHealth(w.Header(), s.ID, 0)
 		return
 	}
 	s.run(v, w, r)
 }
 
-func (s *Server) health(v *life, w http.ResponseWriter, r *http.Request) {
-	s.mutex.Lock()
-	state := s.behaviour.Health
-	s.mutex.Unlock()
-	if state == HealthHang {
-		v.hang(r)
-		panic(http.ErrAbortHandler)
-	}
-	psstandin.WriteHealth(w.Header(), s.ID, 0)
-	if state == HealthWrongDown {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 // run takes a request in, runs it in a slot and answers, or lets its fault happen.
 func (s *Server) run(v *life, w http.ResponseWriter, r *http.Request) {
 	arrival := psstandin.ReadArrival(r.Header)
@@ -61,7 +47,7 @@
 	if !v.wait(r, s.latency(r)) {
 		panic(http.ErrAbortHandler)
 	}
-	a, admitted := s.admit(v, r)
+	a, admitted := s.admit(r)
 	if !admitted {
 		s.shed(w)
 		return
@@ -77,7 +63,6 @@
 	}
 	s.count(arrival.ID)
 	if !v.wait(r, a.serviceTime) {
-		s.cancelled()
 		panic(http.ErrAbortHandler)
 	}
 	answer, err := json.Marshal(Echo{
@@ -107,12 +92,6 @@
 	return s.behaviour.LatencyFrom[from.Addr()]
 }
 
-func (s *Server) cancelled() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.stats.Cancelled++
-}
-
 func (s *Server) count(id string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -125,11 +104,9 @@
 	switch f.Kind {
 	case FaultHang:
 		v.hang(r)
-		s.cancelled()
 		panic(http.ErrAbortHandler)
 	case FaultSlow:
 		if !v.wait(r, f.Delay) {
-			s.cancelled()
 			panic(http.ErrAbortHandler)
 		}
 	case FaultLate:
@@ -147,9 +124,6 @@
 	case FaultFail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case FaultCrash:
-		s.mutex.Lock()
-		s.stats.Crashes++
-		s.mutex.Unlock()
 		s.Crash(f.Delay)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/process/psbackend/server.go
+++ b/internal/process/psbackend/server.go
@@ -2,7 +2,7 @@
 //
 // It answers every request with a JSON description of what it received and counts the runs
 // by request id, so that tests can see what reached it and how often. A [Behaviour] gives it
-// slots, a queue, a service time, objects at hand, a slow start and a table of faults:
+// slots, a queue, a service time, objects at hand and a table of faults:
 // answers that hang, break off or come late, shed requests and crashes.
 package psbackend
 
@@ -50,7 +50,6 @@
 // life is the time from one start of the server to its end.
 type life struct {
 	server *http.Server
-	began  time.Time
 	ended  chan struct{}
 }
 
@@ -81,7 +80,7 @@
 
 // begin serves on a listener. The mutex is held.
 func (s *Server) begin(l net.Listener) {
-	v := &life{began: time.Now(), ended: make(chan struct{})}
+	v := &life{ended: make(chan struct{})}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(v, w, r) })
 	v.server = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.track}
 	s.life = v
--- a/internal/process/psbackend/slot.go
+++ b/internal/process/psbackend/slot.go
@@ -19,7 +19,7 @@
 
 // admit takes a slot, or a place in the queue, and the request's fault. It reports false
 // where the request is shed.
-func (s *Server) admit(v *life, r *http.Request) (admission, bool) {
+func (s *Server) admit(r *http.Request) (admission, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	a := admission{turn: make(chan struct{})}
@@ -30,7 +30,7 @@
 		return a, false
 	}
 	held := s.hold(psstandin.ReadArrival(r.Header).Object)
-	a.serviceTime = s.behaviour.serviceTime(time.Since(v.began), held)
+	a.serviceTime = s.behaviour.serviceTime(held)
 	if full {
 		s.waiting = append(s.waiting, a.turn)
 		return a, true
--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -194,25 +194,23 @@
 	if len(s.configuration.Routes) > 0 {
 		s.Ready.Host = s.configuration.Routes[0].Host
 	}
-	s.Configure(func(*psconfig.Configuration) {})
+	s.writeConfiguration()
 	return nil
 }
 
-// Configure writes the next version of the configuration.
-func (s *System) Configure(change func(c *psconfig.Configuration)) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	change(&s.configuration)
-	s.configuration.Version++
-	s.Store.Configure(&s.configuration, s.keys)
-}
-
 // Withdraw takes the key of a workspace away.
 func (s *System) Withdraw(workspace string) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.keys[workspace] = nil
-	s.mutex.Unlock()
-	s.Configure(func(*psconfig.Configuration) {})
+	s.writeConfiguration()
+}
+
+// writeConfiguration writes the next version of the configuration. The mutex is held, or
+// nobody else has the system yet.
+func (s *System) writeConfiguration() {
+	s.configuration.Version++
+	s.Store.Configure(&s.configuration, s.keys)
 }
 
 func (s *System) startVMs(context.Context) error {
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -60,8 +60,6 @@
 	RequestFailed = Event{7403, hclog.Warn, "request failed", requestFields}
 	// RequestLeft says that the caller left before the answer.
 	RequestLeft = Event{7404, hclog.Info, "caller left", requestFields}
-	// DirectoryAnswered says which VMs a caller was told to use.
-	DirectoryAnswered = Event{7405, hclog.Debug, "directory answered", []string{"host", "region", "failureDomain", "vms"}}
 	// RequestCounted says that a crash is counted against a request.
 	RequestCounted = Event{7406, hclog.Warn, "request was at a server that crashed", []string{"requestId", "fingerprint", "server", "crashes"}}
 )
@@ -77,6 +75,6 @@
 		ConfigurationTaken, ConfigurationKept, RowUnread, EvacuationChanged, StoreLost, StoreRegained,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerHeld, ServerFailed, ServerBack,
 		PeerHeard, PeerSilent, ReportUnread, BeliefsTaken,
-		RequestAnswered, RequestRejected, RequestFailed, RequestLeft, DirectoryAnswered, RequestCounted,
+		RequestAnswered, RequestRejected, RequestFailed, RequestLeft, RequestCounted,
 	}
 }
--- a/internal/process/psload/caller.go
+++ b/internal/process/psload/caller.go
@@ -40,7 +40,7 @@
 	Directory netip.AddrPort
 }
 
-// Choice is how callers find where to send a request: [AskDirectory], [TakeRandom] or [GoDirect].
+// Choice is how callers find where to send a request: [AskDirectory] or [GoDirect].
 type Choice interface {
 	choice()
 }
@@ -48,9 +48,6 @@
 // AskDirectory asks the directory and keeps its answers for their time.
 type AskDirectory struct{}
 
-// TakeRandom takes any VM.
-type TakeRandom struct{}
-
 // GoDirect takes any backend server of the route's service, without a VM in between.
 type GoDirect struct {
 	// Servers are the backend servers by route.
@@ -58,7 +55,6 @@
 }
 
 func (AskDirectory) choice() {}
-func (TakeRandom) choice()   {}
 func (GoDirect) choice()     {}
 
 // Place is where a caller stands.
@@ -118,8 +114,6 @@
 // choose lists the targets to try in order.
 func (c *Caller) choose(ctx context.Context, s *Stream) []Target {
 	switch v := c.choice.(type) {
-	case TakeRandom:
-		return shuffled(c.targets)
 	case GoDirect:
 		return shuffled(v.Servers[s.Route])
 	case AskDirectory:
--- a/internal/process/psmeasure/experiment.go
+++ b/internal/process/psmeasure/experiment.go
@@ -39,7 +39,6 @@
 	firm     psscenario.Firm
 	scenario *psscenario.Scenario
 	policy   Policy
-	logger   hclog.Logger
 	topology psdev.Topology
 	system   *psdev.System
 	start    time.Time
@@ -61,7 +60,7 @@
 
 // Run runs a scenario of a firm under a policy.
 func Run(ctx context.Context, f psscenario.Firm, s *psscenario.Scenario, p Policy, l hclog.Logger) (*Result, error) {
-	e := &experiment{firm: f, scenario: s, policy: p, logger: l, topology: f.Topology(), drained: make(map[int]time.Duration)}
+	e := &experiment{firm: f, scenario: s, policy: p, topology: f.Topology(), drained: make(map[int]time.Duration)}
 	system, stop, err := psdev.New(ctx, e.topology, func(string) io.Writer { return io.Discard })
 	if err != nil {
 		return nil, err
