pssteer, pssoak: tests read the directory by the stand-in's functions

Cause: two tests spelled the directory's question and answer themselves, with names of the platform that belong in platform/ only; psstandin has both. Assertions are the same.

--- a/internal/process/pssoak/caller_test.go
+++ b/internal/process/pssoak/caller_test.go
@@ -2,16 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"persimmonstep/platform"
 	"persimmonstep/platform/psstandin"
 )
@@ -65,8 +67,11 @@
 	return c.known[c.random.IntN(len(c.known))]
 }
 
+// place is where all callers say that they are.
+var place = platform.Place{Host: "eggs.test", Region: "north", FailureDomain: "north-a"}
+
 func (c *caller) resolve(ctx context.Context, directory string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+platform.PathDirectory+"?name=eggs.test&region=north&zone=north-a", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory+psstandin.DirectoryQuestion(place), nil)
 	if err != nil {
 		return false
 	}
@@ -75,13 +80,11 @@
 		return false
 	}
 	defer answer.Body.Close() //nolint:errcheck // the body was read
-	var d struct {
-		Addresses []string `json:"addresses"`
-	}
-	if json.NewDecoder(answer.Body).Decode(&d) != nil || len(d.Addresses) == 0 {
+	addresses, _, err := psstandin.ReadDirectory(answer.Body)
+	if err != nil || len(addresses) == 0 {
 		return false
 	}
-	c.known, c.asked = d.Addresses, time.Now()
+	c.known, c.asked = lo.Map(addresses, func(a netip.AddrPort, _ int) string { return a.String() }), time.Now()
 	return true
 }
 
--- a/internal/process/pssteer/steer_test.go
+++ b/internal/process/pssteer/steer_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -150,15 +149,13 @@
 	return answer.StatusCode, string(body)
 }
 
-func directed(v *vm) []string {
-	_, body := call(v.directory, platform.PathDirectory+"?name=eggs.test&region=north&zone=north-a")
-	var d struct {
-		Addresses []string `json:"addresses"`
-	}
-	if json.Unmarshal([]byte(body), &d) != nil {
+func directed(v *vm) []netip.AddrPort {
+	_, body := call(v.directory, psstandin.DirectoryQuestion(platform.Place{Host: "eggs.test", Region: "north", FailureDomain: "north-a"}))
+	addresses, _, err := psstandin.ReadDirectory(strings.NewReader(body))
+	if err != nil {
 		return nil
 	}
-	return d.Addresses
+	return addresses
 }
 
 func isReady(v *vm) bool {
