platform: an unknown kind or field of a configuration leaves the rest in force

Ruled out: only adding the word; the next new word would do the same. Now a download is idempotent with large answers, an unknown kind runs at most once, unknown fields are ignored; each is logged once (7107), counted in a gauge and named by check. A value of a wrong type still refuses the whole: ignoring a restriction would break promises.

--- a/internal/process/pscli/check.go
+++ b/internal/process/pscli/check.go
@@ -1,6 +1,7 @@
 package pscli
 
 import (
+	"fmt"
 	"os"
 	"strings"
 
@@ -17,8 +18,8 @@
 	Scenarios     []string `arg:"" optional:"" type:"existingfile" help:"Scenarios of experiments (TOML)."`
 }
 
-// Run prints the findings of all files.
-func (c *checkCommand) Run() error {
+// Run prints the findings of all files. What a VM would pass over is printed too but is no fault.
+func (c *checkCommand) Run(s streams) error {
 	if len(c.Settings)+len(c.Configuration)+len(c.Scenarios) == 0 {
 		return errors.New("name a file to check")
 	}
@@ -31,7 +32,7 @@
 		}
 	}
 	collect(c.Settings, checkSettings)
-	collect(c.Configuration, checkConfiguration)
+	collect(c.Configuration, func(path string) error { return checkConfiguration(path, s) })
 	collect(c.Scenarios, checkScenario)
 	if len(findings) > 0 {
 		return &exitError{code: ExitFindings, text: strings.Join(findings, "\n")}
@@ -55,7 +56,7 @@
 	return err
 }
 
-func checkConfiguration(path string) error {
+func checkConfiguration(path string, s streams) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return err
@@ -64,6 +65,11 @@
 	if err != nil {
 		return err
 	}
+	for _, f := range c.Unknown {
+		if _, err := fmt.Fprintf(s.out, "%s: note: %s\n", path, f); err != nil {
+			return errors.Wrap(err, "print a note")
+		}
+	}
 	var lines []string
 	for _, f := range c.Check() {
 		lines = append(lines, f.String())
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -299,12 +300,26 @@
 		psevent.ConfigurationKept.Log(c.options.Logger, o.Version, findings)
 		return
 	}
+	c.logUnknown(o.Configuration)
 	c.index = psconfig.NewIndex(o.Configuration)
 	c.changes++
 	psevent.ConfigurationTaken.Log(c.options.Logger, o.Configuration.Version, before,
 		len(o.Configuration.Routes), len(o.Configuration.Workspaces), o.Version)
 }
 
+// logUnknown logs what of a new configuration is not understood, unless the one before said the same.
+func (c *Control) logUnknown(next *psconfig.Configuration) {
+	var before []psconfig.Finding
+	if c.index != nil {
+		before = c.index.Configuration.Unknown
+	}
+	for _, f := range next.Unknown {
+		if !slices.Contains(before, f) {
+			psevent.ConfigurationUnknown.Log(c.options.Logger, next.Version, f.Place, f.Text)
+		}
+	}
+}
+
 func (c *Control) takeEvacuations(e ordersEvent, now time.Time) {
 	next := map[string]bool{}
 	if !e.whole {
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -29,6 +29,8 @@
 	StoreLost = Event{7105, hclog.Warn, "store lost", []string{"call", "error"}}
 	// StoreRegained says that the store answers again.
 	StoreRegained = Event{7106, hclog.Info, "store regained", []string{"call", "after"}}
+	// ConfigurationUnknown says what of the configuration in force is not understood.
+	ConfigurationUnknown = Event{7107, hclog.Warn, "part of the configuration not understood", []string{"version", "place", "text"}}
 
 	// ServerRegistered says that a backend server is new.
 	ServerRegistered = Event{7201, hclog.Info, "backend server registered", []string{"server", "service", "failureDomain", "slots", "cold"}}
@@ -72,7 +74,7 @@
 func steerEvents() []Event {
 	return []Event{
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsKept, LinesLeftOut,
-		ConfigurationTaken, ConfigurationKept, RowUnread, EvacuationChanged, StoreLost, StoreRegained,
+		ConfigurationTaken, ConfigurationKept, RowUnread, EvacuationChanged, StoreLost, StoreRegained, ConfigurationUnknown,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerHeld, ServerFailed, ServerBack,
 		PeerHeard, PeerSilent, ReportUnread, BeliefsTaken,
 		RequestAnswered, RequestRejected, RequestFailed, RequestLeft, RequestCounted,
--- a/internal/process/psmetric/metric_test.go
+++ b/internal/process/psmetric/metric_test.go
@@ -41,6 +41,9 @@
 	r := prometheus.NewRegistry()
 	qt.Assert(t, r.Register(psmetric.New(s, func() time.Time { return begun.Add(2 * time.Second) })), qt.IsNil)
 	qt.Assert(t, testutil.GatherAndCompare(r, strings.NewReader(`
+# HELP persimmonstep_configuration_unknown Fields and words of the configuration in force that are not understood.
+# TYPE persimmonstep_configuration_unknown gauge
+persimmonstep_configuration_unknown 0
 # HELP persimmonstep_configuration_version The configuration version in force; 0 before the first.
 # TYPE persimmonstep_configuration_version gauge
 persimmonstep_configuration_version 7
--- a/internal/version/psconfig/check.go
+++ b/internal/version/psconfig/check.go
@@ -8,9 +8,9 @@
 // Finding is a fault of a configuration and its place.
 type Finding struct {
 	// Place is the path of the faulty value, such as "routes[3].prefix".
-	Place string
+	Place string `json:"place"`
 	// Text says what is wrong with it.
-	Text string
+	Text string `json:"text"`
 }
 
 // String joins the place and the text.
@@ -58,6 +58,7 @@
 func (c *checker) route(place string, r Route, services map[string]bool) {
 	c.require(r.Host != "", place+".host", "is empty")
 	c.require(strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), place+".prefix", "%q does not begin and end with a slash", r.Prefix)
+	c.require(r.Kind <= Download, place+".kind", "%d is no kind", r.Kind)
 	c.require(r.Timeout >= 0 && r.TargetLatency >= 0, place, "a time is negative")
 	c.require(r.MaxAttempts >= 1, place+".maxAttempts", "is below 1")
 	c.require(len(r.Backends) > 0, place+".backends", "there are none")
--- a/internal/version/psconfig/config.go
+++ b/internal/version/psconfig/config.go
@@ -17,10 +17,12 @@
 	Idempotent
 	// Upload requests have large bodies and run at most once.
 	Upload
+	// Download requests have large answers and may run more than once.
+	Download
 )
 
 // Repeatable reports whether a request may run more than once.
-func (k Kind) Repeatable() bool { return k == Idempotent }
+func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
 
 // String names the kind for logs.
 func (k Kind) String() string {
@@ -29,6 +31,8 @@
 		return "idempotent"
 	case Upload:
 		return "upload"
+	case Download:
+		return "download"
 	default:
 		return "atMostOnce"
 	}
@@ -107,4 +111,6 @@
 	Services   []Service   `json:"services"`
 	Workspaces []Workspace `json:"workspaces"`
 	Limits     Limits      `json:"limits"`
+	// Unknown lists what the operator wrote and this program doesn't understand. The rest is in force.
+	Unknown []Finding `json:"unknown,omitempty"`
 }
