--- a/internal/process/pscli/cli_test.go
+++ b/internal/process/pscli/cli_test.go
@@ -50,7 +50,9 @@
 func TestCheckPrintsTheFindingsOfAllFiles(t *testing.T) {
 	code, out := run("check", "--settings", goodSettings, "--configuration", configuration, filepath.Join("..", "..", "..", "scenarios", "calm.toml"))
 	qt.Assert(t, code, qt.Equals, pscli.ExitDone, qt.Commentf("%s", out))
-	qt.Assert(t, out, qt.Equals, configuration+": note: unknown: the field is unknown and ignored\n")
+	absolute, err := filepath.Abs(configuration)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, out, qt.Equals, absolute+": note: unknown: the field is unknown and ignored\n")
 	settings := write(t, "node.yaml", "listen: {front: nowhere}\n")
 	data, err := os.ReadFile(configuration)
 	qt.Assert(t, err, qt.IsNil)
