psselect: large answers stay near, and times to servers are learned

Now the time of opening a connection tells how far each failure domain is, the mean size of a route's answers counts like a body, and downloads keep to servers of the failure domain as uploads do.

--- a/internal/connection/psanswer/answer.go
+++ b/internal/connection/psanswer/answer.go
@@ -28,11 +28,13 @@
 	Body []byte
 	// Rest follows the body of a long answer; nil otherwise.
 	Rest io.ReadCloser
+	// length is what the header says of the body's length; -1 where it says nothing.
+	length int64
 }
 
 // Read reads an answer. It fails if the answer ends early.
 func Read(r *http.Response) (*Answer, error) {
-	a := &Answer{Status: r.StatusCode, Header: r.Header, Said: platform.ReadAnswer(r.StatusCode, r.Header)}
+	a := &Answer{Status: r.StatusCode, Header: r.Header, Said: platform.ReadAnswer(r.StatusCode, r.Header), length: r.ContentLength}
 	var b bytes.Buffer
 	_, err := io.Copy(&b, io.LimitReader(r.Body, maxHeldBytes))
 	a.Body = b.Bytes()
@@ -48,6 +50,9 @@
 	return a, nil
 }
 
+// Length returns the size of the body in bytes, or of what is known of a long one.
+func (a *Answer) Length() int { return max(len(a.Body), int(a.length)) }
+
 // Close gives up the rest of a long answer.
 func (a *Answer) Close() {
 	if a.Rest != nil {
--- a/internal/connection/psfront/choose.go
+++ b/internal/connection/psfront/choose.go
@@ -75,7 +75,7 @@
 	runs := c.gate.estimates.Runs(c.route.Name, c.route.TargetLatency)
 	s := c.gate.options.Settings
 	return psselect.Request{
-		Route: c.route, Workspace: c.workspace, Object: c.object, Bytes: len(c.body.Held),
+		Route: c.route, Workspace: c.workspace, Object: c.object, Bytes: len(c.body.Held) + c.gate.estimates.AnswerBytes(c.route.Name),
 		From: psselect.Place{FailureDomain: s.FailureDomain, Region: s.Region}, ArrivedAt: c.arrived,
 		Runs: runs, MeanRun: c.gate.estimates.Mean(service, runs.Held),
 		Spent: now.Sub(c.arrived), Left: c.left(now), Repeat: repeat, Spread: c.gate.spread(),
@@ -85,7 +85,8 @@
 func (c *call) candidates(options []option) []psselect.Option {
 	list := make([]psselect.Option, len(options))
 	for i, o := range options {
-		list[i] = psselect.Option{View: o.view, Region: o.server.Region, Sent: o.server.Objects.Has(c.object)}
+		travel, _ := c.gate.travels.To(o.view.Entry.FailureDomain)
+		list[i] = psselect.Option{View: o.view, Region: o.server.Region, Travel: travel, Sent: o.server.Objects.Has(c.object)}
 	}
 	return list
 }
--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -144,6 +144,9 @@
 		s.server.Objects.Note(c.object)
 	}
 	result, err := c.send(ctx, s, begun)
+	if result.Dialed > 0 {
+		c.gate.travels.Observe(s.view.Entry.FailureDomain, result.Dialed)
+	}
 	var a *psanswer.Answer
 	end := endAnswered
 	if err == nil {
@@ -241,6 +244,7 @@
 	switch end {
 	case endAnswered:
 		c.gate.poison.Answered(c.fingerprint)
+		c.gate.estimates.Answered(c.route.Name, a.Length())
 		s.server.Judge(ratio(took, s.choice.Usual), false, now)
 		c.learn(s, took, now)
 	case endUnreachable:
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -57,6 +57,7 @@
 	options   Options
 	beliefs   Beliefs
 	estimates psestimate.Estimates
+	travels   psestimate.Travels
 	spreads   psspread.Spreads
 	repeats   psrepeat.Budgets
 	poison    pspoison.Set
@@ -83,6 +84,9 @@
 // Estimates returns what the gate has learned of run times.
 func (g *Gate) Estimates() *psestimate.Estimates { return &g.estimates }
 
+// Travels returns the times to servers that the gate has seen.
+func (g *Gate) Travels() *psestimate.Travels { return &g.travels }
+
 // Follow sets what the gate goes by.
 func (g *Gate) Follow(b Beliefs) { g.beliefs = b }
 
--- a/internal/connection/pstransport/conn.go
+++ b/internal/connection/pstransport/conn.go
@@ -25,6 +25,8 @@
 	// once closes the connection after one exchange.
 	once      bool
 	idleSince time.Time
+	// dialed is how long it took to open the connection; 0 once it was used.
+	dialed    time.Duration
 	discarded sync.Once
 }
 
--- a/internal/connection/pstransport/pool.go
+++ b/internal/connection/pstransport/pool.go
@@ -128,12 +128,15 @@
 	if p.source.IsValid() {
 		d.LocalAddr = &net.TCPAddr{IP: p.source.AsSlice()}
 	}
+	begun := time.Now()
 	raw, err := d.DialContext(ctx, "tcp", p.address.String())
 	if err != nil {
 		p.forget()
 		return nil, err
 	}
-	return newConn(p, raw, false), nil
+	c := newConn(p, raw, false)
+	c.dialed = time.Since(begun)
+	return c, nil
 }
 
 // dialOnce opens a connection that is closed after one exchange. Its number is bounded by
@@ -159,6 +162,7 @@
 		return
 	}
 	c.idleSince = time.Now()
+	c.dialed = 0
 	if len(p.waiting) > 0 {
 		p.grant(grant{c})
 		return
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -75,6 +75,8 @@
 	Response *http.Response
 	// Sent says that a byte of the request may have reached the server.
 	Sent bool
+	// Dialed is how long it took to open the connection; 0 if one was at hand.
+	Dialed time.Duration
 }
 
 // Send sends a request to the server at the address, over at most limit connections. With
@@ -106,9 +108,10 @@
 		closeBody(r)
 		return Result{}, err
 	}
+	dialed := c.dialed
 	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{}), rules: rules}
 	answer, err := e.run()
-	return Result{Response: answer, Sent: e.sent.Load()}, err
+	return Result{Response: answer, Sent: e.sent.Load(), Dialed: dialed}, err
 }
 
 func closeBody(r *http.Request) {
--- a/internal/process/psstate/explain.go
+++ b/internal/process/psstate/explain.go
@@ -121,7 +121,7 @@
 	v := Service{Name: service, Outcome: OutcomeRejected, Reason: "noServer", Passed: make(map[string]string)}
 	object := psselect.ObjectOf(r, q.Object, q.Object)
 	request := psselect.Request{
-		Route: r, Workspace: w, Object: object, Bytes: q.Bytes, From: s.Place, ArrivedAt: s.TakenAt,
+		Route: r, Workspace: w, Object: object, Bytes: q.Bytes + s.AnswerBytes[r.Name], From: s.Place, ArrivedAt: s.TakenAt,
 		Runs: s.Runs[r.Name], MeanRun: s.MeanRuns[service], Left: q.Left,
 	}
 	if request.Left <= 0 {
@@ -138,7 +138,9 @@
 			v.Passed[o.Entry.ID] = reason
 			continue
 		}
-		options = append(options, psselect.Option{View: o.View, Region: o.Region, Sent: slices.Contains(o.Objects, object)})
+		options = append(options, psselect.Option{
+			View: o.View, Region: o.Region, Travel: s.Travels[o.Entry.FailureDomain], Sent: slices.Contains(o.Objects, object),
+		})
 	}
 	if len(options) == 0 {
 		return v
--- a/internal/process/psstate/state.go
+++ b/internal/process/psstate/state.go
@@ -46,6 +46,10 @@
 	// Runs are the estimated run times by route, and MeanRuns those by service.
 	Runs     map[string]psestimate.Runs `json:"runs"`
 	MeanRuns map[string]time.Duration   `json:"meanRuns"`
+	// AnswerBytes are the mean sizes of answers by route.
+	AnswerBytes map[string]int `json:"answerBytes"`
+	// Travels are the times to servers and back by failure domain, where any was seen.
+	Travels map[string]time.Duration `json:"travels"`
 	// InFlight is the number of requests without an answer.
 	InFlight int `json:"inFlight"`
 }
@@ -66,6 +70,7 @@
 	Settings  *psnode.Settings
 	Snapshot  *pscontrol.Snapshot
 	Estimates *psestimate.Estimates
+	Travels   *psestimate.Travels
 	Ready     bool
 	InFlight  int
 }
@@ -78,6 +83,7 @@
 		TakenAt: now, Ready: s.Ready, InFlight: s.InFlight,
 		Evacuated: slices.Sorted(maps.Keys(p.Evacuated)), FleetSize: p.FleetSize, VMs: p.VMs, Parts: p.Parts, EvenPart: p.EvenPart,
 		Runs: make(map[string]psestimate.Runs), MeanRuns: make(map[string]time.Duration),
+		AnswerBytes: make(map[string]int), Travels: s.Travels.All(),
 	}
 	if !p.ServersAt.IsZero() {
 		state.ServersAge = now.Sub(p.ServersAt)
@@ -110,6 +116,7 @@
 	s.Configuration = &bare
 	for _, r := range c.Routes {
 		s.Runs[r.Name] = e.Runs(r.Name, r.TargetLatency)
+		s.AnswerBytes[r.Name] = e.AnswerBytes(r.Name)
 		for _, b := range r.Backends {
 			s.MeanRuns[b.Service] = e.Mean(b.Service, s.Runs[r.Name].Held)
 		}
--- a/internal/request/psadmit/admit.go
+++ b/internal/request/psadmit/admit.go
@@ -66,15 +66,25 @@
 func (Admitted) verdict() {}
 func (Rejected) verdict() {}
 
+// Reasons for a rejection.
+const (
+	// ReasonDeadline says that the caller leaves before the answer is expected.
+	ReasonDeadline = "deadline"
+	// ReasonSurplus says that the server can't hold the object besides others that it runs.
+	ReasonSurplus = "surplusObject"
+	// ReasonOverload says that the request would wait too long.
+	ReasonOverload = "overload"
+)
+
 // Decide decides on one request.
 func Decide(r Request) Verdict {
 	switch {
 	case r.Expected >= r.Left:
-		return Rejected{comeBack(r), "deadline"}
+		return Rejected{comeBack(r), ReasonDeadline}
 	case r.Surplus:
-		return Rejected{comeBack(r), "surplusObject"}
+		return Rejected{comeBack(r), ReasonSurplus}
 	case r.Wait > 0 && r.Spent+r.Expected > time.Duration(patienceOf(r.Priority)*float64(r.Target)):
-		return Rejected{comeBack(r), "overload"}
+		return Rejected{comeBack(r), ReasonOverload}
 	}
 	return Admitted{}
 }
--- a/internal/request/psestimate/estimate.go
+++ b/internal/request/psestimate/estimate.go
@@ -31,6 +31,8 @@
 	mutex    sync.Mutex
 	routes   map[string]*Runs
 	services map[string]time.Duration
+	// answers are the mean sizes of a route's answers, in bytes.
+	answers map[string]float64
 }
 
 // Runs returns the estimates of a route with a target latency.
@@ -63,6 +65,27 @@
 	return otherwise
 }
 
+// AnswerBytes returns the mean size of a route's answers; 0 before the first.
+func (e *Estimates) AnswerBytes(route string) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return int(e.answers[route])
+}
+
+// Answered takes in the size of an answer, in bytes.
+func (e *Estimates) Answered(route string, bytes int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.answers == nil {
+		e.answers = make(map[string]float64)
+	}
+	mean, found := e.answers[route]
+	if !found {
+		mean = float64(bytes)
+	}
+	e.answers[route] = mean*(1-weight) + float64(bytes)*weight
+}
+
 // Observed is a run that did not wait in the server's queue.
 type Observed struct {
 	Route, Service string
--- a/internal/request/psselect/replay_test.go
+++ b/internal/request/psselect/replay_test.go
@@ -32,8 +32,17 @@
 	slow     int
 	slowBy   float64
 	slowFrom time.Duration
+	// domains are the failure domains that VMs and servers are spread over in turn, travel the
+	// time there and back between them, and answer the size of an answer in bytes.
+	domains int
+	kind    psconfig.Kind
+	travel  time.Duration
+	answer  int
 }
 
+// place is the failure domain of the VM or server with a number.
+func (l load) place(i int) string { return fmt.Sprint("domain-", i%max(1, l.domains)) }
+
 const (
 	target   = 200 * time.Millisecond
 	deadline = 2 * time.Second
@@ -77,17 +86,19 @@
 	sentAt   []time.Duration
 	perHost  []int
 	rejected int
+	// away counts the requests that ran in another failure domain than that of their VM.
+	away int
 }
 
 func play(l load, affinity bool, seed uint64) *replayed {
 	p := &replayed{
 		load: l, begun: time.Unix(0, 0), at: make([]int, l.servers), perHost: make([]int, l.servers),
-		route: &psconfig.Route{Name: "orders", TargetLatency: target, Timeout: deadline, Affinity: affinity, MaxAttempts: 1},
+		route: &psconfig.Route{Name: "orders", Kind: l.kind, TargetLatency: target, Timeout: deadline, Affinity: affinity, MaxAttempts: 1},
 	}
 	for range l.vms {
 		list := make([]*psserver.Server, l.servers)
 		for i := range list {
-			list[i] = psserver.New(psserver.Entry{ID: fmt.Sprint("server-", i), Slots: l.slots}, "", p.begun)
+			list[i] = psserver.New(psserver.Entry{ID: fmt.Sprint("server-", i), Slots: l.slots, FailureDomain: l.place(i)}, l.place(i), p.begun)
 		}
 		p.views = append(p.views, list)
 	}
@@ -129,10 +140,14 @@
 	options := make([]psselect.Option, p.load.servers)
 	for i, v := range p.views[vm] {
 		options[i] = psselect.Option{View: v.View(at), Sent: v.Objects.Has(object)}
+		if p.load.place(i) != p.load.place(vm) {
+			options[i].Travel = p.load.travel
+		}
 	}
 	r := psselect.Request{
 		Route: p.route, Object: object, ArrivedAt: at, MeanRun: p.load.run, Left: deadline, Spread: spread,
-		Runs: psestimate.Runs{Held: p.load.run, Missing: 3 * p.load.run},
+		Runs: psestimate.Runs{Held: p.load.run, Missing: 3 * p.load.run}, Bytes: p.load.answer,
+		From: psselect.Place{FailureDomain: p.load.place(vm), Region: p.load.place(vm)},
 	}
 	c := psselect.Choose(options, r)
 	if _, rejected := psselect.Admit(c, r).(psadmit.Rejected); rejected {
@@ -168,7 +183,12 @@
 	slots[first] = max(now, slots[first]) + run
 	p.at[server]++
 	p.perHost[server]++
-	p.tookOf = append(p.tookOf, slots[first]-now)
+	took := slots[first] - now
+	if p.load.place(e.vm) != p.load.place(server) {
+		took += p.load.travel
+		p.away++
+	}
+	p.tookOf = append(p.tookOf, took)
 	p.sentAt = append(p.sentAt, now)
 	e.end = slots[first]
 	heap.Push(&p.running, e)
@@ -243,3 +263,15 @@
 	qt.Check(t, calm <= sent/100, qt.IsTrue, qt.Commentf("calm: %d of %d", calm, sent))
 	qt.Check(t, slow <= sent/100, qt.IsTrue, qt.Commentf("slow: %d of %d", slow, sent))
 }
+
+// TestLargeAnswersStayNear replays downloads where the way to other failure domains takes most of
+// the target, and the servers of each one hold all objects. They are to stay near while there is room.
+func TestLargeAnswersStayNear(t *testing.T) {
+	l := load{
+		vms: 6, servers: 6, slots: 3, perSecond: 60, span: 20 * time.Second, run: 90 * time.Millisecond, objects: 24, holds: 24,
+		domains: 3, travel: 150 * time.Millisecond, kind: psconfig.Download, answer: 90 << 10,
+	}
+	p := play(l, true, 1)
+	qt.Check(t, p.rejected, qt.Equals, 0)
+	qt.Check(t, p.away <= len(p.tookOf)/50, qt.IsTrue, qt.Commentf("%d of %d left their failure domain", p.away, len(p.tookOf)))
+}
--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -25,12 +25,12 @@
 )
 
 const (
-	// travelDomain and travelRegion are the times there and back to a server of the same
-	// region and of another one.
-	travelDomain = 3 * time.Millisecond
-	travelRegion = 25 * time.Millisecond
-	// worthPerKB is what it is worth to keep a kilobyte within the failure domain.
-	worthPerKB = 2 * time.Millisecond
+	// firstTravelDomain and firstTravelRegion are the times there and back to a server of the
+	// same region and of another one, before any was seen.
+	firstTravelDomain = 3 * time.Millisecond
+	firstTravelRegion = 25 * time.Millisecond
+	// costPerKB is the latency that is accepted to keep a kilobyte within the failure domain.
+	costPerKB = 2 * time.Millisecond
 	// coldSlowness is how much slower a cold server is taken to be.
 	coldSlowness = 2
 	// surplusEpoch is how long the same objects are surplus. All VMs go by the time of day,
@@ -48,6 +48,8 @@
 type Option struct {
 	View   psserver.View
 	Region string
+	// Travel is the time there and back; 0 if none was seen yet.
+	Travel time.Duration
 	// Sent says that this VM sent the object there lately.
 	Sent bool
 }
@@ -59,7 +61,7 @@
 	Workspace *psconfig.Workspace
 	// Object identifies what the request is about.
 	Object uint64
-	// Bytes is the size of the body.
+	// Bytes is the size of the body and of the answer that is expected.
 	Bytes int
 	// From is where the VM runs.
 	From Place
@@ -148,7 +150,7 @@
 		Load: v.Load, Slots: v.Entry.Slots, Slowness: slowness,
 		Failures: v.Failures, Silent: v.Silent, Sent: o.Sent,
 		HomeRecall: v.HomeRecall, AwayRecall: v.AwayRecall, Keeps: v.Keeps,
-		Score: r.score(v.Entry.ID, near), Travel: r.travel(o.Region, near), Bytes: r.bytes(near),
+		Score: r.score(v.Entry.ID, near), Travel: r.travel(o, near), Bytes: r.bytes(near),
 	}
 	if !r.Route.Affinity {
 		// What a server holds makes no difference.
@@ -158,23 +160,28 @@
 }
 
 // travel returns the time there and back.
-func (r Request) travel(region string, near bool) time.Duration {
+func (r Request) travel(o *Option, near bool) time.Duration {
 	switch {
+	case o.Travel > 0:
+		return o.Travel
 	case near:
 		return 0
-	case region == r.From.Region:
-		return travelDomain
+	case o.Region == r.From.Region:
+		return firstTravelDomain
 	}
-	return travelRegion
+	return firstTravelRegion
 }
 
-// score orders the servers of the request's object. Large bodies stay in the failure domain.
+// score orders the servers of the request's object. Large bodies and answers stay in the failure
+// domain.
 func (r Request) score(server string, near bool) uint64 {
 	v := psplace.Score(r.Object, server)
-	if r.Route.Kind != psconfig.Upload {
+	switch r.Route.Kind {
+	case psconfig.Upload, psconfig.Download:
+		return psplace.Near(v, near)
+	default:
 		return v
 	}
-	return psplace.Near(v, near)
 }
 
 // bytes returns what it is worth not to carry the body to a server.
@@ -182,5 +189,5 @@
 	if near {
 		return 0
 	}
-	return time.Duration(r.Bytes/1024) * worthPerKB
+	return time.Duration(r.Bytes/1024) * costPerKB
 }
