psfollow: in a large fleet tables and orders come from near VMs instead of the store

Now a VM that starts takes both tables from the first VM of its failure domain (larger links come first), orders come from the VM that announces them, compressed, a notice says from which version on something changed, and published VMs are read once; reports are whole again when the fleet grows. Ruled out: rarer polls of the telling VM; its half second bounds how long others rely on one that is cut off. Tests: TestAVMThatStartsInALargeFleetTakesTheTablesOfAnother, TestChangedOrdersComeFromTheTellingVM, TestALostNoticeWithoutChangesCostsNoCall, TestTheVMWithTheLargestLinkTells and others.

--- a/internal/connection/psbelief/belief.go
+++ b/internal/connection/psbelief/belief.go
@@ -5,6 +5,8 @@
 package psbelief
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -21,8 +23,10 @@
 )
 
 const (
-	// Path is where a VM serves its beliefs.
-	Path = "/beliefs"
+	// Path is where a VM serves its beliefs, and PathOrders where it serves them without the
+	// servers.
+	Path       = "/beliefs"
+	PathOrders = "/beliefs/orders"
 	// headerTimeout bounds the time to connect, and then until the VM answers; timeout bounds a whole
 	// call. The beliefs of
 	// a large fleet take seconds over the slowest links.
@@ -45,7 +49,17 @@
 
 // Handler serves beliefs; 404 before there are any, and 304 if the caller knows them.
 func Handler(s Source) http.HandlerFunc {
-	e := &encoder{source: s}
+	return handler(s, func(b *psfleet.Beliefs) {})
+}
+
+// OrdersHandler serves beliefs without the servers.
+func OrdersHandler(s Source) http.HandlerFunc {
+	return handler(s, func(b *psfleet.Beliefs) { b.Servers = nil })
+}
+
+// handler serves the part of the beliefs that a function leaves.
+func handler(s Source, shorten func(*psfleet.Beliefs)) http.HandlerFunc {
+	e := &encoder{source: s, shorten: shorten}
 	return func(w http.ResponseWriter, r *http.Request) {
 		mark, age, found := s.Mark()
 		if !found {
@@ -64,6 +78,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Encoding", "gzip")
 		_, _ = w.Write(body)
 	}
 }
@@ -72,7 +87,8 @@
 
 // encoder keeps the encoded beliefs, which many VMs may ask for at the same time.
 type encoder struct {
-	source Source
+	source  Source
+	shorten func(*psfleet.Beliefs)
 
 	mutex sync.Mutex
 	mark  string
@@ -87,12 +103,17 @@
 	}
 	// What is encoded may be newer than the mark. The next answer then comes as a whole again.
 	b, _ := e.source.Beliefs()
-	body, err := json.Marshal(b)
-	if err != nil {
+	e.shorten(&b)
+	var body bytes.Buffer
+	z := gzip.NewWriter(&body)
+	if err := json.NewEncoder(z).Encode(b); err != nil {
 		return nil, errors.Wrap(err, "encode beliefs")
 	}
-	e.mark, e.body = mark, body
-	return body, nil
+	if err := z.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress beliefs")
+	}
+	e.mark, e.body = mark, body.Bytes()
+	return e.body, nil
 }
 
 // Client asks other VMs.
@@ -121,7 +142,17 @@
 // Ask returns what the VM at a peer address believes. Beliefs with a mark that is known are not
 // told again.
 func (c *Client) Ask(ctx context.Context, at netip.AddrPort, known string) (psfleet.Told, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+Path, nil)
+	return c.ask(ctx, at, Path, known)
+}
+
+// AskOrders returns what the VM at a peer address believes, without the servers.
+func (c *Client) AskOrders(ctx context.Context, at netip.AddrPort) (psfleet.Beliefs, error) {
+	t, err := c.ask(ctx, at, PathOrders, "")
+	return t.Beliefs, err
+}
+
+func (c *Client) ask(ctx context.Context, at netip.AddrPort, path, known string) (psfleet.Told, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+path, nil)
 	if err != nil {
 		return psfleet.Told{}, errors.Wrap(err, "ask for beliefs")
 	}
--- a/internal/connection/psbelief/belief_test.go
+++ b/internal/connection/psbelief/belief_test.go
@@ -61,6 +61,21 @@
 	qt.Assert(t, got.Age, qt.Equals, want.Age)
 }
 
+func TestOrdersComeWithoutTheServers(t *testing.T) {
+	want := psfleet.Beliefs{
+		Configuration: &psconfig.Configuration{Version: 7}, Evacuated: []string{"north-a"}, OrdersVersion: 40,
+		Servers: []psserver.Entry{{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.9:80"), Service: "prices", FailureDomain: "north-a", Slots: 4}},
+	}
+	server := httptest.NewServer(psbelief.OrdersHandler(source{want, true}))
+	defer server.Close()
+	c, clean := psbelief.NewClient(nil)
+	defer clean()
+	got, err := c.AskOrders(context.Background(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	qt.Assert(t, err, qt.IsNil)
+	want.Servers = nil
+	qt.Assert(t, got, qt.DeepEquals, want)
+}
+
 func TestAVMThatKnowsNothingHasNothingToTell(t *testing.T) {
 	_, err := ask(t, source{}, "")
 	qt.Assert(t, err, qt.ErrorMatches, ".*404.*")
--- a/internal/process/pscontrol/belief.go
+++ b/internal/process/pscontrol/belief.go
@@ -29,13 +29,15 @@
 type Believers interface {
 	// Ask asks a VM. What is told is sound, and what is known of it already isn't told again.
 	Ask(ctx context.Context, vm psfleet.Identity, known string) (psfleet.Told, error)
+	// AskOrders asks a VM for its beliefs without the servers.
+	AskOrders(ctx context.Context, vm psfleet.Identity) (psfleet.Beliefs, error)
 }
 
 // Mark returns how old the VM's beliefs are, and a mark that changes whenever they do; false
 // before it knows a configuration and servers.
 func (c *Control) Mark() (mark string, age time.Duration, found bool) {
 	s := c.Snapshot()
-	mark = fmt.Sprintf("%d-%d", c.options.Identity.Incarnation, s.changes)
+	mark = fmt.Sprintf("%d-%d-%d", c.options.Identity.Incarnation, s.changes, s.ordersVersion)
 	return mark, c.options.Now().Sub(s.ServersAt), s.Serves()
 }
 
@@ -47,6 +49,7 @@
 	}
 	b := psfleet.Beliefs{
 		Configuration: s.Index.Configuration, Evacuated: lo.Keys(s.Evacuated),
+		OrdersVersion: s.ordersVersion, ServersVersion: s.serversVersion, Reads: !c.follower.Lost(),
 		Age: c.options.Now().Sub(s.ServersAt),
 	}
 	for _, list := range s.Servers {
@@ -90,13 +93,13 @@
 		return false
 	}
 	last.mark = t.Mark
-	c.tell(beliefsEvent{vm.VM, t.Beliefs, t.Unchanged})
+	c.tell(beliefsEvent{vm: vm.VM, beliefs: t.Beliefs, unchanged: t.Unchanged})
 	return true
 }
 
 // takeBeliefs takes in what a VM that reads the store believes.
 func (c *Control) takeBeliefs(e beliefsEvent, now time.Time) {
-	if !c.follower.Lost() {
+	if !e.start && !c.follower.Lost() {
 		return
 	}
 	if e.unchanged {
@@ -104,13 +107,18 @@
 		return
 	}
 	before := c.servers.Len()
-	c.takeOrders(ordersEvent{platform.Orders{Configuration: e.beliefs.Configuration, Evacuated: e.beliefs.Evacuated}, true}, now)
+	c.takeOrders(ordersEvent{ordersOf(e.beliefs), true}, now)
+	c.serversVersion = max(c.serversVersion, e.beliefs.ServersVersion)
 	c.servers.Take(platform.Servers{Entries: e.beliefs.Servers}, psregistry.Reading{Whole: true, Age: e.beliefs.Age}, now)
 	if before == 0 {
 		psevent.BeliefsTaken.Log(c.options.Logger, e.vm, e.beliefs.Configuration.Version, len(e.beliefs.Servers), e.beliefs.Age.String())
 	}
 }
 
+func ordersOf(b psfleet.Beliefs) platform.Orders {
+	return platform.Orders{Configuration: b.Configuration, Evacuated: b.Evacuated, Changed: b.OrdersVersion}
+}
+
 // readers lists the other VMs that read the store.
 func (c *Control) readers(now time.Time) []psfleet.Identity {
 	var list []psfleet.Identity
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -92,6 +93,15 @@
 	// unread holds the rows that were logged, by key and version.
 	unread   map[string]int64
 	sequence int64
+	// ordersVersion is the store's version of the latest order, and serversVersion the one that
+	// the servers are as of.
+	ordersVersion, serversVersion int64
+	// grownAt is the number of the report before which the fleet grew last, and grownTo its size.
+	grownAt int64
+	grownTo int
+	// vmsRead is closed when the published VMs were read, and taken in, for the first time.
+	vmsRead chan struct{}
+	vmsOnce sync.Once
 	// failed says when this VM found servers down.
 	failed map[string]time.Time
 	silent map[string]bool
@@ -102,11 +112,11 @@
 	c := &Control{
 		options: o, events: make(chan event, eventBacklog), evacuated: map[string]bool{},
 		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity.VM), shares: newShares(),
-		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{},
+		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{}, vmsRead: make(chan struct{}),
 	}
 	c.running = context.Background()
 	c.follower = psfollow.New(psfollow.Options{
-		VM: o.Identity.VM, Region: o.Identity.Region, Store: o.Store, Sink: c, Peers: c, Logger: o.Logger, Now: o.Now,
+		Self: o.Identity, Store: o.Store, Near: c, Sink: c, Peers: c, Logger: o.Logger, Now: o.Now,
 	})
 	c.publish()
 	return c
@@ -210,6 +220,8 @@
 	beliefsEvent struct {
 		vm      string
 		beliefs psfleet.Beliefs
+		// start says that a VM that starts takes them in place of the store's tables.
+		start bool
 		// unchanged says that the VM believes what it told last.
 		unchanged bool
 	}
@@ -269,8 +281,10 @@
 	case serversEvent:
 		c.logUnread(e.servers.Unread)
 		c.servers.Take(e.servers, e.reading, now)
+		c.serversVersion = max(c.serversVersion, e.servers.Version)
 	case vmsEvent:
 		c.takeVMs(e.rows, now)
+		c.vmsOnce.Do(func() { close(c.vmsRead) })
 	case reportEvent:
 		c.takeReport(e.report, now)
 	case failedEvent:
@@ -285,6 +299,7 @@
 func (c *Control) takeOrders(e ordersEvent, now time.Time) {
 	o := e.orders
 	c.logUnread(o.Unread)
+	c.ordersVersion = max(c.ordersVersion, o.Changed)
 	c.takeEvacuations(e, now)
 	if o.Configuration == nil {
 		return
--- a/internal/process/pscontrol/control_test.go
+++ b/internal/process/pscontrol/control_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
@@ -30,6 +32,11 @@
 	changed chan struct{}
 	// slow is how long a whole reading takes.
 	slow time.Duration
+	// vms is the number of other VMs that are published, and near what the first of them believes.
+	vms  int
+	near *psfleet.Beliefs
+	// readings counts whole readings of a table.
+	readings int
 	// asked lists which VM was asked, and what was known of its beliefs.
 	asked []string
 }
@@ -54,6 +61,7 @@
 	time.Sleep(s.slow)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.readings++
 	if s.away {
 		return platform.Orders{}, platform.Servers{}, errAway
 	}
@@ -90,7 +98,20 @@
 	return platform.Servers{}, s.wait(ctx)
 }
 
-func (*store) VMs(context.Context) (platform.VMs, error) { return platform.VMs{}, nil }
+func (s *store) VMs(context.Context) (platform.VMs, error) {
+	v := platform.VMs{Rows: map[string][]byte{}}
+	for i := range s.vms {
+		a := netip.MustParseAddrPort("127.0.0.1:2")
+		name := fmt.Sprintf("vm-0-%02d", i)
+		data, err := json.Marshal(psfleet.Identity{VM: name, FailureDomain: "north-a", Region: "north", Callers: a, Peers: a, Link: float64(100 - i)})
+		if err != nil {
+			return v, err
+		}
+		v.Rows[name] = data
+	}
+	return v, nil
+}
+
 func (*store) VMChanges(context.Context, int64) (platform.VMs, error) {
 	return platform.VMs{}, nil
 }
@@ -109,6 +130,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.asked = append(s.asked, vm.VM+" "+known)
+	if s.near != nil {
+		return psfleet.Told{Beliefs: *s.near, Mark: "mark"}, nil
+	}
 	if known == "mark" {
 		return psfleet.Told{Mark: known, Unchanged: true}, nil
 	}
@@ -118,6 +142,13 @@
 	}, nil
 }
 
+// AskOrders returns the same without servers.
+func (s *store) AskOrders(ctx context.Context, vm psfleet.Identity) (psfleet.Beliefs, error) {
+	t, err := s.Ask(ctx, vm, "")
+	t.Beliefs.Servers = nil
+	return t.Beliefs, err
+}
+
 // told is the age of what the other VM believes.
 const told = 3 * time.Second
 
@@ -318,3 +349,54 @@
 	eventually(t, "an earlier VM tells", func() bool { return !c.Tells() })
 	eventually(t, "it is silent", func() bool { return c.Tells() })
 }
+
+// TestAVMThatStartsInALargeFleetTakesTheTablesOfAnother replays hundreds of VMs that start together:
+// most of them leave the store's tables to the first one of their failure domain.
+func TestAVMThatStartsInALargeFleetTakesTheTablesOfAnother(t *testing.T) {
+	s := newStore()
+	s.vms = 30
+	s.near = &psfleet.Beliefs{
+		Configuration: configuration(4), Servers: []psserver.Entry{entry("i-7")}, Evacuated: []string{"south-a"},
+		OrdersVersion: 3, ServersVersion: 9, Reads: true, Age: 100 * time.Millisecond,
+	}
+	c := start(t, s)
+	eventually(t, "what the first VM believes", func() bool {
+		return c.Ready() && version(c) == 4 && servers(c) == 1 && c.Snapshot().Evacuated["south-a"]
+	})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	qt.Assert(t, s.readings, qt.Equals, 0)
+	qt.Assert(t, s.asked[0], qt.Equals, "vm-0-00 ")
+	qt.Assert(t, c.StoreLost(), qt.IsFalse)
+}
+
+// TestOldTablesOfAnotherVMAreNotTaken asks a VM that has not read the store for a while.
+func TestOldTablesOfAnotherVMAreNotTaken(t *testing.T) {
+	s := newStore()
+	s.vms = 30
+	s.near = &psfleet.Beliefs{Configuration: configuration(4), OrdersVersion: 3, ServersVersion: 9, Reads: true, Age: 5 * time.Second}
+	s.set(func(s *store) {
+		s.orders.Configuration = configuration(5)
+		s.servers.Entries = []psserver.Entry{entry("i-1")}
+	})
+	c := start(t, s)
+	eventually(t, "what the store says", func() bool { return c.Ready() && version(c) == 5 })
+}
+
+// TestOrdersOfAnotherVMCountIfTheyAreNewEnough asks a VM that announced a change.
+func TestOrdersOfAnotherVMCountIfTheyAreNewEnough(t *testing.T) {
+	s := newStore()
+	s.vms = 30
+	s.near = &psfleet.Beliefs{Configuration: configuration(4), OrdersVersion: 7, ServersVersion: 9, Reads: true}
+	c := start(t, s)
+	eventually(t, "the tables", func() bool { return version(c) == 4 })
+	v, found := c.AskOrders(t.Context(), "vm-0-01", 7)
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Assert(t, v, qt.Equals, int64(7))
+	limited, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer stop()
+	_, found = c.AskOrders(limited, "vm-0-01", 8)
+	qt.Assert(t, found, qt.IsFalse)
+	_, found = c.AskOrders(t.Context(), "vm-unknown", 7)
+	qt.Assert(t, found, qt.IsFalse)
+}
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -65,7 +65,10 @@
 		r.Version = c.index.Configuration.Version
 	}
 	c.shares.report(r.Demands)
-	r.Shorten()
+	if n := c.fleet.Size(); n != c.grownTo {
+		c.grownTo, c.grownAt = n, c.sequence
+	}
+	r.Shorten(c.grownAt)
 	peers := c.fleet.Peers()
 	to := make([]psfleet.Identity, 0, len(peers))
 	for _, p := range peers {
@@ -97,7 +100,7 @@
 	c.snapshot.Store(&Snapshot{
 		Index: c.index, Servers: c.servers.ByService(), ServersAt: c.servers.ReadAt, Evacuated: c.evacuated,
 		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		changes: c.changes + c.servers.Changes(),
+		changes: c.changes + c.servers.Changes(), ordersVersion: c.ordersVersion, serversVersion: c.serversVersion,
 		tells:   c.tells(now),
 		readers: c.readers(now), holders: holders(c.options.Identity, c.fleet, now),
 	})
@@ -108,7 +111,7 @@
 func (c *Control) tells(now time.Time) bool {
 	self := c.options.Identity
 	for _, p := range c.fleet.Peers() {
-		if p.Identity.Region != self.Region || p.Identity.VM >= self.VM {
+		if p.Identity.Region != self.Region || !p.Identity.Before(self) {
 			continue
 		}
 		if c.fleet.Live(p, now) && p.Report.Reads || p.Report == nil && c.fleet.Reserved(p, now) {
--- /dev/null
+++ b/internal/process/pscontrol/near.go
@@ -0,0 +1,88 @@
+package pscontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psfollow"
+	"persimmonstep/internal/process/pswait"
+)
+
+const (
+	// vmsWait is how long a VM that starts waits for the published VMs before it reads the
+	// store's tables, and startWait how long it asks another VM for them.
+	vmsWait   = 300 * time.Millisecond
+	startWait = 1200 * time.Millisecond
+	// startRetry is the time between two such questions.
+	startRetry = 150 * time.Millisecond
+	// maxStartAge is the age up to which another VM's beliefs are as good as the store's tables.
+	maxStartAge = 2 * time.Second
+)
+
+// AskOrders asks a VM for the operator's orders and takes them in if they are of a version or later.
+func (c *Control) AskOrders(ctx context.Context, vm string, version int64) (int64, bool) {
+	i, found := lo.Find(c.Snapshot().holders, func(i psfleet.Identity) bool { return i.VM == vm })
+	if !found {
+		return 0, false
+	}
+	// The VM announces changes a moment before it has taken them in itself.
+	for {
+		b, err := c.options.Believers.AskOrders(ctx, i)
+		if err != nil {
+			return 0, false
+		}
+		if b.OrdersVersion >= version {
+			c.tell(ordersEvent{ordersOf(b), true})
+			return b.OrdersVersion, true
+		}
+		if !pswait.Sleep(ctx, startRetry) {
+			return 0, false
+		}
+	}
+}
+
+// AskTables asks the first VM of the own failure domain for what the store holds, when this VM starts
+// in a large fleet. Otherwise hundreds of VMs that start together would read whole tables.
+func (c *Control) AskTables(ctx context.Context) (psfollow.Versions, bool) {
+	select {
+	case <-ctx.Done():
+	case <-c.vmsRead:
+	case <-time.After(vmsWait):
+	}
+	first, found := c.firstOfDomain()
+	if !found {
+		return psfollow.Versions{}, false
+	}
+	limited, stop := context.WithTimeout(ctx, startWait)
+	defer stop()
+	for {
+		t, err := c.options.Believers.Ask(limited, first, "")
+		b := t.Beliefs
+		if err == nil && b.Reads && b.Age <= maxStartAge && b.OrdersVersion > 0 && b.ServersVersion > 0 {
+			c.tell(beliefsEvent{vm: first.VM, beliefs: b, start: true})
+			return psfollow.Versions{Orders: b.OrdersVersion, Servers: b.ServersVersion}, true
+		}
+		if !pswait.Sleep(limited, startRetry) {
+			return psfollow.Versions{}, false
+		}
+	}
+}
+
+// firstOfDomain returns the first VM of the own failure domain in a large fleet; false if that is
+// this VM.
+func (c *Control) firstOfDomain() (psfleet.Identity, bool) {
+	s, self := c.Snapshot(), c.options.Identity
+	if s.FleetSize < psfleet.Large {
+		return psfleet.Identity{}, false
+	}
+	first := self
+	for _, i := range s.holders {
+		if i.FailureDomain == self.FailureDomain && i.Before(first) {
+			first = i
+		}
+	}
+	return first, first.VM != self.VM
+}
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -30,6 +30,9 @@
 	holders []psfleet.Identity
 	// tells says that this VM tells the others of its region what it reads in the store.
 	tells bool
+	// ordersVersion is the store's version of the latest order, and serversVersion the one that
+	// the servers are as of.
+	ordersVersion, serversVersion int64
 	// changes grows whenever what the VM would tell another one changes.
 	changes int64
 	// readers lists the other VMs that read the store.
--- a/internal/process/pscontrol/vms.go
+++ b/internal/process/pscontrol/vms.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psfollow"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/platform"
@@ -44,13 +45,14 @@
 			continue
 		}
 		readings++
-		pswait.Sleep(ctx, vmsPause(readings))
+		pswait.Sleep(ctx, vmsPause(readings, c.FleetSize()))
 	}
 }
 
-// vmsPause returns the time after a number of readings until the next one.
-func vmsPause(readings int) time.Duration {
-	if readings < firstVMsReadings {
+// vmsPause returns the time after a number of readings until the next one. In a large fleet one
+// reading is enough: VMs that were not published by then have read of this one, and report to it.
+func vmsPause(readings, fleet int) time.Duration {
+	if readings < firstVMsReadings && fleet < psfleet.Large {
 		return firstVMsInterval
 	}
 	return vmsInterval
--- a/internal/process/psfleet/belief.go
+++ b/internal/process/psfleet/belief.go
@@ -13,7 +13,13 @@
 type Beliefs struct {
 	Configuration *psconfig.Configuration `json:"configuration"`
 	Evacuated     []string                `json:"evacuated"`
-	Servers       []psserver.Entry        `json:"servers"`
+	Servers       []psserver.Entry        `json:"servers,omitempty"`
+	// OrdersVersion is the store's version of the latest change of the configuration or the
+	// evacuations, and ServersVersion the one that the servers are as of; 0 if that isn't known.
+	OrdersVersion  int64 `json:"ordersVersion,omitempty"`
+	ServersVersion int64 `json:"serversVersion,omitempty"`
+	// Reads says that the VM reads the store itself, or hears from one that does.
+	Reads bool `json:"reads,omitempty"`
 	// Age is how long ago the VM last heard of the store. It is told beside the others, so
 	// that they are alike until something changes.
 	Age time.Duration `json:"-"`
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -36,6 +36,10 @@
 	reserveIntervals = 4
 )
 
+// Large is the size of a fleet from which on VMs do for others what would cost too much if each
+// did it: one of each region reads the store, and one of each failure domain tells those that start.
+const Large = 20
+
 // Identity is what a VM publishes of itself.
 type Identity struct {
 	VM            string         `json:"vm"`
@@ -43,10 +47,21 @@
 	Region        string         `json:"region,omitempty"`
 	Callers       netip.AddrPort `json:"callers,omitzero"`
 	Peers         netip.AddrPort `json:"peers,omitzero"`
+	// Link is what the VM's network link carries each way, in Mbit/s.
+	Link float64 `json:"link,omitempty"`
 	// Incarnation tells a restarted process.
 	Incarnation int64 `json:"incarnation"`
 }
 
+// Before orders the VMs of a place, all of which come to the same order: what one VM does for the
+// others is done by the first that lives, so those with the larger links come first.
+func (i Identity) Before(other Identity) bool {
+	if i.Link != other.Link {
+		return i.Link > other.Link
+	}
+	return i.VM < other.VM
+}
+
 // Check returns what is wrong with a decoded identity.
 func (i Identity) Check() error {
 	if i.VM == "" || i.FailureDomain == "" || i.Region == "" || !i.Callers.IsValid() || !i.Peers.IsValid() {
@@ -93,15 +108,16 @@
 }
 
 const (
-	// firstWhole is the number of reports with a whole identity at the start of a process, and
-	// wholeEach the distance of later ones.
+	// firstWhole is the number of reports with a whole identity after the start of a process or
+	// after another VM became known, and wholeEach the distance of later ones.
 	firstWhole = 4
 	wholeEach  = 8
 )
 
-// Shorten leaves out of the report what the other VMs know by now.
-func (r *Report) Shorten() {
-	if r.Sequence > firstWhole && r.Sequence%wholeEach != 0 {
+// Shorten leaves out of the report what the other VMs know by now. The last of them became known
+// when the report with the number grownAt was made.
+func (r *Report) Shorten(grownAt int64) {
+	if r.Sequence > grownAt+firstWhole && r.Sequence%wholeEach != 0 {
 		r.Identity = r.brief()
 	}
 }
@@ -130,8 +146,9 @@
 
 // Notice tells the VMs of a region what one of them reads in the store.
 type Notice struct {
-	VM     string `json:"vm"`
-	Region string `json:"region"`
+	VM     string  `json:"vm"`
+	Link   float64 `json:"link,omitempty"`
+	Region string  `json:"region"`
 	// Servers are the changes of the servers' entries; nil if it is about orders.
 	Servers *ServerChanges `json:"servers,omitempty"`
 	// Orders is the store's version of the operator's last change; 0 if it is about servers.
@@ -156,8 +173,11 @@
 
 // ServerChanges lead from one version of the store to a later one.
 type ServerChanges struct {
-	From    int64            `json:"from"`
-	To      int64            `json:"to"`
+	From int64 `json:"from"`
+	To   int64 `json:"to"`
+	// Before is the version up to which entries changed before these changes. Who knows them up
+	// to there has missed nothing.
+	Before  int64            `json:"before"`
 	Entries []psserver.Entry `json:"entries,omitempty"`
 	Removed []string         `json:"removed,omitempty"`
 }
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -67,7 +67,7 @@
 	f := psfleet.New("vm-1")
 	hear := func(incarnation, sequence int64) bool {
 		r := &psfleet.Report{Identity: identity("vm-2", incarnation), Sequence: sequence}
-		r.Shorten()
+		r.Shorten(0)
 		qt.Assert(t, r.Check(), qt.IsNil)
 		_, fresh := f.Hear(r, begun)
 		return fresh
@@ -83,6 +83,23 @@
 	qt.Assert(t, f.Peers()[0].Identity.Incarnation, qt.Equals, int64(2))
 }
 
+// TestReportsAreWholeAgainWhenTheFleetGrows tells a VM that came later where this one is.
+func TestReportsAreWholeAgainWhenTheFleetGrows(t *testing.T) {
+	whole := func(sequence, grownAt int64) bool {
+		r := &psfleet.Report{Identity: identity("vm-2", 1), Sequence: sequence}
+		r.Shorten(grownAt)
+		return r.Callers.IsValid()
+	}
+	qt.Assert(t, whole(20, 10), qt.IsFalse)
+	qt.Assert(t, whole(20, 19), qt.IsTrue)
+}
+
+func TestLargerLinksComeFirst(t *testing.T) {
+	a, b, c := psfleet.Identity{VM: "vm-1", Link: 20}, psfleet.Identity{VM: "vm-2", Link: 200}, psfleet.Identity{VM: "vm-3", Link: 200}
+	qt.Assert(t, b.Before(a) && b.Before(c) && c.Before(a), qt.IsTrue)
+	qt.Assert(t, a.Before(b) || c.Before(b) || a.Before(a), qt.IsFalse)
+}
+
 // TestALostDomainLeavesTheDirectorySoon replays a fleet of 74 VMs of which twelve are lost at once.
 // Callers wait for two seconds before they try another VM, so that few may be sent to those.
 func TestALostDomainLeavesTheDirectorySoon(t *testing.T) {
--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -39,14 +39,13 @@
 	maxRetryInterval = 500 * time.Millisecond
 	// returnSpan is how long after the store's return servers write their entries again.
 	returnSpan = 1700 * time.Millisecond
-	// relayedFleet is the size of a fleet from which on one VM of each region reads the
-	// store for the others. Below, it costs less that each VM waits for changes itself.
-	relayedFleet = 20
 	// relayWait is how long the reading VM waits for changes. Its notices show the others
 	// how fresh their beliefs are, so they must be frequent.
 	relayWait = 500 * time.Millisecond
 	// relaySpan is how long after a notice the others rely on the reading VM.
 	relaySpan = 1300 * time.Millisecond
+	// askTimeout bounds a question to the telling VM. The store must still answer in time after it.
+	askTimeout = 900 * time.Millisecond
 	// noticeBacklog is the number of notices that may wait.
 	noticeBacklog = 16
 )
@@ -80,14 +79,31 @@
 	Notice(n *psfleet.Notice)
 }
 
+// Near asks other VMs for what they read, in place of the store.
+type Near interface {
+	// AskOrders asks a VM for the operator's orders. It returns the store's version that they are
+	// as of, and false unless that is the one asked for or a later one.
+	AskOrders(ctx context.Context, vm string, version int64) (int64, bool)
+	// AskTables asks for all tables when this VM starts. It returns the versions that they are as
+	// of, and false if the store must be read.
+	AskTables(ctx context.Context) (Versions, bool)
+}
+
+// Versions are the store's versions up to which tables are known.
+type Versions struct {
+	Orders, Servers int64
+}
+
 // Options are what a follower needs.
 type Options struct {
-	// VM and Region name this VM and where it runs.
-	VM, Region string
-	Store      Store
-	Sink       Sink
-	Peers      Region
-	Logger     hclog.Logger
+	// Self is this VM.
+	Self  psfleet.Identity
+	Store Store
+	// Near takes what it learns to the sink itself.
+	Near   Near
+	Sink   Sink
+	Peers  Region
+	Logger hclog.Logger
 	// Now gives monotonic time.
 	Now func() time.Time
 }
@@ -120,8 +136,13 @@
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	go f.followOrders(ctx)
-	f.followServers(ctx)
+	known, found := f.options.Near.AskTables(ctx)
+	if found {
+		f.unread.Store(0)
+		f.relay.hear()
+	}
+	go f.followOrders(ctx, known.Orders)
+	f.followServers(ctx, known.Servers)
 }
 
 // watch calls the store again and again and notes when it is lost and regained.
@@ -162,6 +183,8 @@
 // table is a table of the store that is followed.
 type table struct {
 	call string
+	// known is the version up to which the table is known at the start; 0 if it isn't.
+	known int64
 	// pause is the least time between two calls for changes.
 	pause time.Duration
 	// read reads all rows, and changes waits for changes after a version. Both return the
@@ -176,8 +199,11 @@
 // follow keeps up with a table. After the store was away it reads the table again once
 // entries had time to return.
 func (f *Follower) follow(ctx context.Context, t table) {
-	w := &watch{follower: f, loss: Loss{Call: t.call}}
-	version := int64(0)
+	w := &watch{follower: f, loss: Loss{Call: t.call}, read: t.known > 0}
+	version := t.known
+	if version > 0 {
+		f.followChanges(ctx, w, t, version)
+	}
 	retry := retryInterval
 	for ctx.Err() == nil {
 		returning := w.loss.Lost()
@@ -222,13 +248,15 @@
 	}
 }
 
-func (f *Follower) followServers(ctx context.Context) {
+func (f *Follower) followServers(ctx context.Context, known int64) {
+	changed := known
 	f.follow(ctx, table{
-		call: "servers", pause: changesPause, await: f.awaitServers,
+		call: "servers", known: known, pause: changesPause, await: f.awaitServers,
 		read: func(ctx context.Context, returning bool) (int64, error) {
 			v, err := f.options.Store.Servers(ctx)
 			if err == nil {
 				f.options.Sink.TakeServers(v, true, returning)
+				changed = v.Version
 			}
 			return v.Version, err
 		},
@@ -236,17 +264,22 @@
 			v, err := f.options.Store.ServerChanges(ctx, after, wait)
 			if err == nil {
 				f.options.Sink.TakeServers(v, false, false)
-				f.notice(&psfleet.Notice{Servers: &psfleet.ServerChanges{From: after, To: v.Version, Entries: v.Entries, Removed: v.Removed}})
+				f.notice(&psfleet.Notice{Servers: &psfleet.ServerChanges{
+					From: after, To: v.Version, Before: changed, Entries: v.Entries, Removed: v.Removed,
+				}})
+				if len(v.Entries)+len(v.Removed) > 0 {
+					changed = v.Version
+				}
 			}
 			return v.Version, err
 		},
 	})
 }
 
-func (f *Follower) followOrders(ctx context.Context) {
-	last := int64(0)
+func (f *Follower) followOrders(ctx context.Context, known int64) {
+	last := known
 	f.follow(ctx, table{
-		call: "orders", pause: ordersPause, await: f.awaitOrders,
+		call: "orders", known: known, pause: ordersPause, await: f.awaitOrders,
 		read: func(ctx context.Context, _ bool) (int64, error) {
 			o, err := f.options.Store.Orders(ctx)
 			if err == nil {
--- a/internal/process/psfollow/relay.go
+++ b/internal/process/psfollow/relay.go
@@ -11,26 +11,34 @@
 
 // relay is what a VM knows of the one that reads the store for its region: the first by name.
 type relay struct {
-	// heardAt is when the last notice of an earlier VM came, in nanoseconds since the start.
+	// heardAt is when the last notice of an earlier VM came, or the tables of another one, in
+	// nanoseconds since the start.
 	heardAt *atomic.Int64
 	begun   time.Time
+	// teller names the VM of the last notice.
+	teller  *atomic.Pointer[string]
 	servers chan *psfleet.ServerChanges
 	orders  chan int64
 }
 
 func newRelay() relay {
 	return relay{
-		heardAt: &atomic.Int64{}, begun: time.Now(),
+		heardAt: &atomic.Int64{}, begun: time.Now(), teller: &atomic.Pointer[string]{},
 		servers: make(chan *psfleet.ServerChanges, noticeBacklog), orders: make(chan int64, noticeBacklog),
 	}
 }
 
+// hear takes in that another VM reads for this one.
+func (r *relay) hear() { r.heardAt.Store(int64(time.Since(r.begun))) }
+
 // Noticed takes in what the reading VM tells. A notice that doesn't fit is made up for by the next.
 func (f *Follower) Noticed(n *psfleet.Notice) {
-	if n.Region != f.options.Region || n.VM >= f.options.VM {
+	self := f.options.Self
+	if n.Region != self.Region || !(psfleet.Identity{VM: n.VM, Link: n.Link}).Before(self) {
 		return
 	}
-	f.relay.heardAt.Store(int64(time.Since(f.relay.begun)))
+	f.relay.teller.Store(&n.VM)
+	f.relay.hear()
 	if n.Servers != nil {
 		select {
 		case f.relay.servers <- n.Servers:
@@ -45,7 +53,7 @@
 }
 
 // relays reports whether one VM of each region reads the store.
-func (f *Follower) relays() bool { return f.options.Peers.FleetSize() >= relayedFleet }
+func (f *Follower) relays() bool { return f.options.Peers.FleetSize() >= psfleet.Large }
 
 // relies reports whether this VM relies on the notices of another one.
 func (f *Follower) relies() bool {
@@ -66,7 +74,8 @@
 	if !f.relays() || !f.options.Peers.Tells() {
 		return
 	}
-	n.VM, n.Region = f.options.VM, f.options.Region
+	self := f.options.Self
+	n.VM, n.Link, n.Region = self.VM, self.Link, self.Region
 	f.options.Peers.Notice(n)
 }
 
@@ -77,7 +86,7 @@
 	case <-ctx.Done():
 	case <-time.After(relayWait / 2):
 	case n := <-f.relay.servers:
-		if n.From > version {
+		if n.Before > version {
 			return version, true
 		}
 		if n.To > version {
@@ -88,13 +97,28 @@
 	return version, false
 }
 
-// awaitOrders is the same for the operator's changes, which notices only announce.
+// awaitOrders is the same for the operator's changes, which notices only announce. They are asked
+// for at the VM that announces them.
 func (f *Follower) awaitOrders(ctx context.Context, version int64) (int64, bool) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(relayWait / 2):
 	case v := <-f.relay.orders:
-		return version, v > version
+		if v > version {
+			return f.askOrders(ctx, version, v)
+		}
 	}
 	return version, false
 }
+
+// askOrders asks the telling VM for orders of a version or later. It returns true if the store
+// must be read instead.
+func (f *Follower) askOrders(ctx context.Context, known, wanted int64) (version int64, missing bool) {
+	limited, stop := context.WithTimeout(ctx, askTimeout)
+	defer stop()
+	v, found := f.options.Near.AskOrders(limited, *f.relay.teller.Load(), wanted)
+	if !found {
+		return known, true
+	}
+	return v, false
+}
--- a/internal/process/psfollow/relay_test.go
+++ b/internal/process/psfollow/relay_test.go
@@ -22,15 +22,18 @@
 	later   atomic.Bool
 	reads   atomic.Int64
 	changes atomic.Int64
-	notices chan *psfleet.Notice
-	taken   chan platform.Servers
-}
-
-func (*world) Orders(context.Context) (platform.Orders, error) {
-	return platform.Orders{Version: 10}, nil
-}
-
-func (*world) OrderChanges(ctx context.Context, after int64, wait time.Duration) (platform.Orders, error) {
+	// near are the tables that another VM has told, and silent says that none answers questions.
+	near   psfollow.Versions
+	silent atomic.Bool
+	// asked names the VMs that were asked for orders.
+	asked        chan string
+	orderChanges atomic.Int64
+	notices      chan *psfleet.Notice
+	taken        chan platform.Servers
+}
+
+func (w *world) OrderChanges(ctx context.Context, after int64, wait time.Duration) (platform.Orders, error) {
+	w.orderChanges.Add(1)
 	hold(ctx, wait)
 	return platform.Orders{Version: after}, nil
 }
@@ -61,6 +64,22 @@
 	}
 }
 
+func (*world) Orders(context.Context) (platform.Orders, error) {
+	return platform.Orders{Version: 10}, nil
+}
+
+func (w *world) AskOrders(_ context.Context, vm string, version int64) (int64, bool) {
+	if w.silent.Load() {
+		return 0, false
+	}
+	w.asked <- vm
+	return version, true
+}
+
+func (w *world) AskTables(context.Context) (psfollow.Versions, bool) {
+	return w.near, w.near != psfollow.Versions{}
+}
+
 func (w *world) FleetSize() int { return w.fleet }
 
 func (w *world) Tells() bool { return !w.later.Load() }
@@ -69,8 +88,14 @@
 
 func start(t *testing.T, vm string, fleet int) (*psfollow.Follower, *world) {
 	t.Helper()
-	w := &world{fleet: fleet, notices: make(chan *psfleet.Notice, 1000), taken: make(chan platform.Servers, 1000)}
-	f := psfollow.New(psfollow.Options{VM: vm, Region: "north", Store: w, Sink: w, Peers: w, Logger: hclog.NewNullLogger(), Now: time.Now})
+	return startWith(t, vm, fleet, psfollow.Versions{})
+}
+
+// startWith starts a follower to which another VM tells the tables.
+func startWith(t *testing.T, vm string, fleet int, near psfollow.Versions) (*psfollow.Follower, *world) {
+	t.Helper()
+	w := &world{fleet: fleet, near: near, asked: make(chan string, 1000), notices: make(chan *psfleet.Notice, 1000), taken: make(chan platform.Servers, 1000)}
+	f := psfollow.New(psfollow.Options{Self: psfleet.Identity{VM: vm, Region: "north"}, Store: w, Near: w, Sink: w, Peers: w, Logger: hclog.NewNullLogger(), Now: time.Now})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -85,7 +110,7 @@
 }
 
 func notice(from, to int64, id string) *psfleet.Notice {
-	return &psfleet.Notice{VM: "vm-1", Region: "north", Servers: &psfleet.ServerChanges{From: from, To: to, Entries: []psserver.Entry{{ID: id}}}}
+	return &psfleet.Notice{VM: "vm-1", Region: "north", Servers: &psfleet.ServerChanges{From: from, Before: from, To: to, Entries: []psserver.Entry{{ID: id}}}}
 }
 
 // await returns what was taken with an entry.
@@ -175,3 +200,53 @@
 	qt.Assert(t, w.notices, qt.HasLen, 0)
 	qt.Assert(t, w.changes.Load(), qt.Equals, int64(1))
 }
+
+// TestChangedOrdersComeFromTheTellingVM replays a change of the configuration in a large fleet, where
+// each VM that read the store for it would cost a call.
+func TestChangedOrdersComeFromTheTellingVM(t *testing.T) {
+	f, w := startWith(t, "vm-2", 74, psfollow.Versions{Orders: 10, Servers: 10})
+	feed(t, f, notice(10, 12, "i-1"))
+	feed(t, f, &psfleet.Notice{VM: "vm-1", Region: "north", Orders: 15})
+	qt.Assert(t, <-w.asked, qt.Equals, "vm-1")
+	time.Sleep(500 * time.Millisecond)
+	qt.Assert(t, w.asked, qt.HasLen, 0)
+	qt.Assert(t, w.orderChanges.Load(), qt.Equals, int64(0))
+}
+
+func TestOrdersThatNoVMTellsAreRead(t *testing.T) {
+	f, w := startWith(t, "vm-2", 74, psfollow.Versions{Orders: 10, Servers: 10})
+	w.silent.Store(true)
+	feed(t, f, &psfleet.Notice{VM: "vm-1", Region: "north", Orders: 15})
+	for begun := time.Now(); w.orderChanges.Load() == 0; time.Sleep(10 * time.Millisecond) {
+		qt.Assert(t, time.Since(begun) < 5*time.Second, qt.IsTrue)
+	}
+}
+
+func TestTablesThatAnotherVMToldAreNotRead(t *testing.T) {
+	f, w := startWith(t, "vm-2", 74, psfollow.Versions{Orders: 10, Servers: 10})
+	feed(t, f, notice(10, 12, "i-1"))
+	await(t, w)
+	qt.Assert(t, f.Lost(), qt.IsFalse)
+	qt.Assert(t, w.reads.Load(), qt.Equals, int64(0))
+	qt.Assert(t, w.changes.Load(), qt.Equals, int64(0))
+}
+
+// TestALostNoticeWithoutChangesCostsNoCall replays a store whose version grows with each
+// transaction of anybody, and a network that loses notices.
+func TestALostNoticeWithoutChangesCostsNoCall(t *testing.T) {
+	f, w := startWith(t, "vm-2", 74, psfollow.Versions{Orders: 10, Servers: 10})
+	n := notice(20, 22, "i-1")
+	n.Servers.Before = 9
+	feed(t, f, n)
+	qt.Assert(t, await(t, w).Entries[0].ID, qt.Equals, "i-1")
+	qt.Assert(t, w.changes.Load(), qt.Equals, int64(0))
+}
+
+// TestTheVMWithTheLargestLinkTells replays two VMs that both tell.
+func TestTheVMWithTheLargestLinkTells(t *testing.T) {
+	f, w := startWith(t, "vm-1", 74, psfollow.Versions{Orders: 10, Servers: 10})
+	n := notice(10, 12, "i-1")
+	n.VM, n.Link = "vm-9", 200
+	feed(t, f, n)
+	qt.Assert(t, await(t, w).Entries[0].ID, qt.Equals, "i-1")
+}
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -181,7 +181,7 @@
 func identity(s *psnode.Settings) psfleet.Identity {
 	return psfleet.Identity{
 		VM: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Callers: s.Callers,
-		Peers: peerAddress(s), Incarnation: time.Now().UnixMilli(),
+		Peers: peerAddress(s), Link: s.Link, Incarnation: time.Now().UnixMilli(),
 	}
 }
 
@@ -239,6 +239,11 @@
 	return b.client.Ask(ctx, vm.Peers, known)
 }
 
+// AskOrders returns what a VM believes, without the servers.
+func (b believers) AskOrders(ctx context.Context, vm psfleet.Identity) (psfleet.Beliefs, error) {
+	return b.client.AskOrders(ctx, vm.Peers)
+}
+
 // receive passes on what the other VMs say.
 func (v *vm) receive() {
 	if err := v.link.Receive(handler{v}); err != nil {
