--- a/internal/connection/psbelief/belief.go
+++ b/internal/connection/psbelief/belief.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// Path is where a VM serves its beliefs, and PathOrders where it serves them without the
-	// servers.
-	Path       = "/beliefs"
+	// Path is where a VM serves its beliefs.
+	Path = "/beliefs"
+	// PathOrders is where it serves them without the servers.
 	PathOrders = "/beliefs/orders"
 	// headerTimeout bounds the time to connect, and then until the VM answers; timeout bounds a whole
 	// call. The beliefs of
@@ -49,7 +49,7 @@
 
 // Handler serves beliefs; 404 before there are any, and 304 if the caller knows them.
 func Handler(s Source) http.HandlerFunc {
-	return handler(s, func(b *psfleet.Beliefs) {})
+	return handler(s, func(*psfleet.Beliefs) {})
 }
 
 // OrdersHandler serves beliefs without the servers.
