psfleet: in a large fleet reports stay in the failure domain, and digests go between them

Cause: each VM reported to each other one: 295 VMs made 16,000 datagrams a second, most of them between failure domains, and to bound that each reported only each 5.3 s, so that a lost VM was named for 11 s. Now VMs report to their failure domain; two VMs of it pass reports on to one VM of each other one, which passes them on to its neighbours. A demand counts for the own part of a rate only once it had time to spread. At the first start VMs wait for each other's publication, which the store performs one by one; a restarted VM reads first. Tests: TestALargeFleetKnowsItself, TestMessagesGrowWithTheFailureDomain, TestACutFleetComesTogetherAgain, TestDigestsArriveAtLargeLinks, TestADemandCountsOnceAllVMsHaveHeardIt.

--- a/internal/connection/psreport/fuzz_test.go
+++ b/internal/connection/psreport/fuzz_test.go
@@ -25,6 +25,12 @@
 	}
 }
 
+func (s strict) Digested(d *psfleet.Digest) {
+	if d.Check() != nil {
+		s.t.Fatalf("a faulty digest was taken: %+v", d)
+	}
+}
+
 func (strict) Lend(psfleet.Take) psfleet.Grant { return psfleet.Grant{} }
 
 func (strict) Unread(netip.AddrPort, error) {}
@@ -33,6 +39,7 @@
 	for _, text := range []string{
 		`{"method":"report","params":{"vm":"a","failureDomain":"b","region":"c","callers":"1.2.3.4:5","peers":"1.2.3.4:5","sequence":1}}`,
 		`{"method":"notice","params":{"vm":"a","region":"c","servers":{"from":1,"to":2,"entries":[{"id":"x"}]}}}`,
+		`{"method":"digest","params":{"digest":"H4sI"}}`,
 		`{"id":7,"result":{"granted":true}}`, `{"method":"other"}`, `{`,
 	} {
 		f.Add([]byte(text))
--- a/internal/connection/psreport/report.go
+++ b/internal/connection/psreport/report.go
@@ -22,6 +22,7 @@
 const (
 	methodReport = "report"
 	methodNotice = "notice"
+	methodDigest = "digest"
 	methodTake   = "take"
 	// maxDatagramBytes bounds a message.
 	maxDatagramBytes = 32 << 10
@@ -39,6 +40,8 @@
 	Heard(r *psfleet.Report)
 	// Noticed takes a notice.
 	Noticed(n *psfleet.Notice)
+	// Digested takes a digest.
+	Digested(d *psfleet.Digest)
 	// Lend answers a question for a token of a workspace.
 	Lend(t psfleet.Take) psfleet.Grant
 	// Unread takes a datagram that can't be read.
@@ -55,6 +58,7 @@
 // Link sends and receives messages. It is safe for concurrent use.
 type Link struct {
 	socket Socket
+	packer packer
 
 	mutex   sync.Mutex
 	last    uint64
@@ -184,6 +188,8 @@
 		return takeReport(h, *m.Params)
 	case m.Method == methodNotice && m.Params != nil:
 		return takeNotice(h, *m.Params)
+	case m.Method == methodDigest && m.Params != nil:
+		return l.takeDigest(h, *m.Params)
 	case m.Method == methodTake && m.Params != nil:
 		return l.answer(h, m, from)
 	case m.Method == "" && m.Result != nil:
--- a/internal/connection/psreport/report_test.go
+++ b/internal/connection/psreport/report_test.go
@@ -18,11 +18,13 @@
 type heard struct {
 	reports chan *psfleet.Report
 	notices chan *psfleet.Notice
+	digests chan *psfleet.Digest
 	unread  chan error
 }
 
 func (h *heard) Heard(r *psfleet.Report)          { h.reports <- r }
 func (h *heard) Noticed(n *psfleet.Notice)        { h.notices <- n }
+func (h *heard) Digested(d *psfleet.Digest)       { h.digests <- d }
 func (h *heard) Unread(_ netip.AddrPort, e error) { h.unread <- e }
 
 func (h *heard) Lend(t psfleet.Take) psfleet.Grant {
@@ -38,7 +40,7 @@
 	socket, err := psreport.Listen(context.Background(), a)
 	qt.Assert(t, err, qt.IsNil)
 	l, clean := psreport.New(socket)
-	h := &heard{make(chan *psfleet.Report, 8), make(chan *psfleet.Notice, 8), make(chan error, 8)}
+	h := &heard{make(chan *psfleet.Report, 8), make(chan *psfleet.Notice, 8), make(chan *psfleet.Digest, 8), make(chan error, 8)}
 	ended := make(chan error, 1)
 	go func() { ended <- l.Receive(h) }()
 	t.Cleanup(func() {
@@ -100,3 +102,25 @@
 		qt.Check(t, <-h.unread, qt.IsNotNil, qt.Commentf("%q", text))
 	}
 }
+
+func TestDigestsArriveInParts(t *testing.T) {
+	a, at, _ := start(t)
+	_, bt, h := start(t)
+	for _, relayed := range []bool{false, true} {
+		testDigest(t, a, at, bt, h, relayed)
+	}
+}
+
+func testDigest(t *testing.T, a *psreport.Link, at, bt netip.AddrPort, h *heard, relayed bool) {
+	t.Helper()
+	d := &psfleet.Digest{FailureDomain: "north-a", Relayed: relayed}
+	for i := range 100 {
+		d.Reports = append(d.Reports, psfleet.PassedReport{
+			Report: psfleet.Report{Identity: identity("vm-1", at), Sequence: int64(i + 1)}, Age: time.Duration(i) * time.Millisecond,
+		})
+	}
+	qt.Assert(t, a.Digest(d, []psfleet.Identity{identity("vm-2", bt)}), qt.IsNil)
+	first, second := <-h.digests, <-h.digests
+	qt.Assert(t, first.Relayed, qt.Equals, relayed)
+	qt.Assert(t, append(first.Reports, second.Reports...), qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), d.Reports)
+}
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -40,6 +40,8 @@
 	Report(r *psfleet.Report, to []psfleet.Identity) error
 	// Notice sends a notice to each of the VMs.
 	Notice(n *psfleet.Notice, to []psfleet.Identity) error
+	// Digest sends a digest to each of the VMs.
+	Digest(d *psfleet.Digest, to []psfleet.Identity) error
 }
 
 // Demands tells what callers ask for.
@@ -93,6 +95,9 @@
 	// unread holds the rows that were logged, by key and version.
 	unread   map[string]int64
 	sequence int64
+	// reported is the latest own report, with the whole identity.
+	reported psfleet.Report
+	digester psfleet.Digester
 	// ordersVersion is the store's version of the latest order, and serversVersion the one that
 	// the servers are as of.
 	ordersVersion, serversVersion int64
@@ -111,7 +116,7 @@
 func New(o Options) *Control {
 	c := &Control{
 		options: o, events: make(chan event, eventBacklog), evacuated: map[string]bool{},
-		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity.VM), shares: newShares(),
+		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity), shares: newShares(),
 		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{}, vmsRead: make(chan struct{}),
 	}
 	c.running = context.Background()
@@ -146,6 +151,9 @@
 // Heard takes in another VM's report.
 func (c *Control) Heard(r *psfleet.Report) { c.tell(reportEvent{r}) }
 
+// Digested takes in the reports that a VM passes on.
+func (c *Control) Digested(d *psfleet.Digest) { c.tell(digestEvent{d}) }
+
 // Noticed takes in what the VM that reads the store for the region tells.
 func (c *Control) Noticed(n *psfleet.Notice) { c.follower.Noticed(n) }
 
@@ -212,6 +220,7 @@
 	}
 	vmsEvent    struct{ rows map[string][]byte }
 	reportEvent struct{ report *psfleet.Report }
+	digestEvent struct{ digest *psfleet.Digest }
 	failedEvent struct {
 		server *psserver.Server
 		reason Reason
@@ -231,20 +240,31 @@
 func (serversEvent) event() {}
 func (vmsEvent) event()     {}
 func (reportEvent) event()  {}
+func (digestEvent) event()  {}
 func (failedEvent) event()  {}
 func (leaveEvent) event()   {}
 func (beliefsEvent) event() {}
 
-// tell passes an event to the control's goroutine. Reports may be dropped; the next one says the same.
+// tell passes an event to the control's goroutine. Reports may be dropped; the next ones say the same.
 func (c *Control) tell(e event) {
-	if _, found := e.(reportEvent); found {
-		select {
-		case c.events <- e:
-		default:
-		}
+	if !isReport(e) {
+		c.events <- e
 		return
 	}
-	c.events <- e
+	select {
+	case c.events <- e:
+	default:
+	}
+}
+
+// isReport reports whether an event only tells how other VMs are.
+func isReport(e event) bool {
+	switch e.(type) {
+	case reportEvent, digestEvent:
+		return true
+	default:
+		return false
+	}
 }
 
 // Run follows the store and the other VMs until the context ends.
@@ -255,19 +275,25 @@
 	go c.followVMsBeliefs(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	digests := time.NewTimer(c.fleet.DigestInterval())
+	defer digests.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-c.events:
 			c.take(e)
-			if _, found := e.(reportEvent); found {
+			if isReport(e) {
 				// What other VMs report counts from this VM's next report on.
 				continue
 			}
 		case <-timer.C:
 			c.report()
 			timer.Reset(c.fleet.Interval())
+		case <-digests.C:
+			c.digest()
+			digests.Reset(c.fleet.DigestInterval())
+			continue
 		}
 		c.publish()
 	}
@@ -286,11 +312,14 @@
 		c.takeVMs(e.rows, now)
 		c.vmsOnce.Do(func() { close(c.vmsRead) })
 	case reportEvent:
-		c.takeReport(e.report, now)
+		c.takeReport(e.report, now, now)
+	case digestEvent:
+		c.takeDigest(e.digest, now)
 	case failedEvent:
 		c.takeFailed(e, now)
 	case leaveEvent:
 		c.report()
+		c.digest()
 	case beliefsEvent:
 		c.takeBeliefs(e, now)
 	}
--- a/internal/process/pscontrol/control_test.go
+++ b/internal/process/pscontrol/control_test.go
@@ -118,6 +118,7 @@
 func (*store) PublishVM(context.Context, string, []byte) error  { return nil }
 func (*store) Report(*psfleet.Report, []psfleet.Identity) error { return nil }
 func (*store) Notice(*psfleet.Notice, []psfleet.Identity) error { return nil }
+func (*store) Digest(*psfleet.Digest, []psfleet.Identity) error { return nil }
 func (*store) Demands(time.Time) map[string]float64             { return nil }
 func (*store) Crashes(time.Time) map[uint64]int                 { return nil }
 func (*store) Learn(string, map[uint64]int, time.Time)          {}
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -26,14 +26,15 @@
 	}
 }
 
-func (c *Control) takeReport(r *psfleet.Report, now time.Time) {
-	before, fresh := c.fleet.Hear(r, now)
+// takeReport takes in a report that was heard at a moment, by this VM or by one that passes it on.
+func (c *Control) takeReport(r *psfleet.Report, heardAt, now time.Time) {
+	before, fresh := c.fleet.Hear(r, heardAt)
 	if !fresh {
 		return
 	}
 	if before.Report == nil || before.Report.Incarnation != r.Incarnation || c.silent[r.VM] {
 		delete(c.silent, r.VM)
-		psevent.PeerHeard.Log(c.options.Logger, r.VM, r.Incarnation, now.Sub(before.HeardAt).String())
+		psevent.PeerHeard.Log(c.options.Logger, r.VM, r.Incarnation, silence(before, now))
 	}
 	c.options.Crashes.Learn(r.VM, r.Crashes, now)
 	for _, id := range r.Failed {
@@ -43,6 +44,51 @@
 	}
 }
 
+// silence is how long a VM was silent, as text; empty if it was never heard.
+func silence(p psfleet.Peer, now time.Time) string {
+	if p.HeardAt.IsZero() {
+		return ""
+	}
+	return now.Sub(p.HeardAt).String()
+}
+
+// takeDigest takes in reports that were passed on, and passes those of another failure domain on to
+// the neighbours.
+func (c *Control) takeDigest(d *psfleet.Digest, now time.Time) {
+	for i := range d.Reports {
+		r := d.Reports[i].Report
+		c.takeReport(&r, now.Add(-d.Reports[i].Age), now)
+	}
+	if d.Relayed || d.FailureDomain == c.options.Identity.FailureDomain {
+		return
+	}
+	passed := *d
+	passed.Relayed = true
+	c.sendDigest(&passed, identities(c.fleet.Neighbours()))
+}
+
+// digest tells the other failure domains about the own one, if that is this VM's task.
+func (c *Control) digest() {
+	now := c.options.Now()
+	place, found := c.fleet.Speaks(now)
+	if !found {
+		return
+	}
+	if d := c.digester.Digest(c.fleet, c.reported, now); d != nil {
+		c.sendDigest(d, c.fleet.Receivers(place, c.digester.Round(), now))
+	}
+}
+
+func (c *Control) sendDigest(d *psfleet.Digest, to []psfleet.Identity) {
+	if err := c.options.Peers.Digest(d, to); err != nil {
+		c.options.Logger.Debug("digest not sent to all VMs", "error", err.Error())
+	}
+}
+
+func identities(peers []*psfleet.Peer) []psfleet.Identity {
+	return lo.Map(peers, func(p *psfleet.Peer, _ int) psfleet.Identity { return p.Identity })
+}
+
 // learnFailed takes out a server that another VM found down, until a probe tells otherwise.
 func (c *Control) learnFailed(s *psserver.Server, now time.Time) {
 	if !s.Fail(now) {
@@ -68,14 +114,16 @@
 	if n := c.fleet.Size(); n != c.grownTo {
 		c.grownTo, c.grownAt = n, c.sequence
 	}
+	c.reported = *r
 	r.Shorten(c.grownAt)
-	peers := c.fleet.Peers()
-	to := make([]psfleet.Identity, 0, len(peers))
-	for _, p := range peers {
-		to = append(to, p.Identity)
+	for _, p := range c.fleet.Peers() {
 		c.noteSilence(p, now)
 	}
-	if err := c.options.Peers.Report(r, to); err != nil {
+	to := c.fleet.Peers()
+	if c.fleet.Grouped() {
+		to = c.fleet.Neighbours()
+	}
+	if err := c.options.Peers.Report(r, identities(to)); err != nil {
 		c.options.Logger.Debug("report not sent to all VMs", "error", err.Error())
 	}
 }
--- a/internal/process/pscontrol/near.go
+++ b/internal/process/pscontrol/near.go
@@ -16,6 +16,9 @@
 	// store's tables, and startWait how long it asks another VM for them.
 	vmsWait   = 300 * time.Millisecond
 	startWait = 1200 * time.Millisecond
+	// firstStartFactor multiplies both at the first start of the fleet, when all VMs publish
+	// themselves at once and the store performs these writes one after the other.
+	firstStartFactor = 4
 	// startRetry is the time between two such questions.
 	startRetry = 150 * time.Millisecond
 	// maxStartAge is the age up to which another VM's beliefs are as good as the store's tables.
@@ -50,13 +53,13 @@
 	select {
 	case <-ctx.Done():
 	case <-c.vmsRead:
-	case <-time.After(vmsWait):
+	case <-time.After(c.startPatience(vmsWait)):
 	}
 	first, found := c.firstOfDomain()
 	if !found {
 		return psfollow.Versions{}, false
 	}
-	limited, stop := context.WithTimeout(ctx, startWait)
+	limited, stop := context.WithTimeout(ctx, c.startPatience(startWait))
 	defer stop()
 	for {
 		t, err := c.options.Believers.Ask(limited, first, "")
@@ -71,6 +74,14 @@
 	}
 }
 
+// startPatience returns how long this VM waits where one of a running fleet would wait for a time.
+func (c *Control) startPatience(d time.Duration) time.Duration {
+	if c.options.Settings.FirstStart {
+		return firstStartFactor * d
+	}
+	return d
+}
+
 // firstOfDomain returns the first VM of the own failure domain in a large fleet; false if that is
 // this VM.
 func (c *Control) firstOfDomain() (psfleet.Identity, bool) {
--- a/internal/process/pscontrol/shares.go
+++ b/internal/process/pscontrol/shares.go
@@ -1,6 +1,7 @@
 package pscontrol
 
 import (
+	"math"
 	"time"
 
 	"github.com/samber/lo"
@@ -40,12 +41,12 @@
 }
 
 // own returns this VM's demand as far as the other VMs know of it.
-func (s *shares) own(workspace string) float64 {
+func (s *shares) own(workspace string, spread int) float64 {
 	d, found := s.demands[workspace]
 	if !found {
 		return 0
 	}
-	return d.Usable()
+	return d.Usable(spread)
 }
 
 // parts returns this VM's part of each workspace's rate.
@@ -55,11 +56,12 @@
 	if x == nil {
 		return nil, even
 	}
+	spread := int(math.Ceil(float64(f.Spread()) / float64(f.Interval())))
 	calm := lo.EveryBy(peers, func(p *psfleet.Peer) bool { return f.Live(p, now) })
 	parts = make(map[string]float64, len(x.Configuration.Workspaces))
 	for i := range x.Configuration.Workspaces {
 		name := x.Configuration.Workspaces[i].Name
-		own := s.own(name)
+		own := s.own(name, spread)
 		others := lo.Map(peers, func(p *psfleet.Peer, _ int) float64 {
 			if p.Report == nil {
 				return own
--- a/internal/process/pscontrol/vms.go
+++ b/internal/process/pscontrol/vms.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"persimmonstep/internal/process/psfleet"
@@ -16,7 +18,7 @@
 	// answer from then on.
 	vmsTimeout       = 1800 * time.Millisecond
 	vmsAnswerTimeout = 5 * time.Second
-	// vmsRetryInterval is the time before failed calls are repeated.
+	// vmsRetryInterval is the least time before failed calls are repeated, and half of the longest.
 	vmsRetryInterval = 300 * time.Millisecond
 	// vmsInterval is the time between readings of the published VMs, and firstVMsInterval at the start.
 	vmsInterval      = 60 * time.Second
@@ -41,7 +43,10 @@
 		err := c.exchangeVMs(ctx, x)
 		loss.Note(err, c.options.Logger, c.options.Now())
 		if err != nil {
-			pswait.Sleep(ctx, vmsRetryInterval)
+			if !c.options.Settings.FirstStart {
+				c.vmsOnce.Do(func() { close(c.vmsRead) })
+			}
+			pswait.Sleep(ctx, vmsRetryInterval+time.Duration(rand.Float64()*float64(vmsRetryInterval)))
 			continue
 		}
 		readings++
@@ -58,17 +63,27 @@
 	return vmsInterval
 }
 
-// exchangeVMs publishes this VM, if that isn't done, and reads the others.
+// exchangeVMs publishes this VM and reads the others.
 func (c *Control) exchangeVMs(ctx context.Context, x *vmsExchange) error {
 	limited, stop := platform.WithAnswerTimeouts(ctx, vmsTimeout, vmsAnswerTimeout)
 	defer stop()
-	if !x.published {
-		if err := c.publishVM(limited); err != nil {
+	// At the first start only what all have published is of use. Later the others are known to the
+	// store already, which performs writes one after the other.
+	steps := []func(context.Context, *vmsExchange) error{c.readVMs, c.publishVM}
+	if c.options.Settings.FirstStart {
+		slices.Reverse(steps)
+	}
+	for _, step := range steps {
+		if err := step(limited, x); err != nil {
 			return err
 		}
-		x.published = true
 	}
-	v, err := c.readVMs(limited, x.version)
+	return nil
+}
+
+// readVMs reads all VMs, or those that were published since the last reading.
+func (c *Control) readVMs(ctx context.Context, x *vmsExchange) error {
+	v, err := c.vmsAfter(ctx, x.version)
 	if err != nil {
 		// The changes since the last reading may no longer be kept.
 		x.version = 0
@@ -79,18 +94,25 @@
 	return nil
 }
 
-// readVMs reads all VMs, or those that were published after a version.
-func (c *Control) readVMs(ctx context.Context, version int64) (platform.VMs, error) {
+func (c *Control) vmsAfter(ctx context.Context, version int64) (platform.VMs, error) {
 	if version == 0 {
 		return c.options.Store.VMs(ctx)
 	}
 	return c.options.Store.VMChanges(ctx, version)
 }
 
-func (c *Control) publishVM(ctx context.Context) error {
+// publishVM publishes this VM, if that isn't done.
+func (c *Control) publishVM(ctx context.Context, x *vmsExchange) error {
+	if x.published {
+		return nil
+	}
 	value, err := json.Marshal(c.options.Identity)
 	if err != nil {
 		return err
 	}
-	return c.options.Store.PublishVM(ctx, c.options.Identity.VM, value)
+	if err := c.options.Store.PublishVM(ctx, c.options.Identity.VM, value); err != nil {
+		return err
+	}
+	x.published = true
+	return nil
 }
--- /dev/null
+++ b/internal/process/psfleet/digest_test.go
@@ -0,0 +1,242 @@
+package psfleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/process/psfleet"
+)
+
+// tick is the time between two looks of a replayed fleet.
+const tick = 50 * time.Millisecond
+
+// replayedVM is a VM of a replayed fleet.
+type replayedVM struct {
+	identity psfleet.Identity
+	fleet    *psfleet.Fleet
+	digester psfleet.Digester
+	own      psfleet.Report
+	sequence int64
+	reportAt time.Duration
+	digestAt time.Duration
+	dead     bool
+	// sent counts datagrams.
+	sent int
+}
+
+// replayedFleet passes messages between VMs and loses some.
+type replayedFleet struct {
+	t      *testing.T
+	vms    map[string]*replayedVM
+	list   []*replayedVM
+	random *rand.Rand
+	now    time.Duration
+	// cut reports whether nothing gets from one VM to another.
+	cut func(from, to psfleet.Identity) bool
+}
+
+func newReplayedFleet(t *testing.T, domains, each int) *replayedFleet {
+	f := &replayedFleet{t: t, vms: map[string]*replayedVM{}, random: rand.New(rand.NewPCG(1, 2)), cut: func(_, _ psfleet.Identity) bool { return false }}
+	a := netip.MustParseAddrPort("10.0.0.1:80")
+	for d := range domains {
+		for i := range each {
+			v := &replayedVM{identity: psfleet.Identity{
+				VM: fmt.Sprintf("vm-%02d-%02d", d, i), FailureDomain: fmt.Sprint("domain-", d), Region: fmt.Sprint("region-", d%3),
+				Callers: a, Peers: a, Incarnation: 1,
+			}}
+			v.fleet = psfleet.New(v.identity)
+			v.reportAt = time.Duration(f.random.Int64N(int64(300 * time.Millisecond)))
+			v.digestAt = time.Duration(f.random.Int64N(int64(time.Second)))
+			f.vms[v.identity.VM] = v
+			f.list = append(f.list, v)
+		}
+	}
+	for _, v := range f.list {
+		for _, o := range f.list {
+			v.fleet.Know(o.identity, begun)
+		}
+	}
+	return f
+}
+
+// play lets the fleet go on.
+func (f *replayedFleet) play(span time.Duration) {
+	for end := f.now + span; f.now < end; f.now += tick {
+		for _, v := range f.list {
+			if !v.dead {
+				f.turn(v)
+			}
+		}
+	}
+}
+
+func (f *replayedFleet) at() time.Time { return begun.Add(f.now) }
+
+func (f *replayedFleet) turn(v *replayedVM) {
+	if f.now >= v.reportAt {
+		v.sequence++
+		v.own = psfleet.Report{Identity: v.identity, Sequence: v.sequence, Ready: true}
+		r := v.own
+		r.Shorten(0)
+		for _, p := range v.fleet.Neighbours() {
+			f.send(v, p.Identity, func(to *replayedVM) {
+				got := r
+				to.fleet.Hear(&got, f.at())
+			})
+		}
+		v.reportAt = f.now + v.fleet.Interval()
+	}
+	if f.now >= v.digestAt {
+		v.digestAt = f.now + v.fleet.DigestInterval()
+		place, found := v.fleet.Speaks(f.at())
+		if !found {
+			return
+		}
+		if d := v.digester.Digest(v.fleet, v.own, f.at()); d != nil {
+			qt.Assert(f.t, d.Check(), qt.IsNil)
+			for _, i := range v.fleet.Receivers(place, v.digester.Round(), f.at()) {
+				f.send(v, i, func(to *replayedVM) { f.take(to, d) })
+			}
+		}
+	}
+}
+
+func (f *replayedFleet) take(v *replayedVM, d *psfleet.Digest) {
+	for _, r := range d.Reports {
+		got := r.Report
+		v.fleet.Hear(&got, f.at().Add(-r.Age))
+	}
+	if d.Relayed || d.FailureDomain == v.identity.FailureDomain {
+		return
+	}
+	passed := *d
+	passed.Relayed = true
+	for _, p := range v.fleet.Neighbours() {
+		f.send(v, p.Identity, func(to *replayedVM) { f.take(to, &passed) })
+	}
+}
+
+// send delivers a message at once, or loses it.
+func (f *replayedFleet) send(from *replayedVM, to psfleet.Identity, deliver func(to *replayedVM)) {
+	from.sent++
+	v := f.vms[to.VM]
+	if v.dead || f.cut(from.identity, to) || f.random.IntN(100) == 0 {
+		return
+	}
+	deliver(v)
+}
+
+// seen counts the pairs of VMs of which the first lives and takes the second for live.
+func (f *replayedFleet) seen(counts func(v, other *replayedVM) bool) int {
+	n := 0
+	for _, v := range f.list {
+		if v.dead {
+			continue
+		}
+		for _, p := range v.fleet.Peers() {
+			if v.fleet.Live(p, f.at()) && counts(v, f.vms[p.Identity.VM]) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func dead(_, other *replayedVM) bool { return other.dead }
+
+func living(_, other *replayedVM) bool { return !other.dead }
+
+// TestALargeFleetKnowsItself replays 300 VMs in nine failure domains on a network that loses one
+// datagram in a hundred. VMs and whole failure domains are lost, among them those that pass
+// reports on.
+func TestALargeFleetKnowsItself(t *testing.T) {
+	f := newReplayedFleet(t, 9, 33)
+	f.play(5 * time.Second)
+	all := len(f.list) * (len(f.list) - 1)
+	qt.Assert(t, f.seen(living) >= all*99/100, qt.IsTrue, qt.Commentf("%d of %d", f.seen(living), all))
+
+	// The first VMs of three failure domains pass reports on; a fourth one is lost as a whole.
+	for _, v := range f.list {
+		v.dead = v.identity.FailureDomain == "domain-3" || v.identity.VM <= "vm-00-01" || v.identity.VM == "vm-01-00" || v.identity.VM == "vm-02-01"
+	}
+	f.play(5 * time.Second)
+	qt.Assert(t, f.seen(dead), qt.Equals, 0)
+	live := 0
+	for _, v := range f.list {
+		if !v.dead {
+			live++
+		}
+	}
+	all = live * (live - 1)
+	qt.Assert(t, f.seen(living) >= all*99/100, qt.IsTrue, qt.Commentf("%d of %d", f.seen(living), all))
+}
+
+// TestMessagesGrowWithTheFailureDomain counts the datagrams of one VM in ten seconds.
+func TestMessagesGrowWithTheFailureDomain(t *testing.T) {
+	f := newReplayedFleet(t, 9, 33)
+	f.play(5 * time.Second)
+	for _, v := range f.list {
+		v.sent = 0
+	}
+	f.play(10 * time.Second)
+	total, most := 0, 0
+	for _, v := range f.list {
+		total += v.sent
+		most = max(most, v.sent)
+	}
+	// A report to each other VM, as in a small fleet, would be 296 datagrams each 5.4 s.
+	mean := total / len(f.list)
+	qt.Assert(t, mean <= 900, qt.IsTrue, qt.Commentf("mean %d", mean))
+	qt.Assert(t, most <= 5*mean, qt.IsTrue, qt.Commentf("mean %d, most %d", mean, most))
+}
+
+// TestACutFleetComesTogetherAgain cuts a region off for longer than anything is remembered.
+func TestACutFleetComesTogetherAgain(t *testing.T) {
+	f := newReplayedFleet(t, 6, 8)
+	f.play(3 * time.Second)
+	f.cut = func(a, b psfleet.Identity) bool { return (a.Region == "region-0") != (b.Region == "region-0") }
+	f.play(20 * time.Second)
+	across := func(v, o *replayedVM) bool { return f.cut(v.identity, o.identity) }
+	qt.Assert(t, f.seen(across), qt.Equals, 0)
+	were := f.cut
+	f.cut = func(_, _ psfleet.Identity) bool { return false }
+	f.play(4 * time.Second)
+	pairs := 2 * 16 * 32
+	n := f.seen(func(v, o *replayedVM) bool { return were(v.identity, o.identity) })
+	qt.Assert(t, n >= pairs*99/100, qt.IsTrue, qt.Commentf("%d of %d", n, pairs))
+}
+
+// TestFaultyDigestsAreTold lists what VMs of other versions or other senders may send.
+func TestFaultyDigestsAreTold(t *testing.T) {
+	sound := psfleet.PassedReport{Report: psfleet.Report{Identity: identity("vm-1", 1)}}
+	qt.Assert(t, (&psfleet.Digest{FailureDomain: "north-a", Reports: []psfleet.PassedReport{sound}}).Check(), qt.IsNil)
+	old := sound
+	old.Age = time.Hour
+	for _, d := range []psfleet.Digest{
+		{}, {FailureDomain: "north-a", Reports: []psfleet.PassedReport{{}}}, {FailureDomain: "north-a", Reports: []psfleet.PassedReport{old}},
+	} {
+		qt.Check(t, d.Check(), qt.IsNotNil, qt.Commentf("%+v", d))
+	}
+}
+
+// TestDigestsArriveAtLargeLinks replays a failure domain in which one VM has a larger link.
+func TestDigestsArriveAtLargeLinks(t *testing.T) {
+	f := psfleet.New(psfleet.Identity{VM: "vm-0", FailureDomain: "north-a"})
+	for i := range 30 {
+		v := identity(fmt.Sprint("vm-", i+1), 1)
+		v.FailureDomain, v.Link = "south-a", 20
+		if i == 17 {
+			v.Link = 200
+		}
+		f.Hear(&psfleet.Report{Identity: v, Sequence: 1}, begun)
+	}
+	to := f.Receivers(0, 1, begun)
+	qt.Assert(t, to, qt.HasLen, 1)
+	qt.Assert(t, to[0].VM, qt.Equals, "vm-18")
+	qt.Assert(t, f.Receivers(1, 1, begun)[0].VM, qt.Not(qt.Equals), "vm-18")
+}
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -3,6 +3,11 @@
 // VMs publish where they are in the platform's store, and from then on send each other
 // reports. A VM that was heard of lately is live. One that has been silent for longer may be
 // dead or only unreachable, so what it had stays reserved for it for a while.
+//
+// In a large fleet VMs report to those of their own failure domain only. The first VMs of each one
+// pass the reports on to a VM of each other failure domain, which passes them on to its neighbours.
+// So what a VM sends and hears grows with the VMs of a failure domain and with the number of
+// failure domains.
 package psfleet
 
 import (
@@ -194,37 +199,40 @@
 
 // Fleet is the view of one VM. It isn't safe for concurrent use.
 type Fleet struct {
-	self  string
+	self  Identity
 	peers map[string]*Peer
-	// sorted are the peers by name; nil after one was added.
-	sorted []*Peer
+	// sorted are the peers by name, and domains those of each failure domain; nil after one was
+	// added or has moved.
+	sorted  []*Peer
+	domains map[string][]*Peer
 }
 
 // New returns the view of a VM that knows itself only.
-func New(self string) *Fleet {
+func New(self Identity) *Fleet {
 	return &Fleet{self: self, peers: make(map[string]*Peer)}
 }
 
 // Know takes in a published identity.
 func (f *Fleet) Know(i Identity, now time.Time) {
-	if i.VM == f.self {
+	if i.VM == f.self.VM {
 		return
 	}
 	p, found := f.peers[i.VM]
 	if !found {
 		f.peers[i.VM] = &Peer{Identity: i, KnownAt: now}
-		f.sorted = nil
+		f.sorted, f.domains = nil, nil
 		return
 	}
 	if i.Incarnation > p.Identity.Incarnation {
 		p.Identity = i
+		f.domains = nil
 	}
 }
 
 // Hear takes in a report. It returns the peer's earlier state, and false for reports that are
 // out of date.
 func (f *Fleet) Hear(r *Report, now time.Time) (Peer, bool) {
-	if r.VM == f.self {
+	if r.VM == f.self.VM {
 		return Peer{}, false
 	}
 	if !f.complete(r) {
@@ -264,7 +272,11 @@
 
 // Interval returns the time between reports.
 func (f *Fleet) Interval() time.Duration {
-	return max(baseInterval, time.Duration(f.Size())*intervalPerVM)
+	receivers := f.Size()
+	if f.Grouped() {
+		receivers = len(f.Neighbours()) + 1
+	}
+	return max(baseInterval, time.Duration(receivers)*intervalPerVM)
 }
 
 // Peers returns the other VMs by name. The list must not be changed.
@@ -277,7 +289,16 @@
 
 // Live reports whether a VM was heard of lately.
 func (f *Fleet) Live(p *Peer, now time.Time) bool {
-	return p.Report != nil && now.Sub(p.HeardAt) < max(minLiveSpan, liveIntervals*f.Interval())+liveSlack
+	return p.Report != nil && now.Sub(p.HeardAt) < f.liveSpan(p)
+}
+
+// liveSpan is how long a VM may be silent. What comes in digests takes longer.
+func (f *Fleet) liveSpan(p *Peer) time.Duration {
+	span := max(minLiveSpan, liveIntervals*f.Interval()) + liveSlack
+	if f.Grouped() && p.Identity.FailureDomain != f.self.FailureDomain {
+		span += time.Duration(liveDigests * float64(f.DigestInterval()))
+	}
+	return span
 }
 
 // Reserved reports whether a VM may still use its part of what the fleet shares.
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -19,7 +19,7 @@
 }
 
 func TestASilentVMIsNoLongerLiveButItsPartIsReserved(t *testing.T) {
-	f := psfleet.New("vm-1")
+	f := psfleet.New(identity("vm-1", 1))
 	f.Know(identity("vm-2", 1), begun)
 	p := f.Peers()[0]
 	qt.Assert(t, f.Live(p, begun), qt.IsFalse)
@@ -33,7 +33,7 @@
 }
 
 func TestReportsThatAreOutOfDateAreDropped(t *testing.T) {
-	f := psfleet.New("vm-1")
+	f := psfleet.New(identity("vm-1", 1))
 	for _, v := range []struct {
 		incarnation, sequence int64
 		fresh                 bool
@@ -46,7 +46,7 @@
 }
 
 func TestALargeFleetReportsLessOften(t *testing.T) {
-	f := psfleet.New("vm-1")
+	f := psfleet.New(identity("vm-1", 1))
 	qt.Assert(t, f.Interval(), qt.Equals, 250*time.Millisecond)
 	for n := range 73 {
 		f.Know(identity(fmt.Sprint("vm-", n+2), 1), begun)
@@ -64,7 +64,7 @@
 
 // TestBriefReportsCountForAProcessThatIsKnown drops those of an unknown one until a whole one comes.
 func TestBriefReportsCountForAProcessThatIsKnown(t *testing.T) {
-	f := psfleet.New("vm-1")
+	f := psfleet.New(identity("vm-1", 1))
 	hear := func(incarnation, sequence int64) bool {
 		r := &psfleet.Report{Identity: identity("vm-2", incarnation), Sequence: sequence}
 		r.Shorten(0)
@@ -103,7 +103,7 @@
 // TestALostDomainLeavesTheDirectorySoon replays a fleet of 74 VMs of which twelve are lost at once.
 // Callers wait for two seconds before they try another VM, so that few may be sent to those.
 func TestALostDomainLeavesTheDirectorySoon(t *testing.T) {
-	f := psfleet.New("vm-0")
+	f := psfleet.New(identity("vm-0", 1))
 	interval := 74 * 18 * time.Millisecond
 	now := begun
 	for sequence := range int64(20) {
--- a/internal/process/psfollow/follow.go
+++ b/internal/process/psfollow/follow.go
@@ -46,6 +46,9 @@
 	relaySpan = 1300 * time.Millisecond
 	// askTimeout bounds a question to the telling VM. The store must still answer in time after it.
 	askTimeout = 900 * time.Millisecond
+	// startSpan is how much longer than after a notice a VM that starts relies on another one, which
+	// may learn of it only then. No bound holds for a VM that has just started.
+	startSpan = 1200 * time.Millisecond
 	// noticeBacklog is the number of notices that may wait.
 	noticeBacklog = 16
 )
@@ -139,7 +142,7 @@
 	known, found := f.options.Near.AskTables(ctx)
 	if found {
 		f.unread.Store(0)
-		f.relay.hear()
+		f.relay.hear(startSpan)
 	}
 	go f.followOrders(ctx, known.Orders)
 	f.followServers(ctx, known.Servers)
--- a/internal/process/psfollow/relay.go
+++ b/internal/process/psfollow/relay.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// hear takes in that another VM reads for this one.
-func (r *relay) hear() { r.heardAt.Store(int64(time.Since(r.begun))) }
+// hear takes in that another VM reads for this one, for a span more than usual.
+func (r *relay) hear(more time.Duration) { r.heardAt.Store(int64(time.Since(r.begun) + more)) }
 
 // Noticed takes in what the reading VM tells. A notice that doesn't fit is made up for by the next.
 func (f *Follower) Noticed(n *psfleet.Notice) {
@@ -38,7 +38,7 @@
 		return
 	}
 	f.relay.teller.Store(&n.VM)
-	f.relay.hear()
+	f.relay.hear(0)
 	if n.Servers != nil {
 		select {
 		case f.relay.servers <- n.Servers:
--- a/internal/process/psnode/settings.go
+++ b/internal/process/psnode/settings.go
@@ -27,6 +27,8 @@
 	// HeartbeatInterval is how often a backend server renews its entry.
 	HeartbeatInterval time.Duration
 	Bounds            Bounds
+	// FirstStart says that the whole fleet starts for the first time, so that nobody knows of anybody.
+	FirstStart bool
 	// Link is what the VM's network link carries each way, in Mbit/s; 0 if that isn't known.
 	Link float64
 }
--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -10,7 +10,10 @@
 // The package does no I/O and reads no clock.
 package psrate
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// floorPart is the part of a rate that is split evenly, whatever is asked.
@@ -85,18 +88,30 @@
 
 // Demand is what one VM's callers ask for, as the other VMs were told.
 type Demand struct {
-	latest, previous float64
+	// reported are the latest ones, the last one last.
+	reported []float64
 }
 
+// maxSpread bounds the reports that it takes until all VMs know a demand.
+const maxSpread = 32
+
 // Report takes in what the other VMs are told now.
 func (d *Demand) Report(v float64) {
-	d.previous = d.latest
-	d.latest = v
+	if len(d.reported) > maxSpread {
+		d.reported = slices.Delete(d.reported, 0, 1)
+	}
+	d.reported = append(d.reported, v)
 }
 
 // Usable returns the demand by which the VM computes its own part. It grows only once the
-// others know of it and have given way.
-func (d *Demand) Usable() float64 { return min(d.latest, d.previous) }
+// others know of it and have given way, which takes a number of reports.
+func (d *Demand) Usable(spread int) float64 {
+	last := min(spread, maxSpread) + 1
+	if len(d.reported) < last {
+		return 0
+	}
+	return slices.Min(d.reported[len(d.reported)-last:])
+}
 
 // NewBucket returns a bucket that is empty at a time.
 func NewBucket(now time.Time) *Bucket { return &Bucket{last: now} }
--- a/internal/process/psrate/rate_test.go
+++ b/internal/process/psrate/rate_test.go
@@ -70,7 +70,7 @@
 					reported[i] = b.Demand(now)
 					own[i].Report(reported[i])
 					others := append(append([]float64{}, reported[:i]...), reported[i+1:]...)
-					parts[i] = psrate.Part(own[i].Usable(), others)
+					parts[i] = psrate.Part(own[i].Usable(1), others)
 				}
 				ask := asks[(n/50*vms+i)%len(asks)]
 				if n < onset {
@@ -120,7 +120,7 @@
 				reported[i] = b.Demand(now)
 				own[i].Report(reported[i])
 				others := append(append([]float64{}, reported[:i]...), reported[i+1:]...)
-				parts[i] = psrate.Part(own[i].Usable(), others)
+				parts[i] = psrate.Part(own[i].Usable(1), others)
 			}
 			for random.Float64() < ask/vms*step.Seconds() {
 				if granted, _ := b.Take(l, parts[i], now); granted {
@@ -194,3 +194,13 @@
 	granted, _ = b.Take(psrate.Limit{Rate: 10}, 1, now.Add(wait))
 	qt.Assert(t, granted, qt.IsTrue)
 }
+
+// TestADemandCountsOnceAllVMsHaveHeardIt replays a fleet in which that takes three reports.
+func TestADemandCountsOnceAllVMsHaveHeardIt(t *testing.T) {
+	var d psrate.Demand
+	for i, v := range []float64{5, 9, 9, 9, 2, 9} {
+		d.Report(v)
+		want := []float64{0, 0, 0, 5, 2, 2}[i]
+		qt.Check(t, d.Usable(3), qt.Equals, want, qt.Commentf("after %d reports", i+1))
+	}
+}
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -262,6 +262,9 @@
 // Noticed takes a notice.
 func (h handler) Noticed(n *psfleet.Notice) { h.vm.control.Noticed(n) }
 
+// Digested takes a digest.
+func (h handler) Digested(d *psfleet.Digest) { h.vm.control.Digested(d) }
+
 // Lend answers a question for a token.
 func (h handler) Lend(t psfleet.Take) psfleet.Grant {
 	return h.vm.tokens.Lend(h.vm.control.Snapshot(), t)
