psfront: long answers arrive whole, and neither servers nor callers can send without end

Cause, found by tests that were red: the context of a request ended when its server was chosen, so every answer over 512 KB broke off (TestLongAnswersArriveWhole); a caller that brought its body byte by byte held a goroutine and its memory for good, and 64 of them all memory for bodies (TestACallerThatSendsSlowly- HoldsNothing); a server that never ends a body was not judged (TestBytesWithoutEnd, 24 cases, two of them red; an answer to another request was read to its end, however long). Ruled out: heads, 1xx answers, chunk sizes, extensions and trailers without end were bounded before. Also bounded now: heads of the store's and of other VMs' answers, 64 KB in place of 10 MB. Conclusion: a slow caller gets 408, which is true; an answer that breaks off is logged as 7405.

--- a/internal/connection/psanswer/answer.go
+++ b/internal/connection/psanswer/answer.go
@@ -112,8 +112,24 @@
 	return out
 }
 
-// Relay passes the answer on to a caller. One that breaks off takes the caller's connection along.
-func (a *Answer) Relay(w http.ResponseWriter) {
+// Bounded reports whether the answer said how long it is.
+func (a *Answer) Bounded() bool { return a.length >= 0 }
+
+// BrokenError says that a server broke an answer off, or didn't end it.
+type BrokenError struct {
+	// Cause is the failure of the server's connection.
+	Cause error
+}
+
+// Error names the failure.
+func (e *BrokenError) Error() string { return "the answer broke off: " + e.Cause.Error() }
+
+// Unwrap returns the failure.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
+// Relay passes the answer on to a caller. It fails with a [BrokenError] if the server broke it off,
+// and with another error if the caller takes no more of it.
+func (a *Answer) Relay(w http.ResponseWriter) error {
 	h := w.Header()
 	for name, values := range Forwardable(a.Header) {
 		h[name] = values
@@ -128,13 +144,31 @@
 	w.WriteHeader(a.Status)
 	if _, err := w.Write(a.Body); err != nil {
 		a.Close()
-		return
+		return err
 	}
 	if a.Rest == nil {
-		return
+		return nil
 	}
 	defer a.Close()
-	if _, err := io.Copy(w, a.Rest); err != nil {
-		panic(http.ErrAbortHandler)
+	r := &restReader{inner: a.Rest}
+	_, err := io.Copy(w, r)
+	if r.err != nil {
+		return &BrokenError{r.err}
+	}
+	return err
+}
+
+// restReader notes how reading the rest of an answer failed.
+type restReader struct {
+	inner io.Reader
+	err   error
+}
+
+// Read reads from the server.
+func (r *restReader) Read(p []byte) (int, error) {
+	n, err := r.inner.Read(p)
+	if err != nil && err != io.EOF { //nolint:errorlint // io.EOF is never wrapped
+		r.err = err
 	}
+	return n, err
 }
--- a/internal/connection/psbelief/belief.go
+++ b/internal/connection/psbelief/belief.go
@@ -34,6 +34,8 @@
 	timeout       = 5 * time.Second
 	// maxBytes bounds an answer.
 	maxBytes = 16 << 20
+	// maxHeaderBytes bounds an answer's header.
+	maxHeaderBytes = 64 << 10
 )
 
 // Source gives what a VM believes.
@@ -135,7 +137,7 @@
 		defer stop()
 		return dial(ctx, network, address)
 	}
-	t := &http.Transport{DisableKeepAlives: true, DialContext: limited, ResponseHeaderTimeout: headerTimeout}
+	t := &http.Transport{DisableKeepAlives: true, DialContext: limited, ResponseHeaderTimeout: headerTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{&http.Client{Transport: t, Timeout: timeout}}, t.CloseIdleConnections
 }
 
--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,8 +46,10 @@
 	route     *psconfig.Route
 	workspace *psconfig.Workspace
 	body      psbody.Body
-	// deadline is when a final answer is due.
+	// deadline is when a final answer is due, and stop ends what runs for the call. A long answer
+	// is read from its server while it is passed on.
 	deadline    time.Time
+	stop        context.CancelFunc
 	object      uint64
 	fingerprint pspoison.Fingerprint
 	tries       []try
@@ -94,8 +97,8 @@
 	if o := c.readBody(); o != nil {
 		return o
 	}
-	ctx, stop := c.until()
-	defer stop()
+	var ctx context.Context
+	ctx, c.stop = c.until()
 	if o := c.checkRate(ctx); o != nil {
 		return o
 	}
@@ -140,13 +143,21 @@
 	c.deadline = c.arrived.Add(limit)
 }
 
-// readBody holds the body of the call, or the beginning of a long one.
+// readBody holds the body of the call, or the beginning of a long one. The caller must bring it by
+// the deadline, because memory is set aside for it.
 func (c *call) readBody() outcome {
 	limit := c.snapshot.Index.Configuration.Limits.MaxBodyBytes
+	control := http.NewResponseController(c.writer)
+	// A writer without deadlines is one of a test.
+	_ = control.SetReadDeadline(c.deadline)
 	err := c.body.Read(c.writer, c.request, limit, &c.gate.memory)
 	switch {
 	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
 		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.writer.Header().Set("Connection", "close")
+		return rejected{http.StatusRequestTimeout, "bodySlow", 0}
 	case errors.Is(err, psbody.ErrTooLarge):
 		return rejected{http.StatusRequestEntityTooLarge, "bodyTooLarge", 0}
 	case errors.Is(err, psbody.ErrNoMemory):
--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -155,6 +155,9 @@
 		end = c.endingOf(ctx, result.Sent, err)
 	}
 	s.server.Ended()
+	if a != nil && end != endAnswered && end != endError {
+		a.Close()
+	}
 	now := c.gate.options.Now()
 	c.tries = append(c.tries, try{selection: s, ending: end, took: now.Sub(begun)})
 	c.judge(s, a, end, begun, now)
--- a/internal/connection/psfront/finish.go
+++ b/internal/connection/psfront/finish.go
@@ -7,6 +7,9 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/connection/psanswer"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/platform"
 )
@@ -18,7 +21,7 @@
 	case answered:
 		c.log(psevent.RequestAnswered, o.answer.Status, "", 0)
 		c.closeIfLeaving()
-		o.answer.Relay(c.writer)
+		c.relay(o.answer)
 	case rejected:
 		c.log(psevent.RequestRejected, o.status, o.reason, o.after)
 		c.refuse(o.status, o.after)
@@ -31,6 +34,25 @@
 	}
 }
 
+// relay passes an answer on. One that breaks off takes the caller's connection along, so that it
+// doesn't look whole.
+func (c *call) relay(a *psanswer.Answer) {
+	err := a.Relay(c.writer)
+	if err == nil {
+		return
+	}
+	t := c.tries[len(c.tries)-1]
+	now := c.gate.options.Now()
+	var broken *psanswer.BrokenError
+	// A caller may take an answer of a known length more slowly than it has time.
+	late := !now.Before(c.deadline) && a.Bounded()
+	if errors.As(err, &broken) && c.request.Context().Err() == nil && !late {
+		t.server.Judge(0, true, now)
+	}
+	psevent.AnswerBroken.Log(c.gate.options.Logger, c.headers.ID, t.view.Entry.ID, err.Error())
+	panic(http.ErrAbortHandler)
+}
+
 // refuse answers without a backend server.
 func (c *call) refuse(status int, after time.Duration) {
 	h := c.writer.Header()
--- a/internal/connection/psfront/gate.go
+++ b/internal/connection/psfront/gate.go
@@ -125,7 +125,9 @@
 	c := g.newCall(w, r)
 	g.enter()
 	defer g.exit()
-	c.finish(c.serve())
+	o := c.serve()
+	defer c.stop()
+	c.finish(o)
 }
 
 func (g *Gate) enter() {
@@ -165,7 +167,7 @@
 	now := g.options.Now()
 	return &call{
 		gate: g, writer: w, request: r, arrived: now,
-		headers: platform.ReadCall(r.Header), snapshot: g.beliefs.Snapshot(),
+		headers: platform.ReadCall(r.Header), snapshot: g.beliefs.Snapshot(), stop: func() {},
 	}
 }
 
--- a/internal/connection/psfront/gate_test.go
+++ b/internal/connection/psfront/gate_test.go
@@ -40,6 +40,8 @@
 	mutex    sync.Mutex
 	requests []*http.Request
 	closed   chan struct{}
+	// ended gets a value when an answerer has closed its connection.
+	ended chan struct{}
 }
 
 // startBackend starts a backend server that answers with a function.
@@ -47,7 +49,7 @@
 	t.Helper()
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	b := &backend{listener: l, closed: make(chan struct{}, 16)}
+	b := &backend{listener: l, closed: make(chan struct{}, 16), ended: make(chan struct{}, 64)}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -75,6 +77,7 @@
 		b.requests = append(b.requests, r)
 		b.mutex.Unlock()
 		if !answer(c, r) {
+			b.ended <- struct{}{}
 			return
 		}
 	}
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -20,6 +20,8 @@
 	// answers to other requests.
 	maxInformational = 8
 	maxSurplus       = 4
+	// maxSurplusBytes bounds the body of each of them.
+	maxSurplusBytes = 1 << 20
 	// maxInlineBodyBytes is the length up to which a body in memory is written before the
 	// answer is read; all others are written while the answer is read.
 	maxInlineBodyBytes = 16 << 10
@@ -29,7 +31,7 @@
 	errUpgrade       = errors.New("the server switched protocols unasked")
 	errInformational = errors.New("the server sent too many 1xx answers")
 	errSurplus       = errors.New("the server sent too many answers to other requests")
-	errEndless       = errors.New("the server sent an answer without an end to another request")
+	errEndless       = errors.New("the server sent an answer without a near end to another request")
 )
 
 // BodyError says that the request's body could not be read; the server is not to blame.
@@ -235,7 +237,10 @@
 		return errEndless
 	}
 	e.conn.limit.N = math.MaxInt64
-	_, err := io.Copy(io.Discard, answer.Body)
+	n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxSurplusBytes))
+	if n == maxSurplusBytes {
+		return errEndless
+	}
 	return err
 }
 
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -62,6 +62,8 @@
 	RequestFailed = Event{7403, hclog.Warn, "request failed", requestFields}
 	// RequestLeft says that the caller left before the answer.
 	RequestLeft = Event{7404, hclog.Info, "caller left", requestFields}
+	// AnswerBroken says that an answer broke off while it was passed on, so that the caller has a part of it.
+	AnswerBroken = Event{7405, hclog.Warn, "answer broke off while it was passed on", []string{"requestId", "server", "error"}}
 	// RequestCounted says that a crash is counted against a request.
 	RequestCounted = Event{7406, hclog.Warn, "request was at a server that crashed", []string{"requestId", "fingerprint", "server", "crashes"}}
 )
@@ -77,6 +79,6 @@
 		ConfigurationTaken, ConfigurationKept, RowUnread, EvacuationChanged, StoreLost, StoreRegained, ConfigurationUnknown,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerHeld, ServerFailed, ServerBack,
 		PeerHeard, PeerSilent, ReportUnread, BeliefsTaken,
-		RequestAnswered, RequestRejected, RequestFailed, RequestLeft, RequestCounted,
+		RequestAnswered, RequestRejected, RequestFailed, RequestLeft, AnswerBroken, RequestCounted,
 	}
 }
