pscontrol: discovery of VMs and shares of the fleet have packages of their own

Moved: vms.go to psdiscover (the control is told once, and answers when requests go by it), the parts of rates, cold servers and keepers to psshare, holders to psfleet. psanswer.Worth is Class. No behaviour changes, but one: what VMs published is in force when discovery says so (a VM that asked for tables at once could have seen itself alone).

--- a/internal/connection/psanswer/answer.go
+++ b/internal/connection/psanswer/answer.go
@@ -60,12 +60,12 @@
 	}
 }
 
-// Worth is what an answer is worth to the caller.
-type Worth uint8
+// Class says what to do with an answer.
+type Class uint8
 
 const (
 	// Good answers are passed on.
-	Good Worth = iota
+	Good Class = iota
 	// Moved answers come from another server than the expected one, which ran nothing.
 	Moved
 	// Shed answers say that the server did not run the request.
@@ -76,8 +76,8 @@
 	Failing
 )
 
-// Worth returns what the answer is worth.
-func (a *Answer) Worth() Worth {
+// Class returns what to do with the answer.
+func (a *Answer) Class() Class {
 	switch {
 	case a.Status == http.StatusMisdirectedRequest:
 		return Moved
--- a/internal/connection/psanswer/answer_test.go
+++ b/internal/connection/psanswer/answer_test.go
@@ -21,11 +21,11 @@
 	return r
 }
 
-func TestWorth(t *testing.T) {
+func TestClass(t *testing.T) {
 	for name, v := range map[string]struct {
 		status int
 		signed bool
-		want   psanswer.Worth
+		want   psanswer.Class
 	}{
 		"success":                   {200, true, psanswer.Good},
 		"the server's own refusal":  {404, true, psanswer.Good},
@@ -37,7 +37,7 @@
 		t.Run(name, func(t *testing.T) {
 			a, err := psanswer.Read(response(v.status, strings.NewReader("x"), v.signed))
 			qt.Assert(t, err, qt.IsNil)
-			qt.Assert(t, a.Worth(), qt.Equals, v.want)
+			qt.Assert(t, a.Class(), qt.Equals, v.want)
 		})
 	}
 }
--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -168,7 +168,7 @@
 func (c *call) read(r *http.Response) (*psanswer.Answer, ending) {
 	a, err := psanswer.Read(r)
 	if err == nil {
-		return a, endings[a.Worth()]
+		return a, endings[a.Class()]
 	}
 	switch {
 	case c.request.Context().Err() != nil:
@@ -180,7 +180,7 @@
 }
 
 // endings are the endings of tries with a whole answer.
-var endings = map[psanswer.Worth]ending{
+var endings = map[psanswer.Class]ending{
 	psanswer.Good: endAnswered, psanswer.Moved: endMoved, psanswer.Shed: endShed,
 	psanswer.Spoilt: endSpoilt, psanswer.Failing: endError,
 }
--- a/internal/process/pscontrol/control.go
+++ b/internal/process/pscontrol/control.go
@@ -4,19 +4,20 @@
 	"context"
 	"maps"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/process/psdiscover"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psfollow"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/psshare"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
 )
@@ -24,9 +25,7 @@
 // Store is what the control reads and writes of the platform's store.
 type Store interface {
 	psfollow.Store
-	VMs(ctx context.Context) (platform.VMs, error)
-	VMChanges(ctx context.Context, after int64) (platform.VMs, error)
-	PublishVM(ctx context.Context, name string, value []byte) error
+	psdiscover.Store
 }
 
 // Prober asks a backend server how it is.
@@ -80,6 +79,8 @@
 	events   chan event
 	snapshot atomic.Pointer[Snapshot]
 	follower *psfollow.Follower
+	// discovery learns of the other VMs.
+	discovery *psdiscover.Discovery
 	// running ends with the control.
 	running context.Context
 	// leaving says that the VM takes no new callers.
@@ -91,7 +92,7 @@
 	changes int64
 	servers *psregistry.Registry
 	fleet   *psfleet.Fleet
-	shares  *shares
+	shares  *psshare.Shares
 	// unread holds the rows that were logged, by key and version.
 	unread   map[string]int64
 	sequence int64
@@ -104,9 +105,6 @@
 	// grownAt is the number of the report before which the fleet grew last, and grownTo its size.
 	grownAt int64
 	grownTo int
-	// vmsRead is closed when the published VMs were read, and taken in, for the first time.
-	vmsRead chan struct{}
-	vmsOnce sync.Once
 	// failed says when this VM found servers down.
 	failed map[string]time.Time
 	silent map[string]bool
@@ -116,13 +114,17 @@
 func New(o Options) *Control {
 	c := &Control{
 		options: o, events: make(chan event, eventBacklog), evacuated: map[string]bool{},
-		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity), shares: newShares(),
-		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{}, vmsRead: make(chan struct{}),
+		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity), shares: psshare.New(),
+		unread: map[string]int64{}, failed: map[string]time.Time{}, silent: map[string]bool{},
 	}
 	c.running = context.Background()
 	c.follower = psfollow.New(psfollow.Options{
 		Self: o.Identity, Store: o.Store, Near: c, Sink: c, Peers: c, Logger: o.Logger, Now: o.Now,
 	})
+	c.discovery = psdiscover.New(psdiscover.Options{
+		Self: o.Identity, FirstStart: o.Settings.FirstStart, Store: o.Store, FleetSize: c.FleetSize, Logger: o.Logger, Now: o.Now,
+		Take: c.takePublished,
+	})
 	c.publish()
 	return c
 }
@@ -205,6 +207,16 @@
 	ReasonTold Reason = "told"
 )
 
+// takePublished takes in what other VMs have published, and returns when that is done.
+func (c *Control) takePublished(rows map[string][]byte) {
+	e := vmsEvent{rows, make(chan struct{})}
+	c.tell(e)
+	select {
+	case <-e.taken:
+	case <-c.running.Done():
+	}
+}
+
 // event is something that changes what the VM believes.
 type event interface{ event() }
 
@@ -218,7 +230,11 @@
 		servers platform.Servers
 		reading psregistry.Reading
 	}
-	vmsEvent    struct{ rows map[string][]byte }
+	vmsEvent struct {
+		rows map[string][]byte
+		// taken is closed when requests and questions go by it.
+		taken chan struct{}
+	}
 	reportEvent struct{ report *psfleet.Report }
 	digestEvent struct{ digest *psfleet.Digest }
 	failedEvent struct {
@@ -271,7 +287,7 @@
 func (c *Control) Run(ctx context.Context) {
 	c.running = ctx
 	go c.follower.Run(ctx)
-	go c.followVMs(ctx)
+	go c.discovery.Run(ctx)
 	go c.followVMsBeliefs(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -287,6 +303,11 @@
 				// What other VMs report counts from this VM's next report on.
 				continue
 			}
+			if v, found := e.(vmsEvent); found {
+				c.publish()
+				close(v.taken)
+				continue
+			}
 		case <-timer.C:
 			c.report()
 			timer.Reset(c.fleet.Interval())
@@ -310,7 +331,6 @@
 		c.serversVersion = max(c.serversVersion, e.servers.Version)
 	case vmsEvent:
 		c.takeVMs(e.rows, now)
-		c.vmsOnce.Do(func() { close(c.vmsRead) })
 	case reportEvent:
 		c.takeReport(e.report, now, now)
 	case digestEvent:
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -110,7 +110,7 @@
 	if c.index != nil {
 		r.Version = c.index.Configuration.Version
 	}
-	c.shares.report(r.Demands)
+	c.shares.Report(r.Demands)
 	if n := c.fleet.Size(); n != c.grownTo {
 		c.grownTo, c.grownAt = n, c.sequence
 	}
@@ -144,13 +144,13 @@
 // publish makes what the VM believes visible to requests.
 func (c *Control) publish() {
 	now := c.options.Now()
-	parts, even := c.shares.parts(c.fleet, c.index, now)
+	parts, even := c.shares.Parts(c.fleet, c.index, now)
 	c.snapshot.Store(&Snapshot{
 		Index: c.index, Servers: c.servers.ByService(), ServersAt: c.servers.ReadAt, Evacuated: c.evacuated,
 		Parts: parts, EvenPart: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
 		changes: c.changes + c.servers.Changes(), ordersVersion: c.ordersVersion, serversVersion: c.serversVersion,
 		tells:   c.tells(now),
-		readers: c.readers(now), holders: holders(c.options.Identity, c.fleet, now),
+		readers: c.readers(now), holders: c.fleet.Holders(now),
 	})
 }
 
--- a/internal/process/pscontrol/near.go
+++ b/internal/process/pscontrol/near.go
@@ -52,7 +52,7 @@
 func (c *Control) AskTables(ctx context.Context) (psfollow.Versions, bool) {
 	select {
 	case <-ctx.Done():
-	case <-c.vmsRead:
+	case <-c.discovery.Tried():
 	case <-time.After(c.startPatience(vmsWait)):
 	}
 	first, found := c.firstOfDomain()
--- /dev/null
+++ b/internal/process/psdiscover/discover.go
@@ -0,0 +1,159 @@
+// Package psdiscover tells the store where this VM is, and learns from it where the others are.
+//
+// Each VM publishes itself once. It reads the others when it starts and now and then; in between it
+// learns of new ones by their reports.
+package psdiscover
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psfollow"
+	"persimmonstep/internal/process/pswait"
+	"persimmonstep/platform"
+)
+
+const (
+	// callTimeout bounds the time until a call about VMs is answered, and answerTimeout the
+	// answer from then on.
+	callTimeout   = 1800 * time.Millisecond
+	answerTimeout = 5 * time.Second
+	// retryInterval is the least time before failed calls are repeated, and half of the longest.
+	retryInterval = 300 * time.Millisecond
+	// interval is the time between readings of the published VMs, and firstInterval at the start.
+	interval      = 60 * time.Second
+	firstInterval = 1500 * time.Millisecond
+	firstReadings = 2
+)
+
+// Store holds what VMs publish of themselves.
+type Store interface {
+	VMs(ctx context.Context) (platform.VMs, error)
+	VMChanges(ctx context.Context, after int64) (platform.VMs, error)
+	PublishVM(ctx context.Context, name string, value []byte) error
+}
+
+// Options are what a [Discovery] needs.
+type Options struct {
+	// Self is this VM.
+	Self psfleet.Identity
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool
+	Store      Store
+	// Take takes what other VMs have published, by name.
+	Take func(rows map[string][]byte)
+	// FleetSize returns the number of known VMs.
+	FleetSize func() int
+	Logger    hclog.Logger
+	// Now gives monotonic time.
+	Now func() time.Time
+}
+
+// Discovery is what a VM has exchanged with the others over the store.
+type Discovery struct {
+	options   Options
+	published bool
+	// version is the store's version up to which published VMs are known; 0 before the first
+	// reading.
+	version int64
+	tried   chan struct{}
+	once    sync.Once
+}
+
+// New returns a discovery that knows nobody.
+func New(o Options) *Discovery {
+	return &Discovery{options: o, tried: make(chan struct{})}
+}
+
+// Tried returns a channel that is closed once published VMs were taken, or can't be read now. At the
+// first start of the fleet it stays open until they were.
+func (d *Discovery) Tried() <-chan struct{} { return d.tried }
+
+// Run publishes this VM and follows the others until the context ends.
+func (d *Discovery) Run(ctx context.Context) {
+	readings := 0
+	loss := psfollow.Loss{Call: "vms"}
+	for ctx.Err() == nil {
+		err := d.exchange(ctx)
+		loss.Note(err, d.options.Logger, d.options.Now())
+		if err == nil || !d.options.FirstStart {
+			d.once.Do(func() { close(d.tried) })
+		}
+		if err != nil {
+			pswait.Sleep(ctx, retryInterval+time.Duration(rand.Float64()*float64(retryInterval)))
+			continue
+		}
+		readings++
+		pswait.Sleep(ctx, pause(readings, d.options.FleetSize()))
+	}
+}
+
+// pause returns the time after a number of readings until the next one. In a large fleet one reading
+// is enough: VMs that were not published by then have read of this one, and report to it.
+func pause(readings, fleet int) time.Duration {
+	if readings < firstReadings && fleet < psfleet.Large {
+		return firstInterval
+	}
+	return interval
+}
+
+// exchange publishes this VM and reads the others.
+func (d *Discovery) exchange(ctx context.Context) error {
+	limited, stop := platform.WithAnswerTimeouts(ctx, callTimeout, answerTimeout)
+	defer stop()
+	// At the first start only what all have published is of use. Later the others are known to the
+	// store already, which performs writes one after the other.
+	steps := []func(context.Context) error{d.read, d.publish}
+	if d.options.FirstStart {
+		slices.Reverse(steps)
+	}
+	for _, step := range steps {
+		if err := step(limited); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// read reads all VMs, or those that were published since the last reading.
+func (d *Discovery) read(ctx context.Context) error {
+	v, err := d.vms(ctx)
+	if err != nil {
+		// The changes since the last reading may no longer be kept.
+		d.version = 0
+		return err
+	}
+	d.version = v.Version
+	d.options.Take(v.Rows)
+	return nil
+}
+
+func (d *Discovery) vms(ctx context.Context) (platform.VMs, error) {
+	if d.version == 0 {
+		return d.options.Store.VMs(ctx)
+	}
+	return d.options.Store.VMChanges(ctx, d.version)
+}
+
+// publish publishes this VM, if that isn't done.
+func (d *Discovery) publish(ctx context.Context) error {
+	if d.published {
+		return nil
+	}
+	value, err := json.Marshal(d.options.Self)
+	if err != nil {
+		return err
+	}
+	if err := d.options.Store.PublishVM(ctx, d.options.Self.VM, value); err != nil {
+		return err
+	}
+	d.published = true
+	return nil
+}
--- /dev/null
+++ b/internal/process/psdiscover/discover_test.go
@@ -0,0 +1,103 @@
+package psdiscover_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/process/psdiscover"
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/platform"
+)
+
+// store notes the calls in their order.
+type store struct {
+	mutex sync.Mutex
+	calls []string
+	away  bool
+}
+
+func (s *store) note(call string) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls = append(s.calls, call)
+	if s.away {
+		return errors.New("the store is away")
+	}
+	return nil
+}
+
+func (s *store) made() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]string(nil), s.calls...)
+}
+
+func (s *store) VMs(context.Context) (platform.VMs, error) {
+	return platform.VMs{Version: 7}, s.note("read")
+}
+
+func (s *store) VMChanges(context.Context, int64) (platform.VMs, error) {
+	return platform.VMs{Version: 8}, s.note("changes")
+}
+
+func (s *store) PublishVM(context.Context, string, []byte) error { return s.note("publish") }
+
+func start(t *testing.T, s *store, firstStart bool, fleet int) *psdiscover.Discovery {
+	t.Helper()
+	d := psdiscover.New(psdiscover.Options{
+		Self: psfleet.Identity{VM: "vm-1"}, FirstStart: firstStart, Store: s, Take: func(map[string][]byte) {},
+		FleetSize: func() int { return fleet }, Logger: hclog.NewNullLogger(), Now: time.Now,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	return d
+}
+
+func tried(d *psdiscover.Discovery) bool {
+	select {
+	case <-d.Tried():
+		return true
+	case <-time.After(200 * time.Millisecond):
+		return false
+	}
+}
+
+// TestARestartedVMReadsBeforeItPublishes replays hundreds of VMs that restart together: the store
+// performs their writes one after the other, and nobody needs to wait for them.
+func TestARestartedVMReadsBeforeItPublishes(t *testing.T) {
+	s := &store{}
+	qt.Assert(t, tried(start(t, s, false, 300)), qt.IsTrue)
+	qt.Assert(t, s.made(), qt.DeepEquals, []string{"read", "publish"})
+}
+
+func TestAtTheFirstStartAVMPublishesBeforeItReads(t *testing.T) {
+	s := &store{}
+	qt.Assert(t, tried(start(t, s, true, 300)), qt.IsTrue)
+	qt.Assert(t, s.made(), qt.DeepEquals, []string{"publish", "read"})
+}
+
+func TestWithoutTheStoreNobodyWaits(t *testing.T) {
+	qt.Assert(t, tried(start(t, &store{away: true}, false, 9)), qt.IsTrue)
+	qt.Assert(t, tried(start(t, &store{away: true}, true, 9)), qt.IsFalse)
+}
+
+func TestASmallFleetIsReadTwiceAtTheStart(t *testing.T) {
+	s := &store{}
+	start(t, s, true, 9)
+	time.Sleep(1800 * time.Millisecond)
+	qt.Assert(t, s.made(), qt.DeepEquals, []string{"publish", "read", "changes"})
+}
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -309,3 +309,14 @@
 	}
 	return now.Sub(since) < max(reserveSpan, reserveIntervals*f.Interval())
 }
+
+// Holders lists this VM, first, and those that may still use their part of what the fleet shares.
+func (f *Fleet) Holders(now time.Time) []Identity {
+	list := []Identity{f.self}
+	for _, p := range f.Peers() {
+		if f.Reserved(p, now) {
+			list = append(list, p.Identity)
+		}
+	}
+	return list
+}
--- a/internal/process/psstate/state.go
+++ b/internal/process/psstate/state.go
@@ -16,6 +16,7 @@
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/psshare"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/version/psconfig"
@@ -130,6 +131,6 @@
 	if psrate.Kept(l, s.FleetSize) {
 		return Rate{PerSecond: w.Rate, Burst: w.Burst, Kept: true}
 	}
-	part := pscontrol.PartOf(s.Parts, s.EvenPart, w.Name)
+	part := psshare.PartOf(s.Parts, s.EvenPart, w.Name)
 	return Rate{PerSecond: w.Rate * part, Burst: w.Burst * part}
 }
--- a/internal/process/pssteer/steer_test.go
+++ b/internal/process/pssteer/steer_test.go
@@ -203,14 +203,13 @@
 // One word that no VM knew once kept the whole fleet without a configuration.
 func TestAVMServesAConfigurationThatItUnderstandsInPart(t *testing.T) {
 	s := startStore(t, startBackend(t, 0))
-	s.PutConfiguration([]byte(`{"version":2,"shape":"new","services":[{"name":"orders","tls":false}],"routes":[
-		{"name":"orders","host":"eggs.test","prefix":"/orders/","route_type":"perhaps","service":"orders","max_attempts":1,
-		"public":true,"timeout_s":2,"target_latency_s":0.2,"newField":{}}]}`))
+	places := s.ConfigurePartly(2)
 	v := startVM(t, "vm-1", s)
 	eventually(t, "the VM is ready", func() bool { return isReady(v) })
 	status, _ := call(v.callers, "/orders/1")
 	qt.Assert(t, status, qt.Equals, http.StatusOK)
-	for _, text := range []string{`"place":"routes[0].route_type"`, `"place":"routes[].newField"`, `"place":"shape"`, `"place":"services[].tls"`} {
+	for _, place := range places {
+		text := fmt.Sprintf(`"place":%q`, place)
 		qt.Check(t, strings.Count(v.log.String(), text), qt.Equals, 1, qt.Commentf("%s", text))
 	}
 
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -16,6 +16,7 @@
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psrate"
+	"persimmonstep/internal/process/psshare"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -86,7 +87,7 @@
 	case psrate.Kept(l, s.FleetSize):
 		return t.ask(ctx, s, w.Name)
 	}
-	part := pscontrol.PartOf(s.Parts, s.EvenPart, w.Name)
+	part := psshare.PartOf(s.Parts, s.EvenPart, w.Name)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return verdict(t.bucket(w.Name).Take(l, part, t.now()))
