psplace: downloads have an overflow beyond their failure domain

Some failure domains have one or two servers of that service, and a request left them only when it would wait for over two targets, because the next server of the order counted as one that doesn't hold the object. Now the servers beyond the failure domain have an order of their own for downloads: the first of them counts as holding what it is sent, until it is seen not to. Ruled out: one order for all failure domains, whose bytes between regions cost more than they bring. Test: TestLargeAnswersStayNear, its crowded half (red before: more than half were rejected).

--- a/internal/request/psplace/place.go
+++ b/internal/request/psplace/place.go
@@ -66,6 +66,9 @@
 	Keeps float64
 	// Score orders the servers of an object; the highest comes first.
 	Score uint64
+	// Overflow servers have an order of their own: the first of them is where the object goes
+	// while the others have no room, so that it is held there too.
+	Overflow bool
 	// Travel is the time there and back, and Bytes what it is worth not to carry the body there.
 	Travel time.Duration
 	Bytes  time.Duration
@@ -132,10 +135,10 @@
 	if len(list) == 0 {
 		panic("psplace: no candidates")
 	}
-	order := newOrder(list)
+	orders := newOrders(list)
 	best, bestCost := Choice{}, time.Duration(-1)
 	for i := range list {
-		c, cost := weigh(&list[i], order.rank(list[i].Score), r)
+		c, cost := weigh(&list[i], orders.rank(&list[i]), r)
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = c, cost
 			best.Index = i
@@ -153,10 +156,10 @@
 
 // Rank returns what is expected of each candidate, in the order of their costs.
 func Rank(list []Candidate, r Request) []Weighed {
-	order := newOrder(list)
+	orders := newOrders(list)
 	all := make([]Weighed, len(list))
 	for i := range list {
-		c, cost := weigh(&list[i], order.rank(list[i].Score), r)
+		c, cost := weigh(&list[i], orders.rank(&list[i]), r)
 		c.Index = i
 		all[i] = Weighed{c, cost}
 	}
@@ -164,17 +167,31 @@
 	return all
 }
 
-// order holds the highest scores, the highest first.
-type order [maxRankSteps]uint64
+// orders are the orders of the servers: of those that come first, and of the overflow.
+type orders struct {
+	usual, overflow order
+}
 
-func newOrder(list []Candidate) *order {
-	o := &order{}
+func newOrders(list []Candidate) *orders {
+	o := &orders{}
 	for i := range list {
-		o.insert(list[i].Score)
+		o.of(&list[i]).insert(list[i].Score)
 	}
 	return o
 }
 
+func (o *orders) of(c *Candidate) *order {
+	if c.Overflow {
+		return &o.overflow
+	}
+	return &o.usual
+}
+
+func (o *orders) rank(c *Candidate) int { return o.of(c).rank(c.Score) }
+
+// order holds the highest scores, the highest first.
+type order [maxRankSteps]uint64
+
 func (o *order) insert(score uint64) {
 	for i := range o {
 		if score > o[i] {
--- a/internal/request/psselect/replay_test.go
+++ b/internal/request/psselect/replay_test.go
@@ -38,6 +38,8 @@
 	kind    psconfig.Kind
 	travel  time.Duration
 	answer  int
+	// crowded sends all callers to the VMs of the first failure domain.
+	crowded bool
 }
 
 // place is the failure domain of the VM or server with a number.
@@ -112,7 +114,11 @@
 		p.finish(now)
 		n++
 		key := fmt.Sprint(random.IntN(max(1, l.objects)))
-		p.ask(random.IntN(l.vms), key, fmt.Sprint("id-", seed, "-", n), random.Float64(), now)
+		vm := random.IntN(l.vms)
+		if l.crowded {
+			vm -= vm % l.domains
+		}
+		p.ask(vm, key, fmt.Sprint("id-", seed, "-", n), random.Float64(), now)
 	}
 	return p
 }
@@ -265,7 +271,8 @@
 }
 
 // TestLargeAnswersStayNear replays downloads where the way to other failure domains takes most of
-// the target, and the servers of each one hold all objects. They are to stay near while there is room.
+// the target, and the servers of each one hold all objects. They are to stay near while there is room,
+// and to leave when callers of one failure domain ask for more than its servers give.
 func TestLargeAnswersStayNear(t *testing.T) {
 	l := load{
 		vms: 6, servers: 6, slots: 3, perSecond: 60, span: 20 * time.Second, run: 90 * time.Millisecond, objects: 24, holds: 24,
@@ -274,4 +281,10 @@
 	p := play(l, true, 1)
 	qt.Check(t, p.rejected, qt.Equals, 0)
 	qt.Check(t, p.away <= len(p.tookOf)/50, qt.IsTrue, qt.Commentf("%d of %d left their failure domain", p.away, len(p.tookOf)))
+
+	l.crowded, l.perSecond, l.travel, l.answer = true, 100, 40*time.Millisecond, 30<<10
+	p = play(l, true, 1)
+	qt.Check(t, p.away > len(p.tookOf)/5, qt.IsTrue, qt.Commentf("%d of %d left their failure domain", p.away, len(p.tookOf)))
+	qt.Check(t, p.rejected <= len(p.tookOf)/50, qt.IsTrue, qt.Commentf("%d of %d were rejected", p.rejected, len(p.tookOf)))
+	qt.Check(t, p.late() <= len(p.tookOf)/10, qt.IsTrue, qt.Commentf("%d of %d are late", p.late(), len(p.tookOf)))
 }
--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -151,6 +151,7 @@
 		Failures: v.Failures, Silent: v.Silent, Sent: o.Sent,
 		HomeRecall: v.HomeRecall, AwayRecall: v.AwayRecall, Keeps: v.Keeps,
 		Score: r.score(v.Entry.ID, near), Travel: r.travel(o, near), Bytes: r.bytes(near),
+		Overflow: r.Route.Kind == psconfig.Download && !near,
 	}
 	if !r.Route.Affinity {
 		// What a server holds makes no difference.
@@ -172,16 +173,14 @@
 	return firstTravelRegion
 }
 
-// score orders the servers of the request's object. Large bodies and answers stay in the failure
-// domain.
+// score orders the servers of the request's object. Large bodies stay in the failure domain. Large
+// answers do so while there is room, and have an overflow beyond it.
 func (r Request) score(server string, near bool) uint64 {
 	v := psplace.Score(r.Object, server)
-	switch r.Route.Kind {
-	case psconfig.Upload, psconfig.Download:
-		return psplace.Near(v, near)
-	default:
+	if r.Route.Kind != psconfig.Upload {
 		return v
 	}
+	return psplace.Near(v, near)
 }
 
 // bytes returns what it is worth not to carry the body to a server.
