psfront: what callers left behind is not sent to servers

Their VM, one of two in a region with a third of the callers, had more to do than it can, and net/http tells that a caller left only some time after the handler has begun. Ruled out: waiting for tokens (ends with the caller's time), dialing (0.5 s at most). Now the caller's connection is looked at before each send. Tests: TestWhatCallersLeftIsNotSent (red before), TestStates.

--- a/internal/connection/psfront/call.go
+++ b/internal/connection/psfront/call.go
@@ -11,6 +11,7 @@
 
 	"persimmonstep/internal/connection/psanswer"
 	"persimmonstep/internal/connection/psbody"
+	"persimmonstep/internal/connection/pspeek"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/pspoison"
@@ -198,5 +199,25 @@
 	return c.workspace.Name
 }
 
+// callersConn is the key of the caller's connection in a request's context.
+type callersConn struct{}
+
+// WithConn puts a caller's connection into the context of its requests. A server of the gate needs it
+// as its ConnContext.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callersConn{}, c)
+}
+
+// callerLeft reports whether the caller has closed its connection. The server notices that only some
+// time after the request has begun, and a VM with more to do than it can may come to a request long
+// after its caller gave up.
+func (c *call) callerLeft() bool {
+	if c.request.Context().Err() != nil {
+		return true
+	}
+	conn, found := c.request.Context().Value(callersConn{}).(net.Conn)
+	return found && pspeek.At(conn) == pspeek.Closed
+}
+
 // left returns the time until a final answer is due.
 func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
--- a/internal/connection/psfront/dispatch.go
+++ b/internal/connection/psfront/dispatch.go
@@ -73,6 +73,9 @@
 		if refused != nil {
 			return c.giveUp(refused, last)
 		}
+		if c.callerLeft() {
+			return left{}
+		}
 		a, end := c.try(ctx, s)
 		switch {
 		case end == endAnswered:
--- a/internal/connection/psfront/gate_test.go
+++ b/internal/connection/psfront/gate_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -372,6 +373,30 @@
 	qt.Assert(t, b.count(), qt.Equals, 1)
 }
 
+// TestWhatCallersLeftIsNotSent replays a VM that comes to requests only after their callers gave up.
+func TestWhatCallersLeftIsNotSent(t *testing.T) {
+	const callers = 50
+	b := startBackend(t, whole)
+	s, _ := startGate(t, b)
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	for range callers {
+		c, err := net.Dial("tcp", l.Addr().String()) //nolint:noctx // a test's connection
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, request(t, s, http.MethodGet, "/boards/1", "").Write(c), qt.IsNil)
+		qt.Assert(t, c.Close(), qt.IsNil)
+	}
+	var ended atomic.Int32
+	late := &http.Server{ConnContext: psfront.WithConn, ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer ended.Add(1)
+		s.Config.Handler.ServeHTTP(w, r)
+	})}
+	go func() { _ = late.Serve(l) }()
+	t.Cleanup(func() { _ = late.Close() })
+	eventually(t, "all requests have ended", func() bool { return ended.Load() == callers })
+	qt.Assert(t, b.count(), qt.Equals, 0)
+}
+
 func TestARequestThatCrashesServersIsHeldBack(t *testing.T) {
 	// Each server takes no connection any more once it has met the request.
 	var all []*backend
--- /dev/null
+++ b/internal/connection/pspeek/peek_test.go
@@ -0,0 +1,51 @@
+package pspeek_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/connection/pspeek"
+)
+
+func TestStates(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()                              //nolint:errcheck // the test is over with it
+	a, err := net.Dial("tcp", l.Addr().String()) //nolint:noctx // a test's connection
+	qt.Assert(t, err, qt.IsNil)
+	b, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer b.Close() //nolint:errcheck // the test is over with it
+
+	qt.Assert(t, pspeek.At(b), qt.Equals, pspeek.Quiet)
+	_, err = a.Write([]byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+	becomes(t, b, pspeek.Pending)
+	_, err = b.Read(make([]byte, 8))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, a.Close(), qt.IsNil)
+	becomes(t, b, pspeek.Closed)
+	qt.Assert(t, b.Close(), qt.IsNil)
+	qt.Assert(t, pspeek.At(b), qt.Equals, pspeek.Closed)
+
+	// A look doesn't wait for somebody who reads.
+	c, err := net.Dial("tcp", l.Addr().String()) //nolint:noctx // a test's connection
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _, _ = c.Read(make([]byte, 1)) }()
+	time.Sleep(20 * time.Millisecond)
+	qt.Assert(t, pspeek.At(c), qt.Equals, pspeek.Quiet)
+	qt.Assert(t, c.Close(), qt.IsNil)
+
+	pipe, _ := net.Pipe()
+	qt.Assert(t, pspeek.At(pipe), qt.Equals, pspeek.Unknown)
+}
+
+func becomes(t *testing.T, c net.Conn, want pspeek.State) {
+	t.Helper()
+	for begun := time.Now(); pspeek.At(c) != want; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Since(begun) < 3*time.Second, qt.IsTrue)
+	}
+}
--- a/internal/connection/pstransport/conn.go
+++ b/internal/connection/pstransport/conn.go
@@ -5,8 +5,9 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"persimmonstep/internal/connection/pspeek"
 )
 
 const (
@@ -52,19 +53,6 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	s, found := c.raw.(syscall.Conn)
-	if !found {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peeked error
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && peeked == syscall.EAGAIN //nolint:errorlint // a bare error number
+	state := pspeek.At(c.raw)
+	return state == pspeek.Quiet || state == pspeek.Unknown
 }
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"persimmonstep/internal/connection/psbelief"
+	"persimmonstep/internal/connection/psfront"
 	"persimmonstep/internal/process/psadmin"
 	"persimmonstep/internal/process/psstate"
 	"persimmonstep/platform"
@@ -54,7 +55,11 @@
 			return nil, err
 		}
 	}
-	return s, s.add(ctx, v.settings.Callers, v.gate)
+	if err := s.add(ctx, v.settings.Callers, v.gate); err != nil {
+		return nil, err
+	}
+	s.list[len(s.list)-1].ConnContext = psfront.WithConn
+	return s, nil
 }
 
 func (s *servers) add(ctx context.Context, a netip.AddrPort, h http.Handler) error {
