psreport: a question for a token waits as long as its way takes, and takes one token

A keeper in another region answers after 70 ms there, and a question was repeated after 70 ms: the keeper counted both, which halved the rate of every small workspace whose keeper is far away. Now the time to wait follows the VM's usual time to answer, and a repeated question gets the answer that was given before. Ids begin at random, so that a restarted VM doesn't get old answers. Ruled out: a fixed longer time; it would hold requests of near fleets when a keeper dies. Test: TestAQuestionOverALongWayTakesOneToken.

--- a/internal/connection/psreport/report.go
+++ b/internal/connection/psreport/report.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -26,9 +27,8 @@
 	methodTake   = "take"
 	// maxDatagramBytes bounds a message.
 	maxDatagramBytes = 32 << 10
-	// askTimeout is how long a question waits for its answer, and asks how often it is sent.
-	askTimeout = 70 * time.Millisecond
-	asks       = 2
+	// asks is how often a question is sent.
+	asks = 2
 )
 
 // ErrSilent says that a question has no answer.
@@ -63,6 +63,9 @@
 	mutex   sync.Mutex
 	last    uint64
 	waiting map[uint64]chan psfleet.Grant
+	delays  delays
+	// answers are those that were given lately. They belong to the goroutine that receives.
+	answers answers
 }
 
 // Listen opens a socket at an address.
@@ -80,7 +83,8 @@
 
 // New returns a link over a socket. The clean-up function closes both.
 func New(s Socket) (*Link, func()) {
-	return &Link{socket: s, waiting: make(map[uint64]chan psfleet.Grant)}, func() { _ = s.Close() }
+	// A restarted VM must not get the answers to the questions of its last process.
+	return &Link{socket: s, last: rand.Uint64(), waiting: make(map[uint64]chan psfleet.Grant)}, func() { _ = s.Close() }
 }
 
 // Report sends a report to each of the VMs. One that can't be reached is shown by its silence.
@@ -123,15 +127,17 @@
 		return psfleet.Grant{}, errors.Wrap(err, "encode a question")
 	}
 	for range asks {
+		begun := time.Now()
 		if _, err := l.socket.WriteToUDPAddrPort(data, to); err != nil {
 			return psfleet.Grant{}, errors.Wrap(err, "ask")
 		}
 		select {
 		case g := <-answer:
+			l.delays.observe(to, time.Since(begun))
 			return g, nil
 		case <-ctx.Done():
 			return psfleet.Grant{}, ctx.Err()
-		case <-time.After(askTimeout):
+		case <-time.After(l.delays.timeout(to)):
 		}
 	}
 	return psfleet.Grant{}, ErrSilent
@@ -223,20 +229,31 @@
 }
 
 func (l *Link) answer(h Handler, m message, from netip.AddrPort) error {
+	k := question{from, m.ID.Num}
+	data, found := l.answers.get(k)
+	if !found {
+		var err error
+		if data, err = lend(h, m); err != nil {
+			return err
+		}
+		l.answers.put(k, data)
+	}
+	_, err := l.socket.WriteToUDPAddrPort(data, from)
+	return errors.Wrap(err, "answer")
+}
+
+// lend makes the answer to a question.
+func lend(h Handler, m message) ([]byte, error) {
 	var t psfleet.Take
 	if err := json.Unmarshal(*m.Params, &t); err != nil {
-		return errors.Wrap(err, "decode a question")
+		return nil, errors.Wrap(err, "decode a question")
 	}
 	a := &jsonrpc2.Response{ID: m.ID}
 	if err := a.SetResult(h.Lend(t)); err != nil {
-		return errors.Wrap(err, "encode an answer")
+		return nil, errors.Wrap(err, "encode an answer")
 	}
 	data, err := json.Marshal(a)
-	if err != nil {
-		return errors.Wrap(err, "encode an answer")
-	}
-	_, err = l.socket.WriteToUDPAddrPort(data, from)
-	return errors.Wrap(err, "answer")
+	return data, errors.Wrap(err, "encode an answer")
 }
 
 func (l *Link) answered(m message) error {
--- a/internal/connection/psreport/report_test.go
+++ b/internal/connection/psreport/report_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,3 +126,54 @@
 	qt.Assert(t, first.Relayed, qt.Equals, relayed)
 	qt.Assert(t, append(first.Reports, second.Reports...), qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), d.Reports)
 }
+
+// farSocket delays what it sends, as the way to another region does.
+type farSocket struct {
+	psreport.Socket
+	delay time.Duration
+}
+
+func (s farSocket) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	data := slices.Clone(b)
+	time.AfterFunc(s.delay, func() { _, _ = s.Socket.WriteToUDPAddrPort(data, to) })
+	return len(b), nil
+}
+
+// lender counts the tokens that it lends.
+type lender struct {
+	heard
+	lent atomic.Int32
+}
+
+func (l *lender) Lend(psfleet.Take) psfleet.Grant {
+	l.lent.Add(1)
+	return psfleet.Grant{Granted: true}
+}
+
+// TestAQuestionOverALongWayTakesOneToken asks a VM that is as far away as the regions of one customer
+// are. A second token for the same question would halve a workspace's rate.
+func TestAQuestionOverALongWayTakesOneToken(t *testing.T) {
+	const questions = 5
+	for _, way := range []time.Duration{2 * time.Millisecond, 40 * time.Millisecond, 180 * time.Millisecond} {
+		asking, _ := startFar(t, way, &lender{})
+		keeper := &lender{}
+		_, at := startFar(t, way, keeper)
+		for range questions {
+			g, err := asking.Take(t.Context(), at, psfleet.Take{Workspace: "trays"})
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("way %s", way))
+			qt.Assert(t, g.Granted, qt.IsTrue)
+		}
+		qt.Assert(t, keeper.lent.Load(), qt.Equals, int32(questions), qt.Commentf("way %s", way))
+	}
+}
+
+// startFar starts a link whose datagrams take a time.
+func startFar(t *testing.T, way time.Duration, h psreport.Handler) (*psreport.Link, netip.AddrPort) {
+	t.Helper()
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	l, clean := psreport.New(farSocket{socket, way})
+	t.Cleanup(clean)
+	go func() { _ = l.Receive(h) }()
+	return l, netip.MustParseAddrPort(socket.LocalAddr().String())
+}
