psdiscover: VMs that come at the same time know each other

Since a VM that isn't told that the fleet starts for the first time read the others before it published itself, and two that did so together did not know each other until the next reading: each took the whole of what they share for its own. Now it reads again after it has published, which is no further wait for anybody. Ruled out: that repeated questions are granted twice (they get the answer that was given).

--- a/internal/process/psdiscover/discover.go
+++ b/internal/process/psdiscover/discover.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -83,7 +82,7 @@
 	for ctx.Err() == nil {
 		err := d.exchange(ctx)
 		loss.Note(err, d.options.Logger, d.options.Now())
-		if err == nil || !d.options.FirstStart {
+		if !d.options.FirstStart {
 			d.once.Do(func() { close(d.tried) })
 		}
 		if err != nil {
@@ -108,11 +107,12 @@
 func (d *Discovery) exchange(ctx context.Context) error {
 	limited, stop := platform.WithAnswerTimeouts(ctx, callTimeout, answerTimeout)
 	defer stop()
-	// At the first start only what all have published is of use. Later the others are known to the
-	// store already, which performs writes one after the other.
-	steps := []func(context.Context) error{d.read, d.publish}
-	if d.options.FirstStart {
-		slices.Reverse(steps)
+	steps := []func(context.Context) error{d.publish, d.read}
+	if !d.options.FirstStart && !d.published {
+		// The others are known to the store already, which performs writes one after the other.
+		// What it holds after the own entry is read all the same: of two VMs that come at the
+		// same time, the later one then knows the earlier one.
+		steps = []func(context.Context) error{d.read, d.publish, d.read}
 	}
 	for _, step := range steps {
 		if err := step(limited); err != nil {
@@ -132,6 +132,7 @@
 	}
 	d.version = v.Version
 	d.options.Take(v.Rows)
+	d.once.Do(func() { close(d.tried) })
 	return nil
 }
 
