pscontrol: limits that servers name are decoded, logged and exported

- platform decodes the header: a decimal number, finite and not negative; of several the strictest.
NaN, Inf, text, hexadecimal and overlong values are unreadable, which neither names nor withdraws a limit.
- psserver keeps the statement.
Responses may arrive in another order than they were created, so a limit is raised or withdrawn only by the response to a request sent after it was known; a stricter one holds at once.
- 7210 and 7211 log a limit that is named, changed or withdrawn, at most 20 lines a second; the tries of a request show the limit of their server; state and status show it with its age.
- persimmonstep_server_limit_per_second and persimmonstep_server_sent_total, for servers with a limit only.

Responses of another server (421) and to another request don't count; a response without a signature can name a limit and not withdraw one, and a probe can't withdraw one either.

--- a/internal/connection/psproxy/backpressure_test.go
+++ b/internal/connection/psproxy/backpressure_test.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psstandin"
 )
@@ -60,6 +62,41 @@
 	qt.Assert(t, control.snapshot.Servers["prices"][0].Leaving(), qt.IsFalse)
 }
 
+// TestLimitIsReadFromResponsesOfTheServer names a limit in responses of each kind, and checks which of them count, and
+// which of them would withdraw a limit if they named none.
+func TestLimitIsReadFromResponsesOfTheServer(t *testing.T) {
+	signed, notRun := psstandin.SignedLines, psstandin.NotRunLines
+	for _, v := range []struct {
+		name, response string
+		counts         bool
+		genuine        bool
+	}{
+		{"success", "HTTP/1.1 200 OK\r\n" + signed("id-1") + "Content-Length: 2\r\n\r\nok", true, true},
+		{"failure", "HTTP/1.1 500 Internal Server Error\r\n" + signed("id-1") + "Content-Length: 0\r\n\r\n", true, true},
+		{"rejection", "HTTP/1.1 503 Service Unavailable\r\n" + notRun("id-1") + "Content-Length: 0\r\n\r\n", true, true},
+		{"rejection of the rate", "HTTP/1.1 429 Too Many Requests\r\n" + notRun("id-1") + "Content-Length: 0\r\n\r\n", true, true},
+		{"truncated", "HTTP/1.1 200 OK\r\n" + signed("id-1") + "Content-Length: 9\r\nConnection: close\r\n\r\nok", true, true},
+		{"unsigned", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true, false},
+		{"of another request", "HTTP/1.1 200 OK\r\n" + signed("id-0") + "Content-Length: 2\r\n\r\nok", false, false},
+		{"of another server", "HTTP/1.1 421 Misdirected Request\r\n" + notRun("id-1") + "Content-Length: 0\r\n\r\n", false, false},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			s, control := startProxy(t, startBackend(t, func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, strings.Replace(v.response, "\r\n", "\r\n"+psstandin.LimitLine("2.5"), 1))
+				return false
+			}))
+			_, _, _ = do(t, request(t, s, http.MethodPost, "/orders/1", "x"))
+			control.mutex.Lock()
+			defer control.mutex.Unlock()
+			qt.Assert(t, len(control.announcements) > 0, qt.Equals, v.counts)
+			for _, a := range control.announcements {
+				qt.Check(t, a.Limit, qt.Equals, psserver.Limit{Named: true, PerSecond: 2.5})
+				qt.Check(t, a.Genuine, qt.Equals, v.genuine)
+			}
+		})
+	}
+}
+
 // TestRetryAfterOfServerIsHonored lets one of two servers ask for a pause in requests, so that the other one takes
 // over, and then the only server, so that callers are rejected with a Retry-After time until the pause ends.
 func TestRetryAfterOfServerIsHonored(t *testing.T) {
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -226,7 +226,13 @@
 	if service != nil {
 		limit = max(limit, int(connectionShare*float64(service.MaxConnections))/c.snapshot.FleetSize)
 	}
-	usable := func() bool { return s.server.Usable(c.proxy.options.Now()) }
+	maySend := func() bool {
+		if !s.server.Usable(c.proxy.options.Now()) {
+			return false
+		}
+		s.server.CountSent()
+		return true
+	}
 	accept := func(r *http.Response) bool {
 		metadata := platform.ReadResponseHeaders(r.StatusCode, r.Header)
 		if metadata.ID != "" && metadata.ID != c.headers.ID {
@@ -236,11 +242,13 @@
 		// account that the server drains or asked for a pause. A response of another server at the same address does
 		// not describe this one.
 		if r.StatusCode != http.StatusMisdirectedRequest {
-			c.proxy.control.UpdateAvailability(s.server, metadata.Availability, c.headers.ID)
+			c.proxy.control.UpdateAvailability(s.server, pscontrol.Announcement{
+				Availability: metadata.Availability, RequestID: c.headers.ID, SentAt: now, Genuine: metadata.Signed || metadata.NotRun,
+			})
 		}
 		return true
 	}
-	options := pstransport.Options{MaxIdle: maxIdleNonRetryable, AcceptCloseDelimited: true, MaySend: usable, Matches: accept}
+	options := pstransport.Options{MaxIdle: maxIdleNonRetryable, AcceptCloseDelimited: true, MaySend: maySend, Matches: accept}
 	if c.route.Kind.Repeatable() {
 		options.MaxIdle = maxIdleRetryable
 	}
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -42,7 +42,7 @@
 type ControlPlane interface {
 	Snapshot() *pscontrol.Snapshot
 	ServerFailed(s *psserver.Server, reason pscontrol.Reason, requestID string)
-	UpdateAvailability(s *psserver.Server, a platform.Availability, requestID string)
+	UpdateAvailability(s *psserver.Server, a pscontrol.Announcement)
 }
 
 // Options are the settings and dependencies of a [Proxy].
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -109,11 +109,17 @@
 // fakeControl is the control plane of the proxy under test.
 type fakeControl struct {
 	snapshot *pscontrol.Snapshot
+
+	mutex         sync.Mutex
+	announcements []pscontrol.Announcement
 }
 
 func (c *fakeControl) Snapshot() *pscontrol.Snapshot { return c.snapshot }
 
-func (c *fakeControl) UpdateAvailability(s *psserver.Server, a platform.Availability, _ string) {
+func (c *fakeControl) UpdateAvailability(s *psserver.Server, a pscontrol.Announcement) {
+	c.mutex.Lock()
+	c.announcements = append(c.announcements, a)
+	c.mutex.Unlock()
 	if a.Leaving {
 		s.MarkLeaving()
 	}
@@ -159,7 +165,7 @@
 // startProxy starts a proxy in front of backend servers.
 func startProxy(t *testing.T, backends ...*backend) (*httptest.Server, *fakeControl) {
 	t.Helper()
-	control := &fakeControl{&pscontrol.Snapshot{
+	control := &fakeControl{snapshot: &pscontrol.Snapshot{
 		Index: psconfig.NewIndex(&testConfiguration), Servers: map[string][]*psserver.Server{},
 		ServersReadAt: time.Now(), EvenShare: 1, FleetSize: 1,
 	}}
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -101,10 +101,10 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f",
+		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f limit=%s",
 			a.view.Entry.ID, a.result, a.choice.Rank, a.view.Load, formatMilliseconds(a.view.LoadAge),
 			a.view.Slowness, a.view.FailureRate, formatMilliseconds(a.choice.Wait), formatMilliseconds(a.choice.Run),
-			formatMilliseconds(a.choice.RoundTrip), a.choice.LikelyCached, a.view.Cold, formatMilliseconds(a.took), a.view.PrimaryHitRate, a.view.CacheableFraction)
+			formatMilliseconds(a.choice.RoundTrip), a.choice.LikelyCached, a.view.Cold, formatMilliseconds(a.took), a.view.PrimaryHitRate, a.view.CacheableFraction, a.view.Limit)
 	}
 	return b.String()
 }
--- a/internal/process/pscli/status.go
+++ b/internal/process/pscli/status.go
@@ -62,10 +62,10 @@
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%s ago\t%d\t%d\t%d\t%v\n", v.VM, v.Place.FailureDomain, v.Ready, version,
 			v.ServersAge.Round(time.Millisecond), v.FleetSize, len(v.VMs), v.InFlight, v.Evacuated)
 	}
-	_, _ = fmt.Fprintf(t, "\nservers as %s sees them\nserver\tservice\tfailure domain\tusable\tcold\tload\tslots\tslowness\tfailures\n", all[0].VM)
+	_, _ = fmt.Fprintf(t, "\nservers as %s sees them\nserver\tservice\tfailure domain\tusable\tcold\tload\tslots\tslowness\tfailures\tlimit\n", all[0].VM)
 	for _, v := range all[0].Servers {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%t\t%t\t%.1f\t%d\t%.2f\t%.2f\n", v.Entry.ID, v.Entry.Service, v.Entry.FailureDomain,
-			v.Usable, v.Cold, v.Load, v.Entry.Slots, v.Slowness, v.FailureRate)
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%t\t%t\t%.1f\t%d\t%.2f\t%.2f\t%s\n", v.Entry.ID, v.Entry.Service, v.Entry.FailureDomain,
+			v.Usable, v.Cold, v.Load, v.Entry.Slots, v.Slowness, v.FailureRate, v.Limit)
 	}
 	return errors.Wrap(t.Flush(), "print states")
 }
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -12,6 +12,7 @@
 	"persimmonstep/internal/process/psdiscovery"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
@@ -109,6 +110,7 @@
 	failedAt    map[string]time.Time
 	leavingAt   map[psserver.Run]time.Time
 	silentPeers map[string]bool
+	limitLog    pslog.RateLimit
 }
 
 // New returns a controller without a configuration, servers or known VMs.
@@ -117,6 +119,7 @@
 		options: o, events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
 		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity), shares: psshare.New(),
 		failedAt: map[string]time.Time{}, leavingAt: map[psserver.Run]time.Time{}, silentPeers: map[string]bool{},
+		limitLog: pslog.RateLimit{PerSecond: limitLinesPerSecond},
 	}
 	c.runContext = context.Background()
 	c.watcher = pswatch.New(pswatch.Options{
@@ -197,17 +200,31 @@
 	c.enqueue(serverFailedEvent{s, reason})
 }
 
-// UpdateAvailability processes what a server announces in a response: its shutdown, or a pause during which it takes no
-// requests from this VM. requestID is empty for the response to a probe.
-func (c *Controller) UpdateAvailability(s *psserver.Server, w platform.Availability, requestID string) {
+// Announcement is what a server announces in a response.
+type Announcement struct {
+	platform.Availability
+	// RequestID names the request; empty for a probe.
+	RequestID string
+	// SentAt is when the request was sent.
+	SentAt time.Time
+	// Genuine is set if a backend server created the response, so that it has no limit if the response names none.
+	Genuine bool
+}
+
+// UpdateAvailability processes what a server announces in a response: its shutdown, a pause during which it takes no
+// requests from this VM, or a limit on the requests of all VMs.
+func (c *Controller) UpdateAvailability(s *psserver.Server, a Announcement) {
 	e := s.Entry()
-	if w.Leaving && s.MarkLeaving() {
-		psevent.ServerLeaving.Log(c.options.Logger, e.ID, e.Service, requestID)
+	if a.Leaving && s.MarkLeaving() {
+		psevent.ServerLeaving.Log(c.options.Logger, e.ID, e.Service, a.RequestID)
 		c.enqueue(serverLeavingEvent{e.Run()})
 	}
-	if w.Pause > 0 {
-		granted := s.Pause(w.Pause, c.options.Now())
-		psevent.ServerPaused.Log(c.options.Logger, e.ID, e.Service, requestID, w.Pause.String(), granted.String())
+	if a.Pause > 0 {
+		granted := s.Pause(a.Pause, c.options.Now())
+		psevent.ServerPaused.Log(c.options.Logger, e.ID, e.Service, a.RequestID, a.Pause.String(), granted.String())
+	}
+	if a.Limit.Named || a.Genuine && !a.LimitUnreadable {
+		c.recordLimit(s, a)
 	}
 }
 
--- a/internal/process/pscontrol/probe.go
+++ b/internal/process/pscontrol/probe.go
@@ -62,10 +62,12 @@
 	if s.View(c.options.Now()).PauseRemaining > 0 {
 		return false
 	}
+	sentAt := c.options.Now()
+	s.CountSent()
 	health, err := c.options.Prober.Probe(c.runContext, e, path)
 	now := c.options.Now()
 	if err == nil && (health.Server == "" || health.Server == e.ID) {
-		c.UpdateAvailability(s, health.Availability, "")
+		c.UpdateAvailability(s, Announcement{Availability: health.Availability, SentAt: sentAt})
 	}
 	switch {
 	case err != nil || !health.Healthy:
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -56,6 +56,11 @@
 	ServerPaused = Event{7208, hclog.Info, "backend server requested a pause", []string{"server", "service", "requestId", "asked", "counts"}}
 	// ServerEntryStale reports that an outdated entry of a backend server is ignored.
 	ServerEntryStale = Event{7209, hclog.Info, "outdated backend server entry ignored", []string{"server", "service", "sequence", "known"}}
+	// ServerLimited reports that a backend server named a limit, or changed it, in a response to this VM. The field
+	// before is "none" if it had none.
+	ServerLimited = Event{7210, hclog.Warn, "backend server limits requests", []string{"server", "service", "requestId", "perSecond", "before"}}
+	// ServerUnlimited reports that a response of a backend server to this VM names no limit any more.
+	ServerUnlimited = Event{7211, hclog.Info, "backend server limits requests no more", []string{"server", "service", "requestId", "before"}}
 
 	// PeerLive reports that the first report of another VM arrived, or the first after a silence.
 	PeerLive = Event{7301, hclog.Info, "VM live", []string{"vm", "incarnation", "silentFor"}}
@@ -91,7 +96,7 @@
 	return []Event{
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped,
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale,
-		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale,
+		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied,
 		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted,
 	}
--- a/internal/process/psmetric/metric.go
+++ b/internal/process/psmetric/metric.go
@@ -30,6 +30,8 @@
 	storeEra             = prometheus.NewDesc(namespace+"_store_era", "How often the store came back from a copy, as far as the VM knows.", []string{"table"}, nil)
 	serversAge           = prometheus.NewDesc(namespace+"_servers_age_seconds", "Time since the servers' entries were read.", nil, nil)
 	servers              = prometheus.NewDesc(namespace+"_servers", "Registered backend servers by service and state.", []string{"service", "state"}, nil)
+	serverLimit          = prometheus.NewDesc(namespace+"_server_limit_per_second", "The requests per second that a backend server takes from all VMs, where it names a limit.", []string{"service", "server"}, nil)
+	serverSent           = prometheus.NewDesc(namespace+"_server_sent_total", "Requests and probes that this VM sent to a backend server that names a limit.", []string{"service", "server"}, nil)
 	vms                  = prometheus.NewDesc(namespace+"_vms", "VMs by state: directed ones take callers, known ones may be in use.", []string{"state"}, nil)
 )
 
@@ -44,7 +46,7 @@
 
 // Describe sends the descriptors of all metrics.
 func (*Collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{ready, storeLost, configurationVersion, configurationUnknown, storeEra, serversAge, servers, vms} {
+	for _, d := range []*prometheus.Desc{ready, storeLost, configurationVersion, configurationUnknown, storeEra, serversAge, servers, serverLimit, serverSent, vms} {
 		out <- d
 	}
 }
@@ -72,7 +74,12 @@
 	for service, list := range s.Servers {
 		states := map[string]int{"usable": 0, "cold": 0, "out": 0}
 		for _, v := range list {
-			switch view := v.View(now); {
+			view := v.View(now)
+			if view.Limit.Named {
+				gauge(serverLimit, view.Limit.PerSecond, service, view.Entry.ID)
+				out <- prometheus.MustNewConstMetric(serverSent, prometheus.CounterValue, float64(v.Sent()), service, view.Entry.ID)
+			}
+			switch {
 			case !view.Usable:
 				states["out"]++
 			case view.Cold:
--- a/internal/process/psmetric/metric_test.go
+++ b/internal/process/psmetric/metric_test.go
@@ -34,6 +34,8 @@
 		psserver.New(psserver.Entry{ID: "i-2", ColdFor: time.Minute}, "north", readAt),
 		psserver.New(psserver.Entry{ID: "i-3", State: psserver.Draining}, "north", readAt),
 	}
+	servers[0].RecordLimit(psserver.Limit{Named: true, PerSecond: 2.5}, readAt, readAt)
+	servers[0].CountSent()
 	s := source{&pscontrol.Snapshot{
 		Index: psconfig.NewIndex(&psconfig.Configuration{Version: 7}), Servers: map[string][]*psserver.Server{"prices": servers},
 		ServersReadAt: readAt, FleetSize: 3, VMs: []pscontrol.VM{{Name: "vm-1"}, {Name: "vm-2"}},
@@ -50,6 +52,12 @@
 # HELP persimmonstep_ready 1 if the VM takes callers.
 # TYPE persimmonstep_ready gauge
 persimmonstep_ready 1
+# HELP persimmonstep_server_limit_per_second The requests per second that a backend server takes from all VMs, where it names a limit.
+# TYPE persimmonstep_server_limit_per_second gauge
+persimmonstep_server_limit_per_second{server="i-1",service="prices"} 2.5
+# HELP persimmonstep_server_sent_total Requests and probes that this VM sent to a backend server that names a limit.
+# TYPE persimmonstep_server_sent_total counter
+persimmonstep_server_sent_total{server="i-1",service="prices"} 1
 # HELP persimmonstep_servers Registered backend servers by service and state.
 # TYPE persimmonstep_servers gauge
 persimmonstep_servers{service="prices",state="cold"} 1
