psguarantee: requests beyond a server's limit are counted, and a failing test shows them

Callers saw nothing; servers that name a limit got their usual load from all VMs together.

- The stand-in server names a limit in its responses and records what reaches it; it doesn't enforce it.
- psguarantee counts, in any 4 s, the requests of VMs that had been told half a second before, against 1.5 times what the limits allow + 5.
Lower limits take effect after half a second, a first one after 3 s, and the restart of a VM's process makes it uninformed again.
The check is tested on synthetic histories, with values computed by hand.
- measure plays limits: one value, or one after the other each second, on one server or several.
A VM that is stopped or killed can be started again (until).
Four scenarios: limited-server, limited-service, changing-limits, limits-under-faults.

The stand-in sends its 503 for a pause without holding its mutex now, because the writer that names the limit needs it.

--- a/internal/process/psbackend/behaviour.go
+++ b/internal/process/psbackend/behaviour.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"persimmonstep/internal/process/psserver"
 )
 
 // Behaviour configures a stand-in. Its zero value runs every request at once.
@@ -23,6 +25,8 @@
 	Leaving bool
 	// Pause makes the server reject all requests and ask in Retry-After for none during this time; 0 disables it.
 	Pause time.Duration
+	// Limit is named in all responses. Unlike a real server's, it has no effect on the stand-in itself.
+	Limit psserver.Limit
 	// Faults is the fault table.
 	Faults []Fault
 }
--- a/internal/process/psbackend/pause.go
+++ b/internal/process/psbackend/pause.go
@@ -35,14 +35,18 @@
 func (s *Server) rejectWithPause(w http.ResponseWriter, r *http.Request, d time.Duration) {
 	platform.WriteRetryAfter(w.Header(), d)
 	psstandin.MarkNotRun(w.Header())
-	now := time.Now()
+	s.beginPause(r, d, time.Now())
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// beginPause counts a rejected request and begins the pause of its source address, unless one lasts already.
+func (s *Server) beginPause(r *http.Request, d time.Duration, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.stats.Shed++
 	if p := s.pauses[sourceAddress(r)]; p == nil || now.After(p.until) {
 		s.pauses[sourceAddress(r)] = &pauseWindow{from: now.Add(pauseGrace), until: now.Add(d)}
 	}
-	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // sourceAddress returns the address that a request came from.
--- a/internal/process/psbackend/run.go
+++ b/internal/process/psbackend/run.go
@@ -32,7 +32,8 @@
 		psstandin.WriteHealth(w.Header(), s.ID, 0)
 		return
 	}
-	s.run(v, w, r)
+	arrival := s.recordArrival(r, time.Now())
+	s.run(v, &limitWriter{ResponseWriter: w, server: s, arrival: arrival}, r)
 }
 
 // run admits a request, runs it in a slot and sends the response, or injects its fault.
--- a/internal/process/psbackend/server.go
+++ b/internal/process/psbackend/server.go
@@ -38,6 +38,8 @@
 	pauses map[netip.Addr]*pauseWindow
 	runs   map[string]int
 	stats  Stats
+	// arrivals are the requests that reached the server. Probes are not recorded.
+	arrivals []Arrival
 	// waiting holds the slotGranted channels of the queued requests. cached holds the cached objects,
 	// the most recently used one last.
 	waiting     []chan struct{}
--- a/internal/process/psexperiment/experiment.go
+++ b/internal/process/psexperiment/experiment.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/netip"
 	"sync"
@@ -16,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psbackend"
 	"persimmonstep/internal/process/psdev"
@@ -47,12 +49,14 @@
 	mutex      sync.Mutex
 	behaviours []psbackend.Behaviour
 	drained    map[int]time.Duration
-	// snapshots are the snapshots of the store that restore faults took when they began.
-	snapshots   map[psscenario.Fault]psstandin.Snapshot
+	// snapshots are the snapshots of the store that restore faults took, by the time at which they began.
+	snapshots   map[time.Duration]psstandin.Snapshot
 	revocations []revocation
-	stopped     []string
-	stopTime    time.Duration
-	notes       []string
+	// restarts are the times at which the processes of VMs ended or were started, by the VM's name.
+	restarts map[string][]time.Duration
+	stopped  []string
+	stopTime time.Duration
+	notes    []string
 }
 
 // revocation records when a workspace's key was revoked during the run.
@@ -63,7 +67,10 @@
 
 // Run runs a scenario with the installation of a firm under a policy.
 func Run(ctx context.Context, f psscenario.Firm, s *psscenario.Scenario, p Policy, l hclog.Logger) (*Result, error) {
-	e := &experiment{firm: f, scenario: s, policy: p, topology: f.Topology(), drained: make(map[int]time.Duration), snapshots: make(map[psscenario.Fault]psstandin.Snapshot)}
+	e := &experiment{
+		firm: f, scenario: s, policy: p, topology: f.Topology(), drained: make(map[int]time.Duration),
+		snapshots: make(map[time.Duration]psstandin.Snapshot), restarts: make(map[string][]time.Duration),
+	}
 	system, stop, err := psdev.New(ctx, e.topology, func(string) io.Writer { return io.Discard })
 	if err != nil {
 		return nil, err
@@ -163,7 +170,7 @@
 
 // history collects the observations in which the guarantees are checked.
 func (e *experiment) history(observations []psload.Observation) psguarantee.History {
-	out := psguarantee.History{Observations: observations, Stopped: e.stopped}
+	out := psguarantee.History{Observations: observations, Stopped: e.stopped, Restarts: e.restarts}
 	for _, w := range e.topology.Configuration.Workspaces {
 		out.Workspaces = append(out.Workspaces, psguarantee.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst, Tolerance: quotaTolerance, Slack: quotaSlack})
 	}
@@ -175,6 +182,7 @@
 		out.Servers = append(out.Servers, psguarantee.Server{
 			ID: v.ID, Region: v.Domain.Region,
 			Runs: e.system.Servers[i].Runs(), DrainedAt: e.drained[i], LastRun: stats.LastRun.Sub(e.start), RequestsInPause: stats.RequestsInPause,
+			Arrivals: e.arrivals(i),
 		})
 	}
 	for _, w := range e.revocations {
@@ -182,3 +190,22 @@
 	}
 	return out
 }
+
+// arrivals returns the requests that reached a backend server. Callers that bypass the VMs count as senders of their
+// own, so that the guarantees of the baseline policy are checked as well.
+func (e *experiment) arrivals(server int) []psguarantee.Arrival {
+	senders := make(map[netip.Addr]string)
+	for _, v := range e.system.Ready.VMs {
+		senders[v.Callers.Addr()] = v.Name
+	}
+	for n := range psscenario.DomainCount {
+		senders[psscenario.CallerAddress(n)] = fmt.Sprint("callers-", n)
+	}
+	return lo.Map(e.system.Servers[server].Arrivals(), func(a psbackend.Arrival, _ int) psguarantee.Arrival {
+		out := psguarantee.Arrival{At: a.At.Sub(e.start), VM: senders[a.From], Named: a.Named}
+		if !a.NamedAt.IsZero() {
+			out.NamedAt = a.NamedAt.Sub(e.start)
+		}
+		return out
+	})
+}
--- a/internal/process/psexperiment/fault.go
+++ b/internal/process/psexperiment/fault.go
@@ -24,6 +24,8 @@
 	pauseDuration = 2 * time.Second
 	// rewriteDelay is how long after a restore of the store servers and the operator rewrite their entries.
 	rewriteDelay = time.Second
+	// limitDuration is how long a server names each of several limits.
+	limitDuration = time.Second
 )
 
 // runFaults injects the faults of the timetable and waits for all of them.
@@ -34,7 +36,7 @@
 			if !sleepUntil(ctx, e.start.Add(f.At.Duration)) {
 				return
 			}
-			e.startFault(f)
+			e.startFault(ctx, f)
 			if f.Until.Duration > 0 && sleepUntil(ctx, e.start.Add(f.Until.Duration)) {
 				e.endFault(f)
 			}
@@ -53,9 +55,10 @@
 }
 
 // startFault injects a fault. Poison requests are part of the load and need nothing here.
-func (e *experiment) startFault(f psscenario.Fault) {
+func (e *experiment) startFault(ctx context.Context, f psscenario.Fault) {
 	switch f.Kind {
 	case psscenario.FaultKillVM:
+		e.recordRestart(f.Target)
 		e.system.Kill(f.Target)
 	case psscenario.FaultStopVM:
 		e.stopVM(f.Target)
@@ -85,13 +88,20 @@
 		e.changeBehaviour(f.Target, func(b *psbackend.Behaviour) { b.Pause = pauseDuration })
 	case psscenario.FaultRestore:
 		e.snapshotStore(f)
+	case psscenario.FaultLimit:
+		e.nameLimits(ctx, f)
 	}
 }
 
-// endFault ends a partition, an outage, a changed behaviour or the downtime of a killed backend server, or restores
+// endFault ends a partition, an outage, a changed behaviour or the downtime of a VM or a backend server, or restores
 // the store. Other faults have no end.
 func (e *experiment) endFault(f psscenario.Fault) {
 	switch f.Kind {
+	case psscenario.FaultKillVM, psscenario.FaultStopVM:
+		e.recordRestart(f.Target)
+		e.system.Start(f.Target)
+	case psscenario.FaultLimit:
+		e.setLimit(f, psserver.Limit{})
 	case psscenario.FaultPartitionRegion:
 		e.partition(e.firm.Regions[f.Target], "")
 	case psscenario.FaultPartitionAll:
@@ -112,17 +122,42 @@
 	}
 }
 
+// nameLimits makes servers name the limits of a fault, until it ends.
+func (e *experiment) nameLimits(ctx context.Context, f psscenario.Fault) {
+	for i := 0; ; i++ {
+		e.setLimit(f, psserver.Limit{Named: true, PerSecond: f.Limits[i%len(f.Limits)]})
+		next := f.At.Duration + time.Duration(i+1)*limitDuration
+		if len(f.Limits) == 1 || f.Until.Duration > 0 && next >= f.Until.Duration || !sleepUntil(ctx, e.start.Add(next)) {
+			return
+		}
+	}
+}
+
+func (e *experiment) setLimit(f psscenario.Fault, l psserver.Limit) {
+	for i := range max(1, f.Count) {
+		e.changeBehaviour(f.Target+i, func(b *psbackend.Behaviour) { b.Limit = l })
+	}
+}
+
+// recordRestart records that the process of a VM ends or starts.
+func (e *experiment) recordRestart(vm int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	name := e.topology.VMs[vm].Name
+	e.restarts[name] = append(e.restarts[name], time.Since(e.start))
+}
+
 // snapshotStore takes a snapshot of the store.
 func (e *experiment) snapshotStore(f psscenario.Fault) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.snapshots[f] = e.system.Store.Snapshot()
+	e.snapshots[f.At.Duration] = e.system.Store.Snapshot()
 }
 
 // restore restores the store from a snapshot. Servers and the operator then rewrite what it lost.
 func (e *experiment) restore(f psscenario.Fault) {
 	e.mutex.Lock()
-	snapshot := e.snapshots[f]
+	snapshot := e.snapshots[f.At.Duration]
 	drained := slices.Collect(maps.Keys(e.drained))
 	e.mutex.Unlock()
 	e.system.Store.Restore(snapshot)
@@ -142,6 +177,7 @@
 
 // stopVM shuts down a VM and records the time that it took.
 func (e *experiment) stopVM(vm int) {
+	e.recordRestart(vm)
 	began := time.Now()
 	e.mutex.Lock()
 	e.stopped = append(e.stopped, e.topology.VMs[vm].Name)
@@ -155,6 +191,7 @@
 func (e *experiment) killRegion(region string) {
 	for i, v := range e.topology.VMs {
 		if v.Domain.Region == region {
+			e.recordRestart(i)
 			go e.system.Kill(i)
 		}
 	}
--- a/internal/process/psguarantee/check.go
+++ b/internal/process/psguarantee/check.go
@@ -41,6 +41,8 @@
 	LastRun time.Duration
 	// RequestsInPause is the highest number of requests that one VM sent during a pause that the server requested.
 	RequestsInPause int
+	// Arrivals are the requests that reached the server, in the order of their arrival.
+	Arrivals []Arrival
 }
 
 // Revocation records when a workspace's only key was revoked.
@@ -58,6 +60,8 @@
 	Servers      []Server
 	Observations []psload.Observation
 	Revocations  []Revocation
+	// Restarts are the times at which the process of a VM ended or was started, by the VM's name.
+	Restarts map[string][]time.Duration
 	// Stopped lists the names of the VMs that were shut down gracefully.
 	Stopped []string
 }
@@ -84,12 +88,14 @@
 	CutByStop int `json:"cutByStop"`
 	// QuietBroken counts the servers to which a VM sent more than maxRequestsInPause requests during a pause.
 	QuietBroken int `json:"quietBroken"`
+	// LimitExceeded is the number of requests beyond what a server's limit allows, in the worst window of any server.
+	LimitExceeded int `json:"limitExceeded"`
 }
 
 // Total returns the sum of all counts.
 func (v Violations) Total() int {
 	return v.RateBeyondBound + v.RepeatedRuns + v.FalseNotRun +
-		v.ForeignAnswers + v.KeysSeen + v.WithdrawnKeys + v.LateWork + v.CutByStop + v.QuietBroken
+		v.ForeignAnswers + v.KeysSeen + v.WithdrawnKeys + v.LateWork + v.CutByStop + v.QuietBroken + v.LimitExceeded
 }
 
 // maxRequestsInPause is the number of one VM's requests that may reach a server during a pause, because they
@@ -113,7 +119,8 @@
 		LateWork: count(h.Servers, func(s Server) bool {
 			return s.DrainedAt > 0 && s.LastRun > s.DrainedAt+PropagationGrace
 		}),
-		QuietBroken: count(h.Servers, func(s Server) bool { return s.RequestsInPause > maxRequestsInPause }),
+		QuietBroken:   count(h.Servers, func(s Server) bool { return s.RequestsInPause > maxRequestsInPause }),
+		LimitExceeded: h.limitExceeded(),
 		CutByStop: count(h.Observations, func(o psload.Observation) bool {
 			return slices.ContainsFunc(o.AbortedBy, func(vm string) bool { return slices.Contains(h.Stopped, vm) })
 		}),
--- a/internal/process/psscenario/scenario.go
+++ b/internal/process/psscenario/scenario.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -79,13 +81,15 @@
 	// FaultRestore restores the store, when the fault ends, from a snapshot taken when it began. A
 	// second later, servers and the operator have rewritten what the store lost.
 	FaultRestore FaultKind = "restore"
+	// FaultLimit makes backend servers name a limit on the requests that they take from all VMs.
+	FaultLimit FaultKind = "limit"
 )
 
 // UnmarshalText decodes a kind. It returns an error if the kind is unknown.
 func (k *FaultKind) UnmarshalText(text []byte) error {
 	switch v := FaultKind(text); v {
 	case FaultKillVM, FaultStopVM, FaultKillRegion, FaultPartitionRegion, FaultPartitionAll, FaultPlatformDown,
-		FaultSlowServer, FaultKillServer, FaultDrain, FaultRevokeKey, FaultPoison, FaultLeave, FaultPause, FaultRestore:
+		FaultSlowServer, FaultKillServer, FaultDrain, FaultRevokeKey, FaultPoison, FaultLeave, FaultPause, FaultRestore, FaultLimit:
 		*k = v
 		return nil
 	}
@@ -96,13 +100,17 @@
 type Fault struct {
 	// At is when the fault begins, relative to the start of the load.
 	At pstoml.Duration `toml:"at"`
-	// Until is when the fault ends; if absent, it lasts to the end of the run. Faults that are single events,
-	// such as the kill of a VM, ignore it.
+	// Until is when the fault ends; if absent, it lasts to the end of the run. A VM that was stopped or killed is
+	// started again at its end. Other faults that are single events ignore it.
 	Until pstoml.Duration `toml:"until"`
 	// Kind is the kind of the fault.
 	Kind FaultKind `toml:"kind"`
 	// Target is the index of the affected VM, region, backend server or workspace.
 	Target int `toml:"target"`
+	// Count is the number of backend servers that name limits, beginning with the target; 1 if absent.
+	Count int `toml:"count"`
+	// Limits are the limits that they name one after the other, each for a second, in requests per second.
+	Limits []float64 `toml:"limits"`
 }
 
 // Parse decodes a scenario. Its error is of type pstoml.Findings if the file is invalid.
@@ -151,6 +159,9 @@
 		at := fmt.Sprintf("faults[%d]", i)
 		require(f.Kind != "", at+".kind", "the fault needs a kind")
 		require(f.Target >= 0 && f.Target < f.targetCount(), at+".target", "there is no such target")
+		require((f.Kind == FaultLimit) == (len(f.Limits) > 0), at+".limits", "a limit has values, and no other fault has any")
+		require(!slices.ContainsFunc(f.Limits, func(v float64) bool { return !(v >= 0) || math.IsInf(v, 0) }), at+".limits", "limits must not be negative or infinite")
+		require(f.Count >= 0 && f.Target+f.Count <= f.targetCount(), at+".count", "there are fewer targets")
 		require(f.Until.Duration == 0 || f.Until.Duration > f.At.Duration, at+".until", "the fault ends before it begins")
 	}
 	return findings
@@ -163,7 +174,7 @@
 		return vmCount
 	case FaultKillRegion, FaultPartitionRegion:
 		return regionCount
-	case FaultSlowServer, FaultKillServer, FaultDrain, FaultLeave, FaultPause:
+	case FaultSlowServer, FaultKillServer, FaultDrain, FaultLeave, FaultPause, FaultLimit:
 		return serverCount
 	case FaultRevokeKey, FaultPoison:
 		return len(workspaceWeights)
--- a/internal/process/psscenario/scenario_test.go
+++ b/internal/process/psscenario/scenario_test.go
@@ -36,9 +36,17 @@
 target = 9
 [[faults]]
 kind = "rain"
+[[faults]]
+kind = "limit"
+target = 39
+count = 2
+limits = [-1.0]
+[[faults]]
+kind = "drain"
+limits = [3.0]
 `))
 	qt.Assert(t, err, qt.IsNotNil)
-	for _, text := range []string{"needs a name", "at most one minute", "no such workspace", "no such target", "ends before it begins", `unknown fault kind "rain"`} {
+	for _, text := range []string{"needs a name", "at most one minute", "no such workspace", "no such target", "ends before it begins", `unknown fault kind "rain"`, "there are fewer targets", "must not be negative", "no other fault has any"} {
 		qt.Check(t, err.Error(), qt.Contains, text)
 	}
 }
