--- a/internal/connection/pspeer/endpoint.go
+++ b/internal/connection/pspeer/endpoint.go
@@ -129,7 +129,12 @@
 	if err != nil {
 		return psfleet.TokenResponse{}, errors.Wrap(err, "encode token request")
 	}
-	for range requestAttempts {
+	attempts := requestAttempts
+	if r.Server != nil {
+		// The caller's request can go to another server at once.
+		attempts = 1
+	}
+	for range attempts {
 		start := time.Now()
 		if _, err := e.socket.WriteToUDPAddrPort(data, to); err != nil {
 			return psfleet.TokenResponse{}, errors.Wrap(err, "send token request")
@@ -253,6 +258,9 @@
 	if err := json.Unmarshal(*m.Params, &r); err != nil {
 		return nil, errors.Wrap(err, "decode token request")
 	}
+	if err := r.Check(); err != nil {
+		return nil, err
+	}
 	v := &jsonrpc2.Response{ID: m.ID}
 	if err := v.SetResult(h.GrantToken(r)); err != nil {
 		return nil, errors.Wrap(err, "encode token response")
@@ -267,6 +275,9 @@
 	if err := json.Unmarshal(*m.Result, &v); err != nil {
 		return errors.Wrap(err, "decode token response")
 	}
+	if err := v.Check(); err != nil {
+		return err
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if c, found := e.pending[m.ID.Num]; found {
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -72,7 +72,7 @@
 	c.proxy.retries.AddRequest(service, c.proxy.options.Settings.Bounds.RetryWindow, c.arrivedAt)
 	var last *psresponse.Response
 	for {
-		s, rejection := c.selectServer(service, c.attemptedServers())
+		s, rejection := c.selectServer(ctx, service, c.attemptedServers())
 		if rejection != nil {
 			return c.finalOutcome(rejection, last)
 		}
@@ -227,7 +227,7 @@
 		limit = max(limit, int(connectionShare*float64(service.MaxConnections))/c.snapshot.FleetSize)
 	}
 	maySend := func() bool {
-		if !s.server.Usable(c.proxy.options.Now()) {
+		if !s.server.Usable(c.proxy.options.Now()) || !s.hasLimitToken && s.server.HasLimit() {
 			return false
 		}
 		s.server.CountSent()
--- a/internal/connection/psproxy/metrics.go
+++ b/internal/connection/psproxy/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/pstoken"
 )
 
 const namespace = "persimmonstep"
@@ -21,6 +22,7 @@
 	expectedWaits prometheus.Histogram
 	loadAges      prometheus.Histogram
 	tokens        *prometheus.CounterVec
+	serverTokens  *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics of a proxy after registering them.
@@ -47,8 +49,12 @@
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "steered_tokens_total", Help: "Tokens of workspaces by what came of them: granted, over or unasked.",
 		}, []string{"verdict"}),
+		serverTokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "steered_server_tokens_total",
+			Help: "Tokens of servers' limits by what came of them: granted, over, deferred (not requested) or unasked.",
+		}, []string{"verdict"}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.duration, m.expectedWaits, m.loadAges, m.tokens)
+	r.MustRegister(m.requests, m.attempts, m.duration, m.expectedWaits, m.loadAges, m.tokens, m.serverTokens)
 	return m
 }
 
@@ -69,3 +75,19 @@
 		m.loadAges.Observe(a.view.LoadAge.Seconds())
 	}
 }
+
+// observeServerToken records what came of a token of a server's limit.
+func (m *Metrics) observeServerToken(v pstoken.Verdict) {
+	label := ""
+	switch v.(type) {
+	case pstoken.Granted:
+		label = "granted"
+	case pstoken.OverLimit:
+		label = "over"
+	case pstoken.Deferred:
+		label = "deferred"
+	case pstoken.Unavailable:
+		label = "unasked"
+	}
+	m.serverTokens.WithLabelValues(label).Inc()
+}
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -126,6 +126,9 @@
 	if a.Pause > 0 {
 		s.Pause(a.Pause, time.Now())
 	}
+	if a.Limit.Named || a.Genuine {
+		s.RecordLimit(a.Limit, a.SentAt, time.Now())
+	}
 }
 
 func (c *fakeControl) ServerFailed(s *psserver.Server, _ pscontrol.Reason, _ string) {
@@ -167,7 +170,7 @@
 	t.Helper()
 	control := &fakeControl{snapshot: &pscontrol.Snapshot{
 		Index: psconfig.NewIndex(&testConfiguration), Servers: map[string][]*psserver.Server{},
-		ServersReadAt: time.Now(), EvenShare: 1, FleetSize: 1,
+		ServersReadAt: time.Now(), EvenShare: 1, FleetSize: 1, ShareHolders: []psfleet.Identity{{VM: "vm-1"}},
 	}}
 	for i, v := range backends {
 		entry := psserver.Entry{
@@ -184,7 +187,7 @@
 			Bounds: psnode.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50},
 		},
 		Transport: transport, Logger: hclog.NewNullLogger(), Metrics: psproxy.NewMetrics(prometheus.NewRegistry()),
-		Tokens: pstoken.New("vm-1", unresponsivePeers{}, time.Now), Now: time.Now,
+		Tokens: pstoken.New(pstoken.Options{Self: "vm-1", Client: unresponsivePeers{}, Logger: hclog.NewNullLogger(), Now: time.Now}), Now: time.Now,
 	})
 	p.SetControlPlane(control)
 	s := httptest.NewUnstartedServer(p)
@@ -260,6 +263,7 @@
 		"token owners unresponsive": {func(r *http.Request, control *fakeControl) {
 			r.Header.Set("Authorization", "Bearer k-2")
 			control.snapshot.FleetSize = 2
+			control.snapshot.ShareHolders = []psfleet.Identity{{VM: "vm-2"}}
 		}, 503},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/connection/psproxy/select.go
+++ b/internal/connection/psproxy/select.go
@@ -1,10 +1,12 @@
 package psproxy
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psadmission"
 	"persimmonstep/internal/request/psplacement"
 	"persimmonstep/internal/request/psselect"
@@ -28,27 +30,68 @@
 	// maxExpected is the longest latency that does not indicate a slow server, and meanRunTime the mean run time of
 	// the service's requests.
 	maxExpected, meanRunTime time.Duration
+	// hasLimitToken states that a token of the server's limit was taken for the request.
+	hasLimitToken bool
 }
 
-// selectServer selects a server of the service among those that were not attempted yet.
-func (c *call) selectServer(service string, attempted []*psserver.Server) (selection, outcome) {
-	now := c.proxy.options.Now()
-	candidates := c.candidates(service, attempted, now)
-	request := c.selectionRequest(service, len(attempted) > 0, now)
+// selectServer selects a server of the service among those that were not attempted yet, and takes the tokens that a
+// request to it needs.
+func (c *call) selectServer(ctx context.Context, service string, attempted []*psserver.Server) (selection, outcome) {
+	candidates := c.candidates(service, attempted, c.proxy.options.Now())
+	refused := false
 	for len(candidates) > 0 {
+		request := c.selectionRequest(service, len(attempted) > 0, c.proxy.options.Now())
 		choice := psselect.Choose(c.selectionOptions(candidates), request)
 		chosen := candidates[choice.Index]
 		if rejection, found := psselect.Admit(choice, request).(psadmission.Rejected); found {
 			return selection{}, rejected{503, rejection.Reason, rejection.RetryAfter}
 		}
-		if !chosen.view.Cold || chosen.server.TakeColdToken(chosen.coldShare, now) {
-			return selection{chosen, choice, psselect.LatencyBound(choice, chosen.view, request), request.MeanRun}, nil
+		if chosen.view.Cold && !chosen.server.TakeColdToken(chosen.coldShare, c.proxy.options.Now()) {
+			candidates = slices.Delete(candidates, choice.Index, choice.Index+1)
+			continue
+		}
+		if c.takeLimitToken(ctx, chosen) {
+			return selection{
+				candidate: chosen, choice: choice, maxExpected: psselect.LatencyBound(choice, chosen.view, request),
+				meanRunTime: request.MeanRun, hasLimitToken: chosen.view.Limit.Named,
+			}, nil
 		}
-		candidates = slices.Delete(candidates, choice.Index, choice.Index+1)
+		refused = true
+		candidates = c.withoutShort(slices.Delete(candidates, choice.Index, choice.Index+1))
 	}
+	if refused {
+		return selection{}, rejected{503, "serverLimit", c.limitRetryAfter()}
+	}
+	now := c.proxy.options.Now()
 	return selection{}, rejected{503, "noServer", min(c.unavailableRetryAfter(service, now), c.remaining(now)/3)}
 }
 
+// takeLimitToken takes a token of a server's limit. A server without a limit needs none.
+func (c *call) takeLimitToken(ctx context.Context, s candidate) bool {
+	if !s.view.Limit.Named {
+		return true
+	}
+	verdict := c.proxy.options.Tokens.TakeServer(ctx, c.snapshot, s.server)
+	c.proxy.options.Metrics.observeServerToken(verdict)
+	_, granted := verdict.(pstoken.Granted)
+	return granted
+}
+
+// withoutShort removes the servers whose limits are used up. A request that one server with a limit has refused goes to
+// a server with free capacity, or to none: tried on all servers in turn, it would mostly run where its object isn't
+// cached, and take the tokens of requests that run where theirs is.
+func (c *call) withoutShort(candidates []candidate) []candidate {
+	return slices.DeleteFunc(candidates, func(v candidate) bool {
+		return v.view.Limit.Named && c.proxy.options.Tokens.Short(v.view.Entry.Run())
+	})
+}
+
+// limitRetryAfter returns the Retry-After time of a caller for which no server has a token. Callers return spread over
+// the time that they have, because each token can serve only one of them.
+func (c *call) limitRetryAfter() time.Duration {
+	return psadmission.RetryAfter(c.caller.DetectableWait, c.remaining(c.proxy.options.Now())/3, c.proxy.jitter())
+}
+
 // unavailableRetryAfter returns the Retry-After time of a service without a usable server. If servers asked for a
 // pause in requests, it is the earliest end of their pauses plus a jitter.
 func (c *call) unavailableRetryAfter(service string, now time.Time) time.Duration {
@@ -109,7 +152,7 @@
 	for i, v := range candidates {
 		list[i] = psselect.Option{
 			View: v.view, Region: v.server.Region, RoundTrip: roundTrips[v.view.Entry.FailureDomain],
-			ObjectSent: v.server.RecentObjects.Contains(c.object),
+			ObjectSent: v.server.RecentObjects.Contains(c.object), NeedsToken: v.view.Limit.Named,
 		}
 	}
 	return list
--- a/internal/process/pscontrol/bootstrap.go
+++ b/internal/process/pscontrol/bootstrap.go
@@ -30,7 +30,7 @@
 // FetchDesiredState fetches the operator's desired state from a VM and applies it if it is of the given revision
 // or a later one. It returns its revision; false if that failed.
 func (c *Controller) FetchDesiredState(ctx context.Context, vm string, revision psrevision.Revision) (psrevision.Revision, bool) {
-	i, found := lo.Find(c.Snapshot().shareHolders, func(i psfleet.Identity) bool { return i.VM == vm })
+	i, found := lo.Find(c.Snapshot().ShareHolders, func(i psfleet.Identity) bool { return i.VM == vm })
 	if !found {
 		return psrevision.Revision{}, false
 	}
@@ -94,7 +94,7 @@
 		return psfleet.Identity{}, false
 	}
 	first := self
-	for _, i := range s.shareHolders {
+	for _, i := range s.ShareHolders {
 		if i.FailureDomain == self.FailureDomain && i.Before(first) {
 			first = i
 		}
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -44,10 +44,12 @@
 	Digest(d *psfleet.Digest, to []psfleet.Identity) error
 }
 
-// DemandSource measures the demand of the workspaces.
-type DemandSource interface {
+// TokenSource measures the demand of the workspaces, and grants probes to servers with a limit.
+type TokenSource interface {
 	// Demands returns the rate of callers' requests, in requests per second, by workspace.
 	Demands(now time.Time) map[string]float64
+	// TakeProbe reports whether a probe may be sent to a server.
+	TakeProbe(ctx context.Context, s *Snapshot, server *psserver.Server) bool
 }
 
 // CrashTracker counts, for each request fingerprint, the crashes of servers that were running the request.
@@ -68,7 +70,7 @@
 	// unreachable, after a notice of a newer desired state, and when another VM has a newer configuration.
 	Fetcher PeerFetcher
 	Peers   PeerSender
-	Demands DemandSource
+	Tokens  TokenSource
 	Crashes CrashTracker
 	Logger  hclog.Logger
 	// Now returns the current time with a monotonic reading.
@@ -105,12 +107,14 @@
 	// reportedSize that size.
 	resizedSequence int64
 	reportedSize    int
-	// failedAt holds when this VM found servers down, by server id, and leavingAt when servers announced their
-	// shutdown to this VM. silentPeers holds the VMs whose silence was logged.
-	failedAt    map[string]time.Time
-	leavingAt   map[psserver.Run]time.Time
-	silentPeers map[string]bool
-	limitLog    pslog.RateLimit
+	// failedAt holds when this VM found servers down, by server id, leavingAt when servers announced their shutdown to
+	// this VM, and limitChangedAt when they began or ceased to name it a limit. silentPeers holds the VMs whose silence
+	// was logged.
+	failedAt       map[string]time.Time
+	leavingAt      map[psserver.Run]time.Time
+	limitChangedAt map[psserver.Run]time.Time
+	silentPeers    map[string]bool
+	limitLog       pslog.RateLimit
 }
 
 // New returns a controller without a configuration, servers or known VMs.
@@ -118,7 +122,7 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
 		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity), shares: psshare.New(),
-		failedAt: map[string]time.Time{}, leavingAt: map[psserver.Run]time.Time{}, silentPeers: map[string]bool{},
+		failedAt: map[string]time.Time{}, leavingAt: map[psserver.Run]time.Time{}, limitChangedAt: map[psserver.Run]time.Time{}, silentPeers: map[string]bool{},
 		limitLog: pslog.RateLimit{PerSecond: limitLinesPerSecond},
 	}
 	c.runContext = context.Background()
@@ -183,7 +187,7 @@
 // SendNotice sends a notice to the other VMs of the region.
 func (c *Controller) SendNotice(n *psfleet.Notice) {
 	self := c.options.Identity
-	to := lo.Filter(c.Snapshot().shareHolders, func(v psfleet.Identity, _ int) bool { return v.Region == self.Region && v.VM != self.VM })
+	to := lo.Filter(c.Snapshot().ShareHolders, func(v psfleet.Identity, _ int) bool { return v.Region == self.Region && v.VM != self.VM })
 	if err := c.options.Peers.Notice(n, to); err != nil {
 		c.options.Logger.Debug("sending a notice failed for at least one VM", "error", err.Error())
 	}
@@ -279,6 +283,7 @@
 	// configurationEvent carries a newer configuration from another VM.
 	configurationEvent struct{ configuration *psconfig.Configuration }
 	serverLeavingEvent struct{ run psserver.Run }
+	serverLimitEvent   struct{ run psserver.Run }
 	leaveEvent         struct{}
 	peerStateEvent     struct {
 		vm    string
@@ -298,6 +303,7 @@
 func (serverFailedEvent) event()  {}
 func (configurationEvent) event() {}
 func (serverLeavingEvent) event() {}
+func (serverLimitEvent) event()   {}
 func (leaveEvent) event()         {}
 func (peerStateEvent) event()     {}
 
@@ -382,6 +388,8 @@
 		c.desiredState.ApplyConfiguration(e.configuration, psrevision.Revision{})
 	case serverLeavingEvent:
 		c.leavingAt[e.run] = now
+	case serverLimitEvent:
+		c.limitChangedAt[e.run] = now
 	case leaveEvent:
 		c.sendReport()
 		c.publishDigest()
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -119,13 +119,14 @@
 func (*store) VMChanges(context.Context, psrevision.Revision) (platform.VMs, error) {
 	return platform.VMs{}, nil
 }
-func (*store) PublishVM(context.Context, string, []byte) error     { return nil }
-func (*store) Report(*psfleet.Report, []psfleet.Identity) error    { return nil }
-func (*store) Notice(*psfleet.Notice, []psfleet.Identity) error    { return nil }
-func (*store) Digest(*psfleet.Digest, []psfleet.Identity) error    { return nil }
-func (*store) Demands(time.Time) map[string]float64                { return nil }
-func (*store) Crashes(time.Time) map[uint64]int                    { return nil }
-func (*store) RecordPeerCrashes(string, map[uint64]int, time.Time) {}
+func (*store) PublishVM(context.Context, string, []byte) error                       { return nil }
+func (*store) Report(*psfleet.Report, []psfleet.Identity) error                      { return nil }
+func (*store) Notice(*psfleet.Notice, []psfleet.Identity) error                      { return nil }
+func (*store) Digest(*psfleet.Digest, []psfleet.Identity) error                      { return nil }
+func (*store) Demands(time.Time) map[string]float64                                  { return nil }
+func (*store) TakeProbe(context.Context, *pscontrol.Snapshot, *psserver.Server) bool { return true }
+func (*store) Crashes(time.Time) map[uint64]int                                      { return nil }
+func (*store) RecordPeerCrashes(string, map[uint64]int, time.Time)                   {}
 func (*store) Probe(context.Context, psserver.Entry, string) (platform.Health, error) {
 	return platform.Health{Healthy: true, Server: "i-1", ColdFor: time.Minute}, nil
 }
@@ -163,7 +164,7 @@
 	c := pscontrol.New(pscontrol.Options{
 		Settings: &psnode.Settings{Regions: map[string]string{"north-a": "north"}},
 		Identity: psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a},
-		Store:    s, Prober: s, Fetcher: s, Peers: s, Demands: s, Crashes: s, Logger: hclog.NewNullLogger(), Now: time.Now,
+		Store:    s, Prober: s, Fetcher: s, Peers: s, Tokens: s, Crashes: s, Logger: hclog.NewNullLogger(), Now: time.Now,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -42,6 +42,7 @@
 	}
 	c.options.Crashes.RecordPeerCrashes(r.VM, r.Crashes, now)
 	c.applyPeerLeaving(r.Leaving)
+	c.applyPeerLimits(r.Limited, receivedAt)
 	for id, lag := range r.Slow {
 		if s, found := c.servers.Get(id); found {
 			s.RecordPeerLag(lag, now)
@@ -126,8 +127,8 @@
 	c.sequence++
 	r := &psfleet.Report{
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), ReadsStore: !c.watcher.Lost(), Version: c.desiredState.Version(),
-		Demands: c.options.Demands.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: recent(c.failedAt, now),
-		Leaving: recent(c.leavingAt, now), Slow: c.slowServers(now),
+		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: recent(c.failedAt, now),
+		Leaving: recent(c.leavingAt, now), Limited: c.limitsToAnnounce(now), Slow: c.slowServers(now),
 	}
 	c.shares.Record(r.Demands)
 	if n := c.fleet.Size(); n != c.reportedSize {
@@ -185,7 +186,7 @@
 		RateShares: shares, EvenShare: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
 		changes: c.desiredState.Changes + c.servers.Changes(), desiredStateRevision: c.desiredState.Revision, serversRevision: c.serversRevision, newerVM: c.newerVM(now),
 		relaysStore:  c.fleet.IsRelay(now),
-		storeReaders: c.fleet.StoreReaders(now), shareHolders: c.fleet.ShareHolders(now),
+		storeReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), Silent: c.fleet.Silent(now), PropagationTime: c.fleet.PropagationTime(),
 	})
 }
 
--- a/internal/process/pscontrol/limit.go
+++ b/internal/process/pscontrol/limit.go
@@ -1,24 +1,69 @@
 package pscontrol
 
 import (
+	"time"
+
+	"github.com/samber/lo"
+
 	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psserver"
 )
 
-// limitLinesPerSecond bounds the log lines of changed limits. A server may change its limit in each response.
-const limitLinesPerSecond = 20
+const (
+	// limitLinesPerSecond bounds the log lines of changed limits. A server may change its limit in each response.
+	limitLinesPerSecond = 20
+	// maxAnnouncedLimits bounds the limits in a report, which is one datagram.
+	maxAnnouncedLimits = 64
+)
 
-// recordLimit records the limit in a response, or its absence.
+// recordLimit records the limit in a response, or its absence. If the server began or ceased to have a limit, this VM's
+// next reports announce it.
 func (c *Controller) recordLimit(s *psserver.Server, a Announcement) {
-	now := c.options.Now()
-	before, changed := s.RecordLimit(a.Limit, a.SentAt, now)
-	if !changed || !c.limitLog.Allow(now) {
+	before, changed := s.RecordLimit(a.Limit, a.SentAt, c.options.Now())
+	if !changed {
+		return
+	}
+	c.logLimit(s, before, a.Limit, a.RequestID)
+	if before.Named != a.Limit.Named {
+		c.enqueue(serverLimitEvent{s.Entry().Run()})
+	}
+}
+
+// logLimit logs the changed limit of a server. requestID is empty if another VM reported it.
+func (c *Controller) logLimit(s *psserver.Server, before, after psserver.Limit, requestID string) {
+	if !c.limitLog.Allow(c.options.Now()) {
 		return
 	}
 	e := s.Entry()
-	if a.Limit.Named {
-		psevent.ServerLimited.Log(c.options.Logger, e.ID, e.Service, a.RequestID, a.Limit.String(), before.String())
+	if after.Named {
+		psevent.ServerLimited.Log(c.options.Logger, e.ID, e.Service, requestID, after.String(), before.String())
 		return
 	}
-	psevent.ServerUnlimited.Log(c.options.Logger, e.ID, e.Service, a.RequestID, before.String())
+	psevent.ServerUnlimited.Log(c.options.Logger, e.ID, e.Service, requestID, before.String())
+}
+
+// limitsToAnnounce returns what this VM knows of the servers that recently began or ceased to name a limit to it.
+func (c *Controller) limitsToAnnounce(now time.Time) []psfleet.ServerLimit {
+	var list []psfleet.ServerLimit
+	for _, r := range lo.Slice(recent(c.limitChangedAt, now), 0, maxAnnouncedLimits) {
+		if s, found := c.servers.Get(r.ID); found && s.Entry().Run() == r {
+			limit, age := s.Limit(now)
+			list = append(list, psfleet.ServerLimit{Run: r, Limit: limit, Age: age})
+		}
+	}
+	return list
+}
+
+// applyPeerLimits applies what another VM announced of servers' limits in a report that was received at a time.
+func (c *Controller) applyPeerLimits(list []psfleet.ServerLimit, receivedAt time.Time) {
+	for _, v := range list {
+		s, found := c.servers.Get(v.ID)
+		if !found || s.Entry().Run() != v.Run {
+			continue
+		}
+		if before, changed := s.RecordPeerLimit(v.Limit, receivedAt.Add(-v.Age)); changed {
+			c.logLimit(s, before, v.Limit, "")
+		}
+	}
 }
--- /dev/null
+++ b/internal/process/pscontrol/limit_test.go
@@ -0,0 +1,164 @@
+package pscontrol_test
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/platform"
+)
+
+// reports records the reports that a VM sends.
+type reports struct {
+	*store
+	mutex sync.Mutex
+	sent  []psfleet.Report
+}
+
+func (r *reports) Report(v *psfleet.Report, _ []psfleet.Identity) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.sent = append(r.sent, *v)
+	return nil
+}
+
+func (r *reports) last() psfleet.Report {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.sent[len(r.sent)-1]
+}
+
+// tokens grants probes as long as granted is set.
+type tokens struct {
+	*store
+	mutex   sync.Mutex
+	granted bool
+	probes  int
+}
+
+func (t *tokens) TakeProbe(context.Context, *pscontrol.Snapshot, *psserver.Server) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.granted
+}
+
+func (t *tokens) Probe(context.Context, psserver.Entry, string) (platform.Health, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.probes++
+	return platform.Health{Healthy: true}, nil
+}
+
+func (t *tokens) set(granted bool) (probes int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.granted = granted
+	return t.probes
+}
+
+func startWith(t *testing.T, s *store, r *reports, k *tokens) *pscontrol.Controller {
+	t.Helper()
+	a := netip.MustParseAddrPort("127.0.0.1:1")
+	c := pscontrol.New(pscontrol.Options{
+		Settings: &psnode.Settings{Regions: map[string]string{"north-a": "north"}},
+		Identity: psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a},
+		Store:    s, Prober: k, Fetcher: s, Peers: r, Tokens: k, Crashes: s, Logger: hclog.NewNullLogger(), Now: time.Now,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go c.Run(ctx)
+	return c
+}
+
+func named(perSecond float64) psserver.Limit {
+	return psserver.Limit{Named: true, PerSecond: perSecond}
+}
+
+// TestLimitIsAnnouncedToOtherVMs lets a server name a limit to a VM, change it and withdraw it. The VM's reports announce
+// the beginning and the end of the limit for a while.
+func TestLimitIsAnnouncedToOtherVMs(t *testing.T) {
+	s := newStore()
+	r := &reports{store: s}
+	c := startWith(t, s, r, &tokens{store: s})
+	s.set(func(s *store) {
+		s.desiredState.Configuration = configuration(1)
+		s.servers.Entries = []psserver.Entry{entry("i-1")}
+	})
+	eventually(t, "a server", func() bool { return serverCount(c) == 1 })
+	server := c.Snapshot().Servers["prices"][0]
+	respond := func(a platform.Availability, genuine bool) {
+		c.UpdateAvailability(server, pscontrol.Announcement{Availability: a, SentAt: time.Now(), Genuine: genuine})
+	}
+	limit := func() psserver.Limit { v, _ := server.Limit(time.Now()); return v }
+
+	respond(platform.Availability{Limit: named(5)}, true)
+	eventually(t, "the announced limit", func() bool { return len(r.last().Limited) == 1 })
+	qt.Assert(t, r.last().Limited[0].Run, qt.Equals, server.Entry().Run())
+	qt.Assert(t, r.last().Limited[0].Limit, qt.Equals, named(5))
+	eventually(t, "the end of the announcement", func() bool { return len(r.last().Limited) == 0 })
+	respond(platform.Availability{Limit: named(4)}, true)
+	// These state nothing about the limit.
+	respond(platform.Availability{LimitUnreadable: true}, true)
+	respond(platform.Availability{}, false)
+	qt.Assert(t, limit(), qt.Equals, named(4))
+	respond(platform.Availability{}, true)
+	qt.Assert(t, limit(), qt.Equals, psserver.Limit{})
+	eventually(t, "the announced withdrawal", func() bool { return len(r.last().Limited) == 1 })
+	qt.Assert(t, r.last().Limited[0].Limit, qt.Equals, psserver.Limit{})
+}
+
+// TestLimitOfReportIsApplied receives reports of limits. Those of an earlier run of a server and those that are older
+// than this VM's own knowledge must not count.
+func TestLimitOfReportIsApplied(t *testing.T) {
+	s := newStore()
+	c := startController(t, s)
+	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1"), entry("i-2"), entry("i-3")} })
+	eventually(t, "three servers", func() bool { return serverCount(c) == 3 })
+	server := func(id string) *psserver.Server {
+		i := slices.IndexFunc(c.Snapshot().Servers["prices"], func(v *psserver.Server) bool { return v.Entry().ID == id })
+		return c.Snapshot().Servers["prices"][i]
+	}
+	server("i-3").RecordLimit(psserver.Limit{}, time.Now(), time.Now())
+	a := netip.MustParseAddrPort("127.0.0.1:2")
+	c.ReceiveReport(&psfleet.Report{
+		Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: 1}, Sequence: 1,
+		Limited: []psfleet.ServerLimit{
+			{Run: psserver.Run{ID: "i-2", Incarnation: 77}, Limit: named(2)},
+			{Run: server("i-3").Entry().Run(), Limit: named(3), Age: time.Minute},
+			{Run: server("i-1").Entry().Run(), Limit: named(1), Age: time.Second},
+		},
+	})
+	eventually(t, "the limit", func() bool { return server("i-1").HasLimit() })
+	qt.Assert(t, server("i-2").HasLimit(), qt.IsFalse)
+	qt.Assert(t, server("i-3").HasLimit(), qt.IsFalse)
+	_, age := server("i-1").Limit(time.Now())
+	qt.Assert(t, age >= time.Second && age < 3*time.Second, qt.IsTrue, qt.Commentf("%s", age))
+}
+
+// TestFailedServerIsProbedWithinItsLimit lets a server fail. It must not be probed without a token, and be used again
+// after a probe with one.
+func TestFailedServerIsProbedWithinItsLimit(t *testing.T) {
+	s := newStore()
+	k := &tokens{store: s}
+	c := startWith(t, s, &reports{store: s}, k)
+	s.set(func(s *store) {
+		s.desiredState.Configuration = configuration(1)
+		s.servers.Entries = []psserver.Entry{entry("i-1")}
+	})
+	eventually(t, "a server", func() bool { return serverCount(c) == 1 && c.Snapshot().Index != nil })
+	server := c.Snapshot().Servers["prices"][0]
+	c.ServerFailed(server, pscontrol.ReasonUnreachable, "id-1")
+	time.Sleep(time.Second)
+	qt.Assert(t, k.set(true), qt.Equals, 0)
+	eventually(t, "the server", func() bool { return server.Usable(time.Now()) })
+}
--- a/internal/process/pscontrol/probe.go
+++ b/internal/process/pscontrol/probe.go
@@ -56,10 +56,10 @@
 }
 
 // probeOnce sends one probe and reports whether probing is complete. A server that requested a pause is not
-// probed.
+// probed, and one with a limit only with a token.
 func (c *Controller) probeOnce(s *psserver.Server, path string) bool {
 	e := s.Entry()
-	if s.View(c.options.Now()).PauseRemaining > 0 {
+	if s.View(c.options.Now()).PauseRemaining > 0 || !c.options.Tokens.TakeProbe(c.runContext, c.Snapshot(), s) {
 		return false
 	}
 	sentAt := c.options.Now()
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -30,8 +30,12 @@
 	RateShares map[string]float64
 	// EvenShare is the share of a workspace that isn't in RateShares.
 	EvenShare float64
-	// shareHolders lists this VM and those that may still use their share of the fleet's limits.
-	shareHolders []psfleet.Identity
+	// ShareHolders lists this VM and those that may still use their share of the fleet's limits. Silent names those of
+	// them that send no reports now.
+	ShareHolders []psfleet.Identity
+	Silent       map[string]bool
+	// PropagationTime is the time within which a VM's report reaches all VMs.
+	PropagationTime time.Duration
 	// relaysStore is set if this VM relays store changes to the others of its region.
 	relaysStore bool
 	// desiredStateRevision is the store revision of the latest change of the desired state, and serversRevision that
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -61,6 +61,12 @@
 	ServerLimited = Event{7210, hclog.Warn, "backend server limits requests", []string{"server", "service", "requestId", "perSecond", "before"}}
 	// ServerUnlimited reports that a response of a backend server to this VM names no limit any more.
 	ServerUnlimited = Event{7211, hclog.Info, "backend server limits requests no more", []string{"server", "service", "requestId", "before"}}
+	// ServerTokensGranted reports what this VM, which owns the tokens of a server's limit, granted to all VMs since the
+	// last line, and from what: the limit and the time since a response confirmed it, the fraction of the fleet that it
+	// reaches, the rate that it grants, the rate that VMs want, and the fraction for which they request tokens.
+	ServerTokensGranted = Event{7212, hclog.Info, "tokens of a backend server granted", []string{
+		"server", "service", "perSecond", "age", "second", "reached", "rate", "demand", "part", "asked", "wanted", "granted",
+	}}
 
 	// PeerLive reports that the first report of another VM arrived, or the first after a silence.
 	PeerLive = Event{7301, hclog.Info, "VM live", []string{"vm", "incarnation", "silentFor"}}
@@ -96,7 +102,7 @@
 	return []Event{
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped,
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale,
-		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited,
+		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied,
 		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted,
 	}
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -117,6 +117,8 @@
 	Failed []string `json:"failed,omitempty"`
 	// Leaving lists servers that recently announced their shutdown to the VM.
 	Leaving []psserver.Run `json:"leaving,omitempty"`
+	// Limited lists servers that recently began or ceased to name a limit to the VM.
+	Limited []ServerLimit `json:"limited,omitempty"`
 	// Slow lists servers that are slower than the others of their service, with their lag: the response
 	// time as a multiple of the longest expected one.
 	Slow map[string]float64 `json:"slow,omitempty"`
@@ -139,30 +141,17 @@
 
 // Check validates a decoded report.
 func (r *Report) Check() error {
+	for _, v := range r.Limited {
+		if err := v.Check(); err != nil {
+			return errors.Wrap(err, "check report")
+		}
+	}
 	if r.isBrief() {
 		return nil
 	}
 	return r.Identity.Check()
 }
 
-// TokenRequest asks the VM that owns the tokens of a workspace for one of them.
-type TokenRequest struct {
-	Workspace string `json:"workspace"`
-	// Backup is set if the primary owner didn't answer and the receiver is asked as the backup.
-	Backup bool `json:"second,omitempty"`
-	// Late is set if the caller is retrying and can't be answered within its latency target any more.
-	Late bool `json:"late,omitempty"`
-}
-
-// TokenResponse answers a [TokenRequest].
-type TokenResponse struct {
-	Granted bool `json:"granted"`
-	// Wait is the time until the next token is available.
-	Wait time.Duration `json:"wait,omitempty"`
-	// Excess is set if the demand has exceeded the rate for a sustained time.
-	Excess bool `json:"excess,omitempty"`
-}
-
 // Notice announces to the VMs of a region what one of them has read in the store. It is also sent when
 // nothing has changed, to show how recent the data is.
 type Notice struct {
@@ -339,3 +328,14 @@
 	}
 	return list
 }
+
+// Silent returns the names of the VMs that sent reports before and don't now.
+func (f *Fleet) Silent(now time.Time) map[string]bool {
+	silent := make(map[string]bool)
+	for _, p := range f.Peers() {
+		if p.Report != nil && !f.Live(p, now) {
+			silent[p.Identity.VM] = true
+		}
+	}
+	return silent
+}
--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -46,26 +46,25 @@
 	// split. Random arrivals would find the bucket of one VM empty while that of another one is
 	// full, so one VM owns the tokens.
 	minSplitRate = 3
-	// primaryShare and backupShare are the fractions of such a rate that are granted by the primary
-	// owner of the tokens, and by the backup owner that is asked when the primary doesn't answer.
-	primaryShare = 0.88
-	backupShare  = 0.12
 	// minOwnerRate is the lowest rate of an owner, in requests per second, because 0 means no limit.
 	minOwnerRate = 1e-3
 )
 
+// The shares of a workspace's rate that isn't split: of the primary owner of the tokens, and of the backup owner
+// that is asked when the primary doesn't answer.
+const (
+	PrimaryShare = 0.88
+	BackupShare  = 0.12
+)
+
 // SingleOwner reports whether one VM owns the tokens of a limit in a fleet of fleetSize VMs.
 func SingleOwner(l Limit, fleetSize int) bool {
 	return l.Rate > 0 && l.Rate < minSplitRate*float64(fleetSize)
 }
 
-// OwnerLimit returns what an owner grants of a limit. reachable is the fraction of the fleet that the owner
-// can reach. The rest of the limit is left to the owner that the other VMs may use during a partition.
-func OwnerLimit(l Limit, backup bool, reachable float64) Limit {
-	share := primaryShare
-	if backup {
-		share = backupShare
-	}
+// OwnerLimit returns what an owner with a share grants of a limit. reachable is the fraction of the fleet that the
+// owner can reach. The rest of the limit is left to the owner that the other VMs may use during a partition.
+func OwnerLimit(l Limit, share, reachable float64) Limit {
 	share *= min(1, reachable)
 	return Limit{Rate: max(minOwnerRate, l.Rate*share), Burst: l.Burst * share}
 }
@@ -148,6 +147,19 @@
 	return false, time.Duration((max(1, minimum) - b.tokens) / rate * float64(time.Second))
 }
 
+// TakeUpTo takes at most n tokens and returns how many it took, and the time until the next one if it took none. The
+// demand grows by wanted, which includes requests for which no tokens were asked.
+func (b *Bucket) TakeUpTo(n, wanted int, l Limit, now time.Time) (int, time.Duration) {
+	b.refill(l, 1, now)
+	b.demand += float64(wanted) / demandWindow.Seconds()
+	taken := min(n, int(b.tokens+1-wholeToken))
+	if taken <= 0 {
+		return 0, time.Duration((1 - b.tokens) / (l.Rate * refillFactor) * float64(time.Second))
+	}
+	b.tokens -= float64(taken)
+	return taken, 0
+}
+
 // Return puts back the token of a request that was not sent to a server.
 func (b *Bucket) Return() { b.tokens++ }
 
--- a/internal/process/psrate/rate_test.go
+++ b/internal/process/psrate/rate_test.go
@@ -142,8 +142,8 @@
 	for _, fraction := range []float64{1, 0.5, 0.25} {
 		now := time.Unix(0, 0)
 		limits := []psrate.Limit{
-			psrate.OwnerLimit(l, false, fraction), psrate.OwnerLimit(l, true, fraction),
-			psrate.OwnerLimit(l, false, 1-fraction), psrate.OwnerLimit(l, true, 1-fraction),
+			psrate.OwnerLimit(l, psrate.PrimaryShare, fraction), psrate.OwnerLimit(l, psrate.BackupShare, fraction),
+			psrate.OwnerLimit(l, psrate.PrimaryShare, 1-fraction), psrate.OwnerLimit(l, psrate.BackupShare, 1-fraction),
 		}
 		buckets := make([]*psrate.Bucket, len(limits))
 		for i := range buckets {
@@ -175,7 +175,7 @@
 	rejected := 0
 	for range 500 {
 		now = now.Add(100 * time.Millisecond)
-		if granted, _ := b.Take(psrate.OwnerLimit(l, false, 1), 1, now); !granted {
+		if granted, _ := b.Take(psrate.OwnerLimit(l, psrate.PrimaryShare, 1), 1, now); !granted {
 			rejected++
 		}
 	}
--- a/internal/process/psserver/limit.go
+++ b/internal/process/psserver/limit.go
@@ -1,8 +1,11 @@
 package psserver
 
 import (
+	"math"
 	"strconv"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Limit is the rate of requests that a server takes from all VMs together. The zero value is no limit.
@@ -10,7 +13,15 @@
 	// Named is set if there is a limit.
 	Named bool `json:"named"`
 	// PerSecond is the rate in requests per second; 0 means that the server takes none.
-	PerSecond float64 `json:"perSecond"`
+	PerSecond float64 `json:"perSecond,omitempty"`
+}
+
+// Check validates a decoded limit.
+func (l Limit) Check() error {
+	if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) {
+		return errors.New("check limit of a server: rate is out of range")
+	}
+	return nil
 }
 
 // String returns the limit in requests per second, or "none".
@@ -56,6 +67,37 @@
 	return before, true
 }
 
+// RecordPeerLimit takes over what another VM knows of the limit, if it is from a later response than what this VM
+// knows. It returns the limit before, and whether it has changed.
+func (s *Server) RecordPeerLimit(l Limit, confirmedAt time.Time) (before Limit, changed bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before = s.limit.limit
+	if !confirmedAt.After(s.limit.confirmedAt) {
+		return before, false
+	}
+	s.limit.confirmedAt = confirmedAt
+	if l == before {
+		return before, false
+	}
+	s.limit.limit, s.limit.since = l, confirmedAt
+	return before, true
+}
+
+// Limit returns the server's limit, and the time since a response confirmed it.
+func (s *Server) Limit(now time.Time) (Limit, time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.limit.limit, now.Sub(s.limit.confirmedAt)
+}
+
+// HasLimit reports whether the server has a limit.
+func (s *Server) HasLimit() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.limit.limit.Named
+}
+
 // CountSent counts a request or a probe that is sent to the server.
 func (s *Server) CountSent() {
 	s.mutex.Lock()
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -108,14 +108,33 @@
 // TokenOwners returns the VMs of a list that own the tokens of a workspace: the primary, and the backup to
 // ask if the primary doesn't answer. In a fleet of one VM they are the same.
 func TokenOwners(workspace string, list []psfleet.Identity) (primary, backup psfleet.Identity) {
-	var primaryScore, backupScore uint64
+	return owners(workspace, list, func(psfleet.Identity) int { return 0 })
+}
+
+// ServerTokenOwners returns the VMs of a list that own the tokens of a server's limit. They are as near to the server
+// as possible, so that a VM which can reach the server can usually reach them as well.
+func ServerTokenOwners(server, failureDomain, region string, list []psfleet.Identity) (primary, backup psfleet.Identity) {
+	return owners(server, list, func(i psfleet.Identity) int {
+		switch {
+		case i.FailureDomain == failureDomain:
+			return 0
+		case i.Region == region:
+			return 1
+		}
+		return 2
+	})
+}
+
+// owners returns the two VMs with the least distance, and among those with the same distance the highest score.
+func owners(key string, list []psfleet.Identity, distance func(psfleet.Identity) int) (primary, backup psfleet.Identity) {
+	var first, second position
 	for _, i := range list {
-		switch v := psrendezvous.Score(workspace, i.VM); {
-		case v >= primaryScore:
-			backup, backupScore = primary, primaryScore
-			primary, primaryScore = i, v
-		case v >= backupScore:
-			backup, backupScore = i, v
+		switch p := (position{distance(i), psrendezvous.Score(key, i.VM)}); {
+		case primary.VM == "" || p.before(first):
+			backup, second = primary, first
+			primary, first = i, p
+		case backup.VM == "" || p.before(second):
+			backup, second = i, p
 		}
 	}
 	if backup.VM == "" {
@@ -123,3 +142,16 @@
 	}
 	return primary, backup
 }
+
+// position is the position of a VM in the order in which VMs own tokens.
+type position struct {
+	distance int
+	score    uint64
+}
+
+func (p position) before(other position) bool {
+	if p.distance != other.distance {
+		return p.distance < other.distance
+	}
+	return p.score > other.score
+}
--- a/internal/process/psstate/explain.go
+++ b/internal/process/psstate/explain.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/request/psadmission"
 	"persimmonstep/internal/request/psplacement"
 	"persimmonstep/internal/request/psselect"
@@ -59,6 +60,11 @@
 	FailureRate   float64       `json:"failures"`
 	// ObjectSent states that this VM recently sent a request for the object to the server.
 	ObjectSent bool `json:"sent"`
+	// Limit is the server's limit. With one the request needs a token of TokenOwner, and the VM requests one for a
+	// fraction of such requests. Without a token, the request goes to the next candidate whose limit is not used up.
+	Limit             psserver.Limit `json:"limit,omitzero"`
+	TokenOwner        string         `json:"tokenOwner,omitempty"`
+	RequestedFraction float64        `json:"tokenPart,omitempty"`
 }
 
 // Service is the decision for the request if it goes to one of the route's services.
@@ -130,6 +136,7 @@
 	}
 	allowed := psselect.Allowed(r, w)
 	var options []psselect.Option
+	var servers []*Server
 	for i := range s.Servers {
 		o := &s.Servers[i]
 		if o.Entry.Service != service {
@@ -140,14 +147,15 @@
 			continue
 		}
 		options = append(options, psselect.Option{
-			View: o.View, Region: o.Region, RoundTrip: s.RoundTrips[o.Entry.FailureDomain], ObjectSent: slices.Contains(o.Objects, object),
+			View: o.View, Region: o.Region, RoundTrip: s.RoundTrips[o.Entry.FailureDomain], ObjectSent: slices.Contains(o.Objects, object), NeedsToken: o.Limit.Named,
 		})
+		servers = append(servers, o)
 	}
 	if len(options) == 0 {
 		return v
 	}
 	ranked := psselect.Rank(options, request)
-	v.Candidates = lo.Map(ranked, func(c psplacement.Ranked, _ int) Candidate { return candidate(c, options[c.Index]) })
+	v.Candidates = lo.Map(ranked, func(c psplacement.Ranked, _ int) Candidate { return candidate(c, servers[c.Index]) })
 	v.decide(psselect.Admit(ranked[0].Choice, request))
 	return v
 }
@@ -167,11 +175,12 @@
 	return ""
 }
 
-func candidate(c psplacement.Ranked, o psselect.Option) Candidate {
+func candidate(c psplacement.Ranked, s *Server) Candidate {
 	return Candidate{
-		Server: o.View.Entry.ID, FailureDomain: o.View.Entry.FailureDomain, Rank: c.Rank, Cost: c.Cost,
-		Wait: c.Wait, Run: c.Run, RoundTrip: c.RoundTrip, Load: o.View.Load, LoadAge: o.View.LoadAge,
-		Slowness: o.View.Slowness, FailureRate: o.View.FailureRate, ObjectSent: o.ObjectSent,
+		Server: s.Entry.ID, FailureDomain: s.Entry.FailureDomain, Rank: c.Rank, Cost: c.Cost,
+		Wait: c.Wait, Run: c.Run, RoundTrip: c.RoundTrip, Load: s.Load, LoadAge: s.LoadAge,
+		Slowness: s.Slowness, FailureRate: s.FailureRate, ObjectSent: c.LikelyCached,
+		Limit: s.Limit, TokenOwner: s.TokenOwner, RequestedFraction: s.RequestedFraction,
 	}
 }
 
--- a/internal/process/psstate/explain_test.go
+++ b/internal/process/psstate/explain_test.go
@@ -8,9 +8,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psstate"
+	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -41,13 +43,16 @@
 		psserver.New(psserver.Entry{ID: "i-3", Service: "prices", FailureDomain: "south-a", Slots: 4}, "south", startTime),
 	}
 	servers[0].RecordLoad(4, 60, startTime)
+	servers[2].RecordLimit(psserver.Limit{Named: true, PerSecond: 2.5}, startTime, startTime)
 	s := psstate.Capture(psstate.Source{
 		RoundTrips: &psestimate.RoundTrips{},
 		Settings:   &psnode.Settings{Name: "vm-1", FailureDomain: "north-a", Region: "north"},
 		Snapshot: &pscontrol.Snapshot{
 			Index: psconfig.NewIndex(&c), Servers: map[string][]*psserver.Server{"prices": servers},
 			ServersReadAt: startTime, RateShares: map[string]float64{"trays": 0.25}, EvenShare: 0.5, FleetSize: 2,
+			ShareHolders: []psfleet.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
 		},
+		Tokens:    pstoken.New(pstoken.Options{Self: "vm-1", Now: time.Now}),
 		Estimates: &psestimate.Estimates{}, Ready: true,
 	}, startTime)
 	// Explain works on a decoded document, so the state is encoded and decoded.
@@ -75,6 +80,10 @@
 	qt.Assert(t, v.Candidates[0].Server, qt.Equals, "i-3")
 	qt.Assert(t, v.Candidates[1].Server, qt.Equals, "i-1")
 	qt.Assert(t, v.Candidates[1].Load, qt.Equals, 64.0)
+	qt.Assert(t, v.Candidates[0].Limit, qt.Equals, psserver.Limit{Named: true, PerSecond: 2.5})
+	qt.Assert(t, v.Candidates[0].TokenOwner, qt.Equals, "vm-2")
+	qt.Assert(t, v.Candidates[0].RequestedFraction, qt.Equals, 1.0)
+	qt.Assert(t, v.Candidates[1].TokenOwner, qt.Equals, "")
 	qt.Assert(t, v.Excluded, qt.DeepEquals, map[string]string{"i-2": "draining or failed"})
 }
 
--- a/internal/process/psstate/state.go
+++ b/internal/process/psstate/state.go
@@ -17,6 +17,7 @@
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
+	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/version/psconfig"
@@ -64,6 +65,10 @@
 	// ColdSender states that this VM is one of those that send requests to the server during its cold
 	// start.
 	ColdSender bool `json:"mayGetCold"`
+	// TokenOwner is the VM that owns the tokens of the server's limit, and RequestedFraction the fraction of the
+	// requests to the server for which this VM requests tokens; empty without a limit.
+	TokenOwner        string  `json:"tokenOwner,omitempty"`
+	RequestedFraction float64 `json:"tokenPart,omitempty"`
 	// Objects are the objects that this VM recently sent requests for to the server.
 	Objects []uint64 `json:"objects"`
 }
@@ -74,6 +79,7 @@
 	Snapshot   *pscontrol.Snapshot
 	Estimates  *psestimate.Estimates
 	RoundTrips *psestimate.RoundTrips
+	Tokens     *pstoken.Tokens
 	Ready      bool
 	InFlight   int
 }
@@ -93,7 +99,7 @@
 	}
 	for _, list := range p.Servers {
 		for _, v := range list {
-			state.Servers = append(state.Servers, serverOf(v, p, now))
+			state.Servers = append(state.Servers, s.server(v, now))
 		}
 	}
 	slices.SortFunc(state.Servers, func(a, b Server) int { return cmp.Compare(a.Entry.ID, b.Entry.ID) })
@@ -103,10 +109,14 @@
 	return state
 }
 
-func serverOf(v *psserver.Server, p *pscontrol.Snapshot, now time.Time) Server {
-	s := Server{View: v.View(now), Region: v.Region, Objects: v.RecentObjects.Objects()}
-	_, s.ColdSender = p.ColdShare(s.Entry)
-	return s
+func (s Source) server(v *psserver.Server, now time.Time) Server {
+	out := Server{View: v.View(now), Region: v.Region, Objects: v.RecentObjects.Objects()}
+	_, out.ColdSender = s.Snapshot.ColdShare(out.Entry)
+	if out.Limit.Named {
+		owner, _ := s.Snapshot.ServerTokenOwners(out.Entry, out.Region)
+		out.TokenOwner, out.RequestedFraction = owner.VM, s.Tokens.Fraction(out.Entry.Run())
+	}
+	return out
 }
 
 // addConfiguration adds a configuration without its keys, and the estimates of its routes.
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -123,7 +123,8 @@
 func (v *vm) state() psstate.State {
 	return psstate.Capture(psstate.Source{
 		Settings: v.settings, Snapshot: v.controller.Snapshot(), Estimates: v.proxy.Estimates(), RoundTrips: v.proxy.RoundTrips(),
-		Ready: v.controller.Ready(), InFlight: v.proxy.InFlight(),
+		Tokens: v.tokens,
+		Ready:  v.controller.Ready(), InFlight: v.proxy.InFlight(),
 	}, time.Now())
 }
 
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -149,7 +149,10 @@
 		return t, nil
 	})
 	do.Provide(i, func(i do.Injector) (*pstoken.Tokens, error) {
-		return pstoken.New(do.MustInvoke[*psnode.Settings](i).Name, do.MustInvoke[*pspeer.Endpoint](i), time.Now), nil
+		return pstoken.New(pstoken.Options{
+			Self: do.MustInvoke[*psnode.Settings](i).Name, Client: do.MustInvoke[*pspeer.Endpoint](i),
+			Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
+		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*psproxy.Proxy, error) {
 		return psproxy.New(psproxy.Options{
@@ -168,7 +171,7 @@
 			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
 			Fetcher: stateFetcher{client},
 			Prober:  psprobe.New(do.MustInvoke[*pstransport.Transport](i)),
-			Peers:   do.MustInvoke[*pspeer.Endpoint](i), Demands: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psproxy.Proxy](i),
+			Peers:   do.MustInvoke[*pspeer.Endpoint](i), Tokens: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psproxy.Proxy](i),
 		}), nil
 	})
 }
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -1,9 +1,12 @@
-// Package pstoken enforces the request rates of workspaces.
+// Package pstoken enforces the request rates that hold over all VMs together: those of workspaces, and the limits that
+// backend servers name.
 //
-// A large rate is split over all VMs, and each VM grants tokens of its own share. The tokens of a
-// small rate have one owner, which grants them to all VMs; package psrate decides which of the two
-// applies and how much a VM may grant. This package holds the token buckets of one VM and requests
-// tokens from other VMs where those own them.
+// A large rate of a workspace is split over all VMs, and each VM grants tokens of its own share. The
+// tokens of a small rate have one owner, which grants them to all VMs; package psrate decides which of
+// the two applies and how much a VM may grant. The tokens of a server's limit always have one owner, a
+// VM near the server: only the owner's bucket bounds the sum over VMs that each send a small and
+// changing part of the requests. This package holds the token buckets of one VM and requests tokens
+// from other VMs where those own them.
 package pstoken
 
 import (
@@ -12,11 +15,13 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psrate"
+	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -28,7 +33,7 @@
 	unknownWorkspaceWait = 300 * time.Millisecond
 )
 
-// errBackoff is returned for a VM that is not asked because it didn't answer recently.
+// errBackoff is returned for a VM that is not asked because it is silent or didn't answer recently.
 var errBackoff = errors.New("request token: the VM did not answer recently")
 
 // Client requests tokens from other VMs.
@@ -57,10 +62,21 @@
 func (OverLimit) verdict()   {}
 func (Unavailable) verdict() {}
 
+// Options are the dependencies of [Tokens].
+type Options struct {
+	// Self is the name of the VM.
+	Self   string
+	Client Client
+	Logger hclog.Logger
+	// Now returns the current time with a monotonic reading.
+	Now func() time.Time
+}
+
 // Tokens holds the token buckets of one VM. It is safe for concurrent use.
 type Tokens struct {
 	self      string
 	client    Client
+	logger    hclog.Logger
 	now       func() time.Time
 	startedAt time.Time
 
@@ -69,6 +85,9 @@
 	split map[string]*psrate.Bucket
 	// owned holds the buckets that this VM owns for the whole fleet.
 	owned map[ownedKey]*psrate.Bucket
+	// shares are this VM's uses of servers' limits, and ownedServers the buckets of the limits that it owns.
+	shares       map[psserver.Run]*serverShare
+	ownedServers map[ownedServerKey]*ownedServer
 	// backoffUntil is the time until which a VM is not asked, by name.
 	backoffUntil map[string]time.Time
 }
@@ -80,10 +99,12 @@
 }
 
 // New returns the tokens of a VM that starts now.
-func New(self string, c Client, now func() time.Time) *Tokens {
+func New(o Options) *Tokens {
 	return &Tokens{
-		self: self, client: c, now: now, startedAt: now(), split: make(map[string]*psrate.Bucket),
-		owned: make(map[ownedKey]*psrate.Bucket), backoffUntil: make(map[string]time.Time),
+		self: o.Self, client: o.Client, logger: o.Logger, now: o.Now, startedAt: o.Now(),
+		split: make(map[string]*psrate.Bucket), owned: make(map[ownedKey]*psrate.Bucket),
+		shares: make(map[psserver.Run]*serverShare), ownedServers: make(map[ownedServerKey]*ownedServer),
+		backoffUntil: make(map[string]time.Time),
 	}
 }
 
@@ -148,23 +169,29 @@
 // ask requests a token from the primary owner, or from the backup if the primary doesn't answer.
 func (t *Tokens) ask(ctx context.Context, s *pscontrol.Snapshot, q psfleet.TokenRequest) Verdict {
 	primary, backup := s.TokenOwners(q.Workspace)
-	g, err := t.askVM(ctx, s, primary, q)
-	if err != nil {
-		q.Backup = true
-		g, err = t.askVM(ctx, s, backup, q)
-	}
+	g, err := t.askOwners(ctx, s, primary, backup, q)
 	if err != nil {
 		return Unavailable{}
 	}
 	return verdict(g)
 }
 
-// askVM requests a token from one VM. It fails at once during the backoff of a VM that didn't answer.
+func (t *Tokens) askOwners(ctx context.Context, s *pscontrol.Snapshot, primary, backup psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+	g, err := t.askVM(ctx, s, primary, q)
+	if err == nil {
+		return g, nil
+	}
+	q.Backup = true
+	return t.askVM(ctx, s, backup, q)
+}
+
+// askVM requests a token from one VM. It fails at once if the VM is silent, and during the backoff of a VM that didn't
+// answer.
 func (t *Tokens) askVM(ctx context.Context, s *pscontrol.Snapshot, vm psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
 	if vm.VM == t.self {
 		return t.Grant(s, q), nil
 	}
-	if t.inBackoff(vm.VM) {
+	if s.Silent[vm.VM] || t.inBackoff(vm.VM) {
 		return psfleet.TokenResponse{}, errBackoff
 	}
 	g, err := t.client.RequestToken(ctx, vm.PeerAddress, q)
@@ -186,8 +213,11 @@
 	t.backoffUntil[vm] = t.now().Add(ownerBackoff)
 }
 
-// Grant answers a request for a token that this VM owns.
+// Grant answers a request for tokens that this VM owns.
 func (t *Tokens) Grant(s *pscontrol.Snapshot, q psfleet.TokenRequest) psfleet.TokenResponse {
+	if q.Server != nil {
+		return t.grantServer(s, q)
+	}
 	if s.Index == nil {
 		return psfleet.TokenResponse{Wait: unknownWorkspaceWait}
 	}
@@ -195,7 +225,11 @@
 	if !found {
 		return psfleet.TokenResponse{Wait: unknownWorkspaceWait}
 	}
-	l := psrate.OwnerLimit(limitOf(w), q.Backup, s.ReachableFraction())
+	share := psrate.PrimaryShare
+	if q.Backup {
+		share = psrate.BackupShare
+	}
+	l := psrate.OwnerLimit(limitOf(w), share, s.ReachableFraction())
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	k := ownedKey{q.Workspace, q.Backup}
--- a/internal/process/pstoken/tokens_test.go
+++ b/internal/process/pstoken/tokens_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/pscontrol"
@@ -27,6 +28,10 @@
 	return o.grant, o.err
 }
 
+func newTokens(vm string, c pstoken.Client, now func() time.Time) *pstoken.Tokens {
+	return pstoken.New(pstoken.Options{Self: vm, Client: c, Logger: hclog.NewNullLogger(), Now: now})
+}
+
 func snapshot(fleet int) (*pscontrol.Snapshot, *psconfig.Workspace) {
 	c := &psconfig.Configuration{Workspaces: []psconfig.Workspace{{Name: "trays", Rate: 4, Burst: 2}}}
 	return &pscontrol.Snapshot{Index: psconfig.NewIndex(c), EvenShare: 1, FleetSize: fleet}, &c.Workspaces[0]
@@ -35,7 +40,7 @@
 func TestSplitRateIsCountedLocally(t *testing.T) {
 	now := time.Unix(1000, 0)
 	o := &tokenOwner{}
-	tokens := pstoken.New("vm-1", o, func() time.Time { return now })
+	tokens := newTokens("vm-1", o, func() time.Time { return now })
 	s, w := snapshot(1)
 	qt.Assert(t, tokens.Take(context.Background(), s, w, false), qt.Satisfies, isOverLimit)
 	now = now.Add(time.Second)
@@ -51,7 +56,7 @@
 
 func TestOwnedRateIsRequestedFromTheOwner(t *testing.T) {
 	o := &tokenOwner{grant: psfleet.TokenResponse{Granted: true}}
-	tokens := pstoken.New("vm-1", o, time.Now)
+	tokens := newTokens("vm-1", o, time.Now)
 	s, w := snapshot(74)
 	qt.Assert(t, tokens.Take(context.Background(), s, w, false), qt.Equals, pstoken.Granted{})
 	o.grant = psfleet.TokenResponse{Wait: time.Second}
@@ -62,7 +67,7 @@
 func TestUnresponsiveOwnerIsNotAskedDuringBackoff(t *testing.T) {
 	now := time.Unix(1000, 0)
 	o := &tokenOwner{err: pspeer.ErrNoResponse}
-	tokens := pstoken.New("vm-1", o, func() time.Time { return now })
+	tokens := newTokens("vm-1", o, func() time.Time { return now })
 	s, w := snapshot(74)
 	qt.Assert(t, tokens.Take(context.Background(), s, w, false), qt.Equals, pstoken.Unavailable{})
 	asked := len(o.requests)
@@ -74,7 +79,7 @@
 }
 
 func TestAWorkspaceWithoutARateNeedsNoToken(t *testing.T) {
-	tokens := pstoken.New("vm-1", &tokenOwner{}, time.Now)
+	tokens := newTokens("vm-1", &tokenOwner{}, time.Now)
 	s, _ := snapshot(1)
 	qt.Assert(t, tokens.Take(context.Background(), s, &psconfig.Workspace{}, false), qt.Equals, pstoken.Granted{})
 }
@@ -83,7 +88,7 @@
 func TestTokenOfARejectedRequestIsReturned(t *testing.T) {
 	now := time.Unix(1000, 0)
 	o := &tokenOwner{grant: psfleet.TokenResponse{Granted: true}}
-	tokens := pstoken.New("vm-1", o, func() time.Time { return now })
+	tokens := newTokens("vm-1", o, func() time.Time { return now })
 	s, w := snapshot(1)
 	now = now.Add(time.Second / 4)
 	qt.Assert(t, tokens.Take(context.Background(), s, w, false), qt.Equals, pstoken.Granted{})
--- a/internal/request/psplacement/placement.go
+++ b/internal/request/psplacement/placement.go
@@ -83,6 +83,8 @@
 	// sending the body there.
 	RoundTrip    time.Duration
 	TransferCost time.Duration
+	// TokenTime is the time to request a token before the request can be sent; 0 if it needs none.
+	TokenTime time.Duration
 }
 
 // Request describes the request to be placed.
@@ -105,8 +107,8 @@
 	Index int
 	// Rank is the server's rank for the object, 0 for the primary server; only the first ones are distinguished.
 	Rank int
-	// Wait, Run and RoundTrip add up to the expected latency.
-	Wait, Run, RoundTrip time.Duration
+	// Wait, Run, RoundTrip and TokenTime add up to the expected latency.
+	Wait, Run, RoundTrip, TokenTime time.Duration
 	// Surplus reports whether the server's cache can't hold the object in addition to those that it handles.
 	Surplus bool
 	// NominalLatency is the latency expected of a server that is as fast as others.
@@ -117,8 +119,8 @@
 	MeanWait, MeanRoundTrip time.Duration
 }
 
-// ExpectedLatency returns the sum of the wait, the run time and the round-trip time.
-func (c Choice) ExpectedLatency() time.Duration { return c.Wait + c.Run + c.RoundTrip }
+// ExpectedLatency returns the time until the response.
+func (c Choice) ExpectedLatency() time.Duration { return c.Wait + c.Run + c.RoundTrip + c.TokenTime }
 
 // Score returns a server's rendezvous hash for an object.
 func Score(object uint64, server string) uint64 {
@@ -240,10 +242,10 @@
 	wait := max(0, c.Load+1-float64(c.Slots)) / float64(max(1, c.Slots)) * float64(r.MeanRun)
 	choice := Choice{
 		Rank: rank, LikelyCached: c.ObjectSent,
-		Wait: time.Duration(slowness * wait), Run: time.Duration(slowness * run), RoundTrip: c.RoundTrip,
+		Wait: time.Duration(slowness * wait), Run: time.Duration(slowness * run), RoundTrip: c.RoundTrip, TokenTime: c.TokenTime,
 		NominalLatency: time.Duration(wait+run) + c.RoundTrip, Surplus: surplus(c, rank, r),
 	}
-	cost := choice.Wait + choice.Run + c.RoundTrip/roundTripDivisor + c.TransferCost + time.Duration(rank)*rankCost
+	cost := choice.Wait + choice.Run + (c.RoundTrip+c.TokenTime)/roundTripDivisor + c.TransferCost + time.Duration(rank)*rankCost
 	if rank > 0 {
 		cost += time.Duration((pollutionFactor - 1) * (1 - probability) * float64(r.UncachedRun-r.CachedRun))
 	}
--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -55,6 +55,8 @@
 	RoundTrip time.Duration
 	// ObjectSent reports whether this VM sent the object to the server recently.
 	ObjectSent bool
+	// NeedsToken reports whether the server has a limit, so that the VM must request a token before it sends.
+	NeedsToken bool
 }
 
 // Request describes the request to be sent.
@@ -169,6 +171,10 @@
 		Score: r.score(v.Entry.ID, near), RoundTrip: r.roundTrip(o, near), TransferCost: r.transferCost(near),
 		Overflow: r.Route.Kind == psconfig.Download && !near,
 	}
+	if o.NeedsToken {
+		// The owner of the tokens is near the server.
+		c.TokenTime = c.RoundTrip
+	}
 	if !r.Route.Affinity {
 		// Without affinity it makes no difference which objects a server has cached.
 		c.PrimaryHitRate, c.FallbackHitRate, c.CacheableFraction = 1, 1, 1
