psproxy: requests that were not sent don't use up attempts

What callers saw: a request that waited for a connection to a server was rejected with 503 when the server named a limit, announced its shutdown or asked for a pause meanwhile, although other servers were free and nothing had been sent. It happened on routes with one attempt, that is, to orders.

Cause: the number of attempts included those that ended before anything was sent.

Evidence: TestRequestsWaitingForConnectionRespectLimit failed with 503 for ten of twelve callers; now all are answered by the other server, and the limited one gets no more than the two requests that were on its connections.

Why this works: only attempts that may have reached their server count against the route's maximum.

--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pstransport"
@@ -124,7 +125,7 @@
 	if result.mayHaveExecuted() && !c.route.Kind.Repeatable() {
 		return false
 	}
-	if len(c.attempts) >= c.route.MaxAttempts || c.body.SingleUse() {
+	if c.sentAttempts() >= c.route.MaxAttempts || c.body.SingleUse() {
 		return false
 	}
 	if result == resultUnreachable || result == resultUnsent {
@@ -138,6 +139,11 @@
 	return c.proxy.retries.Take(service, bound, c.proxy.options.Now())
 }
 
+// sentAttempts returns the number of attempts that may have reached their server.
+func (c *call) sentAttempts() int {
+	return lo.CountBy(c.attempts, func(a attempt) bool { return a.result != resultUnsent })
+}
+
 func (c *call) attemptedServers() []*psserver.Server {
 	list := make([]*psserver.Server, len(c.attempts))
 	for i, a := range c.attempts {
--- a/internal/connection/psproxy/limit_test.go
+++ b/internal/connection/psproxy/limit_test.go
@@ -5,12 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psstandin"
 )
@@ -60,3 +63,42 @@
 	qt.Assert(t, a.count()+b.count(), qt.Equals, served)
 	qt.Assert(t, served+rejected, qt.Equals, 40)
 }
+
+// TestRequestsWaitingForConnectionRespectLimit guards against sending requests that were waiting for a connection to a
+// server when it named its limit. They go to the other server, although each may be sent to one server only.
+func TestRequestsWaitingForConnectionRespectLimit(t *testing.T) {
+	var sent atomic.Int32
+	a := startBackend(t, func(c net.Conn, r *http.Request) bool {
+		sent.Add(1)
+		time.Sleep(100 * time.Millisecond)
+		return respondWithLimit("0")(c, r)
+	})
+	s, control := startProxy(t, a, startBackend(t, respondOK))
+	// With 40 VMs, this VM may open two connections to each server.
+	control.snapshot.FleetSize = 40
+	configuration := testConfiguration
+	configuration.Routes = slices.Clone(configuration.Routes)
+	for i := range configuration.Routes {
+		configuration.Routes[i].MaxAttempts = 1
+	}
+	control.snapshot.Index = psconfig.NewIndex(&configuration)
+	const callers = 12
+	statuses := make(chan int)
+	for n := range callers {
+		r := request(t, s, http.MethodPost, "/orders/1", "x")
+		psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: fmt.Sprint("id-", n), Object: fmt.Sprint(n), Left: time.Second, Key: "k-1"})
+		go func() {
+			response, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			_ = response.Body.Close()
+			statuses <- response.StatusCode
+		}()
+	}
+	for range callers {
+		qt.Check(t, <-statuses, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, sent.Load() <= 2, qt.IsTrue, qt.Commentf("%d requests sent", sent.Load()))
+}
