pssoak: servers name limits, and requests beyond them are violations

Callers name the VM of each request in a header that VMs forward, so the check knows which VM sent it; a restart, a signal or a pause of a VM excuses that VM as before.

Seeds draw other sequences of faults than before, as there are two more kinds.

--- a/internal/process/pssoak/caller_test.go
+++ b/internal/process/pssoak/caller_test.go
@@ -31,6 +31,9 @@
 	served, rejected, failed atomic.Int64
 }
 
+// headerVM names, to the server, the VM that the caller sent its request to.
+const headerVM = "X-Soak-Vm"
+
 func newCaller(cl *cluster, r *runs, n int, seed uint64) *caller {
 	return &caller{
 		cluster: cl, runs: r, name: fmt.Sprint("c-", n), random: rand.New(rand.NewPCG(seed, uint64(n))),
@@ -104,6 +107,7 @@
 	}
 	r.Host = "eggs.test"
 	psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: id, Object: path, Left: 1200 * time.Millisecond, Key: key})
+	r.Header.Set(headerVM, vm)
 	sent := time.Now()
 	response, err := c.client.Do(r)
 	if err != nil {
--- a/internal/process/pssoak/cluster_test.go
+++ b/internal/process/pssoak/cluster_test.go
@@ -1,6 +1,7 @@
 package pssoak_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,6 +19,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform/psstandin"
@@ -40,8 +43,9 @@
 	mutex   sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
-	// disruptedAt is when the process was last started or signalled. The VM may have missed changes before it.
-	disruptedAt time.Time
+	// disruptions are the times at which the process was started, signalled or ended. The VM may have missed changes
+	// before them.
+	disruptions []time.Time
 	// paused reports that the process is stopped by SIGSTOP.
 	paused bool
 }
@@ -54,6 +58,7 @@
 	storeProxy *proxy
 	vms        []*process
 	servers    []*server
+	start      time.Time
 
 	mutex          sync.Mutex
 	version        int64
@@ -78,6 +83,9 @@
 
 	mutex    sync.Mutex
 	draining time.Time
+	// limit is named in all responses. arrivals are the requests that reached the server.
+	limit    psserver.Limit
+	arrivals []psguarantee.Arrival
 }
 
 // runs is the number of runs of each request over all servers, by request id.
@@ -103,7 +111,7 @@
 	t.Helper()
 	store, clean := psstandin.NewStore()
 	t.Cleanup(clean)
-	cl := &cluster{t: t, binary: binary, store: store, storeProxy: startProxy(t, store.Address().String())}
+	cl := &cluster{t: t, binary: binary, store: store, start: time.Now(), storeProxy: startProxy(t, store.Address().String())}
 	for i := range serverCount {
 		cl.servers = append(cl.servers, cl.startServer(fmt.Sprint("i-", i), counts))
 	}
@@ -198,14 +206,59 @@
 		s.cluster.reportViolation("request %s reached a server with a key or for another workspace", id)
 	}
 	s.checkDrain(id)
+	arrived := s.cluster.elapsed()
 	if n := counts.add(id); n > 1 && strings.HasPrefix(r.URL.Path, "/orders/") {
 		s.cluster.reportViolation("order %s ran %d times", id, n)
 	}
 	time.Sleep(serviceTime)
 	psstandin.Sign(w.Header(), id)
+	s.nameLimit(w.Header(), r.Header.Get(headerVM), arrived)
 	_, _ = io.WriteString(w, "answer to "+id)
 }
 
+// nameLimit adds the server's limit to the header of a response, and records the request that arrived at a time.
+func (s *server) nameLimit(h http.Header, vm string, arrived time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.limit.Named {
+		psstandin.WriteLimit(h, s.limit.PerSecond)
+	}
+	s.arrivals = append(s.arrivals, psguarantee.Arrival{At: arrived, VM: vm, Named: s.limit, NamedAt: s.cluster.elapsed()})
+}
+
+// setLimit changes the limit of the server.
+func (s *server) setLimit(l psserver.Limit) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limit = l
+}
+
+// checkLimits reports the servers that got more requests than they had named. The restart and the pause of a VM excuse
+// that VM.
+func (cl *cluster) checkLimits() {
+	h := psguarantee.History{Restarts: make(map[string][]time.Duration)}
+	for _, p := range cl.vms {
+		p.mutex.Lock()
+		for _, at := range p.disruptions {
+			h.Restarts[p.callers()] = append(h.Restarts[p.callers()], at.Sub(cl.start))
+		}
+		p.mutex.Unlock()
+	}
+	for _, s := range cl.servers {
+		s.mutex.Lock()
+		arrivals := slices.Clone(s.arrivals)
+		s.mutex.Unlock()
+		slices.SortFunc(arrivals, func(a, b psguarantee.Arrival) int { return cmp.Compare(a.At, b.At) })
+		h.Servers = []psguarantee.Server{{ID: s.id, Arrivals: arrivals}}
+		if n := psguarantee.Check(h).LimitExceeded; n > 0 {
+			cl.reportViolation("server %s got %d requests more than its limit allows", s.id, n)
+		}
+	}
+}
+
+// elapsed returns the time since the start of the cluster.
+func (cl *cluster) elapsed() time.Duration { return time.Since(cl.start) }
+
 // checkDrain reports a request that arrives later than drainBound after the server's drain, with a
 // margin of 1 s. A disruption since the drain excuses it.
 func (s *server) checkDrain(id string) {
@@ -229,7 +282,7 @@
 	}
 	for _, p := range cl.vms {
 		p.mutex.Lock()
-		disrupted := p.disruptedAt.After(since)
+		disrupted := len(p.disruptions) > 0 && p.disruptions[len(p.disruptions)-1].After(since)
 		p.mutex.Unlock()
 		if disrupted {
 			return true
@@ -275,7 +328,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.command, p.ended, p.paused = c, ended, false
-	p.disruptedAt = time.Now()
+	p.disruptions = append(p.disruptions, time.Now())
 }
 
 // signal sends a signal to the process and records it as a disruption.
@@ -285,11 +338,14 @@
 	if p.command == nil {
 		return
 	}
-	p.disruptedAt = time.Now()
+	p.disruptions = append(p.disruptions, time.Now())
 	p.paused = s == syscall.SIGSTOP
 	_ = p.command.Process.Signal(s)
 }
 
+// callers returns the address at which the VM accepts callers.
+func (p *process) callers() string { return fmt.Sprintf("%s:%d", p.address, psstandin.CallerPort) }
+
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
 	p.wait()
--- a/internal/process/pssoak/soak_test.go
+++ b/internal/process/pssoak/soak_test.go
@@ -1,7 +1,7 @@
 // Package pssoak_test is a soak test with fault injection. It runs the VMs as separate processes and
-// injects random faults from outside: restarts, paused processes, network faults, drains, and a store
-// restored from an older snapshot. It checks the guarantees from the view of callers and backend servers.
-// A seed determines the sequence of faults.
+// injects random faults from outside: restarts, paused processes, network faults, drains, a store
+// restored from an older snapshot, and servers that limit their requests. It checks the guarantees from
+// the view of callers and backend servers. A seed determines the sequence of faults.
 package pssoak_test
 
 import (
@@ -29,6 +29,12 @@
 	logDirectory  = flag.String("soak.keep", "", "the directory in which the logs of failed seeds are saved")
 )
 
+// limitChanges is the number of limits that a server names one after the other, for at least limitDuration together.
+const (
+	limitChanges  = 3
+	limitDuration = 8 * time.Second
+)
+
 // callerCount is the number of callers that send at the same time.
 const callerCount = 12
 
@@ -75,6 +81,7 @@
 	cl.checkServed(list)
 	stop()
 	wait.Wait()
+	cl.checkLimits()
 	var served, rejected, failed int64
 	for _, c := range list {
 		served, rejected, failed = served+c.served.Load(), rejected+c.rejected.Load(), failed+c.failed.Load()
@@ -109,7 +116,7 @@
 	random := rand.New(rand.NewPCG(seed, seed))
 	var wait sync.WaitGroup
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
-		fault := random.IntN(11)
+		fault := random.IntN(13)
 		vm, server := cl.vms[random.IntN(len(cl.vms))], cl.servers[random.IntN(len(cl.servers))]
 		span := time.Duration(200+random.IntN(1500)) * time.Millisecond
 		m := []mode{delayed, reset, blackholed, responsesDropped}[random.IntN(4)]
@@ -146,6 +153,18 @@
 		s.register(psserver.Ready)
 	case 10:
 		cl.restoreStore(span)
+	case 11, 12:
+		cl.limitServer(s, span)
+	}
+}
+
+// limitServer makes a server name limits for some seconds, which change after each span. The limits are a small part of
+// the load, or 0.
+func (cl *cluster) limitServer(s *server, span time.Duration) {
+	defer s.setLimit(psserver.Limit{})
+	for i := range limitChanges {
+		s.setLimit(psserver.Limit{Named: true, PerSecond: float64(int(span.Milliseconds())*(i+1)%4) * 2.5})
+		time.Sleep(max(span, limitDuration/limitChanges))
 	}
 }
 
@@ -191,7 +210,7 @@
 	}
 	c, ended := p.command, p.ended
 	p.command = nil
-	p.disruptedAt = time.Now()
+	p.disruptions = append(p.disruptions, time.Now())
 	p.mutex.Unlock()
 	_ = c.Process.Signal(s)
 	select {
@@ -210,6 +229,7 @@
 	for _, s := range cl.servers {
 		s.proxy.set(pass)
 		s.register(psserver.Ready)
+		s.setLimit(psserver.Limit{})
 	}
 	for _, p := range cl.vms {
 		p.signal(syscall.SIGCONT)
