psbackend: a crash leaves the connections of its restart open

What callers of the stand-in saw: beside load, the request after a crash and restart sometimes got no response.

Cause: Crash releases the server's mutex while it closes the old listener, because that waits for the accepting goroutine. Start could begin the next incarnation in the meantime, and Crash then closed all connections of the server, those of the new incarnation included.

Why this works: connections belong to the incarnation that accepted them, and a crash closes only its own.

--- a/internal/process/psbackend/server.go
+++ b/internal/process/psbackend/server.go
@@ -44,7 +44,6 @@
 	// the most recently used one last.
 	waiting     []chan struct{}
 	cached      []string
-	connections map[net.Conn]struct{}
 	incarnation *incarnation
 	closed      chan struct{}
 	closeOnce   sync.Once
@@ -55,6 +54,8 @@
 type incarnation struct {
 	server *http.Server
 	ended  chan struct{}
+	// connections are the open connections of this incarnation.
+	connections map[net.Conn]struct{}
 }
 
 // New starts a stand-in and returns it with its clean-up function.
@@ -65,7 +66,7 @@
 	}
 	s := &Server{
 		ID: id, Address: l.Addr().(*net.TCPAddr).AddrPort(),
-		pauses: make(map[netip.Addr]*pauseWindow), runs: make(map[string]int), connections: make(map[net.Conn]struct{}), closed: make(chan struct{}),
+		pauses: make(map[netip.Addr]*pauseWindow), runs: make(map[string]int), closed: make(chan struct{}),
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -84,15 +85,17 @@
 
 // startServing serves on a listener. The caller holds the mutex.
 func (s *Server) startServing(l net.Listener) {
-	v := &incarnation{ended: make(chan struct{})}
+	v := &incarnation{ended: make(chan struct{}), connections: make(map[net.Conn]struct{})}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(v, w, r) })
-	v.server = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.trackConnection}
+	track := func(c net.Conn, state http.ConnState) { s.trackConnection(v, c, state) }
+	v.server = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnState: track}
 	s.incarnation = v
 	s.goroutines.Go(func() { _ = v.server.Serve(l) })
 }
 
-// stopServing closes all connections and stops listening. The caller holds the mutex. The mutex is
-// released meanwhile, because Close waits for the accepting goroutine, which locks it for each new connection.
+// stopServing closes all connections of the incarnation and stops listening. The caller holds the mutex. The mutex
+// is released meanwhile, because Close waits for the accepting goroutine, which locks it for each new connection. The
+// server may be started again by then, so the connections of the next incarnation stay open.
 func (s *Server) stopServing() {
 	if s.incarnation == nil {
 		return
@@ -104,20 +107,21 @@
 	// The listener and the connections are closed in any case, so errors don't matter.
 	_ = v.server.Close()
 	s.mutex.Lock()
-	for c := range s.connections {
+	for c := range v.connections {
 		_ = c.Close()
 	}
-	clear(s.connections)
+	clear(v.connections)
 }
 
-func (s *Server) trackConnection(c net.Conn, state http.ConnState) {
+// trackConnection records the state of a connection of an incarnation.
+func (s *Server) trackConnection(v *incarnation, c net.Conn, state http.ConnState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch state {
 	case http.StateNew:
-		s.connections[c] = struct{}{}
+		v.connections[c] = struct{}{}
 	case http.StateClosed, http.StateHijacked:
-		delete(s.connections, c)
+		delete(v.connections, c)
 	}
 }
 
