pscontrol: announcements last until a digest has forwarded them

What callers saw: in fleets of more than about 430 VMs, VMs of other failure domains could go on sending requests to a server that had announced its shutdown, or named a limit, until their own request met it.

Cause: reports list such events for 3 s, but from 571 VMs on digests are 4 s apart and forward only the latest report of each VM, so an event between two digests could be over before the next one.

Evidence: TestAnnouncementOutlastsDigestInterval, with 701 VMs in 71 failure domains: the report that the next digest would forward no longer named the server; now it does.

Why this works: an event is listed for at least the time in which a report reaches all VMs and one report interval. Small fleets keep the 3 s.

--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -39,6 +39,9 @@
 	// default state with no revisions.
 	vms       int
 	peerState *psfleet.ControlState
+	// otherDomains is the number of failure domains of the published VMs, without that of the VM under test; if it is
+	// 0, they are in the same one.
+	otherDomains int
 	// fullReads counts full reads of a table.
 	fullReads int
 	// fetches lists the VMs from which state was fetched, each with the tag that was known.
@@ -107,7 +110,11 @@
 	for i := range s.vms {
 		a := netip.MustParseAddrPort("127.0.0.1:2")
 		name := fmt.Sprintf("vm-0-%02d", i)
-		data, err := json.Marshal(psfleet.Identity{VM: name, FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Link: float64(100 - i)})
+		domain := "north-a"
+		if s.otherDomains > 0 {
+			domain = fmt.Sprint("other-", i%s.otherDomains)
+		}
+		data, err := json.Marshal(psfleet.Identity{VM: name, FailureDomain: domain, Region: "north", CallerAddress: a, PeerAddress: a, Link: float64(100 - i)})
 		if err != nil {
 			return v, err
 		}
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -13,7 +13,9 @@
 	"persimmonstep/internal/request/psoutlier"
 )
 
-// announceDuration is how long reports to other VMs list a server that failed or announced its shutdown.
+// announceDuration is how long reports to other VMs list what happened to a server: that it failed, announced its
+// shutdown, or began or ceased to name a limit. In a large fleet it is longer, because the latest report reaches other
+// failure domains with a digest.
 const announceDuration = 3 * time.Second
 
 // newerConfigDelay is how long another VM must have a newer configuration before this VM fetches it.
@@ -127,8 +129,8 @@
 	c.sequence++
 	r := &psfleet.Report{
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), ReadsStore: !c.watcher.Lost(), Version: c.desiredState.Version(),
-		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: recent(c.failedAt, now),
-		Leaving: recent(c.leavingAt, now), Limited: c.limitsToAnnounce(now), Slow: c.slowServers(now),
+		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: announced(c.failedAt, c.fleet, now),
+		Leaving: announced(c.leavingAt, c.fleet, now), Limited: c.limitsToAnnounce(now), Slow: c.slowServers(now),
 	}
 	c.shares.Record(r.Demands)
 	if n := c.fleet.Size(); n != c.reportedSize {
@@ -156,9 +158,10 @@
 	psevent.PeerSilent.Log(c.options.Logger, p.Identity.VM, now.Sub(p.ReceivedAt).String())
 }
 
-// recent deletes the entries older than announceDuration and returns the keys of the others.
-func recent[K comparable](recordedAt map[K]time.Time, now time.Time) []K {
-	maps.DeleteFunc(recordedAt, func(_ K, at time.Time) bool { return now.Sub(at) > announceDuration })
+// announced deletes the entries that other VMs have had the time to learn and returns the keys of the others.
+func announced[K comparable](recordedAt map[K]time.Time, f *psfleet.Fleet, now time.Time) []K {
+	span := max(announceDuration, f.PropagationTime()+f.ReportInterval())
+	maps.DeleteFunc(recordedAt, func(_ K, at time.Time) bool { return now.Sub(at) > span })
 	return lo.Keys(recordedAt)
 }
 
--- a/internal/process/pscontrol/limit.go
+++ b/internal/process/pscontrol/limit.go
@@ -46,7 +46,7 @@
 // limitsToAnnounce returns what this VM knows of the servers that recently began or ceased to name a limit to it.
 func (c *Controller) limitsToAnnounce(now time.Time) []psfleet.ServerLimit {
 	var list []psfleet.ServerLimit
-	for _, r := range lo.Slice(recent(c.limitChangedAt, now), 0, maxAnnouncedLimits) {
+	for _, r := range lo.Slice(announced(c.limitChangedAt, c.fleet, now), 0, maxAnnouncedLimits) {
 		if s, found := c.servers.Get(r.ID); found && s.Entry().Run() == r {
 			limit, age := s.Limit(now)
 			list = append(list, psfleet.ServerLimit{Run: r, Limit: limit, Age: age})
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -162,3 +162,17 @@
 	qt.Assert(t, k.set(true), qt.Equals, 0)
 	eventually(t, "the server", func() bool { return server.Usable(time.Now()) })
 }
+
+// TestAnnouncementOutlastsDigestInterval guards against announcements that end before a large fleet's next digest, which
+// forwards only the latest report, so that other failure domains never learn of them.
+func TestAnnouncementOutlastsDigestInterval(t *testing.T) {
+	s := newStore()
+	s.vms, s.otherDomains = 700, 70
+	r := &reports{store: s}
+	c := startWith(t, s, r, &tokens{store: s})
+	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1")} })
+	eventually(t, "the fleet", func() bool { return serverCount(c) == 1 && c.FleetSize() > 700 })
+	c.UpdateAvailability(c.Snapshot().Servers["prices"][0], pscontrol.Announcement{Availability: platform.Availability{Leaving: true}})
+	time.Sleep(psfleet.MaxDigestInterval + time.Second)
+	qt.Assert(t, r.last().Leaving, qt.HasLen, 1)
+}
--- a/internal/process/psfleet/digest.go
+++ b/internal/process/psfleet/digest.go
@@ -15,10 +15,9 @@
 	// domains. With two, a report that one of them fails to send arrives from the other.
 	digestSenders = 2
 	// digestIntervalPerVM is added to the time between two digests of one sender for each VM of the
-	// fleet. minDigestInterval and maxDigestInterval bound that time.
+	// fleet. minDigestInterval and [MaxDigestInterval] bound that time.
 	digestIntervalPerVM = 7 * time.Millisecond
 	minDigestInterval   = time.Second
-	maxDigestInterval   = 4 * time.Second
 	// liveDigestIntervals is the number of digest intervals that are added to the live timeout of a VM
 	// of another failure domain. Within that time one of the senders, or one datagram of each, may be
 	// lost.
@@ -31,6 +30,9 @@
 	maxReportAge = time.Minute
 )
 
+// MaxDigestInterval is the longest time between two digests of one sender.
+const MaxDigestInterval = 4 * time.Second
+
 // ForwardedReport is a report that a VM forwards for another one.
 type ForwardedReport struct {
 	Report
@@ -87,7 +89,7 @@
 
 // DigestInterval returns the time between the digests of one sender.
 func (f *Fleet) DigestInterval() time.Duration {
-	return max(minDigestInterval, min(maxDigestInterval, time.Duration(f.Size())*digestIntervalPerVM))
+	return max(minDigestInterval, min(MaxDigestInterval, time.Duration(f.Size())*digestIntervalPerVM))
 }
 
 // PropagationTime returns the time within which a report reaches all VMs.
