pstoken: owners without recent reports are asked again

In a large fleet the reports of a failure domain can be late because a VM that forwards digests has failed, while the owners themselves answer; not to ask them would leave a workspace an eighth of its rate. An owner that doesn't answer is left alone for a second, as before. Found by reading, no run shows it.

--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -189,7 +189,7 @@
 		RateShares: shares, EvenShare: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
 		changes: c.desiredState.Changes + c.servers.Changes(), desiredStateRevision: c.desiredState.Revision, serversRevision: c.serversRevision, newerVM: c.newerVM(now),
 		relaysStore:  c.fleet.IsRelay(now),
-		storeReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), Silent: c.fleet.Silent(now), PropagationTime: c.fleet.PropagationTime(),
+		storeReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), PropagationTime: c.fleet.PropagationTime(),
 	})
 }
 
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pscontrol/snapshot.go
@@ -30,10 +30,8 @@
 	RateShares map[string]float64
 	// EvenShare is the share of a workspace that isn't in RateShares.
 	EvenShare float64
-	// ShareHolders lists this VM and those that may still use their share of the fleet's limits. Silent names those of
-	// them that send no reports now.
+	// ShareHolders lists this VM and those that may still use their share of the fleet's limits.
 	ShareHolders []psfleet.Identity
-	Silent       map[string]bool
 	// PropagationTime is the time within which a VM's report reaches all VMs.
 	PropagationTime time.Duration
 	// relaysStore is set if this VM relays store changes to the others of its region.
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -328,14 +328,3 @@
 	}
 	return list
 }
-
-// Silent returns the names of the VMs that sent reports before and don't now.
-func (f *Fleet) Silent(now time.Time) map[string]bool {
-	silent := make(map[string]bool)
-	for _, p := range f.Peers() {
-		if p.Report != nil && !f.Live(p, now) {
-			silent[p.Identity.VM] = true
-		}
-	}
-	return silent
-}
--- a/internal/process/pstoken/server_test.go
+++ b/internal/process/pstoken/server_test.go
@@ -101,7 +101,7 @@
 func (w *world) snapshot(v *simulatedVM) *pscontrol.Snapshot {
 	s := &pscontrol.Snapshot{
 		Servers:   map[string][]*psserver.Server{"prices": {v.server}},
-		FleetSize: len(w.vms), PropagationTime: propagationTime, Silent: make(map[string]bool),
+		FleetSize: len(w.vms), PropagationTime: propagationTime,
 	}
 	for _, peer := range w.vms {
 		known := w.at() >= peer.from+propagationTime || peer == v
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -33,7 +33,7 @@
 	unknownWorkspaceWait = 300 * time.Millisecond
 )
 
-// errBackoff is returned for a VM that is not asked because it is silent or didn't answer recently.
+// errBackoff is returned for a VM that is not asked because it didn't answer recently.
 var errBackoff = errors.New("request token: the VM did not answer recently")
 
 // Client requests tokens from other VMs.
@@ -185,13 +185,12 @@
 	return t.askVM(ctx, s, backup, q)
 }
 
-// askVM requests a token from one VM. It fails at once if the VM is silent, and during the backoff of a VM that didn't
-// answer.
+// askVM requests a token from one VM. It fails at once during the backoff of a VM that didn't answer.
 func (t *Tokens) askVM(ctx context.Context, s *pscontrol.Snapshot, vm psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
 	if vm.VM == t.self {
 		return t.Grant(s, q), nil
 	}
-	if s.Silent[vm.VM] || t.inBackoff(vm.VM) {
+	if t.inBackoff(vm.VM) {
 		return psfleet.TokenResponse{}, errBackoff
 	}
 	g, err := t.client.RequestToken(ctx, vm.PeerAddress, q)
