pstoken: limits at the ends of the range, and a share that grows back

- A limit of 1e300 counted as 0: the number of tokens in the bucket overflowed when it was converted to an integer, and the server got one request in eight instead of all.
TestExtremeLimits failed; the lesser number is taken before the conversion now.
- TestLimitIsUsedAgainAfterOwnersEnd, TestServerWithoutLimitNeedsNoToken, TestColdServerWithLimitNeedsBothTokens show what held already.

--- a/internal/connection/psproxy/limit_test.go
+++ b/internal/connection/psproxy/limit_test.go
@@ -64,6 +64,19 @@
 	qt.Assert(t, served+rejected, qt.Equals, 40)
 }
 
+// TestColdServerWithLimitNeedsBothTokens checks that the strictest statement of a server counts. Its cold start lets one
+// request through, and its limit none before the first response states it.
+func TestColdServerWithLimitNeedsBothTokens(t *testing.T) {
+	for _, limit := range []string{"0", "1000"} {
+		a := startBackend(t, respondWithLimit(limit))
+		s, control := startProxy(t, a, startBackend(t, respondOK))
+		cold := control.snapshot.Servers["prices"][0]
+		cold.AssumeCold(time.Minute, time.Now())
+		sendOrders(t, s)
+		qt.Check(t, a.count() <= 1, qt.IsTrue, qt.Commentf("limit %s: %d requests", limit, a.count()))
+	}
+}
+
 // TestRequestsWaitingForConnectionRespectLimit guards against sending requests that were waiting for a connection to a
 // server when it named its limit. They go to the other server, although each may be sent to one server only.
 func TestRequestsWaitingForConnectionRespectLimit(t *testing.T) {
--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -152,7 +152,7 @@
 func (b *Bucket) TakeUpTo(n, wanted int, l Limit, now time.Time) (int, time.Duration) {
 	b.refill(l, 1, now)
 	b.demand += float64(wanted) / demandWindow.Seconds()
-	taken := min(n, int(b.tokens+1-wholeToken))
+	taken := int(min(float64(n), b.tokens+1-wholeToken))
 	if taken <= 0 {
 		return 0, time.Duration((1 - b.tokens) / (l.Rate * refillFactor) * float64(time.Second))
 	}
--- a/internal/process/psserver/limit.go
+++ b/internal/process/psserver/limit.go
@@ -63,10 +63,19 @@
 	if l == before {
 		return before, false
 	}
-	s.limit.limit, s.limit.since = l, now
+	s.setLimit(l, now)
 	return before, true
 }
 
+// setLimit replaces the limit. When it is withdrawn, the server's share of requests grows back as after a pause. The
+// caller holds the mutex.
+func (s *Server) setLimit(l Limit, now time.Time) {
+	if !l.Named && s.pause.remaining(now) == 0 {
+		s.pause.until = now
+	}
+	s.limit.limit, s.limit.since = l, now
+}
+
 // RecordPeerLimit takes over what another VM knows of the limit, if it is from a later response than what this VM
 // knows. It returns the limit before, and whether it has changed.
 func (s *Server) RecordPeerLimit(l Limit, confirmedAt time.Time) (before Limit, changed bool) {
@@ -80,7 +89,7 @@
 	if l == before {
 		return before, false
 	}
-	s.limit.limit, s.limit.since = l, confirmedAt
+	s.setLimit(l, confirmedAt)
 	return before, true
 }
 
--- a/internal/process/pstoken/server_test.go
+++ b/internal/process/pstoken/server_test.go
@@ -57,7 +57,9 @@
 	// rate is the rate at which the VM wants to send requests to the server.
 	rate float64
 	// from is when the VM becomes known to the others.
-	from   time.Duration
+	from time.Duration
+	// until is when the VM ends for good; 0 if it doesn't.
+	until  time.Duration
 	tokens *pstoken.Tokens
 	server *psserver.Server
 	// responses are the responses that the VM will get.
@@ -105,6 +107,7 @@
 	}
 	for _, peer := range w.vms {
 		known := w.at() >= peer.from+propagationTime || peer == v
+		known = known && !w.ended(peer, w.at()-reserveTime)
 		if known && (w.reaches(v, peer, w.at()) || w.reaches(v, peer, w.at()-reserveTime)) {
 			s.ShareHolders = append(s.ShareHolders, peer.identity)
 		}
@@ -127,7 +130,7 @@
 	w.asked++
 	i := slices.IndexFunc(w.vms, func(v *simulatedVM) bool { return v.identity.PeerAddress == to })
 	owner := w.vms[i]
-	if !w.reaches(c.vm, owner, w.at()) || w.random.Float64() < w.loss/2 || w.at() < owner.from {
+	if !w.reaches(c.vm, owner, w.at()) || w.random.Float64() < w.loss/2 || w.at() < owner.from || w.ended(owner, w.at()) {
 		return psfleet.TokenResponse{}, pspeer.ErrNoResponse
 	}
 	response := owner.tokens.Grant(w.snapshot(owner), q)
@@ -137,6 +140,9 @@
 	return response, nil
 }
 
+// ended reports whether a VM is gone for good.
+func (w *world) ended(v *simulatedVM, at time.Duration) bool { return v.until > 0 && at >= v.until }
+
 // run simulates the span. each is called at the beginning of each step.
 func (w *world) run(each func(at time.Duration)) {
 	for w.at() < simulationSpan {
@@ -175,7 +181,7 @@
 
 // send sends the requests of a step.
 func (w *world) send(v *simulatedVM) {
-	if w.at() < v.from {
+	if w.at() < v.from || w.ended(v, w.at()) {
 		return
 	}
 	for p := v.rate * simulationStep.Seconds(); p > 0 && w.random.Float64() < p; p-- {
@@ -359,3 +365,38 @@
 	})
 	qt.Check(t, len(w.arrivals)-sent, qt.Equals, w.wanted-wanted)
 }
+
+// TestLimitIsUsedAgainAfterOwnersEnd ends the owner of the tokens for good. Its backup grants an eighth, and another
+// owner takes over when its share is no longer reserved.
+func TestLimitIsUsedAgainAfterOwnersEnd(t *testing.T) {
+	w := newWorld(1, evenRates(54, 60), constantLimit(10))
+	owner, _ := w.snapshot(w.vms[0]).ServerTokenOwners(w.vms[0].server.Entry(), "region-0")
+	for _, v := range w.vms {
+		if v.identity.VM == owner.VM {
+			v.until = 8 * time.Second
+		}
+	}
+	w.run(nil)
+	qt.Check(t, w.exceeded(), qt.Equals, 0)
+	during, after := w.received(10*time.Second, 17*time.Second), w.received(20*time.Second, simulationSpan)
+	qt.Check(t, during > 0.8, qt.IsTrue, qt.Commentf("%.1f a second", during))
+	qt.Check(t, after > 0.8*10, qt.IsTrue, qt.Commentf("%.1f a second", after))
+}
+
+// TestExtremeLimits names limits at the ends of the range.
+func TestExtremeLimits(t *testing.T) {
+	w := newWorld(1, evenRates(9, 40), constantLimit(1e300))
+	w.run(nil)
+	qt.Check(t, w.received(8*time.Second, simulationSpan) > 35, qt.IsTrue)
+	w = newWorld(1, evenRates(9, 40), constantLimit(1e-9))
+	w.run(nil)
+	qt.Check(t, w.received(8*time.Second, simulationSpan) < 0.5, qt.IsTrue)
+}
+
+// TestServerWithoutLimitNeedsNoToken checks that requests to a server without a limit cause no messages.
+func TestServerWithoutLimitNeedsNoToken(t *testing.T) {
+	w := newWorld(1, evenRates(9, 40), func(time.Duration) psserver.Limit { return psserver.Limit{} })
+	w.run(nil)
+	qt.Check(t, w.asked, qt.Equals, 0)
+	qt.Check(t, len(w.arrivals), qt.Equals, w.wanted)
+}
