--- a/internal/connection/pspeer/endpoint_test.go
+++ b/internal/connection/pspeer/endpoint_test.go
@@ -14,6 +14,7 @@
 
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psrevision"
 )
 
@@ -98,10 +99,13 @@
 	c, err := net.Dial("udp4", at.String())
 	qt.Assert(t, err, qt.IsNil)
 	defer c.Close() //nolint:errcheck // nothing follows
-	for _, text := range []string{"", "{", `{"method":"other","params":{}}`, `{"method":"report","params":{"vm":"x"}}`, `{"method":"take"}`} {
-		if text == "" {
-			continue
-		}
+	for _, text := range []string{
+		"{", `{"method":"other","params":{}}`, `{"method":"report","params":{"vm":"x"}}`, `{"method":"take"}`,
+		`{"method":"report","params":{"vm":"x","incarnation":1,"limited":[{"id":"i-1","limit":{"perSecond":-1}}]}}`,
+		`{"method":"report","params":{"vm":"x","incarnation":1,"limited":[{"id":"i-1","age":-1}]}}`,
+		`{"method":"take","params":{"tokens":-1}}`, `{"method":"take","params":{"server":{"limit":{"perSecond":-1}}}}`,
+		`{"id":1,"result":{"tokens":-1}}`, `{"id":1,"result":{"fraction":2}}`, `{"id":1,"result":{"server":{"age":-1}}}`,
+	} {
 		_, err := c.Write([]byte(text))
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, <-h.invalid, qt.IsNotNil, qt.Commentf("%q", text))
@@ -181,3 +185,44 @@
 	go func() { _ = e.Receive(h) }()
 	return e, netip.MustParseAddrPort(socket.LocalAddr().String())
 }
+
+// countingSocket counts the bytes that are sent.
+type countingSocket struct {
+	pspeer.Socket
+	bytes *atomic.Int64
+}
+
+func (s countingSocket) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	s.bytes.Add(int64(len(b)))
+	return s.Socket.WriteToUDPAddrPort(b, to)
+}
+
+// BenchmarkServerToken measures a request for a token of a server's limit and its response, at both VMs together.
+func BenchmarkServerToken(b *testing.B) {
+	var sent atomic.Int64
+	open := func(h pspeer.Handler) (*pspeer.Endpoint, netip.AddrPort) {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		qt.Assert(b, err, qt.IsNil)
+		e, clean := pspeer.New(countingSocket{c.(*net.UDPConn), &sent})
+		b.Cleanup(clean)
+		go func() { _ = e.Receive(h) }()
+		return e, netip.MustParseAddrPort(c.LocalAddr().String())
+	}
+	limit := &psfleet.ServerLimit{Run: psserver.Run{ID: "i-424753e14d", Incarnation: 1764864440000}, Limit: psserver.Limit{Named: true, PerSecond: 5.4}, Age: 123456789}
+	requester, _ := open(&granter{})
+	_, at := open(&serverGranter{})
+	for b.Loop() {
+		_, err := requester.RequestToken(b.Context(), at, psfleet.TokenRequest{Server: limit, Service: "pricebook", Tokens: 1, Wanted: 3})
+		qt.Assert(b, err, qt.IsNil)
+	}
+	b.ReportMetric(float64(sent.Load())/float64(b.N), "B/request")
+}
+
+// serverGranter grants each token of a server.
+type serverGranter struct {
+	granter
+}
+
+func (*serverGranter) GrantToken(psfleet.TokenRequest) psfleet.TokenResponse {
+	return psfleet.TokenResponse{Tokens: 1, Fraction: 0.417}
+}
