pslimit: the limit of a server has a package of its own

The merging of responses and of other VMs' knowledge is now a type without locks, tested alone. pstoken's part for servers is split by role: the VM that wants tokens, and their owner. No change of behaviour.

--- a/internal/connection/pspeer/endpoint_test.go
+++ b/internal/connection/pspeer/endpoint_test.go
@@ -14,6 +14,7 @@
 
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psrevision"
 )
@@ -208,7 +209,7 @@
 		go func() { _ = e.Receive(h) }()
 		return e, netip.MustParseAddrPort(c.LocalAddr().String())
 	}
-	limit := &psfleet.ServerLimit{Run: psserver.Run{ID: "i-424753e14d", Incarnation: 1764864440000}, Limit: psserver.Limit{Named: true, PerSecond: 5.4}, Age: 123456789}
+	limit := &psfleet.ServerLimit{Run: psserver.Run{ID: "i-424753e14d", Incarnation: 1764864440000}, Limit: pslimit.Limit{Named: true, PerSecond: 5.4}, Age: 123456789}
 	requester, _ := open(&granter{})
 	_, at := open(&serverGranter{})
 	for b.Loop() {
--- a/internal/connection/psproxy/backpressure_test.go
+++ b/internal/connection/psproxy/backpressure_test.go
@@ -13,7 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psstandin"
 )
@@ -90,7 +90,7 @@
 			defer control.mutex.Unlock()
 			qt.Assert(t, len(control.announcements) > 0, qt.Equals, v.counts)
 			for _, a := range control.announcements {
-				qt.Check(t, a.Limit, qt.Equals, psserver.Limit{Named: true, PerSecond: 2.5})
+				qt.Check(t, a.Limit, qt.Equals, pslimit.Limit{Named: true, PerSecond: 2.5})
 				qt.Check(t, a.Genuine, qt.Equals, v.genuine)
 			}
 		})
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -233,7 +233,9 @@
 		limit = max(limit, int(connectionShare*float64(service.MaxConnections))/c.snapshot.FleetSize)
 	}
 	maySend := func() bool {
-		if !s.server.Usable(c.proxy.options.Now()) || !s.hasLimitToken && s.server.HasLimit() {
+		now := c.proxy.options.Now()
+		limit, _ := s.server.Limit(now)
+		if !s.server.Usable(now) || limit.Named && !s.hasLimitToken {
 			return false
 		}
 		s.server.CountSent()
--- a/internal/process/psbackend/behaviour.go
+++ b/internal/process/psbackend/behaviour.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pslimit"
 )
 
 // Behaviour configures a stand-in. Its zero value runs every request at once.
@@ -26,7 +26,7 @@
 	// Pause makes the server reject all requests and ask in Retry-After for none during this time; 0 disables it.
 	Pause time.Duration
 	// Limit is named in all responses. Unlike a real server's, it has no effect on the stand-in itself.
-	Limit psserver.Limit
+	Limit pslimit.Limit
 	// Faults is the fault table.
 	Faults []Fault
 }
--- a/internal/process/psbackend/limit.go
+++ b/internal/process/psbackend/limit.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -14,7 +14,7 @@
 	At   time.Time
 	From netip.Addr
 	// Named is the limit in its response, and NamedAt when the header of the response was created.
-	Named   psserver.Limit
+	Named   pslimit.Limit
 	NamedAt time.Time
 }
 
@@ -60,7 +60,7 @@
 }
 
 // nameLimit returns the limit to be named in the response to a request, and records it.
-func (s *Server) nameLimit(arrival int, now time.Time) psserver.Limit {
+func (s *Server) nameLimit(arrival int, now time.Time) pslimit.Limit {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	a := &s.arrivals[arrival]
--- a/internal/process/pscontrol/limit.go
+++ b/internal/process/pscontrol/limit.go
@@ -7,6 +7,7 @@
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 )
 
@@ -31,7 +32,7 @@
 }
 
 // logLimit logs the changed limit of a server. requestID is empty if another VM reported it.
-func (c *Controller) logLimit(s *psserver.Server, before, after psserver.Limit, requestID string) {
+func (c *Controller) logLimit(s *psserver.Server, before, after pslimit.Limit, requestID string) {
 	if !c.limitLog.Allow(c.options.Now()) {
 		return
 	}
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -13,6 +13,7 @@
 
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform"
@@ -80,8 +81,8 @@
 	return c
 }
 
-func named(perSecond float64) psserver.Limit {
-	return psserver.Limit{Named: true, PerSecond: perSecond}
+func named(perSecond float64) pslimit.Limit {
+	return pslimit.Limit{Named: true, PerSecond: perSecond}
 }
 
 // TestLimitIsAnnouncedToOtherVMs lets a server name a limit to a VM, change it and withdraw it. The VM's reports announce
@@ -99,7 +100,7 @@
 	respond := func(a platform.Availability, genuine bool) {
 		c.UpdateAvailability(server, pscontrol.Announcement{Availability: a, SentAt: time.Now(), Genuine: genuine})
 	}
-	limit := func() psserver.Limit { v, _ := server.Limit(time.Now()); return v }
+	limit := func() pslimit.Limit { v, _ := server.Limit(time.Now()); return v }
 
 	respond(platform.Availability{Limit: named(5)}, true)
 	eventually(t, "the announced limit", func() bool { return len(r.last().Limited) == 1 })
@@ -112,9 +113,9 @@
 	respond(platform.Availability{}, false)
 	qt.Assert(t, limit(), qt.Equals, named(4))
 	respond(platform.Availability{}, true)
-	qt.Assert(t, limit(), qt.Equals, psserver.Limit{})
+	qt.Assert(t, limit(), qt.Equals, pslimit.Limit{})
 	eventually(t, "the announced withdrawal", func() bool { return len(r.last().Limited) == 1 })
-	qt.Assert(t, r.last().Limited[0].Limit, qt.Equals, psserver.Limit{})
+	qt.Assert(t, r.last().Limited[0].Limit, qt.Equals, pslimit.Limit{})
 }
 
 // TestLimitOfReportIsApplied receives reports of limits. Those of an earlier run of a server and those that are older
@@ -128,7 +129,11 @@
 		i := slices.IndexFunc(c.Snapshot().Servers["prices"], func(v *psserver.Server) bool { return v.Entry().ID == id })
 		return c.Snapshot().Servers["prices"][i]
 	}
-	server("i-3").RecordLimit(psserver.Limit{}, time.Now(), time.Now())
+	limited := func(id string) bool {
+		limit, _ := server(id).Limit(time.Now())
+		return limit.Named
+	}
+	server("i-3").RecordLimit(pslimit.Limit{}, time.Now(), time.Now())
 	a := netip.MustParseAddrPort("127.0.0.1:2")
 	c.ReceiveReport(&psfleet.Report{
 		Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: 1}, Sequence: 1,
@@ -138,9 +143,9 @@
 			{Run: server("i-1").Entry().Run(), Limit: named(1), Age: time.Second},
 		},
 	})
-	eventually(t, "the limit", func() bool { return server("i-1").HasLimit() })
-	qt.Assert(t, server("i-2").HasLimit(), qt.IsFalse)
-	qt.Assert(t, server("i-3").HasLimit(), qt.IsFalse)
+	eventually(t, "the limit", func() bool { return limited("i-1") })
+	qt.Assert(t, limited("i-2"), qt.IsFalse)
+	qt.Assert(t, limited("i-3"), qt.IsFalse)
 	_, age := server("i-1").Limit(time.Now())
 	qt.Assert(t, age >= time.Second && age < 3*time.Second, qt.IsTrue, qt.Commentf("%s", age))
 }
--- a/internal/process/psexperiment/fault.go
+++ b/internal/process/psexperiment/fault.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"persimmonstep/internal/process/psbackend"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psscenario"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform/psstandin"
@@ -101,7 +102,7 @@
 		e.recordRestart(f.Target)
 		e.system.Start(f.Target)
 	case psscenario.FaultLimit:
-		e.setLimit(f, psserver.Limit{})
+		e.setLimit(f, pslimit.Limit{})
 	case psscenario.FaultPartitionRegion:
 		e.partition(e.firm.Regions[f.Target], "")
 	case psscenario.FaultPartitionAll:
@@ -125,7 +126,7 @@
 // nameLimits makes servers name the limits of a fault, until it ends.
 func (e *experiment) nameLimits(ctx context.Context, f psscenario.Fault) {
 	for i := 0; ; i++ {
-		e.setLimit(f, psserver.Limit{Named: true, PerSecond: f.Limits[i%len(f.Limits)]})
+		e.setLimit(f, pslimit.Limit{Named: true, PerSecond: f.Limits[i%len(f.Limits)]})
 		next := f.At.Duration + time.Duration(i+1)*limitDuration
 		if len(f.Limits) == 1 || f.Until.Duration > 0 && next >= f.Until.Duration || !sleepUntil(ctx, e.start.Add(next)) {
 			return
@@ -133,7 +134,7 @@
 	}
 }
 
-func (e *experiment) setLimit(f psscenario.Fault, l psserver.Limit) {
+func (e *experiment) setLimit(f psscenario.Fault, l pslimit.Limit) {
 	for i := range max(1, f.Count) {
 		e.changeBehaviour(f.Target+i, func(b *psbackend.Behaviour) { b.Limit = l })
 	}
--- a/internal/process/psfleet/token.go
+++ b/internal/process/psfleet/token.go
@@ -5,13 +5,14 @@
 
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 )
 
 // ServerLimit is what a VM knows of the limit of a backend server.
 type ServerLimit struct {
 	psserver.Run
-	Limit psserver.Limit `json:"limit,omitzero"`
+	Limit pslimit.Limit `json:"limit,omitzero"`
 	// Age is the time since a response to the VM, or to one that it learned from, confirmed the limit.
 	Age time.Duration `json:"age"`
 }
--- a/internal/process/psguarantee/limit.go
+++ b/internal/process/psguarantee/limit.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pslimit"
 )
 
 const (
@@ -27,7 +27,7 @@
 	// VM is the name of the VM that sent it; empty for other senders.
 	VM string
 	// Named is the limit in the response, and NamedAt when the response was sent; 0 if there was none.
-	Named   psserver.Limit
+	Named   pslimit.Limit
 	NamedAt time.Duration
 }
 
@@ -85,7 +85,7 @@
 // limitStep is the limit of a server from a time until the next step.
 type limitStep struct {
 	at    time.Duration
-	limit psserver.Limit
+	limit pslimit.Limit
 	// firstNamed is when the server first named its present limit, after a time without any.
 	firstNamed time.Duration
 }
@@ -126,7 +126,7 @@
 
 // highest returns the step with the highest limit in the limitNotice before a time, as a step from that time on.
 func highest(steps []limitStep, t time.Duration) limitStep {
-	out := limitStep{at: t, limit: psserver.Limit{Named: true}}
+	out := limitStep{at: t, limit: pslimit.Limit{Named: true}}
 	for i, s := range steps {
 		if s.at > t || i+1 < len(steps) && steps[i+1].at+limitNotice <= t {
 			continue
--- a/internal/process/psmetric/metric_test.go
+++ b/internal/process/psmetric/metric_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
@@ -34,7 +35,7 @@
 		psserver.New(psserver.Entry{ID: "i-2", ColdFor: time.Minute}, "north", readAt),
 		psserver.New(psserver.Entry{ID: "i-3", State: psserver.Draining}, "north", readAt),
 	}
-	servers[0].RecordLimit(psserver.Limit{Named: true, PerSecond: 2.5}, readAt, readAt)
+	servers[0].RecordLimit(pslimit.Limit{Named: true, PerSecond: 2.5}, readAt, readAt)
 	servers[0].CountSent()
 	s := source{&pscontrol.Snapshot{
 		Index: psconfig.NewIndex(&psconfig.Configuration{Version: 7}), Servers: map[string][]*psserver.Server{"prices": servers},
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"persimmonstep/internal/process/pslimit"
 )
 
 const (
@@ -45,7 +47,7 @@
 	// leaving is set once the server announces its shutdown.
 	leaving bool
 	pause   pause
-	limit   statedLimit
+	limit   pslimit.Statement
 	// sent counts the requests and probes that were sent to the server.
 	sent int64
 	// coldUntil is when the server has warmed up and takes its full load.
@@ -253,8 +255,8 @@
 	Cold bool `json:"cold"`
 	// PauseRemaining is the time until the pause ends that the server requested of this VM; 0 without one.
 	PauseRemaining time.Duration `json:"quiet"`
-	// Limit is the limit that the server last named, and LimitAge the time since a response confirmed it.
-	Limit    Limit         `json:"limit,omitzero"`
+	// Limit is the limit that the server last named, and LimitAge the time since a response stated it.
+	Limit    pslimit.Limit `json:"limit,omitzero"`
 	LimitAge time.Duration `json:"limitAge,omitzero"`
 	// Load is the estimated number of requests at the server, and LoadAge the age of the latest load report.
 	Load    float64       `json:"load"`
@@ -292,8 +294,8 @@
 	v.Lag = max(s.lag.local(now), s.lag.reported.current(now))
 	v.Load = float64(s.inFlight) + s.load.estimate(now)
 	v.Load += s.pause.reserved(now) * float64(s.entry.Slots)
-	if v.Limit = s.limit.limit; v.Limit.Named {
-		v.LimitAge = now.Sub(s.limit.confirmedAt)
+	if limit, age := s.limit.Limit(now); limit.Named {
+		v.Limit, v.LimitAge = limit, age
 	}
 	if s.inFlight > 0 {
 		v.SilentFor = now.Sub(s.unansweredSince)
--- a/internal/process/pssoak/cluster_test.go
+++ b/internal/process/pssoak/cluster_test.go
@@ -20,6 +20,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/process/psguarantee"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform/psstandin"
@@ -84,7 +85,7 @@
 	mutex    sync.Mutex
 	draining time.Time
 	// limit is named in all responses. arrivals are the requests that reached the server.
-	limit    psserver.Limit
+	limit    pslimit.Limit
 	arrivals []psguarantee.Arrival
 }
 
@@ -227,7 +228,7 @@
 }
 
 // setLimit changes the limit of the server.
-func (s *server) setLimit(l psserver.Limit) {
+func (s *server) setLimit(l pslimit.Limit) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.limit = l
--- a/internal/process/pssoak/soak_test.go
+++ b/internal/process/pssoak/soak_test.go
@@ -19,6 +19,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 )
 
@@ -161,9 +162,9 @@
 // limitServer makes a server name limits for some seconds, which change after each span. The limits are a small part of
 // the load, or 0.
 func (cl *cluster) limitServer(s *server, span time.Duration) {
-	defer s.setLimit(psserver.Limit{})
+	defer s.setLimit(pslimit.Limit{})
 	for i := range limitChanges {
-		s.setLimit(psserver.Limit{Named: true, PerSecond: float64(int(span.Milliseconds())*(i+1)%4) * 2.5})
+		s.setLimit(pslimit.Limit{Named: true, PerSecond: float64(int(span.Milliseconds())*(i+1)%4) * 2.5})
 		time.Sleep(max(span, limitDuration/limitChanges))
 	}
 }
@@ -229,7 +230,7 @@
 	for _, s := range cl.servers {
 		s.proxy.set(pass)
 		s.register(psserver.Ready)
-		s.setLimit(psserver.Limit{})
+		s.setLimit(pslimit.Limit{})
 	}
 	for _, p := range cl.vms {
 		p.signal(syscall.SIGCONT)
--- a/internal/process/psstate/explain.go
+++ b/internal/process/psstate/explain.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/request/psadmission"
 	"persimmonstep/internal/request/psplacement"
 	"persimmonstep/internal/request/psselect"
@@ -62,9 +62,9 @@
 	ObjectSent bool `json:"sent"`
 	// Limit is the server's limit. With one the request needs a token of TokenOwner, and the VM requests one for a
 	// fraction of such requests. Without a token, the request goes to the next candidate whose limit is not used up.
-	Limit             psserver.Limit `json:"limit,omitzero"`
-	TokenOwner        string         `json:"tokenOwner,omitempty"`
-	RequestedFraction float64        `json:"tokenPart,omitempty"`
+	Limit             pslimit.Limit `json:"limit,omitzero"`
+	TokenOwner        string        `json:"tokenOwner,omitempty"`
+	RequestedFraction float64       `json:"tokenPart,omitempty"`
 }
 
 // Service is the decision for the request if it goes to one of the route's services.
--- a/internal/process/psstate/explain_test.go
+++ b/internal/process/psstate/explain_test.go
@@ -9,6 +9,7 @@
 
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psstate"
@@ -43,7 +44,7 @@
 		psserver.New(psserver.Entry{ID: "i-3", Service: "prices", FailureDomain: "south-a", Slots: 4}, "south", startTime),
 	}
 	servers[0].RecordLoad(4, 60, startTime)
-	servers[2].RecordLimit(psserver.Limit{Named: true, PerSecond: 2.5}, startTime, startTime)
+	servers[2].RecordLimit(pslimit.Limit{Named: true, PerSecond: 2.5}, startTime, startTime)
 	s := psstate.Capture(psstate.Source{
 		RoundTrips: &psestimate.RoundTrips{},
 		Settings:   &psnode.Settings{Name: "vm-1", FailureDomain: "north-a", Region: "north"},
@@ -80,7 +81,7 @@
 	qt.Assert(t, v.Candidates[0].Server, qt.Equals, "i-3")
 	qt.Assert(t, v.Candidates[1].Server, qt.Equals, "i-1")
 	qt.Assert(t, v.Candidates[1].Load, qt.Equals, 64.0)
-	qt.Assert(t, v.Candidates[0].Limit, qt.Equals, psserver.Limit{Named: true, PerSecond: 2.5})
+	qt.Assert(t, v.Candidates[0].Limit, qt.Equals, pslimit.Limit{Named: true, PerSecond: 2.5})
 	qt.Assert(t, v.Candidates[0].TokenOwner, qt.Equals, "vm-2")
 	qt.Assert(t, v.Candidates[0].RequestedFraction, qt.Equals, 1.0)
 	qt.Assert(t, v.Candidates[1].TokenOwner, qt.Equals, "")
--- a/internal/process/pstoken/server_test.go
+++ b/internal/process/pstoken/limit_test.go
@@ -15,6 +15,7 @@
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psguarantee"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pstoken"
 )
@@ -31,15 +32,15 @@
 	domainCount = 6
 )
 
-// world simulates a fleet whose VMs want to send requests to one server, in steps of virtual time. Messages between VMs
+// simulation is a fleet whose VMs want to send requests to one server, in steps of virtual time. Messages between VMs
 // take no time.
-type world struct {
+type simulation struct {
 	random *rand.Rand
 	now    time.Time
 	start  time.Time
 	vms    []*simulatedVM
 	// limit is the server's limit at a time.
-	limit    func(at time.Duration) psserver.Limit
+	limit    func(at time.Duration) pslimit.Limit
 	arrivals []psguarantee.Arrival
 	restarts map[string][]time.Duration
 	// side returns the side of a partition on which a VM is; all are on the same one if it is nil.
@@ -71,9 +72,9 @@
 	sentAt, due time.Time
 }
 
-// newWorld returns a fleet whose VMs want to send the given numbers of requests per second.
-func newWorld(seed uint64, rates []float64, limit func(time.Duration) psserver.Limit) *world {
-	w := &world{
+// newSimulation returns a fleet whose VMs want to send the given numbers of requests per second.
+func newSimulation(seed uint64, rates []float64, limit func(time.Duration) pslimit.Limit) *simulation {
+	w := &simulation{
 		random: rand.New(rand.NewPCG(seed, seed)), start: time.Unix(1000, 0), now: time.Unix(1000, 0),
 		limit: limit, restarts: make(map[string][]time.Duration),
 	}
@@ -89,7 +90,7 @@
 }
 
 // startVM starts the process of a VM.
-func (w *world) startVM(v *simulatedVM) {
+func (w *simulation) startVM(v *simulatedVM) {
 	entry := psserver.Entry{ID: "i-1", Service: "prices", FailureDomain: "domain-0", Slots: 5}
 	v.server = psserver.New(entry, "region-0", w.now)
 	v.tokens = newTokens(v.identity.VM, client{w, v}, func() time.Time { return w.now })
@@ -97,10 +98,10 @@
 	w.restarts[v.identity.VM] = append(w.restarts[v.identity.VM], w.at())
 }
 
-func (w *world) at() time.Duration { return w.now.Sub(w.start) }
+func (w *simulation) at() time.Duration { return w.now.Sub(w.start) }
 
 // snapshot returns a VM's view of the fleet.
-func (w *world) snapshot(v *simulatedVM) *pscontrol.Snapshot {
+func (w *simulation) snapshot(v *simulatedVM) *pscontrol.Snapshot {
 	s := &pscontrol.Snapshot{
 		Servers:   map[string][]*psserver.Server{"prices": {v.server}},
 		FleetSize: len(w.vms), PropagationTime: propagationTime,
@@ -115,18 +116,18 @@
 	return s
 }
 
-func (w *world) reaches(a, b *simulatedVM, at time.Duration) bool {
+func (w *simulation) reaches(a, b *simulatedVM, at time.Duration) bool {
 	return w.side == nil || w.side(a.index, at) == w.side(b.index, at)
 }
 
 // client sends the requests of a VM for tokens.
 type client struct {
-	world *world
-	vm    *simulatedVM
+	simulation *simulation
+	vm         *simulatedVM
 }
 
 func (c client) RequestToken(_ context.Context, to netip.AddrPort, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
-	w := c.world
+	w := c.simulation
 	w.asked++
 	i := slices.IndexFunc(w.vms, func(v *simulatedVM) bool { return v.identity.PeerAddress == to })
 	owner := w.vms[i]
@@ -141,10 +142,12 @@
 }
 
 // ended reports whether a VM is gone for good.
-func (w *world) ended(v *simulatedVM, at time.Duration) bool { return v.until > 0 && at >= v.until }
+func (w *simulation) ended(v *simulatedVM, at time.Duration) bool {
+	return v.until > 0 && at >= v.until
+}
 
 // run simulates the span. each is called at the beginning of each step.
-func (w *world) run(each func(at time.Duration)) {
+func (w *simulation) run(each func(at time.Duration)) {
 	for w.at() < simulationSpan {
 		w.now = w.now.Add(simulationStep)
 		if each != nil {
@@ -158,7 +161,7 @@
 }
 
 // respond delivers the responses that are due to a VM. If the limit begins or ends, the others learn of it.
-func (w *world) respond(v *simulatedVM) {
+func (w *simulation) respond(v *simulatedVM) {
 	for len(v.responses) > 0 && !v.responses[0].due.After(w.now) {
 		r := v.responses[0]
 		v.responses = v.responses[1:]
@@ -170,7 +173,7 @@
 }
 
 // announce tells the others what a VM knows of the limit.
-func (w *world) announce(v *simulatedVM) {
+func (w *simulation) announce(v *simulatedVM) {
 	limit, age := v.server.Limit(w.now)
 	for _, peer := range w.vms {
 		if peer != v && w.reaches(v, peer, w.at()) {
@@ -180,7 +183,7 @@
 }
 
 // send sends the requests of a step.
-func (w *world) send(v *simulatedVM) {
+func (w *simulation) send(v *simulatedVM) {
 	if w.at() < v.from || w.ended(v, w.at()) {
 		return
 	}
@@ -197,13 +200,13 @@
 }
 
 // exceeded returns the requests beyond the bound that the server's limits set.
-func (w *world) exceeded() int {
+func (w *simulation) exceeded() int {
 	s := psguarantee.Server{ID: "i-1", Arrivals: w.arrivals}
 	return psguarantee.Check(psguarantee.History{Servers: []psguarantee.Server{s}, Restarts: w.restarts}).LimitExceeded
 }
 
 // received returns the rate of the requests that the server got in a span.
-func (w *world) received(from, to time.Duration) float64 {
+func (w *simulation) received(from, to time.Duration) float64 {
 	n := 0
 	for _, a := range w.arrivals {
 		if a.At >= from && a.At < to {
@@ -214,12 +217,12 @@
 }
 
 // constantLimit is a limit that the server names from the fourth second on.
-func constantLimit(perSecond float64) func(time.Duration) psserver.Limit {
-	return func(at time.Duration) psserver.Limit {
+func constantLimit(perSecond float64) func(time.Duration) pslimit.Limit {
+	return func(at time.Duration) pslimit.Limit {
 		if at < 4*time.Second {
-			return psserver.Limit{}
+			return pslimit.Limit{}
 		}
-		return psserver.Limit{Named: true, PerSecond: perSecond}
+		return pslimit.Limit{Named: true, PerSecond: perSecond}
 	}
 }
 
@@ -246,7 +249,7 @@
 							rates = evenRates(vms, 0.1*load)
 							rates[vms-1] += 0.9 * load
 						}
-						w := newWorld(uint64(vms), rates, constantLimit(limit))
+						w := newSimulation(uint64(vms), rates, constantLimit(limit))
 						w.run(nil)
 						qt.Check(t, w.exceeded(), qt.Equals, 0)
 						if factor > 1 && limit > 1 {
@@ -268,7 +271,7 @@
 		for _, limit := range []float64{0.3, 5, 40} {
 			for seed := range uint64(8) {
 				t.Run(fmt.Sprintf("vms=%d/limit=%g/seed=%d", vms, limit, seed), func(t *testing.T) {
-					w := newWorld(seed, evenRates(vms, 4*max(limit, 1)), constantLimit(limit))
+					w := newSimulation(seed, evenRates(vms, 4*max(limit, 1)), constantLimit(limit))
 					w.loss = 0.1
 					begin, end := time.Duration(4+w.random.IntN(6))*time.Second, time.Duration(10+w.random.IntN(14))*time.Second
 					w.side = func(vm int, at time.Duration) int {
@@ -295,7 +298,7 @@
 	for _, limit := range []float64{0.3, 5, 40} {
 		for seed := range uint64(8) {
 			t.Run(fmt.Sprintf("limit=%g/seed=%d", limit, seed), func(t *testing.T) {
-				w := newWorld(seed, evenRates(60, 4*max(limit, 1)), constantLimit(limit))
+				w := newSimulation(seed, evenRates(60, 4*max(limit, 1)), constantLimit(limit))
 				for i := domainCount; i < len(w.vms); i += domainCount {
 					w.vms[i].from = time.Duration(4+2*i/domainCount) * time.Second
 				}
@@ -312,11 +315,11 @@
 		for _, vms := range []int{9, 81} {
 			t.Run(fmt.Sprintf("%s/vms=%d", name, vms), func(t *testing.T) {
 				values := []float64{8, 3, 12, 0.5, 6}
-				w := newWorld(1, evenRates(vms, 40), func(at time.Duration) psserver.Limit {
+				w := newSimulation(1, evenRates(vms, 40), func(at time.Duration) pslimit.Limit {
 					if at < 4*time.Second {
-						return psserver.Limit{}
+						return pslimit.Limit{}
 					}
-					return psserver.Limit{Named: true, PerSecond: values[int(at/period)%len(values)]}
+					return pslimit.Limit{Named: true, PerSecond: values[int(at/period)%len(values)]}
 				})
 				w.run(nil)
 				qt.Check(t, w.exceeded(), qt.Equals, 0)
@@ -332,9 +335,9 @@
 		for _, limit := range []float64{0, 5} {
 			t.Run(fmt.Sprintf("vms=%d/limit=%g", vms, limit), func(t *testing.T) {
 				named := constantLimit(limit)
-				w := newWorld(1, evenRates(vms, 40), func(at time.Duration) psserver.Limit {
+				w := newSimulation(1, evenRates(vms, 40), func(at time.Duration) pslimit.Limit {
 					if at > 12*time.Second {
-						return psserver.Limit{}
+						return pslimit.Limit{}
 					}
 					return named(at)
 				})
@@ -349,14 +352,14 @@
 
 // TestLimitOfEndedRunDoesNotBindNextOne restarts the server. The new run owes nothing to what the old one stated.
 func TestLimitOfEndedRunDoesNotBindNextOne(t *testing.T) {
-	w := newWorld(1, evenRates(9, 40), constantLimit(0))
+	w := newSimulation(1, evenRates(9, 40), constantLimit(0))
 	wanted, sent := 0, 0
 	w.run(func(at time.Duration) {
 		if at != 12*time.Second {
 			return
 		}
 		wanted, sent = w.wanted, len(w.arrivals)
-		w.limit = func(time.Duration) psserver.Limit { return psserver.Limit{} }
+		w.limit = func(time.Duration) pslimit.Limit { return pslimit.Limit{} }
 		for _, v := range w.vms {
 			e := v.server.Entry()
 			e.Incarnation = time.UnixMilli(1)
@@ -369,7 +372,7 @@
 // TestLimitIsUsedAgainAfterOwnersEnd ends the owner of the tokens for good. Its backup grants an eighth, and another
 // owner takes over when its share is no longer reserved.
 func TestLimitIsUsedAgainAfterOwnersEnd(t *testing.T) {
-	w := newWorld(1, evenRates(54, 60), constantLimit(10))
+	w := newSimulation(1, evenRates(54, 60), constantLimit(10))
 	owner, _ := w.snapshot(w.vms[0]).ServerTokenOwners(w.vms[0].server.Entry(), "region-0")
 	for _, v := range w.vms {
 		if v.identity.VM == owner.VM {
@@ -385,17 +388,17 @@
 
 // TestExtremeLimits names limits at the ends of the range.
 func TestExtremeLimits(t *testing.T) {
-	w := newWorld(1, evenRates(9, 40), constantLimit(1e300))
+	w := newSimulation(1, evenRates(9, 40), constantLimit(1e300))
 	w.run(nil)
 	qt.Check(t, w.received(8*time.Second, simulationSpan) > 35, qt.IsTrue)
-	w = newWorld(1, evenRates(9, 40), constantLimit(1e-9))
+	w = newSimulation(1, evenRates(9, 40), constantLimit(1e-9))
 	w.run(nil)
 	qt.Check(t, w.received(8*time.Second, simulationSpan) < 0.5, qt.IsTrue)
 }
 
 // TestServerWithoutLimitNeedsNoToken checks that requests to a server without a limit cause no messages.
 func TestServerWithoutLimitNeedsNoToken(t *testing.T) {
-	w := newWorld(1, evenRates(9, 40), func(time.Duration) psserver.Limit { return psserver.Limit{} })
+	w := newSimulation(1, evenRates(9, 40), func(time.Duration) pslimit.Limit { return pslimit.Limit{} })
 	w.run(nil)
 	qt.Check(t, w.asked, qt.Equals, 0)
 	qt.Check(t, len(w.arrivals), qt.Equals, w.wanted)
--- a/internal/process/pstoken/server.go
+++ b/internal/process/pstoken/share.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"persimmonstep/internal/process/pscontrol"
-	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
-	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
 )
 
@@ -181,98 +179,3 @@
 	}
 	return max(minFraction, h.fraction)
 }
-
-const (
-	// trialRate is the least rate in requests per second at which a server with a limit gets requests, because only
-	// the response to a request shows whether the limit still stands.
-	trialRate = 0.25
-	// serverBurst is the number of requests that a server may get at once over its limit.
-	serverBurst = 2
-	// serverPrimaryShare and serverBackupShare are the fractions of a server's limit that are granted by the primary
-	// owner of its tokens and by the backup.
-	serverPrimaryShare = 1.0
-	serverBackupShare  = 0.12
-	// overbooking is the ratio of the tokens that VMs request to those that are granted, so that the requests of all
-	// VMs together use up the limit although they vary.
-	overbooking = 1.25
-	// unknownServerWait is when to retry for a server that the owner doesn't know yet.
-	unknownServerWait = 300 * time.Millisecond
-	// grantLogInterval is the least time between two log lines about the tokens of a server.
-	grantLogInterval = 2 * time.Second
-)
-
-// ownedServerKey identifies the bucket of a server's limit, which this VM owns as the primary or as the backup owner.
-type ownedServerKey struct {
-	run    psserver.Run
-	backup bool
-}
-
-// ownedServer is the bucket of a server's limit.
-type ownedServer struct {
-	bucket *psrate.Bucket
-	usedAt time.Time
-	// requests, wanted and granted are sums since the last log line, at loggedAt: requests for tokens, requests that
-	// VMs would have sent to the server, and granted tokens.
-	requests, wanted, granted int
-	loggedAt                  time.Time
-}
-
-func (o *ownedServer) record(q psfleet.TokenRequest, response psfleet.TokenResponse) {
-	o.requests++
-	o.wanted += q.Wanted
-	o.granted += response.Tokens
-}
-
-// grantServer answers a request for tokens of a server's limit.
-func (t *Tokens) grantServer(s *pscontrol.Snapshot, q psfleet.TokenRequest) psfleet.TokenResponse {
-	server, found := s.Server(q.Service, q.Server.Run)
-	if !found {
-		return psfleet.TokenResponse{Wait: unknownServerWait, Fraction: 1}
-	}
-	now := t.now()
-	server.RecordPeerLimit(q.Server.Limit, now.Add(-q.Server.Age))
-	limit, age := server.Limit(now)
-	response := psfleet.TokenResponse{}
-	if limit != q.Server.Limit {
-		response.Server = &psfleet.ServerLimit{Run: q.Server.Run, Limit: limit, Age: age}
-	}
-	if !limit.Named {
-		return response
-	}
-	rate := serverRate(limit, q.Backup, s.ReachableFraction())
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	o := t.ownedServer(ownedServerKey{q.Server.Run, q.Backup}, now.Add(s.PropagationTime), now)
-	response.Tokens, response.Wait = o.bucket.TakeUpTo(q.Tokens, q.Wanted, rate, now)
-	demand := o.bucket.Demand(now)
-	response.Fraction = min(1, overbooking*rate.Rate/max(demand, rate.Rate))
-	o.record(q, response)
-	if now.Sub(o.loggedAt) >= grantLogInterval {
-		psevent.ServerTokensGranted.Log(t.logger, q.Server.ID, q.Service, limit.String(), age.String(), q.Backup,
-			s.ReachableFraction(), rate.Rate, demand, response.Fraction, o.requests, o.wanted, o.granted)
-		o.requests, o.wanted, o.granted, o.loggedAt = 0, 0, 0, now
-	}
-	return response
-}
-
-// serverRate returns the rate that an owner grants of a server's limit.
-func serverRate(l psserver.Limit, backup bool, reachable float64) psrate.Limit {
-	share := serverPrimaryShare
-	if backup {
-		share = serverBackupShare
-	}
-	return psrate.OwnerLimit(psrate.Limit{Rate: max(trialRate, l.PerSecond), Burst: serverBurst}, share, reachable)
-}
-
-// ownedServer returns the bucket of a server's limit. A new one is filled only from a time on, because until then other
-// VMs may still request tokens from the previous owner. The caller holds the mutex.
-func (t *Tokens) ownedServer(k ownedServerKey, filledFrom, now time.Time) *ownedServer {
-	o, found := t.ownedServers[k]
-	if !found {
-		maps.DeleteFunc(t.ownedServers, func(_ ownedServerKey, v *ownedServer) bool { return now.Sub(v.usedAt) > unusedRetention })
-		o = &ownedServer{bucket: psrate.NewBucket(filledFrom)}
-		t.ownedServers[k] = o
-	}
-	o.usedAt = now
-	return o
-}
