platform: headers and settings have packages of their own

Types lose the word that the package says now (platform.RequestHeaders is psheader.Request). No change of behaviour.

--- a/internal/connection/psprobe/probe.go
+++ b/internal/connection/psprobe/probe.go
@@ -12,7 +12,7 @@
 
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psserver"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 // timeout bounds a probe, which includes its queueing delay: a server queues probes together with requests.
@@ -28,7 +28,7 @@
 
 // Probe requests the health path of a server and returns the health that the server reports. It fails if the server
 // doesn't respond.
-func (p *Prober) Probe(ctx context.Context, e psserver.Entry, path string) (platform.Health, error) {
+func (p *Prober) Probe(ctx context.Context, e psserver.Entry, path string) (psheader.Health, error) {
 	limited, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
 	r := &http.Request{
@@ -37,8 +37,8 @@
 	}
 	result, err := p.transport.Send(limited, e.Address, 0, r)
 	if err != nil {
-		return platform.Health{}, err
+		return psheader.Health{}, err
 	}
 	_ = result.Response.Body.Close()
-	return platform.ReadHealth(result.Response.StatusCode, result.Response.Header), nil
+	return psheader.ReadHealth(result.Response.StatusCode, result.Response.Header), nil
 }
--- a/internal/connection/psproxy/backpressure_test.go
+++ b/internal/connection/psproxy/backpressure_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/process/pslimit"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -37,7 +37,7 @@
 	t.Helper()
 	for n := range 40 {
 		r := request(t, s, http.MethodPost, "/orders/1", "x")
-		psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: fmt.Sprint("id-", n), Object: fmt.Sprint(n), Left: time.Second, Key: "k-1"})
+		psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: fmt.Sprint("id-", n), Object: fmt.Sprint(n), Left: time.Second, Key: "k-1"})
 		status, _, _ := do(t, r)
 		qt.Assert(t, status, qt.Equals, http.StatusOK)
 	}
--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -19,7 +19,7 @@
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/version/psconfig"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 const (
@@ -44,7 +44,7 @@
 	writer    http.ResponseWriter
 	request   *http.Request
 	arrivedAt time.Time
-	headers   platform.RequestHeaders
+	headers   psheader.Request
 	snapshot  *pscontrol.Snapshot
 
 	route     *psconfig.Route
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -16,7 +16,7 @@
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psretry"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 const (
@@ -242,7 +242,7 @@
 		return true
 	}
 	accept := func(r *http.Response) bool {
-		metadata := platform.ReadResponseHeaders(r.StatusCode, r.Header)
+		metadata := psheader.ReadResponse(r.StatusCode, r.Header)
 		if metadata.ID != "" && metadata.ID != c.headers.ID {
 			return false
 		}
@@ -266,7 +266,7 @@
 // upstreamRequest returns the request as it is sent to a server.
 func (c *call) upstreamRequest(entry psserver.Entry, now time.Time) *http.Request {
 	header := psresponse.EndToEndHeaders(c.request.Header)
-	platform.WriteForwardHeaders(header, platform.ForwardHeaders{Server: entry.ID, Workspace: c.workspaceName(), Left: c.remaining(now)})
+	psheader.WriteForward(header, psheader.Forward{Server: entry.ID, Workspace: c.workspaceName(), Left: c.remaining(now)})
 	if header.Get("User-Agent") == "" {
 		// Without this, net/http adds a User-Agent of its own.
 		header["User-Agent"] = []string{""}
--- a/internal/connection/psproxy/limit_test.go
+++ b/internal/connection/psproxy/limit_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/version/psconfig"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -45,7 +45,7 @@
 	began := time.Now()
 	for n := range 40 {
 		r := request(t, s, http.MethodPost, "/orders/1", "x")
-		psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: fmt.Sprint("id-", n), Object: fmt.Sprint(n), Left: time.Second, Key: "k-1"})
+		psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: fmt.Sprint("id-", n), Object: fmt.Sprint(n), Left: time.Second, Key: "k-1"})
 		status, header, _ := do(t, r)
 		if status == http.StatusOK {
 			served++
@@ -99,7 +99,7 @@
 	statuses := make(chan int)
 	for n := range callers {
 		r := request(t, s, http.MethodPost, "/orders/1", "x")
-		psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: fmt.Sprint("id-", n), Object: fmt.Sprint(n), Left: time.Second, Key: "k-1"})
+		psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: fmt.Sprint("id-", n), Object: fmt.Sprint(n), Left: time.Second, Key: "k-1"})
 		go func() {
 			response, err := http.DefaultTransport.RoundTrip(r)
 			if err != nil {
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -26,7 +26,7 @@
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psretry"
 	"persimmonstep/internal/request/pssplit"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 const (
@@ -190,7 +190,7 @@
 	now := p.options.Now()
 	return &call{
 		proxy: p, writer: w, request: r, arrivedAt: now,
-		headers: platform.ReadRequestHeaders(r.Header), snapshot: p.control.Snapshot(), cancel: func() {},
+		headers: psheader.ReadRequest(r.Header), snapshot: p.control.Snapshot(), cancel: func() {},
 	}
 }
 
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -29,7 +29,7 @@
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/version/psconfig"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -205,7 +205,7 @@
 	r, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
 	qt.Assert(t, err, qt.IsNil)
 	r.Host = "eggs.test"
-	psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: "id-1", Object: "7", Left: time.Second, Key: "k-1"})
+	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: "id-1", Object: "7", Left: time.Second, Key: "k-1"})
 	return r
 }
 
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -12,7 +12,7 @@
 	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 // finish logs the outcome of the call and writes the response to the caller.
@@ -61,9 +61,9 @@
 // writeError responds to the caller without a response of a backend server.
 func (c *call) writeError(status int, retryAfter time.Duration) {
 	header := c.writer.Header()
-	platform.WriteRequestID(header, c.headers.ID)
+	psheader.WriteRequestID(header, c.headers.ID)
 	if retryAfter > 0 {
-		platform.WriteRetryAfter(header, retryAfter)
+		psheader.WriteRetryAfter(header, retryAfter)
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	c.prepareResponse()
--- a/internal/connection/psresponse/response.go
+++ b/internal/connection/psresponse/response.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"strings"
 
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 // maxBufferedBytes is the length up to which a response is buffered completely before any of it is forwarded.
@@ -23,7 +23,7 @@
 	Status int
 	Header http.Header
 	// Metadata holds the values of the platform's headers.
-	Metadata platform.ResponseHeaders
+	Metadata psheader.Response
 	// Body is the complete body of a short response, or the first part of a long one.
 	Body []byte
 	// Remainder reads what follows Body in a long response; nil for a short one.
@@ -36,7 +36,7 @@
 func Read(raw *http.Response) (*Response, error) {
 	r := &Response{
 		Status: raw.StatusCode, Header: raw.Header,
-		Metadata: platform.ReadResponseHeaders(raw.StatusCode, raw.Header), length: raw.ContentLength,
+		Metadata: psheader.ReadResponse(raw.StatusCode, raw.Header), length: raw.ContentLength,
 	}
 	var b bytes.Buffer
 	_, err := io.Copy(&b, io.LimitReader(raw.Body, maxBufferedBytes))
--- a/internal/process/psbackend/pause.go
+++ b/internal/process/psbackend/pause.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -33,7 +33,7 @@
 
 // rejectWithPause rejects a request and asks its source address for a pause.
 func (s *Server) rejectWithPause(w http.ResponseWriter, r *http.Request, d time.Duration) {
-	platform.WriteRetryAfter(w.Header(), d)
+	psheader.WriteRetryAfter(w.Header(), d)
 	psstandin.MarkNotRun(w.Header())
 	s.beginPause(r, d, time.Now())
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/process/psbackend/server_test.go
+++ b/internal/process/psbackend/server_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -46,7 +46,7 @@
 	}
 	r.GetBody = nil
 	r.Header.Set(psbackend.HeaderMarker, marker)
-	psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: "k"})
+	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: "k"})
 	response, err := c.Do(r)
 	if err != nil {
 		return outcome{err: true}
--- a/internal/process/psbackend/slot.go
+++ b/internal/process/psbackend/slot.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -98,8 +98,8 @@
 }
 
 // load returns the load that the server reports in its responses.
-func (s *Server) load() platform.Load {
+func (s *Server) load() psheader.Load {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return platform.Load{Running: s.stats.Running, Waiting: len(s.waiting), Slots: s.behaviour.Slots}
+	return psheader.Load{Running: s.stats.Running, Waiting: len(s.waiting), Slots: s.behaviour.Slots}
 }
--- a/internal/process/pscli/check.go
+++ b/internal/process/pscli/check.go
@@ -9,6 +9,7 @@
 
 	"persimmonstep/internal/process/psscenario"
 	"persimmonstep/platform"
+	"persimmonstep/platform/pssettings"
 )
 
 // checkCommand validates files.
@@ -52,7 +53,7 @@
 }
 
 func checkSettings(path string) error {
-	_, err := platform.ReadSettings(path)
+	_, err := pssettings.Read(path)
 	return err
 }
 
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -21,6 +21,7 @@
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 // Store is the access to the platform's store.
@@ -31,7 +32,7 @@
 
 // Prober sends health checks to backend servers.
 type Prober interface {
-	Probe(ctx context.Context, e psserver.Entry, path string) (platform.Health, error)
+	Probe(ctx context.Context, e psserver.Entry, path string) (psheader.Health, error)
 }
 
 // PeerSender sends messages to other VMs.
@@ -206,7 +207,7 @@
 
 // Announcement is what a server announces in a response.
 type Announcement struct {
-	platform.Availability
+	psheader.Availability
 	// RequestID names the request; empty for a probe.
 	RequestID string
 	// SentAt is when the request was sent.
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -21,6 +21,7 @@
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 // store is an in-memory store that also stands in for the other dependencies of a controller. Each set wakes
@@ -134,8 +135,8 @@
 func (*store) TakeProbe(context.Context, *pscontrol.Snapshot, *psserver.Server) bool { return true }
 func (*store) Crashes(time.Time) map[uint64]int                                      { return nil }
 func (*store) RecordPeerCrashes(string, map[uint64]int, time.Time)                   {}
-func (*store) Probe(context.Context, psserver.Entry, string) (platform.Health, error) {
-	return platform.Health{Healthy: true, Server: "i-1", ColdFor: time.Minute}, nil
+func (*store) Probe(context.Context, psserver.Entry, string) (psheader.Health, error) {
+	return psheader.Health{Healthy: true, Server: "i-1", ColdFor: time.Minute}, nil
 }
 
 // Fetch returns the state of a VM that reads the store.
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -16,7 +16,7 @@
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 )
 
 // reports records the reports that a VM sends.
@@ -53,11 +53,11 @@
 	return t.granted
 }
 
-func (t *tokens) Probe(context.Context, psserver.Entry, string) (platform.Health, error) {
+func (t *tokens) Probe(context.Context, psserver.Entry, string) (psheader.Health, error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.probes++
-	return platform.Health{Healthy: true}, nil
+	return psheader.Health{Healthy: true}, nil
 }
 
 func (t *tokens) set(granted bool) (probes int) {
@@ -97,22 +97,22 @@
 	})
 	eventually(t, "a server", func() bool { return serverCount(c) == 1 })
 	server := c.Snapshot().Servers["prices"][0]
-	respond := func(a platform.Availability, genuine bool) {
+	respond := func(a psheader.Availability, genuine bool) {
 		c.UpdateAvailability(server, pscontrol.Announcement{Availability: a, SentAt: time.Now(), Genuine: genuine})
 	}
 	limit := func() pslimit.Limit { v, _ := server.Limit(time.Now()); return v }
 
-	respond(platform.Availability{Limit: named(5)}, true)
+	respond(psheader.Availability{Limit: named(5)}, true)
 	eventually(t, "the announced limit", func() bool { return len(r.last().Limited) == 1 })
 	qt.Assert(t, r.last().Limited[0].Run, qt.Equals, server.Entry().Run())
 	qt.Assert(t, r.last().Limited[0].Limit, qt.Equals, named(5))
 	eventually(t, "the end of the announcement", func() bool { return len(r.last().Limited) == 0 })
-	respond(platform.Availability{Limit: named(4)}, true)
+	respond(psheader.Availability{Limit: named(4)}, true)
 	// These state nothing about the limit.
-	respond(platform.Availability{LimitUnreadable: true}, true)
-	respond(platform.Availability{}, false)
+	respond(psheader.Availability{LimitUnreadable: true}, true)
+	respond(psheader.Availability{}, false)
 	qt.Assert(t, limit(), qt.Equals, named(4))
-	respond(platform.Availability{}, true)
+	respond(psheader.Availability{}, true)
 	qt.Assert(t, limit(), qt.Equals, pslimit.Limit{})
 	eventually(t, "the announced withdrawal", func() bool { return len(r.last().Limited) == 1 })
 	qt.Assert(t, r.last().Limited[0].Limit, qt.Equals, pslimit.Limit{})
@@ -177,7 +177,7 @@
 	c := startWith(t, s, r, &tokens{store: s})
 	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1")} })
 	eventually(t, "the fleet", func() bool { return serverCount(c) == 1 && c.FleetSize() > 700 })
-	c.UpdateAvailability(c.Snapshot().Servers["prices"][0], pscontrol.Announcement{Availability: platform.Availability{Leaving: true}})
+	c.UpdateAvailability(c.Snapshot().Servers["prices"][0], pscontrol.Announcement{Availability: psheader.Availability{Leaving: true}})
 	time.Sleep(psfleet.MaxDigestInterval + time.Second)
 	qt.Assert(t, r.last().Leaving, qt.HasLen, 1)
 }
--- a/internal/process/psdev/dev_test.go
+++ b/internal/process/psdev/dev_test.go
@@ -15,7 +15,7 @@
 	"persimmonstep/internal/process/psbackend"
 	"persimmonstep/internal/process/psdev"
 	"persimmonstep/internal/process/psserver"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -34,7 +34,7 @@
 		return 0, ""
 	}
 	r.Host = s.Ready.Host
-	psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: "id-1", Object: path, Left: 2 * time.Second, Key: key})
+	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: "id-1", Object: path, Left: 2 * time.Second, Key: key})
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, ""
--- a/internal/process/psload/caller.go
+++ b/internal/process/psload/caller.go
@@ -18,6 +18,7 @@
 	"persimmonstep/internal/process/psbackend"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -231,7 +232,7 @@
 	if _, found := c.targetSource.(DirectTargets); found {
 		psstandin.WriteForwardHeaders(r.Header, psstandin.ForwardHeaders{ID: id, Server: t.Name, Workspace: s.Workspace, Object: object})
 	} else {
-		psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: id, Object: object, Left: s.Deadline, Key: c.keys[s.Workspace]})
+		psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: id, Object: object, Left: s.Deadline, Key: c.keys[s.Workspace]})
 	}
 	if s.Marker != "" {
 		r.Header.Set(psbackend.HeaderMarker, s.Marker)
--- a/internal/process/pssoak/caller_test.go
+++ b/internal/process/pssoak/caller_test.go
@@ -15,6 +15,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -106,7 +107,7 @@
 		key = "k-2"
 	}
 	r.Host = "eggs.test"
-	psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: id, Object: path, Left: 1200 * time.Millisecond, Key: key})
+	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: id, Object: path, Left: 1200 * time.Millisecond, Key: key})
 	r.Header.Set(headerVM, vm)
 	sent := time.Now()
 	response, err := c.client.Do(r)
--- a/internal/process/pssteer/settings.go
+++ b/internal/process/pssteer/settings.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/platform"
+	"persimmonstep/platform/pssettings"
 )
 
 // settingsPollInterval is the time between checks whether the settings file has changed without a signal.
@@ -36,7 +36,7 @@
 // reload reads the settings file and logs whether it is valid and differs from the settings in use. The running
 // VM keeps the settings with which it started.
 func (v *vm) reload(path, cause string) {
-	s, err := platform.ReadSettings(path)
+	s, err := pssettings.Read(path)
 	if err != nil {
 		psevent.SettingsRejected.Log(v.logger, cause, err.Error())
 		return
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -30,6 +30,7 @@
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/platform"
+	"persimmonstep/platform/pssettings"
 )
 
 const (
@@ -69,7 +70,7 @@
 
 // Run serves until the context ends, and then shuts down gracefully.
 func Run(ctx context.Context, o Options) error {
-	settings, err := platform.ReadSettings(o.SettingsPath)
+	settings, err := pssettings.Read(o.SettingsPath)
 	if err != nil {
 		return err
 	}
--- a/internal/process/pssteer/steer_test.go
+++ b/internal/process/pssteer/steer_test.go
@@ -23,6 +23,7 @@
 	"persimmonstep/internal/process/pssteer"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -135,7 +136,7 @@
 		return 0, ""
 	}
 	r.Host = "eggs.test"
-	psstandin.WriteRequestHeaders(r.Header, platform.RequestHeaders{ID: "id-1", Left: 2 * time.Second})
+	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: "id-1", Left: 2 * time.Second})
 	r.Close = true
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
