--- a/internal/process/pscli/cli_test.go
+++ b/internal/process/pscli/cli_test.go
@@ -32,7 +32,7 @@
 
 var (
 	platformData  = filepath.Join("..", "..", "..", "platform", "testdata")
-	goodSettings  = filepath.Join(platformData, "settings.yaml")
+	goodSettings  = filepath.Join(platformData, "..", "pssettings", "testdata", "settings.yaml")
 	configuration = filepath.Join(platformData, "configuration.json")
 )
 
