psresult: the results of experiments have a package of their own

It now runs a scenario and records what happens; psresult computes the measurements from that record and reports them.

--- a/internal/process/pscli/measure.go
+++ b/internal/process/pscli/measure.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psexperiment"
+	"persimmonstep/internal/process/psresult"
 	"persimmonstep/internal/process/psscenario"
 )
 
@@ -34,7 +35,7 @@
 		return err
 	}
 	l := hclog.New(&hclog.LoggerOptions{Name: "measure", Output: os.Stderr})
-	var results []*psexperiment.Result
+	var results []*psresult.Result
 	for _, v := range scenarios {
 		r, err := c.runScenario(ctx, v, l)
 		if err != nil {
@@ -80,12 +81,12 @@
 }
 
 // runScenario runs a scenario with each policy for each firm.
-func (c *measureCommand) runScenario(ctx context.Context, v *psscenario.Scenario, l hclog.Logger) ([]*psexperiment.Result, error) {
+func (c *measureCommand) runScenario(ctx context.Context, v *psscenario.Scenario, l hclog.Logger) ([]*psresult.Result, error) {
 	policies := []psexperiment.Policy{psexperiment.System()}
 	if c.Baseline {
 		policies = append(policies, psexperiment.Baseline())
 	}
-	var out []*psexperiment.Result
+	var out []*psresult.Result
 	for _, f := range psscenario.Firms() {
 		if c.Firm != "" && string(f.Name) != c.Firm {
 			continue
@@ -104,11 +105,11 @@
 	return out, nil
 }
 
-func (c *measureCommand) report(s streams, results []*psexperiment.Result) error {
-	if err := writeFile(c.Plot, results, psexperiment.Plot); err != nil {
+func (c *measureCommand) report(s streams, results []*psresult.Result) error {
+	if err := writeFile(c.Plot, results, psresult.Plot); err != nil {
 		return err
 	}
-	if err := writeFile(c.HTML, results, psexperiment.HTML); err != nil {
+	if err := writeFile(c.HTML, results, psresult.HTML); err != nil {
 		return err
 	}
 	if c.JSON {
@@ -116,11 +117,11 @@
 		e.SetIndent("", "  ")
 		return errors.Wrap(e.Encode(results), "print results")
 	}
-	return psexperiment.Table(s.out, results)
+	return psresult.Table(s.out, results)
 }
 
 // writeFile writes results to a file, unless the path is empty.
-func writeFile(path string, results []*psexperiment.Result, write func(io.Writer, []*psexperiment.Result) error) error {
+func writeFile(path string, results []*psresult.Result, write func(io.Writer, []*psresult.Result) error) error {
 	if path == "" {
 		return nil
 	}
@@ -136,7 +137,7 @@
 }
 
 // checkGuarantees returns an error if a run through the system violated a guarantee. Runs of the baseline don't count.
-func checkGuarantees(results []*psexperiment.Result) error {
+func checkGuarantees(results []*psresult.Result) error {
 	for _, r := range results {
 		if r.Policy == psexperiment.System().Name && r.Broken.Total() > 0 {
 			return &exitError{code: ExitViolation, text: "measure: the system violated a guarantee"}
--- a/internal/process/psexperiment/experiment.go
+++ b/internal/process/psexperiment/experiment.go
@@ -24,6 +24,7 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/psload"
+	"persimmonstep/internal/process/psresult"
 	"persimmonstep/internal/process/psscenario"
 	"persimmonstep/platform/psstandin"
 )
@@ -66,7 +67,7 @@
 }
 
 // Run runs a scenario with the installation of a firm under a policy.
-func Run(ctx context.Context, f psscenario.Firm, s *psscenario.Scenario, p Policy, l hclog.Logger) (*Result, error) {
+func Run(ctx context.Context, f psscenario.Firm, s *psscenario.Scenario, p Policy, l hclog.Logger) (*psresult.Result, error) {
 	e := &experiment{
 		firm: f, scenario: s, policy: p, topology: f.Topology(), drained: make(map[int]time.Duration),
 		snapshots: make(map[time.Duration]psstandin.Snapshot), restarts: make(map[string][]time.Duration),
@@ -86,8 +87,10 @@
 	if unsent > 0 {
 		e.notes = append(e.notes, "the load generator could not send every request")
 	}
-	history := e.history(observations)
-	r := e.result(history, use)
+	r := psresult.New(psresult.Run{
+		Scenario: s.Name, Firm: f.Name, Policy: p.Name, Seed: s.Seed, Pools: f.Pools, History: e.history(observations),
+		StopTime: e.stopTime, PeakUse: use.peak, Notes: e.notes,
+	})
 	r.Unsent = unsent
 	use.recordControlCost(r)
 	psevent.RunFinished.Log(l, s.Name, f.Name, p.Name, len(observations), r.Broken.Total())
--- a/internal/process/psexperiment/usage.go
+++ b/internal/process/psexperiment/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"persimmonstep/internal/process/psresult"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -28,7 +29,7 @@
 }
 
 // recordControlCost computes the rates of datagram bytes between VMs and of store calls during the run.
-func (u *usage) recordControlCost(r *Result) {
+func (u *usage) recordControlCost(r *psresult.Result) {
 	span := u.after.at.Sub(u.before.at).Seconds()
 	r.PeerBytesPerSecond = float64(u.after.bytes-u.before.bytes) / span / float64(len(u.experiment.topology.VMs))
 	r.ReadsPerSecond = float64(u.after.calls.Reads-u.before.calls.Reads) / span
--- a/internal/process/psexperiment/report.go
+++ b/internal/process/psresult/report.go
@@ -1,4 +1,4 @@
-package psexperiment
+package psresult
 
 import (
 	"fmt"
--- a/internal/process/psexperiment/result.go
+++ b/internal/process/psresult/result.go
@@ -1,4 +1,6 @@
-package psexperiment
+// Package psresult computes the measurements of a run of an experiment from its recorded history, and reports those
+// of several runs as text, HTML or a plot.
+package psresult
 
 import (
 	"math"
@@ -12,6 +14,21 @@
 	"persimmonstep/internal/process/psscenario"
 )
 
+// Run is what was recorded of one run.
+type Run struct {
+	// Scenario, Firm and Policy name what was run, and Seed drew the load.
+	Scenario, Firm, Policy string
+	Seed                   uint64
+	Pools                  []psscenario.Pool
+	History                psguarantee.History
+	// StopTime is the duration of the longest graceful shutdown.
+	StopTime time.Duration
+	// PeakUse returns the highest slot utilization of a pool up to a time, as a fraction.
+	PeakUse func(pool string, before time.Duration) float64
+	// Notes lists the problems of the experiment itself.
+	Notes []string
+}
+
 // Result is the measurements of one run.
 type Result struct {
 	Scenario string `json:"scenario"`
@@ -80,15 +97,16 @@
 	neverRejected = time.Duration(math.MaxInt64)
 )
 
-// result computes the measurements of the run.
-func (e *experiment) result(v psguarantee.History, use *usage) *Result {
+// New computes the measurements of a run.
+func New(run Run) *Result {
+	v := run.History
 	r := &Result{
-		Scenario: e.scenario.Name, Firm: e.firm.Name, Policy: e.policy.Name, Seed: e.scenario.Seed,
-		StopMilliseconds: milliseconds(e.stopTime), Broken: psguarantee.Check(v), Notes: e.notes,
+		Scenario: run.Scenario, Firm: run.Firm, Policy: run.Policy, Seed: run.Seed,
+		StopMilliseconds: milliseconds(run.StopTime), Broken: psguarantee.Check(v), Notes: run.Notes,
 		histograms: make(map[string]*hdrhistogram.Histogram),
 	}
-	for _, p := range e.firm.Pools {
-		r.Routes = append(r.Routes, r.route(p, v.Observations, use))
+	for _, p := range run.Pools {
+		r.Routes = append(r.Routes, r.route(p, v.Observations, run.PeakUse))
 	}
 	for _, s := range v.Servers {
 		if s.DrainedAt > 0 {
@@ -113,9 +131,9 @@
 	return float64(d.Microseconds()) / 1000
 }
 
-func (r *Result) route(p psscenario.Pool, observations []psload.Observation, use *usage) RouteResult {
+func (r *Result) route(p psscenario.Pool, observations []psload.Observation, peakUse func(string, time.Duration) float64) RouteResult {
 	h := hdrhistogram.New(1, maxLatency.Microseconds(), histogramDigits)
-	out := RouteResult{Route: p.Name, Kind: p.Kind.String(), PeakUse: use.peak(p.Name, neverRejected), UseBeforeRefusal: 1}
+	out := RouteResult{Route: p.Name, Kind: p.Kind.String(), PeakUse: peakUse(p.Name, neverRejected), UseBeforeRefusal: 1}
 	first := neverRejected
 	for i := range observations {
 		o := &observations[i]
@@ -139,7 +157,7 @@
 		}
 	}
 	if first != neverRejected {
-		out.UseBeforeRefusal = use.peak(p.Name, first)
+		out.UseBeforeRefusal = peakUse(p.Name, first)
 	}
 	quantile := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 	out.P50, out.P99, out.P999 = quantile(50), quantile(99), quantile(99.9)
