--- a/internal/process/psserver/recent.go
+++ b/internal/process/psobject/recent.go
@@ -1,4 +1,6 @@
-package psserver
+// Package psobject remembers which objects a VM has sent requests for to a backend server, which probably has them
+// cached.
+package psobject
 
 import (
 	"maps"
@@ -6,25 +8,25 @@
 	"sync"
 )
 
-// maxRecentObjects is the capacity of a [RecentObjects].
-const maxRecentObjects = 64
+// maxRecent is the capacity of a [Recent].
+const maxRecent = 64
 
-// RecentObjects is the set of objects that were most recently sent to a server, with LRU eviction. It is safe
+// Recent is the set of objects that were most recently sent to a server, with LRU eviction. It is safe
 // for concurrent use.
-type RecentObjects struct {
+type Recent struct {
 	mutex sync.Mutex
 	// lastUsed holds the value of the counter when each object was sent last.
 	lastUsed map[uint64]uint64
 	counter  uint64
 }
 
-// NewRecentObjects returns an empty set.
-func NewRecentObjects() *RecentObjects {
-	return &RecentObjects{lastUsed: make(map[uint64]uint64, maxRecentObjects+1)}
+// NewRecent returns an empty set.
+func NewRecent() *Recent {
+	return &Recent{lastUsed: make(map[uint64]uint64, maxRecent+1)}
 }
 
 // Contains reports whether an object is in the set.
-func (r *RecentObjects) Contains(object uint64) bool {
+func (r *Recent) Contains(object uint64) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	_, found := r.lastUsed[object]
@@ -32,17 +34,17 @@
 }
 
 // Add marks an object as the most recently sent one.
-func (r *RecentObjects) Add(object uint64) {
+func (r *Recent) Add(object uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.counter++
 	r.lastUsed[object] = r.counter
-	if len(r.lastUsed) > maxRecentObjects {
+	if len(r.lastUsed) > maxRecent {
 		delete(r.lastUsed, r.oldest())
 	}
 }
 
-func (r *RecentObjects) oldest() uint64 {
+func (r *Recent) oldest() uint64 {
 	var oldest, lowest uint64
 	lowest = r.counter + 1
 	for o, t := range r.lastUsed {
@@ -54,7 +56,7 @@
 }
 
 // Objects returns all objects of the set in ascending order.
-func (r *RecentObjects) Objects() []uint64 {
+func (r *Recent) Objects() []uint64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return slices.Sorted(maps.Keys(r.lastUsed))
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psobject"
 )
 
 const (
@@ -21,7 +22,7 @@
 type Server struct {
 	Region string
 	// RecentObjects holds the objects that this VM recently sent to the server.
-	RecentObjects *RecentObjects
+	RecentObjects *psobject.Recent
 
 	mutex sync.Mutex
 	entry Entry
@@ -66,7 +67,7 @@
 
 // New returns the view of a server that was just registered.
 func New(e Entry, region string, now time.Time) *Server {
-	s := &Server{Region: region, RecentObjects: NewRecentObjects(), entry: e, slowness: 1, averagedAt: now}
+	s := &Server{Region: region, RecentObjects: psobject.NewRecent(), entry: e, slowness: 1, averagedAt: now}
 	if e.ColdFor > 0 {
 		s.coldUntil = now.Add(e.ColdFor)
 	}
--- a/internal/process/psserver/server_test.go
+++ b/internal/process/psserver/server_test.go
@@ -88,18 +88,6 @@
 	qt.Assert(t, v.FailureRate < 0.01, qt.IsTrue)
 }
 
-func TestRecentObjectsEvictLeastRecentlySent(t *testing.T) {
-	m := psserver.NewRecentObjects()
-	for o := range uint64(64) {
-		m.Add(o)
-	}
-	m.Add(0)
-	m.Add(100)
-	qt.Assert(t, m.Contains(0), qt.IsTrue)
-	qt.Assert(t, m.Contains(1), qt.IsFalse)
-	qt.Assert(t, m.Objects(), qt.HasLen, 64)
-}
-
 func TestCacheableFractionFollowsHitRate(t *testing.T) {
 	s := newServer(nil)
 	for range 100 {
