--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -12,7 +12,7 @@
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pssocket"
-	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psadmission"
 	"persimmonstep/internal/request/psblocklist"
@@ -45,7 +45,7 @@
 	request   *http.Request
 	arrivedAt time.Time
 	headers   psheader.Request
-	snapshot  *pscontrol.Snapshot
+	snapshot  *pssnapshot.Snapshot
 
 	route     *psconfig.Route
 	workspace *psconfig.Workspace
--- a/internal/connection/psproxy/early_response_test.go
+++ b/internal/connection/psproxy/early_response_test.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -32,7 +32,7 @@
 	}{
 		"unknown key":        {401, 10 << 10, func(r *http.Request, _ *fakeControl) { r.Header.Set("Authorization", "Bearer other") }},
 		"no route":           {404, 10 << 10, func(r *http.Request, _ *fakeControl) { r.URL.Path = "/nowhere/" }},
-		"no configuration":   {503, 10 << 10, func(_ *http.Request, control *fakeControl) { control.snapshot = &pscontrol.Snapshot{} }},
+		"no configuration":   {503, 10 << 10, func(_ *http.Request, control *fakeControl) { control.snapshot = &pssnapshot.Snapshot{} }},
 		"too large":          {413, 3 << 20, func(*http.Request, *fakeControl) {}},
 		"too large, chunked": {413, -1, func(*http.Request, *fakeControl) {}},
 	}
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -21,6 +21,7 @@
 	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psblocklist"
 	"persimmonstep/internal/request/psestimate"
@@ -40,7 +41,7 @@
 // ControlPlane provides the snapshots that requests are served from. It is notified of failures of servers and of what
 // servers announce in their responses.
 type ControlPlane interface {
-	Snapshot() *pscontrol.Snapshot
+	Snapshot() *pssnapshot.Snapshot
 	ServerFailed(s *psserver.Server, reason pscontrol.Reason, requestID string)
 	UpdateAvailability(s *psserver.Server, a pscontrol.Announcement)
 }
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -27,6 +27,7 @@
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform/psheader"
@@ -108,13 +109,13 @@
 
 // fakeControl is the control plane of the proxy under test.
 type fakeControl struct {
-	snapshot *pscontrol.Snapshot
+	snapshot *pssnapshot.Snapshot
 
 	mutex         sync.Mutex
 	announcements []pscontrol.Announcement
 }
 
-func (c *fakeControl) Snapshot() *pscontrol.Snapshot { return c.snapshot }
+func (c *fakeControl) Snapshot() *pssnapshot.Snapshot { return c.snapshot }
 
 func (c *fakeControl) UpdateAvailability(s *psserver.Server, a pscontrol.Announcement) {
 	c.mutex.Lock()
@@ -168,7 +169,7 @@
 // startProxy starts a proxy in front of backend servers.
 func startProxy(t *testing.T, backends ...*backend) (*httptest.Server, *fakeControl) {
 	t.Helper()
-	control := &fakeControl{snapshot: &pscontrol.Snapshot{
+	control := &fakeControl{snapshot: &pssnapshot.Snapshot{
 		Index: psconfig.NewIndex(&testConfiguration), Servers: map[string][]*psserver.Server{},
 		ServersReadAt: time.Now(), EvenShare: 1, FleetSize: 1, ShareHolders: []psfleet.Identity{{VM: "vm-1"}},
 	}}
@@ -254,7 +255,7 @@
 		"no key":           {func(r *http.Request, _ *fakeControl) { r.Header.Del("Authorization") }, 401},
 		"no route":         {func(r *http.Request, _ *fakeControl) { r.URL.Path = "/nowhere/" }, 404},
 		"other host":       {func(r *http.Request, _ *fakeControl) { r.Host = "carts.test" }, 404},
-		"no configuration": {func(_ *http.Request, control *fakeControl) { control.snapshot = &pscontrol.Snapshot{} }, 503},
+		"no configuration": {func(_ *http.Request, control *fakeControl) { control.snapshot = &pssnapshot.Snapshot{} }, 503},
 		"no server":        {func(_ *http.Request, control *fakeControl) { control.snapshot.Servers = nil }, 503},
 		"evacuated": {func(_ *http.Request, control *fakeControl) {
 			control.snapshot.Evacuated = map[string]bool{"north-a": true}
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -1,3 +1,10 @@
+// Package pscontrol is the control plane of a VM: it maintains the VM's view of the system, by which requests
+// are routed.
+//
+// A single goroutine, [Controller.Run], applies events from the store, the other VMs and the request path. It
+// publishes an immutable [pssnapshot.Snapshot] that requests read without locks. While the store is unreachable the VM
+// fetches the state of a VM that still reads it, and in a large fleet a starting VM does so to limit
+// the load on the store.
 package pscontrol
 
 import (
@@ -17,6 +24,7 @@
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
@@ -50,7 +58,7 @@
 	// Demands returns the rate of callers' requests, in requests per second, by workspace.
 	Demands(now time.Time) map[string]float64
 	// TakeProbe reports whether a probe may be sent to a server.
-	TakeProbe(ctx context.Context, s *Snapshot, server *psserver.Server) bool
+	TakeProbe(ctx context.Context, s *pssnapshot.Snapshot, server *psserver.Server) bool
 }
 
 // CrashTracker counts, for each request fingerprint, the crashes of servers that were running the request.
@@ -83,7 +91,7 @@
 type Controller struct {
 	options  Options
 	events   chan event
-	snapshot atomic.Pointer[Snapshot]
+	snapshot atomic.Pointer[pssnapshot.Snapshot]
 	watcher  *pswatch.Watcher
 	// discovery finds the other VMs.
 	discovery *psdiscovery.Discovery
@@ -142,7 +150,7 @@
 const eventQueueSize = 256
 
 // Snapshot returns the latest published view.
-func (c *Controller) Snapshot() *Snapshot { return c.snapshot.Load() }
+func (c *Controller) Snapshot() *pssnapshot.Snapshot { return c.snapshot.Load() }
 
 // Leave removes the VM from the directory and notifies the other VMs.
 func (c *Controller) Leave() {
@@ -183,7 +191,7 @@
 
 // IsRelay reports whether this VM relays store changes to its region. That is the first live VM of the region,
 // as far as this VM knows.
-func (c *Controller) IsRelay() bool { return c.Snapshot().relaysStore }
+func (c *Controller) IsRelay() bool { return c.Snapshot().RelaysStore }
 
 // SendNotice sends a notice to the other VMs of the region.
 func (c *Controller) SendNotice(n *psfleet.Notice) {
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -18,6 +18,7 @@
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
@@ -127,14 +128,14 @@
 func (*store) VMChanges(context.Context, psrevision.Revision) (platform.VMs, error) {
 	return platform.VMs{}, nil
 }
-func (*store) PublishVM(context.Context, string, []byte) error                       { return nil }
-func (*store) Report(*psfleet.Report, []psfleet.Identity) error                      { return nil }
-func (*store) Notice(*psfleet.Notice, []psfleet.Identity) error                      { return nil }
-func (*store) Digest(*psfleet.Digest, []psfleet.Identity) error                      { return nil }
-func (*store) Demands(time.Time) map[string]float64                                  { return nil }
-func (*store) TakeProbe(context.Context, *pscontrol.Snapshot, *psserver.Server) bool { return true }
-func (*store) Crashes(time.Time) map[uint64]int                                      { return nil }
-func (*store) RecordPeerCrashes(string, map[uint64]int, time.Time)                   {}
+func (*store) PublishVM(context.Context, string, []byte) error                        { return nil }
+func (*store) Report(*psfleet.Report, []psfleet.Identity) error                       { return nil }
+func (*store) Notice(*psfleet.Notice, []psfleet.Identity) error                       { return nil }
+func (*store) Digest(*psfleet.Digest, []psfleet.Identity) error                       { return nil }
+func (*store) Demands(time.Time) map[string]float64                                   { return nil }
+func (*store) TakeProbe(context.Context, *pssnapshot.Snapshot, *psserver.Server) bool { return true }
+func (*store) Crashes(time.Time) map[uint64]int                                       { return nil }
+func (*store) RecordPeerCrashes(string, map[uint64]int, time.Time)                    {}
 func (*store) Probe(context.Context, psserver.Entry, string) (psheader.Health, error) {
 	return psheader.Health{Healthy: true, Server: "i-1", ColdFor: time.Minute}, nil
 }
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -10,6 +10,7 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/request/psoutlier"
 )
 
@@ -184,12 +185,12 @@
 func (c *Controller) publish() {
 	now := c.options.Now()
 	shares, even := c.shares.RateShares(c.fleet, c.desiredState.Index, now)
-	c.snapshot.Store(&Snapshot{
+	c.snapshot.Store(&pssnapshot.Snapshot{
 		Index: c.desiredState.Index, Servers: c.servers.ByService(), ServersReadAt: c.servers.ReadAt, Evacuated: c.desiredState.Evacuated,
 		RateShares: shares, EvenShare: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		changes: c.desiredState.Changes + c.servers.Changes(), desiredStateRevision: c.desiredState.Revision, serversRevision: c.serversRevision, newerVM: c.newerVM(now),
-		relaysStore:  c.fleet.IsRelay(now),
-		storeReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), PropagationTime: c.fleet.PropagationTime(),
+		Changes: c.desiredState.Changes + c.servers.Changes(), DesiredStateRevision: c.desiredState.Revision, ServersRevision: c.serversRevision, NewerVM: c.newerVM(now),
+		RelaysStore:  c.fleet.IsRelay(now),
+		StoreReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), PropagationTime: c.fleet.PropagationTime(),
 	})
 }
 
@@ -212,8 +213,8 @@
 }
 
 // vms returns the live VMs that take callers, this one first.
-func (c *Controller) vms(now time.Time) []VM {
-	var list []VM
+func (c *Controller) vms(now time.Time) []pssnapshot.VM {
+	var list []pssnapshot.VM
 	if !c.leaving.Load() {
 		list = append(list, vmOf(c.options.Identity))
 	}
@@ -225,6 +226,6 @@
 	return list
 }
 
-func vmOf(i psfleet.Identity) VM {
-	return VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.CallerAddress.String()}
+func vmOf(i psfleet.Identity) pssnapshot.VM {
+	return pssnapshot.VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.CallerAddress.String()}
 }
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -16,6 +16,7 @@
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/platform/psheader"
 )
 
@@ -47,7 +48,7 @@
 	probes  int
 }
 
-func (t *tokens) TakeProbe(context.Context, *pscontrol.Snapshot, *psserver.Server) bool {
+func (t *tokens) TakeProbe(context.Context, *pssnapshot.Snapshot, *psserver.Server) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.granted
--- a/internal/process/pscontrol/peerstate.go
+++ b/internal/process/pscontrol/peerstate.go
@@ -40,7 +40,7 @@
 // VM has a configuration and servers.
 func (c *Controller) StateTag() (tag string, age time.Duration, found bool) {
 	s := c.Snapshot()
-	tag = fmt.Sprintf("%d-%d-%v", c.options.Identity.Incarnation, s.changes, s.desiredStateRevision)
+	tag = fmt.Sprintf("%d-%d-%v", c.options.Identity.Incarnation, s.Changes, s.DesiredStateRevision)
 	return tag, c.options.Now().Sub(s.ServersReadAt), s.CanServe()
 }
 
@@ -52,7 +52,7 @@
 	}
 	state := psfleet.ControlState{
 		Configuration: s.Index.Configuration, Evacuated: lo.Keys(s.Evacuated),
-		DesiredStateRevision: s.desiredStateRevision, ServersRevision: s.serversRevision, ReadsStore: !c.watcher.Lost(),
+		DesiredStateRevision: s.DesiredStateRevision, ServersRevision: s.ServersRevision, ReadsStore: !c.watcher.Lost(),
 		Age: c.options.Now().Sub(s.ServersReadAt),
 	}
 	for _, list := range s.Servers {
@@ -74,7 +74,7 @@
 	last := syncSource{}
 	for attempt := 0; pswait.Sleep(ctx, syncInterval); {
 		c.fetchNewerConfiguration(ctx)
-		readers := c.Snapshot().storeReaders
+		readers := c.Snapshot().StoreReaders
 		if !c.watcher.Failing() || len(readers) == 0 {
 			last = syncSource{}
 			attempt = 0
@@ -93,7 +93,7 @@
 // fetchNewerConfiguration fetches the configuration of the VM that has a newer one. That VM's evacuations are
 // ignored, because they can be from an earlier era of the store.
 func (c *Controller) fetchNewerConfiguration(ctx context.Context) {
-	vm := c.Snapshot().newerVM
+	vm := c.Snapshot().NewerVM
 	if vm == nil {
 		return
 	}
--- a/internal/process/psmetric/metric.go
+++ b/internal/process/psmetric/metric.go
@@ -8,14 +8,14 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/pssnapshot"
 )
 
 const namespace = "persimmonstep"
 
 // Source provides the state from which the metrics are computed.
 type Source interface {
-	Snapshot() *pscontrol.Snapshot
+	Snapshot() *pssnapshot.Snapshot
 	// StoreLost reports whether a table of the store is currently unreadable.
 	StoreLost() bool
 	Ready() bool
--- a/internal/process/psmetric/metric_test.go
+++ b/internal/process/psmetric/metric_test.go
@@ -9,10 +9,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -20,10 +20,10 @@
 
 // source provides a fixed snapshot. Its store is unreadable.
 type source struct {
-	snapshot *pscontrol.Snapshot
+	snapshot *pssnapshot.Snapshot
 }
 
-func (s source) Snapshot() *pscontrol.Snapshot { return s.snapshot }
+func (s source) Snapshot() *pssnapshot.Snapshot { return s.snapshot }
 
 func (source) StoreLost() bool { return true }
 
@@ -37,9 +37,9 @@
 	}
 	servers[0].RecordLimit(pslimit.Limit{Named: true, PerSecond: 2.5}, readAt, readAt)
 	servers[0].CountSent()
-	s := source{&pscontrol.Snapshot{
+	s := source{&pssnapshot.Snapshot{
 		Index: psconfig.NewIndex(&psconfig.Configuration{Version: 7}), Servers: map[string][]*psserver.Server{"prices": servers},
-		ServersReadAt: readAt, FleetSize: 3, VMs: []pscontrol.VM{{Name: "vm-1"}, {Name: "vm-2"}},
+		ServersReadAt: readAt, FleetSize: 3, VMs: []pssnapshot.VM{{Name: "vm-1"}, {Name: "vm-2"}},
 	}}
 	r := prometheus.NewRegistry()
 	qt.Assert(t, r.Register(psmetric.New(s, func() time.Time { return readAt.Add(2 * time.Second) })), qt.IsNil)
--- a/internal/process/pscontrol/shares.go
+++ b/internal/process/pssnapshot/shares.go
@@ -1,4 +1,4 @@
-package pscontrol
+package pssnapshot
 
 import (
 	"persimmonstep/internal/process/psfleet"
--- a/internal/process/pscontrol/snapshot.go
+++ b/internal/process/pssnapshot/snapshot.go
@@ -1,11 +1,8 @@
-// Package pscontrol is the control plane of a VM: it maintains the VM's view of the system, by which requests
-// are routed.
+// Package pssnapshot is a VM's view of the system at one point in time, by which it routes requests.
 //
-// A single goroutine, [Controller.Run], applies events from the store, the other VMs and the request path. It
-// publishes an immutable [Snapshot] that requests read without locks. While the store is unreachable the VM
-// fetches the state of a VM that still reads it, and in a large fleet a starting VM does so to limit
-// the load on the store.
-package pscontrol
+// The control plane, package pscontrol, publishes an immutable [Snapshot] after each change. Requests read it without
+// locks; only what servers report about themselves in the meantime is newer.
+package pssnapshot
 
 import (
 	"time"
@@ -34,17 +31,17 @@
 	ShareHolders []psfleet.Identity
 	// PropagationTime is the time within which a VM's report reaches all VMs.
 	PropagationTime time.Duration
-	// relaysStore is set if this VM relays store changes to the others of its region.
-	relaysStore bool
-	// desiredStateRevision is the store revision of the latest change of the desired state, and serversRevision that
+	// RelaysStore is set if this VM relays store changes to the others of its region.
+	RelaysStore bool
+	// DesiredStateRevision is the store revision of the latest change of the desired state, and ServersRevision that
 	// of the servers.
-	desiredStateRevision, serversRevision psrevision.Revision
-	// newerVM is a live VM that has had a newer configuration for newerConfigDelay; nil if there is none.
-	newerVM *psfleet.Identity
-	// changes increases whenever the state changes that this VM sends to others.
-	changes int64
-	// storeReaders lists the other VMs that read the store.
-	storeReaders []psfleet.Identity
+	DesiredStateRevision, ServersRevision psrevision.Revision
+	// NewerVM is a live VM that has had a newer configuration for some time; nil if there is none.
+	NewerVM *psfleet.Identity
+	// Changes increases whenever the state changes that this VM sends to others.
+	Changes int64
+	// StoreReaders lists the other VMs that read the store.
+	StoreReaders []psfleet.Identity
 	// FleetSize is the number of known VMs, this one included.
 	FleetSize int
 	// VMs lists the VMs that take callers, this one first.
@@ -65,5 +62,5 @@
 // Eras returns the eras of the store from which the desired state and the servers were read. The era increases each
 // time the store is restored from a backup.
 func (s *Snapshot) Eras() (desiredState, servers int64) {
-	return s.desiredStateRevision.Era, s.serversRevision.Era
+	return s.DesiredStateRevision.Era, s.ServersRevision.Era
 }
--- a/internal/process/psstate/explain_test.go
+++ b/internal/process/psstate/explain_test.go
@@ -7,11 +7,11 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/psstate"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psestimate"
@@ -48,7 +48,7 @@
 	s := psstate.Capture(psstate.Source{
 		RoundTrips: &psestimate.RoundTrips{},
 		Settings:   &psnode.Settings{Name: "vm-1", FailureDomain: "north-a", Region: "north"},
-		Snapshot: &pscontrol.Snapshot{
+		Snapshot: &pssnapshot.Snapshot{
 			Index: psconfig.NewIndex(&c), Servers: map[string][]*psserver.Server{"prices": servers},
 			ServersReadAt: startTime, RateShares: map[string]float64{"trays": 0.25}, EvenShare: 0.5, FleetSize: 2,
 			ShareHolders: []psfleet.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
--- a/internal/process/psstate/state.go
+++ b/internal/process/psstate/state.go
@@ -12,11 +12,11 @@
 
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psselect"
@@ -41,8 +41,8 @@
 	Evacuated []string `json:"evacuated"`
 	// FleetSize is the number of known VMs, this one included. VMs are those that accept requests of
 	// callers.
-	FleetSize int            `json:"fleetSize"`
-	VMs       []pscontrol.VM `json:"vms"`
+	FleetSize int             `json:"fleetSize"`
+	VMs       []pssnapshot.VM `json:"vms"`
 	// Shares are this VM's shares of the workspaces' split rates. EvenShare applies to workspaces that
 	// are not listed.
 	Shares    map[string]float64 `json:"parts"`
@@ -76,7 +76,7 @@
 // Source holds the parts of a VM from which its state is captured.
 type Source struct {
 	Settings   *psnode.Settings
-	Snapshot   *pscontrol.Snapshot
+	Snapshot   *pssnapshot.Snapshot
 	Estimates  *psestimate.Estimates
 	RoundTrips *psestimate.RoundTrips
 	Tokens     *pstoken.Tokens
--- a/internal/process/pssteer/directory.go
+++ b/internal/process/pssteer/directory.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/platform"
 )
 
@@ -16,13 +16,13 @@
 
 // directoryAddresses returns the addresses of the VMs that a caller at a place should use: those of its region,
 // or those of all regions if the region has too few.
-func directoryAddresses(vms []pscontrol.VM, p platform.DirectoryQuery) []string {
-	list := lo.Filter(vms, func(v pscontrol.VM, _ int) bool { return v.Region == p.Region })
+func directoryAddresses(vms []pssnapshot.VM, p platform.DirectoryQuery) []string {
+	list := lo.Filter(vms, func(v pssnapshot.VM, _ int) bool { return v.Region == p.Region })
 	if len(list) < minDirectoryVMs {
 		list = vms
 	}
 	if len(list) > maxDirectoryVMs {
 		list = list[:maxDirectoryVMs]
 	}
-	return lo.Map(list, func(v pscontrol.VM, _ int) string { return v.Callers })
+	return lo.Map(list, func(v pssnapshot.VM, _ int) string { return v.Callers })
 }
--- a/internal/process/pstoken/limit_test.go
+++ b/internal/process/pstoken/limit_test.go
@@ -12,11 +12,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/connection/pspeer"
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
 )
 
@@ -101,8 +101,8 @@
 func (w *simulation) at() time.Duration { return w.now.Sub(w.start) }
 
 // snapshot returns a VM's view of the fleet.
-func (w *simulation) snapshot(v *simulatedVM) *pscontrol.Snapshot {
-	s := &pscontrol.Snapshot{
+func (w *simulation) snapshot(v *simulatedVM) *pssnapshot.Snapshot {
+	s := &pssnapshot.Snapshot{
 		Servers:   map[string][]*psserver.Server{"prices": {v.server}},
 		FleetSize: len(w.vms), PropagationTime: propagationTime,
 	}
--- a/internal/process/pstoken/owner.go
+++ b/internal/process/pstoken/owner.go
@@ -4,12 +4,12 @@
 	"maps"
 	"time"
 
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 )
 
 const (
@@ -54,7 +54,7 @@
 }
 
 // grantServer answers a request for tokens of a server's limit.
-func (t *Tokens) grantServer(s *pscontrol.Snapshot, q psfleet.TokenRequest) psfleet.TokenResponse {
+func (t *Tokens) grantServer(s *pssnapshot.Snapshot, q psfleet.TokenRequest) psfleet.TokenResponse {
 	server, found := s.Server(q.Service, q.Server.Run)
 	if !found {
 		return psfleet.TokenResponse{Wait: unknownServerWait, Fraction: 1}
--- a/internal/process/pstoken/share.go
+++ b/internal/process/pstoken/share.go
@@ -5,9 +5,9 @@
 	"maps"
 	"time"
 
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/process/pssnapshot"
 )
 
 const (
@@ -54,7 +54,7 @@
 
 // TakeServer takes a token of a server's limit: from those that were granted to this VM, or from the owner. Each
 // request to a server with a limit needs one. The verdict for a server without a limit is [Granted].
-func (t *Tokens) TakeServer(ctx context.Context, s *pscontrol.Snapshot, server *psserver.Server) Verdict {
+func (t *Tokens) TakeServer(ctx context.Context, s *pssnapshot.Snapshot, server *psserver.Server) Verdict {
 	now := t.now()
 	limit, age := server.Limit(now)
 	if !limit.Named {
@@ -75,7 +75,7 @@
 }
 
 // TakeProbe reports whether a probe may be sent to a server. It takes a token if the server has a limit.
-func (t *Tokens) TakeProbe(ctx context.Context, s *pscontrol.Snapshot, server *psserver.Server) bool {
+func (t *Tokens) TakeProbe(ctx context.Context, s *pssnapshot.Snapshot, server *psserver.Server) bool {
 	_, granted := t.TakeServer(ctx, s, server).(Granted)
 	return granted
 }
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -18,11 +18,11 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -110,7 +110,7 @@
 
 // Take takes a token of a workspace, from a bucket of this VM or from the owner. A late caller is one that
 // retries and can't be answered within its latency target any more.
-func (t *Tokens) Take(ctx context.Context, s *pscontrol.Snapshot, w *psconfig.Workspace, late bool) Verdict {
+func (t *Tokens) Take(ctx context.Context, s *pssnapshot.Snapshot, w *psconfig.Workspace, late bool) Verdict {
 	l := limitOf(w)
 	switch {
 	case l.Rate <= 0:
@@ -136,7 +136,7 @@
 
 // Return puts back the token of a request that was not sent to a server. A token that another VM owns is not
 // returned.
-func (t *Tokens) Return(s *pscontrol.Snapshot, w *psconfig.Workspace) {
+func (t *Tokens) Return(s *pssnapshot.Snapshot, w *psconfig.Workspace) {
 	if l := limitOf(w); l.Rate <= 0 || psrate.SingleOwner(l, s.FleetSize) {
 		return
 	}
@@ -167,7 +167,7 @@
 }
 
 // ask requests a token from the primary owner, or from the backup if the primary doesn't answer.
-func (t *Tokens) ask(ctx context.Context, s *pscontrol.Snapshot, q psfleet.TokenRequest) Verdict {
+func (t *Tokens) ask(ctx context.Context, s *pssnapshot.Snapshot, q psfleet.TokenRequest) Verdict {
 	primary, backup := s.TokenOwners(q.Workspace)
 	g, err := t.askOwners(ctx, s, primary, backup, q)
 	if err != nil {
@@ -176,7 +176,7 @@
 	return verdict(g)
 }
 
-func (t *Tokens) askOwners(ctx context.Context, s *pscontrol.Snapshot, primary, backup psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+func (t *Tokens) askOwners(ctx context.Context, s *pssnapshot.Snapshot, primary, backup psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
 	g, err := t.askVM(ctx, s, primary, q)
 	if err == nil {
 		return g, nil
@@ -186,7 +186,7 @@
 }
 
 // askVM requests a token from one VM. It fails at once during the backoff of a VM that didn't answer.
-func (t *Tokens) askVM(ctx context.Context, s *pscontrol.Snapshot, vm psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+func (t *Tokens) askVM(ctx context.Context, s *pssnapshot.Snapshot, vm psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
 	if vm.VM == t.self {
 		return t.Grant(s, q), nil
 	}
@@ -213,7 +213,7 @@
 }
 
 // Grant answers a request for tokens that this VM owns.
-func (t *Tokens) Grant(s *pscontrol.Snapshot, q psfleet.TokenRequest) psfleet.TokenResponse {
+func (t *Tokens) Grant(s *pssnapshot.Snapshot, q psfleet.TokenRequest) psfleet.TokenResponse {
 	if q.Server != nil {
 		return t.grantServer(s, q)
 	}
--- a/internal/process/pstoken/tokens_test.go
+++ b/internal/process/pstoken/tokens_test.go
@@ -10,8 +10,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/connection/pspeer"
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -32,9 +32,9 @@
 	return pstoken.New(pstoken.Options{Self: vm, Client: c, Logger: hclog.NewNullLogger(), Now: now})
 }
 
-func snapshot(fleet int) (*pscontrol.Snapshot, *psconfig.Workspace) {
+func snapshot(fleet int) (*pssnapshot.Snapshot, *psconfig.Workspace) {
 	c := &psconfig.Configuration{Workspaces: []psconfig.Workspace{{Name: "trays", Rate: 4, Burst: 2}}}
-	return &pscontrol.Snapshot{Index: psconfig.NewIndex(c), EvenShare: 1, FleetSize: fleet}, &c.Workspaces[0]
+	return &pssnapshot.Snapshot{Index: psconfig.NewIndex(c), EvenShare: 1, FleetSize: fleet}, &c.Workspaces[0]
 }
 
 func TestSplitRateIsCountedLocally(t *testing.T) {
