pssync: fetching the state of other VMs has a package of its own

The syncer fetches and hands over to the control plane, which still decides what to apply. The distance between a VM and a place stood in two packages and is a method of psfleet.Identity now; the controller's tests start it in one place.

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -25,6 +25,7 @@
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
 	"persimmonstep/internal/process/pssnapshot"
+	"persimmonstep/internal/process/pssync"
 	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
@@ -77,7 +78,7 @@
 	Prober   Prober
 	// Fetcher fetches the state of other VMs: when this VM starts in a large fleet, while the store is
 	// unreachable, after a notice of a newer desired state, and when another VM has a newer configuration.
-	Fetcher PeerFetcher
+	Fetcher pssync.Fetcher
 	Peers   PeerSender
 	Tokens  TokenSource
 	Crashes CrashTracker
@@ -93,6 +94,7 @@
 	events   chan event
 	snapshot atomic.Pointer[pssnapshot.Snapshot]
 	watcher  *pswatch.Watcher
+	syncer   *pssync.Syncer
 	// discovery finds the other VMs.
 	discovery *psdiscovery.Discovery
 	// runContext ends when [Controller.Run] returns.
@@ -135,13 +137,17 @@
 		limitLog: pslog.RateLimit{PerSecond: limitLinesPerSecond},
 	}
 	c.runContext = context.Background()
-	c.watcher = pswatch.New(pswatch.Options{
-		Self: o.Identity, Store: o.Store, PeerSource: c, Sink: c, Peers: c, Logger: o.Logger, Now: o.Now,
-	})
 	c.discovery = psdiscovery.New(psdiscovery.Options{
 		Self: o.Identity, FirstStart: o.Settings.FirstStart, Store: o.Store, FleetSize: c.FleetSize, Logger: o.Logger, Now: o.Now,
 		Apply: c.applyPublished,
 	})
+	c.syncer = pssync.New(pssync.Options{
+		Self: o.Identity, FirstStart: o.Settings.FirstStart, Fetcher: o.Fetcher, Sink: c, Snapshot: c.Snapshot, Logger: o.Logger,
+		StoreFailing: func() bool { return c.watcher.Failing() }, Discovered: c.discovery.Attempted(),
+	})
+	c.watcher = pswatch.New(pswatch.Options{
+		Self: o.Identity, Store: o.Store, PeerSource: c.syncer, Sink: c, Peers: c, Logger: o.Logger, Now: o.Now,
+	})
 	c.publish()
 	return c
 }
@@ -294,14 +300,7 @@
 	serverLeavingEvent struct{ run psserver.Run }
 	serverLimitEvent   struct{ run psserver.Run }
 	leaveEvent         struct{}
-	peerStateEvent     struct {
-		vm    string
-		state psfleet.ControlState
-		// bootstrap is set if this VM starts and uses the state instead of reading the store's tables.
-		bootstrap bool
-		// unchanged is set if the state is the same as at the previous fetch. Of state only the age is used then.
-		unchanged bool
-	}
+	peerStateEvent     struct{ pssync.PeerState }
 )
 
 func (desiredStateEvent) event()  {}
@@ -344,7 +343,7 @@
 	c.runContext = ctx
 	go c.watcher.Run(ctx)
 	go c.discovery.Run(ctx)
-	go c.syncFromPeers(ctx)
+	go c.syncer.Run(ctx)
 	reportTimer := time.NewTimer(0)
 	defer reportTimer.Stop()
 	digestTimer := time.NewTimer(c.fleet.DigestInterval())
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -168,13 +168,18 @@
 const peerStateAge = 3 * time.Second
 
 func startController(t *testing.T, s *store) *pscontrol.Controller {
+	t.Helper()
+	return start(t, pscontrol.Options{Store: s, Prober: s, Fetcher: s, Peers: s, Tokens: s, Crashes: s})
+}
+
+// start starts the controller of a VM in the failure domain north-a with the given dependencies.
+func start(t *testing.T, o pscontrol.Options) *pscontrol.Controller {
 	t.Helper()
 	a := netip.MustParseAddrPort("127.0.0.1:1")
-	c := pscontrol.New(pscontrol.Options{
-		Settings: &psnode.Settings{Regions: map[string]string{"north-a": "north"}},
-		Identity: psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a},
-		Store:    s, Prober: s, Fetcher: s, Peers: s, Tokens: s, Crashes: s, Logger: hclog.NewNullLogger(), Now: time.Now,
-	})
+	o.Settings = &psnode.Settings{Regions: map[string]string{"north-a": "north"}}
+	o.Identity = psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}
+	o.Logger, o.Now = hclog.NewNullLogger(), time.Now
+	c := pscontrol.New(o)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go c.Run(ctx)
@@ -425,22 +430,3 @@
 	c := startController(t, s)
 	eventually(t, "the store's state", func() bool { return c.Ready() && version(c) == 5 })
 }
-
-// TestFetchDesiredStateRequiresTheRevision fetches the desired state from a VM after a notice. A state older than the
-// announced revision, and an unknown VM, must be reported as failures.
-func TestFetchDesiredStateRequiresTheRevision(t *testing.T) {
-	s := newStore()
-	s.vms = 30
-	s.peerState = &psfleet.ControlState{Configuration: configuration(4), DesiredStateRevision: psrevision.New(0, 7), ServersRevision: psrevision.New(0, 9), ReadsStore: true}
-	c := startController(t, s)
-	eventually(t, "the tables", func() bool { return version(c) == 4 })
-	revision, found := c.FetchDesiredState(t.Context(), "vm-0-01", psrevision.New(0, 7))
-	qt.Assert(t, found, qt.IsTrue)
-	qt.Assert(t, revision, qt.Equals, psrevision.New(0, 7))
-	limited, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
-	defer stop()
-	_, found = c.FetchDesiredState(limited, "vm-0-01", psrevision.New(0, 8))
-	qt.Assert(t, found, qt.IsFalse)
-	_, found = c.FetchDesiredState(t.Context(), "vm-unknown", psrevision.New(0, 7))
-	qt.Assert(t, found, qt.IsFalse)
-}
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -9,12 +9,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
-	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/platform/psheader"
@@ -70,16 +68,7 @@
 
 func startWith(t *testing.T, s *store, r *reports, k *tokens) *pscontrol.Controller {
 	t.Helper()
-	a := netip.MustParseAddrPort("127.0.0.1:1")
-	c := pscontrol.New(pscontrol.Options{
-		Settings: &psnode.Settings{Regions: map[string]string{"north-a": "north"}},
-		Identity: psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a},
-		Store:    s, Prober: k, Fetcher: s, Peers: r, Tokens: k, Crashes: s, Logger: hclog.NewNullLogger(), Now: time.Now,
-	})
-	ctx, stop := context.WithCancel(context.Background())
-	t.Cleanup(stop)
-	go c.Run(ctx)
-	return c
+	return start(t, pscontrol.Options{Store: s, Prober: k, Fetcher: s, Peers: r, Tokens: k, Crashes: s})
 }
 
 func named(perSecond float64) pslimit.Limit {
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -72,6 +72,18 @@
 	return i.VM < other.VM
 }
 
+// Distance returns the distance of the VM from a location: 0 within a failure domain, 1 within a region and 2 between
+// regions.
+func (i Identity) Distance(failureDomain, region string) int {
+	switch {
+	case i.FailureDomain == failureDomain:
+		return 0
+	case i.Region == region:
+		return 1
+	}
+	return 2
+}
+
 // Check validates a decoded identity.
 func (i Identity) Check() error {
 	if i.VM == "" || i.FailureDomain == "" || i.Region == "" || !i.CallerAddress.IsValid() || !i.PeerAddress.IsValid() {
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -114,15 +114,7 @@
 // ServerTokenOwners returns the VMs of a list that own the tokens of a server's limit. They are as near to the server
 // as possible, so that a VM which can reach the server can usually reach them as well.
 func ServerTokenOwners(server, failureDomain, region string, list []psfleet.Identity) (primary, backup psfleet.Identity) {
-	return owners(server, list, func(i psfleet.Identity) int {
-		switch {
-		case i.FailureDomain == failureDomain:
-			return 0
-		case i.Region == region:
-			return 1
-		}
-		return 2
-	})
+	return owners(server, list, func(i psfleet.Identity) int { return i.Distance(failureDomain, region) })
 }
 
 // owners returns the two VMs with the least distance, and among those with the same distance the highest score.
--- a/internal/process/pscontrol/bootstrap.go
+++ b/internal/process/pssync/bootstrap.go
@@ -1,4 +1,4 @@
-package pscontrol
+package pssync
 
 import (
 	"context"
@@ -6,7 +6,6 @@
 
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/psdesiredstate"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/process/pswatch"
@@ -29,19 +28,19 @@
 
 // FetchDesiredState fetches the operator's desired state from a VM and applies it if it is of the given revision
 // or a later one. It returns its revision; false if that failed.
-func (c *Controller) FetchDesiredState(ctx context.Context, vm string, revision psrevision.Revision) (psrevision.Revision, bool) {
-	i, found := lo.Find(c.Snapshot().ShareHolders, func(i psfleet.Identity) bool { return i.VM == vm })
+func (s *Syncer) FetchDesiredState(ctx context.Context, vm string, revision psrevision.Revision) (psrevision.Revision, bool) {
+	i, found := lo.Find(s.options.Snapshot().ShareHolders, func(i psfleet.Identity) bool { return i.VM == vm })
 	if !found {
 		return psrevision.Revision{}, false
 	}
 	// The VM announces changes shortly before its own snapshot includes them, so an older state is fetched again.
 	for {
-		state, err := c.options.Fetcher.FetchDesiredState(ctx, i)
+		state, err := s.options.Fetcher.FetchDesiredState(ctx, i)
 		if err != nil {
 			return psrevision.Revision{}, false
 		}
 		if !revision.After(state.DesiredStateRevision) {
-			c.enqueue(desiredStateEvent{desiredStateOf(state), psdesiredstate.ReadInfo{Full: true}})
+			s.options.Sink.ApplyPeerDesiredState(state)
 			return state.DesiredStateRevision, true
 		}
 		if !pswait.Sleep(ctx, fetchRetryInterval) {
@@ -53,23 +52,23 @@
 // FetchTables fetches the store's tables from the first VM of this failure domain when this VM starts in a large
 // fleet. Otherwise hundreds of VMs that start together would each read full tables from the store. It returns
 // the revisions of the tables; false if this VM must read the store.
-func (c *Controller) FetchTables(ctx context.Context) (pswatch.Revisions, bool) {
+func (s *Syncer) FetchTables(ctx context.Context) (pswatch.Revisions, bool) {
 	select {
 	case <-ctx.Done():
-	case <-c.discovery.Attempted():
-	case <-time.After(c.startTimeout(discoveryTimeout)):
+	case <-s.options.Discovered:
+	case <-time.After(s.startTimeout(discoveryTimeout)):
 	}
-	first, found := c.firstOfDomain()
+	first, found := s.firstOfDomain()
 	if !found {
 		return pswatch.Revisions{}, false
 	}
-	limited, stop := context.WithTimeout(ctx, c.startTimeout(bootstrapTimeout))
+	limited, stop := context.WithTimeout(ctx, s.startTimeout(bootstrapTimeout))
 	defer stop()
 	for {
-		response, err := c.options.Fetcher.Fetch(limited, first, "")
+		response, err := s.options.Fetcher.Fetch(limited, first, "")
 		state := response.State
 		if err == nil && state.ReadsStore && state.Age <= maxBootstrapAge && !state.DesiredStateRevision.IsZero() && !state.ServersRevision.IsZero() {
-			c.enqueue(peerStateEvent{vm: first.VM, state: state, bootstrap: true})
+			s.options.Sink.ApplyPeerState(PeerState{VM: first.VM, State: state, Bootstrap: true})
 			return pswatch.Revisions{DesiredState: state.DesiredStateRevision, Servers: state.ServersRevision}, true
 		}
 		if !pswait.Sleep(limited, fetchRetryInterval) {
@@ -79,8 +78,8 @@
 }
 
 // startTimeout returns the time-out d, multiplied by firstStartFactor at the first start of the fleet.
-func (c *Controller) startTimeout(d time.Duration) time.Duration {
-	if c.options.Settings.FirstStart {
+func (s *Syncer) startTimeout(d time.Duration) time.Duration {
+	if s.options.FirstStart {
 		return firstStartFactor * d
 	}
 	return d
@@ -88,13 +87,13 @@
 
 // firstOfDomain returns the first VM of this failure domain in a large fleet; false if that is this VM or the
 // fleet is small.
-func (c *Controller) firstOfDomain() (psfleet.Identity, bool) {
-	s, self := c.Snapshot(), c.options.Identity
-	if s.FleetSize < psfleet.LargeSize {
+func (s *Syncer) firstOfDomain() (psfleet.Identity, bool) {
+	view, self := s.options.Snapshot(), s.options.Self
+	if view.FleetSize < psfleet.LargeSize {
 		return psfleet.Identity{}, false
 	}
 	first := self
-	for _, i := range s.ShareHolders {
+	for _, i := range view.ShareHolders {
 		if i.FailureDomain == self.FailureDomain && i.Before(first) {
 			first = i
 		}
