pshealth: a failed server is probed as long as it is registered

What callers saw: nothing at once; a VM that was cut off from one server for more than about 94 s never used that server again, as long as the server ran and stayed registered.

Cause: probing ended after 60 attempts, on the assumption that an entry that exists for longer is renewed by another run of its server. Attempts without a token (a server with a limit) would have counted as well.

Evidence: TestServerThatWasOutOfReachForLongReturns and TestServerWithoutTokensIsProbedLater fail with the old bound.

Why this works: after 60 attempts the server is probed every ten seconds until it responds or is unregistered.

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -19,6 +19,7 @@
 	"persimmonstep/internal/process/psdiscovery"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psregistry"
@@ -39,11 +40,6 @@
 	psdiscovery.Store
 }
 
-// Prober sends health checks to backend servers.
-type Prober interface {
-	Probe(ctx context.Context, e psserver.Entry, path string) (psheader.Health, error)
-}
-
 // PeerSender sends messages to other VMs.
 type PeerSender interface {
 	// Report sends a report to each of the VMs.
@@ -75,7 +71,7 @@
 	Settings *psnode.Settings
 	Identity psfleet.Identity
 	Store    Store
-	Prober   Prober
+	Prober   pshealth.Prober
 	// Fetcher fetches the state of other VMs: when this VM starts in a large fleet, while the store is
 	// unreachable, after a notice of a newer desired state, and when another VM has a newer configuration.
 	Fetcher pssync.Fetcher
@@ -95,6 +91,7 @@
 	snapshot atomic.Pointer[pssnapshot.Snapshot]
 	watcher  *pswatch.Watcher
 	syncer   *pssync.Syncer
+	health   *pshealth.Checker
 	// discovery finds the other VMs.
 	discovery *psdiscovery.Discovery
 	// runContext ends when [Controller.Run] returns.
@@ -137,6 +134,7 @@
 		limitLog: pslog.RateLimit{PerSecond: limitLinesPerSecond},
 	}
 	c.runContext = context.Background()
+	c.health = &pshealth.Checker{Prober: o.Prober, Owner: c, Logger: o.Logger, Now: o.Now}
 	c.discovery = psdiscovery.New(psdiscovery.Options{
 		Self: o.Identity, FirstStart: o.Settings.FirstStart, Store: o.Store, FleetSize: c.FleetSize, Logger: o.Logger, Now: o.Now,
 		Apply: c.applyPublished,
@@ -423,7 +421,7 @@
 	for _, s := range c.servers.InDomain(domain) {
 		if v, found := c.service(s); found {
 			s.AssumeCold(v.ColdStart, now)
-			c.startProbing(s, 0)
+			go c.health.Run(c.runContext, s, v.HealthPath)
 		}
 	}
 }
