--- a/internal/connection/psproxy/crash.go
+++ b/internal/connection/psproxy/crash.go
@@ -2,8 +2,8 @@
 
 import (
 	"persimmonstep/internal/connection/pscrash"
-	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/pshealth"
 )
 
 // checkCrash checks whether a server that lost a request has crashed, and counts the crash against the request.
@@ -13,7 +13,7 @@
 	case pscrash.Up:
 		return
 	case pscrash.FoundDown:
-		p.control.ServerFailed(s.server, pscontrol.ReasonCrashed, c.headers.ID)
+		p.control.ServerFailed(s.server, pshealth.ReasonCrashed, c.headers.ID)
 	}
 	count := p.blocklist.AddCrash(c.fingerprint, p.options.Now())
 	psevent.CrashCounted.Log(p.options.Logger, c.headers.ID, uint64(c.fingerprint), entry.ID, count)
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -13,6 +13,7 @@
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psretry"
@@ -296,14 +297,14 @@
 		s.server.RecordOutcome(latencyRatio(took, s.choice.NominalLatency), false, now)
 		c.updateEstimates(s, took, now)
 	case resultUnreachable:
-		c.proxy.control.ServerFailed(s.server, pscontrol.ReasonUnreachable, c.headers.ID)
+		c.proxy.control.ServerFailed(s.server, pshealth.ReasonUnreachable, c.headers.ID)
 	case resultMisdirected:
 		s.server.MarkReplaced(now)
 		psevent.ServerFailed.Log(c.proxy.options.Logger, s.view.Entry.ID, service, string(result), c.headers.ID)
 	case resultTimeout:
 		s.server.RecordOutcome(latencyRatio(took, s.choice.NominalLatency), false, now)
 		if !s.server.AnsweredSince(start) && took > max(noResponseTimeout, noResponseFactor*s.choice.ExpectedLatency()) {
-			c.proxy.control.ServerFailed(s.server, pscontrol.ReasonSilent, c.headers.ID)
+			c.proxy.control.ServerFailed(s.server, pshealth.ReasonSilent, c.headers.ID)
 		}
 	case resultShed, resultServerError, resultUnsigned:
 		s.server.RecordOutcome(0, true, now)
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -18,6 +18,7 @@
 	"persimmonstep/internal/connection/pscrash"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
@@ -42,7 +43,7 @@
 // servers announce in their responses.
 type ControlPlane interface {
 	Snapshot() *pssnapshot.Snapshot
-	ServerFailed(s *psserver.Server, reason pscontrol.Reason, requestID string)
+	ServerFailed(s *psserver.Server, reason pshealth.Reason, requestID string)
 	UpdateAvailability(s *psserver.Server, a pscontrol.Announcement)
 }
 
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -25,6 +25,7 @@
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -132,7 +133,7 @@
 	}
 }
 
-func (c *fakeControl) ServerFailed(s *psserver.Server, _ pscontrol.Reason, _ string) {
+func (c *fakeControl) ServerFailed(s *psserver.Server, _ pshealth.Reason, _ string) {
 	s.MarkFailed(time.Now())
 }
 
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/process/psannouncement"
 	"persimmonstep/internal/process/psdesiredstate"
 	"persimmonstep/internal/process/psdiscovery"
 	"persimmonstep/internal/process/psevent"
@@ -115,14 +116,10 @@
 	// reportedSize that size.
 	resizedSequence int64
 	reportedSize    int
-	// failedAt holds when this VM found servers down, by server id, leavingAt when servers announced their shutdown to
-	// this VM, and limitChangedAt when they began or ceased to name it a limit. silentPeers holds the VMs whose silence
-	// was logged.
-	failedAt       map[string]time.Time
-	leavingAt      map[psserver.Run]time.Time
-	limitChangedAt map[psserver.Run]time.Time
-	silentPeers    map[string]bool
-	limitLog       pslog.RateLimit
+	announcements   *psannouncement.Announcements
+	// silentPeers holds the VMs whose silence was logged.
+	silentPeers map[string]bool
+	limitLog    pslog.RateLimit
 }
 
 // New returns a controller without a configuration, servers or known VMs.
@@ -130,8 +127,7 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
 		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity), shares: psshare.New(),
-		failedAt: map[string]time.Time{}, leavingAt: map[psserver.Run]time.Time{}, limitChangedAt: map[psserver.Run]time.Time{}, silentPeers: map[string]bool{},
-		limitLog: pslog.RateLimit{PerSecond: limitLinesPerSecond},
+		announcements: psannouncement.New(), silentPeers: map[string]bool{}, limitLog: pslog.RateLimit{PerSecond: limitLinesPerSecond},
 	}
 	c.runContext = context.Background()
 	c.health = &pshealth.Checker{Prober: o.Prober, Owner: c, Logger: o.Logger, Now: o.Now}
@@ -208,7 +204,7 @@
 
 // ServerFailed takes a server out of use that accepted no connection or left all its requests unanswered, and
 // starts probing it. The log names the request that detected the failure.
-func (c *Controller) ServerFailed(s *psserver.Server, reason Reason, requestID string) {
+func (c *Controller) ServerFailed(s *psserver.Server, reason pshealth.Reason, requestID string) {
 	e := s.Entry()
 	if !s.MarkFailed(c.options.Now()) {
 		return
@@ -245,20 +241,6 @@
 	}
 }
 
-// Reason is the reason for which a server is considered failed.
-type Reason string
-
-const (
-	// ReasonUnreachable servers accepted no connection.
-	ReasonUnreachable Reason = "unreachable"
-	// ReasonCrashed servers lost a request and accepted no connection afterwards.
-	ReasonCrashed Reason = "crashed"
-	// ReasonSilent servers left all requests unanswered.
-	ReasonSilent Reason = "silent"
-	// ReasonTold servers were reported down by another VM.
-	ReasonTold Reason = "told"
-)
-
 // applyPublished processes the identities that other VMs have published. It returns when the snapshot
 // includes them.
 func (c *Controller) applyPublished(rows map[string][]byte) {
@@ -291,7 +273,7 @@
 	digestEvent       struct{ digest *psfleet.Digest }
 	serverFailedEvent struct {
 		server *psserver.Server
-		reason Reason
+		reason pshealth.Reason
 	}
 	// configurationEvent carries a newer configuration from another VM.
 	configurationEvent struct{ configuration *psconfig.Configuration }
@@ -393,9 +375,9 @@
 	case configurationEvent:
 		c.desiredState.ApplyConfiguration(e.configuration, psrevision.Revision{})
 	case serverLeavingEvent:
-		c.leavingAt[e.run] = now
+		c.announcements.Leaving(e.run, now)
 	case serverLimitEvent:
-		c.limitChangedAt[e.run] = now
+		c.announcements.LimitChanged(e.run, now)
 	case leaveEvent:
 		c.sendReport()
 		c.publishDigest()
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -1,7 +1,6 @@
 package pscontrol
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -9,16 +8,11 @@
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
-	"persimmonstep/internal/request/psoutlier"
 )
 
-// announceDuration is how long reports to other VMs list what happened to a server: that it failed, announced its
-// shutdown, or began or ceased to name a limit. In a large fleet it is longer, because the latest report reaches other
-// failure domains with a digest.
-const announceDuration = 3 * time.Second
-
 // newerConfigDelay is how long another VM must have a newer configuration before this VM fetches it.
 const newerConfigDelay = time.Second
 
@@ -120,8 +114,8 @@
 		return
 	}
 	e := s.Entry()
-	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, string(ReasonTold), "")
-	c.applyFailure(serverFailedEvent{s, ReasonTold}, now)
+	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, string(pshealth.ReasonTold), "")
+	c.applyFailure(serverFailedEvent{s, pshealth.ReasonTold}, now)
 }
 
 // sendReport sends this VM's report to the other VMs and checks which of them have fallen silent.
@@ -130,9 +124,9 @@
 	c.sequence++
 	r := &psfleet.Report{
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), ReadsStore: !c.watcher.Lost(), Version: c.desiredState.Version(),
-		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now), Failed: announced(c.failedAt, c.fleet, now),
-		Leaving: announced(c.leavingAt, c.fleet, now), Limited: c.limitsToAnnounce(now), Slow: c.slowServers(now),
+		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now),
 	}
+	c.announcements.Fill(r, c.fleet, c.Snapshot().Servers, now)
 	c.shares.Record(r.Demands)
 	if n := c.fleet.Size(); n != c.reportedSize {
 		c.reportedSize, c.resizedSequence = n, c.sequence
@@ -159,28 +153,6 @@
 	psevent.PeerSilent.Log(c.options.Logger, p.Identity.VM, now.Sub(p.ReceivedAt).String())
 }
 
-// announced deletes the entries that other VMs have had the time to learn and returns the keys of the others.
-func announced[K comparable](recordedAt map[K]time.Time, f *psfleet.Fleet, now time.Time) []K {
-	span := max(announceDuration, f.PropagationTime()+f.ReportInterval())
-	maps.DeleteFunc(recordedAt, func(_ K, at time.Time) bool { return now.Sub(at) > span })
-	return lo.Keys(recordedAt)
-}
-
-// slowServers returns the lags of the servers that this VM measures to be slower than the others of their
-// service, by server id.
-func (c *Controller) slowServers(now time.Time) map[string]float64 {
-	m := map[string]float64{}
-	for _, list := range c.Snapshot().Servers {
-		lags := lo.Map(list, func(s *psserver.Server, _ int) float64 { return s.LocalLag(now) })
-		for i, outlier := range psoutlier.Find(lags) {
-			if outlier {
-				m[list[i].Entry().ID] = lags[i]
-			}
-		}
-	}
-	return m
-}
-
 // publish replaces the snapshot that requests read.
 func (c *Controller) publish() {
 	now := c.options.Now()
@@ -216,16 +188,12 @@
 func (c *Controller) vms(now time.Time) []pssnapshot.VM {
 	var list []pssnapshot.VM
 	if !c.leaving.Load() {
-		list = append(list, vmOf(c.options.Identity))
+		list = append(list, pssnapshot.NewVM(c.options.Identity))
 	}
 	for _, p := range c.fleet.Peers() {
 		if c.fleet.Live(p, now) && p.Report.Ready {
-			list = append(list, vmOf(p.Identity))
+			list = append(list, pssnapshot.NewVM(p.Identity))
 		}
 	}
 	return list
 }
-
-func vmOf(i psfleet.Identity) pssnapshot.VM {
-	return pssnapshot.VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.CallerAddress.String()}
-}
--- a/internal/process/pscontrol/limit.go
+++ b/internal/process/pscontrol/limit.go
@@ -3,20 +3,14 @@
 import (
 	"time"
 
-	"github.com/samber/lo"
-
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 )
 
-const (
-	// limitLinesPerSecond bounds the log lines of changed limits. A server may change its limit in each response.
-	limitLinesPerSecond = 20
-	// maxAnnouncedLimits bounds the limits in a report, which is one datagram.
-	maxAnnouncedLimits = 64
-)
+// limitLinesPerSecond bounds the log lines of changed limits. A server may change its limit in each response.
+const limitLinesPerSecond = 20
 
 // recordLimit records the limit in a response, or its absence. If the server began or ceased to have a limit, this VM's
 // next reports announce it.
@@ -44,18 +38,6 @@
 	psevent.ServerUnlimited.Log(c.options.Logger, e.ID, e.Service, requestID, before.String())
 }
 
-// limitsToAnnounce returns what this VM knows of the servers that recently began or ceased to name a limit to it.
-func (c *Controller) limitsToAnnounce(now time.Time) []psfleet.ServerLimit {
-	var list []psfleet.ServerLimit
-	for _, r := range lo.Slice(announced(c.limitChangedAt, c.fleet, now), 0, maxAnnouncedLimits) {
-		if s, found := c.servers.Get(r.ID); found && s.Entry().Run() == r {
-			limit, age := s.Limit(now)
-			list = append(list, psfleet.ServerLimit{Run: r, Limit: limit, Age: age})
-		}
-	}
-	return list
-}
-
 // applyPeerLimits applies what another VM announced of servers' limits in a report that was received at a time.
 func (c *Controller) applyPeerLimits(list []psfleet.ServerLimit, receivedAt time.Time) {
 	for _, v := range list {
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -12,6 +12,7 @@
 
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -152,7 +153,7 @@
 	})
 	eventually(t, "a server", func() bool { return serverCount(c) == 1 && c.Snapshot().Index != nil })
 	server := c.Snapshot().Servers["prices"][0]
-	c.ServerFailed(server, pscontrol.ReasonUnreachable, "id-1")
+	c.ServerFailed(server, pshealth.ReasonUnreachable, "id-1")
 	time.Sleep(time.Second)
 	qt.Assert(t, k.set(true), qt.Equals, 0)
 	eventually(t, "the server", func() bool { return server.Usable(time.Now()) })
--- a/internal/process/pscontrol/peerstate.go
+++ b/internal/process/pscontrol/peerstate.go
@@ -4,13 +4,10 @@
 	"fmt"
 	"time"
 
-	"github.com/samber/lo"
-
 	"persimmonstep/internal/process/psdesiredstate"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psregistry"
-	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssync"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
@@ -31,14 +28,8 @@
 	if !s.CanServe() {
 		return psfleet.ControlState{}, false
 	}
-	state := psfleet.ControlState{
-		Configuration: s.Index.Configuration, Evacuated: lo.Keys(s.Evacuated),
-		DesiredStateRevision: s.DesiredStateRevision, ServersRevision: s.ServersRevision, ReadsStore: !c.watcher.Lost(),
-		Age: c.options.Now().Sub(s.ServersReadAt),
-	}
-	for _, list := range s.Servers {
-		state.Servers = append(state.Servers, lo.Map(list, func(v *psserver.Server, _ int) psserver.Entry { return v.Entry() })...)
-	}
+	state := s.ControlState(c.options.Now())
+	state.ReadsStore = !c.watcher.Lost()
 	return state, true
 }
 
--- a/internal/process/pscontrol/probe.go
+++ b/internal/process/pscontrol/probe.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform/psheader"
 )
@@ -12,8 +13,8 @@
 // applyFailure starts probing a server that failed. If the server accepted no connection from this VM, it is
 // also listed in this VM's reports.
 func (c *Controller) applyFailure(e serverFailedEvent, now time.Time) {
-	if e.reason == ReasonUnreachable || e.reason == ReasonCrashed {
-		c.failedAt[e.server.Entry().ID] = now
+	if e.reason == pshealth.ReasonUnreachable || e.reason == pshealth.ReasonCrashed {
+		c.announcements.Failed(e.server.Entry().ID, now)
 	}
 	if v, found := c.service(e.server); found {
 		go c.health.RunAfterFailure(c.runContext, e.server, v.HealthPath)
--- a/internal/process/pssnapshot/snapshot.go
+++ b/internal/process/pssnapshot/snapshot.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
@@ -51,6 +53,11 @@
 // CanServe reports whether the VM has the state to serve requests: a configuration and the servers.
 func (s *Snapshot) CanServe() bool { return s.Index != nil && !s.ServersReadAt.IsZero() }
 
+// NewVM returns the VM with an identity.
+func NewVM(i psfleet.Identity) VM {
+	return VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.CallerAddress.String()}
+}
+
 // VM is a VM that takes callers.
 type VM struct {
 	Name          string `json:"name"`
@@ -64,3 +71,15 @@
 func (s *Snapshot) Eras() (desiredState, servers int64) {
 	return s.DesiredStateRevision.Era, s.ServersRevision.Era
 }
+
+// ControlState returns the state for other VMs. The snapshot must have a configuration.
+func (s *Snapshot) ControlState(now time.Time) psfleet.ControlState {
+	state := psfleet.ControlState{
+		Configuration: s.Index.Configuration, Evacuated: lo.Keys(s.Evacuated),
+		DesiredStateRevision: s.DesiredStateRevision, ServersRevision: s.ServersRevision, Age: now.Sub(s.ServersReadAt),
+	}
+	for _, list := range s.Servers {
+		state.Servers = append(state.Servers, lo.Map(list, func(v *psserver.Server, _ int) psserver.Entry { return v.Entry() })...)
+	}
+	return state
+}
