--- /dev/null
+++ b/internal/connection/psattempt/attempt.go
@@ -0,0 +1,153 @@
+// Package psattempt sends a caller's request to one backend server and classifies how that ended.
+//
+// The result says whether the server may have executed the request, on which it depends whether the request may be sent
+// to another server and what the caller can be told.
+package psattempt
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/connection/psbody"
+	"persimmonstep/internal/connection/psresponse"
+	"persimmonstep/internal/connection/pstransport"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/platform/psheader"
+)
+
+// maxIdleRetryable and maxIdleNonRetryable bound the idle time of a connection that is reused. A server may close an
+// idle connection just as a request is written to it, which only matters if the request cannot be sent again.
+const (
+	maxIdleRetryable    = 6 * time.Second
+	maxIdleNonRetryable = time.Second
+)
+
+// Request is a request of a caller to be sent to one server.
+type Request struct {
+	// Caller is the caller's request, and Body its body.
+	Caller *http.Request
+	Body   *psbody.Body
+	// ID is the id of the request, and Workspace the workspace of the caller's key; empty on a route without keys.
+	ID, Workspace string
+	// Repeatable states that the request may run more than once.
+	Repeatable bool
+	// Deadline is when the response is due.
+	Deadline time.Time
+	Server   psserver.Entry
+	// MaxConnections bounds the connections to the server.
+	MaxConnections int
+	// MaySend is called once a connection is available and reports whether the request may still be sent.
+	MaySend func() bool
+	// HeaderRead is called when the header of the response was read. At the end of the response the connection passes
+	// to the next request, which must already take into account what the server announces.
+	HeaderRead func(psheader.Response)
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Result Result
+	// Response is the response of the server; nil if there is none that is complete.
+	Response *psresponse.Response
+	// DialTime is how long opening the connection took; 0 if one was reused.
+	DialTime time.Duration
+}
+
+// Sender sends requests to servers.
+type Sender struct {
+	Transport *pstransport.Transport
+	// Now returns the current time with a monotonic reading.
+	Now func() time.Time
+}
+
+// Send sends a request to its server and reads the response.
+func (s *Sender) Send(ctx context.Context, r Request) Outcome {
+	reply, err := s.exchange(ctx, r)
+	out := Outcome{DialTime: reply.DialTime}
+	if err != nil {
+		out.Result = classifyError(ctx, r, reply.Sent, err)
+		return out
+	}
+	out.Response, out.Result = s.readResponse(r, reply.Response)
+	if out.Response != nil && out.Result != Answered && out.Result != ServerError {
+		out.Response.Close()
+	}
+	return out
+}
+
+func (s *Sender) exchange(ctx context.Context, r Request) (pstransport.Result, error) {
+	matches := func(raw *http.Response) bool {
+		h := psheader.ReadResponse(raw.StatusCode, raw.Header)
+		if h.ID != "" && h.ID != r.ID {
+			return false
+		}
+		// A response of another server at the same address does not describe this one.
+		if raw.StatusCode != http.StatusMisdirectedRequest {
+			r.HeaderRead(h)
+		}
+		return true
+	}
+	options := pstransport.Options{MaxIdle: maxIdleNonRetryable, AcceptCloseDelimited: true, MaySend: r.MaySend, Matches: matches}
+	if r.Repeatable {
+		options.MaxIdle = maxIdleRetryable
+	}
+	return s.Transport.SendWith(ctx, r.Server.Address, r.MaxConnections, s.upstreamRequest(r), options)
+}
+
+// upstreamRequest returns the request as it is sent to the server.
+func (s *Sender) upstreamRequest(r Request) *http.Request {
+	header := psresponse.EndToEndHeaders(r.Caller.Header)
+	psheader.WriteForward(header, psheader.Forward{Server: r.Server.ID, Workspace: r.Workspace, Left: r.Deadline.Sub(s.Now())})
+	if header.Get("User-Agent") == "" {
+		// Without this, net/http adds a User-Agent of its own.
+		header["User-Agent"] = []string{""}
+	}
+	body, length := r.Body.Open()
+	from := r.Caller.URL
+	to := &url.URL{
+		Scheme: "http", Host: r.Server.Address.String(), Path: from.Path, RawPath: from.RawPath,
+		RawQuery: from.RawQuery, ForceQuery: from.ForceQuery,
+	}
+	return &http.Request{
+		Method: r.Caller.Method, URL: to, Host: r.Caller.Host, Header: header, Body: body, ContentLength: length,
+	}
+}
+
+// readResponse reads a response and returns the result of the attempt.
+func (s *Sender) readResponse(r Request, raw *http.Response) (*psresponse.Response, Result) {
+	response, err := psresponse.Read(raw)
+	if err == nil {
+		return response, resultOf(response.Class())
+	}
+	switch {
+	case r.Caller.Context().Err() != nil:
+		return nil, Canceled
+	case !s.Now().Before(r.Deadline):
+		return nil, Timeout
+	}
+	return nil, Lost
+}
+
+// classifyError returns the result of an attempt that has no response.
+func classifyError(ctx context.Context, r Request, sent bool, err error) Result {
+	var body *pstransport.BodyError
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return TooLarge
+	case errors.Is(err, pstransport.ErrMayNotSend):
+		return Unsent
+	case r.Caller.Context().Err() != nil || errors.As(err, &body):
+		return Canceled
+	case ctx.Err() != nil && sent:
+		return Timeout
+	case ctx.Err() != nil:
+		return Unsent
+	case !sent:
+		return Unreachable
+	}
+	return Lost
+}
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/connection/psattempt"
 	"persimmonstep/internal/connection/psresponse"
-	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pshealth"
@@ -25,46 +23,16 @@
 	connectionShare = 0.8
 	// minConnections is the minimum connection limit of one VM for one server.
 	minConnections = 2
-	// maxIdleRetryable and maxIdleNonRetryable bound the idle time of a connection that is reused. A server may
-	// close an idle connection just as a request is written to it, which only matters if the request cannot be
-	// sent again.
-	maxIdleRetryable    = 6 * time.Second
-	maxIdleNonRetryable = time.Second
 	// noResponseTimeout is the minimum time without any response after which a server counts as failed, and
 	// noResponseFactor the multiple of the expected latency that must have passed as well.
 	noResponseTimeout = 700 * time.Millisecond
 	noResponseFactor  = 3
 )
 
-// attemptResult is how an attempt ended. It is a metric label and appears in logs.
-type attemptResult string
-
-const (
-	resultAnswered    attemptResult = "answered"
-	resultUnreachable attemptResult = "unreachable"
-	// resultUnsent attempts ended before anything was sent, because the time ran out or the server became
-	// unusable meanwhile. They do not count as failures of the server.
-	resultUnsent      attemptResult = "unsent"
-	resultShed        attemptResult = "shed"
-	resultMisdirected attemptResult = "moved"
-	resultLost        attemptResult = "lost"
-	resultUnsigned    attemptResult = "spoilt"
-	resultServerError attemptResult = "error"
-	resultTimeout     attemptResult = "timeout"
-	resultCanceled    attemptResult = "left"
-	// resultTooLarge attempts were aborted because the caller's body exceeds the limit.
-	resultTooLarge attemptResult = "bodyTooLarge"
-)
-
-// mayHaveExecuted reports whether the server may have executed the request.
-func (r attemptResult) mayHaveExecuted() bool {
-	return r != resultUnreachable && r != resultUnsent && r != resultShed && r != resultMisdirected
-}
-
 // attempt is one request to a backend server.
 type attempt struct {
 	selection
-	result attemptResult
+	result psattempt.Result
 	took   time.Duration
 }
 
@@ -83,15 +51,15 @@
 		}
 		response, result := c.attempt(ctx, s)
 		switch {
-		case result == resultAnswered:
+		case result == psattempt.Answered:
 			return answered{response}
-		case result == resultCanceled:
+		case result == psattempt.Canceled:
 			return canceled{}
-		case result == resultTimeout:
-			return failed{http.StatusGatewayTimeout, string(resultTimeout)}
-		case result == resultTooLarge:
-			return failed{http.StatusRequestEntityTooLarge, string(resultTooLarge)}
-		case result == resultServerError:
+		case result == psattempt.Timeout:
+			return failed{http.StatusGatewayTimeout, string(psattempt.Timeout)}
+		case result == psattempt.TooLarge:
+			return failed{http.StatusRequestEntityTooLarge, string(psattempt.TooLarge)}
+		case result == psattempt.ServerError:
 			last = response
 		}
 		if !c.mayRetry(service, result) {
@@ -109,7 +77,7 @@
 		return rejection
 	}
 	for _, a := range c.attempts {
-		if a.result.mayHaveExecuted() {
+		if a.result.MayHaveExecuted() {
 			return failed{http.StatusBadGateway, string(a.result)}
 		}
 	}
@@ -122,14 +90,14 @@
 }
 
 // mayRetry reports whether the call may be sent to another server.
-func (c *call) mayRetry(service string, result attemptResult) bool {
-	if result.mayHaveExecuted() && !c.route.Kind.Repeatable() {
+func (c *call) mayRetry(service string, result psattempt.Result) bool {
+	if result.MayHaveExecuted() && !c.route.Kind.Repeatable() {
 		return false
 	}
 	if c.sentAttempts() >= c.route.MaxAttempts || c.body.SingleUse() {
 		return false
 	}
-	if result == resultUnreachable || result == resultUnsent {
+	if result == psattempt.Unreachable || result == psattempt.Unsent {
 		// Nothing reached a server, so the retry budget is not charged.
 		return true
 	}
@@ -142,7 +110,7 @@
 
 // sentAttempts returns the number of attempts that may have reached their server.
 func (c *call) sentAttempts() int {
-	return lo.CountBy(c.attempts, func(a attempt) bool { return a.result != resultUnsent })
+	return lo.CountBy(c.attempts, func(a attempt) bool { return a.result != psattempt.Unsent })
 }
 
 func (c *call) attemptedServers() []*psserver.Server {
@@ -154,161 +122,87 @@
 }
 
 // attempt sends the call to one server and reads its response.
-func (c *call) attempt(ctx context.Context, s selection) (*psresponse.Response, attemptResult) {
+func (c *call) attempt(ctx context.Context, s selection) (*psresponse.Response, psattempt.Result) {
 	start := c.proxy.options.Now()
 	exchange := s.server.BeginRequest(start, s.maxExpected)
 	if c.route.Affinity {
 		s.server.RecentObjects.Add(c.object)
 	}
-	reply, err := c.send(ctx, s, start)
-	if reply.DialTime > 0 {
-		c.proxy.roundTrips.Observe(s.view.Entry.FailureDomain, reply.DialTime)
-	}
-	var response *psresponse.Response
-	result := resultAnswered
-	if err == nil {
-		response, result = c.readResponse(reply.Response)
-	} else {
-		result = c.classifyError(ctx, reply.Sent, err)
+	o := c.proxy.sender.Send(ctx, c.attemptRequest(s, start))
+	if o.DialTime > 0 {
+		c.proxy.roundTrips.Observe(s.view.Entry.FailureDomain, o.DialTime)
 	}
 	s.server.EndRequest(exchange)
-	if response != nil && result != resultAnswered && result != resultServerError {
-		response.Close()
-	}
 	now := c.proxy.options.Now()
-	c.attempts = append(c.attempts, attempt{selection: s, result: result, took: now.Sub(start)})
-	c.recordResult(s, response, result, start, now)
-	if result == resultAnswered || result == resultTimeout {
+	c.attempts = append(c.attempts, attempt{selection: s, result: o.Result, took: now.Sub(start)})
+	c.recordResult(s, o.Response, o.Result, start, now)
+	if o.Result == psattempt.Answered || o.Result == psattempt.Timeout {
 		s.server.RecordLatency(exchange, s.meanRunTime, now)
 	}
-	return response, result
-}
-
-// readResponse reads a response and returns the result of the attempt.
-func (c *call) readResponse(raw *http.Response) (*psresponse.Response, attemptResult) {
-	response, err := psresponse.Read(raw)
-	if err == nil {
-		return response, resultByClass[response.Class()]
-	}
-	switch {
-	case c.request.Context().Err() != nil:
-		return nil, resultCanceled
-	case !c.proxy.options.Now().Before(c.deadline):
-		return nil, resultTimeout
-	}
-	return nil, resultLost
-}
-
-// resultByClass gives the result of an attempt by the class of its response.
-var resultByClass = map[psresponse.Class]attemptResult{
-	psresponse.Valid: resultAnswered, psresponse.Misdirected: resultMisdirected, psresponse.Shed: resultShed,
-	psresponse.Unsigned: resultUnsigned, psresponse.ServerError: resultServerError,
-}
-
-// classifyError returns the result of an attempt that has no response.
-func (c *call) classifyError(ctx context.Context, sent bool, err error) attemptResult {
-	var body *pstransport.BodyError
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return resultTooLarge
-	case errors.Is(err, pstransport.ErrMayNotSend):
-		return resultUnsent
-	case c.request.Context().Err() != nil || errors.As(err, &body):
-		return resultCanceled
-	case ctx.Err() != nil && sent:
-		return resultTimeout
-	case ctx.Err() != nil:
-		return resultUnsent
-	case !sent:
-		return resultUnreachable
-	}
-	return resultLost
+	return o.Response, o.Result
 }
 
-func (c *call) send(ctx context.Context, s selection, now time.Time) (pstransport.Result, error) {
-	entry := s.view.Entry
-	service, _ := c.snapshot.Index.Service(entry.Service)
-	limit := minConnections
-	if service != nil {
-		limit = max(limit, int(connectionShare*float64(service.MaxConnections))/c.snapshot.FleetSize)
-	}
-	maySend := func() bool {
-		now := c.proxy.options.Now()
-		limit, _ := s.server.Limit(now)
-		if !s.server.Usable(now) || limit.Named && !s.hasLimitToken {
-			return false
-		}
-		s.server.CountSent()
-		return true
-	}
-	accept := func(r *http.Response) bool {
-		metadata := psheader.ReadResponse(r.StatusCode, r.Header)
-		if metadata.ID != "" && metadata.ID != c.headers.ID {
-			return false
-		}
-		// At the end of the response the connection passes to the next request, which must already take into
-		// account that the server drains or asked for a pause. A response of another server at the same address does
-		// not describe this one.
-		if r.StatusCode != http.StatusMisdirectedRequest {
+// attemptRequest returns the call as a request to one server, which is sent at a time.
+func (c *call) attemptRequest(s selection, sentAt time.Time) psattempt.Request {
+	return psattempt.Request{
+		Caller: c.request, Body: &c.body, ID: c.headers.ID, Workspace: c.workspaceName(), Repeatable: c.route.Kind.Repeatable(),
+		Deadline: c.deadline, Server: s.view.Entry, MaxConnections: c.maxConnections(s.view.Entry.Service),
+		MaySend: func() bool { return c.maySend(s) },
+		HeaderRead: func(h psheader.Response) {
 			c.proxy.control.UpdateAvailability(s.server, pscontrol.Announcement{
-				Availability: metadata.Availability, RequestID: c.headers.ID, SentAt: now, Genuine: metadata.Signed || metadata.NotRun,
+				Availability: h.Availability, RequestID: c.headers.ID, SentAt: sentAt, Genuine: h.Signed || h.NotRun,
 			})
-		}
-		return true
-	}
-	options := pstransport.Options{MaxIdle: maxIdleNonRetryable, AcceptCloseDelimited: true, MaySend: maySend, Matches: accept}
-	if c.route.Kind.Repeatable() {
-		options.MaxIdle = maxIdleRetryable
+		},
 	}
-	return c.proxy.options.Transport.SendWith(ctx, entry.Address, limit, c.upstreamRequest(entry, now), options)
 }
 
-// upstreamRequest returns the request as it is sent to a server.
-func (c *call) upstreamRequest(entry psserver.Entry, now time.Time) *http.Request {
-	header := psresponse.EndToEndHeaders(c.request.Header)
-	psheader.WriteForward(header, psheader.Forward{Server: entry.ID, Workspace: c.workspaceName(), Left: c.remaining(now)})
-	if header.Get("User-Agent") == "" {
-		// Without this, net/http adds a User-Agent of its own.
-		header["User-Agent"] = []string{""}
+// maxConnections returns the maximum number of this VM's connections to a server of a service.
+func (c *call) maxConnections(service string) int {
+	v, found := c.snapshot.Index.Service(service)
+	if !found {
+		return minConnections
 	}
-	body, length := c.body.Open()
-	from := c.request.URL
-	to := &url.URL{
-		Scheme: "http", Host: entry.Address.String(), Path: from.Path, RawPath: from.RawPath,
-		RawQuery: from.RawQuery, ForceQuery: from.ForceQuery,
-	}
-	return &http.Request{
-		Method: c.request.Method, URL: to, Host: c.request.Host, Header: header, Body: body, ContentLength: length,
+	return max(minConnections, int(connectionShare*float64(v.MaxConnections))/c.snapshot.FleetSize)
+}
+
+// maySend reports whether the call may still be sent to a server, and counts it if so. The server may have become
+// unusable, or have named a limit, since it was selected.
+func (c *call) maySend(s selection) bool {
+	now := c.proxy.options.Now()
+	limit, _ := s.server.Limit(now)
+	if !s.server.Usable(now) || limit.Named && !s.hasLimitToken {
+		return false
 	}
+	s.server.CountSent()
+	return true
 }
 
 // recordResult updates the server's state, the estimates and the crash counts with the result of an attempt.
-func (c *call) recordResult(s selection, response *psresponse.Response, result attemptResult, start, now time.Time) {
+func (c *call) recordResult(s selection, response *psresponse.Response, result psattempt.Result, start, now time.Time) {
 	service := s.view.Entry.Service
 	if response != nil {
 		c.recordLoad(s, response, now)
 	}
 	took := now.Sub(start)
 	switch result {
-	case resultAnswered:
+	case psattempt.Answered:
 		c.proxy.blocklist.Clear(c.fingerprint)
 		c.proxy.estimates.ObserveResponse(c.route.Name, response.Length())
 		s.server.RecordOutcome(latencyRatio(took, s.choice.NominalLatency), false, now)
 		c.updateEstimates(s, took, now)
-	case resultUnreachable:
+	case psattempt.Unreachable:
 		c.proxy.control.ServerFailed(s.server, pshealth.ReasonUnreachable, c.headers.ID)
-	case resultMisdirected:
+	case psattempt.Misdirected:
 		s.server.MarkReplaced(now)
 		psevent.ServerFailed.Log(c.proxy.options.Logger, s.view.Entry.ID, service, string(result), c.headers.ID)
-	case resultTimeout:
+	case psattempt.Timeout:
 		s.server.RecordOutcome(latencyRatio(took, s.choice.NominalLatency), false, now)
 		if !s.server.AnsweredSince(start) && took > max(noResponseTimeout, noResponseFactor*s.choice.ExpectedLatency()) {
 			c.proxy.control.ServerFailed(s.server, pshealth.ReasonSilent, c.headers.ID)
 		}
-	case resultShed, resultServerError, resultUnsigned:
+	case psattempt.Shed, psattempt.ServerError, psattempt.Unsigned:
 		s.server.RecordOutcome(0, true, now)
-	case resultLost:
+	case psattempt.Lost:
 		s.server.RecordOutcome(0, true, now)
 		c.proxy.checkCrash(c, s)
 	}
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"persimmonstep/internal/connection/psattempt"
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/pscrash"
 	"persimmonstep/internal/connection/pstransport"
@@ -62,6 +63,7 @@
 type Proxy struct {
 	options         Options
 	control         ControlPlane
+	sender          psattempt.Sender
 	estimates       psestimate.Estimates
 	roundTrips      psestimate.RoundTrips
 	callerDeadlines psestimate.RetryDetector
@@ -86,7 +88,7 @@
 // New returns a proxy. [Proxy.SetControlPlane] must be called before it serves.
 func New(o Options) *Proxy {
 	return &Proxy{
-		options: o, successLog: pslog.RateLimit{PerSecond: successLinesPerSecond},
+		options: o, sender: psattempt.Sender{Transport: o.Transport, Now: o.Now}, successLog: pslog.RateLimit{PerSecond: successLinesPerSecond},
 		failureLog: pslog.RateLimit{PerSecond: failureLinesPerSecond},
 	}
 }
