psselection, psaccess: selecting a server and recording outcomes have packages of their own

The selector takes its inputs by name instead of reading the whole call; metrics and log lines are written from one record.

--- a/internal/connection/psproxy/metrics.go
+++ b/internal/connection/psaccess/metrics.go
@@ -1,8 +1,7 @@
-package psproxy
+package psaccess
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -58,36 +57,41 @@
 	return m
 }
 
-// observe records an ended call and its attempts.
-func (m *Metrics) observe(c *call, e psevent.Event, status int, reason string, took time.Duration) {
-	kind := "unmatched"
-	if c.route != nil {
-		kind = c.route.Kind.String()
+// observe records an ended request and its attempts.
+func (m *Metrics) observe(r Record) {
+	kind, reason := "unmatched", r.Reason
+	if r.Route != nil {
+		kind = r.Route.Kind.String()
 	}
-	if e.Number == psevent.RequestCanceled.Number {
+	if r.Event.Number == psevent.RequestCanceled.Number {
 		reason = "callerLeft"
 	}
-	m.requests.WithLabelValues(kind, strconv.Itoa(status), reason).Inc()
-	m.duration.WithLabelValues(kind).Observe(took.Seconds())
-	for _, a := range c.attempts {
-		m.attempts.WithLabelValues(string(a.result)).Inc()
-		m.expectedWaits.Observe(a.choice.Wait.Seconds())
-		m.loadAges.Observe(a.view.LoadAge.Seconds())
+	m.requests.WithLabelValues(kind, strconv.Itoa(r.Status), reason).Inc()
+	m.duration.WithLabelValues(kind).Observe(r.Took.Seconds())
+	for _, a := range r.Attempts {
+		m.attempts.WithLabelValues(string(a.Result)).Inc()
+		m.expectedWaits.Observe(a.Choice.Wait.Seconds())
+		m.loadAges.Observe(a.View.LoadAge.Seconds())
 	}
 }
 
-// observeServerToken records what came of a token of a server's limit.
-func (m *Metrics) observeServerToken(v pstoken.Verdict) {
-	label := ""
+// ObserveToken records what came of a token of a workspace.
+func (m *Metrics) ObserveToken(v pstoken.Verdict) { m.tokens.WithLabelValues(label(v)).Inc() }
+
+// ObserveServerToken records what came of a token of a server's limit.
+func (m *Metrics) ObserveServerToken(v pstoken.Verdict) {
+	m.serverTokens.WithLabelValues(label(v)).Inc()
+}
+
+// label returns the label of a verdict.
+func label(v pstoken.Verdict) string {
 	switch v.(type) {
 	case pstoken.Granted:
-		label = "granted"
+		return "granted"
 	case pstoken.OverLimit:
-		label = "over"
+		return "over"
 	case pstoken.Deferred:
-		label = "deferred"
-	case pstoken.Unavailable:
-		label = "unasked"
+		return "deferred"
 	}
-	m.serverTokens.WithLabelValues(label).Inc()
+	return "unasked"
 }
--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pssocket"
@@ -59,7 +60,7 @@
 	cancel      context.CancelFunc
 	object      uint64
 	fingerprint psblocklist.Fingerprint
-	attempts    []attempt
+	attempts    []psaccess.Attempt
 }
 
 // outcome is how a call ends: [rejected], [failed], [canceled] or [answered].
@@ -186,15 +187,12 @@
 	if c.workspace == nil {
 		return nil
 	}
-	tokens := c.proxy.options.Metrics.tokens
-	switch v := c.proxy.options.Tokens.Take(ctx, c.snapshot, c.workspace, c.caller.PriorWait > 0).(type) {
-	case pstoken.Granted:
-		tokens.WithLabelValues("granted").Inc()
+	verdict := c.proxy.options.Tokens.Take(ctx, c.snapshot, c.workspace, c.caller.PriorWait > 0)
+	c.proxy.options.Metrics.ObserveToken(verdict)
+	switch v := verdict.(type) {
 	case pstoken.OverLimit:
-		tokens.WithLabelValues("over").Inc()
 		return rejected{http.StatusTooManyRequests, "overRate", c.rateRetryAfter(v)}
 	case pstoken.Unavailable:
-		tokens.WithLabelValues("unasked").Inc()
 		if c.request.Context().Err() != nil {
 			return canceled{}
 		}
--- a/internal/connection/psproxy/crash.go
+++ b/internal/connection/psproxy/crash.go
@@ -2,18 +2,19 @@
 
 import (
 	"persimmonstep/internal/connection/pscrash"
+	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pshealth"
 )
 
 // checkCrash checks whether a server that lost a request has crashed, and counts the crash against the request.
-func (p *Proxy) checkCrash(c *call, s selection) {
-	entry := s.view.Entry
+func (p *Proxy) checkCrash(c *call, s psselection.Selection) {
+	entry := s.View.Entry
 	switch p.crashDetector.Check(entry.ID, entry.Address, p.options.Now) {
 	case pscrash.Up:
 		return
 	case pscrash.FoundDown:
-		p.control.ServerFailed(s.server, pshealth.ReasonCrashed, c.headers.ID)
+		p.control.ServerFailed(s.Server, pshealth.ReasonCrashed, c.headers.ID)
 	}
 	count := p.blocklist.AddCrash(c.fingerprint, p.options.Now())
 	psevent.CrashCounted.Log(p.options.Logger, c.headers.ID, uint64(c.fingerprint), entry.ID, count)
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -7,8 +7,10 @@
 
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psattempt"
 	"persimmonstep/internal/connection/psresponse"
+	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pshealth"
@@ -29,22 +31,15 @@
 	noResponseFactor  = 3
 )
 
-// attempt is one request to a backend server.
-type attempt struct {
-	selection
-	result psattempt.Result
-	took   time.Duration
-}
-
 // dispatch sends the call to a server, and retries it on others as far as that is allowed.
 func (c *call) dispatch(ctx context.Context) outcome {
 	service := c.proxy.splits.Next(c.route)
 	c.proxy.retries.AddRequest(service, c.proxy.options.Settings.Bounds.RetryWindow, c.arrivedAt)
 	var last *psresponse.Response
 	for {
-		s, rejection := c.selectServer(ctx, service, c.attemptedServers())
+		s, rejection := c.proxy.selector.Select(ctx, c.selectionRequest(service))
 		if rejection != nil {
-			return c.finalOutcome(rejection, last)
+			return c.finalOutcome(rejected{http.StatusServiceUnavailable, rejection.Reason, rejection.RetryAfter}, last)
 		}
 		if c.callerGone() {
 			return canceled{}
@@ -77,16 +72,16 @@
 		return rejection
 	}
 	for _, a := range c.attempts {
-		if a.result.MayHaveExecuted() {
-			return failed{http.StatusBadGateway, string(a.result)}
+		if a.Result.MayHaveExecuted() {
+			return failed{http.StatusBadGateway, string(a.Result)}
 		}
 	}
 	if r, found := rejection.(rejected); found {
 		return r
 	}
 	a := c.attempts[len(c.attempts)-1]
-	retryAfter := min(a.choice.Wait+a.choice.Run, c.remaining(c.proxy.options.Now())/3)
-	return rejected{http.StatusServiceUnavailable, string(a.result), max(time.Millisecond, retryAfter)}
+	retryAfter := min(a.Choice.Wait+a.Choice.Run, c.remaining(c.proxy.options.Now())/3)
+	return rejected{http.StatusServiceUnavailable, string(a.Result), max(time.Millisecond, retryAfter)}
 }
 
 // mayRetry reports whether the call may be sent to another server.
@@ -110,46 +105,54 @@
 
 // sentAttempts returns the number of attempts that may have reached their server.
 func (c *call) sentAttempts() int {
-	return lo.CountBy(c.attempts, func(a attempt) bool { return a.result != psattempt.Unsent })
+	return lo.CountBy(c.attempts, func(a psaccess.Attempt) bool { return a.Result != psattempt.Unsent })
+}
+
+// selectionRequest returns the call as a request for a server of a service.
+func (c *call) selectionRequest(service string) psselection.Request {
+	return psselection.Request{
+		Snapshot: c.snapshot, Service: service, Route: c.route, Workspace: c.workspace, Object: c.object,
+		BodyBytes: len(c.body.Buffered), ArrivedAt: c.arrivedAt, Deadline: c.deadline, Caller: c.caller, Attempted: c.attemptedServers(),
+	}
 }
 
 func (c *call) attemptedServers() []*psserver.Server {
 	list := make([]*psserver.Server, len(c.attempts))
 	for i, a := range c.attempts {
-		list[i] = a.server
+		list[i] = a.Server
 	}
 	return list
 }
 
 // attempt sends the call to one server and reads its response.
-func (c *call) attempt(ctx context.Context, s selection) (*psresponse.Response, psattempt.Result) {
+func (c *call) attempt(ctx context.Context, s psselection.Selection) (*psresponse.Response, psattempt.Result) {
 	start := c.proxy.options.Now()
-	exchange := s.server.BeginRequest(start, s.maxExpected)
+	exchange := s.Server.BeginRequest(start, s.MaxExpected)
 	if c.route.Affinity {
-		s.server.RecentObjects.Add(c.object)
+		s.Server.RecentObjects.Add(c.object)
 	}
 	o := c.proxy.sender.Send(ctx, c.attemptRequest(s, start))
 	if o.DialTime > 0 {
-		c.proxy.roundTrips.Observe(s.view.Entry.FailureDomain, o.DialTime)
+		c.proxy.roundTrips.Observe(s.View.Entry.FailureDomain, o.DialTime)
 	}
-	s.server.EndRequest(exchange)
+	s.Server.EndRequest(exchange)
 	now := c.proxy.options.Now()
-	c.attempts = append(c.attempts, attempt{selection: s, result: o.Result, took: now.Sub(start)})
+	c.attempts = append(c.attempts, psaccess.Attempt{Selection: s, Result: o.Result, Took: now.Sub(start)})
 	c.recordResult(s, o.Response, o.Result, start, now)
 	if o.Result == psattempt.Answered || o.Result == psattempt.Timeout {
-		s.server.RecordLatency(exchange, s.meanRunTime, now)
+		s.Server.RecordLatency(exchange, s.MeanRun, now)
 	}
 	return o.Response, o.Result
 }
 
 // attemptRequest returns the call as a request to one server, which is sent at a time.
-func (c *call) attemptRequest(s selection, sentAt time.Time) psattempt.Request {
+func (c *call) attemptRequest(s psselection.Selection, sentAt time.Time) psattempt.Request {
 	return psattempt.Request{
 		Caller: c.request, Body: &c.body, ID: c.headers.ID, Workspace: c.workspaceName(), Repeatable: c.route.Kind.Repeatable(),
-		Deadline: c.deadline, Server: s.view.Entry, MaxConnections: c.maxConnections(s.view.Entry.Service),
+		Deadline: c.deadline, Server: s.View.Entry, MaxConnections: c.maxConnections(s.View.Entry.Service),
 		MaySend: func() bool { return c.maySend(s) },
 		HeaderRead: func(h psheader.Response) {
-			c.proxy.control.UpdateAvailability(s.server, pscontrol.Announcement{
+			c.proxy.control.UpdateAvailability(s.Server, pscontrol.Announcement{
 				Availability: h.Availability, RequestID: c.headers.ID, SentAt: sentAt, Genuine: h.Signed || h.NotRun,
 			})
 		},
@@ -167,19 +170,19 @@
 
 // maySend reports whether the call may still be sent to a server, and counts it if so. The server may have become
 // unusable, or have named a limit, since it was selected.
-func (c *call) maySend(s selection) bool {
+func (c *call) maySend(s psselection.Selection) bool {
 	now := c.proxy.options.Now()
-	limit, _ := s.server.Limit(now)
-	if !s.server.Usable(now) || limit.Named && !s.hasLimitToken {
+	limit, _ := s.Server.Limit(now)
+	if !s.Server.Usable(now) || limit.Named && !s.HasLimitToken {
 		return false
 	}
-	s.server.CountSent()
+	s.Server.CountSent()
 	return true
 }
 
 // recordResult updates the server's state, the estimates and the crash counts with the result of an attempt.
-func (c *call) recordResult(s selection, response *psresponse.Response, result psattempt.Result, start, now time.Time) {
-	service := s.view.Entry.Service
+func (c *call) recordResult(s psselection.Selection, response *psresponse.Response, result psattempt.Result, start, now time.Time) {
+	service := s.View.Entry.Service
 	if response != nil {
 		c.recordLoad(s, response, now)
 	}
@@ -188,48 +191,48 @@
 	case psattempt.Answered:
 		c.proxy.blocklist.Clear(c.fingerprint)
 		c.proxy.estimates.ObserveResponse(c.route.Name, response.Length())
-		s.server.RecordOutcome(latencyRatio(took, s.choice.NominalLatency), false, now)
+		s.Server.RecordOutcome(latencyRatio(took, s.Choice.NominalLatency), false, now)
 		c.updateEstimates(s, took, now)
 	case psattempt.Unreachable:
-		c.proxy.control.ServerFailed(s.server, pshealth.ReasonUnreachable, c.headers.ID)
+		c.proxy.control.ServerFailed(s.Server, pshealth.ReasonUnreachable, c.headers.ID)
 	case psattempt.Misdirected:
-		s.server.MarkReplaced(now)
-		psevent.ServerFailed.Log(c.proxy.options.Logger, s.view.Entry.ID, service, string(result), c.headers.ID)
+		s.Server.MarkReplaced(now)
+		psevent.ServerFailed.Log(c.proxy.options.Logger, s.View.Entry.ID, service, string(result), c.headers.ID)
 	case psattempt.Timeout:
-		s.server.RecordOutcome(latencyRatio(took, s.choice.NominalLatency), false, now)
-		if !s.server.AnsweredSince(start) && took > max(noResponseTimeout, noResponseFactor*s.choice.ExpectedLatency()) {
-			c.proxy.control.ServerFailed(s.server, pshealth.ReasonSilent, c.headers.ID)
+		s.Server.RecordOutcome(latencyRatio(took, s.Choice.NominalLatency), false, now)
+		if !s.Server.AnsweredSince(start) && took > max(noResponseTimeout, noResponseFactor*s.Choice.ExpectedLatency()) {
+			c.proxy.control.ServerFailed(s.Server, pshealth.ReasonSilent, c.headers.ID)
 		}
 	case psattempt.Shed, psattempt.ServerError, psattempt.Unsigned:
-		s.server.RecordOutcome(0, true, now)
+		s.Server.RecordOutcome(0, true, now)
 	case psattempt.Lost:
-		s.server.RecordOutcome(0, true, now)
+		s.Server.RecordOutcome(0, true, now)
 		c.proxy.checkCrash(c, s)
 	}
 }
 
 // updateEstimates updates the estimates with the latency of an answered attempt.
-func (c *call) updateEstimates(s selection, took time.Duration, now time.Time) {
-	if s.view.Cold {
+func (c *call) updateEstimates(s psselection.Selection, took time.Duration, now time.Time) {
+	if s.View.Cold {
 		return
 	}
-	run := took - s.choice.RoundTrip
+	run := took - s.Choice.RoundTrip
 	runs := c.proxy.estimates.Runs(c.route.Name, c.route.TargetLatency)
-	if s.choice.LikelyCached {
-		s.server.RecordCacheResult(s.choice.Rank == 0, runs.Hit(run-s.choice.Wait), now)
+	if s.Choice.LikelyCached {
+		s.Server.RecordCacheResult(s.Choice.Rank == 0, runs.Hit(run-s.Choice.Wait), now)
 	}
-	if s.choice.Wait == 0 {
+	if s.Choice.Wait == 0 {
 		c.proxy.estimates.Observe(psestimate.Observation{
-			Route: c.route.Name, Service: s.view.Entry.Service, Target: c.route.TargetLatency, Run: run,
+			Route: c.route.Name, Service: s.View.Entry.Service, Target: c.route.TargetLatency, Run: run,
 		})
 	}
 }
 
 // recordLoad records that the server responded, and the load that its response reports.
-func (c *call) recordLoad(s selection, response *psresponse.Response, now time.Time) {
-	s.server.RecordResponse(now)
+func (c *call) recordLoad(s psselection.Selection, response *psresponse.Response, now time.Time) {
+	s.Server.RecordResponse(now)
 	if load := response.Metadata.Load; load != nil {
-		s.server.RecordLoad(load.Running, load.Waiting, now)
+		s.Server.RecordLoad(load.Running, load.Waiting, now)
 	}
 }
 
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -14,13 +14,14 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psattempt"
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/pscrash"
+	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/pshealth"
-	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -28,17 +29,13 @@
 	"persimmonstep/internal/request/psblocklist"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psretry"
+	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/request/pssplit"
 	"persimmonstep/platform/psheader"
 )
 
-const (
-	// successLinesPerSecond bounds the log lines of answered requests, and failureLinesPerSecond those of all others.
-	successLinesPerSecond = 100
-	failureLinesPerSecond = 150
-	// retryGrace is how long after their Retry-After time callers are still expected to retry.
-	retryGrace = time.Second
-)
+// retryGrace is how long after their Retry-After time callers are still expected to retry.
+const retryGrace = time.Second
 
 // ControlPlane provides the snapshots that requests are served from. It is notified of failures of servers and of what
 // servers announce in their responses.
@@ -53,7 +50,7 @@
 	Settings  *psnode.Settings
 	Transport *pstransport.Transport
 	Logger    hclog.Logger
-	Metrics   *Metrics
+	Metrics   *psaccess.Metrics
 	Tokens    *pstoken.Tokens
 	// Now returns the current time with a monotonic reading.
 	Now func() time.Time
@@ -64,6 +61,8 @@
 	options         Options
 	control         ControlPlane
 	sender          psattempt.Sender
+	selector        psselection.Selector
+	log             *psaccess.Log
 	estimates       psestimate.Estimates
 	roundTrips      psestimate.RoundTrips
 	callerDeadlines psestimate.RetryDetector
@@ -73,9 +72,6 @@
 	crashDetector   pscrash.Detector
 	bodyMemory      psbody.MemoryBudget
 
-	successLog pslog.RateLimit
-	failureLog pslog.RateLimit
-
 	mutex sync.Mutex
 	// draining closes callers' connections after their next response.
 	draining bool
@@ -87,10 +83,13 @@
 
 // New returns a proxy. [Proxy.SetControlPlane] must be called before it serves.
 func New(o Options) *Proxy {
-	return &Proxy{
-		options: o, sender: psattempt.Sender{Transport: o.Transport, Now: o.Now}, successLog: pslog.RateLimit{PerSecond: successLinesPerSecond},
-		failureLog: pslog.RateLimit{PerSecond: failureLinesPerSecond},
+	p := &Proxy{options: o, sender: psattempt.Sender{Transport: o.Transport, Now: o.Now}, log: psaccess.New(o.Metrics, o.Logger)}
+	p.selector = psselection.Selector{
+		Place:     psselect.Place{FailureDomain: o.Settings.FailureDomain, Region: o.Settings.Region},
+		Estimates: &p.estimates, RoundTrips: &p.roundTrips, Tokens: o.Tokens, Observe: o.Metrics.ObserveServerToken,
+		Jitter: p.jitter, Now: o.Now,
 	}
+	return p
 }
 
 // Estimates returns the run-time estimates that the proxy learned from responses.
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/psproxy"
@@ -188,7 +189,7 @@
 			Name: "vm-1", FailureDomain: "north-a", Region: "north",
 			Bounds: psnode.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50},
 		},
-		Transport: transport, Logger: hclog.NewNullLogger(), Metrics: psproxy.NewMetrics(prometheus.NewRegistry()),
+		Transport: transport, Logger: hclog.NewNullLogger(), Metrics: psaccess.NewMetrics(prometheus.NewRegistry()),
 		Tokens: pstoken.New(pstoken.Options{Self: "vm-1", Client: unresponsivePeers{}, Logger: hclog.NewNullLogger(), Now: time.Now}), Now: time.Now,
 	})
 	p.SetControlPlane(control)
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -1,14 +1,12 @@
 package psproxy
 
 import (
-	"fmt"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/process/psevent"
@@ -50,9 +48,9 @@
 	// server.
 	late := !now.Before(c.deadline) && response.HasLength()
 	if errors.As(err, &truncated) && c.request.Context().Err() == nil && !late {
-		last.server.RecordOutcome(0, true, now)
+		last.Server.RecordOutcome(0, true, now)
 	}
-	psevent.ResponseTruncated.Log(c.proxy.options.Logger, c.headers.ID, last.view.Entry.ID, err.Error())
+	psevent.ResponseTruncated.Log(c.proxy.options.Logger, c.headers.ID, last.View.Entry.ID, err.Error())
 	// An HTTP/1.0 caller takes a regular close of the connection for the end of a response without a length.
 	pslinger.ResetOnClose(c.callerConn())
 	panic(http.ErrAbortHandler)
@@ -71,60 +69,28 @@
 	_, _ = c.writer.Write([]byte(http.StatusText(status) + "\n"))
 }
 
-// logOutcome records the metrics of the call and logs one line. Answered calls and all others have separate rate limits.
+// logOutcome records how the call ended.
 func (c *call) logOutcome(e psevent.Event, status int, reason string, retryAfter time.Duration) {
 	now := c.proxy.options.Now()
-	c.proxy.options.Metrics.observe(c, e, status, reason, now.Sub(c.arrivedAt))
-	limit := &c.proxy.failureLog
-	if e.Number == psevent.RequestAnswered.Number {
-		limit = &c.proxy.successLog
+	r := psaccess.Record{
+		Event: e, ID: c.headers.ID, Workspace: c.workspaceName(), Object: c.headers.Object, Route: c.route, Status: status, Reason: reason,
+		Attempts: c.attempts, Took: now.Sub(c.arrivedAt), Left: c.headers.Left, ServersAge: now.Sub(c.snapshot.ServersReadAt),
+		RetryAfter: retryAfter,
 	}
-	if !limit.Allow(now) {
-		return
-	}
-	version, route := int64(0), ""
 	if c.snapshot.Index != nil {
-		version = c.snapshot.Index.Configuration.Version
-	}
-	if c.route != nil {
-		route = c.route.Name
+		r.Version = c.snapshot.Index.Configuration.Version
 	}
-	e.Log(c.proxy.options.Logger, c.headers.ID, c.workspaceName(), route, c.headers.Object, version, status, reason,
-		c.describeAttempts(), formatMilliseconds(now.Sub(c.arrivedAt)), formatMilliseconds(c.headers.Left),
-		formatMilliseconds(now.Sub(c.snapshot.ServersReadAt)), formatMilliseconds(retryAfter))
-}
-
-// describeAttempts formats the attempts with the inputs by which their servers were selected.
-func (c *call) describeAttempts() string {
-	var b strings.Builder
-	for i, a := range c.attempts {
-		if i > 0 {
-			b.WriteString("; ")
-		}
-		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f limit=%s",
-			a.view.Entry.ID, a.result, a.choice.Rank, a.view.Load, formatMilliseconds(a.view.LoadAge),
-			a.view.Slowness, a.view.FailureRate, formatMilliseconds(a.choice.Wait), formatMilliseconds(a.choice.Run),
-			formatMilliseconds(a.choice.RoundTrip), a.choice.LikelyCached, a.view.Cold, formatMilliseconds(a.took), a.view.PrimaryHitRate, a.view.CacheableFraction, a.view.Limit)
-	}
-	return b.String()
+	c.proxy.log.Write(r, now)
 }
 
 // LogDroppedLines logs how many log lines were dropped since the last call: those beyond the rate limits, and those
 // that the output was too slow for, which the argument counts.
 func (p *Proxy) LogDroppedLines(dropped int64) {
-	if n := dropped + p.successLog.Dropped() + p.failureLog.Dropped(); n > 0 {
+	if n := dropped + p.log.Dropped(); n > 0 {
 		psevent.LinesDropped.Log(p.options.Logger, n)
 	}
 }
 
-// formatMilliseconds formats a duration in milliseconds. More than an hour is "never".
-func formatMilliseconds(d time.Duration) string {
-	if d > time.Hour {
-		return "never"
-	}
-	return strconv.FormatInt(d.Milliseconds(), 10) + "ms"
-}
-
 // prepareResponse decides, before a response is written, whether the connection closes with it.
 func (c *call) prepareResponse() {
 	if c.proxy.isDraining() {
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 
+	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/pspeerstate"
 	"persimmonstep/internal/connection/psprobe"
@@ -159,7 +160,7 @@
 		return psproxy.New(psproxy.Options{
 			Settings: do.MustInvoke[*psnode.Settings](i), Transport: do.MustInvoke[*pstransport.Transport](i), Logger: do.MustInvoke[hclog.Logger](i),
 			Tokens:  do.MustInvoke[*pstoken.Tokens](i),
-			Metrics: psproxy.NewMetrics(do.MustInvoke[*prometheus.Registry](i)), Now: time.Now,
+			Metrics: psaccess.NewMetrics(do.MustInvoke[*prometheus.Registry](i)), Now: time.Now,
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*pscontrol.Controller, error) {
