psproxy: expected retries, jitter and crash counts stand where they belong

Whether callers are expected to retry belongs to the detector of retries, the spread of decisions and the crash counts of reports are of use without the proxy. No change of behaviour.

--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -150,7 +150,7 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	} else {
-		c.caller = c.proxy.callerDeadlines.Classify(c.route.Name, timeout, c.proxy.noRetriesExpected(c.arrivedAt))
+		c.caller = c.proxy.callerDeadlines.Classify(c.route.Name, timeout, c.arrivedAt)
 	}
 	if c.route.Timeout > 0 {
 		timeout = min(timeout, c.route.Timeout)
@@ -207,9 +207,9 @@
 func (c *call) rateRetryAfter(over pstoken.OverLimit) time.Duration {
 	remaining := c.remaining(c.proxy.options.Now())
 	if over.Excess && c.caller.DetectableWait > 0 {
-		return psadmission.RetryAfter(c.caller.DetectableWait, remaining/3, c.proxy.jitter())
+		return psadmission.RetryAfter(c.caller.DetectableWait, remaining/3, c.proxy.jitter.Next())
 	}
-	return min(maxRateRetryAfter, over.Wait+time.Duration(c.proxy.jitter()*float64(over.Wait+minRateJitter)))
+	return min(maxRateRetryAfter, over.Wait+time.Duration(c.proxy.jitter.Next()*float64(over.Wait+minRateJitter)))
 }
 
 func (c *call) workspaceName() string {
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -9,7 +9,7 @@
 import (
 	"context"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -28,15 +28,13 @@
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psblocklist"
 	"persimmonstep/internal/request/psestimate"
+	"persimmonstep/internal/request/psjitter"
 	"persimmonstep/internal/request/psretry"
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/request/pssplit"
 	"persimmonstep/platform/psheader"
 )
 
-// retryGrace is how long after their Retry-After time callers are still expected to retry.
-const retryGrace = time.Second
-
 // ControlPlane provides the snapshots that requests are served from. It is notified of failures of servers and of what
 // servers announce in their responses.
 type ControlPlane interface {
@@ -71,14 +69,11 @@
 	blocklist       psblocklist.List
 	crashDetector   pscrash.Detector
 	bodyMemory      psbody.MemoryBudget
+	jitter          psjitter.Sequence
 
-	mutex sync.Mutex
 	// draining closes callers' connections after their next response.
-	draining bool
-	inFlight int
-	sequence uint64
-	// retriesUntil is the latest time at which a rejected caller is expected to retry.
-	retriesUntil time.Time
+	draining atomic.Bool
+	inFlight atomic.Int64
 }
 
 // New returns a proxy. [Proxy.SetControlPlane] must be called before it serves.
@@ -87,7 +82,7 @@
 	p.selector = psselection.Selector{
 		Place:     psselect.Place{FailureDomain: o.Settings.FailureDomain, Region: o.Settings.Region},
 		Estimates: &p.estimates, RoundTrips: &p.roundTrips, Tokens: o.Tokens, Observe: o.Metrics.ObserveServerToken,
-		Jitter: p.jitter, Now: o.Now,
+		Jitter: p.jitter.Next, Now: o.Now,
 	}
 	return p
 }
@@ -102,92 +97,23 @@
 func (p *Proxy) SetControlPlane(c ControlPlane) { p.control = c }
 
 // Drain makes each caller's connection close with its next response.
-func (p *Proxy) Drain() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.draining = true
-}
+func (p *Proxy) Drain() { p.draining.Store(true) }
 
 // InFlight returns the number of requests whose response is not complete yet.
-func (p *Proxy) InFlight() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.inFlight
-}
-
-// Crashes returns this VM's counts of server crashes by request fingerprint.
-func (p *Proxy) Crashes(now time.Time) map[uint64]int {
-	counts := make(map[uint64]int)
-	for fingerprint, count := range p.blocklist.LocalCounts(now) {
-		counts[uint64(fingerprint)] = count
-	}
-	return counts
-}
+func (p *Proxy) InFlight() int { return int(p.inFlight.Load()) }
 
-// RecordPeerCrashes records the counts of server crashes that another VM reports.
-func (p *Proxy) RecordPeerCrashes(vm string, crashes map[uint64]int, now time.Time) {
-	for fingerprint, count := range crashes {
-		p.blocklist.SetPeerCount(vm, psblocklist.Fingerprint(fingerprint), count, now)
-	}
-}
+// Blocklist returns the requests that crashed servers.
+func (p *Proxy) Blocklist() *psblocklist.List { return &p.blocklist }
 
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := p.newCall(w, r)
-	p.startRequest()
-	defer p.endRequest()
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
 	o := c.serve()
 	defer c.cancel()
 	c.finish(o)
 }
 
-func (p *Proxy) startRequest() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.inFlight++
-}
-
-func (p *Proxy) endRequest() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.inFlight--
-}
-
-func (p *Proxy) isDraining() bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.draining
-}
-
-// noteRejection records that a caller that arrived at a time may retry after a duration.
-func (p *Proxy) noteRejection(arrivedAt time.Time, retryAfter time.Duration) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if until := arrivedAt.Add(retryAfter + retryGrace); retryAfter > 0 && until.After(p.retriesUntil) {
-		p.retriesUntil = until
-	}
-}
-
-// noRetriesExpected reports whether no rejected caller is expected to retry any more.
-func (p *Proxy) noRetriesExpected(now time.Time) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return now.After(p.retriesUntil)
-}
-
-// jitter returns a number in [0, 1) that differs between consecutive calls.
-func (p *Proxy) jitter() float64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.sequence++
-	return float64(p.sequence*jitterStep%jitterRange) / jitterRange
-}
-
-// jitterStep and jitterRange place consecutive numbers far apart.
-const (
-	jitterStep  = 618
-	jitterRange = 1000
-)
-
 // newCall returns the call of a request, with the values of its headers.
 func (p *Proxy) newCall(w http.ResponseWriter, r *http.Request) *call {
 	now := p.options.Now()
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -23,7 +23,7 @@
 		c.relay(o.response)
 	case rejected:
 		c.logOutcome(psevent.RequestRejected, o.status, o.reason, o.retryAfter)
-		c.proxy.noteRejection(c.arrivedAt, o.retryAfter)
+		c.proxy.callerDeadlines.NoteRejection(c.arrivedAt, o.retryAfter)
 		c.writeError(o.status, o.retryAfter)
 	case failed:
 		c.logOutcome(psevent.RequestFailed, o.status, o.reason, 0)
@@ -93,7 +93,7 @@
 
 // prepareResponse decides, before a response is written, whether the connection closes with it.
 func (c *call) prepareResponse() {
-	if c.proxy.isDraining() {
+	if c.proxy.draining.Load() {
 		c.writer.Header().Set("Connection", "close")
 	}
 	if !c.body.Consumed() && c.request.ContentLength != 0 {
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -173,7 +173,7 @@
 			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
 			Fetcher: stateFetcher{client},
 			Prober:  psprobe.New(do.MustInvoke[*pstransport.Transport](i)),
-			Peers:   do.MustInvoke[*pspeer.Endpoint](i), Tokens: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psproxy.Proxy](i),
+			Peers:   do.MustInvoke[*pspeer.Endpoint](i), Tokens: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psproxy.Proxy](i).Blocklist(),
 		}), nil
 	})
 }
--- a/internal/request/psblocklist/blocklist.go
+++ b/internal/request/psblocklist/blocklist.go
@@ -100,6 +100,18 @@
 	return counts
 }
 
+// Crashes is [List.LocalCounts] in the form of reports.
+func (l *List) Crashes(now time.Time) map[uint64]int {
+	return lo.MapKeys(l.LocalCounts(now), func(_ int, f Fingerprint) uint64 { return uint64(f) })
+}
+
+// RecordPeerCrashes records the counts in the report of another VM.
+func (l *List) RecordPeerCrashes(vm string, crashes map[uint64]int, now time.Time) {
+	for f, count := range crashes {
+		l.SetPeerCount(vm, Fingerprint(f), count, now)
+	}
+}
+
 func (l *List) entry(f Fingerprint, now time.Time) *entry {
 	if l.entries == nil {
 		l.entries = make(map[Fingerprint]*entry)
--- a/internal/request/psestimate/retry.go
+++ b/internal/request/psestimate/retry.go
@@ -12,6 +12,8 @@
 	minTimeouts = 40
 	// rangeMargin widens the range, as a fraction of the longest timeout.
 	rangeMargin = 0.02
+	// retryGrace is how long after their Retry-After time callers are still expected to retry.
+	retryGrace = time.Second
 )
 
 // RetryDetector recognizes callers that retry after a rejection. Each request states how much longer its
@@ -21,6 +23,8 @@
 type RetryDetector struct {
 	mutex  sync.Mutex
 	routes map[string]*timeoutRange
+	// retriesUntil is the latest time at which a rejected caller is expected to retry.
+	retriesUntil time.Time
 }
 
 // timeoutRange holds the longest and the shortest timeout with which the callers of a route start.
@@ -37,9 +41,18 @@
 	DetectableWait time.Duration
 }
 
+// NoteRejection records that a caller that arrived at a time was told to retry after a duration; 0 if it wasn't.
+func (d *RetryDetector) NoteRejection(arrivedAt time.Time, retryAfter time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if until := arrivedAt.Add(retryAfter + retryGrace); retryAfter > 0 && until.After(d.retriesUntil) {
+		d.retriesUntil = until
+	}
+}
+
 // Classify returns what is known of a caller by its route and remaining time. It learns from callers
-// only if noRetries is set: no caller was told to retry recently.
-func (d *RetryDetector) Classify(route string, remaining time.Duration, noRetries bool) Caller {
+// only while no caller is expected to retry.
+func (d *RetryDetector) Classify(route string, remaining time.Duration, now time.Time) Caller {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.routes == nil {
@@ -50,7 +63,7 @@
 		r = &timeoutRange{}
 		d.routes[route] = r
 	}
-	if noRetries {
+	if now.After(d.retriesUntil) {
 		r.observe(remaining)
 	}
 	return r.classify(remaining)
