psselection: a refused request asks two owners of tokens at most

What callers would have seen: where all servers of a service name limits, a request that is refused by one server asked the owner of the next one's tokens, and so on, each a round trip, until it found a token or its deadline passed. In a large fleet, where a VM seldom asks the same owner twice, each request would have done so.

Cause: a server counted as worth a question as long as the VM knew nothing of its share.

--- a/internal/connection/psselection/selection.go
+++ b/internal/connection/psselection/selection.go
@@ -20,8 +20,13 @@
 	"persimmonstep/internal/version/psconfig"
 )
 
-// noServerRetryAfter is the Retry-After time of a service without a usable server.
-const noServerRetryAfter = 400 * time.Millisecond
+const (
+	// noServerRetryAfter is the Retry-After time of a service without a usable server.
+	noServerRetryAfter = 400 * time.Millisecond
+	// maxQuestions is the number of token owners that may be asked in vain for one request, as each answer takes a
+	// network round trip.
+	maxQuestions = 2
+)
 
 // Request is a request for which a server is selected.
 type Request struct {
@@ -88,7 +93,7 @@
 // Select selects a server among those to which the request was not sent yet. It returns nil or why there is none.
 func (s *Selector) Select(ctx context.Context, r Request) (Selection, *Rejection) {
 	list := candidates(r, s.Now())
-	refused := false
+	refused, questions := false, 0
 	for len(list) > 0 {
 		decision := s.decision(r)
 		choice := psselect.Choose(s.options(list, r.Object), decision)
@@ -100,14 +105,18 @@
 			list = slices.Delete(list, choice.Index, choice.Index+1)
 			continue
 		}
-		if s.takeLimitToken(ctx, r.Snapshot, chosen) {
+		verdict := s.takeLimitToken(ctx, r.Snapshot, chosen)
+		if _, granted := verdict.(pstoken.Granted); granted {
 			return Selection{
 				Server: chosen.server, View: chosen.view, Choice: choice, MaxExpected: psselect.LatencyBound(choice, chosen.view, decision),
 				MeanRun: decision.MeanRun, HasLimitToken: chosen.view.Limit.Named,
 			}, nil
 		}
 		refused = true
-		list = s.withoutShort(slices.Delete(list, choice.Index, choice.Index+1))
+		if _, deferred := verdict.(pstoken.Deferred); !deferred {
+			questions++
+		}
+		list = s.withoutShort(slices.Delete(list, choice.Index, choice.Index+1), questions >= maxQuestions)
 	}
 	if refused {
 		return Selection{}, &Rejection{"serverLimit", s.limitRetryAfter(r)}
@@ -116,22 +125,21 @@
 }
 
 // takeLimitToken takes a token of a server's limit. A server without a limit needs none.
-func (s *Selector) takeLimitToken(ctx context.Context, view *pssnapshot.Snapshot, v candidate) bool {
+func (s *Selector) takeLimitToken(ctx context.Context, view *pssnapshot.Snapshot, v candidate) pstoken.Verdict {
 	if !v.view.Limit.Named {
-		return true
+		return pstoken.Granted{}
 	}
 	verdict := s.Tokens.TakeServer(ctx, view, v.server)
 	s.Observe(verdict)
-	_, granted := verdict.(pstoken.Granted)
-	return granted
+	return verdict
 }
 
-// withoutShort removes the servers whose limits are used up. A request that one server with a limit has refused goes to
-// a server with free capacity, or to none: tried on all servers in turn, it would mostly run where its object isn't
-// cached, and take the tokens of requests that run where theirs is.
-func (s *Selector) withoutShort(list []candidate) []candidate {
+// withoutShort removes the servers whose limits are used up, or all servers with limits. A request that one server with
+// a limit has refused goes to a server with free capacity, or to none: tried on all servers in turn, it would mostly run
+// where its object isn't cached, and take the tokens of requests that run where theirs is.
+func (s *Selector) withoutShort(list []candidate, allLimited bool) []candidate {
 	return slices.DeleteFunc(list, func(v candidate) bool {
-		return v.view.Limit.Named && s.Tokens.Short(v.view.Entry.Run())
+		return v.view.Limit.Named && (allLimited || s.Tokens.Short(v.view.Entry.Run()))
 	})
 }
 
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -21,7 +21,7 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
-	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
@@ -119,7 +119,7 @@
 	announcements   *psannouncement.Announcements
 	// silentPeers holds the VMs whose silence was logged.
 	silentPeers map[string]bool
-	limitLog    pslog.RateLimit
+	limitLog    *pslimit.Log
 }
 
 // New returns a controller without a configuration, servers or known VMs.
@@ -127,7 +127,7 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
 		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity), shares: psshare.New(),
-		announcements: psannouncement.New(), silentPeers: map[string]bool{}, limitLog: pslog.RateLimit{PerSecond: limitLinesPerSecond},
+		announcements: psannouncement.New(), silentPeers: map[string]bool{}, limitLog: pslimit.NewLog(o.Logger),
 	}
 	c.runContext = context.Background()
 	c.health = &pshealth.Checker{Prober: o.Prober, Owner: c, Logger: o.Logger, Now: o.Now}
--- a/internal/process/psstate/explain_test.go
+++ b/internal/process/psstate/explain_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
@@ -53,7 +54,7 @@
 			ServersReadAt: startTime, RateShares: map[string]float64{"trays": 0.25}, EvenShare: 0.5, FleetSize: 2,
 			ShareHolders: []psfleet.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
 		},
-		Tokens:    pstoken.New(pstoken.Options{Self: "vm-1", Now: time.Now}),
+		Tokens:    pstoken.New(pstoken.Options{Self: "vm-1", Logger: hclog.NewNullLogger(), Now: time.Now}),
 		Estimates: &psestimate.Estimates{}, Ready: true,
 	}, startTime)
 	// Explain works on a decoded document, so the state is encoded and decoded.
--- a/internal/process/pstoken/owner.go
+++ b/internal/process/pstoken/owner.go
@@ -60,9 +60,9 @@
 		return psfleet.TokenResponse{Wait: unknownServerWait, Fraction: 1}
 	}
 	now := t.now()
-	server.RecordPeerLimit(q.Server.Limit, now.Add(-q.Server.Age))
+	t.recordLimit(server, *q.Server, now)
 	limit, age := server.Limit(now)
-	response := psfleet.TokenResponse{}
+	response := psfleet.TokenResponse{Fraction: 1}
 	if limit != q.Server.Limit {
 		response.Server = &psfleet.ServerLimit{Run: q.Server.Run, Limit: limit, Age: age}
 	}
--- a/internal/process/pstoken/share.go
+++ b/internal/process/pstoken/share.go
@@ -137,7 +137,7 @@
 func (t *Tokens) applyResponse(server *psserver.Server, response psfleet.TokenResponse) Verdict {
 	now := t.now()
 	if known := response.Server; known != nil {
-		server.RecordPeerLimit(known.Limit, now.Add(-known.Age))
+		t.recordLimit(server, *known, now)
 		if limit, _ := server.Limit(now); !limit.Named {
 			return Granted{}
 		}
@@ -156,6 +156,13 @@
 	return Granted{}
 }
 
+// recordLimit records what another VM knows of a server's limit.
+func (t *Tokens) recordLimit(s *psserver.Server, v psfleet.ServerLimit, now time.Time) {
+	if before, changed := s.RecordPeerLimit(v.Limit, now.Add(-v.Age)); changed {
+		t.limitLog.Changed(s.Entry().ID, s.Entry().Service, "", before, v.Limit, now)
+	}
+}
+
 // Short reports whether the limit of a server is used up as far as this VM knows, so that requests that another such
 // server has refused need not try this one.
 func (t *Tokens) Short(r psserver.Run) bool {
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
@@ -77,6 +78,7 @@
 	self      string
 	client    Client
 	logger    hclog.Logger
+	limitLog  *pslimit.Log
 	now       func() time.Time
 	startedAt time.Time
 
@@ -101,7 +103,7 @@
 // New returns the tokens of a VM that starts now.
 func New(o Options) *Tokens {
 	return &Tokens{
-		self: o.Self, client: o.Client, logger: o.Logger, now: o.Now, startedAt: o.Now(),
+		self: o.Self, client: o.Client, logger: o.Logger, limitLog: pslimit.NewLog(o.Logger), now: o.Now, startedAt: o.Now(),
 		split: make(map[string]*psrate.Bucket), owned: make(map[ownedKey]*psrate.Bucket),
 		shares: make(map[psserver.Run]*serverShare), ownedServers: make(map[ownedServerKey]*ownedServer),
 		backoffUntil: make(map[string]time.Time),
