psfleet: VMs that were replaced leave the fleet after two hours

What callers saw: the longer a VM ran while others were replaced under new names, the less of their rate small workspaces got, and the less servers with a limit would have got; retries and connections shrank as well.

Cause: a VM that was once known counted as a member of the fleet for good. An owner of tokens grants the fraction of the fleet that it reaches, and the shares of retries and connections are divided by the size of the fleet.

Evidence: TestReplacedVMsLeaveTheFleet replaces a VM each hour: after 100 hours the fleet counted 102 VMs, now five.

Why this works: a VM that has been silent for two hours is forgotten. Regions may lose each other for an hour, and until then the share of the other side stays reserved.

--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -121,6 +121,7 @@
 // sendReport sends this VM's report to the other VMs and checks which of them have fallen silent.
 func (c *Controller) sendReport() {
 	now := c.options.Now()
+	c.fleet.Forget(now)
 	c.sequence++
 	r := &psfleet.Report{
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), ReadsStore: !c.watcher.Lost(), Version: c.desiredState.Version(),
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -43,6 +43,9 @@
 	// least reserveIntervals report intervals.
 	reserveTimeout   = 10 * time.Second
 	reserveIntervals = 4
+	// forgetTimeout is how long a silent VM counts as a member of the fleet. Regions may lose each other for an hour;
+	// a VM that is silent for longer was removed.
+	forgetTimeout = 2 * time.Hour
 )
 
 // LargeSize is the number of VMs from which on work that would cost too much if each VM did it is
@@ -322,11 +325,25 @@
 
 // Reserved reports whether a VM may still use its share of the fleet-wide limits.
 func (f *Fleet) Reserved(p *Peer, now time.Time) bool {
-	since := p.ReceivedAt
+	return p.silence(now) < max(reserveTimeout, reserveIntervals*f.ReportInterval())
+}
+
+// silence returns the time since a VM's last report, or since it became known if it has sent none.
+func (p *Peer) silence(now time.Time) time.Duration {
 	if p.Report == nil {
-		since = p.DiscoveredAt
+		return now.Sub(p.DiscoveredAt)
+	}
+	return now.Sub(p.ReceivedAt)
+}
+
+// Forget removes the VMs that have been silent for so long that they no longer belong to the fleet. The store keeps what
+// a VM published after its end.
+func (f *Fleet) Forget(now time.Time) {
+	before := len(f.peers)
+	maps.DeleteFunc(f.peers, func(_ string, p *Peer) bool { return p.silence(now) > forgetTimeout })
+	if len(f.peers) != before {
+		f.sorted, f.domains = nil, nil
 	}
-	return now.Sub(since) < max(reserveTimeout, reserveIntervals*f.ReportInterval())
 }
 
 // ShareHolders returns this VM, first, and the VMs that may still use their share of the fleet-wide
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -32,6 +32,22 @@
 	qt.Assert(t, f.Reserved(p, startTime.Add(11*time.Second)), qt.IsFalse)
 }
 
+// TestReplacedVMsLeaveTheFleet guards against limits that shrink with each VM that was ever replaced: an owner of tokens
+// grants the fraction of the fleet that it reaches.
+func TestReplacedVMsLeaveTheFleet(t *testing.T) {
+	f := psfleet.New(identity("vm-1", 1))
+	for hour := range 100 {
+		now := startTime.Add(time.Duration(hour) * time.Hour)
+		f.AddIdentity(identity(fmt.Sprint("replaced-", hour), 1), now)
+		f.ApplyReport(&psfleet.Report{Identity: identity("vm-2", 1), Sequence: int64(hour + 1)}, now)
+		f.Forget(now)
+	}
+	// A VM counts for two hours after it was heard of last.
+	qt.Assert(t, f.Size(), qt.Equals, 2+3)
+	qt.Assert(t, f.Peers(), qt.HasLen, 4)
+	qt.Assert(t, f.DomainPeers(), qt.HasLen, 4)
+}
+
 func TestOutdatedReportsAreDropped(t *testing.T) {
 	f := psfleet.New(identity("vm-1", 1))
 	for _, v := range []struct {
