--- a/internal/connection/pspeer/endpoint_test.go
+++ b/internal/connection/pspeer/endpoint_test.go
@@ -104,8 +104,8 @@
 		"{", `{"method":"other","params":{}}`, `{"method":"report","params":{"vm":"x"}}`, `{"method":"take"}`,
 		`{"method":"report","params":{"vm":"x","incarnation":1,"limited":[{"id":"i-1","limit":{"perSecond":-1}}]}}`,
 		`{"method":"report","params":{"vm":"x","incarnation":1,"limited":[{"id":"i-1","age":-1}]}}`,
-		`{"method":"take","params":{"tokens":-1}}`, `{"method":"take","params":{"server":{"limit":{"perSecond":-1}}}}`,
-		`{"id":1,"result":{"tokens":-1}}`, `{"id":1,"result":{"fraction":2}}`, `{"id":1,"result":{"server":{"age":-1}}}`,
+		`{"method":"take","params":{"server":{},"wanted":0}}`, `{"method":"take","params":{"server":{"limit":{"perSecond":-1}},"wanted":1}}`,
+		`{"id":1,"result":{"fraction":-1}}`, `{"id":1,"result":{"fraction":2}}`, `{"id":1,"result":{"server":{"age":-1}}}`,
 	} {
 		_, err := c.Write([]byte(text))
 		qt.Assert(t, err, qt.IsNil)
@@ -213,7 +213,7 @@
 	requester, _ := open(&granter{})
 	_, at := open(&serverGranter{})
 	for b.Loop() {
-		_, err := requester.RequestToken(b.Context(), at, psfleet.TokenRequest{Server: limit, Service: "pricebook", Tokens: 1, Wanted: 3})
+		_, err := requester.RequestToken(b.Context(), at, psfleet.TokenRequest{Server: limit, Service: "pricebook", Wanted: 3})
 		qt.Assert(b, err, qt.IsNil)
 	}
 	b.ReportMetric(float64(sent.Load())/float64(b.N), "B/request")
@@ -225,5 +225,5 @@
 }
 
 func (*serverGranter) GrantToken(psfleet.TokenRequest) psfleet.TokenResponse {
-	return psfleet.TokenResponse{Tokens: 1, Fraction: 0.417}
+	return psfleet.TokenResponse{Granted: true, Fraction: 0.417}
 }
--- a/internal/process/psfleet/token.go
+++ b/internal/process/psfleet/token.go
@@ -25,7 +25,7 @@
 	return l.Limit.Check()
 }
 
-// TokenRequest asks the VM that owns the tokens of a workspace for one of them, or that of a server's limit for some.
+// TokenRequest asks the VM that owns the tokens of a workspace, or of a server's limit, for one of them.
 type TokenRequest struct {
 	Workspace string `json:"workspace,omitempty"`
 	// Backup is set if the primary owner didn't answer and the receiver is asked as the backup.
@@ -37,21 +37,19 @@
 	Server *ServerLimit `json:"server,omitempty"`
 	// Service is the service of the server.
 	Service string `json:"service,omitempty"`
-	// Tokens is how many tokens of the server the sender can use now.
-	Tokens int `json:"tokens,omitempty"`
-	// Wanted is the number of requests that the sender would have sent to the server since its last request for
-	// tokens, this one included.
+	// Wanted is the number of requests that the sender would have sent to the server since its last request for a
+	// token, this one included.
 	Wanted int `json:"wanted,omitempty"`
 }
 
 // Check validates a decoded request.
 func (r TokenRequest) Check() error {
-	if r.Tokens < 0 || r.Wanted < 0 {
-		return errors.New("check token request: number is negative")
-	}
 	if r.Server == nil {
 		return nil
 	}
+	if r.Wanted < 1 {
+		return errors.New("check token request: no request is wanted")
+	}
 	return r.Server.Check()
 }
 
@@ -65,8 +63,6 @@
 	// Server is what the owner knows of the server's limit; nil if that is what the request said, or the owner doesn't
 	// know the server.
 	Server *ServerLimit `json:"server,omitempty"`
-	// Tokens is the number of granted tokens of a server.
-	Tokens int `json:"tokens,omitempty"`
 	// Fraction is the fraction in 0..1 of the requests that the VMs want to send to the server for which they should
 	// request tokens.
 	Fraction float64 `json:"fraction,omitempty"`
@@ -74,8 +70,8 @@
 
 // Check validates a decoded response.
 func (r TokenResponse) Check() error {
-	if r.Tokens < 0 || !(r.Fraction >= 0 && r.Fraction <= 1) {
-		return errors.New("check token response: number is out of range")
+	if !(r.Fraction >= 0 && r.Fraction <= 1) {
+		return errors.New("check token response: fraction is out of range")
 	}
 	if r.Server == nil {
 		return nil
--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -147,18 +147,8 @@
 	return false, time.Duration((max(1, minimum) - b.tokens) / rate * float64(time.Second))
 }
 
-// TakeUpTo takes at most n tokens and returns how many it took, and the time until the next one if it took none. The
-// demand grows by wanted, which includes requests for which no tokens were asked.
-func (b *Bucket) TakeUpTo(n, wanted int, l Limit, now time.Time) (int, time.Duration) {
-	b.refill(l, 1, now)
-	b.demand += float64(wanted) / demandWindow.Seconds()
-	taken := int(min(float64(n), b.tokens+1-wholeToken))
-	if taken <= 0 {
-		return 0, time.Duration((1 - b.tokens) / (l.Rate * refillFactor) * float64(time.Second))
-	}
-	b.tokens -= float64(taken)
-	return taken, 0
-}
+// AddDemand counts requests for which no token was asked.
+func (b *Bucket) AddDemand(requests int) { b.demand += float64(requests) / demandWindow.Seconds() }
 
 // Return puts back the token of a request that was not sent to a server.
 func (b *Bucket) Return() { b.tokens++ }
--- a/internal/process/pstoken/limit_test.go
+++ b/internal/process/pstoken/limit_test.go
@@ -25,8 +25,6 @@
 	simulationSpan = 24 * time.Second
 	// runTime is the time from a request's arrival at the simulated server to its response.
 	runTime = 80 * time.Millisecond
-	// propagationTime is the time after which VMs know what another one reports.
-	propagationTime = 500 * time.Millisecond
 	// reserveTime is how long a silent VM counts as one that uses its share.
 	reserveTime = 10 * time.Second
 	domainCount = 6
@@ -45,6 +43,8 @@
 	restarts map[string][]time.Duration
 	// side returns the side of a partition on which a VM is; all are on the same one if it is nil.
 	side func(vm int, at time.Duration) int
+	// propagation is the time within which all VMs know what one reports.
+	propagation time.Duration
 	// loss is the probability that a request for tokens gets no response.
 	loss float64
 	// wanted counts the requests that VMs wanted to send, and asked the requests for tokens.
@@ -76,7 +76,7 @@
 func newSimulation(seed uint64, rates []float64, limit func(time.Duration) pslimit.Limit) *simulation {
 	w := &simulation{
 		random: rand.New(rand.NewPCG(seed, seed)), start: time.Unix(1000, 0), now: time.Unix(1000, 0),
-		limit: limit, restarts: make(map[string][]time.Duration),
+		limit: limit, restarts: make(map[string][]time.Duration), propagation: 500 * time.Millisecond,
 	}
 	for i, rate := range rates {
 		v := &simulatedVM{index: i, rate: rate, identity: psfleet.Identity{
@@ -104,10 +104,12 @@
 func (w *simulation) snapshot(v *simulatedVM) *pssnapshot.Snapshot {
 	s := &pssnapshot.Snapshot{
 		Servers:   map[string][]*psserver.Server{"prices": {v.server}},
-		FleetSize: len(w.vms), PropagationTime: propagationTime,
+		FleetSize: len(w.vms), PropagationTime: w.propagation,
 	}
 	for _, peer := range w.vms {
-		known := w.at() >= peer.from+propagationTime || peer == v
+		// VMs learn of a new one at different times.
+		delay := w.propagation * time.Duration(v.index%10) / 9
+		known := peer.from == 0 || w.at() >= peer.from+delay || peer == v
 		known = known && !w.ended(peer, w.at()-reserveTime)
 		if known && (w.reaches(v, peer, w.at()) || w.reaches(v, peer, w.at()-reserveTime)) {
 			s.ShareHolders = append(s.ShareHolders, peer.identity)
@@ -293,18 +295,21 @@
 }
 
 // TestLimitHoldsWhileOwnersChange adds VMs in the server's failure domain one after the other. Each may become the owner
-// of the tokens, and the others learn of it only after a while.
+// of the tokens, and the others learn of it at different times.
 func TestLimitHoldsWhileOwnersChange(t *testing.T) {
-	for _, limit := range []float64{0.3, 5, 40} {
-		for seed := range uint64(8) {
-			t.Run(fmt.Sprintf("limit=%g/seed=%d", limit, seed), func(t *testing.T) {
-				w := newSimulation(seed, evenRates(60, 4*max(limit, 1)), constantLimit(limit))
-				for i := domainCount; i < len(w.vms); i += domainCount {
-					w.vms[i].from = time.Duration(4+2*i/domainCount) * time.Second
-				}
-				w.run(nil)
-				qt.Check(t, w.exceeded(), qt.Equals, 0)
-			})
+	for _, propagation := range []time.Duration{500 * time.Millisecond, 8 * time.Second} {
+		for _, limit := range []float64{0.3, 5, 40} {
+			for seed := range uint64(8) {
+				t.Run(fmt.Sprintf("propagation=%s/limit=%g/seed=%d", propagation, limit, seed), func(t *testing.T) {
+					w := newSimulation(seed, evenRates(60, 8*max(limit, 1)), constantLimit(limit))
+					w.propagation = propagation
+					for i := domainCount; i < len(w.vms); i += domainCount {
+						w.vms[i].from = 4*time.Second + time.Duration(i/domainCount)*max(2*time.Second, propagation)
+					}
+					w.run(nil)
+					qt.Check(t, w.exceeded(), qt.Equals, 0)
+				})
+			}
 		}
 	}
 }
--- a/internal/process/pstoken/owner.go
+++ b/internal/process/pstoken/owner.go
@@ -50,7 +50,9 @@
 func (o *ownedServer) record(q psfleet.TokenRequest, response psfleet.TokenResponse) {
 	o.requests++
 	o.wanted += q.Wanted
-	o.granted += response.Tokens
+	if response.Granted {
+		o.granted++
+	}
 }
 
 // grantServer answers a request for tokens of a server's limit.
@@ -73,7 +75,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	o := t.ownedServer(ownedServerKey{q.Server.Run, q.Backup}, now.Add(s.PropagationTime), now)
-	response.Tokens, response.Wait = o.bucket.TakeUpTo(q.Tokens, q.Wanted, rate, now)
+	o.bucket.AddDemand(q.Wanted - 1)
+	response.Granted, response.Wait = o.bucket.Take(rate, 1, now)
 	demand := o.bucket.Demand(now)
 	response.Fraction = min(1, overbooking*rate.Rate/max(demand, rate.Rate))
 	o.record(q, response)
--- a/internal/process/pstoken/share.go
+++ b/internal/process/pstoken/share.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// expectedSpan is the time for whose expected requests a VM requests tokens at once, and tokenLifetime how long
-	// it can use them.
-	expectedSpan  = 100 * time.Millisecond
-	tokenLifetime = 400 * time.Millisecond
 	// minFraction is the least fraction of the wanted requests for which a VM requests tokens, so that it learns soon
 	// when the limit rises or the demand falls.
 	minFraction = 0.25
@@ -26,11 +22,8 @@
 	unusedRetention = time.Minute
 )
 
-// serverShare is this VM's use of the tokens of one server.
+// serverShare is what this VM knows of its part of one server's limit.
 type serverShare struct {
-	// tokens are granted tokens that can be used until usableUntil.
-	tokens      int
-	usableUntil time.Time
 	// fraction is the fraction of the wanted requests for which the VM requests tokens, as the owner stated it at
 	// statedAt. due accumulates it; a token is requested whenever it reaches 1.
 	fraction float64
@@ -38,10 +31,9 @@
 	due      float64
 	// refusedUntil is when the next token is expected after a refusal.
 	refusedUntil time.Time
-	// wanted counts the requests since the last request for tokens, at askedAt.
-	wanted  int
-	askedAt time.Time
-	usedAt  time.Time
+	// wanted counts the requests since the last request for a token.
+	wanted int
+	usedAt time.Time
 }
 
 // Deferred means that the VM requested no token, because others use up the limit of the server.
@@ -52,8 +44,8 @@
 
 func (Deferred) verdict() {}
 
-// TakeServer takes a token of a server's limit: from those that were granted to this VM, or from the owner. Each
-// request to a server with a limit needs one. The verdict for a server without a limit is [Granted].
+// TakeServer takes a token of a server's limit from its owner. Each request to a server with a limit needs one. The
+// verdict for a server without a limit is [Granted].
 func (t *Tokens) TakeServer(ctx context.Context, s *pssnapshot.Snapshot, server *psserver.Server) Verdict {
 	now := t.now()
 	limit, age := server.Limit(now)
@@ -61,11 +53,11 @@
 		return Granted{}
 	}
 	e := server.Entry()
-	q, verdict := t.takeGranted(e.Run(), now)
-	if verdict != nil {
-		return verdict
+	wanted, deferred := t.want(e.Run(), now)
+	if deferred != nil {
+		return *deferred
 	}
-	q.Server, q.Service = &psfleet.ServerLimit{Run: e.Run(), Limit: limit, Age: age}, e.Service
+	q := psfleet.TokenRequest{Server: &psfleet.ServerLimit{Run: e.Run(), Limit: limit, Age: age}, Service: e.Service, Wanted: wanted}
 	primary, backup := s.ServerTokenOwners(e, server.Region)
 	response, err := t.askOwners(ctx, s, primary, backup, q)
 	if err != nil {
@@ -80,25 +72,22 @@
 	return granted
 }
 
-// takeGranted takes a token that was granted to this VM. Without one it returns the request that is to be sent to the
-// owner, or the verdict if none is due.
-func (t *Tokens) takeGranted(r psserver.Run, now time.Time) (psfleet.TokenRequest, Verdict) {
+// want counts a request that the VM wants to send to a server. It returns the number of such requests since the last
+// request for a token, or that none is requested now.
+func (t *Tokens) want(r psserver.Run, now time.Time) (int, *Deferred) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	h := t.share(r, now)
 	h.wanted++
 	switch {
-	case h.tokens > 0 && now.Before(h.usableUntil):
-		h.tokens--
-		return psfleet.TokenRequest{}, Granted{}
 	case now.Before(h.refusedUntil):
-		return psfleet.TokenRequest{}, Deferred{h.refusedUntil.Sub(now)}
+		return 0, &Deferred{h.refusedUntil.Sub(now)}
 	case !h.isDue(now):
-		return psfleet.TokenRequest{}, Deferred{}
+		return 0, &Deferred{}
 	}
-	q := psfleet.TokenRequest{Tokens: h.expected(now), Wanted: h.wanted}
-	h.wanted, h.askedAt = 0, now
-	return q, nil
+	wanted := h.wanted
+	h.wanted = 0
+	return wanted, nil
 }
 
 // isDue reports whether a token is requested for the present one of the wanted requests.
@@ -114,14 +103,7 @@
 	return true
 }
 
-// expected returns the number of tokens that the VM can use within expectedSpan, at the rate of its requests since it
-// requested tokens last.
-func (h *serverShare) expected(now time.Time) int {
-	span := max(expectedSpan, now.Sub(h.askedAt))
-	return max(1, int(h.fraction*float64(h.wanted)*float64(expectedSpan)/float64(span)))
-}
-
-// share returns this VM's use of a server's tokens. The caller holds the mutex.
+// share returns this VM's share of a server's limit. The caller holds the mutex.
 func (t *Tokens) share(r psserver.Run, now time.Time) *serverShare {
 	h, found := t.shares[r]
 	if !found {
@@ -146,14 +128,13 @@
 	defer t.mutex.Unlock()
 	h := t.share(server.Entry().Run(), now)
 	h.fraction, h.statedAt = response.Fraction, now
-	if response.Tokens == 0 {
-		wait := min(response.Wait, maxRefusal)
-		h.refusedUntil = now.Add(wait)
-		return OverLimit{Wait: wait}
+	if response.Granted {
+		h.refusedUntil = time.Time{}
+		return Granted{}
 	}
-	h.tokens, h.usableUntil = response.Tokens-1, now.Add(tokenLifetime)
-	h.refusedUntil = time.Time{}
-	return Granted{}
+	wait := min(response.Wait, maxRefusal)
+	h.refusedUntil = now.Add(wait)
+	return OverLimit{Wait: wait}
 }
 
 // recordLimit records what another VM knows of a server's limit.
