psserver: a withdrawn limit has no ramp

The time of the question for a token stays in the expected latency: TestQuestionForTokenCountsAgainstDeadline fails without it.

--- a/internal/process/psserver/limit.go
+++ b/internal/process/psserver/limit.go
@@ -11,9 +11,7 @@
 func (s *Server) RecordLimit(l pslimit.Limit, sentAt, now time.Time) (before pslimit.Limit, changed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	before, changed = s.limit.RecordResponse(l, sentAt, now)
-	s.growBack(before, now)
-	return before, changed
+	return s.limit.RecordResponse(l, sentAt, now)
 }
 
 // RecordPeerLimit records what another VM knows of the limit from a response to it at a time. It returns the limit
@@ -21,18 +19,7 @@
 func (s *Server) RecordPeerLimit(l pslimit.Limit, confirmedAt time.Time) (before pslimit.Limit, changed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	before, changed = s.limit.RecordPeer(l, confirmedAt)
-	s.growBack(before, confirmedAt)
-	return before, changed
-}
-
-// growBack lets the server's share of requests grow back as after a pause, if its limit was withdrawn. The caller holds
-// the mutex.
-func (s *Server) growBack(before pslimit.Limit, now time.Time) {
-	limit, _ := s.limit.Limit(now)
-	if before.Named && !limit.Named && s.pause.remaining(now) == 0 {
-		s.pause.until = now
-	}
+	return s.limit.RecordPeer(l, confirmedAt)
 }
 
 // Limit returns the server's limit, and the time since a response stated it.
--- a/internal/process/psserver/pause.go
+++ b/internal/process/psserver/pause.go
@@ -11,7 +11,6 @@
 
 // pause is a period for which a server asked this VM to send no requests. The zero value is no pause.
 type pause struct {
-	// until is when the pause ended or will end. The server's share of requests grows back from then on.
 	until time.Time
 }
 
--- a/internal/request/psselect/select_test.go
+++ b/internal/request/psselect/select_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/request/psadmission"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/version/psconfig"
@@ -36,3 +39,19 @@
 		})
 	}
 }
+
+// TestQuestionForTokenCountsAgainstDeadline guards against sending a request that can't be answered in time, because a
+// token of the distant server's limit must be requested first.
+func TestQuestionForTokenCountsAgainstDeadline(t *testing.T) {
+	route := &psconfig.Route{Name: "boards", TargetLatency: 200 * time.Millisecond, Affinity: true}
+	r := psselect.Request{
+		Route: route, MeanRun: 50 * time.Millisecond, Remaining: 160 * time.Millisecond, ArrivedAt: time.Unix(1000, 0),
+		Runs: psestimate.Runs{Cached: 50 * time.Millisecond, Uncached: 50 * time.Millisecond},
+	}
+	for _, needsToken := range []bool{false, true} {
+		view := psserver.New(psserver.Entry{ID: "i-1", Slots: 4, FailureDomain: "south-a"}, "south", r.ArrivedAt).View(r.ArrivedAt)
+		options := []psselect.Option{{View: view, Region: "south", RoundTrip: 70 * time.Millisecond, NeedsToken: needsToken}}
+		_, rejected := psselect.Admit(psselect.Choose(options, r), r).(psadmission.Rejected)
+		qt.Check(t, rejected, qt.Equals, needsToken)
+	}
+}
