pswatch: logs and metrics show for how long the store has not answered

When a request reaches a server that had left, an operator can now tell whether the VM did not know (silentFor of 7105, persimmonstep_store_silence_seconds, 7204) or used an earlier list of servers (removed in tries).

--- a/internal/connection/psaccess/access.go
+++ b/internal/connection/psaccess/access.go
@@ -91,10 +91,10 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f limit=%s",
+		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f limit=%s removed=%t",
 			a.View.Entry.ID, a.Result, a.Choice.Rank, a.View.Load, formatMilliseconds(a.View.LoadAge),
 			a.View.Slowness, a.View.FailureRate, formatMilliseconds(a.Choice.Wait), formatMilliseconds(a.Choice.Run),
-			formatMilliseconds(a.Choice.RoundTrip), a.Choice.LikelyCached, a.View.Cold, formatMilliseconds(a.Took), a.View.PrimaryHitRate, a.View.CacheableFraction, a.View.Limit)
+			formatMilliseconds(a.Choice.RoundTrip), a.Choice.LikelyCached, a.View.Cold, formatMilliseconds(a.Took), a.View.PrimaryHitRate, a.View.CacheableFraction, a.View.Limit, a.View.Removed)
 	}
 	return b.String()
 }
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -161,6 +161,10 @@
 // StoreLost reports whether a table of the store is currently unreadable.
 func (c *Controller) StoreLost() bool { return c.watcher.Lost() }
 
+// StoreSilence returns the time since the store last responded for the table for which that is longest; 0 before the
+// first response.
+func (c *Controller) StoreSilence() time.Duration { return c.watcher.Silence() }
+
 // Ready reports whether the VM has the state to serve requests and takes callers.
 func (c *Controller) Ready() bool {
 	s := c.Snapshot()
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -26,7 +26,7 @@
 	// EvacuationChanged reports which failure domains are evacuated.
 	EvacuationChanged = Event{7104, hclog.Info, "evacuations changed", []string{"failureDomains"}}
 	// StoreUnavailable reports that calls to the store fail.
-	StoreUnavailable = Event{7105, hclog.Warn, "store unavailable", []string{"call", "error"}}
+	StoreUnavailable = Event{7105, hclog.Warn, "store unavailable", []string{"call", "error", "silentFor"}}
 	// StoreAvailable reports that calls to the store succeed again.
 	StoreAvailable = Event{7106, hclog.Info, "store available again", []string{"call", "after"}}
 	// ConfigurationPartUnknown reports a field or value of the configuration in force that this release does not support.
--- a/internal/process/psmetric/metric_test.go
+++ b/internal/process/psmetric/metric_test.go
@@ -27,6 +27,8 @@
 
 func (source) StoreLost() bool { return true }
 
+func (source) StoreSilence() time.Duration { return 2500 * time.Millisecond }
+
 func (source) Ready() bool { return true }
 
 func TestMetricsReflectSnapshot(t *testing.T) {
@@ -74,6 +76,9 @@
 # HELP persimmonstep_store_lost 1 if a table of the store can't be read now.
 # TYPE persimmonstep_store_lost gauge
 persimmonstep_store_lost 1
+# HELP persimmonstep_store_silence_seconds Time since the store last responded, for the table for which it is longest.
+# TYPE persimmonstep_store_silence_seconds gauge
+persimmonstep_store_silence_seconds 2.5
 # HELP persimmonstep_vms VMs by state: directed ones take callers, known ones may be in use.
 # TYPE persimmonstep_vms gauge
 persimmonstep_vms{state="directed"} 2
--- a/internal/process/psregistry/registry.go
+++ b/internal/process/psregistry/registry.go
@@ -110,6 +110,7 @@
 		return
 	}
 	delete(r.servers, id)
+	s.MarkRemoved()
 	r.removed[id] = removedServer{entry: s.Entry(), leaving: s.Leaving(), at: now, era: r.era}
 	r.changes++
 	psevent.ServerRemoved.Log(r.logger, id, s.Entry().Service)
@@ -136,6 +137,9 @@
 
 func (r *Registry) register(e psserver.Entry, now time.Time) {
 	r.changes++
+	if previous, found := r.servers[e.ID]; found {
+		previous.MarkRemoved()
+	}
 	r.servers[e.ID] = psserver.New(e, r.regions[e.FailureDomain], now)
 	delete(r.removed, e.ID)
 	psevent.ServerRegistered.Log(r.logger, e.ID, e.Service, e.FailureDomain, e.Slots, e.ColdFor.String())
--- a/internal/process/psserver/pause.go
+++ b/internal/process/psserver/pause.go
@@ -48,6 +48,13 @@
 	return s.leaving || s.entry.State == Draining
 }
 
+// MarkRemoved records that this run of the server is no longer registered.
+func (s *Server) MarkRemoved() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.removed = true
+}
+
 // Pause sends the server no requests for a duration that it requested. Of several pauses the latest end
 // counts. It returns the duration after applying the upper bound.
 func (s *Server) Pause(d time.Duration, now time.Time) time.Duration {
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -47,6 +47,8 @@
 	failed failure
 	// leaving is set once the server announces its shutdown.
 	leaving bool
+	// removed is set once the entry is no longer registered. Requests may still hold an earlier snapshot with the server.
+	removed bool
 	pause   pause
 	limit   pslimit.Statement
 	// sent counts the requests and probes that were sent to the server.
@@ -276,6 +278,8 @@
 	SilentFor time.Duration `json:"silent"`
 	// Lag is the response time as a multiple of the longest expected time, measured here or by another VM.
 	Lag float64 `json:"lag"`
+	// Removed is set if the server's entry is no longer registered.
+	Removed bool `json:"removed,omitempty"`
 }
 
 // usable reports whether the server can be sent a request. The caller holds the mutex.
@@ -287,7 +291,9 @@
 func (s *Server) View(now time.Time) View {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	v := View{Entry: s.entry, Usable: s.usable(now), Cold: now.Before(s.coldUntil), PauseRemaining: s.pause.remaining(now)}
+	v := View{
+		Entry: s.entry, Usable: s.usable(now), Cold: now.Before(s.coldUntil), PauseRemaining: s.pause.remaining(now), Removed: s.removed,
+	}
 	v.Slowness, v.FailureRate = s.averages(now)
 	v.CacheableFraction = s.cacheable.Value()
 	v.PrimaryHitRate, v.FallbackHitRate = s.primary.Value(now), s.fallback.Value(now)
--- /dev/null
+++ b/internal/process/pswatch/silence.go
@@ -0,0 +1,32 @@
+package pswatch
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// responseTime is the time of the store's last response to a call for one table. The zero value is none.
+type responseTime struct {
+	at atomic.Pointer[time.Time]
+}
+
+func (r *responseTime) record(now time.Time) { r.at.Store(&now) }
+
+// silence returns the time since the response; 0 before the first.
+func (r *responseTime) silence(now time.Time) time.Duration {
+	at := r.at.Load()
+	if at == nil {
+		return 0
+	}
+	return now.Sub(*at)
+}
+
+// Silence returns the time since the store last responded, for the table for which that is longest. It is 0 before the
+// first response, and while this VM depends on the relay instead of calling the store.
+func (w *Watcher) Silence() time.Duration {
+	if w.usesRelay() {
+		return 0
+	}
+	now := w.options.Now()
+	return max(w.desiredState.silence(now), w.servers.silence(now))
+}
--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -128,6 +128,8 @@
 	relay   relay
 	// unreadTables counts the tables that were never read, failingTables those whose last call failed.
 	unreadTables, failingTables atomic.Int32
+	// desiredState and servers are when the store last responded for each table.
+	desiredState, servers responseTime
 }
 
 // New returns a watcher that has read no table yet.
@@ -162,6 +164,8 @@
 type poller struct {
 	watcher *Watcher
 	outage  Outage
+	// response is when the store last responded for the table.
+	response *responseTime
 	// succeeded states that the table was read at least once.
 	succeeded bool
 }
@@ -175,7 +179,11 @@
 		return false
 	}
 	p.recordResult(err != nil)
-	p.outage.Record(err, p.watcher.options.Logger, p.watcher.options.Now())
+	now := p.watcher.options.Now()
+	p.outage.Record(err, p.watcher.options.Logger, now)
+	if err == nil {
+		p.response.record(now)
+	}
 	return err == nil
 }
 
@@ -196,6 +204,8 @@
 // table is a table of the store that is watched.
 type table struct {
 	call string
+	// response is when the store last responded for the table.
+	response *responseTime
 	// known is the revision up to which the table is known at the start; zero if it is not known.
 	known psrevision.Revision
 	// pollInterval is the minimum time between two calls for changes.
@@ -213,7 +223,7 @@
 // watchTable keeps up with a table. After an outage or a restore of the store it reads the table a
 // second time, once there was time for missing entries to be written again.
 func (w *Watcher) watchTable(ctx context.Context, t table) {
-	p := &poller{watcher: w, outage: Outage{Call: t.call}, succeeded: !t.known.IsZero()}
+	p := &poller{watcher: w, outage: Outage{Call: t.call}, response: t.response, succeeded: !t.known.IsZero()}
 	known := t.known
 	if !known.IsZero() {
 		known = w.watchChanges(ctx, p, t, known)
@@ -283,7 +293,7 @@
 func (w *Watcher) watchServers(ctx context.Context, known psrevision.Revision) {
 	changed := known
 	w.watchTable(ctx, table{
-		call: "servers", known: known, pollInterval: serversPollInterval, awaitNotice: w.awaitServersNotice,
+		call: "servers", response: &w.servers, known: known, pollInterval: serversPollInterval, awaitNotice: w.awaitServersNotice,
 		read: func(ctx context.Context, known psrevision.Revision, recovering bool) (psrevision.Revision, error) {
 			v, err := w.options.Store.Servers(ctx)
 			if err == nil && v.Revision.Era < known.Era {
@@ -314,7 +324,7 @@
 func (w *Watcher) watchDesiredState(ctx context.Context, known psrevision.Revision) {
 	last := known
 	w.watchTable(ctx, table{
-		call: "orders", known: known, pollInterval: desiredStatePollInterval, awaitNotice: w.awaitDesiredStateNotice,
+		call: "orders", response: &w.desiredState, known: known, pollInterval: desiredStatePollInterval, awaitNotice: w.awaitDesiredStateNotice,
 		read: func(ctx context.Context, known psrevision.Revision, _ bool) (psrevision.Revision, error) {
 			o, err := w.options.Store.DesiredState(ctx)
 			if err == nil && o.Revision.Era < known.Era {
