pswatch: a call that the store dropped is abandoned before the bounds apply again

After each change a VM calls the store again half a second later, and all VMs do so at once. If the store is silent at that moment, it drops the calls, and the connections live on: keep-alive probes succeed, and the calls ended only after the 12 s that they wait plus 0.9 s. Until then no VM knew of anything that the store acknowledged.

A call now waits half of the time after which the bounds apply again (contact_s), so a dropped one is noticed after 2.4 s and 2.9 s. Test before: 200 wanted 503, 200 wanted 404; after: passes. In fleets of 20 VMs and more nothing changes: there calls wait 0.5 s already.

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -140,7 +140,8 @@
 		StoreFailing: func() bool { return c.watcher.Failing() }, Discovered: c.discovery.Attempted(),
 	})
 	c.watcher = pswatch.New(pswatch.Options{
-		Self: o.Identity, Store: o.Store, PeerSource: c.syncer, Sink: c, Peers: c, Logger: o.Logger, Now: o.Now,
+		Self: o.Identity, Store: o.Store, PeerSource: c.syncer, Sink: c, Peers: c, Contact: o.Settings.Bounds.Contact,
+		Logger: o.Logger, Now: o.Now,
 	})
 	c.publish()
 	return c
--- a/internal/process/pswatch/relay.go
+++ b/internal/process/pswatch/relay.go
@@ -73,7 +73,7 @@
 	if w.relayEnabled() {
 		return relayPollWait
 	}
-	return pollWait
+	return max(relayPollWait, w.options.Contact/pollsPerContact)
 }
 
 // sendNotice sends a notice to the other VMs of the region if this VM is the relay.
--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -23,9 +23,10 @@
 )
 
 const (
-	// pollWait is how long one call waits at the store for changes in a small fleet. Keep-alive probes
-	// detect a connection that fails silently during this time.
-	pollWait = 12 * time.Second
+	// pollsPerContact is the number of calls for changes of one table in a small fleet within the time after
+	// a disruption from which on the bounds of the fleet apply again. A call may stay unanswered although the
+	// store serves later ones, so a VM must abandon it before that time ends.
+	pollsPerContact = 2
 	// serversPollInterval is the minimum time between two calls for changes of the servers, so that
 	// changes in quick succession cost one call. It is far below the time within which requests to a
 	// server that is shutting down must stop.
@@ -117,7 +118,9 @@
 	PeerSource PeerSource
 	Sink       Sink
 	Peers      RegionPeers
-	Logger     hclog.Logger
+	// Contact is the time after a disruption from which on the bounds of the fleet apply again.
+	Contact time.Duration
+	Logger  hclog.Logger
 	// Now returns the current time with its monotonic reading.
 	Now func() time.Time
 }
