psproxy: each attempt uses the servers and evacuations that are known when it is sent

Callers saw nothing; servers could get requests long after they had left. A request used the servers of its arrival to its end, and only a draining entry reached it later. At the recycler a request may last 8 s, and drain_s is 2.5.

No extra messages; one atomic load per attempt.

--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -108,10 +108,11 @@
 	return lo.CountBy(c.attempts, func(a psaccess.Attempt) bool { return a.Result != psattempt.Unsent })
 }
 
-// selectionRequest returns the call as a request for a server of a service.
+// selectionRequest returns the call as a request for a server of a service, with the servers that are registered now. A
+// call may have waited long since its arrival, for its caller's body or for an earlier attempt.
 func (c *call) selectionRequest(service string) psselection.Request {
 	return psselection.Request{
-		Snapshot: c.snapshot, Service: service, Route: c.route, Workspace: c.workspace, Object: c.object,
+		Snapshot: c.proxy.control.Snapshot(), Service: service, Route: c.route, Workspace: c.workspace, Object: c.object,
 		BodyBytes: len(c.body.Buffered), ArrivedAt: c.arrivedAt, Deadline: c.deadline, Caller: c.caller, Attempted: c.attemptedServers(),
 	}
 }
@@ -169,11 +170,12 @@
 }
 
 // maySend reports whether the call may still be sent to a server, and counts it if so. The server may have become
-// unusable, or have named a limit, since it was selected.
+// unusable, have been evacuated or have named a limit since it was selected.
 func (c *call) maySend(s psselection.Selection) bool {
 	now := c.proxy.options.Now()
 	limit, _ := s.Server.Limit(now)
-	if !s.Server.Usable(now) || limit.Named && !s.HasLimitToken {
+	evacuated := c.proxy.control.Snapshot().Evacuated[s.View.Entry.FailureDomain]
+	if evacuated || !s.Server.Usable(now) || limit.Named && !s.HasLimitToken {
 		return false
 	}
 	s.Server.CountSent()
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -74,7 +74,7 @@
 	now := c.proxy.options.Now()
 	r := psaccess.Record{
 		Event: e, ID: c.headers.ID, Workspace: c.workspaceName(), Object: c.headers.Object, Route: c.route, Status: status, Reason: reason,
-		Attempts: c.attempts, Took: now.Sub(c.arrivedAt), Left: c.headers.Left, ServersAge: now.Sub(c.snapshot.ServersReadAt),
+		Attempts: c.attempts, Took: now.Sub(c.arrivedAt), Left: c.headers.Left, ServersAge: now.Sub(c.proxy.control.Snapshot().ServersReadAt),
 		RetryAfter: retryAfter,
 	}
 	if c.snapshot.Index != nil {
--- a/internal/process/psserver/pause.go
+++ b/internal/process/psserver/pause.go
@@ -48,7 +48,7 @@
 	return s.leaving || s.entry.State == Draining
 }
 
-// MarkRemoved records that this run of the server is no longer registered.
+// MarkRemoved takes this run of the server out of use because it is no longer registered.
 func (s *Server) MarkRemoved() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -284,7 +284,7 @@
 
 // usable reports whether the server can be sent a request. The caller holds the mutex.
 func (s *Server) usable(now time.Time) bool {
-	return s.entry.State == Ready && s.failed.since.IsZero() && !s.leaving && s.pause.remaining(now) == 0
+	return s.entry.State == Ready && !s.removed && s.failed.since.IsZero() && !s.leaving && s.pause.remaining(now) == 0
 }
 
 // View returns a snapshot of the server.
--- a/internal/process/pssnapshot/snapshot.go
+++ b/internal/process/pssnapshot/snapshot.go
@@ -1,7 +1,7 @@
 // Package pssnapshot is a VM's view of the system at one point in time, by which it routes requests.
 //
 // The control plane, package pscontrol, publishes an immutable [Snapshot] after each change. Requests read it without
-// locks; only what servers report about themselves in the meantime is newer.
+// locks; what servers report about themselves in the meantime, and that they are no longer registered, is newer.
 package pssnapshot
 
 import (
