pswatch: entries are kept after an outage only if they can have expired in it

Callers saw nothing; a server that left without being draining first got requests for up to 4.4 s (bound 2 s). After any failed call a VM kept the entries that the first read lacked, and read again 1.7 s later. With the 2.4 to 2.9 s until a dropped call is noticed that is 4.2 s, more than the 3 s after which the bounds apply again: two bounds that each hold and do not hold together.

TestServerRemovedDuringOutageIsKept before: 200 wanted 503.

Entries expire after three heartbeat intervals, and the last heartbeat is at most one older than the outage: if the store answered less than two intervals ago, a missing entry was removed. Calls for changes wait so short (1.2 s) that one dropped call stays below that. The time between two tries counts from the start of a call, so that a silent store that is back is read at most 0.9 s later.

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -140,7 +140,7 @@
 		StoreFailing: func() bool { return c.watcher.Failing() }, Discovered: c.discovery.Attempted(),
 	})
 	c.watcher = pswatch.New(pswatch.Options{
-		Self: o.Identity, Store: o.Store, PeerSource: c.syncer, Sink: c, Peers: c, Contact: o.Settings.Bounds.Contact,
+		Self: o.Identity, Store: o.Store, PeerSource: c.syncer, Sink: c, Peers: c, Contact: o.Settings.Bounds.Contact, Heartbeat: o.Settings.HeartbeatInterval,
 		Logger: o.Logger, Now: o.Now,
 	})
 	c.publish()
--- a/internal/process/pssteer/dropped_call_test.go
+++ b/internal/process/pssteer/dropped_call_test.go
@@ -75,3 +75,24 @@
 		})
 	}
 }
+
+// TestServerRemovedDuringOutageIsKept guards against requests to a server that left while the store dropped calls. The
+// outage is so short that no entry can have expired, so there is no reason to keep the server.
+func TestServerRemovedDuringOutageIsKept(t *testing.T) {
+	t.Parallel()
+	server := startBackend(t, 0)
+	s := startStore(t, server)
+	e, clean, err := s.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(clean)
+	v := startVMAt(t, "vm-1", ownAddress(), e.Address)
+	eventually(t, "served", func() bool { return status(v) == http.StatusOK })
+	removed := time.AfterFunc(500*time.Millisecond, func() {
+		s.Remove("servers", "i-1")
+		s.Remove("servers", "i-2")
+	})
+	defer removed.Stop()
+	dropCalls(t, s, e, server)
+	time.Sleep(contactBound)
+	qt.Assert(t, status(v), qt.Equals, http.StatusServiceUnavailable)
+}
--- a/internal/process/pswatch/relay.go
+++ b/internal/process/pswatch/relay.go
@@ -73,7 +73,9 @@
 	if w.relayEnabled() {
 		return relayPollWait
 	}
-	return max(relayPollWait, w.options.Contact/pollsPerContact)
+	// One dropped call must not last so long that entries may have expired.
+	beforeExpiry := expiryHeartbeats*w.options.Heartbeat - serversPollInterval - responseTimeout - readSlack
+	return max(relayPollWait, min(w.options.Contact/pollsPerContact, beforeExpiry))
 }
 
 // sendNotice sends a notice to the other VMs of the region if this VM is the relay.
--- a/internal/process/pswatch/silence.go
+++ b/internal/process/pswatch/silence.go
@@ -21,6 +21,12 @@
 	return now.Sub(*at)
 }
 
+// olderThan reports whether the response is at least as old as a duration, or there was none.
+func (r *responseTime) olderThan(d time.Duration, now time.Time) bool {
+	at := r.at.Load()
+	return at == nil || now.Sub(*at) >= d
+}
+
 // Silence returns the time since the store last responded, for the table for which that is longest. It is 0 before the
 // first response, and while this VM depends on the relay instead of calling the store.
 func (w *Watcher) Silence() time.Duration {
--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -27,6 +27,11 @@
 	// a disruption from which on the bounds of the fleet apply again. A call may stay unanswered although the
 	// store serves later ones, so a VM must abandon it before that time ends.
 	pollsPerContact = 2
+	// expiryHeartbeats is the number of heartbeat intervals for which the store must be unavailable before
+	// entries expire. They expire after one more, but the last heartbeat may have been that long before.
+	expiryHeartbeats = 2
+	// readSlack is the time that reading a table takes at most while the store isn't slow.
+	readSlack = 400 * time.Millisecond
 	// serversPollInterval is the minimum time between two calls for changes of the servers, so that
 	// changes in quick succession cost one call. It is far below the time within which requests to a
 	// server that is shutting down must stop.
@@ -39,8 +44,8 @@
 	// bodyTimeout limits the rest of the response. A table of thousands of rows takes seconds over the
 	// slowest links.
 	bodyTimeout = 5 * time.Second
-	// retryInterval is the delay before a failed call is repeated, and maxRetryInterval the delay
-	// after several failures. They are short because a VM must detect that the store answers again
+	// retryInterval is the time between the starts of a failed call and the next one, and maxRetryInterval
+	// that time after several failures. They are short because a VM must detect that the store answers again
 	// before the fleet's propagation deadlines apply to it.
 	retryInterval    = 200 * time.Millisecond
 	maxRetryInterval = 500 * time.Millisecond
@@ -120,6 +125,8 @@
 	Peers      RegionPeers
 	// Contact is the time after a disruption from which on the bounds of the fleet apply again.
 	Contact time.Duration
+	// Heartbeat is the interval at which servers renew their entries.
+	Heartbeat time.Duration
 	Logger  hclog.Logger
 	// Now returns the current time with its monotonic reading.
 	Now func() time.Time
@@ -223,8 +230,8 @@
 	awaitNotice func(ctx context.Context, known psrevision.Revision) (psrevision.Revision, bool)
 }
 
-// watchTable keeps up with a table. After an outage or a restore of the store it reads the table a
-// second time, once there was time for missing entries to be written again.
+// watchTable keeps up with a table. After a restore of the store, or an outage in which entries may have
+// expired, it reads the table a second time, once there was time for missing entries to be written again.
 func (w *Watcher) watchTable(ctx context.Context, t table) {
 	p := &poller{watcher: w, outage: Outage{Call: t.call}, response: t.response, succeeded: !t.known.IsZero()}
 	known := t.known
@@ -233,7 +240,8 @@
 	}
 	retry := retryInterval
 	for ctx.Err() == nil {
-		recovering := p.outage.Ongoing()
+		startedAt := w.options.Now()
+		recovering := p.outage.Ongoing() && p.response.olderThan(expiryHeartbeats*w.options.Heartbeat, startedAt)
 		before := known
 		done := p.poll(ctx, responseTimeout, func(ctx context.Context) error {
 			revision, err := t.read(ctx, before, recovering)
@@ -243,7 +251,7 @@
 			return err
 		})
 		if !done {
-			pswait.Sleep(ctx, retry)
+			pswait.Sleep(ctx, retry-w.options.Now().Sub(startedAt))
 			retry = min(maxRetryInterval, 2*retry)
 			continue
 		}
