--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -127,7 +127,7 @@
 	Contact time.Duration
 	// Heartbeat is the interval at which servers renew their entries.
 	Heartbeat time.Duration
-	Logger  hclog.Logger
+	Logger    hclog.Logger
 	// Now returns the current time with its monotonic reading.
 	Now func() time.Time
 }
