pslink: a VM notices that its own links to the servers are lost

When a VM loses its links to all backend servers, its logs named the servers as failed, one after the other (7205), and so did those of the VMs to which it had told this. An operator could not tell a fault of the servers from one of the VM's links.

The monitor collects failures over all servers. Two in succession without a connection, or without a response, make it connect to six servers in different failure domains; if none answers within 0.4 s, 7213 is logged and the metric is set. It then connects to two every 0.4 s until that has worked for a second (7214). Tests: a failed server, failure domain, or two of three failure domains are not taken for lost links, and links that come and go each second stay lost. No decision uses the result yet.

--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -140,6 +140,7 @@
 	now := c.proxy.options.Now()
 	c.attempts = append(c.attempts, psaccess.Attempt{Selection: s, Result: o.Result, Took: now.Sub(start)})
 	c.recordResult(s, o.Response, o.Result, start, now)
+	c.proxy.recordLink(s.Server, o, start)
 	if o.Result == psattempt.Answered || o.Result == psattempt.Timeout {
 		s.Server.RecordLatency(exchange, s.MeanRun, now)
 	}
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -22,6 +22,7 @@
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -50,6 +51,8 @@
 	Logger    hclog.Logger
 	Metrics   *psaccess.Metrics
 	Tokens    *pstoken.Tokens
+	// Links monitors this VM's links to the backend servers.
+	Links *pslink.Monitor
 	// Now returns the current time with a monotonic reading.
 	Now func() time.Time
 }
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -27,6 +27,7 @@
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -191,6 +192,7 @@
 		},
 		Transport: transport, Logger: hclog.NewNullLogger(), Metrics: psaccess.NewMetrics(prometheus.NewRegistry()),
 		Tokens: pstoken.New(pstoken.Options{Self: "vm-1", Client: unresponsivePeers{}, Logger: hclog.NewNullLogger(), Now: time.Now}), Now: time.Now,
+		Links: pslink.New(transport, hclog.NewNullLogger(), time.Now),
 	})
 	p.SetControlPlane(control)
 	s := httptest.NewUnstartedServer(p)
--- a/internal/connection/pstransport/pool.go
+++ b/internal/connection/pstransport/pool.go
@@ -20,9 +20,20 @@
 	idleTimeout = 90 * time.Second
 )
 
-// keepAlive detects connections whose other end has disappeared without closing them, while nothing is sent.
+// keepAlive detects connections whose other end has disappeared without closing them, while nothing is sent. Because
+// unackedTimeout is set as well, the first unanswered probe decides: the connection fails at the next one, 3 s after
+// the last bytes.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
+// dialer returns the dialer of connections to servers.
+func (t *Transport) dialer() *net.Dialer {
+	d := &net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	if t.Source.IsValid() {
+		d.LocalAddr = &net.TCPAddr{IP: t.Source.AsSlice()}
+	}
+	return d
+}
+
 // setUserTimeout makes a connection fail if its other end doesn't acknowledge sent bytes in time.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
@@ -38,8 +49,8 @@
 // pool holds the connections to one backend server and bounds their number.
 type pool struct {
 	address netip.AddrPort
-	// source is the local address of the connections; the system chooses it if it is invalid.
-	source netip.Addr
+	// connect opens a connection to the server.
+	connect func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 	mutex sync.Mutex
 	limit int
@@ -125,12 +136,8 @@
 
 // dial opens a connection that is already counted as open.
 func (p *pool) dial(ctx context.Context) (*conn, error) {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	if p.source.IsValid() {
-		d.LocalAddr = &net.TCPAddr{IP: p.source.AsSlice()}
-	}
 	start := time.Now()
-	raw, err := d.DialContext(ctx, "tcp", p.address.String())
+	raw, err := p.connect(ctx, p.address)
 	if err != nil {
 		p.removeClosed()
 		return nil, err
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -22,11 +23,16 @@
 	// Source is the local address of the connections; the system chooses it if it is zero. It must be set before
 	// the first use.
 	Source netip.Addr
+	// Dial replaces the opening of connections, unless it is nil. It must be set before the first use.
+	Dial Dial
 
 	mutex sync.Mutex
 	pools map[netip.AddrPort]*pool
 }
 
+// Dial opens a connection, as [net.Dialer.DialContext] does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New returns a transport and its clean-up function, which closes the unused connections.
 func New() (*Transport, func()) {
 	t := &Transport{pools: make(map[netip.AddrPort]*pool)}
@@ -63,12 +69,32 @@
 	defer t.mutex.Unlock()
 	p, found := t.pools[address]
 	if !found {
-		p = &pool{address: address, source: t.Source}
+		p = &pool{address: address, connect: t.connect}
 		t.pools[address] = p
 	}
 	return p
 }
 
+// connect opens a connection to a server.
+func (t *Transport) connect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	dial := t.Dial
+	if dial == nil {
+		dial = t.dialer().DialContext
+	}
+	return dial(ctx, "tcp", address.String())
+}
+
+// Reach opens a connection to a server and closes it at once. It returns an error if that fails.
+func (t *Transport) Reach(ctx context.Context, address netip.AddrPort) error {
+	c, err := t.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // Result is the result of one exchange.
 type Result struct {
 	// Response is nil after an error.
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -22,6 +22,7 @@
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
@@ -79,7 +80,9 @@
 	Peers   PeerSender
 	Tokens  TokenSource
 	Crashes CrashTracker
-	Logger  hclog.Logger
+	// Links monitors this VM's links to the backend servers.
+	Links  *pslink.Monitor
+	Logger hclog.Logger
 	// Now returns the current time with a monotonic reading.
 	Now func() time.Time
 }
@@ -329,6 +332,7 @@
 	go c.watcher.Run(ctx)
 	go c.discovery.Run(ctx)
 	go c.syncer.Run(ctx)
+	go c.options.Links.Run(ctx, c)
 	reportTimer := time.NewTimer(0)
 	defer reportTimer.Stop()
 	digestTimer := time.NewTimer(c.fleet.DigestInterval())
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -16,6 +16,7 @@
 
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -179,6 +180,9 @@
 	o.Settings = &psnode.Settings{Regions: map[string]string{"north-a": "north"}}
 	o.Identity = psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}
 	o.Logger, o.Now = hclog.NewNullLogger(), time.Now
+	if o.Links == nil {
+		o.Links = pslink.New(nil, o.Logger, o.Now)
+	}
 	c := pscontrol.New(o)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -67,6 +67,11 @@
 	ServerTokensGranted = Event{7212, hclog.Info, "tokens of a backend server granted", []string{
 		"server", "service", "perSecond", "age", "second", "reached", "rate", "demand", "part", "asked", "wanted", "granted",
 	}}
+	// ServerLinksLost reports that this VM reaches no backend server: how many failed in succession to accept a connection
+	// and to answer, how many a check could not connect to, and the time since the last connection was opened.
+	ServerLinksLost = Event{7213, hclog.Warn, "links to all backend servers lost", []string{"unconnected", "unanswered", "checked", "connectedAgo"}}
+	// ServerLinksRestored reports that this VM reaches backend servers again, and after how long.
+	ServerLinksRestored = Event{7214, hclog.Info, "links to backend servers restored", []string{"after"}}
 
 	// PeerLive reports that the first report of another VM arrived, or the first after a silence.
 	PeerLive = Event{7301, hclog.Info, "VM live", []string{"vm", "incarnation", "silentFor"}}
@@ -103,6 +108,7 @@
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped,
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
+		ServerLinksLost, ServerLinksRestored,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied,
 		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted,
 	}
--- a/internal/process/psmetric/metric.go
+++ b/internal/process/psmetric/metric.go
@@ -21,13 +21,16 @@
 	// StoreSilence returns the time since the store last responded for the table for which that is longest; 0 before
 	// the first response.
 	StoreSilence() time.Duration
+	// ServerLinksLost reports whether the VM reaches no backend server.
+	ServerLinksLost() bool
 	Ready() bool
 }
 
 var (
-	ready        = prometheus.NewDesc(namespace+"_ready", "1 if the VM takes callers.", nil, nil)
-	storeLost    = prometheus.NewDesc(namespace+"_store_lost", "1 if a table of the store can't be read now.", nil, nil)
-	storeSilence = prometheus.NewDesc(namespace+"_store_silence_seconds", "Time since the store last responded, for the table for which it is longest.", nil, nil)
+	ready           = prometheus.NewDesc(namespace+"_ready", "1 if the VM takes callers.", nil, nil)
+	storeLost       = prometheus.NewDesc(namespace+"_store_lost", "1 if a table of the store can't be read now.", nil, nil)
+	serverLinksLost = prometheus.NewDesc(namespace+"_server_links_lost", "1 if the VM reaches no backend server.", nil, nil)
+	storeSilence    = prometheus.NewDesc(namespace+"_store_silence_seconds", "Time since the store last responded, for the table for which it is longest.", nil, nil)
 	// configurationVersion is a gauge, so that alerts can compare the versions of VMs.
 	configurationVersion = prometheus.NewDesc(namespace+"_configuration_version", "The configuration version in force; 0 before the first.", nil, nil)
 	configurationUnknown = prometheus.NewDesc(namespace+"_configuration_unknown", "Fields and words of the configuration in force that are not understood.", nil, nil)
@@ -50,7 +53,7 @@
 
 // Describe sends the descriptors of all metrics.
 func (*Collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{ready, storeLost, storeSilence, configurationVersion, configurationUnknown, storeEra, serversAge, servers, serverLimit, serverSent, vms} {
+	for _, d := range []*prometheus.Desc{ready, storeLost, storeSilence, serverLinksLost, configurationVersion, configurationUnknown, storeEra, serversAge, servers, serverLimit, serverSent, vms} {
 		out <- d
 	}
 }
@@ -63,6 +66,7 @@
 	s, now := c.source.Snapshot(), c.now()
 	gauge(ready, boolValue(c.source.Ready()))
 	gauge(storeLost, boolValue(c.source.StoreLost()))
+	gauge(serverLinksLost, boolValue(c.source.ServerLinksLost()))
 	gauge(storeSilence, c.source.StoreSilence().Seconds())
 	if s.Index != nil {
 		gauge(configurationVersion, float64(s.Index.Configuration.Version))
--- a/internal/process/psmetric/metric_test.go
+++ b/internal/process/psmetric/metric_test.go
@@ -29,6 +29,8 @@
 
 func (source) StoreSilence() time.Duration { return 2500 * time.Millisecond }
 
+func (source) ServerLinksLost() bool { return true }
+
 func (source) Ready() bool { return true }
 
 func TestMetricsReflectSnapshot(t *testing.T) {
@@ -58,6 +60,9 @@
 # HELP persimmonstep_server_limit_per_second The requests per second that a backend server takes from all VMs, where it names a limit.
 # TYPE persimmonstep_server_limit_per_second gauge
 persimmonstep_server_limit_per_second{server="i-1",service="prices"} 2.5
+# HELP persimmonstep_server_links_lost 1 if the VM reaches no backend server.
+# TYPE persimmonstep_server_links_lost gauge
+persimmonstep_server_links_lost 1
 # HELP persimmonstep_server_sent_total Requests and probes that this VM sent to a backend server that names a limit.
 # TYPE persimmonstep_server_sent_total counter
 persimmonstep_server_sent_total{server="i-1",service="prices"} 1
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -25,6 +25,7 @@
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psnode"
@@ -67,6 +68,8 @@
 	Listen func(ctx context.Context, at netip.AddrPort) (pspeer.Socket, error)
 	// Dial connects to another VM. If nil, the default dialer is used.
 	Dial pspeerstate.Dial
+	// DialServer connects to a backend server. If nil, the default dialer is used.
+	DialServer pstransport.Dial
 }
 
 // Run serves until the context ends, and then shuts down gracefully.
@@ -146,7 +149,8 @@
 	})
 	do.Provide(i, func(i do.Injector) (*pstransport.Transport, error) {
 		t, clean := pstransport.New()
-		t.Source = do.MustInvoke[Network](i).Source
+		network := do.MustInvoke[Network](i)
+		t.Source, t.Dial = network.Source, network.DialServer
 		v.cleanUps = append(v.cleanUps, clean)
 		return t, nil
 	})
@@ -156,10 +160,13 @@
 			Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
 		}), nil
 	})
+	do.Provide(i, func(i do.Injector) (*pslink.Monitor, error) {
+		return pslink.New(do.MustInvoke[*pstransport.Transport](i), do.MustInvoke[hclog.Logger](i), time.Now), nil
+	})
 	do.Provide(i, func(i do.Injector) (*psproxy.Proxy, error) {
 		return psproxy.New(psproxy.Options{
 			Settings: do.MustInvoke[*psnode.Settings](i), Transport: do.MustInvoke[*pstransport.Transport](i), Logger: do.MustInvoke[hclog.Logger](i),
-			Tokens:  do.MustInvoke[*pstoken.Tokens](i),
+			Tokens: do.MustInvoke[*pstoken.Tokens](i), Links: do.MustInvoke[*pslink.Monitor](i),
 			Metrics: psaccess.NewMetrics(do.MustInvoke[*prometheus.Registry](i)), Now: time.Now,
 		}), nil
 	})
@@ -174,6 +181,7 @@
 			Fetcher: stateFetcher{client},
 			Prober:  psprobe.New(do.MustInvoke[*pstransport.Transport](i)),
 			Peers:   do.MustInvoke[*pspeer.Endpoint](i), Tokens: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psproxy.Proxy](i).Blocklist(),
+			Links: do.MustInvoke[*pslink.Monitor](i),
 		}), nil
 	})
 }
