psexperiment: callers of VMs without servers are unserved (known red)

The emulated network can cut a VM's links to all backend servers, as the users describe it: open connections hang, are reset, or live on while new ones are refused. psguarantee counts the first attempts that cut VMs don't serve, from three seconds after the cut on, if they serve less than two thirds of what the others do and more than 10 and 2% of all fail.

--- a/internal/process/psdev/network.go
+++ b/internal/process/psdev/network.go
@@ -22,6 +22,8 @@
 	// partitions holds the name of each VM's partition. Only VMs of the same partition reach each other. VMs
 	// without an entry are in the partition named by the empty string.
 	partitions map[netip.Addr]string
+	// serverLinks holds the links of each VM to the backend servers.
+	serverLinks map[netip.Addr]*serverLinks
 }
 
 // SetPartition moves a VM to a partition. All VMs start in the partition named by the empty string.
@@ -62,6 +64,7 @@
 			}
 			return (&net.Dialer{}).DialContext(ctx, network, address)
 		},
+		DialServer: n.linksOf(at).dial,
 	}
 }
 
--- a/internal/process/psexperiment/experiment.go
+++ b/internal/process/psexperiment/experiment.go
@@ -54,10 +54,11 @@
 	snapshots   map[time.Duration]psstandin.Snapshot
 	revocations []revocation
 	// restarts are the times at which the processes of VMs ended or were started, by the VM's name.
-	restarts map[string][]time.Duration
-	stopped  []string
-	stopTime time.Duration
-	notes    []string
+	restarts   map[string][]time.Duration
+	serverCuts []psguarantee.ServerCut
+	stopped    []string
+	stopTime   time.Duration
+	notes      []string
 }
 
 // revocation records when a workspace's key was revoked during the run.
@@ -173,7 +174,7 @@
 
 // history collects the observations in which the guarantees are checked.
 func (e *experiment) history(observations []psload.Observation) psguarantee.History {
-	out := psguarantee.History{Observations: observations, Stopped: e.stopped, Restarts: e.restarts}
+	out := psguarantee.History{Observations: observations, Stopped: e.stopped, Restarts: e.restarts, ServerCuts: e.serverCuts}
 	for _, w := range e.topology.Configuration.Workspaces {
 		out.Workspaces = append(out.Workspaces, psguarantee.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst, Tolerance: quotaTolerance, Slack: quotaSlack})
 	}
--- a/internal/process/psexperiment/fault.go
+++ b/internal/process/psexperiment/fault.go
@@ -1,6 +1,7 @@
 package psexperiment
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -8,6 +9,8 @@
 	"time"
 
 	"persimmonstep/internal/process/psbackend"
+	"persimmonstep/internal/process/psdev"
+	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psscenario"
 	"persimmonstep/internal/process/psserver"
@@ -91,6 +94,8 @@
 		e.snapshotStore(f)
 	case psscenario.FaultLimit:
 		e.nameLimits(ctx, f)
+	case psscenario.FaultCutFromServers:
+		e.cutFromServers(f)
 	}
 }
 
@@ -103,6 +108,10 @@
 		e.system.Start(f.Target)
 	case psscenario.FaultLimit:
 		e.setLimit(f, pslimit.Limit{})
+	case psscenario.FaultCutFromServers:
+		for i := range max(1, f.Count) {
+			e.system.Network.SetServerLinks(e.system.Ready.VMs[f.Target+i].Callers.Addr(), psdev.LinksUp)
+		}
 	case psscenario.FaultPartitionRegion:
 		e.partition(e.firm.Regions[f.Target], "")
 	case psscenario.FaultPartitionAll:
@@ -169,6 +178,22 @@
 	e.system.RewriteConfiguration()
 }
 
+// cutFromServers partitions VMs from all backend servers, and records when.
+func (e *experiment) cutFromServers(f psscenario.Fault) {
+	states := map[psscenario.CutKind]psdev.LinkState{
+		psscenario.CutHang: psdev.LinksHang, psscenario.CutReset: psdev.LinksReset, psscenario.CutRefuse: psdev.LinksRefuse,
+	}
+	cut := psguarantee.ServerCut{From: f.At.Duration, Until: cmp.Or(f.Until.Duration, e.scenario.Span.Duration)}
+	for i := range max(1, f.Count) {
+		v := e.system.Ready.VMs[f.Target+i]
+		cut.VMs = append(cut.VMs, v.Name)
+		e.system.Network.SetServerLinks(v.Callers.Addr(), states[f.Cut])
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.serverCuts = append(e.serverCuts, cut)
+}
+
 // setStoreFault injects a fault of the store in all regions.
 func (e *experiment) setStoreFault(f psstandin.Fault) {
 	for _, d := range e.system.StoreEndpoints {
--- a/internal/process/psguarantee/check.go
+++ b/internal/process/psguarantee/check.go
@@ -62,6 +62,8 @@
 	Revocations  []Revocation
 	// Restarts are the times at which the process of a VM ended or was started, by the VM's name.
 	Restarts map[string][]time.Duration
+	// ServerCuts are the times during which VMs were cut off from all backend servers.
+	ServerCuts []ServerCut
 	// Stopped lists the names of the VMs that were shut down gracefully.
 	Stopped []string
 }
@@ -90,12 +92,15 @@
 	QuietBroken int `json:"quietBroken"`
 	// LimitExceeded is the number of requests beyond what a server's limit allows, in the worst window of any server.
 	LimitExceeded int `json:"limitExceeded"`
+	// CutVMsUnserved counts the first attempts that were not served by VMs that are cut off from the servers, in the
+	// cuts in which these serve far fewer than the others.
+	CutVMsUnserved int `json:"cutVMsUnserved"`
 }
 
 // Total returns the sum of all counts.
 func (v Violations) Total() int {
 	return v.RateBeyondBound + v.RepeatedRuns + v.FalseNotRun +
-		v.ForeignAnswers + v.KeysSeen + v.WithdrawnKeys + v.LateWork + v.CutByStop + v.QuietBroken + v.LimitExceeded
+		v.ForeignAnswers + v.KeysSeen + v.WithdrawnKeys + v.LateWork + v.CutByStop + v.QuietBroken + v.LimitExceeded + v.CutVMsUnserved
 }
 
 // maxRequestsInPause is the number of one VM's requests that may reach a server during a pause, because they
@@ -120,7 +125,7 @@
 			return s.DrainedAt > 0 && s.LastRun > s.DrainedAt+PropagationGrace
 		}),
 		QuietBroken:   count(h.Servers, func(s Server) bool { return s.RequestsInPause > maxRequestsInPause }),
-		LimitExceeded: h.limitExceeded(),
+		LimitExceeded: h.limitExceeded(), CutVMsUnserved: h.cutVMsUnserved(),
 		CutByStop: count(h.Observations, func(o psload.Observation) bool {
 			return slices.ContainsFunc(o.AbortedBy, func(vm string) bool { return slices.Contains(h.Stopped, vm) })
 		}),
--- a/internal/process/psload/caller.go
+++ b/internal/process/psload/caller.go
@@ -97,6 +97,9 @@
 	for _, t := range c.orderTargets(ctx, a.Stream) {
 		o.IDs = append(o.IDs, fmt.Sprintf("run-%d-%d", a.Sequence, len(o.IDs)))
 		connected, err := c.attempt(ctx, t, &o)
+		if len(o.IDs) == 1 {
+			o.First, o.FirstServed = t.Name, err == nil && o.Served()
+		}
 		if err == nil {
 			break
 		}
--- a/internal/process/psload/observation.go
+++ b/internal/process/psload/observation.go
@@ -11,6 +11,10 @@
 	Sent, Done time.Duration
 	// IDs are the request ids of the attempts.
 	IDs []string
+	// First is the target of the first attempt; empty if there was none. FirstServed reports that this attempt was
+	// served.
+	First       string
+	FirstServed bool
 	// Status is the status of the response; 0 if no attempt got one.
 	Status int
 	// NotRun reports that the last attempt was rejected without being run.
--- a/internal/process/psscenario/scenario.go
+++ b/internal/process/psscenario/scenario.go
@@ -83,13 +83,28 @@
 	FaultRestore FaultKind = "restore"
 	// FaultLimit makes backend servers name a limit on the requests that they take from all VMs.
 	FaultLimit FaultKind = "limit"
+	// FaultCutFromServers partitions VMs from all backend servers. Callers, the store and other VMs still reach them.
+	FaultCutFromServers FaultKind = "cutFromServers"
+)
+
+// CutKind is what becomes of the connections of a VM that is cut off from the backend servers.
+type CutKind string
+
+const (
+	// CutHang connections get no response, and new ones aren't established.
+	CutHang CutKind = ""
+	// CutReset connections are reset, and new ones refused.
+	CutReset CutKind = "reset"
+	// CutRefuse keeps open connections and refuses new ones.
+	CutRefuse CutKind = "refuse"
 )
 
 // UnmarshalText decodes a kind. It returns an error if the kind is unknown.
 func (k *FaultKind) UnmarshalText(text []byte) error {
 	switch v := FaultKind(text); v {
 	case FaultKillVM, FaultStopVM, FaultKillRegion, FaultPartitionRegion, FaultPartitionAll, FaultPlatformDown,
-		FaultSlowServer, FaultKillServer, FaultDrain, FaultRevokeKey, FaultPoison, FaultLeave, FaultPause, FaultRestore, FaultLimit:
+		FaultSlowServer, FaultKillServer, FaultDrain, FaultRevokeKey, FaultPoison, FaultLeave, FaultPause, FaultRestore, FaultLimit,
+		FaultCutFromServers:
 		*k = v
 		return nil
 	}
@@ -107,8 +122,11 @@
 	Kind FaultKind `toml:"kind"`
 	// Target is the index of the affected VM, region, backend server or workspace.
 	Target int `toml:"target"`
-	// Count is the number of backend servers that name limits, beginning with the target; 1 if absent.
+	// Count is the number of backend servers that name limits, or of VMs that are cut off from the servers, beginning
+	// with the target; 1 if absent.
 	Count int `toml:"count"`
+	// Cut is what becomes of the connections of VMs that are cut off; they hang if absent.
+	Cut CutKind `toml:"cut"`
 	// Limits are the limits that they name one after the other, each for a second, in requests per second.
 	Limits []float64 `toml:"limits"`
 }
@@ -162,6 +180,7 @@
 		require((f.Kind == FaultLimit) == (len(f.Limits) > 0), at+".limits", "a limit has values, and no other fault has any")
 		require(!slices.ContainsFunc(f.Limits, func(v float64) bool { return !(v >= 0) || math.IsInf(v, 0) }), at+".limits", "limits must not be negative or infinite")
 		require(f.Count >= 0 && f.Target+f.Count <= f.targetCount(), at+".count", "there are fewer targets")
+		require(slices.Contains([]CutKind{CutHang, CutReset, CutRefuse}, f.Cut), at+".cut", "there is no such cut")
 		require(f.Until.Duration == 0 || f.Until.Duration > f.At.Duration, at+".until", "the fault ends before it begins")
 	}
 	return findings
@@ -170,7 +189,7 @@
 // targetCount returns the number of possible targets of the fault. It is the same for both firms.
 func (f Fault) targetCount() int {
 	switch f.Kind {
-	case FaultKillVM, FaultStopVM:
+	case FaultKillVM, FaultStopVM, FaultCutFromServers:
 		return vmCount
 	case FaultKillRegion, FaultPartitionRegion:
 		return regionCount
