pscontrol: a VM without links to the servers does not mislead the others

What callers saw: while three of nine VMs were cut off from all servers, requests at the other six went to second-best servers or were rejected. A cut VM tells all others of each server that accepts no connection from it, and they take that server out of use until a probe succeeds. Its lost requests also counted as crashes, which block a request at all VMs after three.

If the links are lost instead, announcements, suspected crashes, and failures of the last three seconds are forgotten; until they are restored, failures count for nothing and no probes are sent. The blocklist of the VM itself counts a suspected crash at once, as before.

--- a/internal/connection/psproxy/link.go
+++ b/internal/connection/psproxy/link.go
@@ -11,19 +11,15 @@
 func (p *Proxy) recordLink(s *psserver.Server, o psattempt.Outcome, start time.Time) {
 	links := p.options.Links
 	if o.DialTime > 0 {
-		links.Connected()
+		links.Connected(start.Add(o.DialTime))
 	}
-	if o.Response != nil {
+	unanswered := (o.Result == psattempt.Lost || o.Result == psattempt.Timeout) && !s.AnsweredSince(start)
+	switch {
+	case o.Response != nil:
 		links.Responded()
-		return
-	}
-	switch o.Result {
-	case psattempt.Unreachable:
+	case o.Result == psattempt.Unreachable:
 		links.Unconnected(s.Entry().ID)
-	case psattempt.Lost, psattempt.Timeout:
-		if !s.AnsweredSince(start) {
-			links.Unanswered(s.Entry().ID)
-		}
-	default:
+	case unanswered:
+		links.Unanswered(s.Entry().ID)
 	}
 }
--- a/internal/process/psannouncement/announcement.go
+++ b/internal/process/psannouncement/announcement.go
@@ -41,6 +41,9 @@
 // Failed records that a server was found down.
 func (a *Announcements) Failed(server string, now time.Time) { a.failed[server] = now }
 
+// ForgetFailed withdraws what was recorded of servers that were found down.
+func (a *Announcements) ForgetFailed() { clear(a.failed) }
+
 // Leaving records that a server announced its shutdown.
 func (a *Announcements) Leaving(r psserver.Run, now time.Time) { a.leaving[r] = now }
 
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -66,6 +66,8 @@
 	Crashes(now time.Time) map[uint64]int
 	// RecordPeerCrashes merges another VM's counts.
 	RecordPeerCrashes(vm string, crashes map[uint64]int, now time.Time)
+	// ForgetSuspected removes the crashes that may be due to this VM's own links.
+	ForgetSuspected()
 }
 
 // Options are the dependencies of a [Controller].
@@ -211,10 +213,11 @@
 }
 
 // ServerFailed takes a server out of use that accepted no connection or left all its requests unanswered, and
-// starts probing it. The log names the request that detected the failure.
+// starts probing it. The log names the request that detected the failure. While the links to all servers are lost, a
+// failure shows nothing about the server.
 func (c *Controller) ServerFailed(s *psserver.Server, reason pshealth.Reason, requestID string) {
 	e := s.Entry()
-	if !s.MarkFailed(c.options.Now()) {
+	if c.options.Links.Lost() || !s.MarkFailed(c.options.Now()) {
 		return
 	}
 	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, string(reason), requestID)
@@ -286,9 +289,12 @@
 	// configurationEvent carries a newer configuration from another VM.
 	configurationEvent struct{ configuration *psconfig.Configuration }
 	serverLeavingEvent struct{ run psserver.Run }
-	serverLimitEvent   struct{ run psserver.Run }
-	leaveEvent         struct{}
-	peerStateEvent     struct{ pssync.PeerState }
+	// serverDownEvent reports a server that other VMs can't be expected to reach either.
+	serverDownEvent  struct{ id string }
+	linksEvent       struct{}
+	serverLimitEvent struct{ run psserver.Run }
+	leaveEvent       struct{}
+	peerStateEvent   struct{ pssync.PeerState }
 )
 
 func (desiredStateEvent) event()  {}
@@ -299,6 +305,8 @@
 func (serverFailedEvent) event()  {}
 func (configurationEvent) event() {}
 func (serverLeavingEvent) event() {}
+func (serverDownEvent) event()    {}
+func (linksEvent) event()         {}
 func (serverLimitEvent) event()   {}
 func (leaveEvent) event()         {}
 func (peerStateEvent) event()     {}
@@ -380,11 +388,15 @@
 	case digestEvent:
 		c.applyDigest(e.digest, now)
 	case serverFailedEvent:
-		c.applyFailure(e, now)
+		c.applyFailure(e)
 	case configurationEvent:
 		c.desiredState.ApplyConfiguration(e.configuration, psrevision.Revision{})
 	case serverLeavingEvent:
 		c.announcements.Leaving(e.run, now)
+	case serverDownEvent:
+		c.announcements.Failed(e.id, now)
+	case linksEvent:
+		c.applyLinkChange(now)
 	case serverLimitEvent:
 		c.announcements.LimitChanged(e.run, now)
 	case leaveEvent:
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -137,6 +137,8 @@
 func (*store) TakeProbe(context.Context, *pssnapshot.Snapshot, *psserver.Server) bool { return true }
 func (*store) Crashes(time.Time) map[uint64]int                                       { return nil }
 func (*store) RecordPeerCrashes(string, map[uint64]int, time.Time)                    {}
+
+func (*store) ForgetSuspected() {}
 func (*store) Probe(context.Context, psserver.Entry, string) (psheader.Health, error) {
 	return psheader.Health{Healthy: true, Server: "i-1", ColdFor: time.Minute}, nil
 }
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -115,7 +115,7 @@
 	}
 	e := s.Entry()
 	psevent.ServerFailed.Log(c.options.Logger, e.ID, e.Service, string(pshealth.ReasonTold), "")
-	c.applyFailure(serverFailedEvent{s, pshealth.ReasonTold}, now)
+	c.applyFailure(serverFailedEvent{s, pshealth.ReasonTold})
 }
 
 // sendReport sends this VM's report to the other VMs and checks which of them have fallen silent.
--- a/internal/process/pscontrol/link.go
+++ b/internal/process/pscontrol/link.go
@@ -1,6 +1,9 @@
 package pscontrol
 
 import (
+	"time"
+
+	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psserver"
 )
 
@@ -18,7 +21,18 @@
 }
 
 // LinksChanged processes that the links to all servers were lost or restored.
-func (*Controller) LinksChanged(bool) {}
+func (c *Controller) LinksChanged(bool) { c.enqueue(linksEvent{}) }
 
 // ServerLinksLost reports whether this VM reaches no server.
 func (c *Controller) ServerLinksLost() bool { return c.options.Links.Lost() }
+
+// applyLinkChange forgets what this VM concluded about the servers from requests that its links have lost.
+func (c *Controller) applyLinkChange(now time.Time) {
+	c.announcements.ForgetFailed()
+	c.options.Crashes.ForgetSuspected()
+	for _, servers := range c.servers.ByService() {
+		for _, s := range servers {
+			s.ForgetFailures(now.Add(-pslink.MaxDelay), now)
+		}
+	}
+}
--- a/internal/process/pscontrol/probe.go
+++ b/internal/process/pscontrol/probe.go
@@ -10,11 +10,12 @@
 	"persimmonstep/platform/psheader"
 )
 
-// applyFailure starts probing a server that failed. If the server accepted no connection from this VM, it is
-// also listed in this VM's reports.
-func (c *Controller) applyFailure(e serverFailedEvent, now time.Time) {
+// applyFailure starts probing a server that failed. If the server accepted no connection from this VM, although others
+// do, it is also listed in this VM's reports.
+func (c *Controller) applyFailure(e serverFailedEvent) {
 	if e.reason == pshealth.ReasonUnreachable || e.reason == pshealth.ReasonCrashed {
-		c.announcements.Failed(e.server.Entry().ID, now)
+		down := serverDownEvent{e.server.Entry().ID}
+		c.options.Links.OnceConnected(func() { c.enqueue(down) })
 	}
 	if v, found := c.service(e.server); found {
 		go c.health.RunAfterFailure(c.runContext, e.server, v.HealthPath)
@@ -26,10 +27,10 @@
 	return slices.Contains(c.Snapshot().Servers[s.Entry().Service], s)
 }
 
-// MayProbe reports whether a probe may be sent to the server now: it has not requested a pause, and this VM has a
-// token if it has a limit.
+// MayProbe reports whether a probe may be sent to the server now: this VM has links to servers, the server has not
+// requested a pause, and this VM has a token if it has a limit.
 func (c *Controller) MayProbe(ctx context.Context, s *psserver.Server) bool {
-	return s.View(c.options.Now()).PauseRemaining == 0 && c.options.Tokens.TakeProbe(ctx, c.Snapshot(), s)
+	return !c.options.Links.Lost() && s.View(c.options.Now()).PauseRemaining == 0 && c.options.Tokens.TakeProbe(ctx, c.Snapshot(), s)
 }
 
 // ApplyProbe processes what a server announced in the response to a probe that was sent at a time.
--- a/internal/process/pslink/monitor.go
+++ b/internal/process/pslink/monitor.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -37,10 +38,12 @@
 	// stableTime is how long all checks must succeed before lost links count as restored, so that links that fail again
 	// at once aren't used in between.
 	stableTime = time.Second
-	// maxDelay is how long a conclusion about a server may wait for the proof that the links work.
-	maxDelay = 3 * time.Second
 )
 
+// MaxDelay is how long a conclusion about a server may wait for the proof that the links work, and the time before the
+// links are found lost within which failures of servers are due to the links.
+const MaxDelay = 3 * time.Second
+
 // Dialer opens a connection to a server and closes it again.
 type Dialer interface {
 	Reach(ctx context.Context, address netip.AddrPort) error
@@ -68,9 +71,10 @@
 	mutex sync.Mutex
 	// unconnected holds the servers to which no connection could be opened since one could to any server, and
 	// unanswered those that left requests unanswered since any server responded.
-	unconnected, unanswered map[string]bool
-	connectedAt             time.Time
-	waiting                 []conclusion
+	unconnected, unanswered map[string]time.Time
+	// connectedAt is when a connection to any server was last opened.
+	connectedAt time.Time
+	waiting     []conclusion
 }
 
 // conclusion is a conclusion about a server that waits for the proof that the links work.
@@ -83,24 +87,27 @@
 func New(d Dialer, l hclog.Logger, now func() time.Time) *Monitor {
 	return &Monitor{
 		dialer: d, logger: l, now: now, suspected: make(chan struct{}, 1),
-		unconnected: map[string]bool{}, unanswered: map[string]bool{},
+		unconnected: map[string]time.Time{}, unanswered: map[string]time.Time{},
 	}
 }
 
 // Lost reports whether the links to all servers are lost.
 func (m *Monitor) Lost() bool { return m.lost.Load() }
 
-// Connected records that a connection to a server was opened.
-func (m *Monitor) Connected() {
+// Connected records that a connection to a server was opened at a time. It refutes earlier failures only.
+func (m *Monitor) Connected(at time.Time) {
 	m.mutex.Lock()
-	clear(m.unconnected)
-	clear(m.unanswered)
-	m.connectedAt = m.now()
-	ready := m.waiting
-	m.waiting = nil
+	before := func(_ string, failedAt time.Time) bool { return failedAt.Before(at) }
+	maps.DeleteFunc(m.unconnected, before)
+	maps.DeleteFunc(m.unanswered, before)
+	if at.After(m.connectedAt) {
+		m.connectedAt = at
+	}
+	ready, waiting := lo.FilterReject(m.waiting, func(c conclusion, _ int) bool { return c.at.Before(at) })
+	m.waiting = waiting
 	m.mutex.Unlock()
 	for _, c := range ready {
-		if m.now().Sub(c.at) <= maxDelay {
+		if at.Sub(c.at) <= MaxDelay {
 			c.do()
 		}
 	}
@@ -119,9 +126,9 @@
 // Unanswered records that a server left a request unanswered, or that the connection ended instead.
 func (m *Monitor) Unanswered(server string) { m.record(m.unanswered, server) }
 
-func (m *Monitor) record(failed map[string]bool, server string) {
+func (m *Monitor) record(failed map[string]time.Time, server string) {
 	m.mutex.Lock()
-	failed[server] = true
+	failed[server] = m.now()
 	suspect := len(failed) >= suspectServers
 	m.mutex.Unlock()
 	if !suspect || m.Lost() {
@@ -140,7 +147,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := m.now()
-	m.waiting = lo.Filter(m.waiting, func(c conclusion, _ int) bool { return now.Sub(c.at) <= maxDelay })
+	m.waiting = lo.Filter(m.waiting, func(c conclusion, _ int) bool { return now.Sub(c.at) <= MaxDelay })
 	if !m.Lost() {
 		m.waiting = append(m.waiting, conclusion{now, do})
 	}
@@ -223,7 +230,7 @@
 	}
 	for range servers {
 		if err := <-results; err == nil {
-			m.Connected()
+			m.Connected(m.now())
 			return true
 		}
 	}
--- a/internal/process/pslink/monitor_test.go
+++ b/internal/process/pslink/monitor_test.go
@@ -85,6 +85,12 @@
 	})
 }
 
+// connect opens a connection.
+func connect(m *pslink.Monitor) {
+	time.Sleep(time.Millisecond)
+	m.Connected(time.Now())
+}
+
 // TestLostLinksAreNoticed cuts a VM off from all servers. It guards against a VM that takes each server for failed, one
 // after the other.
 func TestLostLinksAreNoticed(t *testing.T) {
@@ -131,9 +137,9 @@
 	run(t, func(t *testing.T, n *network, m *pslink.Monitor) {
 		for range 100 {
 			m.Unconnected("i-0")
-			m.Connected()
+			connect(m)
 			m.Unconnected("i-1")
-			m.Connected()
+			connect(m)
 		}
 		m.Unanswered("i-0")
 		m.Responded()
@@ -168,13 +174,13 @@
 		m.OnceConnected(count)
 		m.Responded()
 		qt.Assert(t, calls, qt.Equals, 0)
-		m.Connected()
-		m.Connected()
+		connect(m)
+		connect(m)
 		qt.Assert(t, calls, qt.Equals, 1)
 
 		m.OnceConnected(count)
 		time.Sleep(4 * time.Second)
-		m.Connected()
+		connect(m)
 		qt.Assert(t, calls, qt.Equals, 1, qt.Commentf("too late"))
 
 		n.set(false, domains...)
@@ -183,7 +189,7 @@
 		m.Unconnected("i-1")
 		time.Sleep(time.Second)
 		m.OnceConnected(count)
-		m.Connected()
+		connect(m)
 		qt.Assert(t, calls, qt.Equals, 1, qt.Commentf("links are lost"))
 	})
 }
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -127,6 +127,19 @@
 	return true
 }
 
+// ForgetFailures returns the server to use if it was taken out since a time, and forgets its failure rate and lag,
+// because they are due to the VM's own links. A server whose address is used by another one stays out of use.
+func (s *Server) ForgetFailures(since, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.failed.replaced && !s.failed.since.Before(since) {
+		s.failed = failure{}
+	}
+	s.failureRate, s.slowness, s.averagedAt = 0, 1, now
+	s.lag.measured = decayingValue{}
+	s.unansweredSince = now
+}
+
 // MarkReplaced takes the server out of use for good because another server uses its address. It reports
 // whether that is new.
 func (s *Server) MarkReplaced(now time.Time) bool {
--- a/internal/process/psserver/server_test.go
+++ b/internal/process/psserver/server_test.go
@@ -102,3 +102,19 @@
 	}
 	qt.Assert(t, s.View(startTime).CacheableFraction, qt.Equals, 1.0)
 }
+
+func TestFailuresOfLinksAreForgotten(t *testing.T) {
+	now := startTime.Add(time.Minute)
+	failedBefore, failed, replaced := newServer(nil), newServer(nil), newServer(nil)
+	failedBefore.MarkFailed(startTime)
+	failed.MarkFailed(now)
+	failed.RecordOutcome(0, true, now)
+	replaced.MarkReplaced(now)
+	for _, s := range []*psserver.Server{failedBefore, failed, replaced} {
+		s.ForgetFailures(now.Add(-time.Second), now)
+	}
+	qt.Assert(t, failedBefore.Usable(now), qt.IsFalse)
+	qt.Assert(t, failed.Usable(now), qt.IsTrue)
+	qt.Assert(t, failed.View(now).FailureRate, qt.Equals, 0.0)
+	qt.Assert(t, replaced.Usable(now), qt.IsFalse)
+}
--- a/internal/request/psblocklist/blocklist.go
+++ b/internal/request/psblocklist/blocklist.go
@@ -39,8 +39,10 @@
 
 // entry holds the crash counts of one request.
 type entry struct {
-	// local is the number of crashes that this VM counted, and peers holds the counts of other VMs.
+	// local is the number of crashes that this VM counted, and peers holds the counts of other VMs. suspected is the
+	// number of those that may be due to this VM's own links instead.
 	local     int
+	suspected int
 	peers     map[string]int
 	changedAt time.Time
 }
@@ -56,9 +58,12 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	e, found := l.entries[f]
-	return found && now.Sub(e.changedAt) < crashWindow && e.local+lo.Sum(lo.Values(e.peers)) >= crashLimit
+	return found && now.Sub(e.changedAt) < crashWindow && e.total() >= crashLimit
 }
 
+// total returns the number of crashes over all VMs.
+func (e *entry) total() int { return e.local + e.suspected + lo.Sum(lo.Values(e.peers)) }
+
 // AddCrash counts a crash that this VM detected. It returns the number over all VMs.
 func (l *List) AddCrash(f Fingerprint, now time.Time) int {
 	l.mutex.Lock()
@@ -66,7 +71,37 @@
 	e := l.entry(f, now)
 	e.local++
 	e.changedAt = now
-	return e.local + lo.Sum(lo.Values(e.peers))
+	return e.total()
+}
+
+// AddSuspected counts a crash as long as it is unknown whether this VM's links are the cause instead. Other VMs aren't
+// told of it. It returns the number over all VMs.
+func (l *List) AddSuspected(f Fingerprint, now time.Time) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	e := l.entry(f, now)
+	e.suspected++
+	e.changedAt = now
+	return e.total()
+}
+
+// Confirm turns a suspected crash of a request into one that this VM detected.
+func (l *List) Confirm(f Fingerprint) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if e, found := l.entries[f]; found && e.suspected > 0 {
+		e.suspected--
+		e.local++
+	}
+}
+
+// ForgetSuspected removes all suspected crashes, because this VM's links are the cause.
+func (l *List) ForgetSuspected() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, e := range l.entries {
+		e.suspected = 0
+	}
 }
 
 // SetPeerCount records another VM's count.
--- a/internal/request/psblocklist/blocklist_test.go
+++ b/internal/request/psblocklist/blocklist_test.go
@@ -50,3 +50,23 @@
 	}
 	qt.Assert(t, len(s.LocalCounts(start)) <= 256, qt.IsTrue)
 }
+
+// TestSuspectedCrashIsNotTold guards against VMs without links to the servers, which would make the others block requests
+// that crash no server.
+func TestSuspectedCrashIsNotTold(t *testing.T) {
+	var l psblocklist.List
+	now := time.Unix(1000, 0)
+	for range 2 {
+		l.AddSuspected(1, now)
+	}
+	l.AddSuspected(2, now)
+	l.AddCrash(2, now)
+	qt.Assert(t, l.AddSuspected(1, now), qt.Equals, 3)
+	qt.Assert(t, l.Blocked(1, now), qt.IsTrue)
+	qt.Assert(t, l.LocalCounts(now), qt.DeepEquals, map[psblocklist.Fingerprint]int{2: 1})
+	l.Confirm(1)
+	l.Confirm(3)
+	l.ForgetSuspected()
+	qt.Assert(t, l.Blocked(1, now), qt.IsFalse)
+	qt.Assert(t, l.LocalCounts(now), qt.DeepEquals, map[psblocklist.Fingerprint]int{1: 1, 2: 1})
+}
