psforward: a VM without links to the servers forwards requests through one that has them

The VM sends such requests to the least used of the nearest VMs that take callers and have links. Reports say that a VM has no links, and the directory leaves it out unless all VMs are cut off. The hop lasts a few seconds, since callers move to other VMs. No cost where nothing is cut: one flag is read per request.

--- a/internal/connection/psaccess/access.go
+++ b/internal/connection/psaccess/access.go
@@ -45,6 +45,9 @@
 	Took, Left    time.Duration
 	ServersAge    time.Duration
 	RetryAfter    time.Duration
+	// Helper is the VM through which the request was forwarded, and From the VM that forwarded it to this one; empty
+	// otherwise.
+	Helper, From string
 }
 
 // Log records ended requests.
@@ -78,7 +81,7 @@
 		route = r.Route.Name
 	}
 	r.Event.Log(l.logger, r.ID, r.Workspace, route, r.Object, r.Version, r.Status, r.Reason, describe(r.Attempts),
-		formatMilliseconds(r.Took), formatMilliseconds(r.Left), formatMilliseconds(r.ServersAge), formatMilliseconds(r.RetryAfter))
+		formatMilliseconds(r.Took), formatMilliseconds(r.Left), formatMilliseconds(r.ServersAge), formatMilliseconds(r.RetryAfter), r.Helper, r.From)
 }
 
 // Dropped returns the number of lines that were not written since the last call because of the rate limits.
--- a/internal/connection/psaccess/metrics.go
+++ b/internal/connection/psaccess/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pstoken"
 )
@@ -22,6 +23,7 @@
 	loadAges      prometheus.Histogram
 	tokens        *prometheus.CounterVec
 	serverTokens  *prometheus.CounterVec
+	forwarded     *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics of a proxy after registering them.
@@ -53,7 +55,11 @@
 			Help: "Tokens of servers' limits by what came of them: granted, over, deferred (not requested) or unasked.",
 		}, []string{"verdict"}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.duration, m.expectedWaits, m.loadAges, m.tokens, m.serverTokens)
+	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "steered_forwarded_total",
+		Help: "Requests sent through other VMs by how that ended: served, rejected, failed, unsent or left.",
+	}, []string{"ending"})
+	r.MustRegister(m.requests, m.attempts, m.duration, m.expectedWaits, m.loadAges, m.tokens, m.serverTokens, m.forwarded)
 	return m
 }
 
@@ -95,3 +101,19 @@
 	}
 	return "unasked"
 }
+
+// ObserveForwarded records how sending a request through another VM ended.
+func (m *Metrics) ObserveForwarded(r psforward.Reply) {
+	ending := "unsent"
+	switch r.(type) {
+	case psforward.Served:
+		ending = "served"
+	case psforward.Rejected:
+		ending = "rejected"
+	case psforward.Failed:
+		ending = "failed"
+	case psforward.Canceled:
+		ending = "left"
+	}
+	m.forwarded.WithLabelValues(ending).Inc()
+}
--- a/internal/connection/psattempt/attempt.go
+++ b/internal/connection/psattempt/attempt.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"time"
 
@@ -68,7 +69,7 @@
 	reply, err := s.exchange(ctx, r)
 	out := Outcome{DialTime: reply.DialTime}
 	if err != nil {
-		out.Result = classifyError(ctx, r, reply.Sent, err)
+		out.Result = ResultOfError(ctx, r.Caller, reply.Sent, err)
 		return out
 	}
 	out.Response, out.Result = s.readResponse(r, reply.Response)
@@ -90,10 +91,7 @@
 		}
 		return true
 	}
-	options := pstransport.Options{MaxIdle: maxIdleNonRetryable, AcceptCloseDelimited: true, MaySend: r.MaySend, Matches: matches}
-	if r.Repeatable {
-		options.MaxIdle = maxIdleRetryable
-	}
+	options := pstransport.Options{MaxIdle: MaxIdle(r.Repeatable), AcceptCloseDelimited: true, MaySend: r.MaySend, Matches: matches}
 	return s.Transport.SendWith(ctx, r.Server.Address, r.MaxConnections, s.upstreamRequest(r), options)
 }
 
@@ -101,19 +99,32 @@
 func (s *Sender) upstreamRequest(r Request) *http.Request {
 	header := psresponse.EndToEndHeaders(r.Caller.Header)
 	psheader.WriteForward(header, psheader.Forward{Server: r.Server.ID, Workspace: r.Workspace, Left: r.Deadline.Sub(s.Now())})
+	return NewRequest(r.Caller, r.Body, header, r.Server.Address)
+}
+
+// NewRequest returns a caller's request with other headers, to be sent to an address.
+func NewRequest(caller *http.Request, body *psbody.Body, header http.Header, address netip.AddrPort) *http.Request {
 	if header.Get("User-Agent") == "" {
 		// Without this, net/http adds a User-Agent of its own.
 		header["User-Agent"] = []string{""}
 	}
-	body, length := r.Body.Open()
-	from := r.Caller.URL
+	reader, length := body.Open()
+	from := caller.URL
 	to := &url.URL{
-		Scheme: "http", Host: r.Server.Address.String(), Path: from.Path, RawPath: from.RawPath,
+		Scheme: "http", Host: address.String(), Path: from.Path, RawPath: from.RawPath,
 		RawQuery: from.RawQuery, ForceQuery: from.ForceQuery,
 	}
 	return &http.Request{
-		Method: r.Caller.Method, URL: to, Host: r.Caller.Host, Header: header, Body: body, ContentLength: length,
+		Method: caller.Method, URL: to, Host: caller.Host, Header: header, Body: reader, ContentLength: length,
+	}
+}
+
+// MaxIdle returns the longest idle time of a connection that is reused for a request.
+func MaxIdle(repeatable bool) time.Duration {
+	if repeatable {
+		return maxIdleRetryable
 	}
+	return maxIdleNonRetryable
 }
 
 // readResponse reads a response and returns the result of the attempt.
@@ -131,8 +142,9 @@
 	return nil, Lost
 }
 
-// classifyError returns the result of an attempt that has no response.
-func classifyError(ctx context.Context, r Request, sent bool, err error) Result {
+// ResultOfError returns the result of an attempt that has no response: the attempt's context has ended, the caller has
+// disconnected or the exchange has failed. sent says that at least one byte may have arrived.
+func ResultOfError(ctx context.Context, caller *http.Request, sent bool, err error) Result {
 	var body *pstransport.BodyError
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -140,7 +152,7 @@
 		return TooLarge
 	case errors.Is(err, pstransport.ErrMayNotSend):
 		return Unsent
-	case r.Caller.Context().Err() != nil || errors.As(err, &body):
+	case caller.Context().Err() != nil || errors.As(err, &body):
 		return Canceled
 	case ctx.Err() != nil && sent:
 		return Timeout
--- /dev/null
+++ b/internal/connection/psforward/forward.go
@@ -0,0 +1,160 @@
+// Package psforward sends callers' requests through another VM when this VM has lost its links to the backend servers.
+//
+// The other VM, the helper, selects the server and sends the request as if it were that of a caller, except that it does
+// not forward it again and does not count it against the rate of its workspace a second time. The helper takes such
+// requests at an address of their own, from VMs of the fleet only. The server's response returns unchanged; a response
+// that the helper creates itself is marked, so that the first VM knows whether the request may have been executed.
+package psforward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"persimmonstep/internal/connection/psattempt"
+	"persimmonstep/internal/connection/psbody"
+	"persimmonstep/internal/connection/psresponse"
+	"persimmonstep/internal/connection/pstransport"
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/platform/psheader"
+)
+
+const (
+	// maxInFlight bounds the requests that one VM sends through one helper at the same time.
+	maxInFlight = 128
+	// nearInFlight is the number of requests in flight from which on helpers that are farther away are used as well.
+	nearInFlight = 32
+)
+
+// Served requests have the response of a backend server.
+type Served struct{ Response *psresponse.Response }
+
+// Rejected requests were not executed and never will be.
+type Rejected struct {
+	Status     int
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Failed requests may have been executed.
+type Failed struct {
+	Status int
+	Reason string
+}
+
+// Unsent requests did not reach the helper, or not in time.
+type Unsent struct{ Result psattempt.Result }
+
+// Canceled requests have lost their caller.
+type Canceled struct{}
+
+func (Served) reply()   {}
+func (Rejected) reply() {}
+func (Failed) reply()   {}
+func (Unsent) reply()   {}
+func (Canceled) reply() {}
+
+// Request is a caller's request to be forwarded.
+type Request struct {
+	Caller *http.Request
+	Body   *psbody.Body
+	// Repeatable states that the request may run more than once.
+	Repeatable bool
+	// Left is the time until the response is due.
+	Left time.Duration
+	// Attempts is the number of servers that the request was sent to.
+	Attempts int
+}
+
+// Forwarder sends requests through helpers. It is safe for concurrent use.
+type Forwarder struct {
+	// Self is the name of this VM.
+	Self string
+	// Place is the location of this VM.
+	FailureDomain, Region string
+	Transport             *pstransport.Transport
+
+	mutex    sync.Mutex
+	inFlight map[string]int
+}
+
+// Pick returns the helper for the next request, of helpers that are ordered by their distance. It is the least used of
+// the nearest ones, or of all if these are busy. It returns false if there is none with free capacity.
+func (f *Forwarder) Pick(helpers []psfleet.Identity) (psfleet.Identity, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var best psfleet.Identity
+	least, ties, distance := maxInFlight, 0, -1
+	for _, h := range helpers {
+		d := h.Distance(f.FailureDomain, f.Region)
+		if d != distance && least < nearInFlight {
+			break
+		}
+		distance = d
+		n := f.inFlight[h.VM]
+		switch {
+		case n < least:
+			best, least, ties = h, n, 1
+		case n == least && ties > 0:
+			// Each of the helpers that are used equally gets the same probability.
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = h
+			}
+		}
+	}
+	return best, ties > 0
+}
+
+// Send sends a request through a helper and returns how that ended.
+func (f *Forwarder) Send(ctx context.Context, helper psfleet.Identity, r Request) Reply {
+	f.count(helper.VM, 1)
+	defer f.count(helper.VM, -1)
+	address := Address(helper.PeerAddress)
+	header := psresponse.EndToEndHeaders(r.Caller.Header)
+	Origin{VM: f.Self, Attempts: r.Attempts}.write(header)
+	psheader.WriteLeft(header, r.Left)
+	options := pstransport.Options{MaxIdle: psattempt.MaxIdle(r.Repeatable)}
+	result, err := f.Transport.SendWith(ctx, address, maxInFlight, psattempt.NewRequest(r.Caller, r.Body, header, address), options)
+	if err != nil {
+		return replyOfError(psattempt.ResultOfError(ctx, r.Caller, result.Sent, err))
+	}
+	if own, found := readOwn(result.Response.StatusCode, result.Response.Header); found {
+		_ = result.Response.Body.Close()
+		return own
+	}
+	response, err := psresponse.Read(result.Response)
+	if err != nil {
+		return replyOfError(psattempt.ResultOfError(ctx, r.Caller, true, err))
+	}
+	return Served{response}
+}
+
+// replyOfError returns the reply to a request without a response.
+func replyOfError(r psattempt.Result) Reply {
+	switch {
+	case r == psattempt.Canceled:
+		return Canceled{}
+	case r == psattempt.TooLarge:
+		return Failed{http.StatusRequestEntityTooLarge, string(r)}
+	case r == psattempt.Timeout:
+		return Failed{http.StatusGatewayTimeout, string(r)}
+	case r.MayHaveExecuted():
+		return Failed{http.StatusBadGateway, string(r)}
+	}
+	return Unsent{r}
+}
+
+func (f *Forwarder) count(vm string, n int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.inFlight == nil {
+		f.inFlight = make(map[string]int)
+	}
+	f.inFlight[vm] += n
+	if f.inFlight[vm] == 0 {
+		delete(f.inFlight, vm)
+	}
+}
--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -11,6 +11,7 @@
 
 	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psbody"
+	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pssocket"
 	"persimmonstep/internal/process/pssnapshot"
@@ -61,6 +62,10 @@
 	object      uint64
 	fingerprint psblocklist.Fingerprint
 	attempts    []psaccess.Attempt
+	// origin is where the call was forwarded from; zero for a call of a caller. helper is the VM through which this VM
+	// has forwarded the call; empty if it hasn't.
+	origin psforward.Origin
+	helper string
 }
 
 // outcome is how a call ends: [rejected], [failed], [canceled] or [answered].
@@ -98,6 +103,12 @@
 	if !c.snapshot.CanServe() {
 		return rejected{http.StatusServiceUnavailable, "notReady", notReadyRetryAfter}
 	}
+	if c.isForwarded() {
+		defer c.proxy.forwarded.Add(-1)
+		if c.proxy.forwarded.Add(1) > maxForwarded {
+			return rejected{http.StatusServiceUnavailable, "helperBusy", noHelperRetryAfter}
+		}
+	}
 	if o := c.matchRoute(); o != nil {
 		return o
 	}
@@ -117,12 +128,15 @@
 		return rejected{http.StatusServiceUnavailable, "crashesServers", blockedRetryAfter}
 	}
 	o := c.dispatch(ctx)
-	if _, unsent := o.(rejected); unsent && len(c.attempts) == 0 && c.workspace != nil {
+	if _, unsent := o.(rejected); unsent && len(c.attempts) == 0 && c.workspace != nil && !c.isForwarded() {
 		c.proxy.options.Tokens.Return(c.snapshot, c.workspace)
 	}
 	return o
 }
 
+// isForwarded reports whether another VM has forwarded the call, which has counted it against the rate of its workspace.
+func (c *call) isForwarded() bool { return c.origin.VM != "" }
+
 // matchRoute finds the route and the workspace of the call.
 func (c *call) matchRoute() outcome {
 	index := c.snapshot.Index
@@ -149,7 +163,7 @@
 	timeout := c.headers.Left
 	if timeout <= 0 {
 		timeout = defaultTimeout
-	} else {
+	} else if !c.isForwarded() {
 		c.caller = c.proxy.callerDeadlines.Classify(c.route.Name, timeout, c.arrivedAt)
 	}
 	if c.route.Timeout > 0 {
@@ -184,7 +198,7 @@
 
 // checkRateLimit counts the call against the rate limit of its workspace.
 func (c *call) checkRateLimit(ctx context.Context) outcome {
-	if c.workspace == nil {
+	if c.workspace == nil || c.isForwarded() {
 		return nil
 	}
 	verdict := c.proxy.options.Tokens.Take(ctx, c.snapshot, c.workspace, c.caller.PriorWait > 0)
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -33,6 +33,9 @@
 
 // dispatch sends the call to a server, and retries it on others as far as that is allowed.
 func (c *call) dispatch(ctx context.Context) outcome {
+	if o := c.withoutServers(ctx); o != nil {
+		return o
+	}
 	service := c.proxy.splits.Next(c.route)
 	c.proxy.retries.AddRequest(service, c.proxy.options.Settings.Bounds.RetryWindow, c.arrivedAt)
 	var last *psresponse.Response
@@ -60,6 +63,13 @@
 		if !c.mayRetry(service, result) {
 			return c.finalOutcome(nil, last)
 		}
+		switch o := c.withoutServers(ctx).(type) {
+		case nil:
+		case rejected:
+			return c.finalOutcome(o, last)
+		default:
+			return o
+		}
 	}
 }
 
@@ -89,7 +99,7 @@
 	if result.MayHaveExecuted() && !c.route.Kind.Repeatable() {
 		return false
 	}
-	if c.sentAttempts() >= c.route.MaxAttempts || c.body.SingleUse() {
+	if c.origin.Attempts+c.sentAttempts() >= c.route.MaxAttempts || c.body.SingleUse() {
 		return false
 	}
 	if result == psattempt.Unreachable || result == psattempt.Unsent {
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -18,6 +18,7 @@
 	"persimmonstep/internal/connection/psattempt"
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/pscrash"
+	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
@@ -51,8 +52,10 @@
 	Logger    hclog.Logger
 	Metrics   *psaccess.Metrics
 	Tokens    *pstoken.Tokens
-	// Links monitors this VM's links to the backend servers.
-	Links *pslink.Monitor
+	// Links monitors this VM's links to the backend servers, and Forwarder sends requests through other VMs while these
+	// are lost.
+	Links     *pslink.Monitor
+	Forwarder *psforward.Forwarder
 	// Now returns the current time with a monotonic reading.
 	Now func() time.Time
 }
@@ -77,6 +80,8 @@
 	// draining closes callers' connections after their next response.
 	draining atomic.Bool
 	inFlight atomic.Int64
+	// forwarded counts the requests of other VMs in flight.
+	forwarded atomic.Int64
 }
 
 // New returns a proxy. [Proxy.SetControlPlane] must be called before it serves.
@@ -109,7 +114,10 @@
 func (p *Proxy) Blocklist() *psblocklist.List { return &p.blocklist }
 
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := p.newCall(w, r)
+	p.serveCall(p.newCall(w, r))
+}
+
+func (p *Proxy) serveCall(c *call) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	o := c.serve()
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -20,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"persimmonstep/internal/connection/psaccess"
+	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/psproxy"
@@ -192,7 +193,7 @@
 		},
 		Transport: transport, Logger: hclog.NewNullLogger(), Metrics: psaccess.NewMetrics(prometheus.NewRegistry()),
 		Tokens: pstoken.New(pstoken.Options{Self: "vm-1", Client: unresponsivePeers{}, Logger: hclog.NewNullLogger(), Now: time.Now}), Now: time.Now,
-		Links: pslink.New(transport, hclog.NewNullLogger(), time.Now),
+		Links: pslink.New(transport, hclog.NewNullLogger(), time.Now), Forwarder: &psforward.Forwarder{Self: "vm-1", Transport: transport},
 	})
 	p.SetControlPlane(control)
 	s := httptest.NewUnstartedServer(p)
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/psaccess"
+	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/process/psevent"
@@ -23,10 +24,17 @@
 		c.relay(o.response)
 	case rejected:
 		c.logOutcome(psevent.RequestRejected, o.status, o.reason, o.retryAfter)
-		c.proxy.callerDeadlines.NoteRejection(c.arrivedAt, o.retryAfter)
+		if c.isForwarded() {
+			psforward.WriteRejected(c.writer.Header(), o.reason)
+		} else {
+			c.proxy.callerDeadlines.NoteRejection(c.arrivedAt, o.retryAfter)
+		}
 		c.writeError(o.status, o.retryAfter)
 	case failed:
 		c.logOutcome(psevent.RequestFailed, o.status, o.reason, 0)
+		if c.isForwarded() {
+			psforward.WriteFailed(c.writer.Header(), o.reason)
+		}
 		c.writeError(o.status, 0)
 	case canceled:
 		c.logOutcome(psevent.RequestCanceled, 0, "", 0)
@@ -41,7 +49,21 @@
 	if err == nil {
 		return
 	}
-	last := c.attempts[len(c.attempts)-1]
+	source := c.helper
+	if source == "" {
+		last := c.attempts[len(c.attempts)-1]
+		source = last.View.Entry.ID
+		c.recordTruncated(last, response, err)
+	}
+	psevent.ResponseTruncated.Log(c.proxy.options.Logger, c.headers.ID, source, err.Error())
+	// An HTTP/1.0 caller takes a regular close of the connection for the end of a response without a length.
+	pslinger.ResetOnClose(c.callerConn())
+	panic(http.ErrAbortHandler)
+}
+
+// recordTruncated records that the response of an attempt could not be forwarded completely, if that is a failure of the
+// server.
+func (c *call) recordTruncated(last psaccess.Attempt, response *psresponse.Response, err error) {
 	now := c.proxy.options.Now()
 	var truncated *psresponse.TruncatedError
 	// A caller may read a response of declared length so slowly that the deadline passes. That is no failure of the
@@ -50,10 +72,6 @@
 	if errors.As(err, &truncated) && c.request.Context().Err() == nil && !late {
 		last.Server.RecordOutcome(0, true, now)
 	}
-	psevent.ResponseTruncated.Log(c.proxy.options.Logger, c.headers.ID, last.View.Entry.ID, err.Error())
-	// An HTTP/1.0 caller takes a regular close of the connection for the end of a response without a length.
-	pslinger.ResetOnClose(c.callerConn())
-	panic(http.ErrAbortHandler)
 }
 
 // writeError responds to the caller without a response of a backend server.
@@ -75,7 +93,7 @@
 	r := psaccess.Record{
 		Event: e, ID: c.headers.ID, Workspace: c.workspaceName(), Object: c.headers.Object, Route: c.route, Status: status, Reason: reason,
 		Attempts: c.attempts, Took: now.Sub(c.arrivedAt), Left: c.headers.Left, ServersAge: now.Sub(c.proxy.control.Snapshot().ServersReadAt),
-		RetryAfter: retryAfter,
+		RetryAfter: retryAfter, Helper: c.helper, From: c.origin.VM,
 	}
 	if c.snapshot.Index != nil {
 		r.Version = c.snapshot.Index.Configuration.Version
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -127,7 +127,9 @@
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), ReadsStore: !c.watcher.Lost(), Version: c.desiredState.Version(),
 		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now),
 	}
-	c.announcements.Fill(r, c.fleet, c.Snapshot().Servers, now)
+	if r.NoServers = c.options.Links.Lost(); !r.NoServers {
+		c.announcements.Fill(r, c.fleet, c.Snapshot().Servers, now)
+	}
 	c.shares.Record(r.Demands)
 	if n := c.fleet.Size(); n != c.reportedSize {
 		c.reportedSize, c.resizedSequence = n, c.sequence
@@ -158,13 +160,18 @@
 func (c *Controller) publish() {
 	now := c.options.Now()
 	shares, even := c.shares.RateShares(c.fleet, c.desiredState.Index, now)
-	c.snapshot.Store(&pssnapshot.Snapshot{
+	v := &pssnapshot.Snapshot{
 		Index: c.desiredState.Index, Servers: c.servers.ByService(), ServersReadAt: c.servers.ReadAt, Evacuated: c.desiredState.Evacuated,
 		RateShares: shares, EvenShare: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
 		Changes: c.desiredState.Changes + c.servers.Changes(), DesiredStateRevision: c.desiredState.Revision, ServersRevision: c.serversRevision, NewerVM: c.newerVM(now),
 		RelaysStore:  c.fleet.IsRelay(now),
 		StoreReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), PropagationTime: c.fleet.PropagationTime(),
-	})
+		NoServers: c.options.Links.Lost(),
+	}
+	if v.NoServers {
+		v.Helpers = c.fleet.Helpers(now)
+	}
+	c.snapshot.Store(v)
 }
 
 // newerVM returns a live VM that has had a newer configuration for longer than all VMs need to read one from
@@ -185,16 +192,27 @@
 	return &newest.Identity
 }
 
-// vms returns the live VMs that take callers, this one first.
+// vms returns the live VMs that take callers, this one first. VMs without links to the backend servers are left out, unless
+// all are.
 func (c *Controller) vms(now time.Time) []pssnapshot.VM {
-	var list []pssnapshot.VM
+	var list, withoutServers []pssnapshot.VM
+	add := func(i psfleet.Identity, noServers bool) {
+		if noServers {
+			withoutServers = append(withoutServers, pssnapshot.NewVM(i))
+		} else {
+			list = append(list, pssnapshot.NewVM(i))
+		}
+	}
 	if !c.leaving.Load() {
-		list = append(list, pssnapshot.NewVM(c.options.Identity))
+		add(c.options.Identity, c.options.Links.Lost())
 	}
 	for _, p := range c.fleet.Peers() {
 		if c.fleet.Live(p, now) && p.Report.Ready {
-			list = append(list, pssnapshot.NewVM(p.Identity))
+			add(p.Identity, p.Report.NoServers)
 		}
 	}
+	if len(list) == 0 {
+		return withoutServers
+	}
 	return list
 }
--- a/internal/process/pscontrol/link.go
+++ b/internal/process/pscontrol/link.go
@@ -26,7 +26,8 @@
 // ServerLinksLost reports whether this VM reaches no server.
 func (c *Controller) ServerLinksLost() bool { return c.options.Links.Lost() }
 
-// applyLinkChange forgets what this VM concluded about the servers from requests that its links have lost.
+// applyLinkChange forgets what this VM concluded about the servers from requests that its links have lost, and tells the
+// other VMs of the change.
 func (c *Controller) applyLinkChange(now time.Time) {
 	c.announcements.ForgetFailed()
 	c.options.Crashes.ForgetSuspected()
@@ -35,4 +36,6 @@
 			s.ForgetFailures(now.Add(-pslink.MaxDelay), now)
 		}
 	}
+	c.sendReport()
+	c.publishDigest()
 }
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -122,6 +122,8 @@
 	Ready bool `json:"ready"`
 	// ReadsStore is set if the VM reads the store itself or receives changes from one that does.
 	ReadsStore bool `json:"reads,omitempty"`
+	// NoServers is set if the VM has lost its links to all backend servers.
+	NoServers bool `json:"noServers,omitempty"`
 	// Version is the configuration version in force; 0 before the first one.
 	Version int64 `json:"version"`
 	// Demands are the requests per second that callers send, granted or not, by workspace.
--- a/internal/process/psfleet/role.go
+++ b/internal/process/psfleet/role.go
@@ -1,6 +1,10 @@
 package psfleet
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // IsRelay reports whether this VM is the relay of its region, which announces the store's changes to the
 // other VMs: no VM before it in the order is live and reads the store. A known VM that has sent no report yet
@@ -28,6 +32,20 @@
 	return list
 }
 
+// Helpers returns the other live VMs that reach backend servers and take requests, those that are nearer to this VM first.
+func (f *Fleet) Helpers(now time.Time) []Identity {
+	var list []Identity
+	for _, p := range f.Peers() {
+		if f.Live(p, now) && p.Report.Ready && !p.Report.NoServers {
+			list = append(list, p.Identity)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Identity) int {
+		return cmp.Compare(a.Distance(f.self.FailureDomain, f.self.Region), b.Distance(f.self.FailureDomain, f.self.Region))
+	})
+	return list
+}
+
 // NewestConfiguration returns the report of the live VM with the newest configuration, with its full
 // identity. It returns false if no live VM has a configuration.
 func (f *Fleet) NewestConfiguration(now time.Time) (Report, bool) {
--- a/internal/process/pssnapshot/snapshot.go
+++ b/internal/process/pssnapshot/snapshot.go
@@ -5,6 +5,8 @@
 package pssnapshot
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -44,6 +46,10 @@
 	Changes int64
 	// StoreReaders lists the other VMs that read the store.
 	StoreReaders []psfleet.Identity
+	// NoServers is set if this VM has lost its links to all backend servers. Helpers are then the other VMs that reach
+	// servers, the nearest first.
+	NoServers bool
+	Helpers   []psfleet.Identity
 	// FleetSize is the number of known VMs, this one included.
 	FleetSize int
 	// VMs lists the VMs that take callers, this one first.
@@ -53,6 +59,11 @@
 // CanServe reports whether the VM has the state to serve requests: a configuration and the servers.
 func (s *Snapshot) CanServe() bool { return s.Index != nil && !s.ServersReadAt.IsZero() }
 
+// HasPeer reports whether an address is that of another VM.
+func (s *Snapshot) HasPeer(a netip.Addr) bool {
+	return slices.ContainsFunc(s.ShareHolders, func(i psfleet.Identity) bool { return i.PeerAddress.Addr() == a })
+}
+
 // NewVM returns the VM with an identity.
 func NewVM(i psfleet.Identity) VM {
 	return VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.CallerAddress.String()}
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/pspeerstate"
 	"persimmonstep/internal/connection/psproxy"
@@ -34,9 +35,9 @@
 type httpServers struct {
 	servers   []*http.Server
 	listeners []net.Listener
-	// awaitLingering waits for the callers' connections that are still being closed, so that the last responses
+	// awaitLingering wait for the connections of requests that are still being closed, so that the last responses
 	// arrive.
-	awaitLingering func()
+	awaitLingering []func()
 }
 
 // listen opens the listeners of a VM. Handlers with the same address share a listener.
@@ -59,15 +60,28 @@
 			return nil, err
 		}
 	}
-	if err := s.add(ctx, v.settings.Callers, v.proxy); err != nil {
+	if err := s.addRequests(ctx, psforward.Address(peerAddress(v.settings)), v.proxy.ForwardedHandler()); err != nil {
+		return nil, err
+	}
+	if err := s.addRequests(ctx, v.settings.Callers, v.proxy); err != nil {
 		return nil, err
 	}
-	s.servers[len(s.servers)-1].ConnContext = psproxy.WithConn
-	callers := &s.listeners[len(s.listeners)-1]
-	*callers, s.awaitLingering = pslinger.NewListener(*callers)
 	return s, nil
 }
 
+// addRequests adds a server for requests, whose handler needs the connection of each request.
+func (s *httpServers) addRequests(ctx context.Context, a netip.AddrPort, h http.Handler) error {
+	if err := s.add(ctx, a, h); err != nil {
+		return err
+	}
+	last := len(s.servers) - 1
+	s.servers[last].ConnContext = psproxy.WithConn
+	l, wait := pslinger.NewListener(s.listeners[last])
+	s.listeners[last] = l
+	s.awaitLingering = append(s.awaitLingering, wait)
+	return nil
+}
+
 func (s *httpServers) add(ctx context.Context, a netip.AddrPort, h http.Handler) error {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", a.String())
 	if err != nil {
@@ -104,7 +118,9 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		s.awaitLingering()
+		for _, wait := range s.awaitLingering {
+			wait()
+		}
 	}()
 	select {
 	case <-ended:
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -17,6 +17,7 @@
 	"github.com/samber/do/v2"
 
 	"persimmonstep/internal/connection/psaccess"
+	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/pspeerstate"
 	"persimmonstep/internal/connection/psprobe"
@@ -163,10 +164,18 @@
 	do.Provide(i, func(i do.Injector) (*pslink.Monitor, error) {
 		return pslink.New(do.MustInvoke[*pstransport.Transport](i), do.MustInvoke[hclog.Logger](i), time.Now), nil
 	})
+	do.Provide(i, func(i do.Injector) (*psforward.Forwarder, error) {
+		s, network := do.MustInvoke[*psnode.Settings](i), do.MustInvoke[Network](i)
+		t, clean := pstransport.New()
+		// The helper recognizes this VM by its address.
+		t.Source, t.Dial = s.Callers.Addr(), pstransport.Dial(network.Dial)
+		v.cleanUps = append(v.cleanUps, clean)
+		return &psforward.Forwarder{Self: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Transport: t}, nil
+	})
 	do.Provide(i, func(i do.Injector) (*psproxy.Proxy, error) {
 		return psproxy.New(psproxy.Options{
 			Settings: do.MustInvoke[*psnode.Settings](i), Transport: do.MustInvoke[*pstransport.Transport](i), Logger: do.MustInvoke[hclog.Logger](i),
-			Tokens: do.MustInvoke[*pstoken.Tokens](i), Links: do.MustInvoke[*pslink.Monitor](i),
+			Tokens: do.MustInvoke[*pstoken.Tokens](i), Links: do.MustInvoke[*pslink.Monitor](i), Forwarder: do.MustInvoke[*psforward.Forwarder](i),
 			Metrics: psaccess.NewMetrics(do.MustInvoke[*prometheus.Registry](i)), Now: time.Now,
 		}), nil
 	})
--- a/internal/process/pssteer/steer_test.go
+++ b/internal/process/pssteer/steer_test.go
@@ -70,6 +70,12 @@
 }
 
 func startVMAt(t *testing.T, name, a string, store netip.AddrPort) *vm {
+	t.Helper()
+	return startVMIn(t, name, a, store, pssteer.Network{})
+}
+
+// startVMIn starts a VM in an emulated network.
+func startVMIn(t *testing.T, name, a string, store netip.AddrPort, network pssteer.Network) *vm {
 	t.Helper()
 	at := netip.MustParseAddr(a)
 	address := func(port uint16) string { return netip.AddrPortFrom(at, port).String() }
@@ -84,7 +90,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	v.stop = stop
 	go func() {
-		v.ended <- pssteer.Run(ctx, pssteer.Options{SettingsPath: v.settings, Output: v.log, Reload: v.reload})
+		v.ended <- pssteer.Run(ctx, pssteer.Options{SettingsPath: v.settings, Output: v.log, Reload: v.reload, Network: network})
 	}()
 	t.Cleanup(stop)
 	return v
