pscontrol: the state of a VM that is behind revives no server

Callers saw nothing; a server that had left could get requests again. While a VM can't read the store it applies the state of one that does, whatever its revision. If that VM had not received the removal of a server yet, the first VM registered the server again (an entry of the same heartbeat number is not outdated). Only a state from an earlier era was ignored.

TestOlderStateOfPeerRevivesServer before: 2 servers, wanted 1.

--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -346,6 +346,39 @@
 	eventually(t, "the store's state", func() bool { return version(c) == 5 && serverCount(c) == 2 && !c.Snapshot().Evacuated["south-a"] })
 }
 
+// TestOlderStateOfPeerRevivesServer guards against requests to a server that has left. A VM that knows of the removal
+// loses the store and fetches the state of a VM that does not know of it yet.
+func TestOlderStateOfPeerRevivesServer(t *testing.T) {
+	s := newStore()
+	c := startController(t, s)
+	s.set(func(s *store) {
+		s.desiredState.Configuration = configuration(4)
+		s.servers.Entries = []psserver.Entry{entry("i-1"), entry("i-2")}
+	})
+	eventually(t, "two servers", func() bool { return serverCount(c) == 2 })
+	before := psrevision.New(s.era, s.version)
+	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1")} })
+	eventually(t, "one server", func() bool { return serverCount(c) == 1 })
+	s.set(func(s *store) {
+		s.unavailable = true
+		s.peerState = &psfleet.ControlState{
+			Configuration: configuration(4), Servers: []psserver.Entry{entry("i-1"), entry("i-2")},
+			DesiredStateRevision: before, ServersRevision: before, ReadsStore: true,
+		}
+	})
+	a := netip.MustParseAddrPort("127.0.0.1:2")
+	c.ReceiveReport(&psfleet.Report{
+		Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true,
+	})
+	eventually(t, "a fetch", func() bool {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return len(s.fetches) > 0
+	})
+	time.Sleep(100 * time.Millisecond)
+	qt.Assert(t, serverCount(c), qt.Equals, 1)
+}
+
 // TestSlowStoreReadDoesNotTriggerPeerFetch starts a VM behind a slow link, over which reading the table of a
 // large fleet takes seconds. Fetching the state of other VMs as well would compete for the same link.
 func TestSlowStoreReadDoesNotTriggerPeerFetch(t *testing.T) {
--- a/internal/process/pscontrol/peerstate.go
+++ b/internal/process/pscontrol/peerstate.go
@@ -58,7 +58,8 @@
 	}
 	before := c.servers.Len()
 	c.applyDesiredState(desiredStateOf(e.State), psdesiredstate.ReadInfo{Full: true}, now)
-	if e.State.ServersRevision.Era < c.serversRevision.Era {
+	if c.serversRevision.After(e.State.ServersRevision) {
+		// That VM has not received changes that this one knows.
 		return
 	}
 	c.serversRevision = psrevision.Later(c.serversRevision, e.State.ServersRevision)
