--- a/internal/connection/psforward/forward.go
+++ b/internal/connection/psforward/forward.go
@@ -72,7 +72,7 @@
 type Forwarder struct {
 	// Self is the name of this VM.
 	Self string
-	// Place is the location of this VM.
+	// FailureDomain and Region are the location of this VM.
 	FailureDomain, Region string
 	Transport             *pstransport.Transport
 
@@ -126,8 +126,13 @@
 		return own
 	}
 	response, err := psresponse.Read(result.Response)
-	if err != nil {
+	switch {
+	case err != nil:
 		return replyOfError(psattempt.ResultOfError(ctx, r.Caller, true, err))
+	case response.Class() == psresponse.Unsigned:
+		// The helper's HTTP server has rejected the request before its handler.
+		response.Close()
+		return Unsent{psattempt.Unsigned}
 	}
 	return Served{response}
 }
@@ -147,6 +152,13 @@
 	return Unsent{r}
 }
 
+// InFlight returns the number of requests that this VM sends through a helper now.
+func (f *Forwarder) InFlight(helper psfleet.Identity) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.inFlight[helper.VM]
+}
+
 func (f *Forwarder) count(vm string, n int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -103,12 +103,6 @@
 	if !c.snapshot.CanServe() {
 		return rejected{http.StatusServiceUnavailable, "notReady", notReadyRetryAfter}
 	}
-	if c.isForwarded() {
-		defer c.proxy.forwarded.Add(-1)
-		if c.proxy.forwarded.Add(1) > maxForwarded {
-			return rejected{http.StatusServiceUnavailable, "helperBusy", noHelperRetryAfter}
-		}
-	}
 	if o := c.matchRoute(); o != nil {
 		return o
 	}
--- a/internal/connection/psproxy/forward.go
+++ b/internal/connection/psproxy/forward.go
@@ -22,8 +22,12 @@
 	// noHelperRetryAfter is the Retry-After time of a VM that reaches neither a server nor a helper. The caller should
 	// try another VM soon.
 	noHelperRetryAfter = 100 * time.Millisecond
-	// reasonNoServers is the reason for rejecting a request at a VM that has lost its links to all servers.
-	reasonNoServers = "noServerLinks"
+	// reasonNoServers is the reason for rejecting a request at a VM that has lost its links to all servers,
+	// reasonHelperBusy and reasonUnknownVM are those for rejecting a forwarded request of too many, and of a VM that the
+	// helper doesn't know.
+	reasonNoServers  = "noServerLinks"
+	reasonHelperBusy = "helperBusy"
+	reasonUnknownVM  = "unknownVM"
 )
 
 // withoutServers returns the outcome of a call while this VM has lost its links to all servers: the call is forwarded to
@@ -66,7 +70,9 @@
 	case psforward.Served:
 		return answered{r.Response}
 	case psforward.Rejected:
-		return c.rejectedByHelper(r)
+		if !slices.Contains([]string{reasonNoServers, reasonHelperBusy, reasonUnknownVM}, r.Reason) {
+			return rejectedByHelper(r)
+		}
 	case psforward.Failed:
 		return failed{r.Status, r.Reason}
 	case psforward.Canceled:
@@ -80,7 +86,7 @@
 
 // rejectedByHelper returns the outcome of a call that a helper has rejected. A helper that rejects the route or the key
 // has another version of the configuration, so the caller may retry.
-func (*call) rejectedByHelper(r psforward.Rejected) outcome {
+func rejectedByHelper(r psforward.Rejected) outcome {
 	switch r.Status {
 	case http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusRequestEntityTooLarge:
 		return rejected{r.Status, r.Reason, r.RetryAfter}
@@ -94,6 +100,7 @@
 func (p *Proxy) serveForwarded(w http.ResponseWriter, r *http.Request) {
 	sender, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil || !p.control.Snapshot().HasPeer(sender.Addr().Unmap()) {
+		psforward.WriteRejected(w.Header(), reasonUnknownVM)
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
@@ -104,5 +111,10 @@
 	}
 	c := p.newCall(w, r)
 	c.origin = origin
+	defer p.forwarded.Add(-1)
+	if p.forwarded.Add(1) > maxForwarded {
+		c.finish(rejected{http.StatusServiceUnavailable, reasonHelperBusy, noHelperRetryAfter})
+		return
+	}
 	p.serveCall(c)
 }
