--- a/internal/process/psdev/network.go
+++ b/internal/process/psdev/network.go
@@ -62,7 +62,8 @@
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
-			return (&net.Dialer{}).DialContext(ctx, network, address)
+			d := &net.Dialer{LocalAddr: &net.TCPAddr{IP: at.AsSlice()}}
+			return d.DialContext(ctx, network, address)
 		},
 		DialServer: n.linksOf(at).dial,
 	}
