--- a/internal/process/psguarantee/servercut.go
+++ b/internal/process/psguarantee/servercut.go
@@ -35,7 +35,7 @@
 func (h History) unservedIn(c ServerCut) int {
 	var cut, others served
 	for _, o := range h.Observations {
-		if o.First == "" || o.Sent < c.From+contactTime || o.Sent >= c.Until {
+		if o.First == "" || o.Sent < c.From+contactTime || o.Sent >= c.Until || !h.inTouch(o.First, o.Sent) {
 			continue
 		}
 		if slices.Contains(c.VMs, o.First) {
@@ -51,6 +51,22 @@
 	return cut.failed
 }
 
+// inTouch reports whether the process of a VM ran at a time and had run without a restart for contactTime.
+func (h History) inTouch(vm string, at time.Duration) bool {
+	before := 0
+	for _, t := range h.Restarts[vm] {
+		if t > at {
+			continue
+		}
+		if at-t < contactTime {
+			return false
+		}
+		before++
+	}
+	// Ends and starts alternate.
+	return before%2 == 0
+}
+
 // served counts attempts.
 type served struct {
 	all, failed int
--- a/internal/process/psguarantee/servercut_test.go
+++ b/internal/process/psguarantee/servercut_test.go
@@ -22,7 +22,10 @@
 }
 
 func TestCutVMsMustServe(t *testing.T) {
-	cut := psguarantee.ServerCut{VMs: []string{"vm-1"}, From: time.Second, Until: 9 * time.Second}
+	cut := psguarantee.ServerCut{VMs: []string{"vm-1", "vm-3", "vm-4"}, From: time.Second, Until: 9 * time.Second}
+	restarts := map[string][]time.Duration{
+		"vm-3": {4 * time.Second, 4500 * time.Millisecond}, "vm-4": {time.Second, 5 * time.Second},
+	}
 	for name, v := range map[string]struct {
 		cut, others []psload.Observation
 		want        int
@@ -34,9 +37,12 @@
 		"few":                     {firstAttempts("vm-1", 5, 10, 0), firstAttempts("vm-2", 5, 100, 100), 0},
 		"soon after the begin":    {firstAttempts("vm-1", 3, 100, 0), firstAttempts("vm-2", 3, 100, 100), 0},
 		"after the end":           {firstAttempts("vm-1", 9, 100, 0), firstAttempts("vm-2", 9, 100, 100), 0},
+		"killed before":           {firstAttempts("vm-3", 5, 100, 0), firstAttempts("vm-2", 5, 100, 100), 0},
+		"stopped long before":     {firstAttempts("vm-4", 5, 100, 0), firstAttempts("vm-2", 5, 100, 100), 0},
+		"started long before":     {firstAttempts("vm-4", 8, 100, 0), firstAttempts("vm-2", 8, 100, 100), 100},
 		"callers left for others": {nil, firstAttempts("vm-2", 5, 100, 100), 0},
 	} {
-		h := psguarantee.History{Observations: append(v.cut, v.others...), ServerCuts: []psguarantee.ServerCut{cut}}
+		h := psguarantee.History{Observations: append(v.cut, v.others...), ServerCuts: []psguarantee.ServerCut{cut}, Restarts: restarts}
 		qt.Check(t, psguarantee.Check(h).CutVMsUnserved, qt.Equals, v.want, qt.Commentf("%s", name))
 	}
 }
