--- a/internal/connection/psforward/wire.go
+++ b/internal/connection/psforward/wire.go
@@ -68,6 +68,12 @@
 // WriteFailed marks a response to a forwarded request that may have been executed.
 func WriteFailed(h http.Header, reason string) { writeOutcome(h, outcomeFailed, reason) }
 
+// RemoveOutcome removes the mark from the response of a server, which must not claim to be the helper's own.
+func RemoveOutcome(h http.Header) {
+	h.Del(headerOutcome)
+	h.Del(headerReason)
+}
+
 func writeOutcome(h http.Header, outcome, reason string) {
 	h.Set(headerOutcome, outcome)
 	h.Set(headerReason, reason)
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -45,6 +45,9 @@
 // relay forwards a response. If that fails, the caller's connection is reset, so that a truncated response does not
 // look complete.
 func (c *call) relay(response *psresponse.Response) {
+	if c.isForwarded() {
+		psforward.RemoveOutcome(response.Header)
+	}
 	err := response.Relay(c.writer)
 	if err == nil {
 		return
--- a/internal/process/pssteer/forward_test.go
+++ b/internal/process/pssteer/forward_test.go
@@ -230,3 +230,21 @@
 		}
 	}
 }
+
+// TestServerCannotClaimToBeHelper guards against a request that has run and is rejected as not executed, because the
+// server's response bears the mark of a helper's own response.
+func TestServerCannotClaimToBeHelper(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		psstandin.Sign(w.Header(), psstandin.ReadForwardHeaders(r.Header).ID)
+		psforward.WriteRejected(w.Header(), "claimed")
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(server.Close)
+	s := withSecondServer(t, strings.TrimPrefix(server.URL, "http://"))
+	a, _, linksOfA, _ := startPair(t, s)
+	cutOff(t, a, linksOfA)
+	status, body := call(a.callers, "/orders/1")
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "done")
+}
