--- a/internal/process/psdev/dev.go
+++ b/internal/process/psdev/dev.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psbackend"
+	"persimmonstep/internal/process/psnetwork"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/version/psconfig"
@@ -82,7 +83,7 @@
 	Store          *psstandin.Store
 	StoreEndpoints map[string]*psstandin.Endpoint
 	// Network is the emulated network between VMs.
-	Network *Network
+	Network *psnetwork.Network
 	// Servers are the backend server stand-ins.
 	Servers []*psbackend.Server
 
@@ -101,7 +102,7 @@
 // New starts a system and returns it with its clean-up function. Each VM logs to the writer that log returns for its
 // name.
 func New(ctx context.Context, t Topology, log func(vm string) io.Writer) (*System, func(), error) {
-	s := &System{topology: t, logOutput: log, Network: &Network{}, keys: make(map[string][]string)}
+	s := &System{topology: t, logOutput: log, Network: &psnetwork.Network{}, keys: make(map[string][]string)}
 	steps := []func(context.Context) error{s.makeDirectory, s.startStore, s.startServers, s.configure, s.startVMs, s.waitAllReady}
 	for _, f := range steps {
 		if err := f(ctx); err != nil {
--- a/internal/process/psdev/vm.go
+++ b/internal/process/psdev/vm.go
@@ -40,7 +40,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &run{stop: stop, kill: make(chan struct{}), ended: make(chan struct{})}
 	v.run, v.failed = r, make(chan error, 1)
-	o := pssteer.Options{SettingsPath: v.settings, Output: s.logOutput(v.name), Kill: r.kill, Network: s.Network.forVM(v.address)}
+	o := pssteer.Options{SettingsPath: v.settings, Output: s.logOutput(v.name), Kill: r.kill, Network: s.Network.ForVM(v.address)}
 	failed := v.failed
 	go func() {
 		defer close(r.ended)
--- a/internal/process/psexperiment/fault.go
+++ b/internal/process/psexperiment/fault.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/internal/process/psdev"
 	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psnetwork"
 	"persimmonstep/internal/process/psscenario"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform/psstandin"
@@ -110,7 +110,7 @@
 		e.setLimit(f, pslimit.Limit{})
 	case psscenario.FaultCutFromServers:
 		for i := range max(1, f.Count) {
-			e.system.Network.SetServerLinks(e.system.Ready.VMs[f.Target+i].Callers.Addr(), psdev.LinksUp)
+			e.system.Network.SetServerLinks(e.system.Ready.VMs[f.Target+i].Callers.Addr(), psnetwork.LinksUp)
 		}
 	case psscenario.FaultPartitionRegion:
 		e.partition(e.firm.Regions[f.Target], "")
@@ -180,8 +180,8 @@
 
 // cutFromServers partitions VMs from all backend servers, and records when.
 func (e *experiment) cutFromServers(f psscenario.Fault) {
-	states := map[psscenario.CutKind]psdev.LinkState{
-		psscenario.CutHang: psdev.LinksHang, psscenario.CutReset: psdev.LinksReset, psscenario.CutRefuse: psdev.LinksRefuse,
+	states := map[psscenario.CutKind]psnetwork.LinkState{
+		psscenario.CutHang: psnetwork.LinksHang, psscenario.CutReset: psnetwork.LinksReset, psscenario.CutRefuse: psnetwork.LinksRefuse,
 	}
 	cut := psguarantee.ServerCut{From: f.At.Duration, Until: cmp.Or(f.Until.Duration, e.scenario.Span.Duration)}
 	for i := range max(1, f.Count) {
--- a/internal/process/psdev/network.go
+++ b/internal/process/psnetwork/network.go
@@ -1,4 +1,8 @@
-package psdev
+// Package psnetwork emulates the network between VMs and between VMs and backend servers, over loopback.
+//
+// VMs can be partitioned from each other, and each VM's links to all backend servers can fail, so that open connections
+// hang, are reset, or live on while new ones are refused.
+package psnetwork
 
 import (
 	"context"
@@ -13,8 +17,7 @@
 	"persimmonstep/internal/process/pssteer"
 )
 
-// Network emulates the network between VMs. It can be partitioned, and counts the bytes of
-// the datagrams that VMs send.
+// Network is an emulated network. It also counts the bytes of the datagrams that VMs send.
 type Network struct {
 	sentBytes atomic.Int64
 
@@ -45,8 +48,8 @@
 	return n.partitions[a] != n.partitions[b]
 }
 
-// forVM returns the connection of the VM at an address to the network.
-func (n *Network) forVM(at netip.Addr) pssteer.Network {
+// ForVM returns the connection of the VM at an address to the network.
+func (n *Network) ForVM(at netip.Addr) pssteer.Network {
 	return pssteer.Network{
 		Source: at,
 		Listen: func(ctx context.Context, address netip.AddrPort) (pspeer.Socket, error) {
--- a/internal/process/psdev/serverlink.go
+++ b/internal/process/psnetwork/serverlink.go
@@ -1,4 +1,4 @@
-package psdev
+package psnetwork
 
 import (
 	"context"
--- a/internal/process/pssteer/dropped_call_test.go
+++ b/internal/process/pssteer/dropped_call_test.go
@@ -20,6 +20,18 @@
 	drainBound   = 2 * time.Second
 )
 
+// startBehindEndpoint starts a store and a VM that reads it at an endpoint of its own, and waits until the VM serves.
+func startBehindEndpoint(t *testing.T, server string) (*psstandin.Store, *psstandin.Endpoint, *vm) {
+	t.Helper()
+	s := startStore(t, server)
+	e, clean, err := s.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(clean)
+	v := startVMAt(t, "vm-1", ownAddress(), e.Address)
+	eventually(t, "served", func() bool { return status(v) == http.StatusOK })
+	return s, e, v
+}
+
 // dropCalls makes a VM call the store again, and the store drop these calls. They stay unanswered on a connection that
 // lives, although the store answers later calls.
 func dropCalls(t *testing.T, s *psstandin.Store, e *psstandin.Endpoint, server string) {
@@ -60,12 +72,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := startStore(t, server)
-			e, clean, err := s.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
-			qt.Assert(t, err, qt.IsNil)
-			t.Cleanup(clean)
-			v := startVMAt(t, "vm-1", ownAddress(), e.Address)
-			eventually(t, "served", func() bool { return status(v) == http.StatusOK })
+			s, e, v := startBehindEndpoint(t, server)
 			dropCalls(t, s, e, server)
 			time.Sleep(contactBound)
 			qt.Assert(t, status(v), qt.Equals, http.StatusOK)
@@ -81,12 +88,7 @@
 func TestServerRemovedDuringOutageIsKept(t *testing.T) {
 	t.Parallel()
 	server := startBackend(t, 0)
-	s := startStore(t, server)
-	e, clean, err := s.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(clean)
-	v := startVMAt(t, "vm-1", ownAddress(), e.Address)
-	eventually(t, "served", func() bool { return status(v) == http.StatusOK })
+	s, e, v := startBehindEndpoint(t, server)
 	removed := time.AfterFunc(500*time.Millisecond, func() {
 		s.Remove("servers", "i-1")
 		s.Remove("servers", "i-2")
