psoutcome: recording the outcome of an attempt has a package of its own

What an attempt shows of its server, of run times, of the VM's links and of crashes is moved out of it, without a change of behaviour; the round trip is recorded after the request has ended instead of before, with the same value.

--- a/internal/connection/psoutcome/crash.go
+++ b/internal/connection/psoutcome/crash.go
@@ -1,24 +1,22 @@
-package psproxy
+package psoutcome
 
 import (
 	"persimmonstep/internal/connection/pscrash"
-	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pshealth"
 )
 
 // checkCrash checks whether a server that lost a request has crashed, and counts the crash against the request. The
 // crash is confirmed once the VM reaches another server.
-func (p *Proxy) checkCrash(c *call, s psselection.Selection) {
-	entry := s.View.Entry
-	switch p.crashDetector.Check(entry.ID, entry.Address, p.options.Now) {
+func (r *Recorder) checkCrash(a Attempt) {
+	entry := a.View.Entry
+	switch r.crashes.Check(entry.ID, entry.Address, r.Now) {
 	case pscrash.Up:
 		return
 	case pscrash.FoundDown:
-		p.control.ServerFailed(s.Server, pshealth.ReasonCrashed, c.headers.ID)
+		r.Failures.ServerFailed(a.Server, pshealth.ReasonCrashed, a.RequestID)
 	}
-	fingerprint := c.fingerprint
-	count := p.blocklist.AddSuspected(fingerprint, p.options.Now())
-	psevent.CrashCounted.Log(p.options.Logger, c.headers.ID, uint64(fingerprint), entry.ID, count)
-	p.options.Links.OnceConnected(func() { p.blocklist.Confirm(fingerprint) })
+	count := r.Blocklist.AddSuspected(a.Fingerprint, r.Now())
+	psevent.CrashCounted.Log(r.Logger, a.RequestID, uint64(a.Fingerprint), entry.ID, count)
+	r.Links.OnceConnected(func() { r.Blocklist.Confirm(a.Fingerprint) })
 }
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -9,13 +9,11 @@
 
 	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psattempt"
+	"persimmonstep/internal/connection/psoutcome"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/process/pscontrol"
-	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psserver"
-	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psretry"
 	"persimmonstep/platform/psheader"
 )
@@ -25,10 +23,6 @@
 	connectionShare = 0.8
 	// minConnections is the minimum connection limit of one VM for one server.
 	minConnections = 2
-	// noResponseTimeout is the minimum time without any response after which a server counts as failed, and
-	// noResponseFactor the multiple of the expected latency that must have passed as well.
-	noResponseTimeout = 700 * time.Millisecond
-	noResponseFactor  = 3
 )
 
 // dispatch sends the call to a server, and retries it on others as far as that is allowed.
@@ -143,14 +137,12 @@
 		s.Server.RecentObjects.Add(c.object)
 	}
 	o := c.proxy.sender.Send(ctx, c.attemptRequest(s, start))
-	if o.DialTime > 0 {
-		c.proxy.roundTrips.Observe(s.View.Entry.FailureDomain, o.DialTime)
-	}
 	s.Server.EndRequest(exchange)
 	now := c.proxy.options.Now()
 	c.attempts = append(c.attempts, psaccess.Attempt{Selection: s, Result: o.Result, Took: now.Sub(start)})
-	c.recordResult(s, o.Response, o.Result, start, now)
-	c.proxy.recordLink(s.Server, o, start)
+	c.proxy.outcomes.Record(psoutcome.Attempt{
+		Selection: s, Outcome: o, RequestID: c.headers.ID, Route: c.route, Fingerprint: c.fingerprint, Start: start,
+	}, now)
 	if o.Result == psattempt.Answered || o.Result == psattempt.Timeout {
 		s.Server.RecordLatency(exchange, s.MeanRun, now)
 	}
@@ -192,63 +184,3 @@
 	s.Server.CountSent()
 	return true
 }
-
-// recordResult updates the server's state, the estimates and the crash counts with the result of an attempt.
-func (c *call) recordResult(s psselection.Selection, response *psresponse.Response, result psattempt.Result, start, now time.Time) {
-	service := s.View.Entry.Service
-	if response != nil {
-		c.recordLoad(s, response, now)
-	}
-	took := now.Sub(start)
-	switch result {
-	case psattempt.Answered:
-		c.proxy.blocklist.Clear(c.fingerprint)
-		c.proxy.estimates.ObserveResponse(c.route.Name, response.Length())
-		s.Server.RecordOutcome(latencyRatio(took, s.Choice.NominalLatency), false, now)
-		c.updateEstimates(s, took, now)
-	case psattempt.Unreachable:
-		c.proxy.control.ServerFailed(s.Server, pshealth.ReasonUnreachable, c.headers.ID)
-	case psattempt.Misdirected:
-		s.Server.MarkReplaced(now)
-		psevent.ServerFailed.Log(c.proxy.options.Logger, s.View.Entry.ID, service, string(result), c.headers.ID)
-	case psattempt.Timeout:
-		s.Server.RecordOutcome(latencyRatio(took, s.Choice.NominalLatency), false, now)
-		if !s.Server.AnsweredSince(start) && took > max(noResponseTimeout, noResponseFactor*s.Choice.ExpectedLatency()) {
-			c.proxy.control.ServerFailed(s.Server, pshealth.ReasonSilent, c.headers.ID)
-		}
-	case psattempt.Shed, psattempt.ServerError, psattempt.Unsigned:
-		s.Server.RecordOutcome(0, true, now)
-	case psattempt.Lost:
-		s.Server.RecordOutcome(0, true, now)
-		c.proxy.checkCrash(c, s)
-	}
-}
-
-// updateEstimates updates the estimates with the latency of an answered attempt.
-func (c *call) updateEstimates(s psselection.Selection, took time.Duration, now time.Time) {
-	if s.View.Cold {
-		return
-	}
-	run := took - s.Choice.RoundTrip
-	runs := c.proxy.estimates.Runs(c.route.Name, c.route.TargetLatency)
-	if s.Choice.LikelyCached {
-		s.Server.RecordCacheResult(s.Choice.Rank == 0, runs.Hit(run-s.Choice.Wait), now)
-	}
-	if s.Choice.Wait == 0 {
-		c.proxy.estimates.Observe(psestimate.Observation{
-			Route: c.route.Name, Service: s.View.Entry.Service, Target: c.route.TargetLatency, Run: run,
-		})
-	}
-}
-
-// recordLoad records that the server responded, and the load that its response reports.
-func (c *call) recordLoad(s psselection.Selection, response *psresponse.Response, now time.Time) {
-	s.Server.RecordResponse(now)
-	if load := response.Metadata.Load; load != nil {
-		s.Server.RecordLoad(load.Running, load.Waiting, now)
-	}
-}
-
-func latencyRatio(took, usual time.Duration) float64 {
-	return float64(took) / float64(max(time.Millisecond, usual))
-}
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -17,8 +17,8 @@
 	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psattempt"
 	"persimmonstep/internal/connection/psbody"
-	"persimmonstep/internal/connection/pscrash"
 	"persimmonstep/internal/connection/psforward"
+	"persimmonstep/internal/connection/psoutcome"
 	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
@@ -73,7 +73,7 @@
 	splits          pssplit.Splitter
 	retries         psretry.Budgets
 	blocklist       psblocklist.List
-	crashDetector   pscrash.Detector
+	outcomes        psoutcome.Recorder
 	bodyMemory      psbody.MemoryBudget
 	jitter          psjitter.Sequence
 
@@ -92,6 +92,9 @@
 		Estimates: &p.estimates, RoundTrips: &p.roundTrips, Tokens: o.Tokens, Observe: o.Metrics.ObserveServerToken,
 		Jitter: p.jitter.Next, Now: o.Now,
 	}
+	p.outcomes = psoutcome.Recorder{
+		Links: o.Links, Estimates: &p.estimates, RoundTrips: &p.roundTrips, Blocklist: &p.blocklist, Logger: o.Logger, Now: o.Now,
+	}
 	return p
 }
 
@@ -102,7 +105,7 @@
 func (p *Proxy) RoundTrips() *psestimate.RoundTrips { return &p.roundTrips }
 
 // SetControlPlane sets the control plane.
-func (p *Proxy) SetControlPlane(c ControlPlane) { p.control = c }
+func (p *Proxy) SetControlPlane(c ControlPlane) { p.control, p.outcomes.Failures = c, c }
 
 // Drain makes each caller's connection close with its next response.
 func (p *Proxy) Drain() { p.draining.Store(true) }
