--- a/internal/process/pslink/monitor_test.go
+++ b/internal/process/pslink/monitor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -65,6 +66,13 @@
 	return errors.New("refused")
 }
 
+// seen returns the changes that the owner was told of, and the number of connections that were tried.
+func (n *network) seen() (changes []bool, dials int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return slices.Clone(n.changes), n.dials
+}
+
 func (n *network) set(hangs bool, down ...string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -108,7 +116,8 @@
 					n.set(hangs)
 					time.Sleep(2500 * time.Millisecond)
 					qt.Assert(t, m.Lost(), qt.IsFalse)
-					qt.Assert(t, n.changes, qt.DeepEquals, []bool{true, false})
+					changes, _ := n.seen()
+					qt.Assert(t, changes, qt.DeepEquals, []bool{true, false})
 				})
 			})
 		}
@@ -127,7 +136,8 @@
 				time.Sleep(100 * time.Millisecond)
 			}
 			qt.Assert(t, m.Lost(), qt.IsFalse)
-			qt.Assert(t, n.dials <= 200, qt.IsTrue, qt.Commentf("%d connections in 10 s", n.dials))
+			_, dials := n.seen()
+			qt.Assert(t, dials <= 200, qt.IsTrue, qt.Commentf("%d connections in 10 s", dials))
 		})
 	}
 }
@@ -145,7 +155,8 @@
 		m.Responded()
 		m.Unanswered("i-1")
 		time.Sleep(time.Second)
-		qt.Assert(t, n.dials, qt.Equals, 0)
+		_, dials := n.seen()
+		qt.Assert(t, dials, qt.Equals, 0)
 	})
 }
 
@@ -161,8 +172,9 @@
 			time.Sleep(700 * time.Millisecond)
 			n.set(true, domains...)
 		}
-		qt.Assert(t, n.changes, qt.DeepEquals, []bool{true})
-		qt.Assert(t, n.dials <= 120, qt.IsTrue, qt.Commentf("%d connections in 14 s", n.dials))
+		changes, dials := n.seen()
+		qt.Assert(t, changes, qt.DeepEquals, []bool{true})
+		qt.Assert(t, dials <= 120, qt.IsTrue, qt.Commentf("%d connections in 14 s", dials))
 	})
 }
 
--- a/internal/process/pssteer/forward_test.go
+++ b/internal/process/pssteer/forward_test.go
@@ -222,7 +222,9 @@
 		qt.Assert(t, err, qt.IsNil)
 		body, err := io.ReadAll(response.Body)
 		_ = response.Body.Close()
-		qt.Assert(t, err == nil, qt.Equals, whole, qt.Commentf("%s: %v", path, err))
+		// If the reset arrives before the first VM has buffered the beginning, it responds with an error of its own.
+		complete := err == nil && response.StatusCode == http.StatusOK
+		qt.Assert(t, complete, qt.Equals, whole, qt.Commentf("%s: %d %v", path, response.StatusCode, err))
 		if whole {
 			sum := sha256.Sum256(upload)
 			qt.Assert(t, body[:sha256.Size], qt.DeepEquals, sum[:])
