pssoak: a reload signal does not end the pause of a process

Seed 34036 of 50 (34000 to 34049) failed: vm-3 did not end within 4 s after SIGTERM. The seed pauses vm-3 at 0 s for 1.66 s, sends SIGHUP at 0.29 s and SIGTERM at 1.36 s (the sequence was drawn again from the seed). The SIGHUP cleared the soak's own mark that the process is paused, so the restart went on with a stopped process, and the SIGCONT that followed was left out, because a restart was under way. vm-3 logged nothing from 22:29:21 on, and the three others logged 7302 of it 1.4 s later: it stood still until it was killed.

Only SIGSTOP and SIGCONT change the mark now. Not the product: the check stays as it is, and the seed is kept.

--- a/internal/process/pssoak/cluster_test.go
+++ b/internal/process/pssoak/cluster_test.go
@@ -340,7 +340,13 @@
 		return
 	}
 	p.disruptions = append(p.disruptions, time.Now())
-	p.paused = s == syscall.SIGSTOP
+	switch s {
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	default:
+	}
 	_ = p.command.Process.Signal(s)
 }
 
--- a/internal/process/pssoak/soak_test.go
+++ b/internal/process/pssoak/soak_test.go
@@ -43,7 +43,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{34036, "the soak took a paused process for a running one after a reload signal, and stopped it"},
+}
 
 func TestSoak(t *testing.T) {
 	binary := buildBinary(t)
