psregistry: odd entries hide a draining server (known red)

Two relatives from the same report of operators: an undecodable row in a full read removes a server at once, and a start time beyond the year 9999 is accepted although it can't be encoded for other VMs.

--- /dev/null
+++ b/internal/process/psregistry/odd_entry_test.go
@@ -0,0 +1,67 @@
+package psregistry_test
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"persimmonstep/internal/process/psregistry"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/platform"
+)
+
+// heartbeat is the interval at which the server of these tests renews its entry.
+const heartbeat = 1500 * time.Millisecond
+
+// TestOddEntryHidesDrainingServer covers another writer that overwrites a server's row once. The server's own entries
+// follow, and the last one says that it is draining. By its second one after the odd entry it must get no requests.
+func TestOddEntryHidesDrainingServer(t *testing.T) {
+	for name, odd := range map[string]psserver.Entry{
+		"start time in the far future":  entry(startTime.AddDate(5000, 0, 0).UnixMilli(), 1, psserver.Ready),
+		"latest start time":             entry(math.MaxInt64, 1, psserver.Ready),
+		"start time a little later":     entry(6, 1, psserver.Ready),
+		"highest heartbeat number":      entry(5, math.MaxInt64, psserver.Ready),
+		"heartbeat number a bit higher": entry(5, 500, psserver.Ready),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := psregistry.New(map[string]string{"north-a": "north"}, hclog.NewNullLogger())
+			apply(r, true, entry(5, 7, psserver.Ready))
+			apply(r, false, odd)
+			apply(r, false, entry(5, 8, psserver.Draining))
+			apply(r, false, entry(5, 9, psserver.Draining))
+			qt.Assert(t, usable(r), qt.IsFalse)
+		})
+	}
+}
+
+// TestUnreadableEntryRemovesServer covers a row that can't be decoded in a read of all entries. The server stays in use
+// for as long as its last entry is valid, which is three heartbeat intervals.
+func TestUnreadableEntryRemovesServer(t *testing.T) {
+	r := psregistry.New(map[string]string{"north-a": "north"}, hclog.NewNullLogger())
+	apply(r, true, entry(5, 7, psserver.Ready))
+	unreadable := platform.Servers{Unreadable: []platform.UnreadableRow{{Key: "i-1"}}}
+	r.Apply(unreadable, psregistry.UpdateInfo{Full: true}, startTime.Add(heartbeat))
+	qt.Assert(t, usable(r), qt.IsTrue)
+	r.Apply(unreadable, psregistry.UpdateInfo{Full: true}, startTime.Add(5*heartbeat))
+	qt.Assert(t, usable(r), qt.IsFalse)
+}
+
+// TestOddEntryCannotBePassedOn registers entries from the ends of the range of each field. Those that are accepted must
+// survive the encoding in which VMs pass them on.
+func TestOddEntryCannotBePassedOn(t *testing.T) {
+	for _, incarnation := range []int64{math.MinInt64, -1, 0, 253402300800000, math.MaxInt64} {
+		e := entry(incarnation, 1, psserver.Ready)
+		if e.Check() != nil {
+			continue
+		}
+		data, err := json.Marshal(e)
+		qt.Assert(t, err, qt.IsNil)
+		var decoded psserver.Entry
+		qt.Assert(t, json.Unmarshal(data, &decoded), qt.IsNil)
+		qt.Assert(t, decoded.Run(), qt.Equals, e.Run())
+	}
+}
