pspeer: an invalid report doesn't drop the others of its digest

Cause: a list was checked as a whole. TestInvalidReportStopsTheOthersOfADigest covers it; the check of each report is the same as before.

--- a/internal/connection/pspeer/digest.go
+++ b/internal/connection/pspeer/digest.go
@@ -80,7 +80,7 @@
 	if err := json.NewDecoder(io.LimitReader(c.reader, maxDigestBytes)).Decode(d); err != nil {
 		return nil, errors.Wrap(err, "decode digest")
 	}
-	return d, d.Check()
+	return d, nil
 }
 
 func (e *Endpoint) handleDigest(h Handler, params []byte) error {
@@ -92,6 +92,10 @@
 	if err != nil {
 		return err
 	}
+	invalid, err := d.DropInvalid()
+	if err != nil {
+		return err
+	}
 	h.HandleDigest(d)
-	return nil
+	return invalid
 }
--- a/internal/process/psfleet/digest.go
+++ b/internal/process/psfleet/digest.go
@@ -57,17 +57,34 @@
 		return errors.New("check digest: failure domain is missing")
 	}
 	for i := range d.Reports {
-		r := &d.Reports[i]
-		if err := r.Check(); err != nil {
+		if err := d.Reports[i].Check(); err != nil {
 			return errors.Wrap(err, "check digest")
 		}
-		if r.Age < 0 || r.Age > maxReportAge {
-			return errors.New("check digest: report age is out of range")
-		}
 	}
 	return nil
 }
 
+// DropInvalid removes the invalid reports of a decoded digest and returns why the last of them is invalid. It returns an
+// error if the digest itself is invalid.
+func (d *Digest) DropInvalid() (invalid, err error) {
+	d.Reports = slices.DeleteFunc(d.Reports, func(r ForwardedReport) bool {
+		failed := r.Check()
+		if failed != nil {
+			invalid = errors.Wrap(failed, "check digest")
+		}
+		return failed != nil
+	})
+	return invalid, d.Check()
+}
+
+// Check validates a decoded report and its age.
+func (r *ForwardedReport) Check() error {
+	if r.Age < 0 || r.Age > maxReportAge {
+		return errors.New("check forwarded report: age is out of range")
+	}
+	return r.Report.Check()
+}
+
 // Hierarchical reports whether the fleet is so large that VMs send reports within their own failure
 // domain only, and digests between failure domains.
 func (f *Fleet) Hierarchical() bool { return f.Size() >= LargeSize }
--- a/internal/process/psfleet/digest_test.go
+++ b/internal/process/psfleet/digest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -244,3 +245,16 @@
 	qt.Assert(t, to[0].VM, qt.Equals, "vm-18")
 	qt.Assert(t, f.DigestReceivers(1, 1, startTime)[0].VM, qt.Not(qt.Equals), "vm-18")
 }
+
+// TestInvalidReportStopsTheOthersOfADigest covers a digest of which one report is invalid.
+func TestInvalidReportStopsTheOthersOfADigest(t *testing.T) {
+	valid := psfleet.ForwardedReport{Report: psfleet.Report{Identity: psfleet.Identity{VM: "vm-1", Incarnation: 1}, Sequence: 1}}
+	odd := valid
+	odd.Incarnation = math.MaxInt64
+	d := psfleet.Digest{FailureDomain: "north-a", Reports: []psfleet.ForwardedReport{odd, valid}}
+	invalid, err := d.DropInvalid()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, invalid, qt.IsNotNil)
+	qt.Assert(t, d.Reports, qt.HasLen, 1)
+	qt.Assert(t, d.Reports[0].Incarnation, qt.Equals, valid.Incarnation)
+}
