psregistry: another writer's entry doesn't hide a server's own

Cause: entries are ordered by start time and heartbeat number without a bound, so one entry of another writer with a later start time or a higher number made all of the server's own entries look outdated, its draining among them, for as long as its row exists.

The fix, per entry: fields out of range are refused (start after 2200, more than 4,096 slots, a number above 2^40, ports, addresses that can't be dialled or belong to a VM, ids that can't be sent); a rejected entry disputes the known one, takes the server out of use at once if it says draining, and replaces the known entry once it is followed by another one or isn't contradicted for two heartbeats. Late writes of an earlier run are renewed within one heartbeat, so they change nothing for longer than that (TestLateEntryOfEarlierRunIsNotUsed).

With it: a row that can't be decoded no longer removes its server from a full read at once, but after the lease of three heartbeats (TestUnreadableEntryRemovesServer); entries that can't be encoded are refused, because one of them kept VMs from passing on their state at all (TestOddEntryCannotBePassedOn); entries from peers are checked one by one in the registry in place of refusing a whole state or notice (TestInvalidEntryOfPeerStopsTheOthers). The ranges of VM identities and reports have bounds as well. The entries of pscontrol's tests had no address, and one of its fleets negative links; they are valid now.

Logs: 7209 also shows start times, 7215 and 7216 are new.

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -131,9 +132,13 @@
 func New(o Options) *Controller {
 	c := &Controller{
 		options: o, events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
-		servers: psregistry.New(o.Settings.Regions, o.Logger), fleet: psfleet.New(o.Identity), shares: psshare.New(),
+		fleet: psfleet.New(o.Identity), shares: psshare.New(),
 		announcements: psannouncement.New(), silentPeers: map[string]bool{}, limitLog: pslimit.NewLog(o.Logger),
 	}
+	c.servers = psregistry.New(psregistry.Options{
+		Regions: o.Settings.Regions, Heartbeat: o.Settings.HeartbeatInterval, Logger: o.Logger,
+		Reserved: func(a netip.AddrPort) bool { return o.Settings.Listens(a) || c.fleet.Listens(a) },
+	})
 	c.runContext = context.Background()
 	c.health = &pshealth.Checker{Prober: o.Prober, Owner: c, Logger: o.Logger, Now: o.Now}
 	c.discovery = psdiscovery.New(psdiscovery.Options{
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -117,7 +117,7 @@
 		if s.otherDomains > 0 {
 			domain = fmt.Sprint("other-", i%s.otherDomains)
 		}
-		data, err := json.Marshal(psfleet.Identity{VM: name, FailureDomain: domain, Region: "north", CallerAddress: a, PeerAddress: a, Link: float64(100 - i)})
+		data, err := json.Marshal(psfleet.Identity{VM: name, FailureDomain: domain, Region: "north", CallerAddress: a, PeerAddress: a, Link: float64(1000 - i)})
 		if err != nil {
 			return v, err
 		}
@@ -208,7 +208,7 @@
 }
 
 func entry(id string) psserver.Entry {
-	return psserver.Entry{ID: id, Service: "prices", FailureDomain: "north-a", Slots: 4}
+	return psserver.Entry{ID: id, Service: "prices", FailureDomain: "north-a", Slots: 4, Address: netip.MustParseAddrPort("127.0.0.9:80")}
 }
 
 func version(c *pscontrol.Controller) int64 {
--- a/internal/process/pscontrol/peerstate.go
+++ b/internal/process/pscontrol/peerstate.go
@@ -63,7 +63,7 @@
 		return
 	}
 	c.serversRevision = psrevision.Later(c.serversRevision, e.State.ServersRevision)
-	c.servers.Apply(platform.Servers{Entries: e.State.Servers, Revision: e.State.ServersRevision}, psregistry.UpdateInfo{Full: true, Age: e.State.Age}, now)
+	c.servers.Apply(platform.Servers{Entries: e.State.Servers, Revision: e.State.ServersRevision}, psregistry.UpdateInfo{Full: true, Age: e.State.Age, FromPeer: true}, now)
 	if before == 0 {
 		psevent.ControlStateApplied.Log(c.options.Logger, e.VM, e.State.Configuration.Version, len(e.State.Servers), e.State.Age.String())
 	}
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -55,7 +55,12 @@
 	// time was granted.
 	ServerPaused = Event{7208, hclog.Info, "backend server requested a pause", []string{"server", "service", "requestId", "asked", "counts"}}
 	// ServerEntryStale reports that an outdated entry of a backend server is ignored.
-	ServerEntryStale = Event{7209, hclog.Info, "outdated backend server entry ignored", []string{"server", "service", "sequence", "known"}}
+	ServerEntryStale = Event{7209, hclog.Info, "outdated backend server entry ignored", []string{"server", "service", "sequence", "known", "incarnation", "knownIncarnation"}}
+	// ServerEntryInvalid reports that an entry of a backend server is ignored because a field is out of range.
+	ServerEntryInvalid = Event{7216, hclog.Warn, "invalid backend server entry ignored", []string{"server", "error"}}
+	// ServerDisputed reports that a backend server is not used because an outdated entry of it, which may be the server's
+	// own, says that it is draining. It is used again once the server renews its entry.
+	ServerDisputed = Event{7215, hclog.Warn, "backend server not used because its entries disagree", []string{"server", "service", "sequence", "incarnation"}}
 	// ServerLimited reports that a backend server named a limit, or changed it, in a response to this VM. The field
 	// before is "none" if it had none.
 	ServerLimited = Event{7210, hclog.Warn, "backend server limits requests", []string{"server", "service", "requestId", "perSecond", "before"}}
@@ -108,7 +113,7 @@
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped,
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
-		ServerLinksLost, ServerLinksRestored,
+		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied,
 		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted,
 	}
--- a/internal/process/psfleet/controlstate.go
+++ b/internal/process/psfleet/controlstate.go
@@ -27,7 +27,7 @@
 	Age time.Duration `json:"-"`
 }
 
-// Check validates a decoded state.
+// Check validates a decoded state, except for the entries of servers: the registry ignores each invalid one by itself.
 func (s ControlState) Check() error {
 	if s.Configuration == nil {
 		return errors.New("check control state: configuration is missing")
@@ -35,11 +35,6 @@
 	if findings := s.Configuration.Check(); len(findings) > 0 {
 		return errors.Errorf("check control state: invalid configuration: %s", findings[0])
 	}
-	for _, e := range s.Servers {
-		if err := e.Check(); err != nil {
-			return errors.Wrap(err, "check control state")
-		}
-	}
 	return nil
 }
 
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -62,7 +62,7 @@
 	PeerAddress   netip.AddrPort `json:"peers,omitzero"`
 	// Link is the capacity of the VM's network link in each direction, in Mbit/s.
 	Link float64 `json:"link,omitempty"`
-	// Incarnation grows with each restart of the process.
+	// Incarnation is the start time of the process, in milliseconds since the Unix epoch. It grows with each restart.
 	Incarnation int64 `json:"incarnation"`
 }
 
@@ -87,11 +87,33 @@
 	return 2
 }
 
+// The ranges of an identity's fields. An identity with a later incarnation would hide all reports of its VM, and one with
+// a faster link would make it the relay of its region.
+const (
+	// maxLink is the fastest network link, in Mbit/s.
+	maxLink = 10_000_000
+	// maxSequence is reached after thousands of years of reports.
+	maxSequence = 1 << 40
+)
+
+// maxIncarnation is the latest start of a process.
+var maxIncarnation = time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
+
 // Check validates a decoded identity.
 func (i Identity) Check() error {
 	if i.VM == "" || i.FailureDomain == "" || i.Region == "" || !i.CallerAddress.IsValid() || !i.PeerAddress.IsValid() {
 		return errors.New("check VM identity: a field is missing")
 	}
+	if i.CallerAddress.Port() == 0 || i.PeerAddress.Port() == 0 || i.Link < 0 || i.Link > maxLink {
+		return errors.New("check VM identity: a port or the link is out of range")
+	}
+	return i.checkIncarnation()
+}
+
+func (i Identity) checkIncarnation() error {
+	if i.Incarnation < 0 || i.Incarnation > maxIncarnation {
+		return errors.New("check VM identity: incarnation is out of range")
+	}
 	return nil
 }
 
@@ -163,8 +185,11 @@
 			return errors.Wrap(err, "check report")
 		}
 	}
+	if r.Sequence < 0 || r.Sequence > maxSequence || r.Version < 0 {
+		return errors.New("check report: sequence or version is out of range")
+	}
 	if r.isBrief() {
-		return nil
+		return r.checkIncarnation()
 	}
 	return r.Identity.Check()
 }
@@ -182,19 +207,11 @@
 	DesiredStateRevision psrevision.Revision `json:"orders,omitzero"`
 }
 
-// Check validates a decoded notice.
+// Check validates a decoded notice, except for the entries of servers: the registry ignores each invalid one by itself.
 func (n *Notice) Check() error {
 	if n.VM == "" || n.Region == "" {
 		return errors.New("check notice: VM or region is missing")
 	}
-	if n.Servers == nil {
-		return nil
-	}
-	for _, e := range n.Servers.Entries {
-		if err := e.Check(); err != nil {
-			return errors.Wrap(err, "check notice")
-		}
-	}
 	return nil
 }
 
@@ -302,6 +319,11 @@
 	return max(baseReportInterval, time.Duration(receivers)*reportIntervalPerVM)
 }
 
+// Listens reports whether another VM listens at an address.
+func (f *Fleet) Listens(a netip.AddrPort) bool {
+	return slices.ContainsFunc(f.Peers(), func(p *Peer) bool { return p.Identity.CallerAddress == a || p.Identity.PeerAddress == a })
+}
+
 // Peers returns the other VMs, sorted by name. The slice is shared and must not be changed.
 func (f *Fleet) Peers() []*Peer {
 	if f.sorted == nil {
--- a/internal/process/psnode/settings.go
+++ b/internal/process/psnode/settings.go
@@ -36,6 +36,14 @@
 	Link float64
 }
 
+// Listens reports whether this VM listens, or may listen, at an address.
+func (s *Settings) Listens(a netip.AddrPort) bool {
+	if a == s.Callers || a == s.Ready || a == s.Directory {
+		return true
+	}
+	return a.Addr() == s.Callers.Addr() && a.Port() >= s.PeerPorts[0] && a.Port() <= s.PeerPorts[1]
+}
+
 // StoreSettings describe the platform's store.
 type StoreSettings struct {
 	Address netip.AddrPort
--- a/internal/process/psregistry/odd_entry_test.go
+++ b/internal/process/psregistry/odd_entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 		"heartbeat number a bit higher": entry(5, 500, psserver.Ready),
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := psregistry.New(map[string]string{"north-a": "north"}, hclog.NewNullLogger())
+			r := newRegistry()
 			apply(r, true, entry(5, 7, psserver.Ready))
 			apply(r, false, odd)
 			apply(r, false, entry(5, 8, psserver.Draining))
@@ -41,7 +42,7 @@
 // TestUnreadableEntryRemovesServer covers a row that can't be decoded in a read of all entries. The server stays in use
 // for as long as its last entry is valid, which is three heartbeat intervals.
 func TestUnreadableEntryRemovesServer(t *testing.T) {
-	r := psregistry.New(map[string]string{"north-a": "north"}, hclog.NewNullLogger())
+	r := newRegistry()
 	apply(r, true, entry(5, 7, psserver.Ready))
 	unreadable := platform.Servers{Unreadable: []platform.UnreadableRow{{Key: "i-1"}}}
 	r.Apply(unreadable, psregistry.UpdateInfo{Full: true}, startTime.Add(heartbeat))
@@ -65,3 +66,62 @@
 		qt.Assert(t, decoded.Run(), qt.Equals, e.Run())
 	}
 }
+
+// TestInvalidEntryOfPeerStopsTheOthers covers the state of a VM that has accepted an odd entry.
+func TestInvalidEntryOfPeerStopsTheOthers(t *testing.T) {
+	r := newRegistry()
+	odd := entry(5, 7, psserver.Ready)
+	odd.ID, odd.Slots = "i-2", math.MaxInt
+	r.Apply(platform.Servers{Entries: []psserver.Entry{odd, entry(5, 7, psserver.Ready)}}, psregistry.UpdateInfo{Full: true, FromPeer: true}, startTime)
+	qt.Assert(t, usable(r), qt.IsTrue)
+	qt.Assert(t, r.Len(), qt.Equals, 1)
+}
+
+// TestEntryWithAddressOfVMIsIgnored covers an entry that would make a VM send requests to itself or to another VM.
+func TestEntryWithAddressOfVMIsIgnored(t *testing.T) {
+	r := psregistry.New(psregistry.Options{
+		Heartbeat: heartbeat, Logger: hclog.NewNullLogger(),
+		Reserved: func(a netip.AddrPort) bool { return a == entry(5, 7, psserver.Ready).Address },
+	})
+	apply(r, true, entry(5, 7, psserver.Ready))
+	qt.Assert(t, r.Len(), qt.Equals, 0)
+}
+
+// TestLateEntryOfEarlierRunIsNotUsed covers a write of an earlier run that the store performs late. The server renews its
+// entry after that, and stays in use with it.
+func TestLateEntryOfEarlierRunIsNotUsed(t *testing.T) {
+	for _, late := range []psserver.State{psserver.Ready, psserver.Draining} {
+		r := newRegistry()
+		apply(r, true, entry(6, 3, psserver.Ready))
+		apply(r, false, entry(5, 30, late))
+		qt.Assert(t, usable(r), qt.Equals, late == psserver.Ready)
+		r.Apply(platform.Servers{Entries: []psserver.Entry{entry(6, 4, psserver.Ready)}}, psregistry.UpdateInfo{}, startTime.Add(heartbeat))
+		r.Apply(platform.Servers{}, psregistry.UpdateInfo{}, startTime.Add(4*heartbeat))
+		qt.Assert(t, usable(r), qt.IsTrue)
+		s, _ := r.Get("i-1")
+		qt.Assert(t, s.Entry().Sequence, qt.Equals, int64(4))
+	}
+}
+
+// TestUnrenewedOddEntryIsReplaced covers a server that writes its entry once after an odd one, and then has no reason to
+// write another.
+func TestUnrenewedOddEntryIsReplaced(t *testing.T) {
+	r := newRegistry()
+	apply(r, true, entry(5, 7, psserver.Ready))
+	apply(r, false, entry(50, 1, psserver.Ready))
+	apply(r, false, entry(5, 8, psserver.Ready))
+	r.Apply(platform.Servers{}, psregistry.UpdateInfo{}, startTime.Add(3*heartbeat))
+	s, _ := r.Get("i-1")
+	qt.Assert(t, s.Entry().Incarnation.UnixMilli(), qt.Equals, int64(5))
+	qt.Assert(t, usable(r), qt.IsTrue)
+}
+
+// TestRestoredEntryDoesNotReplaceLeavingServer covers an older entry that a restored store returns in a full read.
+func TestRestoredEntryDoesNotReplaceLeavingServer(t *testing.T) {
+	r := newRegistry()
+	apply(r, true, entry(5, 7, psserver.Ready))
+	apply(r, false, entry(5, 9, psserver.Draining))
+	apply(r, true, entry(5, 7, psserver.Ready))
+	r.Apply(platform.Servers{}, psregistry.UpdateInfo{}, startTime.Add(5*heartbeat))
+	qt.Assert(t, usable(r), qt.IsFalse)
+}
--- a/internal/process/psregistry/registry.go
+++ b/internal/process/psregistry/registry.go
@@ -3,11 +3,13 @@
 // Entries come from the store or from other VMs, either as the complete list or as changes. What a VM
 // has learned about a server, such as its load, is kept while the entry's incarnation stays the same.
 // Responses of the store and other VMs may be out of date, so outdated entries are rejected by
-// incarnation and sequence number.
+// incarnation and sequence number. Another writer may have left the entry to which they are compared, so a
+// rejected entry disputes it until the server renews it.
 package psregistry
 
 import (
 	"maps"
+	"net/netip"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -23,9 +25,14 @@
 	// ReadAt is when this or another VM read the entries from the store.
 	ReadAt time.Time
 
-	regions map[string]string
-	logger  hclog.Logger
+	options Options
 	servers map[string]*psserver.Server
+	// disputes holds the latest rejected entry of each server that hasn't renewed its entry since.
+	disputes map[string]dispute
+	// invalid holds the latest invalid entry that was logged, by id.
+	invalid map[string]psserver.Entry
+	// unreadableSince is since when the row of a registered server can't be decoded, by its id.
+	unreadableSince map[string]time.Time
 	// removed holds the recently removed servers by id.
 	removed map[string]removedServer
 	changes int64
@@ -46,9 +53,26 @@
 	era int64
 }
 
-// New returns an empty registry. The regions are keyed by failure domain.
-func New(regions map[string]string, l hclog.Logger) *Registry {
-	return &Registry{regions: regions, logger: l, servers: map[string]*psserver.Server{}, removed: map[string]removedServer{}}
+// Options are the settings and dependencies of a [Registry].
+type Options struct {
+	// Regions maps each failure domain to its region.
+	Regions map[string]string
+	// Heartbeat is the interval at which servers renew their entries.
+	Heartbeat time.Duration
+	// Reserved reports whether a VM listens at an address; nil stands for none.
+	Reserved func(netip.AddrPort) bool
+	Logger   hclog.Logger
+}
+
+// leaseHeartbeats is the number of heartbeat intervals for which an entry is valid without being renewed.
+const leaseHeartbeats = 3
+
+// New returns an empty registry.
+func New(o Options) *Registry {
+	return &Registry{
+		options: o, servers: map[string]*psserver.Server{}, removed: map[string]removedServer{},
+		disputes: map[string]dispute{}, invalid: map[string]psserver.Entry{}, unreadableSince: map[string]time.Time{},
+	}
 }
 
 // UpdateInfo describes the entries of an update.
@@ -60,6 +84,8 @@
 	Recovering bool
 	// Age is the time since the entries were read from the store.
 	Age time.Duration
+	// FromPeer states that another VM has read the entries, which may be older than those that are known.
+	FromPeer bool
 }
 
 // Apply updates the registry with all entries, or with the changed ones. Ready servers that are missing after
@@ -71,11 +97,18 @@
 	seen := make(map[string]bool, len(s.Entries))
 	for _, v := range s.Entries {
 		seen[v.ID] = true
-		r.applyEntry(v, now)
+		r.applyEntry(v, e, now)
+	}
+	for _, u := range s.Unreadable {
+		seen[u.Key] = true
+		r.applyUnreadable(u.Key, now)
 	}
 	for _, id := range s.Removed {
+		delete(r.invalid, id)
 		r.remove(id, now)
 	}
+	r.expireUnreadable(now)
+	r.settleDisputes(now)
 	if !e.Full {
 		return
 	}
@@ -84,7 +117,7 @@
 			continue
 		}
 		if e.Recovering && v.Entry().State == psserver.Ready {
-			psevent.ServerRetained.Log(r.logger, id, v.Entry().Service)
+			psevent.ServerRetained.Log(r.options.Logger, id, v.Entry().Service)
 			continue
 		}
 		r.remove(id, now)
@@ -110,17 +143,29 @@
 		return
 	}
 	delete(r.servers, id)
+	delete(r.disputes, id)
+	delete(r.unreadableSince, id)
 	s.MarkRemoved()
 	r.removed[id] = removedServer{entry: s.Entry(), leaving: s.Leaving(), at: now, era: r.era}
 	r.changes++
-	psevent.ServerRemoved.Log(r.logger, id, s.Entry().Service)
+	psevent.ServerRemoved.Log(r.options.Logger, id, s.Entry().Service)
 }
 
-func (r *Registry) applyEntry(e psserver.Entry, now time.Time) {
+func (r *Registry) applyEntry(e psserver.Entry, info UpdateInfo, now time.Time) {
+	if err := r.check(e); err != nil {
+		r.applyInvalid(e, err, now)
+		return
+	}
+	delete(r.invalid, e.ID)
 	s, found := r.servers[e.ID]
 	if r.stale(e) {
+		if found && !info.FromPeer {
+			r.dispute(s, e, info, now)
+		}
 		return
 	}
+	delete(r.disputes, e.ID)
+	delete(r.unreadableSince, e.ID)
 	if !found || restarted(s.Entry(), e) {
 		r.register(e, now)
 		return
@@ -131,7 +176,7 @@
 	}
 	s.Renew(e, now)
 	if e.State == psserver.Draining && previous.State != psserver.Draining {
-		psevent.ServerDraining.Log(r.logger, e.ID, e.Service, e.Sequence)
+		psevent.ServerDraining.Log(r.options.Logger, e.ID, e.Service, e.Sequence)
 	}
 }
 
@@ -140,9 +185,9 @@
 	if previous, found := r.servers[e.ID]; found {
 		previous.MarkRemoved()
 	}
-	r.servers[e.ID] = psserver.New(e, r.regions[e.FailureDomain], now)
+	r.servers[e.ID] = psserver.New(e, r.options.Regions[e.FailureDomain], now)
 	delete(r.removed, e.ID)
-	psevent.ServerRegistered.Log(r.logger, e.ID, e.Service, e.FailureDomain, e.Slots, e.ColdFor.String())
+	psevent.ServerRegistered.Log(r.options.Logger, e.ID, e.Service, e.FailureDomain, e.Slots, e.ColdFor.String())
 }
 
 // stale reports whether an entry is outdated: of an earlier incarnation than the known one, with a lower
@@ -169,7 +214,7 @@
 	if !e.Incarnation.Before(known.Incarnation) && (!same || !ended && e.Sequence >= minSequence) {
 		return false
 	}
-	psevent.ServerEntryStale.Log(r.logger, e.ID, e.Service, e.Sequence, known.Sequence)
+	psevent.ServerEntryStale.Log(r.options.Logger, e.ID, e.Service, e.Sequence, known.Sequence, e.Run().Incarnation, known.Run().Incarnation)
 	return true
 }
 
--- a/internal/process/psregistry/registry_test.go
+++ b/internal/process/psregistry/registry_test.go
@@ -26,6 +26,12 @@
 	r.Apply(platform.Servers{Entries: entries}, psregistry.UpdateInfo{Full: full}, startTime)
 }
 
+func newRegistry() *psregistry.Registry {
+	return psregistry.New(psregistry.Options{
+		Regions: map[string]string{"north-a": "north"}, Heartbeat: heartbeat, Logger: hclog.NewNullLogger(),
+	})
+}
+
 func usable(r *psregistry.Registry) bool {
 	s, found := r.Get("i-1")
 	return found && s.Usable(startTime)
@@ -91,7 +97,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := psregistry.New(map[string]string{"north-a": "north"}, hclog.NewNullLogger())
+			r := newRegistry()
 			apply(r, true, entry(5, 7, psserver.Ready))
 			qt.Assert(t, usable(r), qt.IsTrue)
 			v.leave(r)
--- a/internal/process/psserver/entry.go
+++ b/internal/process/psserver/entry.go
@@ -10,6 +10,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,15 +53,64 @@
 	Incarnation int64 `json:"incarnation"`
 }
 
+// The ranges of an entry's fields. Entries beyond them have another writer than a backend server. Without a bound, one
+// of them would attract all requests, stay cold forever, or make all later entries of its server look outdated.
+const (
+	maxSlots = 1 << 12
+	maxCold  = time.Hour
+	// maxSequence is reached after 34 years with a heartbeat each millisecond.
+	maxSequence = 1 << 40
+	// maxNameBytes is the length of the longest key of the store, in bytes.
+	maxNameBytes = 200
+)
+
+// minIncarnation and maxIncarnation bound the start time of a server.
+var (
+	minIncarnation = time.Unix(0, 0)
+	maxIncarnation = time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
 // Check validates a decoded entry.
 func (e Entry) Check() error {
+	if !validID(e.ID) {
+		return errors.Errorf("check server entry: id is missing or invalid: %.50q", e.ID)
+	}
+	for _, name := range []string{e.Service, e.FailureDomain} {
+		if name == "" || len(name) > maxNameBytes {
+			return errors.New("check server entry: service or failure domain is missing or too long")
+		}
+	}
+	if err := checkAddress(e.Address); err != nil {
+		return err
+	}
 	switch {
-	case e.ID == "" || e.Service == "" || e.FailureDomain == "":
-		return errors.New("check server entry: id, service or failure domain is missing")
-	case !e.Address.IsValid():
-		return errors.New("check server entry: address is missing")
-	case e.Slots <= 0 || e.ColdFor < 0 || e.State > Draining:
+	case e.Slots <= 0 || e.Slots > maxSlots || e.ColdFor < 0 || e.ColdFor > maxCold || e.State > Draining:
 		return errors.New("check server entry: slots, cold time or state is out of range")
+	case e.Sequence < 0 || e.Sequence > maxSequence:
+		return errors.New("check server entry: sequence is out of range")
+	case !e.Incarnation.IsZero() && (e.Incarnation.Before(minIncarnation) || e.Incarnation.After(maxIncarnation)):
+		return errors.New("check server entry: start time is out of range")
 	}
 	return nil
 }
+
+// validID reports whether an id consists of visible ASCII characters, so that it can be sent in a header.
+func validID(id string) bool {
+	hidden := func(c rune) bool { return c <= ' ' || c > '~' }
+	return id != "" && len(id) <= maxNameBytes && !strings.ContainsFunc(id, hidden)
+}
+
+// checkAddress reports an address at which no server can listen.
+func checkAddress(a netip.AddrPort) error {
+	ip := a.Addr()
+	switch {
+	case !a.IsValid() || a.Port() == 0:
+		return errors.New("check server entry: address is missing or has no port")
+	case ip.Zone() != "" || ip.IsUnspecified() || ip.IsMulticast() || ip == broadcast:
+		return errors.Errorf("check server entry: no server can listen at %s", a)
+	}
+	return nil
+}
+
+// broadcast is the address of all hosts of the local network.
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
--- a/internal/process/psserver/pause.go
+++ b/internal/process/psserver/pause.go
@@ -55,6 +55,15 @@
 	s.removed = true
 }
 
+// MarkDisputed takes the server out of use until its entry is renewed, and reports whether it was in use before.
+func (s *Server) MarkDisputed() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.disputed
+	s.disputed = true
+	return !known
+}
+
 // Pause sends the server no requests for a duration that it requested. Of several pauses the latest end
 // counts. It returns the duration after applying the upper bound.
 func (s *Server) Pause(d time.Duration, now time.Time) time.Duration {
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -49,8 +49,10 @@
 	leaving bool
 	// removed is set once the entry is no longer registered. Requests may still hold an earlier snapshot with the server.
 	removed bool
-	pause   pause
-	limit   pslimit.Statement
+	// disputed is set if an entry of the server that was rejected says that it is draining.
+	disputed bool
+	pause    pause
+	limit    pslimit.Statement
 	// sent counts the requests and probes that were sent to the server.
 	sent int64
 	// coldUntil is when the server has warmed up and takes its full load.
@@ -92,6 +94,7 @@
 		s.coldUntil = now.Add(e.ColdFor)
 	}
 	s.entry = e
+	s.disputed = false
 }
 
 // ProbeSucceeded records a successful probe, which returned how long the server stays cold. It reports whether
@@ -297,7 +300,7 @@
 
 // usable reports whether the server can be sent a request. The caller holds the mutex.
 func (s *Server) usable(now time.Time) bool {
-	return s.entry.State == Ready && !s.removed && s.failed.since.IsZero() && !s.leaving && s.pause.remaining(now) == 0
+	return s.entry.State == Ready && !s.removed && !s.disputed && s.failed.since.IsZero() && !s.leaving && s.pause.remaining(now) == 0
 }
 
 // View returns a snapshot of the server.
