pswatch: a full read that is older than what is known is refused

Only reads of an earlier era were refused. Now the revision is compared as well, and such a read counts as a failed call, which is logged (7105) and repeated.

--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -273,8 +273,8 @@
 	return true
 }
 
-// errStaleEra means that the store's data belongs to an era before the one that is known.
-var errStaleEra = errors.New("read store: response is from an earlier era")
+// errStale means that the store's data is older than what is known, of an earlier era or an earlier revision.
+var errStale = errors.New("read store: response is older than what is known")
 
 // watchChanges applies changes until a call fails or the context ends, and returns the known revision.
 // The table must be read again after that.
@@ -307,8 +307,8 @@
 		call: "servers", response: &w.servers, known: known, pollInterval: serversPollInterval, awaitNotice: w.awaitServersNotice,
 		read: func(ctx context.Context, known psrevision.Revision, recovering bool) (psrevision.Revision, error) {
 			v, err := w.options.Store.Servers(ctx)
-			if err == nil && v.Revision.Era < known.Era {
-				err = errStaleEra
+			if err == nil && known.After(v.Revision) {
+				err = errStale
 			}
 			if err == nil {
 				w.options.Sink.ApplyServers(v, true, recovering || v.Revision.RestoredSince(known))
@@ -338,8 +338,8 @@
 		call: "orders", response: &w.desiredState, known: known, pollInterval: desiredStatePollInterval, awaitNotice: w.awaitDesiredStateNotice,
 		read: func(ctx context.Context, known psrevision.Revision, _ bool) (psrevision.Revision, error) {
 			o, err := w.options.Store.DesiredState(ctx)
-			if err == nil && o.Revision.Era < known.Era {
-				err = errStaleEra
+			if err == nil && known.After(o.Revision) {
+				err = errStale
 			}
 			if err == nil {
 				w.options.Sink.ApplyDesiredState(o, true, o.Revision.RestoredSince(known))
