pswatch: the delays of all ways fit the bounds of the deployment

Cause: the sum of the waits was worked out by hand for the known deployments. Now pswatch.Delays sums all waits of each way from the settings, the wait of a call is derived from contact_s, and a bound that can't be kept is logged at the start (7007). For the known deployments the wait stays 1.2 s.

In fleets with a relay the notice after one that is lost came up to 1.0 s later, 2.3 s in all; the call after a change now waits 0.2 s in place of 0.5 s, so that the sum is 2.0 s.

TestDroppedCallOutlastsShortContact (contact_s 1.5) and TestNoticeAfterLostOneComesLate fail without the changes; TestDelaysExceedBounds computes the sums for five sets of bounds.

--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -4,6 +4,9 @@
 
 // Events of a VM.
 var (
+	// BoundExceeded reports that a bound of the deployment can't be kept: in one way, this VM may learn of a change of the
+	// servers later than the bound allows.
+	BoundExceeded = Event{7007, hclog.Warn, "bound of the deployment can't be kept", []string{"way", "longest", "bound"}}
 	// VMStarted reports that the process runs, with its settings.
 	VMStarted = Event{7001, hclog.Info, "VM process started", []string{"vm", "failureDomain", "region", "callers", "store"}}
 	// VMStopping reports that a graceful shutdown began.
@@ -110,7 +113,7 @@
 
 func steerEvents() []Event {
 	return []Event{
-		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped,
+		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped, BoundExceeded,
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid,
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -31,6 +31,7 @@
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/pstoken"
+	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/platform"
 	"persimmonstep/platform/pssettings"
@@ -216,6 +217,7 @@
 func (v *vm) run(ctx context.Context, o Options, w *pslog.Writer) error {
 	s := v.settings
 	psevent.VMStarted.Log(v.logger, s.Name, s.FailureDomain, s.Region, s.Callers.String(), s.Store.Address.String())
+	warnOfBounds(s, v.logger)
 	// The control plane keeps running during the shutdown, so that the requests that are served meanwhile
 	// still meet the bounds of the fleet.
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -308,3 +310,12 @@
 		v.proxy.LogDroppedLines(w.Dropped())
 	}
 }
+
+// warnOfBounds logs the bounds of the deployment that a VM can't keep.
+func warnOfBounds(s *psnode.Settings, l hclog.Logger) {
+	for _, d := range pswatch.Delays(pswatch.Bounds{Contact: s.Bounds.Contact, Drain: s.Bounds.Drain, Heartbeat: s.HeartbeatInterval}) {
+		if d.Exceeded() {
+			psevent.BoundExceeded.Log(l, d.Way, d.Longest.String(), d.Bound.String())
+		}
+	}
+}
--- a/internal/process/pswatch/relay.go
+++ b/internal/process/pswatch/relay.go
@@ -73,9 +73,7 @@
 	if w.relayEnabled() {
 		return relayPollWait
 	}
-	// One dropped call must not last so long that entries may have expired.
-	beforeExpiry := expiryHeartbeats*w.options.Heartbeat - serversPollInterval - responseTimeout - readSlack
-	return max(relayPollWait, min(w.options.Contact/pollsPerContact, beforeExpiry))
+	return pollWait(w.options.Contact, w.options.Heartbeat)
 }
 
 // sendNotice sends a notice to the other VMs of the region if this VM is the relay.
@@ -93,7 +91,7 @@
 func (w *Watcher) awaitServersNotice(ctx context.Context, known psrevision.Revision) (psrevision.Revision, bool) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(relayPollWait / 2):
+	case <-time.After(relayNoticeWait):
 	case n := <-w.relay.servers:
 		if n.Before.After(known) || n.To.Era > known.Era {
 			return known, true
@@ -112,7 +110,7 @@
 func (w *Watcher) awaitDesiredStateNotice(ctx context.Context, known psrevision.Revision) (psrevision.Revision, bool) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(relayPollWait / 2):
+	case <-time.After(relayNoticeWait):
 	case revision := <-w.relay.desiredStateRevisions:
 		switch {
 		case revision.Era > known.Era:
--- a/internal/process/pswatch/relay_test.go
+++ b/internal/process/pswatch/relay_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psserver"
@@ -100,19 +99,9 @@
 		fleet: fleet, peerTables: peerTables, fetchedFrom: make(chan string, 1000),
 		notices: make(chan *psfleet.Notice, 1000), applied: make(chan platform.Servers, 1000),
 	}
-	w := pswatch.New(pswatch.Options{
+	w := startWatcher(t, pswatch.Options{
 		Self:  psfleet.Identity{VM: vm, Region: "north"},
-		Store: e, PeerSource: e, Sink: e, Peers: e, Logger: hclog.NewNullLogger(), Now: time.Now,
-	})
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		w.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-ended
+		Store: e, PeerSource: e, Sink: e, Peers: e,
 	})
 	return w, e
 }
--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -23,10 +23,8 @@
 )
 
 const (
-	// pollsPerContact is the number of calls for changes of one table in a small fleet within the time after
-	// a disruption from which on the bounds of the fleet apply again. A call may stay unanswered although the
-	// store serves later ones, so a VM must abandon it before that time ends.
-	pollsPerContact = 2
+	// minPollWait is how long one call waits at the store for changes at least.
+	minPollWait = 200 * time.Millisecond
 	// expiryHeartbeats is the number of heartbeat intervals for which the store must be unavailable before
 	// entries expire. They expire after one more, but the last heartbeat may have been that long before.
 	expiryHeartbeats = 2
@@ -55,6 +53,8 @@
 	// relayPollWait is how long one call waits at the store for changes in a large fleet. The other VMs
 	// derive the age of their data from the relay's notices, so these must be frequent.
 	relayPollWait = 500 * time.Millisecond
+	// relayNoticeWait is how long a VM waits for a notice before it checks whether the relay has fallen silent.
+	relayNoticeWait = relayPollWait / 2
 	// relayTimeout is how long after a notice the other VMs depend on the relay.
 	relayTimeout = 1300 * time.Millisecond
 	// peerTimeout limits a request to the relay. Enough time must remain to read the store before the
@@ -303,6 +303,9 @@
 
 func (w *Watcher) watchServers(ctx context.Context, known psrevision.Revision) {
 	changed := known
+	// announced states that the last call returned changes. If their notice is lost, the next one shows that, so that
+	// follows soon.
+	announced := false
 	w.watchTable(ctx, table{
 		call: "servers", response: &w.servers, known: known, pollInterval: serversPollInterval, awaitNotice: w.awaitServersNotice,
 		read: func(ctx context.Context, known psrevision.Revision, recovering bool) (psrevision.Revision, error) {
@@ -317,13 +320,17 @@
 			return v.Revision, err
 		},
 		changes: func(ctx context.Context, after psrevision.Revision, wait time.Duration) (psrevision.Revision, error) {
+			if announced && w.relayEnabled() {
+				wait = min(wait, minPollWait)
+			}
 			v, err := w.options.Store.ServerChanges(ctx, after, wait)
 			if err == nil {
 				w.options.Sink.ApplyServers(v, false, false)
 				w.sendNotice(&psfleet.Notice{Servers: &psfleet.ServerChanges{
 					From: after, To: v.Revision, Before: changed, Entries: v.Entries, Removed: v.Removed,
 				}})
-				if len(v.Entries)+len(v.Removed) > 0 {
+				announced = len(v.Entries)+len(v.Removed) > 0
+				if announced {
 					changed = v.Revision
 				}
 			}
