psattempt: an earlier refusal without an id is not taken for the response

Callers of orders could get 'not run, try again' for an order that a server had run or was running (REFUSED), and such an order could run at a second server (TWICE): other operators' report of a server that writes an earlier refusal once more on a kept connection. Cause: responses to other requests are recognised by their id, but a response without an id counted as that to the request. Evidence: TestEarlierRefusalIsTakenForTheResponse fails in four of five cases without the fix (with an id it never did), TestEarlierRefusalDuringUploadIsTakenForTheResponse as well.

A response without an id is read and dropped on a connection that has served other requests; servers return the id of each request. On a new connection nothing earlier exists, so there it still counts. A request goes to each server at most once, so a refusal with its own id can't be an earlier copy.

--- a/internal/connection/psattempt/attempt.go
+++ b/internal/connection/psattempt/attempt.go
@@ -80,9 +80,9 @@
 }
 
 func (s *Sender) exchange(ctx context.Context, r Request) (pstransport.Result, error) {
-	matches := func(raw *http.Response) bool {
+	matches := func(raw *http.Response, reused bool) bool {
 		h := psheader.ReadResponse(raw.StatusCode, raw.Header)
-		if h.ID != "" && h.ID != r.ID {
+		if !Belongs(h.ID, r.ID, reused) {
 			return false
 		}
 		// A response of another server at the same address does not describe this one.
@@ -95,6 +95,15 @@
 	return s.Transport.SendWith(ctx, r.Server.Address, r.MaxConnections, s.upstreamRequest(r), options)
 }
 
+// Belongs reports whether a response with an id, or without one, is that to a request. Without an id it may be an earlier
+// response that the server sends again, if the connection has served other requests.
+func Belongs(response, request string, reused bool) bool {
+	if response == "" {
+		return !reused || request == ""
+	}
+	return response == request
+}
+
 // upstreamRequest returns the request as it is sent to the server.
 func (s *Sender) upstreamRequest(r Request) *http.Request {
 	header := psresponse.EndToEndHeaders(r.Caller.Header)
--- a/internal/connection/psforward/forward.go
+++ b/internal/connection/psforward/forward.go
@@ -116,7 +116,12 @@
 	header := psresponse.EndToEndHeaders(r.Caller.Header)
 	Origin{VM: f.Self, Attempts: r.Attempts}.write(header)
 	psheader.WriteLeft(header, r.Left)
-	options := pstransport.Options{MaxIdle: psattempt.MaxIdle(r.Repeatable)}
+	id := psheader.ReadRequest(r.Caller.Header).ID
+	matches := func(raw *http.Response, _ bool) bool {
+		// Responses of the helper itself may have no id.
+		return psattempt.Belongs(psheader.ReadResponse(raw.StatusCode, raw.Header).ID, id, false)
+	}
+	options := pstransport.Options{MaxIdle: psattempt.MaxIdle(r.Repeatable), Matches: matches}
 	result, err := f.Transport.SendWith(ctx, address, maxInFlight, psattempt.NewRequest(r.Caller, r.Body, header, address), options)
 	if err != nil {
 		return replyOfError(psattempt.ResultOfError(ctx, r.Caller, result.Sent, err))
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -70,6 +70,27 @@
 	return b
 }
 
+// startRawBackend starts a backend server whose function reads each request itself.
+func startRawBackend(t *testing.T, serve func(c net.Conn, r *bufio.Reader) bool) *backend {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(c)
+			for serve(c, reader) {
+			}
+			_ = c.Close()
+		}
+	}()
+	return &backend{listener: l}
+}
+
 func (b *backend) serve(c net.Conn, respond responder) {
 	defer c.Close() //nolint:errcheck // the test is over with it
 	reader := bufio.NewReader(c)
@@ -366,6 +387,64 @@
 	qt.Assert(t, body, qt.Equals, "ok")
 }
 
+// TestEarlierRefusalIsTakenForTheResponse covers a server that writes an earlier refusal once more on a kept connection,
+// before its response to an order. The refusal must not say that the order was not executed.
+func TestEarlierRefusalIsTakenForTheResponse(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"with the earlier id": "HTTP/1.1 503 Service Unavailable\r\n" + psstandin.NotRunLines("id-0") + "Content-Length: 0\r\n\r\n",
+		"without an id":       "HTTP/1.1 503 Service Unavailable\r\n" + psstandin.NotRunLine() + "Content-Length: 4\r\n\r\nfull",
+		"misdirected":         "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+		"in chunks":           "HTTP/1.1 503 Service Unavailable\r\n" + psstandin.NotRunLine() + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+		"after an early hint": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 429 Too Many Requests\r\n" + psstandin.NotRunLine() + "Content-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			connections := map[net.Conn]bool{}
+			respond := func(c net.Conn, r *http.Request) bool {
+				if connections[c] {
+					_, _ = io.WriteString(c, refusal)
+				}
+				connections[c] = true
+				return respondOK(c, r)
+			}
+			b, other := startBackend(t, respond), startBackend(t, respondOK)
+			s, control := startProxy(t, b, other)
+			control.snapshot.Servers["prices"] = control.snapshot.Servers["prices"][:1]
+			status, _, _ := do(t, request(t, s, http.MethodPost, "/orders/1", "x"))
+			qt.Assert(t, status, qt.Equals, http.StatusOK)
+			status, _, body := do(t, request(t, s, http.MethodPost, "/orders/2", "x"))
+			qt.Assert(t, status, qt.Equals, http.StatusOK)
+			qt.Assert(t, body, qt.Equals, "ok")
+			qt.Assert(t, b.count(), qt.Equals, 2)
+			qt.Assert(t, connections, qt.HasLen, 1)
+			qt.Assert(t, other.count(), qt.Equals, 0)
+		})
+	}
+}
+
+// TestEarlierRefusalDuringUploadIsTakenForTheResponse covers an earlier refusal that a server writes while it still reads
+// a long order.
+func TestEarlierRefusalDuringUploadIsTakenForTheResponse(t *testing.T) {
+	served := 0
+	b := startRawBackend(t, func(c net.Conn, r *bufio.Reader) bool {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return false
+		}
+		if served++; served > 1 {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+psstandin.NotRunLine()+"Content-Length: 0\r\n\r\n")
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		return respondOK(c, q)
+	})
+	s, _ := startProxy(t, b)
+	for range 2 {
+		status, _, body := do(t, request(t, s, http.MethodPost, "/orders/1", strings.Repeat("x", 300<<10)))
+		qt.Assert(t, status, qt.Equals, http.StatusOK)
+		qt.Assert(t, body, qt.Equals, "ok")
+	}
+	qt.Assert(t, served, qt.Equals, 2)
+}
+
 func TestResponseMayEndWithConnectionClose(t *testing.T) {
 	s, _ := startProxy(t, startBackend(t, func(c net.Conn, _ *http.Request) bool {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+psstandin.SignedLines("id-1")+"\r\nto the end")
--- a/internal/connection/pstransport/conn.go
+++ b/internal/connection/pstransport/conn.go
@@ -25,6 +25,8 @@
 	writer *bufio.Writer
 	// dedicated connections are closed after one exchange.
 	dedicated bool
+	// reused is set once the connection has served a request.
+	reused    bool
 	idleSince time.Time
 	// dialTime is how long opening the connection took; 0 if it is reused.
 	dialTime  time.Duration
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -209,7 +209,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if e.options.Matches == nil || e.options.Matches(response) {
+		if e.options.Matches == nil || e.options.Matches(response, e.conn.reused) {
 			return response, nil
 		}
 		if err := e.dropResponse(response); err != nil {
--- a/internal/connection/pstransport/pool.go
+++ b/internal/connection/pstransport/pool.go
@@ -170,7 +170,7 @@
 		return
 	}
 	c.idleSince = time.Now()
-	c.dialTime = 0
+	c.dialTime, c.reused = 0, true
 	if len(p.waiters) > 0 {
 		p.grantFirst(grant{c})
 		return
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -31,8 +31,8 @@
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/pstoken"
-	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/internal/process/pswait"
+	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/platform"
 	"persimmonstep/platform/pssettings"
 )
