--- a/internal/connection/pspeerstate/peerstate_test.go
+++ b/internal/connection/pspeerstate/peerstate_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -17,6 +19,7 @@
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
+	"persimmonstep/platform/psstandin"
 )
 
 // source provides a fixed control state, or none.
@@ -113,3 +116,23 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, response.State.Configuration.Version, qt.Equals, int64(7))
 }
+
+// TestBrokenStateIsUsed covers a VM whose response breaks off after each number of bytes.
+func TestBrokenStateIsUsed(t *testing.T) {
+	body, err := json.Marshal(psfleet.ControlState{Configuration: &psconfig.Configuration{Version: 7}})
+	qt.Assert(t, err, qt.IsNil)
+	for _, head := range []string{fmt.Sprintf("Content-Length: %d\r\n", len(body)), "Connection: close\r\n"} {
+		text := "HTTP/1.1 200 OK\r\nBeliefs-Age: 1s\r\n" + head + "\r\n" + string(body)
+		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
+		qt.Assert(t, err, qt.IsNil)
+		server, stop := psstandin.StartBreaking(l, text)
+		c, clean := pspeerstate.NewClient(nil)
+		for n := range len(text) {
+			server.Length.Store(int64(n))
+			_, err := c.Fetch(t.Context(), server.Address(), "")
+			qt.Assert(t, err, qt.IsNotNil, qt.Commentf("after %d bytes", n))
+		}
+		clean()
+		stop()
+	}
+}
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -232,10 +232,13 @@
 	r, err := http.NewRequestWithContext(context.Background(), method, s.URL+path, strings.NewReader(body))
 	qt.Assert(t, err, qt.IsNil)
 	r.Host = "eggs.test"
-	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: "id-1", Object: "7", Left: time.Second, Key: "k-1"})
+	psstandin.WriteRequestHeaders(r.Header, callerHeaders)
 	return r
 }
 
+// callerHeaders are the headers of a caller with the key of the first workspace.
+var callerHeaders = psheader.Request{ID: "id-1", Object: "7", Left: time.Second, Key: "k-1"}
+
 // do sends a request and returns the status, header and body of the response.
 func do(t *testing.T, r *http.Request) (int, http.Header, string) {
 	t.Helper()
@@ -398,12 +401,11 @@
 		"after an early hint": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 429 Too Many Requests\r\n" + psstandin.NotRunLine() + "Content-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			connections := map[net.Conn]bool{}
+			var connections sync.Map
 			respond := func(c net.Conn, r *http.Request) bool {
-				if connections[c] {
+				if _, reused := connections.LoadOrStore(c, true); reused {
 					_, _ = io.WriteString(c, refusal)
 				}
-				connections[c] = true
 				return respondOK(c, r)
 			}
 			b, other := startBackend(t, respond), startBackend(t, respondOK)
@@ -415,7 +417,12 @@
 			qt.Assert(t, status, qt.Equals, http.StatusOK)
 			qt.Assert(t, body, qt.Equals, "ok")
 			qt.Assert(t, b.count(), qt.Equals, 2)
-			qt.Assert(t, connections, qt.HasLen, 1)
+			opened := 0
+			connections.Range(func(any, any) bool {
+				opened++
+				return true
+			})
+			qt.Assert(t, opened, qt.Equals, 1)
 			qt.Assert(t, other.count(), qt.Equals, 0)
 		})
 	}
@@ -424,13 +431,13 @@
 // TestEarlierRefusalDuringUploadIsTakenForTheResponse covers an earlier refusal that a server writes while it still reads
 // a long order.
 func TestEarlierRefusalDuringUploadIsTakenForTheResponse(t *testing.T) {
-	served := 0
+	var served atomic.Int64
 	b := startRawBackend(t, func(c net.Conn, r *bufio.Reader) bool {
 		q, err := http.ReadRequest(r)
 		if err != nil {
 			return false
 		}
-		if served++; served > 1 {
+		if served.Add(1) > 1 {
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+psstandin.NotRunLine()+"Content-Length: 0\r\n\r\n")
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
@@ -442,7 +449,7 @@
 		qt.Assert(t, status, qt.Equals, http.StatusOK)
 		qt.Assert(t, body, qt.Equals, "ok")
 	}
-	qt.Assert(t, served, qt.Equals, 2)
+	qt.Assert(t, served.Load(), qt.Equals, int64(2))
 }
 
 func TestResponseMayEndWithConnectionClose(t *testing.T) {
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"encoding/json"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -92,6 +93,8 @@
 const (
 	// maxLink is the fastest network link, in Mbit/s.
 	maxLink = 10_000_000
+	// maxPeerPort leaves room for the ports of a VM that follow the one for messages.
+	maxPeerPort = math.MaxUint16 - 8
 	// maxSequence is reached after thousands of years of reports.
 	maxSequence = 1 << 40
 )
@@ -104,7 +107,7 @@
 	if i.VM == "" || i.FailureDomain == "" || i.Region == "" || !i.CallerAddress.IsValid() || !i.PeerAddress.IsValid() {
 		return errors.New("check VM identity: a field is missing")
 	}
-	if i.CallerAddress.Port() == 0 || i.PeerAddress.Port() == 0 || i.Link < 0 || i.Link > maxLink {
+	if i.CallerAddress.Port() == 0 || i.PeerAddress.Port() == 0 || i.PeerAddress.Port() > maxPeerPort || i.Link < 0 || i.Link > maxLink {
 		return errors.New("check VM identity: a port or the link is out of range")
 	}
 	return i.checkIncarnation()
