psfleet: VMs state what their build can do for others

Cause: nothing says what a build can do.

Now the identity states features. TestHelperOfEarlierBuildIsPreferred and TestVMOfEarlierBuildMisleadsOthers fail without it.

--- a/internal/connection/psforward/forward.go
+++ b/internal/connection/psforward/forward.go
@@ -80,19 +80,19 @@
 	inFlight map[string]int
 }
 
-// Pick returns the helper for the next request, of helpers that are ordered by their distance. It is the least used of
+// Pick returns the helper for the next request, of helpers that are ordered by their rank. It is the least used of
 // the nearest ones, or of all if these are busy. It returns false if there is none with free capacity.
 func (f *Forwarder) Pick(helpers []psfleet.Identity) (psfleet.Identity, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var best psfleet.Identity
-	least, ties, distance := maxInFlight, 0, -1
+	least, ties, rank := maxInFlight, 0, -1
 	for _, h := range helpers {
-		d := h.Distance(f.FailureDomain, f.Region)
-		if d != distance && least < nearInFlight {
+		r := h.HelperRank(f.FailureDomain, f.Region)
+		if r != rank && least < nearInFlight {
 			break
 		}
-		distance = d
+		rank = r
 		n := f.inFlight[h.VM]
 		switch {
 		case n < least:
--- a/internal/connection/psforward/forward_test.go
+++ b/internal/connection/psforward/forward_test.go
@@ -17,7 +17,22 @@
 
 // helper returns a VM at a loopback address.
 func helper(name, domain string, address netip.AddrPort) psfleet.Identity {
-	return psfleet.Identity{VM: name, FailureDomain: domain, Region: "north", PeerAddress: address}
+	return psfleet.Identity{VM: name, FailureDomain: domain, Region: "north", PeerAddress: address, Features: psfleet.CurrentFeatures}
+}
+
+// TestHelperOfEarlierBuildIsPreferred covers a near VM whose build may be unable to forward requests, while others can.
+func TestHelperOfEarlierBuildIsPreferred(t *testing.T) {
+	f := &psforward.Forwarder{FailureDomain: "north-a", Region: "north"}
+	earlier, able := helper("vm-2", "north-a", netip.AddrPort{}), helper("vm-3", "north-b", netip.AddrPort{})
+	earlier.Features = 0
+	for range 20 {
+		h, found := f.Pick([]psfleet.Identity{able, earlier})
+		qt.Assert(t, found, qt.IsTrue)
+		qt.Assert(t, h.VM, qt.Equals, "vm-3")
+	}
+	h, found := f.Pick([]psfleet.Identity{earlier})
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Assert(t, h.VM, qt.Equals, "vm-2")
 }
 
 // startSilent starts a listener that accepts connections and never responds, as the helper's port for forwarded requests.
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -45,8 +45,17 @@
 			s.RecordPeerLag(lag, now)
 		}
 	}
+	c.applyPeerFailures(r, before, now)
+}
+
+// applyPeerFailures takes servers out of use that another VM newly names as failed. A VM that doesn't know the state of
+// its own links says nothing about servers by that.
+func (c *Controller) applyPeerFailures(r *psfleet.Report, before psfleet.Peer, now time.Time) {
+	if before.Report == nil || !r.Features.Has(psfleet.LinkState) {
+		return
+	}
 	for _, id := range r.Failed {
-		if s, found := c.servers.Get(id); found && before.Report != nil && !slices.Contains(before.Report.Failed, id) {
+		if s, found := c.servers.Get(id); found && !slices.Contains(before.Report.Failed, id) {
 			c.applyPeerFailure(s, now)
 		}
 	}
--- a/internal/process/pscontrol/link_test.go
+++ b/internal/process/pscontrol/link_test.go
@@ -11,9 +11,11 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/platform"
 	"persimmonstep/platform/psheader"
 )
 
@@ -65,3 +67,25 @@
 	c.ServerFailed(servers[2], pshealth.ReasonUnreachable, "id-3")
 	qt.Assert(t, servers[2].Usable(time.Now()), qt.IsTrue)
 }
+
+// TestVMOfEarlierBuildMisleadsOthers covers a VM whose build doesn't know the state of its own links, and which names
+// servers as failed because of that.
+func TestVMOfEarlierBuildMisleadsOthers(t *testing.T) {
+	for _, features := range []psfleet.Features{0, psfleet.CurrentFeatures} {
+		c, _, _ := startWithLinks(t)
+		server := c.Snapshot().Servers["prices"][0]
+		report := psfleet.Report{Identity: psfleet.Identity{
+			VM: "vm-2", FailureDomain: "north-a", Region: "north", Incarnation: 1, Features: features,
+			CallerAddress: netip.MustParseAddrPort("127.0.0.2:80"), PeerAddress: netip.MustParseAddrPort("127.0.0.2:81"),
+		}}
+		for sequence, failed := range [][]string{nil, {server.Entry().ID}} {
+			r := report
+			r.Sequence, r.Failed = int64(sequence+1), failed
+			c.ReceiveReport(&r)
+		}
+		// The controller handles events in order, so after this one it has handled the reports.
+		c.ApplyServers(platform.Servers{Entries: []psserver.Entry{entry("i-4")}}, false, false)
+		eventually(t, "four servers", func() bool { return serverCount(c) == 4 })
+		qt.Assert(t, server.Usable(time.Now()), qt.Equals, features == 0)
+	}
+}
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -65,6 +65,8 @@
 	Link float64 `json:"link,omitempty"`
 	// Incarnation is the start time of the process, in milliseconds since the Unix epoch. It grows with each restart.
 	Incarnation int64 `json:"incarnation"`
+	// Features are what the build of the VM can do for others.
+	Features Features `json:"features,omitempty"`
 }
 
 // Before orders the VMs of a region or failure domain in the same way on all VMs. The first live VM
@@ -76,6 +78,9 @@
 	return i.VM < other.VM
 }
 
+// maxDistance is the largest distance of two VMs.
+const maxDistance = 2
+
 // Distance returns the distance of the VM from a location: 0 within a failure domain, 1 within a region and 2 between
 // regions.
 func (i Identity) Distance(failureDomain, region string) int {
@@ -85,7 +90,7 @@
 	case i.Region == region:
 		return 1
 	}
-	return 2
+	return maxDistance
 }
 
 // The ranges of an identity's fields. An identity with a later incarnation would hide all reports of its VM, and one with
--- a/internal/process/psfleet/role.go
+++ b/internal/process/psfleet/role.go
@@ -33,6 +33,7 @@
 }
 
 // Helpers returns the other live VMs that reach backend servers and take requests, those that are nearer to this VM first.
+// VMs that don't state that they forward requests and know the state of their links come after all others.
 func (f *Fleet) Helpers(now time.Time) []Identity {
 	var list []Identity
 	for _, p := range f.Peers() {
@@ -41,7 +42,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b Identity) int {
-		return cmp.Compare(a.Distance(f.self.FailureDomain, f.self.Region), b.Distance(f.self.FailureDomain, f.self.Region))
+		return cmp.Compare(a.HelperRank(f.self.FailureDomain, f.self.Region), b.HelperRank(f.self.FailureDomain, f.self.Region))
 	})
 	return list
 }
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -208,7 +208,7 @@
 func identity(s *psnode.Settings) psfleet.Identity {
 	return psfleet.Identity{
 		VM: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, CallerAddress: s.Callers,
-		PeerAddress: peerAddress(s), Link: s.Link, Incarnation: time.Now().UnixMilli(),
+		PeerAddress: peerAddress(s), Link: s.Link, Incarnation: time.Now().UnixMilli(), Features: psfleet.CurrentFeatures,
 	}
 }
 
