pssoak: VMs of an earlier build beside those of the present one

The soak's servers number their heartbeats by the time in nanoseconds, which the bound of the sequence must allow: 2^62 in place of 2^40 (found by reading the soak before its first run; with 2^40 no server of such a deployment would have been used).

--- a/internal/process/psserver/entry.go
+++ b/internal/process/psserver/entry.go
@@ -58,8 +58,8 @@
 const (
 	maxSlots = 1 << 12
 	maxCold  = time.Hour
-	// maxSequence is reached after 34 years with a heartbeat each millisecond.
-	maxSequence = 1 << 40
+	// maxSequence leaves room for servers that number their heartbeats by the time in nanoseconds.
+	maxSequence = 1 << 62
 	// maxNameBytes is the length of the longest key of the store, in bytes.
 	maxNameBytes = 200
 )
--- a/internal/process/pssoak/cluster_test.go
+++ b/internal/process/pssoak/cluster_test.go
@@ -61,7 +61,9 @@
 	servers    []*server
 	start      time.Time
 
-	mutex          sync.Mutex
+	mutex sync.Mutex
+	// starts counts the starts of VMs.
+	starts         int
 	version        int64
 	revoked        time.Time
 	lastStoreFault time.Time
@@ -119,7 +121,7 @@
 	cl.configure(true)
 	for i := range vmCount {
 		cl.vms = append(cl.vms, cl.newProcess(i))
-		cl.vms[i].start(t, cl.binary)
+		cl.vms[i].start(t, cl.nextBinary())
 	}
 	t.Cleanup(func() {
 		for _, p := range cl.vms {
@@ -129,6 +131,18 @@
 	return cl
 }
 
+// nextBinary returns the binary for the next start of a VM. With an earlier binary the VMs begin with that and the present
+// one by turns, so that restarts upgrade some VMs and roll others back.
+func (cl *cluster) nextBinary() string {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	cl.starts++
+	if *earlierBinary != "" && cl.starts%2 == 0 {
+		return *earlierBinary
+	}
+	return cl.binary
+}
+
 // configure writes the next configuration, in which the second key is valid or revoked.
 func (cl *cluster) configure(secondKeyValid bool) {
 	cl.mutex.Lock()
--- a/internal/process/pssoak/soak_test.go
+++ b/internal/process/pssoak/soak_test.go
@@ -27,6 +27,7 @@
 	firstSeed     = flag.Uint64("soak.seed", 1, "the first seed")
 	seeds         = flag.Int("soak.seeds", 1, "the number of seeds")
 	faultDuration = flag.Duration("soak.span", 6*time.Second, "how long faults are injected for each seed")
+	earlierBinary = flag.String("soak.earlier", "", "the path of an earlier binary, which some VMs run at first and after some restarts")
 	logDirectory  = flag.String("soak.keep", "", "the directory in which the logs of failed seeds are saved")
 )
 
@@ -223,7 +224,7 @@
 		_ = c.Process.Kill()
 		<-ended
 	}
-	p.start(cl.t, cl.binary)
+	p.start(cl.t, cl.nextBinary())
 }
 
 // clearFaults ends all faults.
