pscontrol: lost links are reported once requests are served accordingly

TestServerCannotClaimToBeHelper failed in 3 of 128 runs beside load (8 groups side by side, race detector): 503 where 200 is wanted.

The test is unchanged.

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -260,10 +260,15 @@
 // applyPublished processes the identities that other VMs have published. It returns when the snapshot
 // includes them.
 func (c *Controller) applyPublished(rows map[string][]byte) {
-	e := vmsEvent{rows, make(chan struct{})}
-	c.enqueue(e)
+	applied := make(chan struct{})
+	c.enqueue(vmsEvent{rows, applied})
+	c.awaitPublished(applied)
+}
+
+// awaitPublished waits until the published snapshot includes an event, or the controller ends.
+func (c *Controller) awaitPublished(applied <-chan struct{}) {
 	select {
-	case <-e.applied:
+	case <-applied:
 	case <-c.runContext.Done():
 	}
 }
@@ -295,8 +300,12 @@
 	configurationEvent struct{ configuration *psconfig.Configuration }
 	serverLeavingEvent struct{ run psserver.Run }
 	// serverDownEvent reports a server that other VMs can't be expected to reach either.
-	serverDownEvent  struct{ id string }
-	linksEvent       struct{}
+	serverDownEvent struct{ id string }
+	// linksEvent reports that the links to all servers were lost or restored.
+	linksEvent struct {
+		// applied is closed once the published snapshot says so.
+		applied chan struct{}
+	}
 	serverLimitEvent struct{ run psserver.Run }
 	leaveEvent       struct{}
 	peerStateEvent   struct{ pssync.PeerState }
@@ -339,6 +348,18 @@
 	}
 }
 
+// awaitedBy returns the channel to close once the published snapshot includes an event; nil if nothing waits for that.
+func awaitedBy(e event) chan struct{} {
+	switch e := e.(type) {
+	case vmsEvent:
+		return e.applied
+	case linksEvent:
+		return e.applied
+	default:
+		return nil
+	}
+}
+
 // Run processes events, store changes and timers until the context ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.runContext = ctx
@@ -360,9 +381,9 @@
 				// Changes from other VMs' reports are published with this VM's next report.
 				continue
 			}
-			if v, found := e.(vmsEvent); found {
+			if applied := awaitedBy(e); applied != nil {
 				c.publish()
-				close(v.applied)
+				close(applied)
 				continue
 			}
 		case <-reportTimer.C:
--- a/internal/process/pscontrol/link.go
+++ b/internal/process/pscontrol/link.go
@@ -20,8 +20,13 @@
 	return list
 }
 
-// LinksChanged processes that the links to all servers were lost or restored.
-func (c *Controller) LinksChanged(bool) { c.enqueue(linksEvent{}) }
+// LinksChanged processes that the links to all servers were lost or restored. It returns when requests are served
+// accordingly.
+func (c *Controller) LinksChanged(bool) {
+	applied := make(chan struct{})
+	c.enqueue(linksEvent{applied})
+	c.awaitPublished(applied)
+}
 
 // ServerLinksLost reports whether this VM reaches no server.
 func (c *Controller) ServerLinksLost() bool { return c.options.Links.Lost() }
