pssteer, pswatch: callers that cling, calls that a silent store takes

Each call of both tables that the store takes and never answers, in a small fleet and by a relay, is followed by the next one within contact_s.

--- a/internal/process/pssteer/steer_test.go
+++ b/internal/process/pssteer/steer_test.go
@@ -76,6 +76,12 @@
 
 // startVMIn starts a VM in an emulated network.
 func startVMIn(t *testing.T, name, a string, store netip.AddrPort, network pssteer.Network) *vm {
+	t.Helper()
+	return startVMWithGrace(t, name, a, store, network, time.Second)
+}
+
+// startVMWithGrace starts a VM with a grace period.
+func startVMWithGrace(t *testing.T, name, a string, store netip.AddrPort, network pssteer.Network, grace time.Duration) *vm {
 	t.Helper()
 	at := netip.MustParseAddr(a)
 	address := func(port uint16) string { return netip.AddrPortFrom(at, port).String() }
@@ -84,7 +90,7 @@
 		settings: filepath.Join(t.TempDir(), "node.yaml"), log: &output{}, reload: make(chan os.Signal), ended: make(chan error, 1),
 	}
 	text := psstandin.Settings(psstandin.VM{
-		Name: name, FailureDomain: "north-a", Region: "north", Address: at, Store: store, Grace: time.Second,
+		Name: name, FailureDomain: "north-a", Region: "north", Address: at, Store: store, Grace: grace,
 	})
 	qt.Assert(t, os.WriteFile(v.settings, text, 0o600), qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/process/pswatch/delay_test.go
+++ b/internal/process/pswatch/delay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -151,3 +152,60 @@
 	qt.Assert(t, <-f.revisions, qt.Equals, psrevision.New(0, 10))
 	qt.Assert(t, f.revisions, qt.HasLen, 0)
 }
+
+// silentStore takes the calls of one kind and never answers them.
+type silentStore struct {
+	environment
+	kind  string
+	calls chan time.Time
+}
+
+func (s *silentStore) answer(ctx context.Context, kind string) error {
+	if kind != s.kind {
+		return nil
+	}
+	s.calls <- time.Now()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (s *silentStore) Servers(ctx context.Context) (platform.Servers, error) {
+	return platform.Servers{Revision: psrevision.New(0, 10)}, s.answer(ctx, "servers")
+}
+
+func (s *silentStore) ServerChanges(ctx context.Context, after psrevision.Revision, wait time.Duration) (platform.Servers, error) {
+	err := s.answer(ctx, "serverChanges")
+	sleep(ctx, wait)
+	return platform.Servers{Revision: after}, err
+}
+
+func (s *silentStore) DesiredState(ctx context.Context) (platform.DesiredState, error) {
+	return platform.DesiredState{Revision: psrevision.New(0, 10)}, s.answer(ctx, "desiredState")
+}
+
+func (s *silentStore) DesiredStateChanges(ctx context.Context, after psrevision.Revision, wait time.Duration) (platform.DesiredState, error) {
+	err := s.answer(ctx, "desiredStateChanges")
+	sleep(ctx, wait)
+	return platform.DesiredState{Revision: after}, err
+}
+
+// TestUnansweredCallOutlastsContact covers each call of both tables that the store took in an outage and never answers, in
+// a small fleet and by a relay. The next call must come before the bounds apply again.
+func TestUnansweredCallOutlastsContact(t *testing.T) {
+	const contact = 3 * time.Second
+	for _, kind := range []string{"servers", "serverChanges", "desiredState", "desiredStateChanges"} {
+		for _, fleet := range []int{9, 74} {
+			t.Run(fmt.Sprint(kind, " of ", fleet), func(t *testing.T) {
+				t.Parallel()
+				s := &silentStore{kind: kind, calls: make(chan time.Time, 100)}
+				e := &environment{fleet: fleet, notices: make(chan *psfleet.Notice, 1000), applied: make(chan platform.Servers, 1000)}
+				w := startWatcher(t, pswatch.Options{Store: s, PeerSource: e, Sink: e, Peers: e, Contact: contact, Heartbeat: 1500 * time.Millisecond})
+				first := <-s.calls
+				qt.Assert(t, (<-s.calls).Sub(first) < contact, qt.IsTrue)
+				if kind == "servers" || kind == "desiredState" {
+					qt.Assert(t, w.Lost(), qt.IsTrue)
+				}
+			})
+		}
+	}
+}
