trial: the packages for trials have an area of their own

psdev, psnetwork, psbackend, psload, psscenario, psexperiment, psresult, psguarantee and pssoak move from internal/process to internal/trial: they live for a trial and are no part of a VM, and made a quarter of the packages there.

--- a/internal/process/pscli/check.go
+++ b/internal/process/pscli/check.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psscenario"
+	"persimmonstep/internal/trial/psscenario"
 	"persimmonstep/platform"
 	"persimmonstep/platform/pssettings"
 )
--- a/internal/process/pscli/cli_test.go
+++ b/internal/process/pscli/cli_test.go
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/process/pscli"
-	"persimmonstep/internal/process/psdev"
+	"persimmonstep/internal/trial/psdev"
 )
 
 // run executes a command and returns its exit code and combined output.
--- a/internal/process/pscli/dev.go
+++ b/internal/process/pscli/dev.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psdev"
+	"persimmonstep/internal/trial/psdev"
 )
 
 // devCommand runs the development system.
--- a/internal/process/pscli/measure.go
+++ b/internal/process/pscli/measure.go
@@ -10,9 +10,9 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psexperiment"
-	"persimmonstep/internal/process/psresult"
-	"persimmonstep/internal/process/psscenario"
+	"persimmonstep/internal/trial/psexperiment"
+	"persimmonstep/internal/trial/psresult"
+	"persimmonstep/internal/trial/psscenario"
 )
 
 // measureCommand runs experiments.
--- a/internal/process/pstoken/limit_test.go
+++ b/internal/process/pstoken/limit_test.go
@@ -13,11 +13,11 @@
 
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/process/psfleet"
-	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
+	"persimmonstep/internal/trial/psguarantee"
 )
 
 const (
--- a/internal/process/psbackend/pause_test.go
+++ b/internal/trial/psbackend/pause_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psbackend"
+	"persimmonstep/internal/trial/psbackend"
 )
 
 // TestRequestsDuringPauseAreCounted checks that a server counts the requests during a pause that it requested.
--- a/internal/process/psbackend/server_test.go
+++ b/internal/trial/psbackend/server_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
-	"persimmonstep/internal/process/psbackend"
+	"persimmonstep/internal/trial/psbackend"
 	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
--- a/internal/process/psdev/dev.go
+++ b/internal/trial/psdev/dev.go
@@ -20,10 +20,10 @@
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/internal/process/psnetwork"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pswait"
+	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psnetwork"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psstandin"
--- a/internal/process/psdev/dev_test.go
+++ b/internal/trial/psdev/dev_test.go
@@ -12,9 +12,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/internal/process/psdev"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psdev"
 	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
--- a/internal/process/psdev/topology.go
+++ b/internal/trial/psdev/topology.go
@@ -6,7 +6,7 @@
 
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/psbackend"
+	"persimmonstep/internal/trial/psbackend"
 	"persimmonstep/internal/version/psconfig"
 )
 
--- a/internal/process/psexperiment/experiment.go
+++ b/internal/trial/psexperiment/experiment.go
@@ -19,13 +19,13 @@
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/internal/process/psdev"
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/process/psguarantee"
-	"persimmonstep/internal/process/psload"
-	"persimmonstep/internal/process/psresult"
-	"persimmonstep/internal/process/psscenario"
+	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psdev"
+	"persimmonstep/internal/trial/psguarantee"
+	"persimmonstep/internal/trial/psload"
+	"persimmonstep/internal/trial/psresult"
+	"persimmonstep/internal/trial/psscenario"
 	"persimmonstep/platform/psstandin"
 )
 
--- a/internal/process/psexperiment/fault.go
+++ b/internal/trial/psexperiment/fault.go
@@ -8,12 +8,12 @@
 	"sync"
 	"time"
 
-	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/pslimit"
-	"persimmonstep/internal/process/psnetwork"
-	"persimmonstep/internal/process/psscenario"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psguarantee"
+	"persimmonstep/internal/trial/psnetwork"
+	"persimmonstep/internal/trial/psscenario"
 	"persimmonstep/platform/psstandin"
 )
 
--- a/internal/process/psexperiment/policy.go
+++ b/internal/trial/psexperiment/policy.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/psdev"
-	"persimmonstep/internal/process/psload"
+	"persimmonstep/internal/trial/psdev"
+	"persimmonstep/internal/trial/psload"
 )
 
 // Policy is a way to route requests. Experiments compare several of them.
--- a/internal/process/psexperiment/servercut_test.go
+++ b/internal/trial/psexperiment/servercut_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
-	"persimmonstep/internal/process/psexperiment"
-	"persimmonstep/internal/process/psscenario"
+	"persimmonstep/internal/trial/psexperiment"
+	"persimmonstep/internal/trial/psscenario"
 	"persimmonstep/internal/version/pstoml"
 )
 
--- a/internal/process/psexperiment/usage.go
+++ b/internal/trial/psexperiment/usage.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"persimmonstep/internal/process/psresult"
+	"persimmonstep/internal/trial/psresult"
 	"persimmonstep/platform/psstandin"
 )
 
--- a/internal/process/psguarantee/check.go
+++ b/internal/trial/psguarantee/check.go
@@ -12,7 +12,7 @@
 	"slices"
 	"time"
 
-	"persimmonstep/internal/process/psload"
+	"persimmonstep/internal/trial/psload"
 )
 
 // PropagationGrace is how long a key revocation or a drain may take to propagate to all VMs.
--- a/internal/process/psguarantee/check_test.go
+++ b/internal/trial/psguarantee/check_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psguarantee"
-	"persimmonstep/internal/process/psload"
+	"persimmonstep/internal/trial/psguarantee"
+	"persimmonstep/internal/trial/psload"
 	"persimmonstep/internal/version/psconfig"
 )
 
--- a/internal/process/psguarantee/limit_test.go
+++ b/internal/trial/psguarantee/limit_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/trial/psguarantee"
 )
 
 // limitedServer returns a server with a history of 20 s, in which each of four VMs sends it a request every 400 ms.
--- a/internal/process/psguarantee/servercut_test.go
+++ b/internal/trial/psguarantee/servercut_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psguarantee"
-	"persimmonstep/internal/process/psload"
+	"persimmonstep/internal/trial/psguarantee"
+	"persimmonstep/internal/trial/psload"
 )
 
 // firstAttempts returns observations of first attempts at a VM in one second, of which some were served.
--- a/internal/process/psload/caller.go
+++ b/internal/trial/psload/caller.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psbackend"
+	"persimmonstep/internal/trial/psbackend"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psheader"
--- a/internal/process/psload/schedule_test.go
+++ b/internal/trial/psload/schedule_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psload"
+	"persimmonstep/internal/trial/psload"
 )
 
 func TestDrawFollowsSeedAndRate(t *testing.T) {
--- a/internal/process/psresult/result.go
+++ b/internal/trial/psresult/result.go
@@ -9,9 +9,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"persimmonstep/internal/process/psguarantee"
-	"persimmonstep/internal/process/psload"
-	"persimmonstep/internal/process/psscenario"
+	"persimmonstep/internal/trial/psguarantee"
+	"persimmonstep/internal/trial/psload"
+	"persimmonstep/internal/trial/psscenario"
 )
 
 // Run is what was recorded of one run.
--- a/internal/process/psscenario/firm.go
+++ b/internal/trial/psscenario/firm.go
@@ -7,9 +7,9 @@
 
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/psbackend"
-	"persimmonstep/internal/process/psdev"
-	"persimmonstep/internal/process/psload"
+	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psdev"
+	"persimmonstep/internal/trial/psload"
 	"persimmonstep/internal/version/psconfig"
 )
 
--- a/internal/process/psscenario/scenario_test.go
+++ b/internal/trial/psscenario/scenario_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psscenario"
+	"persimmonstep/internal/trial/psscenario"
 )
 
 func TestScenarioFilesAreValid(t *testing.T) {
--- a/internal/process/pssoak/cluster_test.go
+++ b/internal/trial/pssoak/cluster_test.go
@@ -19,9 +19,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psguarantee"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/trial/psguarantee"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform/psstandin"
 )
