--- a/internal/connection/psforward/forward.go
+++ b/internal/connection/psforward/forward.go
@@ -17,7 +17,7 @@
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pstransport"
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/platform/psheader"
 )
 
@@ -82,10 +82,10 @@
 
 // Pick returns the helper for the next request, of helpers that are ordered by their rank. It is the least used of
 // the nearest ones, or of all if these are busy. It returns false if there is none with free capacity.
-func (f *Forwarder) Pick(helpers []psfleet.Identity) (psfleet.Identity, bool) {
+func (f *Forwarder) Pick(helpers []psmessage.Identity) (psmessage.Identity, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	var best psfleet.Identity
+	var best psmessage.Identity
 	least, ties, rank := maxInFlight, 0, -1
 	for _, h := range helpers {
 		r := h.HelperRank(f.FailureDomain, f.Region)
@@ -109,7 +109,7 @@
 }
 
 // Send sends a request through a helper and returns how that ended.
-func (f *Forwarder) Send(ctx context.Context, helper psfleet.Identity, r Request) Reply {
+func (f *Forwarder) Send(ctx context.Context, helper psmessage.Identity, r Request) Reply {
 	f.count(helper.VM, 1)
 	defer f.count(helper.VM, -1)
 	address := Address(helper.PeerAddress)
@@ -158,7 +158,7 @@
 }
 
 // InFlight returns the number of requests that this VM sends through a helper now.
-func (f *Forwarder) InFlight(helper psfleet.Identity) int {
+func (f *Forwarder) InFlight(helper psmessage.Identity) int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.inFlight[helper.VM]
--- a/internal/connection/psforward/forward_test.go
+++ b/internal/connection/psforward/forward_test.go
@@ -12,12 +12,12 @@
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/pstransport"
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 )
 
 // helper returns a VM at a loopback address.
-func helper(name, domain string, address netip.AddrPort) psfleet.Identity {
-	return psfleet.Identity{VM: name, FailureDomain: domain, Region: "north", PeerAddress: address, Features: psfleet.CurrentFeatures}
+func helper(name, domain string, address netip.AddrPort) psmessage.Identity {
+	return psmessage.Identity{VM: name, FailureDomain: domain, Region: "north", PeerAddress: address, Features: psmessage.CurrentFeatures}
 }
 
 // TestHelperOfEarlierBuildIsPreferred covers a near VM whose build may be unable to forward requests, while others can.
@@ -26,11 +26,11 @@
 	earlier, able := helper("vm-2", "north-a", netip.AddrPort{}), helper("vm-3", "north-b", netip.AddrPort{})
 	earlier.Features = 0
 	for range 20 {
-		h, found := f.Pick([]psfleet.Identity{able, earlier})
+		h, found := f.Pick([]psmessage.Identity{able, earlier})
 		qt.Assert(t, found, qt.IsTrue)
 		qt.Assert(t, h.VM, qt.Equals, "vm-3")
 	}
-	h, found := f.Pick([]psfleet.Identity{earlier})
+	h, found := f.Pick([]psmessage.Identity{earlier})
 	qt.Assert(t, found, qt.IsTrue)
 	qt.Assert(t, h.VM, qt.Equals, "vm-2")
 }
@@ -56,7 +56,7 @@
 	transport, clean := pstransport.New()
 	defer clean()
 	f := &psforward.Forwarder{Self: "vm-1", FailureDomain: "north-a", Region: "north", Transport: transport}
-	near := []psfleet.Identity{helper("vm-2", "north-a", startSilent(t, 2)), helper("vm-3", "north-a", startSilent(t, 3))}
+	near := []psmessage.Identity{helper("vm-2", "north-a", startSilent(t, 2)), helper("vm-3", "north-a", startSilent(t, 3))}
 	all := append(near, helper("vm-4", "north-b", startSilent(t, 4)))
 	counts := map[string]int{}
 	for range 3 * 128 {
--- a/internal/connection/pspeer/digest.go
+++ b/internal/connection/pspeer/digest.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 )
 
 const (
@@ -34,7 +34,7 @@
 }
 
 // Digest sends a digest to each of the VMs, in several messages if it has many reports.
-func (e *Endpoint) Digest(d *psfleet.Digest, to []psfleet.Identity) error {
+func (e *Endpoint) Digest(d *psmessage.Digest, to []psmessage.Identity) error {
 	var failed error
 	for begin := 0; begin < len(d.Reports); begin += maxDigestReports {
 		part := *d
@@ -50,7 +50,7 @@
 	return failed
 }
 
-func (c *digestCodec) encode(d *psfleet.Digest) (compressedDigest, error) {
+func (c *digestCodec) encode(d *psmessage.Digest) (compressedDigest, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var b bytes.Buffer
@@ -67,7 +67,7 @@
 	return compressedDigest{b.Bytes()}, nil
 }
 
-func (c *digestCodec) decode(v compressedDigest) (*psfleet.Digest, error) {
+func (c *digestCodec) decode(v compressedDigest) (*psmessage.Digest, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.reader == nil {
@@ -76,7 +76,7 @@
 	if err := c.reader.Reset(bytes.NewReader(v.Digest)); err != nil {
 		return nil, errors.Wrap(err, "decompress digest")
 	}
-	d := &psfleet.Digest{}
+	d := &psmessage.Digest{}
 	if err := json.NewDecoder(io.LimitReader(c.reader, maxDigestBytes)).Decode(d); err != nil {
 		return nil, errors.Wrap(err, "decode digest")
 	}
--- a/internal/connection/pspeer/endpoint.go
+++ b/internal/connection/pspeer/endpoint.go
@@ -18,7 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 )
 
 const (
@@ -38,13 +38,13 @@
 // Handler handles the messages of other VMs.
 type Handler interface {
 	// HandleReport handles a valid report.
-	HandleReport(r *psfleet.Report)
+	HandleReport(r *psmessage.Report)
 	// HandleNotice handles a valid notice.
-	HandleNotice(n *psfleet.Notice)
+	HandleNotice(n *psmessage.Notice)
 	// HandleDigest handles a valid digest.
-	HandleDigest(d *psfleet.Digest)
+	HandleDigest(d *psmessage.Digest)
 	// GrantToken responds to a request for a token of a workspace.
-	GrantToken(r psfleet.TokenRequest) psfleet.TokenResponse
+	GrantToken(r psmessage.TokenRequest) psmessage.TokenResponse
 	// HandleInvalid handles a datagram that could not be processed.
 	HandleInvalid(from netip.AddrPort, err error)
 }
@@ -63,7 +63,7 @@
 
 	mutex      sync.Mutex
 	lastID     uint64
-	pending    map[uint64]chan psfleet.TokenResponse
+	pending    map[uint64]chan psmessage.TokenResponse
 	roundTrips roundTrips
 	// responses are the latest responses to other VMs. Only the goroutine that runs Receive uses them.
 	responses responseCache
@@ -86,21 +86,21 @@
 func New(s Socket) (*Endpoint, func()) {
 	// The request ids start at a random number, so that a restarted VM doesn't receive responses to requests of its
 	// previous process.
-	return &Endpoint{socket: s, lastID: rand.Uint64(), pending: make(map[uint64]chan psfleet.TokenResponse)}, func() { _ = s.Close() }
+	return &Endpoint{socket: s, lastID: rand.Uint64(), pending: make(map[uint64]chan psmessage.TokenResponse)}, func() { _ = s.Close() }
 }
 
 // Report sends a report to each of the VMs. It returns an error if the report could not be sent to one of them, but does
 // not detect that a VM is unreachable, which shows by the absence of its own reports.
-func (e *Endpoint) Report(r *psfleet.Report, to []psfleet.Identity) error {
+func (e *Endpoint) Report(r *psmessage.Report, to []psmessage.Identity) error {
 	return e.notify(methodReport, r, to)
 }
 
 // Notice sends a notice to each of the VMs.
-func (e *Endpoint) Notice(n *psfleet.Notice, to []psfleet.Identity) error {
+func (e *Endpoint) Notice(n *psmessage.Notice, to []psmessage.Identity) error {
 	return e.notify(methodNotice, n, to)
 }
 
-func (e *Endpoint) notify(method string, params any, to []psfleet.Identity) error {
+func (e *Endpoint) notify(method string, params any, to []psmessage.Identity) error {
 	n := &jsonrpc2.Request{Method: method, Notif: true}
 	if err := n.SetParams(params); err != nil {
 		return errors.Wrapf(err, "encode %s", method)
@@ -118,16 +118,16 @@
 }
 
 // RequestToken requests a token of a workspace from a VM. It returns [ErrNoResponse] if the VM doesn't respond in time.
-func (e *Endpoint) RequestToken(ctx context.Context, to netip.AddrPort, r psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+func (e *Endpoint) RequestToken(ctx context.Context, to netip.AddrPort, r psmessage.TokenRequest) (psmessage.TokenResponse, error) {
 	id, response := e.register()
 	defer e.unregister(id)
 	q := &jsonrpc2.Request{Method: methodTake, ID: jsonrpc2.ID{Num: id}}
 	if err := q.SetParams(r); err != nil {
-		return psfleet.TokenResponse{}, errors.Wrap(err, "encode token request")
+		return psmessage.TokenResponse{}, errors.Wrap(err, "encode token request")
 	}
 	data, err := json.Marshal(q)
 	if err != nil {
-		return psfleet.TokenResponse{}, errors.Wrap(err, "encode token request")
+		return psmessage.TokenResponse{}, errors.Wrap(err, "encode token request")
 	}
 	attempts := requestAttempts
 	if r.Server != nil {
@@ -137,26 +137,26 @@
 	for range attempts {
 		start := time.Now()
 		if _, err := e.socket.WriteToUDPAddrPort(data, to); err != nil {
-			return psfleet.TokenResponse{}, errors.Wrap(err, "send token request")
+			return psmessage.TokenResponse{}, errors.Wrap(err, "send token request")
 		}
 		select {
 		case v := <-response:
 			e.roundTrips.observe(to, time.Since(start))
 			return v, nil
 		case <-ctx.Done():
-			return psfleet.TokenResponse{}, ctx.Err()
+			return psmessage.TokenResponse{}, ctx.Err()
 		case <-time.After(e.roundTrips.timeout(to)):
 		}
 	}
-	return psfleet.TokenResponse{}, ErrNoResponse
+	return psmessage.TokenResponse{}, ErrNoResponse
 }
 
 // register adds a request to those that wait for a response, and returns its id.
-func (e *Endpoint) register() (uint64, chan psfleet.TokenResponse) {
+func (e *Endpoint) register() (uint64, chan psmessage.TokenResponse) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.lastID++
-	c := make(chan psfleet.TokenResponse, 1)
+	c := make(chan psmessage.TokenResponse, 1)
 	e.pending[e.lastID] = c
 	return e.lastID, c
 }
@@ -214,7 +214,7 @@
 }
 
 func handleReport(h Handler, params []byte) error {
-	r := &psfleet.Report{}
+	r := &psmessage.Report{}
 	if err := json.Unmarshal(params, r); err != nil {
 		return errors.Wrap(err, "decode report")
 	}
@@ -226,7 +226,7 @@
 }
 
 func handleNotice(h Handler, params []byte) error {
-	n := &psfleet.Notice{}
+	n := &psmessage.Notice{}
 	if err := json.Unmarshal(params, n); err != nil {
 		return errors.Wrap(err, "decode notice")
 	}
@@ -254,7 +254,7 @@
 
 // newResponse returns the encoded response to a token request.
 func newResponse(h Handler, m message) ([]byte, error) {
-	var r psfleet.TokenRequest
+	var r psmessage.TokenRequest
 	if err := json.Unmarshal(*m.Params, &r); err != nil {
 		return nil, errors.Wrap(err, "decode token request")
 	}
@@ -271,7 +271,7 @@
 
 // handleResponse passes a response to the request that waits for it. Late responses are dropped.
 func (e *Endpoint) handleResponse(m message) error {
-	var v psfleet.TokenResponse
+	var v psmessage.TokenResponse
 	if err := json.Unmarshal(*m.Result, &v); err != nil {
 		return errors.Wrap(err, "decode token response")
 	}
--- a/internal/connection/pspeer/endpoint_test.go
+++ b/internal/connection/pspeer/endpoint_test.go
@@ -13,27 +13,27 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"persimmonstep/internal/connection/pspeer"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psrevision"
 )
 
 // recorder records what an endpoint receives.
 type recorder struct {
-	reports chan *psfleet.Report
-	notices chan *psfleet.Notice
-	digests chan *psfleet.Digest
+	reports chan *psmessage.Report
+	notices chan *psmessage.Notice
+	digests chan *psmessage.Digest
 	invalid chan error
 }
 
-func (r *recorder) HandleReport(report *psfleet.Report)       { r.reports <- report }
-func (r *recorder) HandleNotice(n *psfleet.Notice)            { r.notices <- n }
-func (r *recorder) HandleDigest(d *psfleet.Digest)            { r.digests <- d }
+func (r *recorder) HandleReport(report *psmessage.Report)     { r.reports <- report }
+func (r *recorder) HandleNotice(n *psmessage.Notice)          { r.notices <- n }
+func (r *recorder) HandleDigest(d *psmessage.Digest)          { r.digests <- d }
 func (r *recorder) HandleInvalid(_ netip.AddrPort, err error) { r.invalid <- err }
 
-func (r *recorder) GrantToken(t psfleet.TokenRequest) psfleet.TokenResponse {
-	return psfleet.TokenResponse{Granted: t.Workspace == "trays", Wait: time.Second}
+func (r *recorder) GrantToken(t psmessage.TokenRequest) psmessage.TokenResponse {
+	return psmessage.TokenResponse{Granted: t.Workspace == "trays", Wait: time.Second}
 }
 
 func start(t *testing.T) (*pspeer.Endpoint, netip.AddrPort, *recorder) {
@@ -46,7 +46,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	e, clean := pspeer.New(socket)
 	r := &recorder{
-		make(chan *psfleet.Report, 8), make(chan *psfleet.Notice, 8), make(chan *psfleet.Digest, 8), make(chan error, 8),
+		make(chan *psmessage.Report, 8), make(chan *psmessage.Notice, 8), make(chan *psmessage.Digest, 8), make(chan error, 8),
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- e.Receive(r) }()
@@ -57,18 +57,18 @@
 	return e, a, r
 }
 
-func identity(vm string, at netip.AddrPort) psfleet.Identity {
-	return psfleet.Identity{VM: vm, FailureDomain: "north-a", Region: "north", CallerAddress: at, PeerAddress: at, Incarnation: 7}
+func identity(vm string, at netip.AddrPort) psmessage.Identity {
+	return psmessage.Identity{VM: vm, FailureDomain: "north-a", Region: "north", CallerAddress: at, PeerAddress: at, Incarnation: 7}
 }
 
 func TestReportsAndNoticesArrive(t *testing.T) {
 	a, at, _ := start(t)
 	_, bt, h := start(t)
-	to := []psfleet.Identity{identity("vm-2", bt)}
-	sent := &psfleet.Report{Identity: identity("vm-1", at), Sequence: 3, Demands: map[string]float64{"trays": 1.5}, Crashes: map[uint64]int{9: 1}}
+	to := []psmessage.Identity{identity("vm-2", bt)}
+	sent := &psmessage.Report{Identity: identity("vm-1", at), Sequence: 3, Demands: map[string]float64{"trays": 1.5}, Crashes: map[uint64]int{9: 1}}
 	qt.Assert(t, a.Report(sent, to), qt.IsNil)
 	qt.Assert(t, <-h.reports, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), sent)
-	notice := &psfleet.Notice{VM: "vm-1", Region: "north", DesiredStateRevision: psrevision.New(0, 4)}
+	notice := &psmessage.Notice{VM: "vm-1", Region: "north", DesiredStateRevision: psrevision.New(0, 4)}
 	qt.Assert(t, a.Notice(notice, to), qt.IsNil)
 	qt.Assert(t, <-h.notices, qt.DeepEquals, notice)
 }
@@ -76,12 +76,12 @@
 func TestTokenRequestIsAnswered(t *testing.T) {
 	a, _, _ := start(t)
 	_, bt, _ := start(t)
-	g, err := a.RequestToken(context.Background(), bt, psfleet.TokenRequest{Workspace: "trays"})
+	g, err := a.RequestToken(context.Background(), bt, psmessage.TokenRequest{Workspace: "trays"})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, g.Granted, qt.IsTrue)
-	g, err = a.RequestToken(context.Background(), bt, psfleet.TokenRequest{Workspace: "carts"})
+	g, err = a.RequestToken(context.Background(), bt, psmessage.TokenRequest{Workspace: "carts"})
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, g, qt.Equals, psfleet.TokenResponse{Wait: time.Second})
+	qt.Assert(t, g, qt.Equals, psmessage.TokenResponse{Wait: time.Second})
 }
 
 func TestUnresponsiveVMTimesOut(t *testing.T) {
@@ -90,7 +90,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	defer unresponsive.Close() //nolint:errcheck // nothing follows
 	begun := time.Now()
-	_, err = a.RequestToken(context.Background(), netip.MustParseAddrPort(unresponsive.LocalAddr().String()), psfleet.TokenRequest{Workspace: "trays"})
+	_, err = a.RequestToken(context.Background(), netip.MustParseAddrPort(unresponsive.LocalAddr().String()), psmessage.TokenRequest{Workspace: "trays"})
 	qt.Assert(t, err, qt.Equals, pspeer.ErrNoResponse)
 	qt.Assert(t, time.Since(begun) < time.Second, qt.IsTrue)
 }
@@ -123,13 +123,13 @@
 
 func testDigest(t *testing.T, a *pspeer.Endpoint, at, bt netip.AddrPort, h *recorder, relayed bool) {
 	t.Helper()
-	d := &psfleet.Digest{FailureDomain: "north-a", Relayed: relayed}
+	d := &psmessage.Digest{FailureDomain: "north-a", Relayed: relayed}
 	for i := range 100 {
-		d.Reports = append(d.Reports, psfleet.ForwardedReport{
-			Report: psfleet.Report{Identity: identity("vm-1", at), Sequence: int64(i + 1)}, Age: time.Duration(i) * time.Millisecond,
+		d.Reports = append(d.Reports, psmessage.ForwardedReport{
+			Report: psmessage.Report{Identity: identity("vm-1", at), Sequence: int64(i + 1)}, Age: time.Duration(i) * time.Millisecond,
 		})
 	}
-	qt.Assert(t, a.Digest(d, []psfleet.Identity{identity("vm-2", bt)}), qt.IsNil)
+	qt.Assert(t, a.Digest(d, []psmessage.Identity{identity("vm-2", bt)}), qt.IsNil)
 	first, second := <-h.digests, <-h.digests
 	qt.Assert(t, first.Relayed, qt.Equals, relayed)
 	qt.Assert(t, append(first.Reports, second.Reports...), qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{})), d.Reports)
@@ -153,9 +153,9 @@
 	granted atomic.Int32
 }
 
-func (g *granter) GrantToken(psfleet.TokenRequest) psfleet.TokenResponse {
+func (g *granter) GrantToken(psmessage.TokenRequest) psmessage.TokenResponse {
 	g.granted.Add(1)
-	return psfleet.TokenResponse{Granted: true}
+	return psmessage.TokenResponse{Granted: true}
 }
 
 // TestResentRequestTakesOneToken requests tokens over the network delays that occur between the regions of one firm.
@@ -168,7 +168,7 @@
 		owner := &granter{}
 		_, at := startDelayed(t, delay, owner)
 		for range requests {
-			response, err := requester.RequestToken(t.Context(), at, psfleet.TokenRequest{Workspace: "trays"})
+			response, err := requester.RequestToken(t.Context(), at, psmessage.TokenRequest{Workspace: "trays"})
 			qt.Assert(t, err, qt.IsNil, qt.Commentf("delay %s", delay))
 			qt.Assert(t, response.Granted, qt.IsTrue)
 		}
@@ -209,11 +209,11 @@
 		go func() { _ = e.Receive(h) }()
 		return e, netip.MustParseAddrPort(c.LocalAddr().String())
 	}
-	limit := &psfleet.ServerLimit{Run: psserver.Run{ID: "i-424753e14d", Incarnation: 1764864440000}, Limit: pslimit.Limit{Named: true, PerSecond: 5.4}, Age: 123456789}
+	limit := &psmessage.ServerLimit{Run: psserver.Run{ID: "i-424753e14d", Incarnation: 1764864440000}, Limit: pslimit.Limit{Named: true, PerSecond: 5.4}, Age: 123456789}
 	requester, _ := open(&granter{})
 	_, at := open(&serverGranter{})
 	for b.Loop() {
-		_, err := requester.RequestToken(b.Context(), at, psfleet.TokenRequest{Server: limit, Service: "pricebook", Wanted: 3})
+		_, err := requester.RequestToken(b.Context(), at, psmessage.TokenRequest{Server: limit, Service: "pricebook", Wanted: 3})
 		qt.Assert(b, err, qt.IsNil)
 	}
 	b.ReportMetric(float64(sent.Load())/float64(b.N), "B/request")
@@ -224,6 +224,6 @@
 	granter
 }
 
-func (*serverGranter) GrantToken(psfleet.TokenRequest) psfleet.TokenResponse {
-	return psfleet.TokenResponse{Granted: true, Fraction: 0.417}
+func (*serverGranter) GrantToken(psmessage.TokenRequest) psmessage.TokenResponse {
+	return psmessage.TokenResponse{Granted: true, Fraction: 0.417}
 }
--- a/internal/connection/pspeer/fuzz_test.go
+++ b/internal/connection/pspeer/fuzz_test.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"testing"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 )
 
 // strictHandler fails the test if it receives a message that the decoder should have rejected.
@@ -13,26 +13,26 @@
 	t *testing.T
 }
 
-func (s strictHandler) HandleReport(r *psfleet.Report) {
+func (s strictHandler) HandleReport(r *psmessage.Report) {
 	if r.Check() != nil {
 		s.t.Fatalf("invalid report was accepted: %+v", r)
 	}
 }
 
-func (s strictHandler) HandleNotice(n *psfleet.Notice) {
+func (s strictHandler) HandleNotice(n *psmessage.Notice) {
 	if n == nil {
 		s.t.Fatal("nil notice was accepted")
 	}
 }
 
-func (s strictHandler) HandleDigest(d *psfleet.Digest) {
+func (s strictHandler) HandleDigest(d *psmessage.Digest) {
 	if d.Check() != nil {
 		s.t.Fatalf("invalid digest was accepted: %+v", d)
 	}
 }
 
-func (strictHandler) GrantToken(psfleet.TokenRequest) psfleet.TokenResponse {
-	return psfleet.TokenResponse{}
+func (strictHandler) GrantToken(psmessage.TokenRequest) psmessage.TokenResponse {
+	return psmessage.TokenResponse{}
 }
 
 func (strictHandler) HandleInvalid(netip.AddrPort, error) {}
@@ -46,7 +46,7 @@
 	} {
 		f.Add([]byte(text))
 	}
-	e := &Endpoint{pending: map[uint64]chan psfleet.TokenResponse{7: make(chan psfleet.TokenResponse, 1)}}
+	e := &Endpoint{pending: map[uint64]chan psmessage.TokenResponse{7: make(chan psmessage.TokenResponse, 1)}}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var m message
 		if json.Unmarshal(data, &m) == nil && m.Method == methodTake {
--- a/internal/connection/pspeerstate/peerstate.go
+++ b/internal/connection/pspeerstate/peerstate.go
@@ -20,7 +20,7 @@
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 )
 
 const (
@@ -44,7 +44,7 @@
 	// there is any.
 	StateTag() (tag string, age time.Duration, found bool)
 	// ControlState returns the control state; false before there is any.
-	ControlState() (psfleet.ControlState, bool)
+	ControlState() (psmessage.ControlState, bool)
 }
 
 // headerAge is the header with the age of the control state, as a duration such as "1.5s".
@@ -52,16 +52,16 @@
 
 // Handler serves the control state. It responds with 404 before there is any, and with 304 if the requester has it.
 func Handler(s Source) http.HandlerFunc {
-	return handler(s, func(*psfleet.ControlState) {})
+	return handler(s, func(*psmessage.ControlState) {})
 }
 
 // DesiredStateHandler serves the control state without the servers.
 func DesiredStateHandler(s Source) http.HandlerFunc {
-	return handler(s, func(v *psfleet.ControlState) { v.Servers = nil })
+	return handler(s, func(v *psmessage.ControlState) { v.Servers = nil })
 }
 
 // handler serves the control state after the function shorten has removed fields of it.
-func handler(s Source, shorten func(*psfleet.ControlState)) http.HandlerFunc {
+func handler(s Source, shorten func(*psmessage.ControlState)) http.HandlerFunc {
 	e := &encoder{source: s, shorten: shorten}
 	return func(w http.ResponseWriter, r *http.Request) {
 		tag, age, found := s.StateTag()
@@ -92,7 +92,7 @@
 // encoder caches the encoded control state, because many VMs may fetch it at the same time.
 type encoder struct {
 	source  Source
-	shorten func(*psfleet.ControlState)
+	shorten func(*psmessage.ControlState)
 
 	mutex sync.Mutex
 	tag   string
@@ -147,41 +147,41 @@
 
 // Fetch returns the validated control state of the VM at a peer address. If the state still has the tag known, the
 // response is marked as unchanged, and has the tag and the age but no state.
-func (c *Client) Fetch(ctx context.Context, at netip.AddrPort, known string) (psfleet.StateResponse, error) {
+func (c *Client) Fetch(ctx context.Context, at netip.AddrPort, known string) (psmessage.StateResponse, error) {
 	return c.fetch(ctx, at, Path, known)
 }
 
 // FetchDesiredState returns the validated control state of the VM at a peer address, without the servers.
-func (c *Client) FetchDesiredState(ctx context.Context, at netip.AddrPort) (psfleet.ControlState, error) {
+func (c *Client) FetchDesiredState(ctx context.Context, at netip.AddrPort) (psmessage.ControlState, error) {
 	v, err := c.fetch(ctx, at, PathDesiredState, "")
 	return v.State, err
 }
 
-func (c *Client) fetch(ctx context.Context, at netip.AddrPort, path, known string) (psfleet.StateResponse, error) {
+func (c *Client) fetch(ctx context.Context, at netip.AddrPort, path, known string) (psmessage.StateResponse, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+path, nil)
 	if err != nil {
-		return psfleet.StateResponse{}, errors.Wrap(err, "fetch control state")
+		return psmessage.StateResponse{}, errors.Wrap(err, "fetch control state")
 	}
 	if known != "" {
 		r.Header.Set("If-None-Match", quote(known))
 	}
 	response, err := c.http.Do(r)
 	if err != nil {
-		return psfleet.StateResponse{}, errors.Wrap(err, "fetch control state")
+		return psmessage.StateResponse{}, errors.Wrap(err, "fetch control state")
 	}
 	defer response.Body.Close() //nolint:errcheck // the body was read
-	v := psfleet.StateResponse{
+	v := psmessage.StateResponse{
 		ETag: strings.Trim(response.Header.Get("ETag"), `"`), Unchanged: response.StatusCode == http.StatusNotModified,
 	}
 	if !v.Unchanged && response.StatusCode != http.StatusOK {
-		return psfleet.StateResponse{}, errors.Errorf("fetch control state: status %d", response.StatusCode)
+		return psmessage.StateResponse{}, errors.Errorf("fetch control state: status %d", response.StatusCode)
 	}
 	if !v.Unchanged {
 		if err := json.NewDecoder(io.LimitReader(response.Body, maxBytes)).Decode(&v.State); err != nil {
-			return psfleet.StateResponse{}, errors.Wrap(err, "decode control state")
+			return psmessage.StateResponse{}, errors.Wrap(err, "decode control state")
 		}
 		if err := v.State.Check(); err != nil {
-			return psfleet.StateResponse{}, err
+			return psmessage.StateResponse{}, err
 		}
 	}
 	v.State.Age, err = time.ParseDuration(response.Header.Get(headerAge))
--- a/internal/connection/pspeerstate/peerstate_test.go
+++ b/internal/connection/pspeerstate/peerstate_test.go
@@ -15,7 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/connection/pspeerstate"
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
@@ -24,15 +24,15 @@
 
 // source provides a fixed control state, or none.
 type source struct {
-	state psfleet.ControlState
+	state psmessage.ControlState
 	found bool
 }
 
-func (s source) ControlState() (psfleet.ControlState, bool) { return s.state, s.found }
+func (s source) ControlState() (psmessage.ControlState, bool) { return s.state, s.found }
 
 func (s source) StateTag() (string, time.Duration, bool) { return "7-1", s.state.Age, s.found }
 
-func fetch(t *testing.T, s source, known string) (psfleet.StateResponse, error) {
+func fetch(t *testing.T, s source, known string) (psmessage.StateResponse, error) {
 	t.Helper()
 	server := httptest.NewServer(pspeerstate.Handler(s))
 	defer server.Close()
@@ -42,7 +42,7 @@
 }
 
 func TestStateIsTransferred(t *testing.T) {
-	want := psfleet.ControlState{
+	want := psmessage.ControlState{
 		Configuration: &psconfig.Configuration{
 			Version: 7, Services: []psconfig.Service{{Name: "prices"}},
 			Routes: []psconfig.Route{{
@@ -66,7 +66,7 @@
 }
 
 func TestDesiredStateOmitsServers(t *testing.T) {
-	want := psfleet.ControlState{
+	want := psmessage.ControlState{
 		Configuration: &psconfig.Configuration{Version: 7}, Evacuated: []string{"north-a"}, DesiredStateRevision: psrevision.New(0, 40),
 		Servers: []psserver.Entry{{ID: "i-1", Address: netip.MustParseAddrPort("10.0.0.9:80"), Service: "prices", FailureDomain: "north-a", Slots: 4}},
 	}
@@ -87,7 +87,7 @@
 
 // TestUnchangedStateIsNotSentAgain fetches with the tag of the current state.
 func TestUnchangedStateIsNotSentAgain(t *testing.T) {
-	response, err := fetch(t, source{psfleet.ControlState{Configuration: &psconfig.Configuration{}, Age: time.Minute}, true}, "7-1")
+	response, err := fetch(t, source{psmessage.ControlState{Configuration: &psconfig.Configuration{}, Age: time.Minute}, true}, "7-1")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, response.Unchanged, qt.IsTrue)
 	qt.Assert(t, response.State.Configuration, qt.IsNil)
@@ -97,7 +97,7 @@
 // TestSlowTransferIsNotCutOff sends the response body in pieces that together take longer than the timeout of the
 // response header. The control state of a large fleet takes that long over a slow link.
 func TestSlowTransferIsNotCutOff(t *testing.T) {
-	body, err := json.Marshal(psfleet.ControlState{Configuration: &psconfig.Configuration{Version: 7}})
+	body, err := json.Marshal(psmessage.ControlState{Configuration: &psconfig.Configuration{Version: 7}})
 	qt.Assert(t, err, qt.IsNil)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Beliefs-Age", "1s")
@@ -119,7 +119,7 @@
 
 // TestBrokenStateIsUsed covers a VM whose response breaks off after each number of bytes.
 func TestBrokenStateIsUsed(t *testing.T) {
-	body, err := json.Marshal(psfleet.ControlState{Configuration: &psconfig.Configuration{Version: 7}})
+	body, err := json.Marshal(psmessage.ControlState{Configuration: &psconfig.Configuration{Version: 7}})
 	qt.Assert(t, err, qt.IsNil)
 	for _, head := range []string{fmt.Sprintf("Content-Length: %d\r\n", len(body)), "Connection: close\r\n"} {
 		text := "HTTP/1.1 200 OK\r\nBeliefs-Age: 1s\r\n" + head + "\r\n" + string(body)
--- a/internal/connection/psproxy/forward.go
+++ b/internal/connection/psproxy/forward.go
@@ -10,7 +10,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/connection/psforward"
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/request/psselect"
 )
 
@@ -41,7 +41,7 @@
 		return rejected{http.StatusServiceUnavailable, reasonNoServers, noHelperRetryAfter}
 	}
 	allowed := psselect.Allowed(c.route, c.workspace)
-	helpers := lo.Filter(view.Helpers, func(h psfleet.Identity, _ int) bool { return allowed(h.Region) })
+	helpers := lo.Filter(view.Helpers, func(h psmessage.Identity, _ int) bool { return allowed(h.Region) })
 	for range maxHelpers {
 		helper, found := c.proxy.options.Forwarder.Pick(helpers)
 		if !found {
@@ -50,13 +50,13 @@
 		if o := c.forward(ctx, helper); o != nil {
 			return o
 		}
-		helpers = slices.DeleteFunc(helpers, func(h psfleet.Identity) bool { return h.VM == helper.VM })
+		helpers = slices.DeleteFunc(helpers, func(h psmessage.Identity) bool { return h.VM == helper.VM })
 	}
 	return rejected{http.StatusServiceUnavailable, reasonNoServers, min(noHelperRetryAfter, c.remaining(c.proxy.options.Now())/3)}
 }
 
 // forward sends the call through a helper. It returns nil if the call can be sent through another one.
-func (c *call) forward(ctx context.Context, helper psfleet.Identity) outcome {
+func (c *call) forward(ctx context.Context, helper psmessage.Identity) outcome {
 	if c.callerGone() {
 		return canceled{}
 	}
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -26,9 +26,9 @@
 	"persimmonstep/internal/connection/psproxy"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslink"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -164,8 +164,8 @@
 // unresponsivePeers are VMs that never grant tokens because they do not respond.
 type unresponsivePeers struct{}
 
-func (unresponsivePeers) RequestToken(context.Context, netip.AddrPort, psfleet.TokenRequest) (psfleet.TokenResponse, error) {
-	return psfleet.TokenResponse{}, pspeer.ErrNoResponse
+func (unresponsivePeers) RequestToken(context.Context, netip.AddrPort, psmessage.TokenRequest) (psmessage.TokenResponse, error) {
+	return psmessage.TokenResponse{}, pspeer.ErrNoResponse
 }
 
 var testConfiguration = psconfig.Configuration{
@@ -196,7 +196,7 @@
 	t.Helper()
 	control := &fakeControl{snapshot: &pssnapshot.Snapshot{
 		Index: psconfig.NewIndex(&testConfiguration), Servers: map[string][]*psserver.Server{},
-		ServersReadAt: time.Now(), EvenShare: 1, FleetSize: 1, ShareHolders: []psfleet.Identity{{VM: "vm-1"}},
+		ServersReadAt: time.Now(), EvenShare: 1, FleetSize: 1, ShareHolders: []psmessage.Identity{{VM: "vm-1"}},
 	}}
 	for i, v := range backends {
 		entry := psserver.Entry{
@@ -293,7 +293,7 @@
 		"token owners unresponsive": {func(r *http.Request, control *fakeControl) {
 			r.Header.Set("Authorization", "Bearer k-2")
 			control.snapshot.FleetSize = 2
-			control.snapshot.ShareHolders = []psfleet.Identity{{VM: "vm-2"}}
+			control.snapshot.ShareHolders = []psmessage.Identity{{VM: "vm-2"}}
 		}, 503},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/connection/psselection/selection_test.go
+++ b/internal/connection/psselection/selection_test.go
@@ -11,8 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/connection/psselection"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
@@ -29,9 +29,9 @@
 	asked int
 }
 
-func (o *owner) RequestToken(context.Context, netip.AddrPort, psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+func (o *owner) RequestToken(context.Context, netip.AddrPort, psmessage.TokenRequest) (psmessage.TokenResponse, error) {
 	o.asked++
-	return psfleet.TokenResponse{Wait: time.Second, Fraction: 0.1}, nil
+	return psmessage.TokenResponse{Wait: time.Second, Fraction: 0.1}, nil
 }
 
 // selector returns a selector for a service whose tokens an owner refuses. The first servers have limits.
@@ -53,7 +53,7 @@
 	}
 	r := psselection.Request{
 		Snapshot: &pssnapshot.Snapshot{
-			Servers: map[string][]*psserver.Server{"prices": list}, FleetSize: 2, ShareHolders: []psfleet.Identity{{VM: "vm-2"}},
+			Servers: map[string][]*psserver.Server{"prices": list}, FleetSize: 2, ShareHolders: []psmessage.Identity{{VM: "vm-2"}},
 		},
 		Service: "prices", Route: &psconfig.Route{Name: "boards", TargetLatency: 200 * time.Millisecond, Affinity: true},
 		ArrivedAt: startTime, Deadline: startTime.Add(time.Second),
--- a/internal/process/psannouncement/announcement.go
+++ b/internal/process/psannouncement/announcement.go
@@ -13,6 +13,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/request/psoutlier"
 )
@@ -51,7 +52,7 @@
 func (a *Announcements) LimitChanged(r psserver.Run, now time.Time) { a.limitChanged[r] = now }
 
 // Fill lists in a report to a fleet the servers with recent events, of those that are registered for each service.
-func (a *Announcements) Fill(r *psfleet.Report, f *psfleet.Fleet, servers map[string][]*psserver.Server, now time.Time) {
+func (a *Announcements) Fill(r *psmessage.Report, f *psfleet.Fleet, servers map[string][]*psserver.Server, now time.Time) {
 	span := max(minSpan, f.PropagationTime()+f.ReportInterval())
 	r.Failed = recent(a.failed, span, now)
 	r.Leaving = recent(a.leaving, span, now)
@@ -60,16 +61,16 @@
 }
 
 // limits returns what this VM knows of the limits of servers.
-func limits(servers map[string][]*psserver.Server, runs []psserver.Run, now time.Time) []psfleet.ServerLimit {
+func limits(servers map[string][]*psserver.Server, runs []psserver.Run, now time.Time) []psmessage.ServerLimit {
 	if len(runs) == 0 {
 		return nil
 	}
-	var out []psfleet.ServerLimit
+	var out []psmessage.ServerLimit
 	for _, list := range servers {
 		for _, s := range list {
 			if r := s.Entry().Run(); len(out) < maxLimits && slices.Contains(runs, r) {
 				limit, age := s.Limit(now)
-				out = append(out, psfleet.ServerLimit{Run: r, Limit: limit, Age: age})
+				out = append(out, psmessage.ServerLimit{Run: r, Limit: limit, Age: age})
 			}
 		}
 	}
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -24,6 +24,7 @@
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/pslink"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
@@ -46,11 +47,11 @@
 // PeerSender sends messages to other VMs.
 type PeerSender interface {
 	// Report sends a report to each of the VMs.
-	Report(r *psfleet.Report, to []psfleet.Identity) error
+	Report(r *psmessage.Report, to []psmessage.Identity) error
 	// Notice sends a notice to each of the VMs.
-	Notice(n *psfleet.Notice, to []psfleet.Identity) error
+	Notice(n *psmessage.Notice, to []psmessage.Identity) error
 	// Digest sends a digest to each of the VMs.
-	Digest(d *psfleet.Digest, to []psfleet.Identity) error
+	Digest(d *psmessage.Digest, to []psmessage.Identity) error
 }
 
 // TokenSource measures the demand of the workspaces, and grants probes to servers with a limit.
@@ -74,7 +75,7 @@
 // Options are the dependencies of a [Controller].
 type Options struct {
 	Settings *psnode.Settings
-	Identity psfleet.Identity
+	Identity psmessage.Identity
 	Store    Store
 	Prober   pshealth.Prober
 	// Fetcher fetches the state of other VMs: when this VM starts in a large fleet, while the store is
@@ -112,7 +113,7 @@
 	shares       *psshare.Shares
 	sequence     int64
 	// lastReport is this VM's latest report, with the full identity.
-	lastReport psfleet.Report
+	lastReport psmessage.Report
 	digester   psfleet.Digester
 	// serversRevision is the store revision of the servers.
 	serversRevision psrevision.Revision
@@ -183,13 +184,13 @@
 }
 
 // ReceiveReport processes another VM's report.
-func (c *Controller) ReceiveReport(r *psfleet.Report) { c.enqueue(reportEvent{r}) }
+func (c *Controller) ReceiveReport(r *psmessage.Report) { c.enqueue(reportEvent{r}) }
 
 // ReceiveDigest processes reports that a VM forwards.
-func (c *Controller) ReceiveDigest(d *psfleet.Digest) { c.enqueue(digestEvent{d}) }
+func (c *Controller) ReceiveDigest(d *psmessage.Digest) { c.enqueue(digestEvent{d}) }
 
 // ReceiveNotice processes a notice of the VM that reads the store for the region.
-func (c *Controller) ReceiveNotice(n *psfleet.Notice) { c.watcher.HandleNotice(n) }
+func (c *Controller) ReceiveNotice(n *psmessage.Notice) { c.watcher.HandleNotice(n) }
 
 // ApplyDesiredState processes the operator's desired state from the watcher of the store.
 func (c *Controller) ApplyDesiredState(state platform.DesiredState, full, afterRestore bool) {
@@ -209,9 +210,9 @@
 func (c *Controller) IsRelay() bool { return c.Snapshot().RelaysStore }
 
 // SendNotice sends a notice to the other VMs of the region.
-func (c *Controller) SendNotice(n *psfleet.Notice) {
+func (c *Controller) SendNotice(n *psmessage.Notice) {
 	self := c.options.Identity
-	to := lo.Filter(c.Snapshot().ShareHolders, func(v psfleet.Identity, _ int) bool { return v.Region == self.Region && v.VM != self.VM })
+	to := lo.Filter(c.Snapshot().ShareHolders, func(v psmessage.Identity, _ int) bool { return v.Region == self.Region && v.VM != self.VM })
 	if err := c.options.Peers.Notice(n, to); err != nil {
 		c.options.Logger.Debug("sending a notice failed for at least one VM", "error", err.Error())
 	}
@@ -290,8 +291,8 @@
 		// applied is closed once the published snapshot includes the rows.
 		applied chan struct{}
 	}
-	reportEvent       struct{ report *psfleet.Report }
-	digestEvent       struct{ digest *psfleet.Digest }
+	reportEvent       struct{ report *psmessage.Report }
+	digestEvent       struct{ digest *psmessage.Digest }
 	serverFailedEvent struct {
 		server *psserver.Server
 		reason pshealth.Reason
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/pscontrol"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslink"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -41,7 +41,7 @@
 	// vms is the number of other published VMs, and peerState the state that they return; if it is nil, a
 	// default state with no revisions.
 	vms       int
-	peerState *psfleet.ControlState
+	peerState *psmessage.ControlState
 	// otherDomains is the number of failure domains of the published VMs, without that of the VM under test; if it is
 	// 0, they are in the same one.
 	otherDomains int
@@ -117,7 +117,7 @@
 		if s.otherDomains > 0 {
 			domain = fmt.Sprint("other-", i%s.otherDomains)
 		}
-		data, err := json.Marshal(psfleet.Identity{VM: name, FailureDomain: domain, Region: "north", CallerAddress: a, PeerAddress: a, Link: float64(1000 - i)})
+		data, err := json.Marshal(psmessage.Identity{VM: name, FailureDomain: domain, Region: "north", CallerAddress: a, PeerAddress: a, Link: float64(1000 - i)})
 		if err != nil {
 			return v, err
 		}
@@ -129,10 +129,12 @@
 func (*store) VMChanges(context.Context, psrevision.Revision) (platform.VMs, error) {
 	return platform.VMs{}, nil
 }
-func (*store) PublishVM(context.Context, string, []byte) error                        { return nil }
-func (*store) Report(*psfleet.Report, []psfleet.Identity) error                       { return nil }
-func (*store) Notice(*psfleet.Notice, []psfleet.Identity) error                       { return nil }
-func (*store) Digest(*psfleet.Digest, []psfleet.Identity) error                       { return nil }
+func (*store) PublishVM(context.Context, string, []byte) error { return nil }
+func (*store) Report(*psmessage.Report, []psmessage.Identity) error { return nil }
+
+func (*store) Notice(*psmessage.Notice, []psmessage.Identity) error { return nil }
+
+func (*store) Digest(*psmessage.Digest, []psmessage.Identity) error                   { return nil }
 func (*store) Demands(time.Time) map[string]float64                                   { return nil }
 func (*store) TakeProbe(context.Context, *pssnapshot.Snapshot, *psserver.Server) bool { return true }
 func (*store) Crashes(time.Time) map[uint64]int                                       { return nil }
@@ -144,24 +146,24 @@
 }
 
 // Fetch returns the state of a VM that reads the store.
-func (s *store) Fetch(_ context.Context, vm psfleet.Identity, known string) (psfleet.StateResponse, error) {
+func (s *store) Fetch(_ context.Context, vm psmessage.Identity, known string) (psmessage.StateResponse, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.fetches = append(s.fetches, vm.VM+" "+known)
 	if s.peerState != nil {
-		return psfleet.StateResponse{State: *s.peerState, ETag: "mark"}, nil
+		return psmessage.StateResponse{State: *s.peerState, ETag: "mark"}, nil
 	}
 	if known == "mark" {
-		return psfleet.StateResponse{ETag: known, Unchanged: true}, nil
+		return psmessage.StateResponse{ETag: known, Unchanged: true}, nil
 	}
-	return psfleet.StateResponse{
-		State: psfleet.ControlState{Configuration: configuration(4), Evacuated: []string{"south-a"}, Servers: []psserver.Entry{entry("i-7")}, Age: peerStateAge},
+	return psmessage.StateResponse{
+		State: psmessage.ControlState{Configuration: configuration(4), Evacuated: []string{"south-a"}, Servers: []psserver.Entry{entry("i-7")}, Age: peerStateAge},
 		ETag:  "mark",
 	}, nil
 }
 
 // FetchDesiredState returns the same state without the servers.
-func (s *store) FetchDesiredState(ctx context.Context, vm psfleet.Identity) (psfleet.ControlState, error) {
+func (s *store) FetchDesiredState(ctx context.Context, vm psmessage.Identity) (psmessage.ControlState, error) {
 	response, err := s.Fetch(ctx, vm, "")
 	response.State.Servers = nil
 	return response.State, err
@@ -180,7 +182,7 @@
 	t.Helper()
 	a := netip.MustParseAddrPort("127.0.0.1:1")
 	o.Settings = &psnode.Settings{Regions: map[string]string{"north-a": "north"}}
-	o.Identity = psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}
+	o.Identity = psmessage.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}
 	o.Logger, o.Now = hclog.NewNullLogger(), time.Now
 	if o.Links == nil {
 		o.Links = pslink.New(nil, o.Logger, o.Now)
@@ -308,7 +310,7 @@
 	s := newStore()
 	c := startController(t, s)
 	a := netip.MustParseAddrPort("127.0.0.1:2")
-	r := &psfleet.Report{Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, Ready: true}
+	r := &psmessage.Report{Identity: psmessage.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, Ready: true}
 	c.ReceiveReport(r)
 	eventually(t, "two VMs", func() bool { return len(c.Snapshot().VMs) == 2 })
 	eventually(t, "removal of the silent VM", func() bool { return len(c.Snapshot().VMs) == 1 })
@@ -326,13 +328,13 @@
 	time.Sleep(time.Second)
 	qt.Assert(t, c.Ready(), qt.IsFalse)
 	a := netip.MustParseAddrPort("127.0.0.1:2")
-	r := &psfleet.Report{Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true}
+	r := &psmessage.Report{Identity: psmessage.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true}
 	c.ReceiveReport(r)
 	eventually(t, "the other VM's state", func() bool {
 		return c.Ready() && version(c) == 4 && serverCount(c) == 1 && c.Snapshot().Evacuated["south-a"]
 	})
 	qt.Assert(t, time.Since(c.Snapshot().ServersReadAt) >= peerStateAge, qt.IsTrue)
-	c.ReceiveReport(&psfleet.Report{Identity: r.Identity, Sequence: 2, ReadsStore: true})
+	c.ReceiveReport(&psmessage.Report{Identity: r.Identity, Sequence: 2, ReadsStore: true})
 	eventually(t, "a fetch with the known tag", func() bool {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
@@ -361,14 +363,14 @@
 	eventually(t, "one server", func() bool { return serverCount(c) == 1 })
 	s.set(func(s *store) {
 		s.unavailable = true
-		s.peerState = &psfleet.ControlState{
+		s.peerState = &psmessage.ControlState{
 			Configuration: configuration(4), Servers: []psserver.Entry{entry("i-1"), entry("i-2")},
 			DesiredStateRevision: before, ServersRevision: before, ReadsStore: true,
 		}
 	})
 	a := netip.MustParseAddrPort("127.0.0.1:2")
-	c.ReceiveReport(&psfleet.Report{
-		Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true,
+	c.ReceiveReport(&psmessage.Report{
+		Identity: psmessage.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true,
 	})
 	eventually(t, "a fetch", func() bool {
 		s.mutex.Lock()
@@ -386,7 +388,7 @@
 	s.readDelay = 2 * time.Second
 	c := startController(t, s)
 	a := netip.MustParseAddrPort("127.0.0.1:2")
-	c.ReceiveReport(&psfleet.Report{Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true})
+	c.ReceiveReport(&psmessage.Report{Identity: psmessage.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true})
 	time.Sleep(1800 * time.Millisecond)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -406,8 +408,8 @@
 		return c.Snapshot().Servers["prices"][i]
 	}
 	a := netip.MustParseAddrPort("127.0.0.1:2")
-	c.ReceiveReport(&psfleet.Report{
-		Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: 1}, Sequence: 1,
+	c.ReceiveReport(&psmessage.Report{
+		Identity: psmessage.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: 1}, Sequence: 1,
 		Slow:    map[string]float64{"i-1": 3},
 		Leaving: []psserver.Run{server("i-2").Entry().Run(), {ID: "i-3", Incarnation: 77}},
 	})
@@ -424,7 +426,7 @@
 	qt.Assert(t, c.IsRelay(), qt.IsTrue)
 	a := netip.MustParseAddrPort("127.0.0.1:2")
 	report := func(vm, region string) {
-		c.ReceiveReport(&psfleet.Report{Identity: psfleet.Identity{VM: vm, FailureDomain: region + "-a", Region: region, CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true})
+		c.ReceiveReport(&psmessage.Report{Identity: psmessage.Identity{VM: vm, FailureDomain: region + "-a", Region: region, CallerAddress: a, PeerAddress: a}, Sequence: 1, ReadsStore: true})
 	}
 	report("vm-2", "north")
 	report("vm-0", "south")
@@ -441,7 +443,7 @@
 func TestStartInLargeFleetBootstrapsFromPeer(t *testing.T) {
 	s := newStore()
 	s.vms = 30
-	s.peerState = &psfleet.ControlState{
+	s.peerState = &psmessage.ControlState{
 		Configuration: configuration(4), Servers: []psserver.Entry{entry("i-7")}, Evacuated: []string{"south-a"},
 		DesiredStateRevision: psrevision.New(0, 3), ServersRevision: psrevision.New(0, 9), ReadsStore: true, Age: 100 * time.Millisecond,
 	}
@@ -461,7 +463,7 @@
 func TestStalePeerStateIsNotUsedAtStart(t *testing.T) {
 	s := newStore()
 	s.vms = 30
-	s.peerState = &psfleet.ControlState{Configuration: configuration(4), DesiredStateRevision: psrevision.New(0, 3), ServersRevision: psrevision.New(0, 9), ReadsStore: true, Age: 5 * time.Second}
+	s.peerState = &psmessage.ControlState{Configuration: configuration(4), DesiredStateRevision: psrevision.New(0, 3), ServersRevision: psrevision.New(0, 9), ReadsStore: true, Age: 5 * time.Second}
 	s.set(func(s *store) {
 		s.desiredState.Configuration = configuration(5)
 		s.servers.Entries = []psserver.Entry{entry("i-1")}
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -9,6 +9,7 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 )
@@ -18,7 +19,7 @@
 
 func (c *Controller) applyVMs(rows map[string][]byte, now time.Time) {
 	for name, value := range rows {
-		i, err := psfleet.DecodeIdentity(value)
+		i, err := psmessage.DecodeIdentity(value)
 		if err != nil {
 			psevent.RowUnreadable.Log(c.options.Logger, name, 0, err.Error())
 			continue
@@ -28,7 +29,7 @@
 }
 
 // applyReport applies a report. receivedAt is when this VM, or the VM that forwards the report, received it.
-func (c *Controller) applyReport(r *psfleet.Report, receivedAt, now time.Time) {
+func (c *Controller) applyReport(r *psmessage.Report, receivedAt, now time.Time) {
 	before, fresh := c.fleet.ApplyReport(r, receivedAt)
 	if !fresh {
 		return
@@ -50,8 +51,8 @@
 
 // applyPeerFailures takes servers out of use that another VM newly names as failed. A VM that doesn't know the state of
 // its own links says nothing about servers by that.
-func (c *Controller) applyPeerFailures(r *psfleet.Report, before psfleet.Peer, now time.Time) {
-	if before.Report == nil || !r.Features.Has(psfleet.LinkState) {
+func (c *Controller) applyPeerFailures(r *psmessage.Report, before psfleet.Peer, now time.Time) {
+	if before.Report == nil || !r.Features.Has(psmessage.LinkState) {
 		return
 	}
 	for _, id := range r.Failed {
@@ -82,7 +83,7 @@
 
 // applyDigest applies forwarded reports. A digest that comes directly from another failure domain is relayed to
 // the other VMs of this VM's failure domain.
-func (c *Controller) applyDigest(d *psfleet.Digest, now time.Time) {
+func (c *Controller) applyDigest(d *psmessage.Digest, now time.Time) {
 	for i := range d.Reports {
 		r := d.Reports[i].Report
 		c.applyReport(&r, now.Add(-d.Reports[i].Age), now)
@@ -107,14 +108,14 @@
 	}
 }
 
-func (c *Controller) sendDigest(d *psfleet.Digest, to []psfleet.Identity) {
+func (c *Controller) sendDigest(d *psmessage.Digest, to []psmessage.Identity) {
 	if err := c.options.Peers.Digest(d, to); err != nil {
 		c.options.Logger.Debug("sending a digest failed for at least one VM", "error", err.Error())
 	}
 }
 
-func identities(peers []*psfleet.Peer) []psfleet.Identity {
-	return lo.Map(peers, func(p *psfleet.Peer, _ int) psfleet.Identity { return p.Identity })
+func identities(peers []*psfleet.Peer) []psmessage.Identity {
+	return lo.Map(peers, func(p *psfleet.Peer, _ int) psmessage.Identity { return p.Identity })
 }
 
 // applyPeerFailure takes a server out of use that another VM found down, until a probe succeeds.
@@ -132,7 +133,7 @@
 	now := c.options.Now()
 	c.fleet.Forget(now)
 	c.sequence++
-	r := &psfleet.Report{
+	r := &psmessage.Report{
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), ReadsStore: !c.watcher.Lost(), Version: c.desiredState.Version(),
 		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now),
 	}
@@ -186,7 +187,7 @@
 // newerVM returns a live VM that has had a newer configuration for longer than all VMs need to read one from
 // the store; nil if there is none. This happens when the store was restored from a backup without that
 // configuration, or when this VM could not read the store while the configuration was there.
-func (c *Controller) newerVM(now time.Time) *psfleet.Identity {
+func (c *Controller) newerVM(now time.Time) *psmessage.Identity {
 	newest, found := c.fleet.NewestConfiguration(now)
 	if c.desiredState.Index == nil || !found || newest.Version <= c.desiredState.Version() {
 		c.newerConfigSince = time.Time{}
@@ -204,7 +205,7 @@
 // vms returns the live VMs that take callers, this one first.
 func (c *Controller) vms(now time.Time) []pssnapshot.VM {
 	var list []pssnapshot.VM
-	add := func(i psfleet.Identity, noServers bool) {
+	add := func(i psmessage.Identity, noServers bool) {
 		v := pssnapshot.NewVM(i)
 		v.NoServers = noServers
 		list = append(list, v)
--- a/internal/process/pscontrol/limit.go
+++ b/internal/process/pscontrol/limit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 )
 
@@ -22,7 +22,7 @@
 }
 
 // applyPeerLimits applies what another VM announced of servers' limits in a report that was received at a time.
-func (c *Controller) applyPeerLimits(list []psfleet.ServerLimit, receivedAt time.Time) {
+func (c *Controller) applyPeerLimits(list []psmessage.ServerLimit, receivedAt time.Time) {
 	for _, v := range list {
 		s, found := c.servers.Get(v.ID)
 		if !found || s.Entry().Run() != v.Run {
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -14,6 +14,7 @@
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/platform/psheader"
@@ -23,17 +24,17 @@
 type reports struct {
 	*store
 	mutex sync.Mutex
-	sent  []psfleet.Report
+	sent  []psmessage.Report
 }
 
-func (r *reports) Report(v *psfleet.Report, _ []psfleet.Identity) error {
+func (r *reports) Report(v *psmessage.Report, _ []psmessage.Identity) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.sent = append(r.sent, *v)
 	return nil
 }
 
-func (r *reports) last() psfleet.Report {
+func (r *reports) last() psmessage.Report {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.sent[len(r.sent)-1]
@@ -126,9 +127,9 @@
 	}
 	server("i-3").RecordLimit(pslimit.Limit{}, time.Now(), time.Now())
 	a := netip.MustParseAddrPort("127.0.0.1:2")
-	c.ReceiveReport(&psfleet.Report{
-		Identity: psfleet.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: 1}, Sequence: 1,
-		Limited: []psfleet.ServerLimit{
+	c.ReceiveReport(&psmessage.Report{
+		Identity: psmessage.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: 1}, Sequence: 1,
+		Limited: []psmessage.ServerLimit{
 			{Run: psserver.Run{ID: "i-2", Incarnation: 77}, Limit: named(2)},
 			{Run: server("i-3").Entry().Run(), Limit: named(3), Age: time.Minute},
 			{Run: server("i-1").Entry().Run(), Limit: named(1), Age: time.Second},
--- a/internal/process/pscontrol/link_test.go
+++ b/internal/process/pscontrol/link_test.go
@@ -11,9 +11,9 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/pscontrol"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslink"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psheader"
@@ -71,10 +71,10 @@
 // TestVMOfEarlierBuildMisleadsOthers covers a VM whose build doesn't know the state of its own links, and which names
 // servers as failed because of that.
 func TestVMOfEarlierBuildMisleadsOthers(t *testing.T) {
-	for _, features := range []psfleet.Features{0, psfleet.CurrentFeatures} {
+	for _, features := range []psmessage.Features{0, psmessage.CurrentFeatures} {
 		c, _, _ := startWithLinks(t)
 		server := c.Snapshot().Servers["prices"][0]
-		report := psfleet.Report{Identity: psfleet.Identity{
+		report := psmessage.Report{Identity: psmessage.Identity{
 			VM: "vm-2", FailureDomain: "north-a", Region: "north", Incarnation: 1, Features: features,
 			CallerAddress: netip.MustParseAddrPort("127.0.0.2:80"), PeerAddress: netip.MustParseAddrPort("127.0.0.2:81"),
 		}}
--- a/internal/process/pscontrol/peerstate.go
+++ b/internal/process/pscontrol/peerstate.go
@@ -6,7 +6,7 @@
 
 	"persimmonstep/internal/process/psdesiredstate"
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/pssync"
 	"persimmonstep/internal/version/psconfig"
@@ -23,10 +23,10 @@
 }
 
 // ControlState returns this VM's state for other VMs; false before it has a configuration and servers.
-func (c *Controller) ControlState() (psfleet.ControlState, bool) {
+func (c *Controller) ControlState() (psmessage.ControlState, bool) {
 	s := c.Snapshot()
 	if !s.CanServe() {
-		return psfleet.ControlState{}, false
+		return psmessage.ControlState{}, false
 	}
 	state := s.ControlState(c.options.Now())
 	state.ReadsStore = !c.watcher.Lost()
@@ -34,7 +34,7 @@
 }
 
 // ApplyPeerDesiredState processes the operator's desired state from another VM.
-func (c *Controller) ApplyPeerDesiredState(state psfleet.ControlState) {
+func (c *Controller) ApplyPeerDesiredState(state psmessage.ControlState) {
 	c.enqueue(desiredStateEvent{desiredStateOf(state), psdesiredstate.ReadInfo{Full: true}})
 }
 
@@ -69,6 +69,6 @@
 	}
 }
 
-func desiredStateOf(state psfleet.ControlState) platform.DesiredState {
+func desiredStateOf(state psmessage.ControlState) platform.DesiredState {
 	return platform.DesiredState{Configuration: state.Configuration, Evacuated: state.Evacuated, Revision: state.DesiredStateRevision, LastChange: state.DesiredStateRevision}
 }
--- a/internal/process/psdiscovery/discovery.go
+++ b/internal/process/psdiscovery/discovery.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/internal/version/psrevision"
@@ -48,7 +49,7 @@
 // Options are the dependencies of a [Discovery].
 type Options struct {
 	// Self identifies this VM.
-	Self psfleet.Identity
+	Self psmessage.Identity
 	// FirstStart states that the whole fleet starts for the first time.
 	FirstStart bool
 	Store      Store
--- a/internal/process/psdiscovery/discovery_test.go
+++ b/internal/process/psdiscovery/discovery_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psdiscovery"
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
 )
@@ -53,7 +53,7 @@
 func start(t *testing.T, s *recordingStore, firstStart bool, fleet int) *psdiscovery.Discovery {
 	t.Helper()
 	d := psdiscovery.New(psdiscovery.Options{
-		Self: psfleet.Identity{VM: "vm-1"}, FirstStart: firstStart, Store: s, Apply: func(map[string][]byte) {},
+		Self: psmessage.Identity{VM: "vm-1"}, FirstStart: firstStart, Store: s, Apply: func(map[string][]byte) {},
 		FleetSize: func() int { return fleet }, Logger: hclog.NewNullLogger(), Now: time.Now,
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -95,7 +95,7 @@
 	for _, name := range []string{"vm-1", "vm-2"} {
 		all := map[string]bool{}
 		d := psdiscovery.New(psdiscovery.Options{
-			Self: psfleet.Identity{VM: name}, Store: s, FleetSize: func() int { return 300 }, Logger: hclog.NewNullLogger(), Now: time.Now,
+			Self: psmessage.Identity{VM: name}, Store: s, FleetSize: func() int { return 300 }, Logger: hclog.NewNullLogger(), Now: time.Now,
 			Apply: func(rows map[string][]byte) {
 				for n := range rows {
 					all[n] = true
--- a/internal/process/psfleet/digest.go
+++ b/internal/process/psfleet/digest.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/version/psrendezvous"
 )
 
@@ -26,65 +25,11 @@
 	// process became known. From then on every digestIdentityPeriod-th digest carries it.
 	digestsWithFullIdentity = 4
 	digestIdentityPeriod    = 8
-	// maxReportAge is the highest age of a report in a digest.
-	maxReportAge = time.Minute
 )
 
 // MaxDigestInterval is the longest time between two digests of one sender.
 const MaxDigestInterval = 4 * time.Second
 
-// ForwardedReport is a report that a VM forwards for another one.
-type ForwardedReport struct {
-	Report
-	// Age is the time since the forwarding VM received the report.
-	Age time.Duration `json:"age,omitempty"`
-}
-
-// Digest forwards the reports of one failure domain to the VMs of another. In a large fleet VMs
-// send reports within their own failure domain only, and digests connect the failure domains.
-type Digest struct {
-	// FailureDomain is the source of the reports.
-	FailureDomain string `json:"failureDomain"`
-	// Relayed is set if a VM of the receiver's failure domain forwarded the digest. Relayed digests
-	// are not forwarded again.
-	Relayed bool              `json:"relayed,omitempty"`
-	Reports []ForwardedReport `json:"reports"`
-}
-
-// Check validates a decoded digest.
-func (d *Digest) Check() error {
-	if d.FailureDomain == "" {
-		return errors.New("check digest: failure domain is missing")
-	}
-	for i := range d.Reports {
-		if err := d.Reports[i].Check(); err != nil {
-			return errors.Wrap(err, "check digest")
-		}
-	}
-	return nil
-}
-
-// DropInvalid removes the invalid reports of a decoded digest and returns why the last of them is invalid. It returns an
-// error if the digest itself is invalid.
-func (d *Digest) DropInvalid() (invalid, err error) {
-	d.Reports = slices.DeleteFunc(d.Reports, func(r ForwardedReport) bool {
-		failed := r.Check()
-		if failed != nil {
-			invalid = errors.Wrap(failed, "check digest")
-		}
-		return failed != nil
-	})
-	return invalid, d.Check()
-}
-
-// Check validates a decoded report and its age.
-func (r *ForwardedReport) Check() error {
-	if r.Age < 0 || r.Age > maxReportAge {
-		return errors.New("check forwarded report: age is out of range")
-	}
-	return r.Report.Check()
-}
-
 // Hierarchical reports whether the fleet is so large that VMs send reports within their own failure
 // domain only, and digests between failure domains.
 func (f *Fleet) Hierarchical() bool { return f.Size() >= LargeSize }
@@ -134,8 +79,8 @@
 // DigestReceivers returns the VMs that the sender of a rank sends its digest to: one VM of each other
 // failure domain. Senders choose different receivers where enough VMs are live. In a failure domain
 // without a live VM, the receiver changes with each round.
-func (f *Fleet) DigestReceivers(rank int, round int64, now time.Time) []Identity {
-	var list []Identity
+func (f *Fleet) DigestReceivers(rank int, round int64, now time.Time) []psmessage.Identity {
+	var list []psmessage.Identity
 	for domain, peers := range f.byDomain() {
 		if domain == f.self.FailureDomain {
 			continue
@@ -147,8 +92,8 @@
 	return list
 }
 
-func (f *Fleet) digestReceiver(peers []*Peer, rank int, round int64, now time.Time) (Identity, bool) {
-	var live []Identity
+func (f *Fleet) digestReceiver(peers []*Peer, rank int, round int64, now time.Time) (psmessage.Identity, bool) {
+	var live []psmessage.Identity
 	for _, p := range peers {
 		if f.Live(p, now) {
 			live = append(live, p.Identity)
@@ -160,7 +105,7 @@
 	}
 	// The receiver forwards the digest to all VMs of its failure domain at once, which saturates a
 	// small network link, so VMs with larger links come first.
-	slices.SortFunc(live, func(a, b Identity) int {
+	slices.SortFunc(live, func(a, b psmessage.Identity) int {
 		return cmp.Or(cmp.Compare(b.Link, a.Link),
 			cmp.Compare(psrendezvous.Score(f.self.FailureDomain, b.VM), psrendezvous.Score(f.self.FailureDomain, a.VM)))
 	})
@@ -185,16 +130,16 @@
 
 // Digest returns the reports of this VM's failure domain that are newer than those in the last digest,
 // including its own latest one. It returns nil if there are none.
-func (d *Digester) Digest(f *Fleet, own Report, now time.Time) *Digest {
+func (d *Digester) Digest(f *Fleet, own psmessage.Report, now time.Time) *psmessage.Digest {
 	if d.sent == nil {
 		d.sent = make(map[string]*sentReport)
 	}
 	d.rounds++
-	g := &Digest{FailureDomain: f.self.FailureDomain}
-	d.add(g, ForwardedReport{Report: own})
+	g := &psmessage.Digest{FailureDomain: f.self.FailureDomain}
+	d.add(g, psmessage.ForwardedReport{Report: own})
 	for _, p := range f.DomainPeers() {
 		if f.Live(p, now) {
-			d.add(g, ForwardedReport{Report: *p.Report, Age: now.Sub(p.ReceivedAt).Round(time.Millisecond)})
+			d.add(g, psmessage.ForwardedReport{Report: *p.Report, Age: now.Sub(p.ReceivedAt).Round(time.Millisecond)})
 		}
 	}
 	if len(g.Reports) == 0 {
@@ -203,7 +148,7 @@
 	return g
 }
 
-func (d *Digester) add(g *Digest, r ForwardedReport) {
+func (d *Digester) add(g *psmessage.Digest, r psmessage.ForwardedReport) {
 	t, found := d.sent[r.VM]
 	if !found || t.incarnation != r.Incarnation {
 		t = &sentReport{incarnation: r.Incarnation}
@@ -215,7 +160,7 @@
 	t.sequence = r.Sequence
 	t.digests++
 	if t.digests > digestsWithFullIdentity && t.digests%digestIdentityPeriod != 0 {
-		r.Identity = r.brief()
+		r.Identity = r.Brief()
 	}
 	g.Reports = append(g.Reports, r)
 }
--- a/internal/process/psfleet/digest_test.go
+++ b/internal/process/psfleet/digest_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 )
 
 // tick is the time between two steps of a simulated fleet.
@@ -18,10 +19,10 @@
 
 // simulatedVM is a VM of a simulated fleet.
 type simulatedVM struct {
-	identity psfleet.Identity
+	identity psmessage.Identity
 	fleet    *psfleet.Fleet
 	digester psfleet.Digester
-	own      psfleet.Report
+	own      psmessage.Report
 	sequence int64
 	reportAt time.Duration
 	digestAt time.Duration
@@ -38,15 +39,15 @@
 	random *rand.Rand
 	now    time.Duration
 	// cut reports whether messages from one VM to another are lost.
-	cut func(from, to psfleet.Identity) bool
+	cut func(from, to psmessage.Identity) bool
 }
 
 func newSimulatedFleet(t *testing.T, domains, each int) *simulatedFleet {
-	f := &simulatedFleet{t: t, vms: map[string]*simulatedVM{}, random: rand.New(rand.NewPCG(1, 2)), cut: func(_, _ psfleet.Identity) bool { return false }}
+	f := &simulatedFleet{t: t, vms: map[string]*simulatedVM{}, random: rand.New(rand.NewPCG(1, 2)), cut: func(_, _ psmessage.Identity) bool { return false }}
 	a := netip.MustParseAddrPort("10.0.0.1:80")
 	for d := range domains {
 		for i := range each {
-			v := &simulatedVM{identity: psfleet.Identity{
+			v := &simulatedVM{identity: psmessage.Identity{
 				VM: fmt.Sprintf("vm-%02d-%02d", d, i), FailureDomain: fmt.Sprint("domain-", d), Region: fmt.Sprint("region-", d%3),
 				CallerAddress: a, PeerAddress: a, Incarnation: 1,
 			}}
@@ -81,7 +82,7 @@
 func (f *simulatedFleet) step(v *simulatedVM) {
 	if f.now >= v.reportAt {
 		v.sequence++
-		v.own = psfleet.Report{Identity: v.identity, Sequence: v.sequence, Ready: true}
+		v.own = psmessage.Report{Identity: v.identity, Sequence: v.sequence, Ready: true}
 		r := v.own
 		r.Shorten(0)
 		for _, p := range v.fleet.DomainPeers() {
@@ -107,7 +108,7 @@
 	}
 }
 
-func (f *simulatedFleet) receiveDigest(v *simulatedVM, d *psfleet.Digest) {
+func (f *simulatedFleet) receiveDigest(v *simulatedVM, d *psmessage.Digest) {
 	for _, r := range d.Reports {
 		got := r.Report
 		v.fleet.ApplyReport(&got, f.at().Add(-r.Age))
@@ -123,7 +124,7 @@
 }
 
 // send delivers a message at once, or drops one in a hundred.
-func (f *simulatedFleet) send(from *simulatedVM, to psfleet.Identity, deliver func(to *simulatedVM)) {
+func (f *simulatedFleet) send(from *simulatedVM, to psmessage.Identity, deliver func(to *simulatedVM)) {
 	from.sent++
 	v := f.vms[to.VM]
 	if v.dead || f.cut(from.identity, to) || f.random.IntN(100) == 0 {
@@ -203,12 +204,12 @@
 func TestPartitionedFleetReconverges(t *testing.T) {
 	f := newSimulatedFleet(t, 6, 8)
 	f.run(3 * time.Second)
-	f.cut = func(a, b psfleet.Identity) bool { return (a.Region == "region-0") != (b.Region == "region-0") }
+	f.cut = func(a, b psmessage.Identity) bool { return (a.Region == "region-0") != (b.Region == "region-0") }
 	f.run(20 * time.Second)
 	across := func(v, o *simulatedVM) bool { return f.cut(v.identity, o.identity) }
 	qt.Assert(t, f.countLive(across), qt.Equals, 0)
 	partition := f.cut
-	f.cut = func(_, _ psfleet.Identity) bool { return false }
+	f.cut = func(_, _ psmessage.Identity) bool { return false }
 	f.run(4 * time.Second)
 	pairs := 2 * 16 * 32
 	n := f.countLive(func(v, o *simulatedVM) bool { return partition(v.identity, o.identity) })
@@ -217,12 +218,12 @@
 
 // TestDigestCheckRejectsInvalidDigests covers digests that VMs of other versions or other senders may send.
 func TestDigestCheckRejectsInvalidDigests(t *testing.T) {
-	valid := psfleet.ForwardedReport{Report: psfleet.Report{Identity: identity("vm-1", 1)}}
-	qt.Assert(t, (&psfleet.Digest{FailureDomain: "north-a", Reports: []psfleet.ForwardedReport{valid}}).Check(), qt.IsNil)
+	valid := psmessage.ForwardedReport{Report: psmessage.Report{Identity: identity("vm-1", 1)}}
+	qt.Assert(t, (&psmessage.Digest{FailureDomain: "north-a", Reports: []psmessage.ForwardedReport{valid}}).Check(), qt.IsNil)
 	old := valid
 	old.Age = time.Hour
-	for _, d := range []psfleet.Digest{
-		{}, {FailureDomain: "north-a", Reports: []psfleet.ForwardedReport{{}}}, {FailureDomain: "north-a", Reports: []psfleet.ForwardedReport{old}},
+	for _, d := range []psmessage.Digest{
+		{}, {FailureDomain: "north-a", Reports: []psmessage.ForwardedReport{{}}}, {FailureDomain: "north-a", Reports: []psmessage.ForwardedReport{old}},
 	} {
 		qt.Check(t, d.Check(), qt.IsNotNil, qt.Commentf("%+v", d))
 	}
@@ -231,14 +232,14 @@
 // TestDigestReceiverHasLargestLink guards against sending digests to VMs with small network links, which
 // forwarding to a whole failure domain saturates.
 func TestDigestReceiverHasLargestLink(t *testing.T) {
-	f := psfleet.New(psfleet.Identity{VM: "vm-0", FailureDomain: "north-a"})
+	f := psfleet.New(psmessage.Identity{VM: "vm-0", FailureDomain: "north-a"})
 	for i := range 30 {
 		v := identity(fmt.Sprint("vm-", i+1), 1)
 		v.FailureDomain, v.Link = "south-a", 20
 		if i == 17 {
 			v.Link = 200
 		}
-		f.ApplyReport(&psfleet.Report{Identity: v, Sequence: 1}, startTime)
+		f.ApplyReport(&psmessage.Report{Identity: v, Sequence: 1}, startTime)
 	}
 	to := f.DigestReceivers(0, 1, startTime)
 	qt.Assert(t, to, qt.HasLen, 1)
@@ -248,10 +249,10 @@
 
 // TestInvalidReportStopsTheOthersOfADigest covers a digest of which one report is invalid.
 func TestInvalidReportStopsTheOthersOfADigest(t *testing.T) {
-	valid := psfleet.ForwardedReport{Report: psfleet.Report{Identity: psfleet.Identity{VM: "vm-1", Incarnation: 1}, Sequence: 1}}
+	valid := psmessage.ForwardedReport{Report: psmessage.Report{Identity: psmessage.Identity{VM: "vm-1", Incarnation: 1}, Sequence: 1}}
 	odd := valid
 	odd.Incarnation = math.MaxInt64
-	d := psfleet.Digest{FailureDomain: "north-a", Reports: []psfleet.ForwardedReport{odd, valid}}
+	d := psmessage.Digest{FailureDomain: "north-a", Reports: []psmessage.ForwardedReport{odd, valid}}
 	invalid, err := d.DropInvalid()
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, invalid, qt.IsNotNil)
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -9,13 +9,14 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 )
 
 var startTime = time.Unix(1000, 0)
 
-func identity(vm string, incarnation int64) psfleet.Identity {
+func identity(vm string, incarnation int64) psmessage.Identity {
 	a := netip.MustParseAddrPort("10.0.0.1:80")
-	return psfleet.Identity{VM: vm, FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: incarnation}
+	return psmessage.Identity{VM: vm, FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: incarnation}
 }
 
 func TestSilentVMIsNotLiveButItsShareIsReserved(t *testing.T) {
@@ -24,7 +25,7 @@
 	p := f.Peers()[0]
 	qt.Assert(t, f.Live(p, startTime), qt.IsFalse)
 	qt.Assert(t, f.Reserved(p, startTime), qt.IsTrue)
-	_, fresh := f.ApplyReport(&psfleet.Report{Identity: identity("vm-2", 1), Sequence: 1}, startTime)
+	_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-2", 1), Sequence: 1}, startTime)
 	qt.Assert(t, fresh, qt.IsTrue)
 	qt.Assert(t, f.Live(p, startTime.Add(time.Second)), qt.IsTrue)
 	qt.Assert(t, f.Live(p, startTime.Add(2*time.Second)), qt.IsFalse)
@@ -39,7 +40,7 @@
 	for hour := range 100 {
 		now := startTime.Add(time.Duration(hour) * time.Hour)
 		f.AddIdentity(identity(fmt.Sprint("replaced-", hour), 1), now)
-		f.ApplyReport(&psfleet.Report{Identity: identity("vm-2", 1), Sequence: int64(hour + 1)}, now)
+		f.ApplyReport(&psmessage.Report{Identity: identity("vm-2", 1), Sequence: int64(hour + 1)}, now)
 		f.Forget(now)
 	}
 	// A VM counts for two hours after it was heard of last.
@@ -54,10 +55,10 @@
 		incarnation, sequence int64
 		fresh                 bool
 	}{{1, 1, true}, {1, 3, true}, {1, 2, false}, {1, 3, false}, {2, 1, true}, {1, 9, false}} {
-		_, fresh := f.ApplyReport(&psfleet.Report{Identity: identity("vm-2", v.incarnation), Sequence: v.sequence}, startTime)
+		_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-2", v.incarnation), Sequence: v.sequence}, startTime)
 		qt.Check(t, fresh, qt.Equals, v.fresh, qt.Commentf("%+v", v))
 	}
-	_, fresh := f.ApplyReport(&psfleet.Report{Identity: identity("vm-1", 1), Sequence: 1}, startTime)
+	_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-1", 1), Sequence: 1}, startTime)
 	qt.Assert(t, fresh, qt.IsFalse)
 }
 
@@ -73,7 +74,7 @@
 
 func TestDecodeIdentityRejectsInvalidIdentities(t *testing.T) {
 	for _, text := range []string{"", "{}", `{"vm":"a"}`, `{"vm":1}`} {
-		_, err := psfleet.DecodeIdentity([]byte(text))
+		_, err := psmessage.DecodeIdentity([]byte(text))
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
 }
@@ -83,7 +84,7 @@
 func TestBriefReportsRequireAKnownIncarnation(t *testing.T) {
 	f := psfleet.New(identity("vm-1", 1))
 	apply := func(incarnation, sequence int64) bool {
-		r := &psfleet.Report{Identity: identity("vm-2", incarnation), Sequence: sequence}
+		r := &psmessage.Report{Identity: identity("vm-2", incarnation), Sequence: sequence}
 		r.Shorten(0)
 		qt.Assert(t, r.Check(), qt.IsNil)
 		_, fresh := f.ApplyReport(r, startTime)
@@ -104,7 +105,7 @@
 // addresses of the others.
 func TestReportsCarryFullIdentityAfterFleetGrows(t *testing.T) {
 	full := func(sequence, grownAt int64) bool {
-		r := &psfleet.Report{Identity: identity("vm-2", 1), Sequence: sequence}
+		r := &psmessage.Report{Identity: identity("vm-2", 1), Sequence: sequence}
 		r.Shorten(grownAt)
 		return r.CallerAddress.IsValid()
 	}
@@ -113,7 +114,7 @@
 }
 
 func TestLargerLinksComeFirst(t *testing.T) {
-	a, b, c := psfleet.Identity{VM: "vm-1", Link: 20}, psfleet.Identity{VM: "vm-2", Link: 200}, psfleet.Identity{VM: "vm-3", Link: 200}
+	a, b, c := psmessage.Identity{VM: "vm-1", Link: 20}, psmessage.Identity{VM: "vm-2", Link: 200}, psmessage.Identity{VM: "vm-3", Link: 200}
 	qt.Assert(t, b.Before(a) && b.Before(c) && c.Before(a), qt.IsTrue)
 	qt.Assert(t, a.Before(b) || c.Before(b) || a.Before(a), qt.IsFalse)
 }
@@ -127,7 +128,7 @@
 	for sequence := range int64(20) {
 		for vm := range 73 {
 			if sequence < 10 || vm >= 12 {
-				f.ApplyReport(&psfleet.Report{Identity: identity(fmt.Sprint("vm-", vm+1), 1), Sequence: sequence + 1}, now)
+				f.ApplyReport(&psmessage.Report{Identity: identity(fmt.Sprint("vm-", vm+1), 1), Sequence: sequence + 1}, now)
 			}
 		}
 		now = now.Add(interval)
@@ -156,13 +157,13 @@
 // the newest version falls silent.
 func TestNewestConfigurationComesFromALiveVM(t *testing.T) {
 	now := time.Unix(1000, 0)
-	f := psfleet.New(psfleet.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north"})
+	f := psfleet.New(psmessage.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north"})
 	_, found := f.NewestConfiguration(now)
 	qt.Assert(t, found, qt.IsFalse)
 	a := netip.MustParseAddrPort("127.0.0.1:1")
 	apply := func(name string, version int64, at time.Time) {
-		f.ApplyReport(&psfleet.Report{
-			Identity: psfleet.Identity{VM: name, FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: 1},
+		f.ApplyReport(&psmessage.Report{
+			Identity: psmessage.Identity{VM: name, FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a, Incarnation: 1},
 			Sequence: at.UnixNano(), Version: version, ReadsStore: true,
 		}, at)
 	}
--- a/internal/process/psfleet/role.go
+++ b/internal/process/psfleet/role.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"persimmonstep/internal/process/psmessage"
 )
 
 // IsRelay reports whether this VM is the relay of its region, which announces the store's changes to the
@@ -22,8 +24,8 @@
 }
 
 // StoreReaders returns the other live VMs that read the store, themselves or through a relay.
-func (f *Fleet) StoreReaders(now time.Time) []Identity {
-	var list []Identity
+func (f *Fleet) StoreReaders(now time.Time) []psmessage.Identity {
+	var list []psmessage.Identity
 	for _, p := range f.Peers() {
 		if f.Live(p, now) && p.Report.ReadsStore {
 			list = append(list, p.Identity)
@@ -34,14 +36,14 @@
 
 // Helpers returns the other live VMs that reach backend servers and take requests, those that are nearer to this VM first.
 // VMs that don't state that they forward requests and know the state of their links come after all others.
-func (f *Fleet) Helpers(now time.Time) []Identity {
-	var list []Identity
+func (f *Fleet) Helpers(now time.Time) []psmessage.Identity {
+	var list []psmessage.Identity
 	for _, p := range f.Peers() {
 		if f.Live(p, now) && p.Report.Ready && !p.Report.NoServers {
 			list = append(list, p.Identity)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b Identity) int {
+	slices.SortStableFunc(list, func(a, b psmessage.Identity) int {
 		return cmp.Compare(a.HelperRank(f.self.FailureDomain, f.self.Region), b.HelperRank(f.self.FailureDomain, f.self.Region))
 	})
 	return list
@@ -49,8 +51,8 @@
 
 // NewestConfiguration returns the report of the live VM with the newest configuration, with its full
 // identity. It returns false if no live VM has a configuration.
-func (f *Fleet) NewestConfiguration(now time.Time) (Report, bool) {
-	var newest Report
+func (f *Fleet) NewestConfiguration(now time.Time) (psmessage.Report, bool) {
+	var newest psmessage.Report
 	for _, p := range f.Peers() {
 		if f.Live(p, now) && p.Report.Version > newest.Version {
 			newest = *p.Report
--- a/internal/process/psfleet/build_test.go
+++ b/internal/process/psmessage/build_test.go
@@ -1,4 +1,4 @@
-package psfleet_test
+package psmessage_test
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 )
 
 var updateBuild = flag.Bool("update", false, "rewrite the messages of the current build")
@@ -31,19 +31,19 @@
 	name := strings.TrimSuffix(filepath.Base(file), ".json")
 	switch name {
 	case "identity":
-		return &psfleet.Identity{}
+		return &psmessage.Identity{}
 	case "report":
-		return &psfleet.Report{}
+		return &psmessage.Report{}
 	case "digest":
-		return &psfleet.Digest{}
+		return &psmessage.Digest{}
 	case "noticeServers", "noticeDesiredState":
-		return &psfleet.Notice{}
+		return &psmessage.Notice{}
 	case "tokenRequest", "serverTokenRequest":
-		return &psfleet.TokenRequest{}
+		return &psmessage.TokenRequest{}
 	case "tokenResponse", "serverTokenResponse":
-		return &psfleet.TokenResponse{}
+		return &psmessage.TokenResponse{}
 	case "controlState":
-		return &psfleet.ControlState{}
+		return &psmessage.ControlState{}
 	}
 	t.Fatalf("unknown message %s", file)
 	return nil
@@ -101,13 +101,13 @@
 // addFeatures sets the fields that this build adds to the messages of earlier ones.
 func addFeatures(m message) {
 	switch m := m.(type) {
-	case *psfleet.Identity:
-		m.Features = psfleet.CurrentFeatures
-	case *psfleet.Report:
-		m.Features = psfleet.CurrentFeatures
-	case *psfleet.Digest:
+	case *psmessage.Identity:
+		m.Features = psmessage.CurrentFeatures
+	case *psmessage.Report:
+		m.Features = psmessage.CurrentFeatures
+	case *psmessage.Digest:
 		for i := range m.Reports {
-			m.Reports[i].Features = psfleet.CurrentFeatures
+			m.Reports[i].Features = psmessage.CurrentFeatures
 		}
 	}
 }
@@ -160,8 +160,8 @@
 // field of an identity.
 func TestBriefReportStatesFeatures(t *testing.T) {
 	m, _ := decodeFile(t, filepath.Join(buildDirectory, "3a12874", "report.json"))
-	r, _ := m.(*psfleet.Report)
-	r.Features, r.Sequence = psfleet.CurrentFeatures, 1001
+	r, _ := m.(*psmessage.Report)
+	r.Features, r.Sequence = psmessage.CurrentFeatures, 1001
 	r.Shorten(0)
 	_, stated := encode(t, r).(map[string]any)["features"]
 	qt.Assert(t, stated, qt.IsFalse)
--- a/internal/process/psfleet/controlstate.go
+++ b/internal/process/psmessage/controlstate.go
@@ -1,4 +1,4 @@
-package psfleet
+package psmessage
 
 import (
 	"time"
--- a/internal/process/psfleet/feature.go
+++ b/internal/process/psmessage/feature.go
@@ -1,4 +1,4 @@
-package psfleet
+package psmessage
 
 // Features are what a VM's build can do for other VMs, as bits. While VMs of two builds run side by side, a VM must not
 // be asked for what it doesn't state, and its silence about something that it doesn't state means nothing. Builds from
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -13,6 +13,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrendezvous"
@@ -97,9 +98,9 @@
 
 // ColdSenders returns the number of VMs that send requests to a cold server and share its request rate.
 // It also returns whether the first VM of the list is one of them. The others send none.
-func ColdSenders(server string, list []psfleet.Identity) (vms int, own bool) {
+func ColdSenders(server string, list []psmessage.Identity) (vms int, own bool) {
 	score := psrendezvous.Score(server, list[0].VM)
-	higher := lo.CountBy(list[1:], func(i psfleet.Identity) bool {
+	higher := lo.CountBy(list[1:], func(i psmessage.Identity) bool {
 		return psrendezvous.Score(server, i.VM) > score
 	})
 	return min(maxColdSenders, len(list)), higher < maxColdSenders
@@ -107,18 +108,18 @@
 
 // TokenOwners returns the VMs of a list that own the tokens of a workspace: the primary, and the backup to
 // ask if the primary doesn't answer. In a fleet of one VM they are the same.
-func TokenOwners(workspace string, list []psfleet.Identity) (primary, backup psfleet.Identity) {
-	return owners(workspace, list, func(psfleet.Identity) int { return 0 })
+func TokenOwners(workspace string, list []psmessage.Identity) (primary, backup psmessage.Identity) {
+	return owners(workspace, list, func(psmessage.Identity) int { return 0 })
 }
 
 // ServerTokenOwners returns the VMs of a list that own the tokens of a server's limit. They are as near to the server
 // as possible, so that a VM which can reach the server can usually reach them as well.
-func ServerTokenOwners(server, failureDomain, region string, list []psfleet.Identity) (primary, backup psfleet.Identity) {
-	return owners(server, list, func(i psfleet.Identity) int { return i.Distance(failureDomain, region) })
+func ServerTokenOwners(server, failureDomain, region string, list []psmessage.Identity) (primary, backup psmessage.Identity) {
+	return owners(server, list, func(i psmessage.Identity) int { return i.Distance(failureDomain, region) })
 }
 
 // owners returns the two VMs with the least distance, and among those with the same distance the highest score.
-func owners(key string, list []psfleet.Identity, distance func(psfleet.Identity) int) (primary, backup psfleet.Identity) {
+func owners(key string, list []psmessage.Identity, distance func(psmessage.Identity) int) (primary, backup psmessage.Identity) {
 	var first, second position
 	for _, i := range list {
 		switch p := (position{distance(i), psrendezvous.Score(key, i.VM)}); {
--- a/internal/process/psshare/share_test.go
+++ b/internal/process/psshare/share_test.go
@@ -6,14 +6,14 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psshare"
 )
 
-func vms(n int) []psfleet.Identity {
-	list := make([]psfleet.Identity, n)
+func vms(n int) []psmessage.Identity {
+	list := make([]psmessage.Identity, n)
 	for i := range list {
-		list[i] = psfleet.Identity{VM: fmt.Sprint("vm-", i), FailureDomain: fmt.Sprint("domain-", i%6), Region: fmt.Sprint("region-", i%6/2)}
+		list[i] = psmessage.Identity{VM: fmt.Sprint("vm-", i), FailureDomain: fmt.Sprint("domain-", i%6), Region: fmt.Sprint("region-", i%6/2)}
 	}
 	return list
 }
@@ -45,7 +45,7 @@
 		workspacePrimary, workspaceBackup := psshare.TokenOwners(key, list)
 		serverPrimary, serverBackup := psshare.ServerTokenOwners(key, "domain-1", "region-0", list)
 		for i := range list {
-			rotated := append(append([]psfleet.Identity{}, list[i:]...), list[:i]...)
+			rotated := append(append([]psmessage.Identity{}, list[i:]...), list[:i]...)
 			primary, backup := psshare.TokenOwners(key, rotated)
 			qt.Check(t, [2]string{primary.VM, backup.VM}, qt.Equals, [2]string{workspacePrimary.VM, workspaceBackup.VM})
 			primary, backup = psshare.ServerTokenOwners(key, "domain-1", "region-0", rotated)
--- a/internal/process/pssnapshot/shares.go
+++ b/internal/process/pssnapshot/shares.go
@@ -1,7 +1,7 @@
 package pssnapshot
 
 import (
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
 )
@@ -22,12 +22,12 @@
 
 // TokenOwners returns the VMs that own the rate-limit tokens of a workspace for the fleet: the primary, and the
 // backup to ask if the primary doesn't answer.
-func (s *Snapshot) TokenOwners(workspace string) (primary, backup psfleet.Identity) {
+func (s *Snapshot) TokenOwners(workspace string) (primary, backup psmessage.Identity) {
 	return psshare.TokenOwners(workspace, s.ShareHolders)
 }
 
 // ServerTokenOwners returns the VMs that own the tokens of a server's limit: the primary, and the backup.
-func (s *Snapshot) ServerTokenOwners(server psserver.Entry, region string) (primary, backup psfleet.Identity) {
+func (s *Snapshot) ServerTokenOwners(server psserver.Entry, region string) (primary, backup psmessage.Identity) {
 	return psshare.ServerTokenOwners(server.ID, server.FailureDomain, region, s.ShareHolders)
 }
 
--- a/internal/process/pssnapshot/snapshot.go
+++ b/internal/process/pssnapshot/snapshot.go
@@ -11,7 +11,7 @@
 
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
@@ -32,7 +32,7 @@
 	// EvenShare is the share of a workspace that isn't in RateShares.
 	EvenShare float64
 	// ShareHolders lists this VM and those that may still use their share of the fleet's limits.
-	ShareHolders []psfleet.Identity
+	ShareHolders []psmessage.Identity
 	// PropagationTime is the time within which a VM's report reaches all VMs.
 	PropagationTime time.Duration
 	// RelaysStore is set if this VM relays store changes to the others of its region.
@@ -41,15 +41,15 @@
 	// of the servers.
 	DesiredStateRevision, ServersRevision psrevision.Revision
 	// NewerVM is a live VM that has had a newer configuration for some time; nil if there is none.
-	NewerVM *psfleet.Identity
+	NewerVM *psmessage.Identity
 	// Changes increases whenever the state changes that this VM sends to others.
 	Changes int64
 	// StoreReaders lists the other VMs that read the store.
-	StoreReaders []psfleet.Identity
+	StoreReaders []psmessage.Identity
 	// NoServers is set if this VM has lost its links to all backend servers. Helpers are then the other VMs that reach
 	// servers, the nearest first.
 	NoServers bool
-	Helpers   []psfleet.Identity
+	Helpers   []psmessage.Identity
 	// FleetSize is the number of known VMs, this one included.
 	FleetSize int
 	// VMs lists the VMs that take callers, this one first.
@@ -61,11 +61,11 @@
 
 // HasPeer reports whether an address is that of another VM.
 func (s *Snapshot) HasPeer(a netip.Addr) bool {
-	return slices.ContainsFunc(s.ShareHolders, func(i psfleet.Identity) bool { return i.PeerAddress.Addr() == a })
+	return slices.ContainsFunc(s.ShareHolders, func(i psmessage.Identity) bool { return i.PeerAddress.Addr() == a })
 }
 
 // NewVM returns the VM with an identity.
-func NewVM(i psfleet.Identity) VM {
+func NewVM(i psmessage.Identity) VM {
 	return VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.CallerAddress.String()}
 }
 
@@ -86,8 +86,8 @@
 }
 
 // ControlState returns the state for other VMs. The snapshot must have a configuration.
-func (s *Snapshot) ControlState(now time.Time) psfleet.ControlState {
-	state := psfleet.ControlState{
+func (s *Snapshot) ControlState(now time.Time) psmessage.ControlState {
+	state := psmessage.ControlState{
 		Configuration: s.Index.Configuration, Evacuated: lo.Keys(s.Evacuated),
 		DesiredStateRevision: s.DesiredStateRevision, ServersRevision: s.ServersRevision, Age: now.Sub(s.ServersReadAt),
 	}
--- a/internal/process/psstate/explain_test.go
+++ b/internal/process/psstate/explain_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -52,7 +52,7 @@
 		Snapshot: &pssnapshot.Snapshot{
 			Index: psconfig.NewIndex(&c), Servers: map[string][]*psserver.Server{"prices": servers},
 			ServersReadAt: startTime, RateShares: map[string]float64{"trays": 0.25}, EvenShare: 0.5, FleetSize: 2,
-			ShareHolders: []psfleet.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
+			ShareHolders: []psmessage.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
 		},
 		Tokens:    pstoken.New(pstoken.Options{Self: "vm-1", Logger: hclog.NewNullLogger(), Now: time.Now}),
 		Estimates: &psestimate.Estimates{}, Ready: true,
--- a/internal/process/pssteer/cling_test.go
+++ b/internal/process/pssteer/cling_test.go
@@ -33,7 +33,9 @@
 			return
 		}
 		reader := bufio.NewReader(conn)
-		for c.send(conn, reader) && !fresh {
+		usable := true
+		for usable {
+			usable = c.send(conn, reader) && !fresh
 		}
 		_ = conn.Close()
 	}
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -25,9 +25,9 @@
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/pstoken"
@@ -205,10 +205,10 @@
 	return netip.AddrPortFrom(s.Callers.Addr(), s.PeerPorts[0]+1)
 }
 
-func identity(s *psnode.Settings) psfleet.Identity {
-	return psfleet.Identity{
+func identity(s *psnode.Settings) psmessage.Identity {
+	return psmessage.Identity{
 		VM: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, CallerAddress: s.Callers,
-		PeerAddress: peerAddress(s), Link: s.Link, Incarnation: time.Now().UnixMilli(), Features: psfleet.CurrentFeatures,
+		PeerAddress: peerAddress(s), Link: s.Link, Incarnation: time.Now().UnixMilli(), Features: psmessage.CurrentFeatures,
 	}
 }
 
@@ -265,12 +265,12 @@
 }
 
 // Fetch returns the control state of a VM.
-func (f stateFetcher) Fetch(ctx context.Context, vm psfleet.Identity, known string) (psfleet.StateResponse, error) {
+func (f stateFetcher) Fetch(ctx context.Context, vm psmessage.Identity, known string) (psmessage.StateResponse, error) {
 	return f.client.Fetch(ctx, vm.PeerAddress, known)
 }
 
 // FetchDesiredState returns the control state of a VM without its servers.
-func (f stateFetcher) FetchDesiredState(ctx context.Context, vm psfleet.Identity) (psfleet.ControlState, error) {
+func (f stateFetcher) FetchDesiredState(ctx context.Context, vm psmessage.Identity) (psmessage.ControlState, error) {
 	return f.client.FetchDesiredState(ctx, vm.PeerAddress)
 }
 
@@ -287,16 +287,16 @@
 }
 
 // HandleReport passes a report to the control plane.
-func (h messageHandler) HandleReport(r *psfleet.Report) { h.vm.controller.ReceiveReport(r) }
+func (h messageHandler) HandleReport(r *psmessage.Report) { h.vm.controller.ReceiveReport(r) }
 
 // HandleNotice passes a notice to the control plane.
-func (h messageHandler) HandleNotice(n *psfleet.Notice) { h.vm.controller.ReceiveNotice(n) }
+func (h messageHandler) HandleNotice(n *psmessage.Notice) { h.vm.controller.ReceiveNotice(n) }
 
 // HandleDigest passes a digest to the control plane.
-func (h messageHandler) HandleDigest(d *psfleet.Digest) { h.vm.controller.ReceiveDigest(d) }
+func (h messageHandler) HandleDigest(d *psmessage.Digest) { h.vm.controller.ReceiveDigest(d) }
 
 // GrantToken responds to a token request.
-func (h messageHandler) GrantToken(t psfleet.TokenRequest) psfleet.TokenResponse {
+func (h messageHandler) GrantToken(t psmessage.TokenRequest) psmessage.TokenResponse {
 	return h.vm.tokens.Grant(h.vm.controller.Snapshot(), t)
 }
 
--- a/internal/process/pssync/bootstrap.go
+++ b/internal/process/pssync/bootstrap.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/internal/version/psrevision"
@@ -29,7 +30,7 @@
 // FetchDesiredState fetches the operator's desired state from a VM and applies it if it is of the given revision
 // or a later one. It returns its revision; false if that failed.
 func (s *Syncer) FetchDesiredState(ctx context.Context, vm string, revision psrevision.Revision) (psrevision.Revision, bool) {
-	i, found := lo.Find(s.options.Snapshot().ShareHolders, func(i psfleet.Identity) bool { return i.VM == vm })
+	i, found := lo.Find(s.options.Snapshot().ShareHolders, func(i psmessage.Identity) bool { return i.VM == vm })
 	if !found {
 		return psrevision.Revision{}, false
 	}
@@ -87,10 +88,10 @@
 
 // firstOfDomain returns the first VM of this failure domain in a large fleet; false if that is this VM or the
 // fleet is small.
-func (s *Syncer) firstOfDomain() (psfleet.Identity, bool) {
+func (s *Syncer) firstOfDomain() (psmessage.Identity, bool) {
 	view, self := s.options.Snapshot(), s.options.Self
 	if view.FleetSize < psfleet.LargeSize {
-		return psfleet.Identity{}, false
+		return psmessage.Identity{}, false
 	}
 	first := self
 	for _, i := range view.ShareHolders {
--- a/internal/process/pssync/sync.go
+++ b/internal/process/pssync/sync.go
@@ -13,7 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/version/psconfig"
@@ -31,15 +31,15 @@
 type Fetcher interface {
 	// Fetch returns the validated state of a VM. If the VM's state still has the tag known, the result is marked
 	// as unchanged and holds no state.
-	Fetch(ctx context.Context, vm psfleet.Identity, known string) (psfleet.StateResponse, error)
+	Fetch(ctx context.Context, vm psmessage.Identity, known string) (psmessage.StateResponse, error)
 	// FetchDesiredState returns the state of a VM without the servers.
-	FetchDesiredState(ctx context.Context, vm psfleet.Identity) (psfleet.ControlState, error)
+	FetchDesiredState(ctx context.Context, vm psmessage.Identity) (psmessage.ControlState, error)
 }
 
 // PeerState is the state of another VM.
 type PeerState struct {
 	VM    string
-	State psfleet.ControlState
+	State psmessage.ControlState
 	// Bootstrap is set if this VM starts and uses the state instead of reading the store's tables.
 	Bootstrap bool
 	// Unchanged is set if the state is the same as at the previous fetch. Of State only the age is used then.
@@ -51,14 +51,14 @@
 	// ApplyPeerState applies the state of a VM that reads the store.
 	ApplyPeerState(s PeerState)
 	// ApplyPeerDesiredState applies the operator's desired state from a VM.
-	ApplyPeerDesiredState(state psfleet.ControlState)
+	ApplyPeerDesiredState(state psmessage.ControlState)
 	// ApplyPeerConfiguration applies a configuration that is newer than the one in force.
 	ApplyPeerConfiguration(v *psconfig.Configuration)
 }
 
 // Options are the dependencies of a [Syncer].
 type Options struct {
-	Self psfleet.Identity
+	Self psmessage.Identity
 	// FirstStart states that the whole fleet starts for the first time.
 	FirstStart bool
 	Fetcher    Fetcher
@@ -124,7 +124,7 @@
 }
 
 // fetchPeerState fetches the state of one VM and reports whether it is recent enough to be used.
-func (s *Syncer) fetchPeerState(ctx context.Context, vm psfleet.Identity, last *syncSource) bool {
+func (s *Syncer) fetchPeerState(ctx context.Context, vm psmessage.Identity, last *syncSource) bool {
 	response, err := s.options.Fetcher.Fetch(ctx, vm, last.tag)
 	if err != nil || response.State.Age > maxPeerStateAge {
 		last.tag = ""
@@ -137,9 +137,9 @@
 
 // sortByDistance returns the VMs of self's failure domain, then those of its region, then the others. Within
 // each group the order depends on self, so that the VMs of one failure domain don't all fetch from the same VM.
-func sortByDistance(self psfleet.Identity, list []psfleet.Identity) []psfleet.Identity {
+func sortByDistance(self psmessage.Identity, list []psmessage.Identity) []psmessage.Identity {
 	list = slices.Clone(list)
-	slices.SortStableFunc(list, func(a, b psfleet.Identity) int {
+	slices.SortStableFunc(list, func(a, b psmessage.Identity) int {
 		return cmp.Or(cmp.Compare(a.Distance(self.FailureDomain, self.Region), b.Distance(self.FailureDomain, self.Region)),
 			cmp.Compare(psrendezvous.Score(self.VM, a.VM), psrendezvous.Score(self.VM, b.VM)))
 	})
--- a/internal/process/pssync/sync_test.go
+++ b/internal/process/pssync/sync_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pssync"
 	"persimmonstep/internal/version/psconfig"
@@ -17,21 +17,21 @@
 
 // peers are other VMs that all have the same state, and record what the syncer applies.
 type peers struct {
-	state   psfleet.ControlState
+	state   psmessage.ControlState
 	applied []psrevision.Revision
 }
 
-func (p *peers) Fetch(context.Context, psfleet.Identity, string) (psfleet.StateResponse, error) {
-	return psfleet.StateResponse{State: p.state}, nil
+func (p *peers) Fetch(context.Context, psmessage.Identity, string) (psmessage.StateResponse, error) {
+	return psmessage.StateResponse{State: p.state}, nil
 }
 
-func (p *peers) FetchDesiredState(context.Context, psfleet.Identity) (psfleet.ControlState, error) {
+func (p *peers) FetchDesiredState(context.Context, psmessage.Identity) (psmessage.ControlState, error) {
 	return p.state, nil
 }
 
 func (*peers) ApplyPeerState(pssync.PeerState) {}
 
-func (p *peers) ApplyPeerDesiredState(state psfleet.ControlState) {
+func (p *peers) ApplyPeerDesiredState(state psmessage.ControlState) {
 	p.applied = append(p.applied, state.DesiredStateRevision)
 }
 
@@ -40,11 +40,11 @@
 // TestFetchDesiredStateRequiresTheRevision fetches the desired state from a VM after a notice. A state older than the
 // announced revision, and an unknown VM, must be reported as failures and not be applied.
 func TestFetchDesiredStateRequiresTheRevision(t *testing.T) {
-	p := &peers{state: psfleet.ControlState{DesiredStateRevision: psrevision.New(0, 7)}}
+	p := &peers{state: psmessage.ControlState{DesiredStateRevision: psrevision.New(0, 7)}}
 	s := pssync.New(pssync.Options{
-		Self: psfleet.Identity{VM: "vm-1"}, Fetcher: p, Sink: p, Logger: hclog.NewNullLogger(),
+		Self: psmessage.Identity{VM: "vm-1"}, Fetcher: p, Sink: p, Logger: hclog.NewNullLogger(),
 		Snapshot: func() *pssnapshot.Snapshot {
-			return &pssnapshot.Snapshot{ShareHolders: []psfleet.Identity{{VM: "vm-1"}, {VM: "vm-2"}}}
+			return &pssnapshot.Snapshot{ShareHolders: []psmessage.Identity{{VM: "vm-1"}, {VM: "vm-2"}}}
 		},
 	})
 	revision, found := s.FetchDesiredState(t.Context(), "vm-2", psrevision.New(0, 7))
--- a/internal/process/pstoken/limit_test.go
+++ b/internal/process/pstoken/limit_test.go
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/connection/pspeer"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
@@ -54,7 +54,7 @@
 // simulatedVM is a VM with its view of the server.
 type simulatedVM struct {
 	index    int
-	identity psfleet.Identity
+	identity psmessage.Identity
 	// rate is the rate at which the VM wants to send requests to the server.
 	rate float64
 	// from is when the VM becomes known to the others.
@@ -79,7 +79,7 @@
 		limit: limit, restarts: make(map[string][]time.Duration), propagation: 500 * time.Millisecond,
 	}
 	for i, rate := range rates {
-		v := &simulatedVM{index: i, rate: rate, identity: psfleet.Identity{
+		v := &simulatedVM{index: i, rate: rate, identity: psmessage.Identity{
 			VM: fmt.Sprint("vm-", i), FailureDomain: fmt.Sprint("domain-", i%domainCount), Region: fmt.Sprint("region-", i%domainCount/2),
 			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), 1}), 1),
 		}}
@@ -128,17 +128,17 @@
 	vm         *simulatedVM
 }
 
-func (c client) RequestToken(_ context.Context, to netip.AddrPort, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+func (c client) RequestToken(_ context.Context, to netip.AddrPort, q psmessage.TokenRequest) (psmessage.TokenResponse, error) {
 	w := c.simulation
 	w.asked++
 	i := slices.IndexFunc(w.vms, func(v *simulatedVM) bool { return v.identity.PeerAddress == to })
 	owner := w.vms[i]
 	if !w.reaches(c.vm, owner, w.at()) || w.random.Float64() < w.loss/2 || w.at() < owner.from || w.ended(owner, w.at()) {
-		return psfleet.TokenResponse{}, pspeer.ErrNoResponse
+		return psmessage.TokenResponse{}, pspeer.ErrNoResponse
 	}
 	response := owner.tokens.Grant(w.snapshot(owner), q)
 	if w.random.Float64() < w.loss/2 {
-		return psfleet.TokenResponse{}, pspeer.ErrNoResponse
+		return psmessage.TokenResponse{}, pspeer.ErrNoResponse
 	}
 	return response, nil
 }
--- a/internal/process/pstoken/owner.go
+++ b/internal/process/pstoken/owner.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
@@ -47,7 +47,7 @@
 	loggedAt                  time.Time
 }
 
-func (o *ownedServer) record(q psfleet.TokenRequest, response psfleet.TokenResponse) {
+func (o *ownedServer) record(q psmessage.TokenRequest, response psmessage.TokenResponse) {
 	o.requests++
 	o.wanted += q.Wanted
 	if response.Granted {
@@ -56,17 +56,17 @@
 }
 
 // grantServer answers a request for tokens of a server's limit.
-func (t *Tokens) grantServer(s *pssnapshot.Snapshot, q psfleet.TokenRequest) psfleet.TokenResponse {
+func (t *Tokens) grantServer(s *pssnapshot.Snapshot, q psmessage.TokenRequest) psmessage.TokenResponse {
 	server, found := s.Server(q.Service, q.Server.Run)
 	if !found {
-		return psfleet.TokenResponse{Wait: unknownServerWait, Fraction: 1}
+		return psmessage.TokenResponse{Wait: unknownServerWait, Fraction: 1}
 	}
 	now := t.now()
 	t.recordLimit(server, *q.Server, now)
 	limit, age := server.Limit(now)
-	response := psfleet.TokenResponse{Fraction: 1}
+	response := psmessage.TokenResponse{Fraction: 1}
 	if limit != q.Server.Limit {
-		response.Server = &psfleet.ServerLimit{Run: q.Server.Run, Limit: limit, Age: age}
+		response.Server = &psmessage.ServerLimit{Run: q.Server.Run, Limit: limit, Age: age}
 	}
 	if !limit.Named {
 		return response
--- a/internal/process/pstoken/share.go
+++ b/internal/process/pstoken/share.go
@@ -5,7 +5,7 @@
 	"maps"
 	"time"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 )
@@ -57,7 +57,7 @@
 	if deferred != nil {
 		return *deferred
 	}
-	q := psfleet.TokenRequest{Server: &psfleet.ServerLimit{Run: e.Run(), Limit: limit, Age: age}, Service: e.Service, Wanted: wanted}
+	q := psmessage.TokenRequest{Server: &psmessage.ServerLimit{Run: e.Run(), Limit: limit, Age: age}, Service: e.Service, Wanted: wanted}
 	primary, backup := s.ServerTokenOwners(e, server.Region)
 	response, err := t.askOwners(ctx, s, primary, backup, q)
 	if err != nil {
@@ -116,7 +116,7 @@
 }
 
 // applyResponse applies the owner's response to a request for tokens of a server.
-func (t *Tokens) applyResponse(server *psserver.Server, response psfleet.TokenResponse) Verdict {
+func (t *Tokens) applyResponse(server *psserver.Server, response psmessage.TokenResponse) Verdict {
 	now := t.now()
 	if known := response.Server; known != nil {
 		t.recordLimit(server, *known, now)
@@ -138,7 +138,7 @@
 }
 
 // recordLimit records what another VM knows of a server's limit.
-func (t *Tokens) recordLimit(s *psserver.Server, v psfleet.ServerLimit, now time.Time) {
+func (t *Tokens) recordLimit(s *psserver.Server, v psmessage.ServerLimit, now time.Time) {
 	if before, changed := s.RecordPeerLimit(v.Limit, now.Add(-v.Age)); changed {
 		t.limitLog.Changed(s.Entry().ID, s.Entry().Service, "", before, v.Limit, now)
 	}
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -18,8 +18,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
@@ -39,7 +39,7 @@
 
 // Client requests tokens from other VMs.
 type Client interface {
-	RequestToken(ctx context.Context, to netip.AddrPort, t psfleet.TokenRequest) (psfleet.TokenResponse, error)
+	RequestToken(ctx context.Context, to netip.AddrPort, t psmessage.TokenRequest) (psmessage.TokenResponse, error)
 }
 
 // Verdict is the result of a request for a token: [Granted], [OverLimit] or [Unavailable].
@@ -118,7 +118,7 @@
 	case l.Rate <= 0:
 		return Granted{}
 	case psrate.SingleOwner(l, s.FleetSize):
-		return t.ask(ctx, s, psfleet.TokenRequest{Workspace: w.Name, Late: late})
+		return t.ask(ctx, s, psmessage.TokenRequest{Workspace: w.Name, Late: late})
 	}
 	share := psshare.Of(s.RateShares, s.EvenShare, w.Name)
 	t.mutex.Lock()
@@ -127,13 +127,13 @@
 }
 
 // take takes a token from a bucket.
-func take(b *psrate.Bucket, l psrate.Limit, share float64, late bool, now time.Time) psfleet.TokenResponse {
+func take(b *psrate.Bucket, l psrate.Limit, share float64, late bool, now time.Time) psmessage.TokenResponse {
 	from := b.Take
 	if late {
 		from = b.TakeLate
 	}
 	granted, wait := from(l, share, now)
-	return psfleet.TokenResponse{Granted: granted, Wait: wait, Excess: !granted && b.Excess(l, share, now)}
+	return psmessage.TokenResponse{Granted: granted, Wait: wait, Excess: !granted && b.Excess(l, share, now)}
 }
 
 // Return puts back the token of a request that was not sent to a server. A token that another VM owns is not
@@ -151,7 +151,7 @@
 	return psrate.Limit{Rate: w.Rate, Burst: w.Burst}
 }
 
-func verdict(g psfleet.TokenResponse) Verdict {
+func verdict(g psmessage.TokenResponse) Verdict {
 	if g.Granted {
 		return Granted{}
 	}
@@ -169,7 +169,7 @@
 }
 
 // ask requests a token from the primary owner, or from the backup if the primary doesn't answer.
-func (t *Tokens) ask(ctx context.Context, s *pssnapshot.Snapshot, q psfleet.TokenRequest) Verdict {
+func (t *Tokens) ask(ctx context.Context, s *pssnapshot.Snapshot, q psmessage.TokenRequest) Verdict {
 	primary, backup := s.TokenOwners(q.Workspace)
 	g, err := t.askOwners(ctx, s, primary, backup, q)
 	if err != nil {
@@ -178,7 +178,7 @@
 	return verdict(g)
 }
 
-func (t *Tokens) askOwners(ctx context.Context, s *pssnapshot.Snapshot, primary, backup psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+func (t *Tokens) askOwners(ctx context.Context, s *pssnapshot.Snapshot, primary, backup psmessage.Identity, q psmessage.TokenRequest) (psmessage.TokenResponse, error) {
 	g, err := t.askVM(ctx, s, primary, q)
 	if err == nil {
 		return g, nil
@@ -188,12 +188,12 @@
 }
 
 // askVM requests a token from one VM. It fails at once during the backoff of a VM that didn't answer.
-func (t *Tokens) askVM(ctx context.Context, s *pssnapshot.Snapshot, vm psfleet.Identity, q psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+func (t *Tokens) askVM(ctx context.Context, s *pssnapshot.Snapshot, vm psmessage.Identity, q psmessage.TokenRequest) (psmessage.TokenResponse, error) {
 	if vm.VM == t.self {
 		return t.Grant(s, q), nil
 	}
 	if t.inBackoff(vm.VM) {
-		return psfleet.TokenResponse{}, errBackoff
+		return psmessage.TokenResponse{}, errBackoff
 	}
 	g, err := t.client.RequestToken(ctx, vm.PeerAddress, q)
 	if err != nil && ctx.Err() == nil {
@@ -215,16 +215,16 @@
 }
 
 // Grant answers a request for tokens that this VM owns.
-func (t *Tokens) Grant(s *pssnapshot.Snapshot, q psfleet.TokenRequest) psfleet.TokenResponse {
+func (t *Tokens) Grant(s *pssnapshot.Snapshot, q psmessage.TokenRequest) psmessage.TokenResponse {
 	if q.Server != nil {
 		return t.grantServer(s, q)
 	}
 	if s.Index == nil {
-		return psfleet.TokenResponse{Wait: unknownWorkspaceWait}
+		return psmessage.TokenResponse{Wait: unknownWorkspaceWait}
 	}
 	w, found := s.Index.WorkspaceByName(q.Workspace)
 	if !found {
-		return psfleet.TokenResponse{Wait: unknownWorkspaceWait}
+		return psmessage.TokenResponse{Wait: unknownWorkspaceWait}
 	}
 	share := psrate.PrimaryShare
 	if q.Backup {
--- a/internal/process/pstoken/tokens_test.go
+++ b/internal/process/pstoken/tokens_test.go
@@ -10,7 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/connection/pspeer"
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/version/psconfig"
@@ -18,12 +18,12 @@
 
 // tokenOwner answers token requests in place of another VM.
 type tokenOwner struct {
-	grant    psfleet.TokenResponse
+	grant    psmessage.TokenResponse
 	err      error
-	requests []psfleet.TokenRequest
+	requests []psmessage.TokenRequest
 }
 
-func (o *tokenOwner) RequestToken(_ context.Context, _ netip.AddrPort, t psfleet.TokenRequest) (psfleet.TokenResponse, error) {
+func (o *tokenOwner) RequestToken(_ context.Context, _ netip.AddrPort, t psmessage.TokenRequest) (psmessage.TokenResponse, error) {
 	o.requests = append(o.requests, t)
 	return o.grant, o.err
 }
@@ -55,13 +55,13 @@
 }
 
 func TestOwnedRateIsRequestedFromTheOwner(t *testing.T) {
-	o := &tokenOwner{grant: psfleet.TokenResponse{Granted: true}}
+	o := &tokenOwner{grant: psmessage.TokenResponse{Granted: true}}
 	tokens := newTokens("vm-1", o, time.Now)
 	s, w := snapshot(74)
 	qt.Assert(t, tokens.Take(context.Background(), s, w, false), qt.Equals, pstoken.Granted{})
-	o.grant = psfleet.TokenResponse{Wait: time.Second}
+	o.grant = psmessage.TokenResponse{Wait: time.Second}
 	qt.Assert(t, tokens.Take(context.Background(), s, w, false), qt.Equals, pstoken.OverLimit{Wait: time.Second})
-	qt.Assert(t, o.requests, qt.DeepEquals, []psfleet.TokenRequest{{Workspace: "trays"}, {Workspace: "trays"}})
+	qt.Assert(t, o.requests, qt.DeepEquals, []psmessage.TokenRequest{{Workspace: "trays"}, {Workspace: "trays"}})
 }
 
 func TestUnresponsiveOwnerIsNotAskedDuringBackoff(t *testing.T) {
@@ -87,7 +87,7 @@
 // TestTokenOfARejectedRequestIsReturned returns a token of this VM's bucket, and one that another VM owns.
 func TestTokenOfARejectedRequestIsReturned(t *testing.T) {
 	now := time.Unix(1000, 0)
-	o := &tokenOwner{grant: psfleet.TokenResponse{Granted: true}}
+	o := &tokenOwner{grant: psmessage.TokenResponse{Granted: true}}
 	tokens := newTokens("vm-1", o, func() time.Time { return now })
 	s, w := snapshot(1)
 	now = now.Add(time.Second / 4)
@@ -98,5 +98,5 @@
 	s, w = snapshot(74)
 	tokens.Return(s, w)
 	qt.Assert(t, tokens.Take(context.Background(), s, w, true), qt.Equals, pstoken.Granted{})
-	qt.Assert(t, o.requests, qt.DeepEquals, []psfleet.TokenRequest{{Workspace: "trays", Late: true}})
+	qt.Assert(t, o.requests, qt.DeepEquals, []psmessage.TokenRequest{{Workspace: "trays", Late: true}})
 }
--- a/internal/process/pswatch/delay_test.go
+++ b/internal/process/pswatch/delay_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
@@ -61,7 +61,7 @@
 // shows that, must not wait long.
 func TestNoticeAfterLostOneComesLate(t *testing.T) {
 	s := &changingStore{waits: make(chan time.Duration, 100)}
-	e := &environment{fleet: 74, notices: make(chan *psfleet.Notice, 100), applied: make(chan platform.Servers, 100)}
+	e := &environment{fleet: 74, notices: make(chan *psmessage.Notice, 100), applied: make(chan platform.Servers, 100)}
 	startWatcher(t, pswatch.Options{Store: s, PeerSource: e, Sink: e, Peers: e, Contact: 4 * time.Second, Heartbeat: 3 * time.Second})
 	qt.Assert(t, <-s.waits, qt.Equals, 500*time.Millisecond)
 	qt.Assert(t, <-s.waits, qt.Equals, 200*time.Millisecond)
@@ -118,7 +118,7 @@
 	t.Helper()
 	o.Logger, o.Now = hclog.NewNullLogger(), time.Now
 	if o.Self.VM == "" {
-		o.Self = psfleet.Identity{VM: "vm-1", Region: "north"}
+		o.Self = psmessage.Identity{VM: "vm-1", Region: "north"}
 	}
 	w := pswatch.New(o)
 	ctx, stop := context.WithCancel(t.Context())
@@ -198,7 +198,7 @@
 			t.Run(fmt.Sprint(kind, " of ", fleet), func(t *testing.T) {
 				t.Parallel()
 				s := &silentStore{kind: kind, calls: make(chan time.Time, 100)}
-				e := &environment{fleet: fleet, notices: make(chan *psfleet.Notice, 1000), applied: make(chan platform.Servers, 1000)}
+				e := &environment{fleet: fleet, notices: make(chan *psmessage.Notice, 1000), applied: make(chan platform.Servers, 1000)}
 				w := startWatcher(t, pswatch.Options{Store: s, PeerSource: e, Sink: e, Peers: e, Contact: contact, Heartbeat: 1500 * time.Millisecond})
 				first := <-s.calls
 				qt.Assert(t, (<-s.calls).Sub(first) < contact, qt.IsTrue)
--- a/internal/process/pswatch/relay.go
+++ b/internal/process/pswatch/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
 )
@@ -20,14 +21,14 @@
 	startedAt    time.Time
 	// sender is the name of the VM that sent the last notice.
 	sender                *atomic.Pointer[string]
-	servers               chan *psfleet.ServerChanges
+	servers               chan *psmessage.ServerChanges
 	desiredStateRevisions chan psrevision.Revision
 }
 
 func newRelay() relay {
 	return relay{
 		lastNoticeAt: &atomic.Int64{}, startedAt: time.Now(), sender: &atomic.Pointer[string]{},
-		servers: make(chan *psfleet.ServerChanges, noticeBacklog), desiredStateRevisions: make(chan psrevision.Revision, noticeBacklog),
+		servers: make(chan *psmessage.ServerChanges, noticeBacklog), desiredStateRevisions: make(chan psrevision.Revision, noticeBacklog),
 	}
 }
 
@@ -39,9 +40,9 @@
 // HandleNotice processes a notice of the relay. Notices of other regions and of VMs after this one in
 // the order of relays are ignored. A notice that exceeds the backlog is dropped, and later ones make
 // up for it.
-func (w *Watcher) HandleNotice(n *psfleet.Notice) {
+func (w *Watcher) HandleNotice(n *psmessage.Notice) {
 	self := w.options.Self
-	if n.Region != self.Region || !(psfleet.Identity{VM: n.VM, Link: n.Link}).Before(self) {
+	if n.Region != self.Region || !(psmessage.Identity{VM: n.VM, Link: n.Link}).Before(self) {
 		return
 	}
 	w.relay.sender.Store(&n.VM)
@@ -77,7 +78,7 @@
 }
 
 // sendNotice sends a notice to the other VMs of the region if this VM is the relay.
-func (w *Watcher) sendNotice(n *psfleet.Notice) {
+func (w *Watcher) sendNotice(n *psmessage.Notice) {
 	if !w.relayEnabled() || !w.options.Peers.IsRelay() {
 		return
 	}
--- a/internal/process/pswatch/relay_test.go
+++ b/internal/process/pswatch/relay_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pswatch"
 	"persimmonstep/internal/version/psrevision"
@@ -29,7 +29,7 @@
 	// fetchedFrom receives the name of each VM from which the desired state was fetched.
 	fetchedFrom      chan string
 	orderChangeCalls atomic.Int64
-	notices          chan *psfleet.Notice
+	notices          chan *psmessage.Notice
 	applied          chan platform.Servers
 }
 
@@ -85,7 +85,7 @@
 
 func (e *environment) IsRelay() bool { return !e.otherRelay.Load() }
 
-func (e *environment) SendNotice(n *psfleet.Notice) { e.notices <- n }
+func (e *environment) SendNotice(n *psmessage.Notice) { e.notices <- n }
 
 func start(t *testing.T, vm string, fleet int) (*pswatch.Watcher, *environment) {
 	t.Helper()
@@ -97,17 +97,17 @@
 	t.Helper()
 	e := &environment{
 		fleet: fleet, peerTables: peerTables, fetchedFrom: make(chan string, 1000),
-		notices: make(chan *psfleet.Notice, 1000), applied: make(chan platform.Servers, 1000),
+		notices: make(chan *psmessage.Notice, 1000), applied: make(chan platform.Servers, 1000),
 	}
 	w := startWatcher(t, pswatch.Options{
-		Self:  psfleet.Identity{VM: vm, Region: "north"},
+		Self:  psmessage.Identity{VM: vm, Region: "north"},
 		Store: e, PeerSource: e, Sink: e, Peers: e,
 	})
 	return w, e
 }
 
-func newNotice(from, to int64, id string) *psfleet.Notice {
-	return &psfleet.Notice{VM: "vm-1", Region: "north", Servers: &psfleet.ServerChanges{
+func newNotice(from, to int64, id string) *psmessage.Notice {
+	return &psmessage.Notice{VM: "vm-1", Region: "north", Servers: &psmessage.ServerChanges{
 		From: psrevision.New(0, from), Before: psrevision.New(0, from), To: psrevision.New(0, to),
 		Entries: []psserver.Entry{{ID: id}},
 	}}
@@ -129,7 +129,7 @@
 }
 
 // repeatNotice sends a notice again and again, as the relay sends notices every half second.
-func repeatNotice(t *testing.T, w *pswatch.Watcher, n *psfleet.Notice) {
+func repeatNotice(t *testing.T, w *pswatch.Watcher, n *psmessage.Notice) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -184,9 +184,9 @@
 
 func TestNoticesOfLaterVMsAndOtherRegionsAreIgnored(t *testing.T) {
 	w, e := start(t, "vm-2", 74)
-	for _, n := range []*psfleet.Notice{
-		{VM: "vm-3", Region: "north", Servers: &psfleet.ServerChanges{From: psrevision.New(0, 10), To: psrevision.New(0, 12), Entries: []psserver.Entry{{ID: "i-1"}}}},
-		{VM: "vm-1", Region: "south", Servers: &psfleet.ServerChanges{From: psrevision.New(0, 10), To: psrevision.New(0, 12), Entries: []psserver.Entry{{ID: "i-1"}}}},
+	for _, n := range []*psmessage.Notice{
+		{VM: "vm-3", Region: "north", Servers: &psmessage.ServerChanges{From: psrevision.New(0, 10), To: psrevision.New(0, 12), Entries: []psserver.Entry{{ID: "i-1"}}}},
+		{VM: "vm-1", Region: "south", Servers: &psmessage.ServerChanges{From: psrevision.New(0, 10), To: psrevision.New(0, 12), Entries: []psserver.Entry{{ID: "i-1"}}}},
 	} {
 		repeatNotice(t, w, n)
 	}
@@ -206,7 +206,7 @@
 func TestChangedDesiredStateIsFetchedFromRelay(t *testing.T) {
 	w, e := startWith(t, "vm-2", 74, pswatch.Revisions{DesiredState: psrevision.New(0, 10), Servers: psrevision.New(0, 10)})
 	repeatNotice(t, w, newNotice(10, 12, "i-1"))
-	repeatNotice(t, w, &psfleet.Notice{VM: "vm-1", Region: "north", DesiredStateRevision: psrevision.New(0, 15)})
+	repeatNotice(t, w, &psmessage.Notice{VM: "vm-1", Region: "north", DesiredStateRevision: psrevision.New(0, 15)})
 	qt.Assert(t, <-e.fetchedFrom, qt.Equals, "vm-1")
 	time.Sleep(500 * time.Millisecond)
 	qt.Assert(t, e.fetchedFrom, qt.HasLen, 0)
@@ -216,7 +216,7 @@
 func TestDesiredStateIsReadFromStoreWhenPeersAreSilent(t *testing.T) {
 	w, e := startWith(t, "vm-2", 74, pswatch.Revisions{DesiredState: psrevision.New(0, 10), Servers: psrevision.New(0, 10)})
 	e.peersSilent.Store(true)
-	repeatNotice(t, w, &psfleet.Notice{VM: "vm-1", Region: "north", DesiredStateRevision: psrevision.New(0, 15)})
+	repeatNotice(t, w, &psmessage.Notice{VM: "vm-1", Region: "north", DesiredStateRevision: psrevision.New(0, 15)})
 	for startedAt := time.Now(); e.orderChangeCalls.Load() == 0; time.Sleep(10 * time.Millisecond) {
 		qt.Assert(t, time.Since(startedAt) < 5*time.Second, qt.IsTrue)
 	}
--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -16,7 +16,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
@@ -96,7 +96,7 @@
 	// the network would lose more notices and still more VMs would send them.
 	IsRelay() bool
 	// SendNotice sends a notice to the other VMs of the region.
-	SendNotice(n *psfleet.Notice)
+	SendNotice(n *psmessage.Notice)
 }
 
 // PeerSource fetches tables from other VMs instead of the store. It passes them to the sink itself.
@@ -117,7 +117,7 @@
 // Options are the dependencies of a [Watcher].
 type Options struct {
 	// Self identifies this VM.
-	Self  psfleet.Identity
+	Self  psmessage.Identity
 	Store Store
 	// PeerSource passes what it fetches to the sink itself.
 	PeerSource PeerSource
@@ -326,7 +326,7 @@
 			v, err := w.options.Store.ServerChanges(ctx, after, wait)
 			if err == nil {
 				w.options.Sink.ApplyServers(v, false, false)
-				w.sendNotice(&psfleet.Notice{Servers: &psfleet.ServerChanges{
+				w.sendNotice(&psmessage.Notice{Servers: &psmessage.ServerChanges{
 					From: after, To: v.Revision, Before: changed, Entries: v.Entries, Removed: v.Removed,
 				}})
 				announced = len(v.Entries)+len(v.Removed) > 0
@@ -359,7 +359,7 @@
 			if err == nil {
 				w.options.Sink.ApplyDesiredState(o, false, false)
 				last = psrevision.Later(last, o.LastChange)
-				w.sendNotice(&psfleet.Notice{DesiredStateRevision: last})
+				w.sendNotice(&psmessage.Notice{DesiredStateRevision: last})
 			}
 			return o.Revision, err
 		},
