psregistry: VMs tell each other which servers left according to the store

Callers' requests reached a server that leaves for as long as one VM's own call to the store was late: in a small fleet each VM learned of a leaving by its own poll alone.

Reports now list for some seconds which servers the VM has read to be draining or removed, with their run and heartbeat number. Receivers take such a server out of use (7217) until a later entry of it; their own read confirms or refutes it. VMs whose build doesn't know departures are told by the existing list of leaving servers, as long as such a VM is live. Large fleets have the relay's notices and don't list departures.

--- a/internal/process/psannouncement/announcement.go
+++ b/internal/process/psannouncement/announcement.go
@@ -22,8 +22,9 @@
 	// minSpan is how long an event is listed at least. In a large fleet it is longer, because the latest report
 	// reaches other failure domains with a digest.
 	minSpan = 3 * time.Second
-	// maxLimits bounds the limits in a report, which is one datagram.
-	maxLimits = 64
+	// maxLimits and maxDepartures bound the limits and the departures in a report, which is one datagram.
+	maxLimits     = 64
+	maxDepartures = 64
 )
 
 // Announcements are the recent events of servers. It isn't safe for concurrent use.
@@ -32,11 +33,13 @@
 	failed map[string]time.Time
 	// leaving and limitChanged hold when servers announced their shutdown, and began or ceased to name a limit.
 	leaving, limitChanged map[psserver.Run]time.Time
+	// departed holds when servers left according to the store.
+	departed map[psmessage.Departure]time.Time
 }
 
 // New returns no announcements.
 func New() *Announcements {
-	return &Announcements{failed: map[string]time.Time{}, leaving: map[psserver.Run]time.Time{}, limitChanged: map[psserver.Run]time.Time{}}
+	return &Announcements{failed: map[string]time.Time{}, leaving: map[psserver.Run]time.Time{}, limitChanged: map[psserver.Run]time.Time{}, departed: map[psmessage.Departure]time.Time{}}
 }
 
 // Failed records that a server was found down.
@@ -48,6 +51,9 @@
 // Leaving records that a server announced its shutdown.
 func (a *Announcements) Leaving(r psserver.Run, now time.Time) { a.leaving[r] = now }
 
+// Departed records that a server left according to the store.
+func (a *Announcements) Departed(d psmessage.Departure, now time.Time) { a.departed[d] = now }
+
 // LimitChanged records that a server began or ceased to name a limit.
 func (a *Announcements) LimitChanged(r psserver.Run, now time.Time) { a.limitChanged[r] = now }
 
@@ -56,10 +62,28 @@
 	span := max(minSpan, f.PropagationTime()+f.ReportInterval())
 	r.Failed = recent(a.failed, span, now)
 	r.Leaving = recent(a.leaving, span, now)
+	a.fillDepartures(r, f, recent(a.departed, span, now), now)
 	r.Limited = limits(servers, recent(a.limitChanged, span, now), now)
 	r.Slow = slow(servers, now)
 }
 
+// fillDepartures lists servers that left according to the store. In a large fleet the relay's notices say so. VMs of builds
+// that don't know departures learn of them as servers that announced their shutdown.
+func (a *Announcements) fillDepartures(r *psmessage.Report, f *psfleet.Fleet, list []psmessage.Departure, now time.Time) {
+	if f.Hierarchical() {
+		return
+	}
+	r.Departed = list[:min(len(list), maxDepartures)]
+	if f.AllLiveHave(psmessage.Departures, now) {
+		return
+	}
+	for _, d := range r.Departed {
+		if _, announced := a.leaving[d.Run]; !announced {
+			r.Leaving = append(r.Leaving, d.Run)
+		}
+	}
+}
+
 // limits returns what this VM knows of the limits of servers.
 func limits(servers map[string][]*psserver.Server, runs []psserver.Run, now time.Time) []psmessage.ServerLimit {
 	if len(runs) == 0 {
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -407,6 +407,9 @@
 	case serversEvent:
 		c.desiredState.LogUnreadable(e.servers.Unreadable)
 		c.servers.Apply(e.servers, e.info, now)
+		for _, d := range c.servers.TakeDepartures() {
+			c.announcements.Departed(d, now)
+		}
 		c.serversRevision = psrevision.Later(c.serversRevision, e.servers.Revision)
 	case vmsEvent:
 		c.applyVMs(e.rows, now)
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -129,7 +129,7 @@
 func (*store) VMChanges(context.Context, psrevision.Revision) (platform.VMs, error) {
 	return platform.VMs{}, nil
 }
-func (*store) PublishVM(context.Context, string, []byte) error { return nil }
+func (*store) PublishVM(context.Context, string, []byte) error      { return nil }
 func (*store) Report(*psmessage.Report, []psmessage.Identity) error { return nil }
 
 func (*store) Notice(*psmessage.Notice, []psmessage.Identity) error { return nil }
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -39,7 +39,10 @@
 		psevent.PeerLive.Log(c.options.Logger, r.VM, r.Incarnation, silence(before, now))
 	}
 	c.options.Crashes.RecordPeerCrashes(r.VM, r.Crashes, now)
-	c.applyPeerLeaving(r.Leaving)
+	c.applyPeerLeaving(r)
+	for _, d := range r.Departed {
+		c.servers.ApplyDeparture(r.VM, d, now)
+	}
 	c.applyPeerLimits(r.Limited, receivedAt)
 	for id, lag := range r.Slow {
 		if s, found := c.servers.Get(id); found {
@@ -62,11 +65,13 @@
 	}
 }
 
-// applyPeerLeaving takes servers out of use that announced their shutdown to another VM.
-func (c *Controller) applyPeerLeaving(runs []psserver.Run) {
-	for _, r := range runs {
+// applyPeerLeaving takes servers out of use that announced their shutdown to another VM. Those that are listed as departed
+// as well are named for VMs of earlier builds.
+func (c *Controller) applyPeerLeaving(report *psmessage.Report) {
+	for _, r := range report.Leaving {
+		departed := slices.ContainsFunc(report.Departed, func(d psmessage.Departure) bool { return d.Run == r })
 		s, found := c.servers.Get(r.ID)
-		if !found || s.Entry().Run() != r || !s.MarkLeaving() {
+		if departed || !found || s.Entry().Run() != r || !s.MarkLeaving() {
 			continue
 		}
 		psevent.ServerLeaving.Log(c.options.Logger, r.ID, s.Entry().Service, "")
--- a/internal/process/pscontrol/link_test.go
+++ b/internal/process/pscontrol/link_test.go
@@ -89,3 +89,21 @@
 		qt.Assert(t, server.Usable(time.Now()), qt.Equals, features == 0)
 	}
 }
+
+// TestServerThatLeftByReportStaysInUse covers a VM whose calls to the store are late. Another VM's report names a server that
+// left, also as leaving, for VMs of earlier builds; a later entry of the server counts.
+func TestServerThatLeftByReportStaysInUse(t *testing.T) {
+	c, _, _ := startWithLinks(t)
+	server := c.Snapshot().Servers["prices"][0]
+	run := server.Entry().Run()
+	at := netip.MustParseAddrPort("127.0.0.2:80")
+	c.ReceiveReport(&psmessage.Report{
+		Identity: psmessage.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", Incarnation: 1, CallerAddress: at, PeerAddress: at},
+		Sequence: 1, Leaving: []psserver.Run{run}, Departed: []psmessage.Departure{{Run: run, Sequence: 4}},
+	})
+	eventually(t, "the departure", func() bool { return !server.Usable(time.Now()) })
+	ready := server.Entry()
+	ready.State, ready.Sequence = psserver.Ready, 5
+	c.ApplyServers(platform.Servers{Entries: []psserver.Entry{ready}}, false, false)
+	eventually(t, "the later entry", func() bool { return server.Usable(time.Now()) })
+}
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -61,6 +61,8 @@
 	ServerEntryStale = Event{7209, hclog.Info, "outdated backend server entry ignored", []string{"server", "service", "sequence", "known", "incarnation", "knownIncarnation"}}
 	// ServerEntryInvalid reports that an entry of a backend server is ignored because a field is out of range.
 	ServerEntryInvalid = Event{7216, hclog.Warn, "invalid backend server entry ignored", []string{"server", "error"}}
+	// ServerDeparted reports that a backend server is not used because another VM has read in the store that it leaves.
+	ServerDeparted = Event{7217, hclog.Info, "backend server left according to another VM", []string{"server", "service", "vm", "sequence", "removed"}}
 	// ServerDisputed reports that a backend server is not used because an outdated entry of it, which may be the server's
 	// own, says that it is draining. It is used again once the server renews its entry.
 	ServerDisputed = Event{7215, hclog.Warn, "backend server not used because its entries disagree", []string{"server", "service", "sequence", "incarnation"}}
@@ -116,7 +118,7 @@
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped, BoundExceeded,
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
-		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid,
+		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid, ServerDeparted,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied,
 		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted,
 	}
--- a/internal/process/psfleet/role.go
+++ b/internal/process/psfleet/role.go
@@ -49,6 +49,16 @@
 	return list
 }
 
+// AllLiveHave reports whether all other live VMs state features.
+func (f *Fleet) AllLiveHave(wanted psmessage.Features, now time.Time) bool {
+	for _, p := range f.Peers() {
+		if f.Live(p, now) && !p.Identity.Features.Has(wanted) {
+			return false
+		}
+	}
+	return true
+}
+
 // NewestConfiguration returns the report of the live VM with the newest configuration, with its full
 // identity. It returns false if no live VM has a configuration.
 func (f *Fleet) NewestConfiguration(now time.Time) (psmessage.Report, bool) {
--- a/internal/process/psmessage/build_test.go
+++ b/internal/process/psmessage/build_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/process/psmessage"
+	"persimmonstep/internal/process/psserver"
 )
 
 var updateBuild = flag.Bool("update", false, "rewrite the messages of the current build")
@@ -105,9 +106,10 @@
 		m.Features = psmessage.CurrentFeatures
 	case *psmessage.Report:
 		m.Features = psmessage.CurrentFeatures
+		m.Departed = []psmessage.Departure{{Run: psserver.Run{ID: "i-1", Incarnation: 1700000000123}, Sequence: 9, Removed: true}}
 	case *psmessage.Digest:
 		for i := range m.Reports {
-			m.Reports[i].Features = psmessage.CurrentFeatures
+			addFeatures(&m.Reports[i].Report)
 		}
 	}
 }
--- a/internal/process/psmessage/feature.go
+++ b/internal/process/psmessage/feature.go
@@ -11,10 +11,13 @@
 	// LinkState VMs monitor their links to the servers: their reports say if these are lost, and name no server as failed
 	// because of that.
 	LinkState
+	// Departures VMs apply what others have read in the store of servers that leave. To other VMs such servers are named as
+	// leaving.
+	Departures
 )
 
 // CurrentFeatures are those of this build.
-const CurrentFeatures = Forwarding | LinkState
+const CurrentFeatures = Forwarding | LinkState | Departures
 
 // Has reports whether all of the given features are stated.
 func (f Features) Has(wanted Features) bool { return f&wanted == wanted }
--- a/internal/process/psmessage/report.go
+++ b/internal/process/psmessage/report.go
@@ -29,6 +29,8 @@
 	Failed []string `json:"failed,omitempty"`
 	// Leaving lists servers that recently announced their shutdown to the VM.
 	Leaving []psserver.Run `json:"leaving,omitempty"`
+	// Departed lists servers that recently left according to the store.
+	Departed []Departure `json:"departed,omitempty"`
 	// Limited lists servers that recently began or ceased to name a limit to the VM.
 	Limited []ServerLimit `json:"limited,omitempty"`
 	// Slow lists servers that are slower than the others of their service, with their lag: the response
@@ -58,6 +60,11 @@
 			return errors.Wrap(err, "check report")
 		}
 	}
+	for _, d := range r.Departed {
+		if d.Sequence < 0 {
+			return errors.New("check report: sequence of a departure is negative")
+		}
+	}
 	if r.Sequence < 0 || r.Sequence > maxSequence || r.Version < 0 {
 		return errors.New("check report: sequence or version is out of range")
 	}
--- a/internal/process/psregistry/registry.go
+++ b/internal/process/psregistry/registry.go
@@ -16,6 +16,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform"
 )
@@ -36,6 +37,8 @@
 	// removed holds the recently removed servers by id.
 	removed map[string]removedServer
 	changes int64
+	// departures are the servers that left according to the store since the last call of TakeDepartures.
+	departures []psmessage.Departure
 	// era is the highest era of the store in the updates so far.
 	era int64
 }
@@ -105,6 +108,7 @@
 	}
 	for _, id := range s.Removed {
 		delete(r.invalid, id)
+		r.noteRemoval(id, e)
 		r.remove(id, now)
 	}
 	r.expireUnreadable(now)
@@ -120,6 +124,7 @@
 			psevent.ServerRetained.Log(r.options.Logger, id, v.Entry().Service)
 			continue
 		}
+		r.noteRemoval(id, e)
 		r.remove(id, now)
 	}
 }
@@ -177,6 +182,7 @@
 	s.Renew(e, now)
 	if e.State == psserver.Draining && previous.State != psserver.Draining {
 		psevent.ServerDraining.Log(r.options.Logger, e.ID, e.Service, e.Sequence)
+		r.noteDeparture(psmessage.Departure{Run: e.Run(), Sequence: e.Sequence}, info)
 	}
 }
 
