--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -13,7 +13,6 @@
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/psresponse"
-	"persimmonstep/internal/connection/pssocket"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psadmission"
@@ -32,10 +31,6 @@
 	notReadyRetryAfter = 500 * time.Millisecond
 	// tokenRetryAfter is the Retry-After time if no VM that owns the workspace's rate-limit tokens responds.
 	tokenRetryAfter = 300 * time.Millisecond
-	// maxRateRetryAfter bounds the Retry-After time of rate-limited callers, and minRateJitter is the minimum span
-	// over which their retries are spread.
-	maxRateRetryAfter = 5 * time.Second
-	minRateJitter     = 100 * time.Millisecond
 	// blockedRetryAfter is the Retry-After time of a request that crashes servers.
 	blockedRetryAfter = 20 * time.Second
 )
@@ -199,7 +194,9 @@
 	c.proxy.options.Metrics.ObserveToken(verdict)
 	switch v := verdict.(type) {
 	case pstoken.OverLimit:
-		return rejected{http.StatusTooManyRequests, "overRate", c.rateRetryAfter(v)}
+		remaining := c.remaining(c.proxy.options.Now())
+		retryAfter := psadmission.RateRetryAfter(v.Wait, v.Excess, c.caller.DetectableWait, remaining, c.proxy.jitter.Next())
+		return rejected{http.StatusTooManyRequests, "overRate", retryAfter}
 	case pstoken.Unavailable:
 		if c.request.Context().Err() != nil {
 			return canceled{}
@@ -209,17 +206,6 @@
 	return nil
 }
 
-// rateRetryAfter returns the Retry-After time of a caller over its workspace's rate. While demand stays above the
-// rate, the retry is late enough that the caller's remaining time distinguishes it from first attempts, which can
-// still be answered within their target latency.
-func (c *call) rateRetryAfter(over pstoken.OverLimit) time.Duration {
-	remaining := c.remaining(c.proxy.options.Now())
-	if over.Excess && c.caller.DetectableWait > 0 {
-		return psadmission.RetryAfter(c.caller.DetectableWait, remaining/3, c.proxy.jitter.Next())
-	}
-	return min(maxRateRetryAfter, over.Wait+time.Duration(c.proxy.jitter.Next()*float64(over.Wait+minRateJitter)))
-}
-
 func (c *call) workspaceName() string {
 	if c.workspace == nil {
 		return ""
@@ -227,31 +213,5 @@
 	return c.workspace.Name
 }
 
-// connKey is the context key of the caller's connection.
-type connKey struct{}
-
-// WithConn adds a caller's connection to the context of its requests. An [http.Server] whose handler is a [Proxy]
-// needs it as its ConnContext.
-func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// callerGone reports whether the caller has closed its connection. It checks the socket, because net/http
-// detects the close only some time after the request has begun, and an overloaded VM may start a request long after
-// its caller disconnected.
-func (c *call) callerGone() bool {
-	if c.request.Context().Err() != nil {
-		return true
-	}
-	conn := c.callerConn()
-	return conn != nil && pssocket.StateOf(conn) == pssocket.Closed
-}
-
-// callerConn returns the caller's connection, or nil if it is unknown.
-func (c *call) callerConn() net.Conn {
-	conn, _ := c.request.Context().Value(connKey{}).(net.Conn)
-	return conn
-}
-
 // remaining returns the time until the deadline.
 func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -9,22 +9,16 @@
 
 	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psattempt"
+	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/psoutcome"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/psselection"
-	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psavailability"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/request/psretry"
 	"persimmonstep/platform/psheader"
 )
 
-const (
-	// connectionShare is the share of a server's maximum connections that all VMs together use.
-	connectionShare = 0.8
-	// minConnections is the minimum connection limit of one VM for one server.
-	minConnections = 2
-)
-
 // dispatch sends the call to a server, and retries it on others as far as that is allowed.
 func (c *call) dispatch(ctx context.Context) outcome {
 	if o := c.withoutServers(ctx); o != nil {
@@ -38,7 +32,7 @@
 		if rejection != nil {
 			return c.finalOutcome(rejected{http.StatusServiceUnavailable, rejection.Reason, rejection.RetryAfter}, last)
 		}
-		if c.callerGone() {
+		if pscaller.Gone(c.request) {
 			return canceled{}
 		}
 		response, result := c.attempt(ctx, s)
@@ -153,25 +147,16 @@
 func (c *call) attemptRequest(s psselection.Selection, sentAt time.Time) psattempt.Request {
 	return psattempt.Request{
 		Caller: c.request, Body: &c.body, ID: c.headers.ID, Workspace: c.workspaceName(), Repeatable: c.route.Kind.Repeatable(),
-		Deadline: c.deadline, Server: s.View.Entry, MaxConnections: c.maxConnections(s.View.Entry.Service),
+		Deadline: c.deadline, Server: s.View.Entry, MaxConnections: psattempt.ConnectionLimit(c.snapshot, s.View.Entry.Service),
 		MaySend: func() bool { return c.maySend(s) },
 		HeaderRead: func(h psheader.Response) {
-			c.proxy.control.UpdateAvailability(s.Server, pscontrol.Announcement{
+			c.proxy.control.UpdateAvailability(s.Server, psavailability.Announcement{
 				Availability: h.Availability, RequestID: c.headers.ID, SentAt: sentAt, Genuine: h.Signed || h.NotRun,
 			})
 		},
 	}
 }
 
-// maxConnections returns the maximum number of this VM's connections to a server of a service.
-func (c *call) maxConnections(service string) int {
-	v, found := c.snapshot.Index.Service(service)
-	if !found {
-		return minConnections
-	}
-	return max(minConnections, int(connectionShare*float64(v.MaxConnections))/c.snapshot.FleetSize)
-}
-
 // maySend reports whether the call may still be sent to a server, and counts it if so. The server may have become
 // unusable, have been evacuated or have named a limit since it was selected.
 func (c *call) maySend(s psselection.Selection) bool {
--- a/internal/connection/psproxy/forward.go
+++ b/internal/connection/psproxy/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/request/psselect"
@@ -57,7 +58,7 @@
 
 // forward sends the call through a helper. It returns nil if the call can be sent through another one.
 func (c *call) forward(ctx context.Context, helper psmessage.Identity) outcome {
-	if c.callerGone() {
+	if pscaller.Gone(c.request) {
 		return canceled{}
 	}
 	c.helper = helper.VM
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -21,7 +21,7 @@
 	"persimmonstep/internal/connection/psoutcome"
 	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/connection/pstransport"
-	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psavailability"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psnode"
@@ -42,7 +42,7 @@
 type ControlPlane interface {
 	Snapshot() *pssnapshot.Snapshot
 	ServerFailed(s *psserver.Server, reason pshealth.Reason, requestID string)
-	UpdateAvailability(s *psserver.Server, a pscontrol.Announcement)
+	UpdateAvailability(s *psserver.Server, a psavailability.Announcement)
 }
 
 // Options are the settings and dependencies of a [Proxy].
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -20,12 +20,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"persimmonstep/internal/connection/psaccess"
+	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/psproxy"
 	"persimmonstep/internal/connection/pstransport"
-	"persimmonstep/internal/process/pscontrol"
+	"persimmonstep/internal/process/psavailability"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psmessage"
@@ -137,12 +138,12 @@
 	snapshot *pssnapshot.Snapshot
 
 	mutex         sync.Mutex
-	announcements []pscontrol.Announcement
+	announcements []psavailability.Announcement
 }
 
 func (c *fakeControl) Snapshot() *pssnapshot.Snapshot { return c.snapshot }
 
-func (c *fakeControl) UpdateAvailability(s *psserver.Server, a pscontrol.Announcement) {
+func (c *fakeControl) UpdateAvailability(s *psserver.Server, a psavailability.Announcement) {
 	c.mutex.Lock()
 	c.announcements = append(c.announcements, a)
 	c.mutex.Unlock()
@@ -219,7 +220,7 @@
 	p.SetControlPlane(control)
 	s := httptest.NewUnstartedServer(p)
 	l, wait := pslinger.NewListener(s.Listener)
-	s.Listener, s.Config.ConnContext = l, psproxy.WithConn
+	s.Listener, s.Config.ConnContext = l, pscaller.WithConn
 	s.Start()
 	t.Cleanup(wait)
 	t.Cleanup(s.Close)
@@ -514,7 +515,7 @@
 		qt.Assert(t, c.Close(), qt.IsNil)
 	}
 	var ended atomic.Int32
-	server := &http.Server{ConnContext: psproxy.WithConn, ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ConnContext: pscaller.WithConn, ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer ended.Add(1)
 		s.Config.Handler.ServeHTTP(w, r)
 	})}
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -7,11 +7,10 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/psaccess"
+	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/psforward"
-	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/process/psevent"
-	"persimmonstep/platform/psheader"
 )
 
 // finish logs the outcome of the call and writes the response to the caller.
@@ -59,9 +58,7 @@
 		c.recordTruncated(last, response, err)
 	}
 	psevent.ResponseTruncated.Log(c.proxy.options.Logger, c.headers.ID, source, err.Error())
-	// An HTTP/1.0 caller takes a regular close of the connection for the end of a response without a length.
-	pslinger.ResetOnClose(c.callerConn())
-	panic(http.ErrAbortHandler)
+	pscaller.Abort(c.request)
 }
 
 // recordTruncated records that the response of an attempt could not be forwarded completely, if that is a failure of the
@@ -79,15 +76,10 @@
 
 // writeError responds to the caller without a response of a backend server.
 func (c *call) writeError(status int, retryAfter time.Duration) {
-	header := c.writer.Header()
-	psheader.WriteRequestID(header, c.headers.ID)
-	if retryAfter > 0 {
-		psheader.WriteRetryAfter(header, retryAfter)
-	}
-	header.Set("Content-Type", "text/plain; charset=utf-8")
+	f := pscaller.Refusal{Status: status, RequestID: c.headers.ID, RetryAfter: retryAfter}
+	f.WriteHeader(c.writer.Header())
 	c.prepareResponse()
-	c.writer.WriteHeader(status)
-	_, _ = c.writer.Write([]byte(http.StatusText(status) + "\n"))
+	f.WriteBody(c.writer)
 }
 
 // logOutcome records how the call ended.
@@ -118,18 +110,6 @@
 		c.writer.Header().Set("Connection", "close")
 	}
 	if !c.body.Consumed() && c.request.ContentLength != 0 {
-		c.respondEarly()
+		pscaller.RespondEarly(c.writer, c.request)
 	}
 }
-
-// respondEarly lets the response go out before the request body was read to its end. The connection cannot be
-// reused, because the rest of the body would be parsed as the next request.
-func (c *call) respondEarly() {
-	c.writer.Header().Set("Connection", "close")
-	pslinger.MarkUnread(c.callerConn())
-	controller := http.NewResponseController(c.writer)
-	// Without these calls, net/http waits for the rest of the body before and after the response. Only the response
-	// writers of tests support neither.
-	_ = controller.EnableFullDuplex()
-	_ = controller.SetReadDeadline(time.Now())
-}
--- a/internal/process/psserver/cacheable.go
+++ b/internal/process/pscache/cacheable.go
@@ -1,4 +1,5 @@
-package psserver
+// Package pscache estimates how well the objects that are sent to a backend server fit into its cache.
+package pscache
 
 const (
 	// lowHitRate and highHitRate bound the hit rates at which the cacheable fraction stays unchanged.
--- a/internal/process/psserver/hitrate.go
+++ b/internal/process/pscache/hitrate.go
@@ -1,6 +1,10 @@
-package psserver
+package pscache
 
-import "time"
+import (
+	"time"
+
+	"persimmonstep/internal/request/psdecay"
+)
 
 const (
 	// initialHitRate is the hit rate before the first response, to which measured hit rates decay.
@@ -24,7 +28,7 @@
 	if r.shortfall == 0 {
 		return initialHitRate
 	}
-	return initialHitRate - r.shortfall*decay(now.Sub(r.at), hitRateTimeConstant)
+	return initialHitRate - r.shortfall*psdecay.Factor(now.Sub(r.at), hitRateTimeConstant)
 }
 
 // Record updates the hit rate with one request, of which hit states whether the server had the object in its
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -17,6 +17,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/process/psannouncement"
+	"persimmonstep/internal/process/psavailability"
 	"persimmonstep/internal/process/psdesiredstate"
 	"persimmonstep/internal/process/psdiscovery"
 	"persimmonstep/internal/process/psevent"
@@ -35,7 +36,6 @@
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
-	"persimmonstep/platform/psheader"
 )
 
 // Store is the access to the platform's store.
@@ -117,16 +117,15 @@
 	digester   psfleet.Digester
 	// serversRevision is the store revision of the servers.
 	serversRevision psrevision.Revision
-	// newerConfigSince is since when a live VM has reported a newer configuration; zero if none does.
-	newerConfigSince time.Time
+	// newerConfiguration finds a VM that has a newer configuration.
+	newerConfiguration psfleet.NewerConfiguration
 	// resizedSequence is the sequence number of the first report after the fleet size last changed, and
 	// reportedSize that size.
 	resizedSequence int64
 	reportedSize    int
 	announcements   *psannouncement.Announcements
-	// silentPeers holds the VMs whose silence was logged.
-	silentPeers map[string]bool
-	limitLog    *pslimit.Log
+	liveness        *psfleet.LivenessLog
+	availability    psavailability.Recorder
 }
 
 // New returns a controller without a configuration, servers or known VMs.
@@ -134,7 +133,12 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
 		fleet: psfleet.New(o.Identity), shares: psshare.New(),
-		announcements: psannouncement.New(), silentPeers: map[string]bool{}, limitLog: pslimit.NewLog(o.Logger),
+		announcements: psannouncement.New(), liveness: psfleet.NewLivenessLog(o.Logger),
+	}
+	c.availability = psavailability.Recorder{
+		Logger: o.Logger, LimitLog: pslimit.NewLog(o.Logger), Now: o.Now,
+		OnLeaving:      func(r psserver.Run) { c.enqueue(serverLeavingEvent{r}) },
+		OnLimitChanged: func(r psserver.Run) { c.enqueue(serverLimitEvent{r}) },
 	}
 	c.servers = psregistry.New(psregistry.Options{
 		Regions: o.Settings.Regions, Heartbeat: o.Settings.HeartbeatInterval, Logger: o.Logger,
@@ -230,32 +234,9 @@
 	c.enqueue(serverFailedEvent{s, reason})
 }
 
-// Announcement is what a server announces in a response.
-type Announcement struct {
-	psheader.Availability
-	// RequestID names the request; empty for a probe.
-	RequestID string
-	// SentAt is when the request was sent.
-	SentAt time.Time
-	// Genuine is set if a backend server created the response, so that it has no limit if the response names none.
-	Genuine bool
-}
-
-// UpdateAvailability processes what a server announces in a response: its shutdown, a pause during which it takes no
-// requests from this VM, or a limit on the requests of all VMs.
-func (c *Controller) UpdateAvailability(s *psserver.Server, a Announcement) {
-	e := s.Entry()
-	if a.Leaving && s.MarkLeaving() {
-		psevent.ServerLeaving.Log(c.options.Logger, e.ID, e.Service, a.RequestID)
-		c.enqueue(serverLeavingEvent{e.Run()})
-	}
-	if a.Pause > 0 {
-		granted := s.Pause(a.Pause, c.options.Now())
-		psevent.ServerPaused.Log(c.options.Logger, e.ID, e.Service, a.RequestID, a.Pause.String(), granted.String())
-	}
-	if a.Limit.Named || a.Genuine && !a.LimitUnreadable {
-		c.recordLimit(s, a)
-	}
+// UpdateAvailability processes what a server announces in a response.
+func (c *Controller) UpdateAvailability(s *psserver.Server, a psavailability.Announcement) {
+	c.availability.Update(s, a)
 }
 
 // applyPublished processes the identities that other VMs have published. It returns when the snapshot
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -14,9 +14,6 @@
 	"persimmonstep/internal/process/pssnapshot"
 )
 
-// newerConfigDelay is how long another VM must have a newer configuration before this VM fetches it.
-const newerConfigDelay = time.Second
-
 func (c *Controller) applyVMs(rows map[string][]byte, now time.Time) {
 	for name, value := range rows {
 		i, err := psmessage.DecodeIdentity(value)
@@ -34,16 +31,12 @@
 	if !fresh {
 		return
 	}
-	if before.Report == nil || before.Report.Incarnation != r.Incarnation || c.silentPeers[r.VM] {
-		delete(c.silentPeers, r.VM)
-		psevent.PeerLive.Log(c.options.Logger, r.VM, r.Incarnation, silence(before, now))
-	}
+	c.liveness.Reported(r, before, now)
 	c.options.Crashes.RecordPeerCrashes(r.VM, r.Crashes, now)
-	c.applyPeerLeaving(r)
+	c.availability.ApplyReport(r, c.servers, receivedAt)
 	for _, d := range r.Departed {
 		c.servers.ApplyDeparture(r.VM, d, now)
 	}
-	c.applyPeerLimits(r.Limited, receivedAt)
 	for id, lag := range r.Slow {
 		if s, found := c.servers.Get(id); found {
 			s.RecordPeerLag(lag, now)
@@ -65,27 +58,6 @@
 	}
 }
 
-// applyPeerLeaving takes servers out of use that announced their shutdown to another VM. Those that are listed as departed
-// as well are named for VMs of earlier builds.
-func (c *Controller) applyPeerLeaving(report *psmessage.Report) {
-	for _, r := range report.Leaving {
-		departed := slices.ContainsFunc(report.Departed, func(d psmessage.Departure) bool { return d.Run == r })
-		s, found := c.servers.Get(r.ID)
-		if departed || !found || s.Entry().Run() != r || !s.MarkLeaving() {
-			continue
-		}
-		psevent.ServerLeaving.Log(c.options.Logger, r.ID, s.Entry().Service, "")
-	}
-}
-
-// silence returns the time since a VM's last report, as text; empty if there was none.
-func silence(p psfleet.Peer, now time.Time) string {
-	if p.ReceivedAt.IsZero() {
-		return ""
-	}
-	return now.Sub(p.ReceivedAt).String()
-}
-
 // applyDigest applies forwarded reports. A digest that comes directly from another failure domain is relayed to
 // the other VMs of this VM's failure domain.
 func (c *Controller) applyDigest(d *psmessage.Digest, now time.Time) {
@@ -151,9 +123,7 @@
 	}
 	c.lastReport = *r
 	r.Shorten(c.resizedSequence)
-	for _, p := range c.fleet.Peers() {
-		c.checkSilence(p, now)
-	}
+	c.liveness.Check(c.fleet, now)
 	to := c.fleet.Peers()
 	if c.fleet.Hierarchical() {
 		to = c.fleet.DomainPeers()
@@ -163,14 +133,6 @@
 	}
 }
 
-func (c *Controller) checkSilence(p *psfleet.Peer, now time.Time) {
-	if p.Report == nil || c.fleet.Live(p, now) || c.silentPeers[p.Identity.VM] {
-		return
-	}
-	c.silentPeers[p.Identity.VM] = true
-	psevent.PeerSilent.Log(c.options.Logger, p.Identity.VM, now.Sub(p.ReceivedAt).String())
-}
-
 // publish replaces the snapshot that requests read.
 func (c *Controller) publish() {
 	now := c.options.Now()
@@ -178,7 +140,7 @@
 	v := &pssnapshot.Snapshot{
 		Index: c.desiredState.Index, Servers: c.servers.ByService(), ServersReadAt: c.servers.ReadAt, Evacuated: c.desiredState.Evacuated,
 		RateShares: shares, EvenShare: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		Changes: c.desiredState.Changes + c.servers.Changes(), DesiredStateRevision: c.desiredState.Revision, ServersRevision: c.serversRevision, NewerVM: c.newerVM(now),
+		Changes: c.desiredState.Changes + c.servers.Changes(), DesiredStateRevision: c.desiredState.Revision, ServersRevision: c.serversRevision, NewerVM: c.newerConfiguration.VM(c.fleet, c.desiredState.Version(), now),
 		RelaysStore:  c.fleet.IsRelay(now),
 		StoreReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), PropagationTime: c.fleet.PropagationTime(),
 		NoServers: c.options.Links.Lost(),
@@ -189,38 +151,15 @@
 	c.snapshot.Store(v)
 }
 
-// newerVM returns a live VM that has had a newer configuration for longer than all VMs need to read one from
-// the store; nil if there is none. This happens when the store was restored from a backup without that
-// configuration, or when this VM could not read the store while the configuration was there.
-func (c *Controller) newerVM(now time.Time) *psmessage.Identity {
-	newest, found := c.fleet.NewestConfiguration(now)
-	if c.desiredState.Index == nil || !found || newest.Version <= c.desiredState.Version() {
-		c.newerConfigSince = time.Time{}
-		return nil
-	}
-	if c.newerConfigSince.IsZero() {
-		c.newerConfigSince = now
-	}
-	if now.Sub(c.newerConfigSince) < newerConfigDelay {
-		return nil
-	}
-	return &newest.Identity
-}
-
 // vms returns the live VMs that take callers, this one first.
 func (c *Controller) vms(now time.Time) []pssnapshot.VM {
 	var list []pssnapshot.VM
-	add := func(i psmessage.Identity, noServers bool) {
-		v := pssnapshot.NewVM(i)
-		v.NoServers = noServers
-		list = append(list, v)
-	}
 	if !c.leaving.Load() {
-		add(c.options.Identity, c.options.Links.Lost())
+		list = append(list, pssnapshot.NewVM(c.options.Identity, c.options.Links.Lost()))
 	}
 	for _, p := range c.fleet.Peers() {
 		if c.fleet.Live(p, now) && p.Report.Ready {
-			add(p.Identity, p.Report.NoServers)
+			list = append(list, pssnapshot.NewVM(p.Identity, p.Report.NoServers))
 		}
 	}
 	return list
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/process/psavailability"
 	"persimmonstep/internal/process/pscontrol"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
@@ -90,7 +91,7 @@
 	eventually(t, "a server", func() bool { return serverCount(c) == 1 })
 	server := c.Snapshot().Servers["prices"][0]
 	respond := func(a psheader.Availability, genuine bool) {
-		c.UpdateAvailability(server, pscontrol.Announcement{Availability: a, SentAt: time.Now(), Genuine: genuine})
+		c.UpdateAvailability(server, psavailability.Announcement{Availability: a, SentAt: time.Now(), Genuine: genuine})
 	}
 	limit := func() pslimit.Limit { v, _ := server.Limit(time.Now()); return v }
 
@@ -169,7 +170,7 @@
 	c := startWith(t, s, r, &tokens{store: s})
 	s.set(func(s *store) { s.servers.Entries = []psserver.Entry{entry("i-1")} })
 	eventually(t, "the fleet", func() bool { return serverCount(c) == 1 && c.FleetSize() > 700 })
-	c.UpdateAvailability(c.Snapshot().Servers["prices"][0], pscontrol.Announcement{Availability: psheader.Availability{Leaving: true}})
+	c.UpdateAvailability(c.Snapshot().Servers["prices"][0], psavailability.Announcement{Availability: psheader.Availability{Leaving: true}})
 	time.Sleep(psfleet.MaxDigestInterval + time.Second)
 	qt.Assert(t, r.last().Leaving, qt.HasLen, 1)
 }
--- a/internal/process/pscontrol/probe.go
+++ b/internal/process/pscontrol/probe.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"persimmonstep/internal/process/psavailability"
 	"persimmonstep/internal/process/pshealth"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/platform/psheader"
@@ -35,5 +36,5 @@
 
 // ApplyProbe processes what a server announced in the response to a probe that was sent at a time.
 func (c *Controller) ApplyProbe(s *psserver.Server, a psheader.Availability, sentAt time.Time) {
-	c.UpdateAvailability(s, Announcement{Availability: a, SentAt: sentAt})
+	c.UpdateAvailability(s, psavailability.Announcement{Availability: a, SentAt: sentAt})
 }
--- a/internal/process/psfleet/role.go
+++ b/internal/process/psfleet/role.go
@@ -71,3 +71,32 @@
 	}
 	return newest, newest.Version > 0
 }
+
+// newerConfigurationDelay is how long another VM must have a newer configuration before this VM fetches it. All VMs need
+// less to read one from the store.
+const newerConfigurationDelay = time.Second
+
+// NewerConfiguration finds a VM that has a newer configuration for some time. This happens when the store was restored
+// from a backup without that configuration, or when this VM could not read the store while the configuration was there.
+// The zero value is ready to use.
+type NewerConfiguration struct {
+	// since is since when a live VM has reported a newer configuration; zero if none does.
+	since time.Time
+}
+
+// VM returns a live VM that has had a newer configuration than a version for newerConfigurationDelay. It returns nil if there
+// is none, or the version is 0, which stands for no configuration.
+func (n *NewerConfiguration) VM(f *Fleet, version int64, now time.Time) *psmessage.Identity {
+	newest, found := f.NewestConfiguration(now)
+	if !found || version == 0 || newest.Version <= version {
+		n.since = time.Time{}
+		return nil
+	}
+	if n.since.IsZero() {
+		n.since = now
+	}
+	if now.Sub(n.since) < newerConfigurationDelay {
+		return nil
+	}
+	return &newest.Identity
+}
--- a/internal/process/psserver/lag.go
+++ b/internal/process/psserver/lag.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"persimmonstep/internal/request/psdecay"
 )
 
 const (
@@ -35,7 +37,7 @@
 	if v.value == 0 {
 		return 0
 	}
-	return v.value * decay(now.Sub(v.at), lagTimeConstant)
+	return v.value * psdecay.Factor(now.Sub(v.at), lagTimeConstant)
 }
 
 // overdue returns the highest lag of the unanswered requests.
--- a/internal/process/psserver/load.go
+++ b/internal/process/psserver/load.go
@@ -1,6 +1,10 @@
 package psserver
 
-import "time"
+import (
+	"time"
+
+	"persimmonstep/internal/request/psdecay"
+)
 
 const (
 	// minLoadTimeConstant is the least time constant with which a reported load decays, and
@@ -39,12 +43,12 @@
 	}
 	timeConstant := max(minLoadTimeConstant, time.Duration(loadTimeConstantRuns*float64(l.meanRun)))
 	average := l.averageAt(now)
-	return average + (l.latest-average)*decay(now.Sub(l.at), timeConstant)
+	return average + (l.latest-average)*psdecay.Factor(now.Sub(l.at), timeConstant)
 }
 
 func (l *load) averageAt(now time.Time) float64 {
 	if l.at.IsZero() {
 		return 0
 	}
-	return l.average * decay(now.Sub(l.at), averageLoadTimeConstant)
+	return l.average * psdecay.Factor(now.Sub(l.at), averageLoadTimeConstant)
 }
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -4,8 +4,10 @@
 	"sync"
 	"time"
 
+	"persimmonstep/internal/process/pscache"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psobject"
+	"persimmonstep/internal/request/psdecay"
 )
 
 const (
@@ -41,8 +43,8 @@
 	averagedAt  time.Time
 
 	// primary is the hit rate for objects whose primary server this is, and fallback that for other objects.
-	primary, fallback HitRate
-	cacheable         CacheableFraction
+	primary, fallback pscache.HitRate
+	cacheable         pscache.CacheableFraction
 
 	failed failure
 	// leaving is set once the server announces its shutdown.
@@ -233,7 +235,7 @@
 
 // averages returns slowness and failure rate after decay.
 func (s *Server) averages(now time.Time) (slowness, failureRate float64) {
-	factor := decay(now.Sub(s.averagedAt), outcomeTimeConstant)
+	factor := psdecay.Factor(now.Sub(s.averagedAt), outcomeTimeConstant)
 	return 1 + (s.slowness-1)*factor, s.failureRate * factor
 }
 
--- a/internal/process/pssnapshot/snapshot.go
+++ b/internal/process/pssnapshot/snapshot.go
@@ -64,9 +64,9 @@
 	return slices.ContainsFunc(s.ShareHolders, func(i psmessage.Identity) bool { return i.PeerAddress.Addr() == a })
 }
 
-// NewVM returns the VM with an identity.
-func NewVM(i psmessage.Identity) VM {
-	return VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.CallerAddress.String()}
+// NewVM returns the VM with an identity. noServers states that it has lost its links to all backend servers.
+func NewVM(i psmessage.Identity, noServers bool) VM {
+	return VM{Name: i.VM, Region: i.Region, FailureDomain: i.FailureDomain, Callers: i.CallerAddress.String(), NoServers: noServers}
 }
 
 // VM is a VM that takes callers.
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -11,10 +11,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/pspeerstate"
-	"persimmonstep/internal/connection/psproxy"
 	"persimmonstep/internal/process/psadmin"
 	"persimmonstep/internal/process/psstate"
 	"persimmonstep/platform"
@@ -75,7 +75,7 @@
 		return err
 	}
 	last := len(s.servers) - 1
-	s.servers[last].ConnContext = psproxy.WithConn
+	s.servers[last].ConnContext = pscaller.WithConn
 	l, wait := pslinger.NewListener(s.listeners[last])
 	s.listeners[last] = l
 	s.awaitLingering = append(s.awaitLingering, wait)
--- a/internal/request/psadmission/admission.go
+++ b/internal/request/psadmission/admission.go
@@ -178,3 +178,21 @@
 	d := first + time.Duration(random*float64(max(0, last-first)))
 	return max(time.Millisecond, min(d, maxRetryAfter, max(last, time.Millisecond)))
 }
+
+const (
+	// maxRateRetryAfter bounds the Retry-After time of rate-limited callers, and minRateJitter is the minimum span
+	// over which their retries are spread.
+	maxRateRetryAfter = 5 * time.Second
+	minRateJitter     = 100 * time.Millisecond
+)
+
+// RateRetryAfter returns the Retry-After time of a caller over its workspace's rate, which waits for the next token. While
+// the demand exceeds the rate, the retry is late enough that the caller's remaining time distinguishes it from first
+// attempts, which can still be answered within their target latency; detectable is that time, or 0 if there is none.
+// jitter is in 0..1.
+func RateRetryAfter(wait time.Duration, excess bool, detectable, remaining time.Duration, jitter float64) time.Duration {
+	if excess && detectable > 0 {
+		return RetryAfter(detectable, remaining/3, jitter)
+	}
+	return min(maxRateRetryAfter, wait+time.Duration(jitter*float64(wait+minRateJitter)))
+}
--- a/internal/process/psserver/decay.go
+++ b/internal/request/psdecay/decay.go
@@ -1,4 +1,7 @@
-package psserver
+// Package psdecay holds the exponential decay of measurements.
+//
+// What a VM knows of a server in a large fleet is mostly old, so a measurement decays towards a neutral value.
+package psdecay
 
 import (
 	"math"
@@ -10,8 +13,8 @@
 // this saves the exponential function.
 const negligibleAfter = 8
 
-// decay returns the factor in 0..1 by which a value has decayed exponentially at an age.
-func decay(age, timeConstant time.Duration) float64 {
+// Factor returns the factor in 0..1 by which a value has decayed exponentially at an age.
+func Factor(age, timeConstant time.Duration) float64 {
 	switch {
 	case age <= 0:
 		return 1
