--- a/internal/connection/pspeerstate/fuzz_test.go
+++ b/internal/connection/pspeerstate/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -35,5 +36,8 @@
 		if err := response.State.Check(); err != nil {
 			t.Fatalf("invalid control state was accepted: %s", err)
 		}
+		if _, err := json.Marshal(response.State.Configuration); err != nil {
+			t.Fatalf("accepted configuration can't be passed on: %s", err)
+		}
 	})
 }
