--- a/internal/connection/pstransport/conn.go
+++ b/internal/connection/pstransport/conn.go
@@ -23,11 +23,9 @@
 	limit  *io.LimitedReader
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// dedicated connections are closed after one exchange.
-	dedicated bool
-	// reused is set once the connection has served a request.
-	reused    bool
-	idleSince time.Time
+	// dedicated connections are closed after one exchange, reused ones have served a request before.
+	dedicated, reused bool
+	idleSince         time.Time
 	// dialTime is how long opening the connection took; 0 if it is reused.
 	dialTime  time.Duration
 	discarded sync.Once
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -123,9 +123,8 @@
 	// MaySend is called once a connection is available and reports whether the request may still be sent; nil means
 	// that it may.
 	MaySend func() bool
-	// Matches reports whether a response belongs to the request; nil means that it does. reused states that the
-	// connection has served other requests before, whose responses the server may send again. Responses that don't
-	// match are read and dropped.
+	// Matches reports whether a response belongs to the request; nil means that it does. reused states that the connection
+	// has served other requests, whose responses may be sent again. Responses that don't match are read and dropped.
 	Matches func(r *http.Response, reused bool) bool
 	// AcceptCloseDelimited accepts a response without a length as complete if the server closes the connection
 	// without an error.
