--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,46 +55,82 @@
 		}
 	}()
 
+	keptChannel, err := open(v.front)
+	if err != nil {
+		fail("open a channel: %v", err)
+	}
+	keptChannel.do(q)
+	go func() {
+		for time.Since(began) < fill {
+			keptChannel.do(q)
+			time.Sleep(time.Second)
+		}
+	}()
 	var open1, closed, failed atomic.Int64
 	var waiting sync.WaitGroup
 	start := time.Now()
-	for n := 0; time.Since(start) < fill; n++ {
-		time.Sleep(time.Until(start.Add(time.Duration(n) * time.Second / perSecond)))
-		waiting.Go(func() {
-			c, err := open(v.front)
-			if err != nil {
-				failed.Add(1)
-				return
-			}
-			if o := c.do(q); o.err != nil {
-				failed.Add(1)
-				_ = c.conn.Close()
-				return
+	// answers are the moments at which a request on a new channel was answered.
+	type taken struct{ at time.Time }
+	var mutex sync.Mutex
+	var answers []taken
+	take := func() {
+		mutex.Lock()
+		answers = append(answers, taken{time.Now()})
+		mutex.Unlock()
+	}
+	var filling sync.WaitGroup
+	filling.Go(func() {
+		for n := 0; time.Since(start) < fill+probeFor; n++ {
+			time.Sleep(time.Until(start.Add(time.Duration(n) * time.Second / perSecond)))
+			waiting.Go(func() {
+				c, err := open(v.front)
+				if err != nil {
+					failed.Add(1)
+					return
+				}
+				if o := c.do(q); o.err != nil {
+					failed.Add(1)
+					_ = c.conn.Close()
+					return
+				}
+				take()
+				if !trouble {
+					_ = c.conn.Close()
+					return
+				}
+				open1.Add(1)
+				// A client closes its channel when the VM does.
+				go func() {
+					_, _ = c.reader.ReadByte()
+					_ = c.conn.Close()
+					open1.Add(-1)
+					closed.Add(1)
+				}()
+			})
+			if n%(5*perSecond) == 0 {
+				record("clients: %d channels are open and idle, %d were closed by the VM, %d requests on new channels failed", open1.Load(), closed.Load(), failed.Load())
 			}
-			if !trouble {
-				_ = c.conn.Close()
+		}
+	})
+	time.Sleep(time.Until(start.Add(fill)))
+	record("clients: %d channels are open and idle, %d were closed by the VM, %d requests on new channels failed", open1.Load(), closed.Load(), failed.Load())
+
+	// One more client uses a channel that it opened at the start.
+	var keptMutex sync.Mutex
+	kept := map[int]int{}
+	go func() {
+		for ; ; time.Sleep(100 * time.Millisecond) {
+			o := keptChannel.do(q)
+			keptMutex.Lock()
+			kept[o.status]++
+			keptMutex.Unlock()
+			if o.err != nil {
 				return
 			}
-			open1.Add(1)
-			// A client closes its channel when the VM does.
-			go func() {
-				_, _ = c.reader.ReadByte()
-				_ = c.conn.Close()
-				open1.Add(-1)
-				closed.Add(1)
-			}()
-		})
-		if n%(5*perSecond) == 0 {
-			record("clients: %d channels are open and idle, %d were closed by the VM, %d requests on new channels failed", open1.Load(), closed.Load(), failed.Load())
 		}
-	}
-	waiting.Wait()
-	record("clients: %d channels are open and idle, %d were closed by the VM, %d requests on new channels failed", open1.Load(), closed.Load(), failed.Load())
+	}()
 
 	// Ten clients try to open a channel, again and again.
-	type taken struct{ at time.Time }
-	var mutex sync.Mutex
-	var answers []taken
 	var tries atomic.Int64
 	probesFrom := time.Now()
 	var probing sync.WaitGroup
@@ -104,9 +141,7 @@
 				o := send(v.front, q)
 				record("client %d: request %s on a new channel: %s", n, o.id, o)
 				if o.status != 0 {
-					mutex.Lock()
-					answers = append(answers, taken{time.Now()})
-					mutex.Unlock()
+					take()
 				}
 				time.Sleep(500 * time.Millisecond)
 			}
@@ -114,15 +149,24 @@
 	}
 	probing.Wait()
 	end := time.Now()
+	filling.Wait()
+	waiting.Wait()
 	record("clients: %d channels are open and idle", open1.Load())
 	// The longest time in which no new channel was taken.
 	longest, last := time.Duration(0), probesFrom
+	sort.Slice(answers, func(a, b int) bool { return answers[a].at.Before(answers[b].at) })
 	for _, a := range append(answers, taken{end}) {
+		if a.at.Before(probesFrom) || a.at.After(end) {
+			continue
+		}
 		if d := a.at.Sub(last); d > longest {
 			longest = d
 		}
 		last = a.at
 	}
+	keptMutex.Lock()
+	record("a client on a channel that it has kept all the time got these answers meanwhile, by status: %v", kept)
+	keptMutex.Unlock()
 	readyMutex.Lock()
 	ready := 0
 	for _, at := range readyAt {
