--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -28,7 +28,7 @@
 		v.serve()
 		v.register()
 	}
-	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), true, 0)
+	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), true)
 	v.descriptors = 4100
 	v.start()
 	v.awaitReady()
@@ -66,7 +66,7 @@
 			time.Sleep(time.Second)
 		}
 	}()
-	var open1, closed, failed atomic.Int64
+	var idle, closed, failed atomic.Int64
 	var waiting sync.WaitGroup
 	start := time.Now()
 	// answers are the moments at which a request on a new channel was answered.
@@ -98,22 +98,22 @@
 					_ = c.conn.Close()
 					return
 				}
-				open1.Add(1)
+				idle.Add(1)
 				// A client closes its channel when the VM does.
 				go func() {
 					_, _ = c.reader.ReadByte()
 					_ = c.conn.Close()
-					open1.Add(-1)
+					idle.Add(-1)
 					closed.Add(1)
 				}()
 			})
 			if n%(5*perSecond) == 0 {
-				record("clients: %d channels are open and idle, %d were closed by the VM, %d requests on new channels failed", open1.Load(), closed.Load(), failed.Load())
+				record("clients: %d channels are open and idle, %d were closed by the VM, %d requests on new channels failed", idle.Load(), closed.Load(), failed.Load())
 			}
 		}
 	})
 	time.Sleep(time.Until(start.Add(fill)))
-	record("clients: %d channels are open and idle, %d were closed by the VM, %d requests on new channels failed", open1.Load(), closed.Load(), failed.Load())
+	record("clients: %d channels are open and idle, %d were closed by the VM, %d requests on new channels failed", idle.Load(), closed.Load(), failed.Load())
 
 	// One more client uses a channel that it opened at the start.
 	var keptMutex sync.Mutex
@@ -151,7 +151,7 @@
 	end := time.Now()
 	filling.Wait()
 	waiting.Wait()
-	record("clients: %d channels are open and idle", open1.Load())
+	record("clients: %d channels are open and idle", idle.Load())
 	// The longest time in which no new channel was taken.
 	longest, last := time.Duration(0), probesFrom
 	sort.Slice(answers, func(a, b int) bool { return answers[a].at.Before(answers[b].at) })
--- a/review/standin/pages.go
+++ b/review/standin/pages.go
@@ -34,7 +34,7 @@
 		add(fmt.Sprintf("i-1%03d", n), "huvo11a", 10*time.Millisecond)
 	}
 	record("%d servers are registered; 2 of service wuno96b: i-0001 and i-0002", others+2)
-	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), false, 0)
+	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), false)
 	var once sync.Once
 	var acknowledged time.Time
 	leave := func() {
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -68,7 +68,7 @@
 var zones = [][2]string{{"north-a", "north"}, {"north-b", "north"}, {"south-a", "south"}}
 
 // newVM writes the settings of a VM.
-func newVM(dir, name, ip, zone, region, storeAddress string, firstStart bool, index int) *vm {
+func newVM(dir, name, ip, zone, region, storeAddress string, firstStart bool) *vm {
 	ports := freePorts(ip, 3)
 	v := &vm{name: name, zone: zone, region: region, ip: ip, settings: filepath.Join(dir, name+".yaml"), logPath: filepath.Join(dir, name+".log")}
 	v.front, v.ready, v.directory = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1]), fmt.Sprintf("%s:%d", ip, ports[2])
