--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -28,7 +28,7 @@
 		v.serve()
 		v.register()
 	}
-	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), true)
+	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), freePorts("127.0.0.1"), true)
 	v.descriptors = 4100
 	v.start()
 	v.awaitReady()
--- a/review/standin/pages.go
+++ b/review/standin/pages.go
@@ -3,20 +3,23 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// tornPages: a VM is restarted while a server leaves. The table of servers has more than 500 rows, so the VM reads it in two
-// pages. The server's report is acknowledged after the first page was read and before the second one.
+// tornPages: all VMs are killed at once and start again while a server leaves. The table of servers has more than 500 rows, so
+// each VM reads it in two pages. The server's report is acknowledged after the first VM has read its first page and before it
+// reads the second one.
 func tornPages(trouble bool) {
 	const (
+		vms      = 9
 		others   = 520
 		contact  = 3 * time.Second
 		drain    = 2 * time.Second
 		serves   = 9 * time.Second // "it continues serving for drain_s ... and a little longer (at times many seconds)"
 		host     = "jepu9.example"
-		perCheck = 40 * time.Millisecond
+		interval = 5 * time.Millisecond
 	)
 	s, seen := newStore(), &arrivals{}
 	s.put("op", "config", manifest(7,
@@ -34,7 +37,16 @@
 		add(fmt.Sprintf("i-1%03d", n), "huvo11a", 10*time.Millisecond)
 	}
 	record("%d servers are registered; 2 of service wuno96b: i-0001 and i-0002", others+2)
-	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), false)
+	var fleet []*vm
+	var ips []string
+	for n := range vms {
+		ips = append(ips, fmt.Sprintf("127.0.1.%d", n+1))
+	}
+	p, storeAddress := freePorts(ips...), s.serve()
+	for n, ip := range ips {
+		zone := zones[n%len(zones)]
+		fleet = append(fleet, newVM(temporary, fmt.Sprintf("front-%s-%d", zone[0], n/len(zones)+1), ip, zone[0], zone[1], storeAddress, p, false))
+	}
 	var once sync.Once
 	var acknowledged time.Time
 	leave := func() {
@@ -52,44 +64,58 @@
 	s.read = func(table, from string, ver int64, more bool) {
 		record("store: a page of %q from %q is answered at version %d, has_more %t", table, from, ver, more)
 	}
-	v.start()
-	v.awaitReady()
-	time.Sleep(3 * time.Second)
-	if trouble {
-		armed = true
-		v.signal(syscall.SIGTERM)
-		<-v.ended
+	for _, v := range fleet {
 		v.start()
+	}
+	for _, v := range fleet {
 		v.awaitReady()
+	}
+	time.Sleep(5 * time.Second)
+	if trouble {
+		armed = true
+		for _, v := range fleet {
+			v.signal(syscall.SIGKILL)
+		}
+		for _, v := range fleet {
+			<-v.ended
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, v := range fleet {
+			v.start()
+		}
+		for _, v := range fleet {
+			v.awaitReady()
+		}
 	} else {
 		leave()
 	}
 	if acknowledged.IsZero() {
 		fail("the table was not read in two pages")
 	}
-	inTouch := v.startedAt.Add(contact)
-	var lost, served int
-	for time.Since(acknowledged) < serves {
-		if time.Since(acknowledged) >= serves-30*time.Millisecond {
-			break
-		}
-		o := send(v.front, request{method: "POST", path: "/xapu221/2f", host: host, key: key, object: "17", deadline: 1500 * time.Millisecond, body: []byte("tray")})
-		if o.status == 200 {
-			served++
-		}
-		time.Sleep(perCheck)
+	inTouch := fleet[len(fleet)-1].startedAt.Add(contact)
+	var served atomic.Int64
+	var clients sync.WaitGroup
+	// order sends an unsafe request to a VM.
+	order := func(v *vm) outcome {
+		return send(v.front, request{method: "POST", path: "/xapu221/2f", host: host, key: key, object: "17", deadline: 1500 * time.Millisecond, body: []byte("tray")})
+	}
+	for n := 0; time.Since(acknowledged) < serves-30*time.Millisecond; n++ {
+		v := fleet[n%len(fleet)]
+		clients.Go(func() {
+			if order(v).status == 200 {
+				served.Add(1)
+			}
+		})
+		time.Sleep(interval)
 	}
 	// Requests run at the server as it ends.
-	var waiting sync.WaitGroup
-	var mutex sync.Mutex
-	for range 8 {
-		waiting.Go(func() {
-			o := send(v.front, request{method: "POST", path: "/xapu221/2f", host: host, key: key, object: "17", deadline: 1500 * time.Millisecond, body: []byte("tray")})
-			record("client: request %s, sent as the server ends: %s", o.id, o)
-			if o.status != 200 {
-				mutex.Lock()
-				lost++
-				mutex.Unlock()
+	var lost atomic.Int64
+	for n := range 4 * len(fleet) {
+		v := fleet[n%len(fleet)]
+		clients.Go(func() {
+			if o := order(v); o.status != 200 {
+				record("client: request %s to %s, sent as the server ends: %s", o.id, v.name, o)
+				lost.Add(1)
 			}
 		})
 	}
@@ -97,13 +123,13 @@
 	leaving.end()
 	s.remove("servers", leaving.id)
 	record("server i-0001 ends, its entry is removed")
-	waiting.Wait()
+	clients.Wait()
 	late, first := 0, arrival{}
 	for _, a := range seen.all() {
-		if a.server != leaving.id || !a.ran || a.at.Before(acknowledged) {
+		if a.server != leaving.id || !a.ran || a.at.Sub(acknowledged) < 0 {
 			continue
 		}
-		record("server i-0001 runs request %s, %.3f s after the acknowledgement, %.3f s after the VM's start", a.id, a.at.Sub(acknowledged).Seconds(), a.at.Sub(v.startedAt).Seconds())
+		record("server i-0001 runs request %s, %.3f s after the acknowledgement, from %s", a.id, a.at.Sub(acknowledged).Seconds(), a.from)
 		if a.at.Sub(acknowledged) > drain && a.at.After(inTouch) {
 			if late == 0 {
 				first = a
@@ -112,8 +138,8 @@
 		}
 	}
 	if late == 0 {
-		verdict(false, "no request reached i-0001 later than %s after the acknowledgement (%d of wuno96b were served)", drain, served)
+		verdict(false, "no request reached i-0001 later than %s after the acknowledgement (%d of wuno96b were served)", drain, served.Load())
 	}
 	verdict(true, "DRAIN: %d requests reached i-0001 later than %s after the acknowledgement that it leaves, the first after %.3f s; %d unsafe requests that ran there were lost as it ended",
-		late, drain, first.at.Sub(acknowledged).Seconds(), lost)
+		late, drain, first.at.Sub(acknowledged).Seconds(), lost.Load())
 }
--- a/review/standin/slash.go
+++ b/review/standin/slash.go
@@ -19,7 +19,7 @@
 		v.serve()
 		v.register()
 	}
-	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), true)
+	v := newVM(temporary, "front-north-a-1", "127.0.0.1", "north-a", "north", s.serve(), freePorts("127.0.0.1"), true)
 	v.start()
 	v.awaitReady()
 	time.Sleep(3500 * time.Millisecond)
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -24,55 +24,43 @@
 	logPath                 string
 }
 
-// freePorts returns ports that are free on an address, the second of two neighbours included.
-func freePorts(ip string, n int) []int {
-	var list []int
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
-		}
-	}()
-	for len(list) < n {
-		l, err := net.Listen("tcp4", ip+":0")
-		if err != nil {
-			fail("free port: %v", err)
-		}
-		open = append(open, l)
-		list = append(list, l.Addr().(*net.TCPAddr).Port)
-	}
-	return list
+// ports are the ports of a VM: of its public interfaces, and the first of those that are free for traffic between VMs.
+type ports struct {
+	front, ready, directory, internal int
 }
 
-// freeRange returns the first of n neighbouring ports that are free on an address.
-func freeRange(ip string, n int) int {
-	for first := 21000; first < 60000; first += n {
+// internalPorts is the number of ports for traffic between VMs.
+const internalPorts = 16
+
+// freePorts returns ports that are free on all the addresses.
+func freePorts(ips ...string) ports {
+	for first := 21000; first < 32000; first += internalPorts + 3 {
 		free := true
-		for p := first; p < first+n && free; p++ {
-			l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, p))
-			if err != nil {
-				free = false
-				continue
+		for p := first; p < first+internalPorts+3 && free; p++ {
+			for _, ip := range ips {
+				l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, p))
+				if err != nil {
+					free = false
+					break
+				}
+				_ = l.Close()
 			}
-			_ = l.Close()
 		}
 		if free {
-			return first
+			return ports{first, first + 1, first + 2, first + 3}
 		}
 	}
 	fail("no free range of ports")
-	return 0
+	return ports{}
 }
 
 // zones are the zones of the deployment with their regions.
 var zones = [][2]string{{"north-a", "north"}, {"north-b", "north"}, {"south-a", "south"}}
 
 // newVM writes the settings of a VM.
-func newVM(dir, name, ip, zone, region, storeAddress string, firstStart bool) *vm {
-	ports := freePorts(ip, 3)
+func newVM(dir, name, ip, zone, region, storeAddress string, p ports, firstStart bool) *vm {
 	v := &vm{name: name, zone: zone, region: region, ip: ip, settings: filepath.Join(dir, name+".yaml"), logPath: filepath.Join(dir, name+".log")}
-	v.front, v.ready, v.directory = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1]), fmt.Sprintf("%s:%d", ip, ports[2])
-	first := freeRange(ip, 16)
+	v.front, v.ready, v.directory = fmt.Sprintf("%s:%d", ip, p.front), fmt.Sprintf("%s:%d", ip, p.ready), fmt.Sprintf("%s:%d", ip, p.directory)
 	var b strings.Builder
 	fmt.Fprintf(&b, "node_name: %q\nrole: \"steer\"\nmachine_class: \"front\"\nserves:\n  - \"front\"\n  - \"directory\"\n", name)
 	fmt.Fprintf(&b, "ip: %q\nzone: %q\nregion: %q\nzones:\n", ip, zone, region)
@@ -80,7 +68,7 @@
 		fmt.Fprintf(&b, "  %s: %q\n", z[0], z[1])
 	}
 	fmt.Fprintf(&b, "listen:\n  front: %q\n  ready: %q\n  directory: %q\n", v.front, v.ready, v.directory)
-	fmt.Fprintf(&b, "internal_port_range:\n  - %d\n  - %d\nseeds: []\nfirst_start: %t\nin_failure_budget: false\n", first, first+15, firstStart)
+	fmt.Fprintf(&b, "internal_port_range:\n  - %d\n  - %d\nseeds: []\nfirst_start: %t\nin_failure_budget: false\n", p.internal, p.internal+internalPorts-1, firstStart)
 	b.WriteString("limits:\n  cpu_share: 0.32\n  cores: 1\n  memory_mb: 284\n  max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\n")
 	b.WriteString("discovery: \"platform\"\nentry: \"directory\"\nheartbeat_s: 1.5\n")
 	b.WriteString("contracts:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"cost\"\n  - \"retry\"\n  - \"recover\"\n  - \"places\"\n  - \"tenants\"\n  - \"quota\"\n  - \"platform\"\n")
