--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -38,6 +38,9 @@
 	StoreRestored = Event{7108, hclog.Warn, "store restored from a backup", []string{"call", "eraBefore", "era", "versionBefore", "version"}}
 	// DesiredStateStale reports that another VM sent a desired state older than the known one.
 	DesiredStateStale = Event{7109, hclog.Info, "outdated desired state ignored", []string{"era", "version", "knownEra", "knownVersion"}}
+	// TableRead reports that all rows of a table of the store were read: how many, in how many pages, the version of the
+	// first page, and the version from which on changes are read.
+	TableRead = Event{7110, hclog.Info, "table of the store read", []string{"call", "rows", "pages", "firstVersion", "version"}}
 
 	// ServerRegistered reports a new backend server.
 	ServerRegistered = Event{7201, hclog.Info, "backend server registered", []string{"server", "service", "failureDomain", "slots", "cold"}}
@@ -116,7 +119,7 @@
 func steerEvents() []Event {
 	return []Event{
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped, BoundExceeded,
-		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale,
+		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale, TableRead,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid, ServerDeparted,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied,
--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -273,6 +273,11 @@
 	return true
 }
 
+// logRead logs that all rows of a table were read.
+func (w *Watcher) logRead(call string, e platform.Extent, revision psrevision.Revision) {
+	psevent.TableRead.Log(w.options.Logger, call, e.Rows, e.Pages, e.First.Version, revision.Version)
+}
+
 // errStale means that the store's data is older than what is known, of an earlier era or an earlier revision.
 var errStale = errors.New("read store: response is older than what is known")
 
@@ -314,6 +319,7 @@
 				err = errStale
 			}
 			if err == nil {
+				w.logRead("servers", v.Extent, v.Revision)
 				w.options.Sink.ApplyServers(v, true, recovering || v.Revision.RestoredSince(known))
 				changed = v.Revision
 			}
@@ -349,6 +355,7 @@
 				err = errStale
 			}
 			if err == nil {
+				w.logRead("orders", o.Extent, o.Revision)
 				w.options.Sink.ApplyDesiredState(o, true, o.Revision.RestoredSince(known))
 				last = psrevision.Later(last, o.LastChange)
 			}
