pswatch: a new relay announces the changes that it learned from notices

Callers would see: requests to a server that left, or an old configuration, at VMs of a fleet of 20 and more that lost the last notice of a relay before that relay fell silent.

Cause: a relay tells in each notice after which change it follows. A VM kept that position for its own calls to the store only. As the new relay it claimed that nothing had changed since its own last call, although it had applied changes from notices. A VM that had missed those took the next notice for complete. For the desired state it announced the last change of its own calls, so nobody fetched the newer one.

Why this works: notices that are applied, and desired states that are fetched, move the position as well.

TestNewRelayClaimsNothingWasMissed fails before (position 10, wanted 12 and 15).

--- a/internal/process/pswatch/relay.go
+++ b/internal/process/pswatch/relay.go
@@ -99,12 +99,21 @@
 		}
 		if n.To.After(known) {
 			w.options.Sink.ApplyServers(platform.Servers{Entries: n.Entries, Removed: n.Removed, Revision: n.To}, false, false)
+			w.serversChanged = psrevision.Later(w.serversChanged, latestChange(n))
 			return n.To, false
 		}
 	}
 	return known, false
 }
 
+// latestChange returns a revision at or after the latest change that the sender of a notice knows.
+func latestChange(n *psmessage.ServerChanges) psrevision.Revision {
+	if len(n.Entries)+len(n.Removed) > 0 {
+		return n.To
+	}
+	return n.Before
+}
+
 // awaitDesiredStateNotice waits for a notice that announces a change of the desired state. It fetches
 // the state from the VM that sent the notice, since notices contain only its revision. It returns the
 // revision that is known afterwards, and true if the store must be read.
@@ -132,5 +141,6 @@
 	if !found {
 		return known, true
 	}
+	w.desiredStateChanged = psrevision.Later(w.desiredStateChanged, revision)
 	return revision, false
 }
--- a/internal/process/pswatch/relay_test.go
+++ b/internal/process/pswatch/relay_test.go
@@ -250,3 +250,28 @@
 	repeatNotice(t, w, n)
 	qt.Assert(t, awaitApplied(t, e).Entries[0].ID, qt.Equals, "i-1")
 }
+
+// TestNewRelayClaimsNothingWasMissed covers a VM that has learned of changes through notices and becomes the relay. Its
+// own notices must tell VMs that have missed those changes to read them.
+func TestNewRelayClaimsNothingWasMissed(t *testing.T) {
+	w, e := startWith(t, "vm-2", 74, pswatch.Revisions{DesiredState: psrevision.New(0, 10), Servers: psrevision.New(0, 10)})
+	w.HandleNotice(newNotice(10, 12, "i-1"))
+	w.HandleNotice(&psmessage.Notice{VM: "vm-1", Region: "north", DesiredStateRevision: psrevision.New(0, 15)})
+	awaitApplied(t, e)
+	<-e.fetchedFrom
+	servers, desiredState := false, false
+	for !servers || !desiredState {
+		select {
+		case n := <-e.notices:
+			if n.Servers != nil {
+				servers = true
+				qt.Assert(t, n.Servers.Before, qt.Equals, psrevision.New(0, 12))
+				continue
+			}
+			desiredState = true
+			qt.Assert(t, n.DesiredStateRevision, qt.Equals, psrevision.New(0, 15))
+		case <-time.After(8 * time.Second):
+			t.Fatal("the VM sent no notices within 8 s")
+		}
+	}
+}
--- a/internal/process/pswatch/watch.go
+++ b/internal/process/pswatch/watch.go
@@ -140,6 +140,9 @@
 	unreadTables, failingTables atomic.Int32
 	// desiredState and servers are when the store last responded for each table.
 	desiredState, servers responseTime
+	// desiredStateChanged and serversChanged are revisions at or after the latest known change of each table, which
+	// notices announce. Each belongs to the goroutine that watches the table.
+	desiredStateChanged, serversChanged psrevision.Revision
 }
 
 // New returns a watcher that has read no table yet.
@@ -307,7 +310,7 @@
 }
 
 func (w *Watcher) watchServers(ctx context.Context, known psrevision.Revision) {
-	changed := known
+	w.serversChanged = known
 	// announced states that the last call returned changes. If their notice is lost, the next one shows that, so that
 	// follows soon.
 	announced := false
@@ -321,7 +324,7 @@
 			if err == nil {
 				w.logRead("servers", v.Extent, v.Revision)
 				w.options.Sink.ApplyServers(v, true, recovering || v.Revision.RestoredSince(known))
-				changed = v.Revision
+				w.serversChanged = v.Revision
 			}
 			return v.Revision, err
 		},
@@ -333,11 +336,11 @@
 			if err == nil {
 				w.options.Sink.ApplyServers(v, false, false)
 				w.sendNotice(&psmessage.Notice{Servers: &psmessage.ServerChanges{
-					From: after, To: v.Revision, Before: changed, Entries: v.Entries, Removed: v.Removed,
+					From: after, To: v.Revision, Before: w.serversChanged, Entries: v.Entries, Removed: v.Removed,
 				}})
 				announced = len(v.Entries)+len(v.Removed) > 0
 				if announced {
-					changed = v.Revision
+					w.serversChanged = v.Revision
 				}
 			}
 			return v.Revision, err
@@ -346,7 +349,7 @@
 }
 
 func (w *Watcher) watchDesiredState(ctx context.Context, known psrevision.Revision) {
-	last := known
+	w.desiredStateChanged = known
 	w.watchTable(ctx, table{
 		call: "orders", response: &w.desiredState, known: known, pollInterval: desiredStatePollInterval, awaitNotice: w.awaitDesiredStateNotice,
 		read: func(ctx context.Context, known psrevision.Revision, _ bool) (psrevision.Revision, error) {
@@ -357,7 +360,7 @@
 			if err == nil {
 				w.logRead("orders", o.Extent, o.Revision)
 				w.options.Sink.ApplyDesiredState(o, true, o.Revision.RestoredSince(known))
-				last = psrevision.Later(last, o.LastChange)
+				w.desiredStateChanged = psrevision.Later(w.desiredStateChanged, o.LastChange)
 			}
 			return o.Revision, err
 		},
@@ -365,8 +368,8 @@
 			o, err := w.options.Store.DesiredStateChanges(ctx, after, wait)
 			if err == nil {
 				w.options.Sink.ApplyDesiredState(o, false, false)
-				last = psrevision.Later(last, o.LastChange)
-				w.sendNotice(&psmessage.Notice{DesiredStateRevision: last})
+				w.desiredStateChanged = psrevision.Later(w.desiredStateChanged, o.LastChange)
+				w.sendNotice(&psmessage.Notice{DesiredStateRevision: w.desiredStateChanged})
 			}
 			return o.Revision, err
 		},
