psregistry: a read of all servers that is older than the known entries is ignored

Callers would see: requests to a server that left, for the time from such a read to the next call for changes; and a VM that fetches this VM's state meanwhile would miss changes for good.

Cause: the servers' entries and the revision that stands for them were kept apart. A VM that can't read the store applies the state of another VM, say as of version 100, while its own slow read, as of 90, is under way. The read then replaced the entries, while the claimed revision stayed 100. Older states of peers were ignored already, older reads of the store only by the watcher that had made them.

Why this works: the registry holds the revision of its entries, and ignores all entries of an older one whatever their source (7111). The watcher asks for the changes after its own read, so that nothing is missing afterwards. The era at a server's removal is that of the revision.

TestOlderReadOfStoreRevivesServer fails before (run without the check).

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -115,8 +115,6 @@
 	// lastReport is this VM's latest report, with the full identity.
 	lastReport psmessage.Report
 	digester   psfleet.Digester
-	// serversRevision is the store revision of the servers.
-	serversRevision psrevision.Revision
 	// newerConfiguration finds a VM that has a newer configuration.
 	newerConfiguration psfleet.NewerConfiguration
 	// resizedSequence is the sequence number of the first report after the fleet size last changed, and
@@ -391,7 +389,6 @@
 		for _, d := range c.servers.TakeDepartures() {
 			c.announcements.Departed(d, now)
 		}
-		c.serversRevision = psrevision.Later(c.serversRevision, e.servers.Revision)
 	case vmsEvent:
 		c.applyVMs(e.rows, now)
 	case reportEvent:
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -140,7 +140,7 @@
 	v := &pssnapshot.Snapshot{
 		Index: c.desiredState.Index, Servers: c.servers.ByService(), ServersReadAt: c.servers.ReadAt, Evacuated: c.desiredState.Evacuated,
 		RateShares: shares, EvenShare: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
-		Changes: c.desiredState.Changes + c.servers.Changes(), DesiredStateRevision: c.desiredState.Revision, ServersRevision: c.serversRevision, NewerVM: c.newerConfiguration.VM(c.fleet, c.desiredState.Version(), now),
+		Changes: c.desiredState.Changes + c.servers.Changes(), DesiredStateRevision: c.desiredState.Revision, ServersRevision: c.servers.Revision(), NewerVM: c.newerConfiguration.VM(c.fleet, c.desiredState.Version(), now),
 		RelaysStore:  c.fleet.IsRelay(now),
 		StoreReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), PropagationTime: c.fleet.PropagationTime(),
 		NoServers: c.options.Links.Lost(),
--- a/internal/process/pscontrol/peerstate.go
+++ b/internal/process/pscontrol/peerstate.go
@@ -10,7 +10,6 @@
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/pssync"
 	"persimmonstep/internal/version/psconfig"
-	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
 )
 
@@ -58,11 +57,6 @@
 	}
 	before := c.servers.Len()
 	c.applyDesiredState(desiredStateOf(e.State), psdesiredstate.ReadInfo{Full: true}, now)
-	if c.serversRevision.After(e.State.ServersRevision) {
-		// That VM has not received changes that this one knows.
-		return
-	}
-	c.serversRevision = psrevision.Later(c.serversRevision, e.State.ServersRevision)
 	c.servers.Apply(platform.Servers{Entries: e.State.Servers, Revision: e.State.ServersRevision}, psregistry.UpdateInfo{Full: true, Age: e.State.Age, FromPeer: true}, now)
 	if before == 0 {
 		psevent.ControlStateApplied.Log(c.options.Logger, e.VM, e.State.Configuration.Version, len(e.State.Servers), e.State.Age.String())
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -41,6 +41,9 @@
 	// TableRead reports that all rows of a table of the store were read: how many, in how many pages, the version of the
 	// first page, and the version from which on changes are read.
 	TableRead = Event{7110, hclog.Info, "table of the store read", []string{"call", "rows", "pages", "firstVersion", "version"}}
+	// ServersStale reports that all entries of the servers, as read from the store or sent by another VM, are older than the
+	// known ones.
+	ServersStale = Event{7111, hclog.Info, "outdated entries of all servers ignored", []string{"era", "version", "knownEra", "knownVersion"}}
 
 	// ServerRegistered reports a new backend server.
 	ServerRegistered = Event{7201, hclog.Info, "backend server registered", []string{"server", "service", "failureDomain", "slots", "cold"}}
@@ -119,7 +122,7 @@
 func steerEvents() []Event {
 	return []Event{
 		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped, BoundExceeded,
-		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale, TableRead,
+		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale, TableRead, ServersStale,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid, ServerDeparted,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied,
--- a/internal/process/psregistry/registry.go
+++ b/internal/process/psregistry/registry.go
@@ -18,6 +18,7 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
 )
 
@@ -39,8 +40,8 @@
 	changes int64
 	// departures are the servers that left according to the store since the last call of TakeDepartures.
 	departures []psmessage.Departure
-	// era is the highest era of the store in the updates so far.
-	era int64
+	// revision is the store revision of the entries.
+	revision psrevision.Revision
 }
 
 // removedRetention is how long a removed server is remembered. A server that shuts down ends much sooner.
@@ -91,11 +92,15 @@
 	FromPeer bool
 }
 
-// Apply updates the registry with all entries, or with the changed ones. Ready servers that are missing after
-// an outage or a restore of the store are kept.
+// Apply updates the registry with all entries, or with the changed ones. All entries of an older revision than the known one
+// are ignored. Ready servers that are missing after an outage or a restore of the store are kept.
 func (r *Registry) Apply(s platform.Servers, e UpdateInfo, now time.Time) {
+	if e.Full && r.revision.After(s.Revision) {
+		psevent.ServersStale.Log(r.options.Logger, s.Revision.Era, s.Revision.Version, r.revision.Era, r.revision.Version)
+		return
+	}
 	r.ReadAt = now.Add(-e.Age)
-	r.era = max(r.era, s.Revision.Era)
+	r.revision = psrevision.Later(r.revision, s.Revision)
 	maps.DeleteFunc(r.removed, func(_ string, d removedServer) bool { return now.Sub(d.at) > removedRetention })
 	seen := make(map[string]bool, len(s.Entries))
 	for _, v := range s.Entries {
@@ -139,6 +144,9 @@
 // Len returns the number of servers.
 func (r *Registry) Len() int { return len(r.servers) }
 
+// Revision returns the store revision of the entries.
+func (r *Registry) Revision() psrevision.Revision { return r.revision }
+
 // Changes returns the number of changes of entries so far.
 func (r *Registry) Changes() int64 { return r.changes }
 
@@ -152,7 +160,7 @@
 	delete(r.disputes, id)
 	delete(r.unreadableSince, id)
 	s.MarkRemoved()
-	r.removed[id] = removedServer{entry: s.Entry(), leaving: s.Leaving(), at: now, era: r.era}
+	r.removed[id] = removedServer{entry: s.Entry(), leaving: s.Leaving(), at: now, era: r.revision.Era}
 	r.changes++
 	psevent.ServerRemoved.Log(r.options.Logger, id, s.Entry().Service)
 }
@@ -211,7 +219,7 @@
 		minSequence = known.Sequence
 	} else if d, found := r.removed[e.ID]; found {
 		known, ended, minSequence = d.entry, d.leaving, d.entry.Sequence
-		if r.era > d.era {
+		if r.revision.Era > d.era {
 			// The store was restored from a backup that may be older than the removal and have the
 			// entry. A server that runs has written a newer one since.
 			minSequence++
--- a/internal/process/psregistry/registry_test.go
+++ b/internal/process/psregistry/registry_test.go
@@ -10,6 +10,7 @@
 
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
 )
 
@@ -106,3 +107,21 @@
 		})
 	}
 }
+
+// TestOlderReadOfStoreRevivesServer covers a VM that gets the state of another VM while its own slow read of the store is
+// under way. The read is older: it must neither revive a server that has left nor remove one that was added.
+func TestOlderReadOfStoreRevivesServer(t *testing.T) {
+	r := newRegistry()
+	added := entry(5, 1, psserver.Ready)
+	added.ID = "i-2"
+	r.Apply(platform.Servers{Entries: []psserver.Entry{entry(5, 7, psserver.Ready)}, Revision: psrevision.New(0, 80)}, psregistry.UpdateInfo{Full: true}, startTime)
+	r.Apply(platform.Servers{Entries: []psserver.Entry{added}, Revision: psrevision.New(0, 100)}, psregistry.UpdateInfo{Full: true, FromPeer: true}, startTime)
+	r.Apply(platform.Servers{Entries: []psserver.Entry{entry(5, 8, psserver.Ready)}, Revision: psrevision.New(0, 90)}, psregistry.UpdateInfo{Full: true}, startTime)
+	_, found := r.Get("i-2")
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Assert(t, usable(r), qt.IsFalse)
+	qt.Assert(t, r.Revision(), qt.Equals, psrevision.New(0, 100))
+	r.Apply(platform.Servers{Removed: []string{"i-1"}, Revision: psrevision.New(0, 101)}, psregistry.UpdateInfo{}, startTime)
+	qt.Assert(t, r.Len(), qt.Equals, 1)
+	qt.Assert(t, r.Revision(), qt.Equals, psrevision.New(0, 101))
+}
