--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -111,6 +111,7 @@
 	servers      *psregistry.Registry
 	fleet        *psfleet.Fleet
 	shares       *psshare.Shares
+	sharesLog    *psshare.Log
 	sequence     int64
 	// lastReport is this VM's latest report, with the full identity.
 	lastReport psmessage.Report
@@ -130,7 +131,7 @@
 func New(o Options) *Controller {
 	c := &Controller{
 		options: o, events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
-		fleet: psfleet.New(o.Identity), shares: psshare.New(),
+		fleet: psfleet.New(o.Identity), shares: psshare.New(), sharesLog: psshare.NewLog(o.Logger),
 		announcements: psannouncement.New(), liveness: psfleet.NewLivenessLog(o.Logger),
 	}
 	c.availability = psavailability.Recorder{
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -148,6 +148,7 @@
 	if v.NoServers {
 		v.Helpers = c.fleet.Helpers(now)
 	}
+	c.sharesLog.Record(v.FleetSize, len(v.ShareHolders), 1, shares)
 	c.snapshot.Store(v)
 }
 
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -98,6 +98,9 @@
 	// ControlStateApplied reports that this VM, without access to the store, applied the control state of a VM that
 	// reads the store.
 	ControlStateApplied = Event{7304, hclog.Info, "control state of another VM applied", []string{"vm", "version", "servers", "age"}}
+	// SharesChanged reports on how many of the known VMs this VM counts when it takes its shares of the fleet's limits, and
+	// the fraction of each limit to which their shares add up. It also names the workspace of which it has the largest share.
+	SharesChanged = Event{7305, hclog.Info, "shares of the fleet's limits changed", []string{"known", "sharers", "fraction", "workspace", "largest"}}
 
 	// RequestAnswered reports the outcome of a request that a backend server answered.
 	RequestAnswered = Event{7401, hclog.Info, "request answered", requestFields}
@@ -125,7 +128,7 @@
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale, TableRead, ServersStale,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid, ServerDeparted,
-		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied,
+		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied, SharesChanged,
 		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted,
 	}
 }
