psfleet: VMs that are alone in their failure domains find each other again

Callers would see: two VMs of a fleet of 20 and more that know nothing of each other for good, each without the other one in its directory, its shares and its token owners.

Cause: two resonances. A sender of digests goes through the VMs of a failure domain in which none is live, two at a time, since the other sender does the rest: a VM that is alone in its failure domain never reached every second one. And every eighth digest carries full identities, so that with two, four or eight VMs in a failure domain always the same one got them; digests to a VM that had just become live carried none, so that it dropped the reports of a process that it didn't know.

--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -81,7 +81,11 @@
 		return
 	}
 	if d := c.digester.Digest(c.fleet, c.lastReport, now); d != nil {
-		c.sendDigest(d, c.fleet.DigestReceivers(rank, c.digester.Round(), now))
+		known, strangers := c.digester.Receivers(c.fleet, rank, now)
+		c.sendDigest(d, known)
+		if len(strangers) > 0 {
+			c.sendDigest(c.fleet.Expand(d), strangers)
+		}
 	}
 }
 
--- a/internal/process/psfleet/digest.go
+++ b/internal/process/psfleet/digest.go
@@ -76,23 +76,8 @@
 	return rank, rank < digestSenders
 }
 
-// DigestReceivers returns the VMs that the sender of a rank sends its digest to: one VM of each other
-// failure domain. Senders choose different receivers where enough VMs are live. In a failure domain
-// without a live VM, the receiver changes with each round.
-func (f *Fleet) DigestReceivers(rank int, round int64, now time.Time) []psmessage.Identity {
-	var list []psmessage.Identity
-	for domain, peers := range f.byDomain() {
-		if domain == f.self.FailureDomain {
-			continue
-		}
-		if i, found := f.digestReceiver(peers, rank, round, now); found {
-			list = append(list, i)
-		}
-	}
-	return list
-}
-
-func (f *Fleet) digestReceiver(peers []*Peer, rank int, round int64, now time.Time) (psmessage.Identity, bool) {
+// digestReceiver returns the receiver of a failure domain, and whether it is live.
+func (f *Fleet) digestReceiver(peers []*Peer, rank int, round int64, now time.Time) (receiver psmessage.Identity, isLive bool) {
 	var live []psmessage.Identity
 	for _, p := range peers {
 		if f.Live(p, now) {
@@ -100,8 +85,9 @@
 		}
 	}
 	if len(live) == 0 {
-		i := (round*digestSenders + int64(rank)) % int64(len(peers))
-		return peers[i].Identity, true
+		// Each sender goes through all of them, and each begins with another one.
+		i := (round + int64(rank*len(peers)/digestSenders)) % int64(len(peers))
+		return peers[i].Identity, false
 	}
 	// The receiver forwards the digest to all VMs of its failure domain at once, which saturates a
 	// small network link, so VMs with larger links come first.
@@ -116,6 +102,8 @@
 type Digester struct {
 	rounds int64
 	sent   map[string]*sentReport
+	// introductions is the number of digests with full identities that are still sent to each failure domain.
+	introductions map[string]int
 }
 
 // sentReport is the state of a VM's reports in the digests sent so far.
@@ -125,9 +113,6 @@
 	digests int
 }
 
-// Round returns the number of calls of [Digester.Digest].
-func (d *Digester) Round() int64 { return d.rounds }
-
 // Digest returns the reports of this VM's failure domain that are newer than those in the last digest,
 // including its own latest one. It returns nil if there are none.
 func (d *Digester) Digest(f *Fleet, own psmessage.Report, now time.Time) *psmessage.Digest {
@@ -148,6 +133,50 @@
 	return g
 }
 
+// Receivers returns the VMs to which the sender of a rank sends its last digest: one VM of each other
+// failure domain. Senders choose different receivers where enough VMs are live. In a failure domain
+// without a live VM, the receiver changes with each round. There, and for some digests after that, the
+// receivers may not know the identities that the digest abbreviates: they are strangers.
+func (d *Digester) Receivers(f *Fleet, rank int, now time.Time) (known, strangers []psmessage.Identity) {
+	if d.introductions == nil {
+		d.introductions = make(map[string]int)
+	}
+	for domain, peers := range f.byDomain() {
+		if domain == f.self.FailureDomain {
+			continue
+		}
+		i, live := f.digestReceiver(peers, rank, d.rounds, now)
+		if !live {
+			d.introductions[domain] = digestsWithFullIdentity
+		}
+		if d.introductions[domain] > 0 {
+			d.introductions[domain]--
+			strangers = append(strangers, i)
+		} else {
+			known = append(known, i)
+		}
+	}
+	return known, strangers
+}
+
+// Expand returns a digest with the full identity of each VM that the fleet knows.
+func (f *Fleet) Expand(d *psmessage.Digest) *psmessage.Digest {
+	full := *d
+	full.Reports = slices.Clone(d.Reports)
+	for i := range full.Reports {
+		f.expand(&full.Reports[i].Identity)
+	}
+	return &full
+}
+
+func (f *Fleet) expand(i *psmessage.Identity) {
+	if i.VM == f.self.VM {
+		*i = f.self
+	} else if p, found := f.peers[i.VM]; found && p.Identity.Incarnation == i.Incarnation {
+		*i = p.Identity
+	}
+}
+
 func (d *Digester) add(g *psmessage.Digest, r psmessage.ForwardedReport) {
 	t, found := d.sent[r.VM]
 	if !found || t.incarnation != r.Incarnation {
--- a/internal/process/psfleet/digest_test.go
+++ b/internal/process/psfleet/digest_test.go
@@ -101,9 +101,14 @@
 		}
 		if d := v.digester.Digest(v.fleet, v.own, f.at()); d != nil {
 			qt.Assert(f.t, d.Check(), qt.IsNil)
-			for _, i := range v.fleet.DigestReceivers(rank, v.digester.Round(), f.at()) {
+			known, strangers := v.digester.Receivers(v.fleet, rank, f.at())
+			for _, i := range known {
 				f.send(v, i, func(to *simulatedVM) { f.receiveDigest(to, d) })
 			}
+			full := v.fleet.Expand(d)
+			for _, i := range strangers {
+				f.send(v, i, func(to *simulatedVM) { f.receiveDigest(to, full) })
+			}
 		}
 	}
 }
@@ -216,6 +221,46 @@
 	qt.Assert(t, n >= pairs*99/100, qt.IsTrue, qt.Commentf("%d of %d", n, pairs))
 }
 
+// TestLastVMsOfTwoDomainsNeverMeet covers two failure domains of which one VM each is left. Each of the two restarts, so that the
+// other one knows an earlier process of it.
+func TestLastVMsOfTwoDomainsNeverMeet(t *testing.T) {
+	for first := range 4 {
+		for second := range 4 {
+			f := newSimulatedFleet(t, 6, 4)
+			f.run(3 * time.Second)
+			a, b := f.vms[fmt.Sprintf("vm-00-%02d", first)], f.vms[fmt.Sprintf("vm-01-%02d", second)]
+			for _, v := range f.list {
+				domain := v.identity.FailureDomain
+				v.dead = (domain == "domain-0" || domain == "domain-1") && v != a && v != b
+			}
+			f.cut = func(from, to psmessage.Identity) bool {
+				return from.FailureDomain == a.identity.FailureDomain || to.FailureDomain == a.identity.FailureDomain
+			}
+			f.run(20 * time.Second)
+			for _, v := range []*simulatedVM{a, b} {
+				v.identity.Incarnation++
+				v.fleet, v.sequence, v.digester = psfleet.New(v.identity), 0, psfleet.Digester{}
+				for _, o := range f.list {
+					if o != a && o != b {
+						v.fleet.AddIdentity(o.identity, f.at())
+					}
+				}
+			}
+			// Each has read what the earlier process of the other one had published.
+			for v, o := range map[*simulatedVM]*simulatedVM{a: b, b: a} {
+				earlier := o.identity
+				earlier.Incarnation--
+				v.fleet.AddIdentity(earlier, f.at())
+			}
+			f.run(20 * time.Second)
+			f.cut = func(_, _ psmessage.Identity) bool { return false }
+			f.run(25 * time.Second)
+			n := f.countLive(func(v, o *simulatedVM) bool { return v == a && o == b || v == b && o == a })
+			qt.Check(t, n, qt.Equals, 2, qt.Commentf("VMs %d and %d", first, second))
+		}
+	}
+}
+
 // TestDigestCheckRejectsInvalidDigests covers digests that VMs of other versions or other senders may send.
 func TestDigestCheckRejectsInvalidDigests(t *testing.T) {
 	valid := psmessage.ForwardedReport{Report: psmessage.Report{Identity: identity("vm-1", 1)}}
@@ -241,10 +286,12 @@
 		}
 		f.ApplyReport(&psmessage.Report{Identity: v, Sequence: 1}, startTime)
 	}
-	to := f.DigestReceivers(0, 1, startTime)
+	var d psfleet.Digester
+	to, _ := d.Receivers(f, 0, startTime)
 	qt.Assert(t, to, qt.HasLen, 1)
 	qt.Assert(t, to[0].VM, qt.Equals, "vm-18")
-	qt.Assert(t, f.DigestReceivers(1, 1, startTime)[0].VM, qt.Not(qt.Equals), "vm-18")
+	to, _ = d.Receivers(f, 1, startTime)
+	qt.Assert(t, to[0].VM, qt.Not(qt.Equals), "vm-18")
 }
 
 // TestInvalidReportStopsTheOthersOfADigest covers a digest of which one report is invalid.
