--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -20,6 +20,10 @@
 	// LinesDropped reports how many log lines were dropped, by a rate limit or because the log's output was too slow.
 	LinesDropped = Event{7006, hclog.Warn, "log lines dropped", []string{"lines"}}
 
+	// ResourcesDivided reports how the VM divides its memory and descriptors: the bytes that it holds at most for callers,
+	// the number of their connections, and the memory from which on it collects garbage more often.
+	ResourcesDivided = Event{7008, hclog.Info, "memory and descriptors divided", []string{"memory", "descriptors", "held", "connections", "softLimit"}}
+
 	// ConfigurationApplied reports that a configuration version is in force.
 	ConfigurationApplied = Event{7101, hclog.Info, "configuration applied", []string{"version", "before", "routes", "workspaces", "storeVersion"}}
 	// ConfigurationRejected reports that a newer configuration is faulty and the previous one stays in force.
@@ -124,7 +128,7 @@
 
 func steerEvents() []Event {
 	return []Event{
-		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped, BoundExceeded,
+		VMStarted, VMStopping, VMStopped, SettingsReloaded, SettingsRejected, LinesDropped, BoundExceeded, ResourcesDivided,
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale, TableRead, ServersStale,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid, ServerDeparted,
--- a/internal/process/psnode/settings.go
+++ b/internal/process/psnode/settings.go
@@ -34,6 +34,10 @@
 	FirstStart bool
 	// Link is the capacity of the VM's network link in each direction, in Mbit/s; 0 if unknown.
 	Link float64
+	// Memory is the VM's memory, in bytes, and Descriptors the number of files and sockets that it may have open; 0 if
+	// unknown.
+	Memory      int64
+	Descriptors int
 }
 
 // Listens reports whether this VM listens, or may listen, at an address.
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,6 +18,7 @@
 	"github.com/samber/do/v2"
 
 	"persimmonstep/internal/connection/psaccess"
+	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/pspeerstate"
@@ -116,6 +118,11 @@
 	do.ProvideValue(i, n)
 	do.ProvideValue(i, l)
 	do.ProvideValue(i, prometheus.NewRegistry())
+	plan := v.plan()
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(plan.SoftMemoryLimit)
+	}
+	do.ProvideValue(i, psbudget.New(plan.HeldBytes, time.Now))
 	provide(ctx, i, v)
 	var err error
 	if v.endpoint, err = do.Invoke[*pspeer.Endpoint](i); err != nil {
@@ -134,6 +141,11 @@
 	return v, nil
 }
 
+// plan returns how the VM divides its memory and descriptors.
+func (v *vm) plan() psbudget.Plan {
+	return psbudget.PlanFor(psbudget.Limits{Memory: v.settings.Memory, Descriptors: v.settings.Descriptors})
+}
+
 func provide(ctx context.Context, i do.Injector, v *vm) {
 	do.Provide(i, func(i do.Injector) (*pspeer.Endpoint, error) {
 		s := do.MustInvoke[*psnode.Settings](i)
@@ -217,6 +229,8 @@
 func (v *vm) run(ctx context.Context, o Options, w *pslog.Writer) error {
 	s := v.settings
 	psevent.VMStarted.Log(v.logger, s.Name, s.FailureDomain, s.Region, s.Callers.String(), s.Store.Address.String())
+	p := v.plan()
+	psevent.ResourcesDivided.Log(v.logger, s.Memory, s.Descriptors, p.HeldBytes, p.CallerConnections, p.SoftMemoryLimit)
 	warnOfBounds(s, v.logger)
 	// The control plane keeps running during the shutdown, so that the requests that are served meanwhile
 	// still meet the bounds of the fleet.
