--- a/internal/connection/psbudget/plan.go
+++ b/internal/connection/psbudget/plan.go
@@ -13,6 +13,8 @@
 	connectionFraction = 0.35
 	// softLimitFraction is the fraction of the memory from which on the runtime collects more often.
 	softLimitFraction = 0.85
+	// mappedBytes is what the process holds outside the runtime's soft limit, such as the program's text.
+	mappedBytes = 28 << 20
 	// reservedDescriptors are the descriptors that are left to files, the store, other VMs and the readiness check, and
 	// callerFraction is the fraction of the rest that callers' connections may use. Servers use the others.
 	reservedDescriptors = 300
@@ -56,6 +58,6 @@
 	return Plan{
 		HeldBytes:         max(minBytes, int64(heldFraction*rest)),
 		CallerConnections: max(minCallers, min(byMemory, byDescriptors)),
-		SoftMemoryLimit:   int64(softLimitFraction * float64(l.Memory)),
+		SoftMemoryLimit:   max(minBytes, min(int64(softLimitFraction*float64(l.Memory)), l.Memory-mappedBytes)),
 	}
 }
--- a/internal/connection/pscaller/caller.go
+++ b/internal/connection/pscaller/caller.go
@@ -1,4 +1,4 @@
-// Package pscaller knows the connection of a caller behind a request that net/http serves.
+// Package pscaller knows the connection of a caller behind a request that an HTTP server serves.
 //
 // A request alone doesn't show that its caller has disconnected until some time later, and net/http waits for the rest of
 // a body before a response goes out. Both need the connection, which [WithConn] adds to the context of its requests.
@@ -59,6 +59,15 @@
 	_ = controller.SetReadDeadline(time.Now())
 }
 
+// CloseWhenLast lets the connection close with a response if no further request of its caller has begun.
+func CloseWhenLast(w http.ResponseWriter) {
+	if v, found := w.(interface{ CloseWhenLast() }); found {
+		v.CloseWhenLast()
+		return
+	}
+	w.Header().Set("Connection", "close")
+}
+
 // Refusal is a response to a caller without a response of a backend server.
 type Refusal struct {
 	Status    int
--- a/internal/connection/pslinger/linger.go
+++ b/internal/connection/pslinger/linger.go
@@ -95,15 +95,15 @@
 	go func() {
 		defer c.listener.closing.Done()
 		defer c.listener.lingering.Add(-1)
-		c.drain()
+		Drain(c.TCPConn)
 	}()
 	return nil
 }
 
-// drain drops received bytes and then closes the connection.
-func (c *Conn) drain() {
+// Drain drops received bytes until the other end closes the connection, for a bounded time, and then closes it.
+func Drain(c *net.TCPConn) {
 	// Errors only end the lingering early.
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.TCPConn, maxBytes)
-	_ = c.TCPConn.Close()
+	_, _ = io.CopyN(io.Discard, c, maxBytes)
+	_ = c.Close()
 }
--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -129,11 +129,7 @@
 // matchRoute finds the route and the workspace of the call.
 func (c *call) matchRoute() outcome {
 	index := c.snapshot.Index
-	host := c.request.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	route, found := index.Route(host, c.request.URL.Path)
+	route, found := index.Route(hostOf(c.request), c.request.URL.Path)
 	if !found {
 		return rejected{http.StatusNotFound, "noRoute", 0}
 	}
@@ -148,6 +144,14 @@
 	return nil
 }
 
+// hostOf returns the host of a request without its port.
+func hostOf(r *http.Request) string {
+	if name, _, err := net.SplitHostPort(r.Host); err == nil {
+		return name
+	}
+	return r.Host
+}
+
 func (c *call) setDeadline() {
 	timeout := c.headers.Left
 	if timeout <= 0 {
@@ -168,7 +172,7 @@
 	controller := http.NewResponseController(c.writer)
 	// Only the response writers of tests do not support deadlines.
 	_ = controller.SetReadDeadline(c.deadline)
-	err := c.body.Read(c.writer, c.request, limit, &c.proxy.bodyMemory)
+	err := c.body.Read(c.writer, c.request, limit)
 	switch {
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -16,7 +16,6 @@
 
 	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psattempt"
-	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/psoutcome"
 	"persimmonstep/internal/connection/psselection"
@@ -74,7 +73,6 @@
 	retries         psretry.Budgets
 	blocklist       psblocklist.List
 	outcomes        psoutcome.Recorder
-	bodyMemory      psbody.MemoryBudget
 	jitter          psjitter.Sequence
 
 	// draining closes callers' connections after their next response.
@@ -128,6 +126,18 @@
 	c.finish(o)
 }
 
+// MayOverlap reports whether a request may run beside others of the same connection: that of a route whose requests may
+// run more than once. All others wait, because a response before them may close the connection, whose caller then resends
+// them.
+func (p *Proxy) MayOverlap(r *http.Request) bool {
+	snapshot := p.control.Snapshot()
+	if !snapshot.CanServe() {
+		return false
+	}
+	route, found := snapshot.Index.Route(hostOf(r), r.URL.Path)
+	return found && route.Kind.Repeatable()
+}
+
 // newCall returns the call of a request, with the values of its headers.
 func (p *Proxy) newCall(w http.ResponseWriter, r *http.Request) *call {
 	now := p.options.Now()
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -15,7 +15,7 @@
 
 // finish logs the outcome of the call and writes the response to the caller.
 func (c *call) finish(o outcome) {
-	defer c.body.Close(&c.proxy.bodyMemory)
+	defer c.body.Close()
 	switch o := o.(type) {
 	case answered:
 		c.logOutcome(psevent.RequestAnswered, o.response.Status, "", 0)
@@ -107,7 +107,7 @@
 // prepareResponse decides, before a response is written, whether the connection closes with it.
 func (c *call) prepareResponse() {
 	if c.proxy.draining.Load() {
-		c.writer.Header().Set("Connection", "close")
+		pscaller.CloseWhenLast(c.writer)
 	}
 	if !c.body.Consumed() && c.request.ContentLength != 0 {
 		pscaller.RespondEarly(c.writer, c.request)
--- /dev/null
+++ b/internal/connection/psserve/body.go
@@ -0,0 +1,69 @@
+package psserve
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"persimmonstep/internal/request/psconnection"
+)
+
+// requestBody is the body of a request, which is read from the connection.
+type requestBody struct {
+	source   io.ReadCloser
+	response *response
+	done     atomic.Bool
+
+	// mutex excludes reads from a goroutine that the handler has left behind.
+	mutex     sync.Mutex
+	continued bool
+	closed    bool
+}
+
+// Read implements [io.Reader].
+func (b *requestBody) Read(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.done.Load() {
+		return 0, io.EOF
+	}
+	if b.closed {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	c := b.response.conn
+	if !b.continued {
+		b.continued = true
+		if err := b.response.writeContinue(); err != nil {
+			return 0, err
+		}
+	}
+	c.setActivity(psconnection.Blocked)
+	n, err := b.source.Read(p)
+	c.setActivity(psconnection.Running)
+	if n > 0 {
+		c.account.Progress()
+	}
+	if err == io.EOF { //nolint:errorlint // io.EOF is never wrapped
+		b.done.Store(true)
+		c.bodyRead(b)
+	}
+	return n, err
+}
+
+// Close implements [io.Closer]. The connection closes with the response if the body wasn't read to its end.
+func (b *requestBody) Close() error { return nil }
+
+// end ends reads after the handler has returned. It waits for one that is under way, whose deadline has passed or whose
+// connection is closed.
+func (b *requestBody) end() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.closed = true
+}
+
+// expectsContinue reports whether the caller waits for a response before it sends the body.
+func expectsContinue(r *http.Request) bool {
+	return r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+}
--- /dev/null
+++ b/internal/connection/psserve/conn.go
@@ -0,0 +1,411 @@
+package psserve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pscaller"
+	"persimmonstep/internal/connection/pshead"
+	"persimmonstep/internal/connection/pslinger"
+	"persimmonstep/internal/connection/pssocket"
+	"persimmonstep/internal/request/psconnection"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform/psheader"
+)
+
+const (
+	// overlapBytes are drawn from the budget for each request that runs beside an earlier one, whose response has to be
+	// held until its turn. Without them it waits. It is what is held at most of a response.
+	overlapBytes = 512 << 10
+	// noMemoryRetryAfter is the Retry-After time of a request whose head doesn't fit into the budget.
+	noMemoryRetryAfter = 500 * time.Millisecond
+)
+
+// activity is what a connection does since a time.
+type activity struct {
+	kind  psconnection.Activity
+	since time.Time
+}
+
+// conn is a connection of a caller. One goroutine, which runs serve, reads it.
+type conn struct {
+	server       *Server
+	tcp          net.Conn
+	source       *pshead.Source
+	account      *psbudget.Account
+	closeAccount func()
+	// ctx ends when the caller has disconnected or the connection is closed.
+	ctx         context.Context //nolint:containedctx // the parent of the contexts of its requests
+	cancel      context.CancelFunc
+	headerBytes int
+	remote      string
+	// state is the activity: its kind, and since when in nanoseconds after epoch.
+	state atomic.Int64
+
+	mutex    sync.Mutex
+	changed  sync.Cond
+	pipeline psconnection.Pipeline
+	begun    []*response
+	// body is the body that is still to be read from the connection; nil without one.
+	body *requestBody
+	// reading is set while the head of a request is read or waits to be begun.
+	reading bool
+	// peeking is set while the connection is read for the next request, so that a disconnect is detected.
+	peeking bool
+	// expired is set once the time for a head is over, and the read deadline was set for it.
+	expired bool
+	// gone is set once the caller has disconnected or the connection is closed.
+	gone bool
+	// served is set once a request was begun.
+	served bool
+}
+
+// epoch is the origin of the times in activities.
+var epoch = time.Now()
+
+// kindBits is the number of bits of a kind of activity.
+const kindBits = 3
+
+func newConn(s *Server, tcp net.Conn) *conn {
+	c := &conn{server: s, tcp: tcp, headerBytes: s.limits().MaxHeaderBytes, remote: tcp.RemoteAddr().String()}
+	c.changed.L = &c.mutex
+	c.account, c.closeAccount = s.options.Budget.Open(func() { c.reset(reasonMemory) })
+	c.source = pshead.NewSource(tcp, c.account)
+	ctx := pscaller.WithConn(psbudget.With(context.Background(), c.account), orderly(tcp))
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.setActivity(psconnection.Idle)
+	return c
+}
+
+// orderlyConn is a connection whose close can't be turned into a reset by a handler: other responses may be on their
+// way. The server resets it if a response breaks off.
+type orderlyConn struct{ *net.TCPConn }
+
+func (orderlyConn) SetLinger(int) error { return nil }
+
+func orderly(c net.Conn) net.Conn {
+	if t, found := c.(*net.TCPConn); found {
+		return orderlyConn{t}
+	}
+	return c
+}
+
+func (c *conn) setActivity(k psconnection.Activity) {
+	c.state.Store(int64(time.Since(epoch))<<kindBits | int64(k))
+}
+
+func (c *conn) activity() activity {
+	v := c.state.Load()
+	return activity{psconnection.Activity(v & (1<<kindBits - 1)), epoch.Add(time.Duration(v >> kindBits))}
+}
+
+// serve reads requests until the connection ends.
+func (c *conn) serve() {
+	defer c.end()
+	for c.awaitRequest() {
+		r, cost, err := c.source.ReadRequest(c.headerBytes)
+		if err == nil {
+			if err = check(r); err != nil {
+				c.account.Return(cost)
+			}
+		}
+		if err != nil {
+			c.refuse(err)
+			return
+		}
+		if !c.begin(r, cost) {
+			c.account.Return(cost)
+			return
+		}
+	}
+}
+
+// awaitRequest waits for the first byte of the next request, and until it may be read. It returns false if the connection
+// has ended or closes.
+func (c *conn) awaitRequest() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for {
+		for c.body != nil && !c.isEnding() {
+			c.changed.Wait()
+		}
+		if c.isEnding() {
+			return false
+		}
+		c.peeking = true
+		c.mutex.Unlock()
+		_, err := c.source.Buffer().Peek(1)
+		c.mutex.Lock()
+		c.peeking = false
+		if err == nil {
+			break
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.isEnding() {
+			_ = c.tcp.SetReadDeadline(time.Time{})
+			continue
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.leave()
+		}
+		return false
+	}
+	for !c.pipeline.MayRead() && !c.isEnding() {
+		c.changed.Wait()
+	}
+	if c.isEnding() {
+		return false
+	}
+	c.reading = true
+	if c.pipeline.Len() == 0 && !c.source.Complete() {
+		c.setActivity(psconnection.SendingHead)
+	}
+	return true
+}
+
+// isEnding reports whether no further request begins. The caller holds the mutex.
+func (c *conn) isEnding() bool { return c.gone || c.pipeline.Closing() }
+
+// leave records that the caller has disconnected, which cancels its requests. The caller holds the mutex.
+func (c *conn) leave() {
+	c.gone = true
+	c.cancel()
+	c.changed.Broadcast()
+}
+
+// begin runs a request, once it may run. It returns false if the connection ends before.
+func (c *conn) begin(r *http.Request, cost int64) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	overlaps := r.Body == http.NoBody && c.server.overlap(r)
+	held := int64(0)
+	for !c.isEnding() && c.pipeline.Len() > 0 {
+		if c.pipeline.MayBegin(overlaps) && c.account.Take(overlapBytes) {
+			held = overlapBytes
+			break
+		}
+		c.changed.Wait()
+	}
+	c.reading = false
+	if c.expired {
+		c.expired = false
+		_ = c.tcp.SetReadDeadline(time.Time{})
+	}
+	if c.isEnding() {
+		c.account.Return(held)
+		return false
+	}
+	w := newResponse(c, r, c.pipeline.Begin(overlaps), cost)
+	w.drawn = held
+	if c.pipeline.Len() > 1 {
+		w.turn = make(chan struct{})
+		c.server.options.Metrics.count(c.server.options.Name, "pipelined")
+	}
+	if r.Body != http.NoBody {
+		c.body = &requestBody{source: r.Body, response: w}
+		w.body = c.body
+		w.request.Body = c.body
+	}
+	c.begun = append(c.begun, w)
+	c.served = true
+	c.setActivity(psconnection.Running)
+	c.server.run(w)
+	return true
+}
+
+// ended records that a response is complete or was given up. The next one gets its turn, or all are cancelled if the
+// connection closes.
+func (c *conn) ended(w *response) {
+	c.account.Return(w.held + w.drawn)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	turn := c.pipeline.IsTurn(w.id)
+	next := c.pipeline.End(w.id)
+	for i, b := range c.begun {
+		if b == w {
+			c.begun = append(c.begun[:i], c.begun[i+1:]...)
+			break
+		}
+	}
+	if next != 0 && c.begun[0].turn != nil {
+		close(c.begun[0].turn)
+	}
+	if w.body != nil && c.body == w.body {
+		c.body = nil
+	}
+	switch {
+	case c.pipeline.Closing():
+		if !turn {
+			break
+		}
+		c.cancel()
+		// The reader may wait for the next request.
+		_ = c.tcp.SetReadDeadline(time.Now())
+	case c.pipeline.Len() > 0:
+	case c.reading:
+		c.setActivity(psconnection.SendingHead)
+	default:
+		c.setActivity(psconnection.Idle)
+	}
+	c.changed.Broadcast()
+}
+
+// beginResponse reports whether the connection closes with a response, whose turn it is. If so, the requests behind it are
+// cancelled.
+func (c *conn) beginResponse(must, whenLast bool) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	closes := c.pipeline.BeginResponse(must, whenLast || c.server.draining.Load())
+	if closes {
+		// What runs behind it gets no response.
+		for _, w := range c.begun[1:] {
+			w.cancel()
+		}
+	}
+	return closes
+}
+
+// bodyRead records that a body was read to its end, so that the connection can be read again.
+func (c *conn) bodyRead(b *requestBody) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.body == b {
+		c.body = nil
+		// The handler may have set a deadline for the body.
+		_ = c.tcp.SetReadDeadline(time.Time{})
+		c.changed.Broadcast()
+	}
+}
+
+// refuse responds to a head that can't be read, after the responses to all earlier requests. The connection closes with
+// it.
+func (c *conn) refuse(err error) {
+	var head *pshead.Error
+	status, reason := http.StatusBadRequest, pshead.Malformed.String()
+	if errors.As(err, &head) {
+		status, reason = head.Kind.Status(), head.Kind.String()
+	}
+	c.mutex.Lock()
+	if status == 0 {
+		c.leave()
+	}
+	for c.pipeline.Len() > 0 && !c.isEnding() {
+		c.changed.Wait()
+	}
+	ending := c.isEnding()
+	if !ending {
+		c.pipeline.BeginResponse(true, false)
+	}
+	c.mutex.Unlock()
+	if ending {
+		return
+	}
+	c.server.noteRefused(c, reason, status)
+	h := http.Header{}
+	if status == http.StatusServiceUnavailable {
+		psheader.WriteRetryAfter(h, noMemoryRetryAfter)
+	}
+	out := takeWriter(c.tcp)
+	defer returnWriter(out)
+	text := http.StatusText(status) + "\n"
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: %d\r\n",
+		status, http.StatusText(status), len(text))
+	_ = h.Write(out)
+	_, _ = io.WriteString(out, "\r\n"+text)
+	_ = c.tcp.SetWriteDeadline(time.Now().Add(time.Second))
+	_ = out.Flush()
+}
+
+// enforce closes the connection if it is idle for too long, or ends the wait for a head. It detects that the caller has
+// disconnected if the connection isn't read because earlier requests run.
+func (c *conn) enforce(l psconfig.Limits, now time.Time) {
+	a := c.activity()
+	switch d := now.Sub(a.since); {
+	case a.kind == psconnection.Idle && d > l.IdleTimeout:
+		c.closeIfStill(a)
+	case a.kind == psconnection.SendingHead && d > l.HeaderTimeout:
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		if c.activity() == a {
+			c.expired = true
+			_ = c.tcp.SetReadDeadline(now)
+		}
+	case a.kind == psconnection.Running || a.kind == psconnection.Blocked:
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		if !c.peeking && c.pipeline.Len() > 0 && !c.gone && pssocket.PeerClosed(c.tcp) {
+			c.leave()
+		}
+	}
+}
+
+// closeIfStill closes an idle connection, unless it is idle no more.
+func (c *conn) closeIfStill(a activity) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.activity() != a || c.reading || c.gone || hasUnread(c.tcp) {
+		return
+	}
+	c.server.noteClosed(c, reasonIdle)
+	c.leave()
+	_ = c.tcp.Close()
+}
+
+// closeIfIdle closes the connection of a server that shuts down if it is idle. On a new one the first request may be on its
+// way.
+func (c *conn) closeIfIdle() {
+	c.mutex.Lock()
+	served := c.served
+	c.mutex.Unlock()
+	a := c.activity()
+	if a.kind == psconnection.Idle && (served || time.Since(a.since) > firstRequestTime) {
+		c.closeIfStill(a)
+	}
+}
+
+// reset resets the connection and cancels its requests.
+func (c *conn) reset(reason string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.gone {
+		c.server.noteClosed(c, reason)
+	}
+	c.abandon()
+}
+
+// abandon resets the connection without a record. The caller holds the mutex.
+func (c *conn) abandon() {
+	c.leave()
+	pslinger.ResetOnClose(c.tcp)
+	_ = c.tcp.Close()
+}
+
+// end waits for the requests that still run and closes the connection. The last response may still be on its way, so
+// what the caller sends is dropped for a time.
+func (c *conn) end() {
+	c.mutex.Lock()
+	for c.pipeline.Len() > 0 {
+		c.changed.Wait()
+	}
+	gone := c.gone
+	c.mutex.Unlock()
+	if t, found := c.tcp.(*net.TCPConn); found && !gone {
+		c.setActivity(psconnection.Lingering)
+		if t.CloseWrite() == nil {
+			pslinger.Drain(t)
+		}
+	}
+	_ = c.tcp.Close()
+	c.cancel()
+	c.closeAccount()
+	c.server.remove(c)
+}
--- /dev/null
+++ b/internal/connection/psserve/response.go
@@ -0,0 +1,473 @@
+package psserve
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/request/psconnection"
+)
+
+const (
+	// writerSize is the size of the buffer of a response in bytes, and pendingBytes the length up to which a response of
+	// undeclared length is held so that it gets a length.
+	writerSize   = 4 << 10
+	pendingBytes = 2 << 10
+	// pieceBytes is how much of a response is written at a time, so that a caller that reads slowly makes progress.
+	pieceBytes = 64 << 10
+	// holdTime is how long a response waits for room in the budget while others are evicted, which takes a second without
+	// progress, and holdPause the time between attempts.
+	holdTime  = 1200 * time.Millisecond
+	holdPause = 100 * time.Millisecond
+	// waitingDivisor is the part of the budget, as a divisor, that responses may take beyond it while they wait for room.
+	waitingDivisor = 4
+)
+
+var (
+	errNoMemory = errors.New("write response: memory budget exhausted")
+	errNoTurn   = errors.New("write response: connection closes with an earlier response")
+)
+
+// undeclared is the length of a body whose length the handler hasn't declared.
+const undeclared = -1
+
+// response is the response to a request, as an [http.ResponseWriter].
+type response struct {
+	conn    *conn
+	request *http.Request
+	cancel  context.CancelFunc
+	body    *requestBody
+	id      int
+	// held is what was drawn for the head, and drawn what was drawn for the response before it began, in bytes.
+	held, drawn int64
+	// turn is closed when earlier responses are written; nil if there were none.
+	turn chan struct{}
+
+	header http.Header
+	status int
+	// length is the declared length of the body, and written what the handler has written of it, in bytes.
+	length, written int64
+	// pending holds the beginning of a body of undeclared length until the header is written.
+	pending []byte
+	out     *bufio.Writer
+	// closes is set if the connection closes with this response.
+	closes    bool
+	chunked   bool
+	whenLast  bool
+	err       error
+	headMutex sync.Mutex
+	// headWritten is set once the status line and the header are written.
+	headWritten atomic.Bool
+}
+
+func newResponse(c *conn, r *http.Request, id int, held int64) *response {
+	ctx, cancel := context.WithCancel(c.ctx)
+	r = r.WithContext(ctx)
+	r.RemoteAddr = c.remote
+	return &response{conn: c, request: r, cancel: cancel, id: id, held: held, header: make(http.Header, 8), length: undeclared}
+}
+
+// serve runs the handler and completes the response.
+func (w *response) serve() {
+	defer func() {
+		w.cancel()
+		if w.out != nil {
+			returnWriter(w.out)
+		}
+		w.conn.ended(w)
+	}()
+	if expect := w.request.Header.Get("Expect"); expect != "" && !strings.EqualFold(expect, "100-continue") {
+		w.WriteHeader(http.StatusExpectationFailed)
+	} else if !w.handle() {
+		w.abort()
+		return
+	}
+	w.finish()
+}
+
+// handle runs the handler. It returns false if the handler gives up the response.
+func (w *response) handle() (completed bool) {
+	defer func() {
+		if v := recover(); v != nil && v != http.ErrAbortHandler { //nolint:errorlint // panics aren't wrapped
+			psevent.HandlerFailed.Log(w.conn.server.options.Logger, w.conn.server.options.Name, v, string(debug.Stack()))
+		}
+	}()
+	w.conn.server.options.Handler.ServeHTTP(w, w.request)
+	return true
+}
+
+// Header implements [http.ResponseWriter].
+func (w *response) Header() http.Header { return w.header }
+
+// WriteHeader implements [http.ResponseWriter].
+func (w *response) WriteHeader(status int) {
+	if status < 100 || status > 999 {
+		panic(errors.Errorf("write response: invalid status %d", status))
+	}
+	if w.status != 0 || status < 200 {
+		return
+	}
+	w.status = status
+	if text := w.header.Get("Content-Length"); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || n < 0 {
+			w.header.Del("Content-Length")
+			return
+		}
+		w.length = n
+	}
+}
+
+// bodyAllowed reports whether the response may have a body.
+func (w *response) bodyAllowed() bool {
+	return w.status != http.StatusNoContent && w.status != http.StatusNotModified
+}
+
+// Write implements [http.ResponseWriter]. It waits for the turn of the response.
+func (w *response) Write(p []byte) (int, error) {
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	switch {
+	case w.err != nil:
+		return 0, w.err
+	case len(p) == 0:
+		return 0, nil
+	case !w.bodyAllowed():
+		return 0, http.ErrBodyNotAllowed
+	case w.length != undeclared && w.written+int64(len(p)) > w.length:
+		return 0, http.ErrContentLength
+	}
+	w.written += int64(len(p))
+	if !w.headWritten.Load() && w.length == undeclared && len(w.pending)+len(p) <= pendingBytes {
+		w.pending = append(w.pending, p...)
+		return len(p), nil
+	}
+	held := int64(0)
+	if len(p) > writerSize {
+		held = max(0, int64(len(p))-w.drawn)
+	}
+	if w.err = w.hold(held); w.err != nil {
+		return 0, w.err
+	}
+	if w.err = w.writeHead(p, false); w.err == nil {
+		w.err = w.writeBody(p)
+	}
+	w.conn.account.Return(held)
+	if w.err != nil {
+		return 0, w.err
+	}
+	return len(p), nil
+}
+
+// hold draws a part of the body from the budget while it is written. A response whose turn it isn't is given up if the
+// budget has no room; the caller resends its request.
+func (w *response) hold(n int64) error {
+	if n == 0 || w.conn.account.Take(n) {
+		return nil
+	}
+	waiting := &w.conn.server.waitingBytes
+	defer waiting.Add(-n)
+	if waiting.Add(n) > w.conn.server.options.Budget.Usage().Total/waitingDivisor {
+		return errNoMemory
+	}
+	for end := time.Now().Add(holdTime); w.isTurn() && time.Now().Before(end); {
+		select {
+		case <-w.request.Context().Done():
+			return w.request.Context().Err()
+		case <-time.After(holdPause):
+		}
+		if w.conn.account.Take(n) {
+			return nil
+		}
+	}
+	return errNoMemory
+}
+
+func (w *response) isTurn() bool {
+	if w.turn == nil {
+		return true
+	}
+	select {
+	case <-w.turn:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitTurn waits until all earlier responses are written.
+func (w *response) awaitTurn() error {
+	if w.turn == nil {
+		return nil
+	}
+	select {
+	case <-w.turn:
+		return nil
+	case <-w.request.Context().Done():
+		return errNoTurn
+	}
+}
+
+// writeHead writes the status line and the header, unless they are written. body is the first part of the body that
+// isn't pending, and complete states that the body ends with it.
+func (w *response) writeHead(body []byte, complete bool) error {
+	if w.headWritten.Load() {
+		return nil
+	}
+	if err := w.awaitTurn(); err != nil {
+		return err
+	}
+	w.headMutex.Lock()
+	defer w.headMutex.Unlock()
+	w.out = takeWriter(callerWriter{w.conn})
+	w.complete(body, complete)
+	w.headWritten.Store(true)
+	return w.writeBody(w.pending)
+}
+
+// complete writes the status line and the header with the fields that the protocol needs.
+func (w *response) complete(body []byte, complete bool) {
+	h, atLeast11 := w.header, w.request.ProtoAtLeast(1, 1)
+	head := w.request.Method == http.MethodHead
+	h.Del("Transfer-Encoding")
+	if complete && w.length == undeclared && w.bodyAllowed() && (!head || w.written > 0) {
+		w.length = w.written
+		h.Set("Content-Length", strconv.FormatInt(w.length, 10))
+	}
+	endless := w.length == undeclared && w.bodyAllowed() && !head
+	w.chunked = endless && atLeast11
+	if w.chunked {
+		h.Set("Transfer-Encoding", "chunked")
+	}
+	if _, found := h["Content-Type"]; !found && w.bodyAllowed() && w.written > 0 && h.Get("Content-Encoding") == "" {
+		h.Set("Content-Type", sniff(w.pending, body))
+	}
+	must := w.request.Close || endless && !atLeast11 || w.body != nil && !w.body.done.Load() || hasToken(h["Connection"], "close")
+	w.closes = w.conn.beginResponse(must, w.whenLast)
+	switch {
+	case w.closes:
+		h.Set("Connection", "close")
+	case !atLeast11:
+		h.Set("Connection", "keep-alive")
+	default:
+		delete(h, "Connection")
+	}
+	protocol := "HTTP/1.1 "
+	if !atLeast11 {
+		protocol = "HTTP/1.0 "
+	}
+	_, _ = w.out.WriteString(protocol)
+	_, _ = w.out.Write(strconv.AppendInt(w.out.AvailableBuffer(), int64(w.status), 10))
+	_ = w.out.WriteByte(' ')
+	_, _ = w.out.WriteString(statusText(w.status))
+	_, _ = w.out.WriteString("\r\n")
+	if _, found := h["Date"]; !found {
+		_, _ = w.out.WriteString("Date: ")
+		_, _ = w.out.WriteString(date(time.Now()))
+		_, _ = w.out.WriteString("\r\n")
+	}
+	// Errors stay in the writer until it is flushed.
+	_ = h.Write(w.out)
+	_, _ = w.out.WriteString("\r\n")
+}
+
+// sniff guesses the type of a body from its beginning, as the server of net/http does.
+func sniff(pending, rest []byte) string {
+	if len(pending) == 0 {
+		return http.DetectContentType(rest)
+	}
+	return http.DetectContentType(pending)
+}
+
+// writeBody writes a part of the body.
+func (w *response) writeBody(p []byte) error {
+	if len(p) == 0 || w.request.Method == http.MethodHead {
+		return nil
+	}
+	if w.chunked {
+		_, _ = w.out.Write(strconv.AppendInt(w.out.AvailableBuffer(), int64(len(p)), 16))
+		_, _ = w.out.WriteString("\r\n")
+	}
+	_, err := w.out.Write(p)
+	if w.chunked {
+		_, err = w.out.WriteString("\r\n")
+	}
+	return err
+}
+
+// finish completes the response after the handler has returned.
+func (w *response) finish() {
+	if w.body != nil && !w.body.done.Load() {
+		// A goroutine of the handler may still read the body.
+		_ = w.conn.tcp.SetReadDeadline(time.Now())
+		w.body.end()
+	}
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.err == nil {
+		w.err = w.writeHead(nil, true)
+	}
+	if w.err == nil && w.chunked {
+		_, w.err = w.out.WriteString("0\r\n\r\n")
+	}
+	if w.err == nil {
+		w.err = w.out.Flush()
+	}
+	short := w.bodyAllowed() && w.request.Method != http.MethodHead && w.length != undeclared && w.written != w.length
+	if w.err != nil || short {
+		w.abort()
+	}
+}
+
+// abort gives up the response. If a part of it was written, the connection is reset, so that it doesn't look complete.
+// Otherwise, the connection closes after the earlier responses.
+func (w *response) abort() {
+	if w.body != nil {
+		_ = w.conn.tcp.SetReadDeadline(time.Now())
+		w.body.end()
+	}
+	if !w.headWritten.Load() && w.awaitTurn() == nil {
+		w.conn.beginResponse(true, false)
+		return
+	}
+	w.conn.mutex.Lock()
+	defer w.conn.mutex.Unlock()
+	if w.headWritten.Load() {
+		w.conn.abandon()
+	}
+}
+
+// Flush implements [http.Flusher].
+func (w *response) Flush() { _ = w.FlushError() }
+
+// FlushError sends what was written, for [http.ResponseController].
+func (w *response) FlushError() error {
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.err == nil {
+		w.err = w.writeHead(nil, false)
+	}
+	if w.err == nil {
+		w.err = w.out.Flush()
+	}
+	return w.err
+}
+
+// EnableFullDuplex implements the method of [http.ResponseController]. A response never waits for the body.
+func (w *response) EnableFullDuplex() error { return nil }
+
+// SetReadDeadline sets the deadline for the body, for [http.ResponseController]. It has no effect on a request without a
+// body or after its end.
+func (w *response) SetReadDeadline(t time.Time) error {
+	w.conn.mutex.Lock()
+	defer w.conn.mutex.Unlock()
+	if w.body == nil || w.conn.body != w.body {
+		return nil
+	}
+	return w.conn.tcp.SetReadDeadline(t)
+}
+
+// SetWriteDeadline sets the deadline for the response, for [http.ResponseController].
+func (w *response) SetWriteDeadline(t time.Time) error { return w.conn.tcp.SetWriteDeadline(t) }
+
+// CloseWhenLast closes the connection with this response if no further request has begun. A VM that shuts down so keeps
+// its word to requests that it has read.
+func (w *response) CloseWhenLast() { w.whenLast = true }
+
+// writeContinue lets the caller send the body if it waits for that.
+func (w *response) writeContinue() error {
+	if !expectsContinue(w.request) {
+		return nil
+	}
+	w.headMutex.Lock()
+	defer w.headMutex.Unlock()
+	if w.headWritten.Load() {
+		return nil
+	}
+	_, err := io.WriteString(w.conn.tcp, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// callerWriter writes responses to the caller.
+type callerWriter struct{ conn *conn }
+
+func (v callerWriter) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		v.conn.setActivity(psconnection.Blocked)
+		n, err := v.conn.tcp.Write(p[written:min(len(p), written+pieceBytes)])
+		v.conn.setActivity(psconnection.Running)
+		written += n
+		if err != nil {
+			return written, err
+		}
+		v.conn.account.Progress()
+	}
+	return written, nil
+}
+
+// writers holds buffers of responses.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writerSize) }}
+
+func takeWriter(to io.Writer) *bufio.Writer {
+	w := writers.Get().(*bufio.Writer) //nolint:revive,forcetypeassert // the pool holds nothing else
+	w.Reset(to)
+	return w
+}
+
+func returnWriter(w *bufio.Writer) {
+	w.Reset(nil)
+	writers.Put(w)
+}
+
+// statusText returns the text of a status line.
+func statusText(status int) string {
+	if text := http.StatusText(status); text != "" {
+		return text
+	}
+	return "status code " + strconv.Itoa(status)
+}
+
+// hasToken reports whether a list of values, separated by commas, contains a token.
+func hasToken(values []string, token string) bool {
+	return slices.ContainsFunc(values, func(v string) bool {
+		for part := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), token) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// datedAt is a formatted date.
+type datedAt struct {
+	second int64
+	text   string
+}
+
+var lastDate atomic.Pointer[datedAt]
+
+// date returns the value of the header Date. It is formatted once a second.
+func date(now time.Time) string {
+	if d := lastDate.Load(); d != nil && d.second == now.Unix() {
+		return d.text
+	}
+	d := &datedAt{now.Unix(), now.UTC().Format(http.TimeFormat)}
+	lastDate.Store(d)
+	return d.text
+}
--- /dev/null
+++ b/internal/connection/psserve/server.go
@@ -0,0 +1,375 @@
+// Package psserve is the HTTP/1.1 server for connections of callers and of other VMs. It replaces the server of net/http
+// where clients outside the operator's control connect, and serves any [http.Handler].
+//
+// It answers this load: more connections than the VM has descriptors, heads that are long or don't end, responses that
+// are read slowly, and callers that send further requests before the first response. Everything that a connection holds
+// is drawn from its account of [psbudget].
+//
+// One goroutine reads a connection, ahead of the responses, so that it detects a caller that disconnects. Each request runs
+// on a goroutine of its own. [psconnection.Pipeline] decides which requests run side by side and in which order they are
+// answered.
+package psserve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pssocket"
+	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/request/psconnection"
+	"persimmonstep/internal/version/psconfig"
+)
+
+const (
+	// sweepInterval is the time between checks of all connections for the limits of time.
+	sweepInterval = 200 * time.Millisecond
+	// drainInterval is the time between checks for idle connections while the server shuts down.
+	drainInterval = 10 * time.Millisecond
+	// backlogTime is how long a server that shuts down still accepts connections that callers have just opened.
+	backlogTime = 20 * time.Millisecond
+	// firstRequestTime is how long a server that shuts down waits for the first request of an open connection.
+	firstRequestTime = time.Second
+	// acceptPause is the time after an error of accept, which mostly reports that no descriptor is free.
+	acceptPause = 5 * time.Millisecond
+	// maxIdleWorkers bounds the goroutines that wait for a request to run.
+	maxIdleWorkers = 16
+	// closeBatch is the number of connections that are put in order at a time, to be closed when there are too many.
+	closeBatch = 64
+	// linesPerSecond bounds the log lines about connections and refused heads.
+	linesPerSecond = 10
+)
+
+// Limits of a configuration without values.
+const (
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 120 * time.Second
+)
+
+// Options are the settings and dependencies of a [Server].
+type Options struct {
+	// Name names the listener in metrics and logs.
+	Name    string
+	Handler http.Handler
+	// Budget is shared by all servers of a process.
+	Budget *psbudget.Budget
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// Limits returns the limits of the configuration in force. Zero values have defaults. The head of a request is read
+	// with the limit of bytes at the time of the accept; the limits of time hold for open connections too.
+	Limits  func() psconfig.Limits
+	Metrics *Metrics
+	Logger  hclog.Logger
+}
+
+// Overlapper is a handler that allows requests without a body to run beside earlier ones of the same connection. Other
+// handlers get the requests of a connection one after the other.
+type Overlapper interface {
+	// MayOverlap reports whether a request may run beside earlier ones, and later ones beside it.
+	MayOverlap(r *http.Request) bool
+}
+
+// Server serves HTTP on one listener.
+type Server struct {
+	options Options
+	overlap func(*http.Request) bool
+	lines   pslog.RateLimit
+	// draining is set once the server shuts down.
+	draining atomic.Bool
+	// waitingBytes is the size of the responses that wait for room in the budget.
+	waitingBytes atomic.Int64
+	// work passes requests to idle workers, which are counted.
+	work        chan *response
+	idleWorkers atomic.Int64
+
+	mutex    sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
+	closed   bool
+	// toClose are connections that are closed next if there are too many, unless they have changed.
+	toClose []candidate
+	ended   chan struct{}
+}
+
+// candidate is a connection to be closed, with its state at the time of the choice.
+type candidate struct {
+	conn  *conn
+	state activity
+}
+
+// New returns a server.
+func New(o Options) *Server {
+	s := &Server{
+		options: o, overlap: func(*http.Request) bool { return false }, conns: make(map[*conn]struct{}),
+		lines: pslog.RateLimit{PerSecond: linesPerSecond}, ended: make(chan struct{}), work: make(chan *response),
+	}
+	if v, found := o.Handler.(Overlapper); found {
+		s.overlap = v.MayOverlap
+	}
+	return s
+}
+
+// limits returns the limits of the configuration in force, with defaults for missing values.
+func (s *Server) limits() psconfig.Limits {
+	l := s.options.Limits()
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = defaultHeaderBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	return l
+}
+
+// Serve accepts connections until the server is shut down or closed, and then returns [http.ErrServerClosed]. It must be
+// called at most once.
+func (s *Server) Serve(l net.Listener) error {
+	s.mutex.Lock()
+	s.listener = l
+	closed := s.closed
+	s.mutex.Unlock()
+	if closed {
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	go s.sweep()
+	defer l.Close() //nolint:errcheck // nothing is left to do
+	for {
+		c, err := l.Accept()
+		switch {
+		case err == nil:
+			s.add(c)
+		case s.draining.Load() || s.isClosed():
+			return http.ErrServerClosed
+		case errors.Is(err, net.ErrClosed):
+			return errors.Wrapf(err, "accept %s", s.options.Name)
+		default:
+			s.mutex.Lock()
+			s.makeRoom()
+			s.mutex.Unlock()
+			time.Sleep(acceptPause)
+		}
+	}
+}
+
+func (s *Server) isClosed() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.closed
+}
+
+// add starts to serve a connection. If there are too many, another one is closed, or this one if none can be closed.
+func (s *Server) add(tcp net.Conn) {
+	s.options.Metrics.count(s.options.Name, "accepted")
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed || len(s.conns) >= s.options.MaxConnections && !s.makeRoom() {
+		s.options.Metrics.count(s.options.Name, "refused")
+		_ = tcp.Close()
+		return
+	}
+	c := newConn(s, tcp)
+	s.conns[c] = struct{}{}
+	go c.serve()
+}
+
+// makeRoom closes a connection because there are too many. It returns false if none can be closed. The caller holds the
+// mutex.
+func (s *Server) makeRoom() bool {
+	for range 2 {
+		for len(s.toClose) > 0 {
+			next := s.toClose[0]
+			s.toClose = s.toClose[1:]
+			if _, open := s.conns[next.conn]; open && next.conn.activity() == next.state {
+				delete(s.conns, next.conn)
+				next.conn.reset(reasonDescriptors)
+				return true
+			}
+		}
+		s.chooseToClose()
+	}
+	return false
+}
+
+// chooseToClose puts the next connections to be closed in order.
+func (s *Server) chooseToClose() {
+	now := time.Now()
+	candidates := make([]candidate, 0, len(s.conns))
+	list := make([]psconnection.Connection, 0, len(s.conns))
+	for c := range s.conns {
+		state := c.activity()
+		candidates = append(candidates, candidate{c, state})
+		list = append(list, psconnection.Connection{Activity: state.kind, For: now.Sub(state.since)})
+	}
+	s.toClose = s.toClose[:0]
+	for _, i := range psconnection.ToClose(list, closeBatch) {
+		s.toClose = append(s.toClose, candidates[i])
+	}
+}
+
+// run runs a request on an idle worker, whose stack has already grown, or on a new one.
+func (s *Server) run(w *response) {
+	select {
+	case s.work <- w:
+	default:
+		go s.serveRequests(w)
+	}
+}
+
+// serveRequests runs a request, and then others while few workers are idle.
+func (s *Server) serveRequests(w *response) {
+	for {
+		w.serve()
+		if s.idleWorkers.Add(1) > maxIdleWorkers {
+			s.idleWorkers.Add(-1)
+			return
+		}
+		select {
+		case w = <-s.work:
+			s.idleWorkers.Add(-1)
+		case <-s.ended:
+			return
+		}
+	}
+}
+
+func (s *Server) remove(c *conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.conns, c)
+}
+
+// open returns the open connections.
+func (s *Server) open() []*conn {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	list := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// sweep enforces the limits of time and detects callers that have disconnected from connections that aren't read.
+func (s *Server) sweep() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ended:
+			return
+		case <-ticker.C:
+		}
+		l, now := s.limits(), time.Now()
+		for _, c := range s.open() {
+			c.enforce(l, now)
+		}
+	}
+}
+
+// Shutdown stops to accept connections, closes idle ones and waits until all requests have ended whose head is sent,
+// or until the context ends, whose error it then returns. Responses close their connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	s.stopListening(backlogTime)
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	// Connections that are accepted last are only visible after the backlog was read.
+	end := time.Now().Add(2 * backlogTime)
+	for {
+		list := s.open()
+		if len(list) == 0 && time.Now().After(end) {
+			s.end()
+			return nil
+		}
+		for _, c := range list {
+			c.closeIfIdle()
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "shut down %s", s.options.Name)
+		case <-ticker.C:
+		}
+	}
+}
+
+// stopListening ends the accept of connections after a time.
+func (s *Server) stopListening(after time.Duration) {
+	s.mutex.Lock()
+	l := s.listener
+	s.mutex.Unlock()
+	if l == nil {
+		return
+	}
+	if v, found := l.(interface{ SetDeadline(t time.Time) error }); found && v.SetDeadline(time.Now().Add(after)) == nil {
+		return
+	}
+	_ = l.Close()
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error {
+	s.mutex.Lock()
+	s.closed = true
+	l := s.listener
+	s.mutex.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	for _, c := range s.open() {
+		c.reset(reasonShutdown)
+	}
+	s.end()
+	return nil
+}
+
+// end ends the sweep.
+func (s *Server) end() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closed = true
+	select {
+	case <-s.ended:
+	default:
+		close(s.ended)
+	}
+}
+
+// Reasons for which connections are closed, besides the caller's own.
+const (
+	reasonIdle        = "idle"
+	reasonDescriptors = "descriptors"
+	reasonMemory      = "memory"
+	reasonShutdown    = "shutdown"
+)
+
+// noteClosed records that the server has closed a connection.
+func (s *Server) noteClosed(c *conn, reason string) {
+	s.options.Metrics.count(s.options.Name, reason)
+	if reason != reasonIdle && reason != reasonShutdown && s.lines.Allow(time.Now()) {
+		psevent.ConnectionClosed.Log(s.options.Logger, s.options.Name, c.tcp.RemoteAddr().String(), reason)
+	}
+}
+
+// noteRefused records that the head of a request was refused.
+func (s *Server) noteRefused(c *conn, reason string, status int) {
+	s.options.Metrics.count(s.options.Name, "head:"+reason)
+	if s.lines.Allow(time.Now()) {
+		psevent.HeadRefused.Log(s.options.Logger, s.options.Name, c.tcp.RemoteAddr().String(), reason, status)
+	}
+}
+
+// hasUnread reports whether a connection has received bytes that weren't read.
+func hasUnread(c net.Conn) bool { return pssocket.StateOf(c) == pssocket.Pending }
--- a/internal/connection/pssocket/socket.go
+++ b/internal/connection/pssocket/socket.go
@@ -7,6 +7,14 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// tcpClosed and tcpCloseWait are the states of a TCP connection that the other end has reset or closed.
+const (
+	tcpClosed    = 7
+	tcpCloseWait = 8
 )
 
 // State is the state of a connection as its socket shows it.
@@ -52,3 +60,22 @@
 	}
 	return state
 }
+
+// PeerClosed reports whether the other end has closed or reset a TCP connection, also if there are bytes to read. It
+// doesn't block.
+func PeerClosed(c net.Conn) bool {
+	s, found := c.(syscall.Conn)
+	if !found {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, failed := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = failed == nil && (info.State == tcpClosed || info.State == tcpCloseWait)
+	})
+	return closed || err != nil
+}
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -11,37 +11,45 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"persimmonstep/internal/connection/pscaller"
+	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/psforward"
-	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/pspeerstate"
+	"persimmonstep/internal/connection/psserve"
 	"persimmonstep/internal/process/psadmin"
 	"persimmonstep/internal/process/psstate"
+	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
 )
 
 const (
-	// maxHeaderBytes bounds the header that the HTTP server reads. The limit of the configuration is lower.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the time to read a request's header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection stays open.
-	idleTimeout = 120 * time.Second
+	// ownHeaderBytes, ownHeaderTimeout and ownIdleTimeout bound the header of a request, in bytes, the time to read it and
+	// the time that a connection is idle, at the addresses for the readiness check, other VMs and operators.
+	ownHeaderBytes   = 8 << 10
+	ownHeaderTimeout = 5 * time.Second
+	ownIdleTimeout   = 60 * time.Second
+	// otherFraction is the fraction of the connections that is set apart for the directory, and again for forwarded
+	// requests. minConnections is the least number for a listener.
+	otherFraction  = 0.125
+	minConnections = 8
 	// directoryTTL is how long callers may cache a directory response.
 	directoryTTL = 2 * time.Second
 )
 
+// server serves HTTP on a listener.
+type server interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // httpServers are the HTTP servers of a VM, each with its own listener. The last one serves callers.
 type httpServers struct {
-	servers   []*http.Server
+	servers   []server
 	listeners []net.Listener
-	// awaitLingering wait for the connections of requests that are still being closed, so that the last responses
-	// arrive.
-	awaitLingering []func()
 }
 
-// listen opens the listeners of a VM. Handlers with the same address share a listener.
-func listen(ctx context.Context, v *vm, r *prometheus.Registry) (*httpServers, error) {
+// listen opens the listeners of a VM. The VM's own handlers share a listener if they have the same address.
+func listen(ctx context.Context, v *vm, r *prometheus.Registry, b *psbudget.Budget) (*httpServers, error) {
 	s := &httpServers{}
 	handlers := map[netip.AddrPort]*http.ServeMux{}
 	mux := func(a netip.AddrPort) *http.ServeMux {
@@ -55,42 +63,49 @@
 	mux(peerAddress(v.settings)).HandleFunc(pspeerstate.Path, pspeerstate.Handler(v.controller))
 	mux(peerAddress(v.settings)).HandleFunc(pspeerstate.PathDesiredState, pspeerstate.DesiredStateHandler(v.controller))
 	mux(operatorAddress(v.settings)).Handle("/", psadmin.Handler(v.state, promhttp.HandlerFor(r, promhttp.HandlerOpts{})))
+	connections, metrics := v.plan().CallerConnections, psserve.NewMetrics(r)
+	others := max(minConnections, int(otherFraction*float64(connections)))
+	guarded := func(name string, h http.Handler, n int) server {
+		return psserve.New(psserve.Options{
+			Name: name, Handler: h, Budget: b, MaxConnections: max(minConnections, n), Limits: v.limits, Metrics: metrics, Logger: v.logger,
+		})
+	}
 	for a, m := range handlers {
-		if err := s.add(ctx, a, m); err != nil {
+		var h server = &http.Server{
+			Handler: m, ReadHeaderTimeout: ownHeaderTimeout, IdleTimeout: ownIdleTimeout, MaxHeaderBytes: ownHeaderBytes,
+		}
+		if a == v.settings.Directory {
+			h = guarded("directory", m, others)
+		}
+		if err := s.add(ctx, a, h); err != nil {
 			return nil, err
 		}
 	}
-	if err := s.addRequests(ctx, psforward.Address(peerAddress(v.settings)), v.proxy.ForwardedHandler()); err != nil {
+	forwarded := guarded("forwarded", v.proxy.ForwardedHandler(), others)
+	if err := s.add(ctx, psforward.Address(peerAddress(v.settings)), forwarded); err != nil {
 		return nil, err
 	}
-	if err := s.addRequests(ctx, v.settings.Callers, v.proxy); err != nil {
+	if err := s.add(ctx, v.settings.Callers, guarded("callers", v.proxy, connections-2*others)); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-// addRequests adds a server for requests, whose handler needs the connection of each request.
-func (s *httpServers) addRequests(ctx context.Context, a netip.AddrPort, h http.Handler) error {
-	if err := s.add(ctx, a, h); err != nil {
-		return err
+// limits returns the limits of the configuration in force.
+func (v *vm) limits() psconfig.Limits {
+	if index := v.controller.Snapshot().Index; index != nil {
+		return index.Configuration.Limits
 	}
-	last := len(s.servers) - 1
-	s.servers[last].ConnContext = pscaller.WithConn
-	l, wait := pslinger.NewListener(s.listeners[last])
-	s.listeners[last] = l
-	s.awaitLingering = append(s.awaitLingering, wait)
-	return nil
+	return psconfig.Limits{}
 }
 
-func (s *httpServers) add(ctx context.Context, a netip.AddrPort, h http.Handler) error {
+func (s *httpServers) add(ctx context.Context, a netip.AddrPort, h server) error {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", a.String())
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", a)
 	}
 	s.listeners = append(s.listeners, l)
-	s.servers = append(s.servers, &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	})
+	s.servers = append(s.servers, h)
 	return nil
 }
 
@@ -107,25 +122,13 @@
 	return failed
 }
 
-// shutdown drains the servers until the context ends, the callers' server first: it waits for running requests,
-// and then for lingering connections.
+// shutdown drains the servers until the context ends, the callers' server first.
 func (s *httpServers) shutdown(ctx context.Context) {
 	for i := len(s.servers) - 1; i >= 0; i-- {
 		if err := s.servers[i].Shutdown(ctx); err != nil {
 			_ = s.servers[i].Close()
 		}
 	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for _, wait := range s.awaitLingering {
-			wait()
-		}
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
 }
 
 // close aborts all requests and connections.
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -134,7 +134,7 @@
 	v.controller = do.MustInvoke[*pscontrol.Controller](i)
 	v.proxy.SetControlPlane(v.controller)
 	do.MustInvoke[*prometheus.Registry](i).MustRegister(psmetric.New(v.controller, time.Now))
-	if v.servers, err = listen(ctx, v, do.MustInvoke[*prometheus.Registry](i)); err != nil {
+	if v.servers, err = listen(ctx, v, do.MustInvoke[*prometheus.Registry](i), do.MustInvoke[*psbudget.Budget](i)); err != nil {
 		v.clean()
 		return nil, err
 	}
