--- a/internal/connection/psserve/server.go
+++ b/internal/connection/psserve/server.go
@@ -14,8 +14,10 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -38,6 +40,8 @@
 	backlogTime = 20 * time.Millisecond
 	// firstRequestTime is how long a server that shuts down waits for the first request of an open connection.
 	firstRequestTime = time.Second
+	// maxWaiting bounds the connections that are accepted when the listener closes.
+	maxWaiting = 256
 	// acceptPause is the time after an error of accept, which mostly reports that no descriptor is free.
 	acceptPause = 5 * time.Millisecond
 	// maxIdleWorkers bounds the goroutines that wait for a request to run.
@@ -97,7 +101,8 @@
 	closed   bool
 	// toClose are connections that are closed next if there are too many, unless they have changed.
 	toClose []candidate
-	ended   chan struct{}
+	// accepted is closed once no further connection is accepted, and ended once the server has ended.
+	accepted, ended chan struct{}
 }
 
 // candidate is a connection to be closed, with its state at the time of the choice.
@@ -110,7 +115,7 @@
 func New(o Options) *Server {
 	s := &Server{
 		options: o, overlap: func(*http.Request) bool { return false }, conns: make(map[*conn]struct{}),
-		lines: pslog.RateLimit{PerSecond: linesPerSecond}, ended: make(chan struct{}), work: make(chan *response),
+		lines: pslog.RateLimit{PerSecond: linesPerSecond}, accepted: make(chan struct{}), ended: make(chan struct{}), work: make(chan *response),
 	}
 	if v, found := o.Handler.(Overlapper); found {
 		s.overlap = v.MayOverlap
@@ -145,7 +150,8 @@
 		return http.ErrServerClosed
 	}
 	go s.sweep()
-	defer l.Close() //nolint:errcheck // nothing is left to do
+	defer close(s.accepted)
+	defer s.closeListener(l)
 	for {
 		c, err := l.Accept()
 		switch {
@@ -164,6 +170,42 @@
 	}
 }
 
+// closeListener closes the listener. Connections that callers have opened and that weren't accepted yet are served: the close
+// would reset them.
+func (s *Server) closeListener(l net.Listener) {
+	var waiting []int
+	if v, found := l.(syscall.Conn); found && !s.isClosed() {
+		if raw, err := v.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { waiting = acceptWaiting(int(fd)) })
+		}
+	}
+	_ = l.Close()
+	for _, fd := range waiting {
+		f := os.NewFile(uintptr(fd), "")
+		c, err := net.FileConn(f)
+		_ = f.Close()
+		if err == nil {
+			s.add(c)
+		}
+	}
+}
+
+// acceptWaiting accepts the connections that wait at a listener, without blocking.
+func acceptWaiting(listener int) []int {
+	var list []int
+	for len(list) < maxWaiting {
+		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+			list = append(list, fd)
+		case err == syscall.EINTR || err == syscall.ECONNABORTED: //nolint:errorlint // bare error numbers
+		default:
+			return list
+		}
+	}
+	return list
+}
+
 func (s *Server) isClosed() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -286,11 +328,10 @@
 	s.stopListening(backlogTime)
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	// Connections that are accepted last are only visible after the backlog was read.
-	end := time.Now().Add(2 * backlogTime)
 	for {
+		accepting := s.isAccepting()
 		list := s.open()
-		if len(list) == 0 && time.Now().After(end) {
+		if len(list) == 0 && !accepting {
 			s.end()
 			return nil
 		}
@@ -305,6 +346,18 @@
 	}
 }
 
+// isAccepting reports whether connections may still be accepted.
+func (s *Server) isAccepting() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	select {
+	case <-s.accepted:
+		return false
+	default:
+		return s.listener != nil
+	}
+}
+
 // stopListening ends the accept of connections after a time.
 func (s *Server) stopListening(after time.Duration) {
 	s.mutex.Lock()
