psserve: shutdown, margins and metrics; pslinger, psproxy: use it

The tests of psproxy run on psserve. pslinger closes a connection after its last response; its listener is gone with the net/http server that needed it. The limits of time have a margin, and the header of a forwarded request may be longer than that of a caller. Requests that wait for a backend server are not evicted, and a pipelined request that finds no room to run beside others evicts nobody.

--- a/internal/connection/psbudget/budget.go
+++ b/internal/connection/psbudget/budget.go
@@ -86,16 +86,34 @@
 	if a == nil {
 		return true
 	}
+	a.budget.mutex.Lock()
+	defer a.budget.mutex.Unlock()
+	if a.take(n) {
+		return true
+	}
+	a.budget.refused++
+	a.budget.evictStalled(a)
+	return false
+}
+
+// TakeSpare draws n bytes that the caller can do without. If they are not available, no account is evicted.
+func (a *Account) TakeSpare(n int64) bool {
+	if a == nil {
+		return true
+	}
+	a.budget.mutex.Lock()
+	defer a.budget.mutex.Unlock()
+	return a.take(n)
+}
+
+// take draws n bytes if they are available. The caller holds the mutex.
+func (a *Account) take(n int64) bool {
 	b := a.budget
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
 	limit := b.total
 	if a.held+n > smallHolding {
 		limit -= int64(reserveFraction * float64(b.total))
 	}
 	if a.closed || b.used+n > limit {
-		b.refused++
-		b.evictStalled(a)
 		return false
 	}
 	b.used += n
--- a/internal/connection/psbudget/budget_test.go
+++ b/internal/connection/psbudget/budget_test.go
@@ -49,6 +49,10 @@
 	_, closeLarge := open("large", 200<<10)
 	_, _ = open("small", 100<<10)
 	late, _ := b.Open(func() {})
+	c.now = c.now.Add(2 * time.Second)
+	qt.Assert(t, late.TakeSpare(200<<10), qt.IsFalse)
+	qt.Assert(t, b.Usage().Evicted, qt.Equals, int64(0))
+	c.now = c.now.Add(-2 * time.Second)
 
 	qt.Assert(t, late.Take(200<<10), qt.IsFalse)
 	c.now = c.now.Add(2 * time.Second)
--- a/internal/connection/pscaller/caller.go
+++ b/internal/connection/pscaller/caller.go
@@ -1,7 +1,7 @@
 // Package pscaller knows the connection of a caller behind a request that an HTTP server serves.
 //
-// A request alone doesn't show that its caller has disconnected until some time later, and net/http waits for the rest of
-// a body before a response goes out. Both need the connection, which [WithConn] adds to the context of its requests.
+// A request alone doesn't show that its caller has disconnected until some time later. The connection does, which [WithConn]
+// adds to the context of its requests.
 package pscaller
 
 import (
@@ -49,11 +49,10 @@
 
 // RespondEarly lets the response go out before the request body was read to its end. The connection cannot be reused,
 // because the rest of the body would be parsed as the next request.
-func RespondEarly(w http.ResponseWriter, r *http.Request) {
+func RespondEarly(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
-	pslinger.MarkUnread(connOf(r))
 	controller := http.NewResponseController(w)
-	// Without these calls, net/http waits for the rest of the body before and after the response. Only the response
+	// Without these calls, a server may wait for the rest of the body before and after the response. Only the response
 	// writers of tests support neither.
 	_ = controller.EnableFullDuplex()
 	_ = controller.SetReadDeadline(time.Now())
--- a/internal/connection/pslinger/linger.go
+++ b/internal/connection/pslinger/linger.go
@@ -1,7 +1,7 @@
-// Package pslinger implements lingering close for callers' connections, so that the last response arrives.
+// Package pslinger closes callers' connections so that the last response arrives.
 //
 // Closing a TCP connection with unread received bytes resets it, and the reset may destroy a response that the other end
-// hasn't read yet. This happens if the response is sent before the request was read completely. Such a connection is
+// hasn't read yet. This happens if the response is sent before all that the caller sends was read. Such a connection is
 // closed in two steps: its sending side is shut down while received bytes are read and dropped, for a bounded time and
 // up to a bounded size, and then it is closed.
 package pslinger
@@ -9,8 +9,6 @@
 import (
 	"io"
 	"net"
-	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -19,52 +17,17 @@
 	lingerTimeout = 2 * time.Second
 	// maxBytes bounds the number of dropped bytes.
 	maxBytes = 4 << 20
-	// maxLingering bounds the number of lingering connections. Further ones are closed at once.
-	maxLingering = 256
 )
 
-// Listener accepts connections that support lingering close.
-type Listener struct {
-	net.Listener
-	// closing waits for the lingering connections, and lingering counts them.
-	closing   sync.WaitGroup
-	lingering atomic.Int32
-}
-
-// NewListener wraps a listener. The clean-up function waits until all lingering connections are closed.
-func NewListener(l net.Listener) (*Listener, func()) {
-	v := &Listener{Listener: l}
-	return v, v.closing.Wait
-}
-
-// Accept implements [net.Listener]. TCP connections are returned as [Conn].
-func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	t, found := c.(*net.TCPConn)
-	if !found {
-		return c, nil
-	}
-	return &Conn{TCPConn: t, listener: l}, nil
-}
-
-// Conn is a caller's connection.
-type Conn struct {
-	*net.TCPConn
-
-	listener *Listener
-	unread   atomic.Bool
-	once     sync.Once
-}
-
-// MarkUnread marks a connection whose request was not read to its end, so that Close lingers. It does nothing for
-// connections of other listeners.
-func MarkUnread(c net.Conn) {
-	if v, found := c.(*Conn); found {
-		v.unread.Store(true)
+// Close closes a connection after its last response. It returns once the other end has closed the connection too, or
+// after a bounded time. A close from another goroutine ends it.
+func Close(c *net.TCPConn) {
+	if c.CloseWrite() == nil {
+		// Errors only end the lingering early.
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.CopyN(io.Discard, c, maxBytes)
 	}
+	_ = c.Close()
 }
 
 // ResetOnClose makes the close of a connection reset it. If only the close marks the end of a response, the other end
@@ -75,35 +38,3 @@
 		_ = v.SetLinger(0)
 	}
 }
-
-// Close closes the connection. It lingers, without blocking, if the request was marked as unread.
-func (c *Conn) Close() error {
-	if !c.unread.Load() {
-		return c.TCPConn.Close()
-	}
-	var err error
-	c.once.Do(func() { err = c.linger() })
-	return err
-}
-
-func (c *Conn) linger() error {
-	if c.listener.lingering.Add(1) > maxLingering || c.CloseWrite() != nil {
-		c.listener.lingering.Add(-1)
-		return c.TCPConn.Close()
-	}
-	c.listener.closing.Add(1)
-	go func() {
-		defer c.listener.closing.Done()
-		defer c.listener.lingering.Add(-1)
-		Drain(c.TCPConn)
-	}()
-	return nil
-}
-
-// Drain drops received bytes until the other end closes the connection, for a bounded time, and then closes it.
-func Drain(c *net.TCPConn) {
-	// Errors only end the lingering early.
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c, maxBytes)
-	_ = c.Close()
-}
--- a/internal/connection/pslinger/linger_test.go
+++ b/internal/connection/pslinger/linger_test.go
@@ -11,22 +11,29 @@
 	"persimmonstep/internal/connection/pslinger"
 )
 
-// pair returns both ends of a connection: the accepted one, which can linger, and the caller's.
-func pair(t *testing.T) (accepted net.Conn, caller *net.TCPConn) {
+// pair returns both ends of a connection: the accepted one and the caller's.
+func pair(t *testing.T) (accepted, caller *net.TCPConn) {
 	t.Helper()
-	plain, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
 	qt.Assert(t, err, qt.IsNil)
-	l, wait := pslinger.NewListener(plain)
-	t.Cleanup(func() {
-		_ = l.Close()
-		wait()
-	})
-	dialed, err := net.Dial("tcp", plain.Addr().String()) //nolint:noctx // a test's connection
+	t.Cleanup(func() { _ = l.Close() })
+	dialed, err := net.Dial("tcp", l.Addr().String()) //nolint:noctx // a test's connection
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = dialed.Close() })
-	accepted, err = l.Accept()
+	c, err := l.Accept()
 	qt.Assert(t, err, qt.IsNil)
-	return accepted, dialed.(*net.TCPConn)
+	return c.(*net.TCPConn), dialed.(*net.TCPConn)
+}
+
+// closeLater closes a connection on another goroutine, for which the test waits at its end.
+func closeLater(t *testing.T, c *net.TCPConn) {
+	t.Helper()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		pslinger.Close(c)
+	}()
+	t.Cleanup(func() { <-ended })
 }
 
 // TestResponseArrivesWhileRequestIsSent guards against losing a response by a reset. It closes a connection after the
@@ -37,8 +44,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	_, err = io.WriteString(accepted, "response")
 	qt.Assert(t, err, qt.IsNil)
-	pslinger.MarkUnread(accepted)
-	qt.Assert(t, accepted.Close(), qt.IsNil)
+	closeLater(t, accepted)
 	for range 10 {
 		_, err = caller.Write(make([]byte, 10<<10))
 		qt.Assert(t, err, qt.IsNil)
@@ -52,8 +58,7 @@
 // TestEndlessRequestIsCutOff keeps sending after the close. Lingering must end and close the connection.
 func TestEndlessRequestIsCutOff(t *testing.T) {
 	accepted, caller := pair(t)
-	pslinger.MarkUnread(accepted)
-	qt.Assert(t, accepted.Close(), qt.IsNil)
+	closeLater(t, accepted)
 	start := time.Now()
 	for {
 		if _, err := caller.Write(make([]byte, 256<<10)); err != nil {
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -75,7 +75,7 @@
 	outcomes        psoutcome.Recorder
 	jitter          psjitter.Sequence
 
-	// draining closes callers' connections after their next response.
+	// draining closes callers' connections after the last response to the requests that have begun.
 	draining atomic.Bool
 	inFlight atomic.Int64
 	// forwarded counts the requests of other VMs in flight.
@@ -105,7 +105,7 @@
 // SetControlPlane sets the control plane.
 func (p *Proxy) SetControlPlane(c ControlPlane) { p.control, p.outcomes.Failures = c, c }
 
-// Drain makes each caller's connection close with its next response.
+// Drain makes each caller's connection close with the last response to the requests that have begun.
 func (p *Proxy) Drain() { p.draining.Store(true) }
 
 // InFlight returns the number of requests whose response is not complete yet.
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -20,11 +20,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"persimmonstep/internal/connection/psaccess"
+	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/psforward"
-	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/pspeer"
 	"persimmonstep/internal/connection/psproxy"
+	"persimmonstep/internal/connection/psserve"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psavailability"
 	"persimmonstep/internal/process/pshealth"
@@ -219,11 +220,13 @@
 	})
 	p.SetControlPlane(control)
 	s := httptest.NewUnstartedServer(p)
-	l, wait := pslinger.NewListener(s.Listener)
-	s.Listener, s.Config.ConnContext = l, pscaller.WithConn
-	s.Start()
-	t.Cleanup(wait)
-	t.Cleanup(s.Close)
+	server := psserve.New(psserve.Options{
+		Handler: p, Budget: psbudget.New(64<<20, time.Now), MaxConnections: 100, Logger: hclog.NewNullLogger(),
+		Limits: func() psconfig.Limits { return psconfig.Limits{} },
+	})
+	s.URL = "http://" + s.Listener.Addr().String()
+	go func() { _ = server.Serve(s.Listener) }()
+	t.Cleanup(func() { _ = server.Close() })
 	return s, control
 }
 
@@ -561,3 +564,36 @@
 	qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
 	qt.Assert(t, received(), qt.Equals, 3)
 }
+
+// TestPipelinedRequestsEndWithConnectionOfDrainingVM covers a shutdown: of the requests that a caller has pipelined, all are
+// answered, and only the last response closes the connection.
+func TestPipelinedRequestsEndWithConnectionOfDrainingVM(t *testing.T) {
+	arrived, release := make(chan bool, 3), make(chan struct{})
+	b := startBackend(t, func(c net.Conn, r *http.Request) bool {
+		arrived <- true
+		<-release
+		return respondOK(c, r)
+	})
+	s, _ := startProxy(t, b)
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://")) //nolint:noctx // a test's connection
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close() //nolint:errcheck // nothing is left to do
+	for range 3 {
+		qt.Assert(t, request(t, s, http.MethodGet, "/boards/1", "").Write(c), qt.IsNil)
+	}
+	for range 3 {
+		<-arrived
+	}
+	s.Config.Handler.(*psproxy.Proxy).Drain()
+	close(release)
+	reader := bufio.NewReader(c)
+	for i := range 3 {
+		response, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.Copy(io.Discard, response.Body)
+		qt.Check(t, err, qt.IsNil)
+		_ = response.Body.Close()
+		qt.Check(t, response.StatusCode, qt.Equals, http.StatusOK)
+		qt.Check(t, response.Close, qt.Equals, i == 2)
+	}
+}
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -110,6 +110,6 @@
 		pscaller.CloseWhenLast(c.writer)
 	}
 	if !c.body.Consumed() && c.request.ContentLength != 0 {
-		pscaller.RespondEarly(c.writer, c.request)
+		pscaller.RespondEarly(c.writer)
 	}
 }
--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psserve/conn.go
@@ -27,6 +27,10 @@
 	// overlapBytes are drawn from the budget for each request that runs beside an earlier one, whose response has to be
 	// held until its turn. Without them it waits. It is what is held at most of a response.
 	overlapBytes = 512 << 10
+	// idleMargin and headMargin are added to the limits of time, so that a caller that just keeps them isn't cut off by the
+	// time that its packets travel.
+	idleMargin = time.Second
+	headMargin = 500 * time.Millisecond
 	// noMemoryRetryAfter is the Retry-After time of a request whose head doesn't fit into the budget.
 	noMemoryRetryAfter = 500 * time.Millisecond
 )
@@ -189,7 +193,7 @@
 	overlaps := r.Body == http.NoBody && c.server.overlap(r)
 	held := int64(0)
 	for !c.isEnding() && c.pipeline.Len() > 0 {
-		if c.pipeline.MayBegin(overlaps) && c.account.Take(overlapBytes) {
+		if c.pipeline.MayBegin(overlaps) && c.account.TakeSpare(overlapBytes) {
 			held = overlapBytes
 			break
 		}
@@ -330,9 +334,9 @@
 func (c *conn) enforce(l psconfig.Limits, now time.Time) {
 	a := c.activity()
 	switch d := now.Sub(a.since); {
-	case a.kind == psconnection.Idle && d > l.IdleTimeout:
+	case a.kind == psconnection.Idle && d > l.IdleTimeout+idleMargin:
 		c.closeIfStill(a)
-	case a.kind == psconnection.SendingHead && d > l.HeaderTimeout:
+	case a.kind == psconnection.SendingHead && d > l.HeaderTimeout+headMargin:
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		if c.activity() == a {
@@ -340,6 +344,10 @@
 			_ = c.tcp.SetReadDeadline(now)
 		}
 	case a.kind == psconnection.Running || a.kind == psconnection.Blocked:
+		if a.kind == psconnection.Running {
+			// The caller isn't to blame for the wait for a backend server.
+			c.account.Progress()
+		}
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		if !c.peeking && c.pipeline.Len() > 0 && !c.gone && pssocket.PeerClosed(c.tcp) {
@@ -400,9 +408,7 @@
 	c.mutex.Unlock()
 	if t, found := c.tcp.(*net.TCPConn); found && !gone {
 		c.setActivity(psconnection.Lingering)
-		if t.CloseWrite() == nil {
-			pslinger.Drain(t)
-		}
+		pslinger.Close(t)
 	}
 	_ = c.tcp.Close()
 	c.cancel()
--- a/internal/connection/psserve/server_test.go
+++ b/internal/connection/psserve/server_test.go
@@ -162,7 +162,7 @@
 func TestBodies(t *testing.T) {
 	s := start(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/early" {
-			pscaller.RespondEarly(w, r)
+			pscaller.RespondEarly(w)
 			_, _ = io.WriteString(w, "early")
 			return
 		}
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -31,6 +31,8 @@
 	// requests. minConnections is the least number for a listener.
 	otherFraction  = 0.125
 	minConnections = 8
+	// forwardedHeaderBytes is how much longer the header of a forwarded request may be than that of a caller, in bytes.
+	forwardedHeaderBytes = 4 << 10
 	// directoryTTL is how long callers may cache a directory response.
 	directoryTTL = 2 * time.Second
 )
@@ -63,11 +65,11 @@
 	mux(peerAddress(v.settings)).HandleFunc(pspeerstate.Path, pspeerstate.Handler(v.controller))
 	mux(peerAddress(v.settings)).HandleFunc(pspeerstate.PathDesiredState, pspeerstate.DesiredStateHandler(v.controller))
 	mux(operatorAddress(v.settings)).Handle("/", psadmin.Handler(v.state, promhttp.HandlerFor(r, promhttp.HandlerOpts{})))
-	connections, metrics := v.plan().CallerConnections, psserve.NewMetrics(r)
+	connections, metrics := v.plan().CallerConnections, psserve.NewMetrics(r, b)
 	others := max(minConnections, int(otherFraction*float64(connections)))
-	guarded := func(name string, h http.Handler, n int) server {
+	guarded := func(name string, h http.Handler, n int, limits func() psconfig.Limits) server {
 		return psserve.New(psserve.Options{
-			Name: name, Handler: h, Budget: b, MaxConnections: max(minConnections, n), Limits: v.limits, Metrics: metrics, Logger: v.logger,
+			Name: name, Handler: h, Budget: b, MaxConnections: max(minConnections, n), Limits: limits, Metrics: metrics, Logger: v.logger,
 		})
 	}
 	for a, m := range handlers {
@@ -75,17 +77,17 @@
 			Handler: m, ReadHeaderTimeout: ownHeaderTimeout, IdleTimeout: ownIdleTimeout, MaxHeaderBytes: ownHeaderBytes,
 		}
 		if a == v.settings.Directory {
-			h = guarded("directory", m, others)
+			h = guarded("directory", m, others, v.limits)
 		}
 		if err := s.add(ctx, a, h); err != nil {
 			return nil, err
 		}
 	}
-	forwarded := guarded("forwarded", v.proxy.ForwardedHandler(), others)
+	forwarded := guarded("forwarded", v.proxy.ForwardedHandler(), others, v.forwardedLimits)
 	if err := s.add(ctx, psforward.Address(peerAddress(v.settings)), forwarded); err != nil {
 		return nil, err
 	}
-	if err := s.add(ctx, v.settings.Callers, guarded("callers", v.proxy, connections-2*others)); err != nil {
+	if err := s.add(ctx, v.settings.Callers, guarded("callers", v.proxy, connections-2*others, v.limits)); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -99,6 +101,15 @@
 	return psconfig.Limits{}
 }
 
+// forwardedLimits returns the limits for requests that other VMs forward, with the headers that these add.
+func (v *vm) forwardedLimits() psconfig.Limits {
+	l := v.limits()
+	if l.MaxHeaderBytes > 0 {
+		l.MaxHeaderBytes += forwardedHeaderBytes
+	}
+	return l
+}
+
 func (s *httpServers) add(ctx context.Context, a netip.AddrPort, h server) error {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", a.String())
 	if err != nil {
--- a/internal/request/psconnection/connection_test.go
+++ b/internal/request/psconnection/connection_test.go
@@ -15,9 +15,14 @@
 // which they are closed, and that requests which run and callers that read are never cut off.
 func TestIdleConnectionsAreClosedBeforeSlowOnes(t *testing.T) {
 	list := []psconnection.Connection{
-		{psconnection.Running, time.Hour}, {psconnection.Blocked, 2 * time.Second}, {psconnection.SendingHead, time.Second},
-		{psconnection.Idle, time.Second}, {psconnection.Blocked, 10 * time.Millisecond}, {psconnection.Idle, 5 * time.Second},
-		{psconnection.SendingHead, 2 * time.Second}, {psconnection.Lingering, 0},
+		{psconnection.Running, time.Hour},
+		{psconnection.Blocked, 2 * time.Second},
+		{psconnection.SendingHead, time.Second},
+		{psconnection.Idle, time.Second},
+		{psconnection.Blocked, 10 * time.Millisecond},
+		{psconnection.Idle, 5 * time.Second},
+		{psconnection.SendingHead, 2 * time.Second},
+		{psconnection.Lingering, 0},
 	}
 	qt.Check(t, psconnection.ToClose(list, 10), qt.DeepEquals, []int{7, 5, 3, 6, 2, 1})
 	qt.Check(t, psconnection.ToClose(list, 2), qt.DeepEquals, []int{7, 5})
--- a/internal/version/psconfig/config.go
+++ b/internal/version/psconfig/config.go
@@ -98,8 +98,7 @@
 }
 
 // Limits restrict the size of callers' requests, the time to send their headers and the idle time of
-// connections. Zero values mean no limit. Only MaxBodyBytes is enforced: the listeners have fixed values
-// for the others.
+// connections. A zero MaxBodyBytes means no limit; for the others, a VM then has limits of its own.
 type Limits struct {
 	MaxHeaderBytes int           `json:"maxHeaderBytes"`
 	MaxBodyBytes   int64         `json:"maxBodyBytes"`
