--- /dev/null
+++ b/internal/connection/psserve/listener.go
@@ -0,0 +1,95 @@
+package psserve
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// handshakeTime is how long a listener that is about to close waits for connections that callers are opening. It
+	// exceeds a round trip to callers.
+	handshakeTime = 10 * time.Millisecond
+	// maxWaiting bounds the connections that are accepted when the listener closes.
+	maxWaiting = 256
+)
+
+// stopListening ends the accept of connections. The close of a listener resets the connections that wait at it, whose
+// callers may already have sent a request. So it first ignores new ones, which are refused once the caller tries again,
+// and accepts those that are being opened.
+func (s *Server) stopListening() {
+	s.mutex.Lock()
+	l := s.listener
+	s.mutex.Unlock()
+	if l == nil {
+		return
+	}
+	if v, found := l.(*net.TCPListener); found {
+		control(v, ignoreNew)
+		if v.SetDeadline(time.Now().Add(handshakeTime)) == nil {
+			return
+		}
+	}
+	_ = l.Close()
+}
+
+// closeListener closes the listener and serves the connections that still wait at it.
+func (s *Server) closeListener(l net.Listener) {
+	var waiting []int
+	if v, found := l.(*net.TCPListener); found && !s.isClosed() {
+		control(v, func(fd int) { waiting = acceptWaiting(fd) })
+	}
+	_ = l.Close()
+	for _, fd := range waiting {
+		f := os.NewFile(uintptr(fd), "")
+		c, err := net.FileConn(f)
+		_ = f.Close()
+		if err == nil {
+			s.add(c)
+		}
+	}
+}
+
+// control calls a function with the descriptor of a listener, unless that is closed.
+func control(l *net.TCPListener, do func(fd int)) {
+	if raw, err := l.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { do(int(fd)) })
+	}
+}
+
+// ignoreNew drops the packets that open connections at a listener. Other packets complete connections that are being
+// opened. Without support for socket filters, connections continue to be opened.
+func ignoreNew(listener int) {
+	const (
+		// flagsOffset is the offset of the flags in a TCP header, and synFlag the flag of a packet that opens a connection.
+		flagsOffset = 13
+		synFlag     = 2
+	)
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, Jt: 0, Jf: 1, K: synFlag},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0xffffffff},
+	}
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	_ = unix.SetsockoptSockFprog(listener, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+}
+
+// acceptWaiting accepts the connections that wait at a listener, without blocking.
+func acceptWaiting(listener int) []int {
+	var list []int
+	for len(list) < maxWaiting {
+		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+			list = append(list, fd)
+		case err == syscall.EINTR || err == syscall.ECONNABORTED: //nolint:errorlint // bare error numbers
+		default:
+			return list
+		}
+	}
+	return list
+}
--- a/internal/connection/psserve/server.go
+++ b/internal/connection/psserve/server.go
@@ -14,10 +14,8 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,12 +34,8 @@
 	sweepInterval = 200 * time.Millisecond
 	// drainInterval is the time between checks for idle connections while the server shuts down.
 	drainInterval = 10 * time.Millisecond
-	// backlogTime is how long a server that shuts down still accepts connections that callers have just opened.
-	backlogTime = 20 * time.Millisecond
 	// firstRequestTime is how long a server that shuts down waits for the first request of an open connection.
 	firstRequestTime = time.Second
-	// maxWaiting bounds the connections that are accepted when the listener closes.
-	maxWaiting = 256
 	// acceptPause is the time after an error of accept, which mostly reports that no descriptor is free.
 	acceptPause = 5 * time.Millisecond
 	// maxIdleWorkers bounds the goroutines that wait for a request to run.
@@ -170,42 +164,6 @@
 	}
 }
 
-// closeListener closes the listener. Connections that callers have opened and that weren't accepted yet are served: the close
-// would reset them.
-func (s *Server) closeListener(l net.Listener) {
-	var waiting []int
-	if v, found := l.(syscall.Conn); found && !s.isClosed() {
-		if raw, err := v.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) { waiting = acceptWaiting(int(fd)) })
-		}
-	}
-	_ = l.Close()
-	for _, fd := range waiting {
-		f := os.NewFile(uintptr(fd), "")
-		c, err := net.FileConn(f)
-		_ = f.Close()
-		if err == nil {
-			s.add(c)
-		}
-	}
-}
-
-// acceptWaiting accepts the connections that wait at a listener, without blocking.
-func acceptWaiting(listener int) []int {
-	var list []int
-	for len(list) < maxWaiting {
-		fd, _, err := syscall.Accept4(listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-		switch {
-		case err == nil:
-			list = append(list, fd)
-		case err == syscall.EINTR || err == syscall.ECONNABORTED: //nolint:errorlint // bare error numbers
-		default:
-			return list
-		}
-	}
-	return list
-}
-
 func (s *Server) isClosed() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -325,7 +283,7 @@
 // or until the context ends, whose error it then returns. Responses close their connections.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
-	s.stopListening(backlogTime)
+	s.stopListening()
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
@@ -358,20 +316,6 @@
 	}
 }
 
-// stopListening ends the accept of connections after a time.
-func (s *Server) stopListening(after time.Duration) {
-	s.mutex.Lock()
-	l := s.listener
-	s.mutex.Unlock()
-	if l == nil {
-		return
-	}
-	if v, found := l.(interface{ SetDeadline(t time.Time) error }); found && v.SetDeadline(time.Now().Add(after)) == nil {
-		return
-	}
-	_ = l.Close()
-}
-
 // Close closes the listener and all connections.
 func (s *Server) Close() error {
 	s.mutex.Lock()
--- a/internal/connection/psserve/server_test.go
+++ b/internal/connection/psserve/server_test.go
@@ -433,3 +433,30 @@
 	})
 	qt.Check(t, s.budget.Usage().Evicted, qt.Equals, int64(1))
 }
+
+// TestShutdownResetsNoNewConnection covers callers that open connections all the time while the server shuts down: each
+// request on a connection that could be opened is answered.
+func TestShutdownResetsNoNewConnection(t *testing.T) {
+	for range 5 {
+		s := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, psconfig.Limits{}, 100)
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for {
+					c, err := net.DialTimeout("tcp", s.address, 300*time.Millisecond) //nolint:noctx // a test's connection
+					if err != nil {
+						return
+					}
+					_, err = io.WriteString(c, get("/"))
+					qt.Check(t, err, qt.IsNil)
+					_, err = http.ReadResponse(bufio.NewReader(c), nil) //nolint:bodyclose // the connection is closed
+					qt.Check(t, err, qt.IsNil)
+					_ = c.Close()
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		qt.Check(t, s.server.Shutdown(context.Background()), qt.IsNil)
+		callers.Wait()
+	}
+}
