--- a/internal/connection/pscaller/caller.go
+++ b/internal/connection/pscaller/caller.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"time"
 
-	"persimmonstep/internal/connection/pslinger"
 	"persimmonstep/internal/connection/pssocket"
 	"persimmonstep/platform/psheader"
 )
@@ -40,12 +39,10 @@
 	return conn != nil && pssocket.StateOf(conn) == pssocket.Closed
 }
 
-// Abort ends a response so that it doesn't look complete. An HTTP/1.0 caller takes a regular close of the connection for
-// the end of a response without a length. It panics with [http.ErrAbortHandler].
-func Abort(r *http.Request) {
-	pslinger.ResetOnClose(connOf(r))
-	panic(http.ErrAbortHandler)
-}
+// Abort ends a response so that it doesn't look complete. Package psserve resets the connection if a part of the response was
+// written: an HTTP/1.0 caller takes a regular close for the end of a response without a length. It panics with
+// [http.ErrAbortHandler].
+func Abort() { panic(http.ErrAbortHandler) }
 
 // RespondEarly lets the response go out before the request body was read to its end. The connection cannot be reused,
 // because the rest of the body would be parsed as the next request.
--- a/internal/connection/psserve/check.go
+++ b/internal/connection/pshead/check.go
@@ -1,12 +1,10 @@
-package psserve
+package pshead
 
 import (
 	"net/http"
 	"strings"
 
 	"github.com/pkg/errors"
-
-	"persimmonstep/internal/connection/pshead"
 )
 
 var (
@@ -22,19 +20,19 @@
 // check returns an error for a request that net/http parses and its server rejects.
 func check(r *http.Request) error {
 	if r.ProtoMajor != 1 {
-		return &pshead.Error{Kind: pshead.Malformed, Cause: errProtocol}
+		return errProtocol
 	}
 	hosts := r.Header["Host"]
 	if len(hosts) > 1 || r.ProtoAtLeast(1, 1) && r.Host == "" && len(hosts) == 0 && r.Method != http.MethodConnect || !isHost(r.Host) {
-		return &pshead.Error{Kind: pshead.Malformed, Cause: errHost}
+		return errHost
 	}
 	for name, values := range r.Header {
 		if strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f || strings.ContainsRune(separators, c) }) {
-			return &pshead.Error{Kind: pshead.Malformed, Cause: errName}
+			return errName
 		}
 		for _, v := range values {
 			if strings.ContainsFunc(v, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }) {
-				return &pshead.Error{Kind: pshead.Malformed, Cause: errValue}
+				return errValue
 			}
 		}
 	}
--- a/internal/connection/pshead/head.go
+++ b/internal/connection/pshead/head.go
@@ -121,10 +121,15 @@
 	}
 	var request *http.Request
 	cost, err := s.parse(limit, func() (err error) {
-		request, err = http.ReadRequest(s.buffer)
-		return err
+		if request, err = http.ReadRequest(s.buffer); err != nil {
+			return err
+		}
+		return check(request)
 	})
-	return request, cost, err
+	if err != nil {
+		return nil, 0, err
+	}
+	return request, cost, nil
 }
 
 // ReadResponse reads the response to a request, like [Source.ReadRequest].
--- a/internal/connection/pshead/head_test.go
+++ b/internal/connection/pshead/head_test.go
@@ -43,12 +43,19 @@
 		"header without end":      {"GET / HTTP/1.1\r\n" + lines(4*limit), pshead.TooLarge},
 		"line without end":        {"GET / HTTP/1.1\r\na: " + strings.Repeat("x", 2*limit), pshead.TooLarge},
 		"no protocol":             {"GET /\r\n\r\n", pshead.Malformed},
-		"no name":                 {"GET / HTTP/1.1\r\n: x\r\n\r\n", pshead.Malformed},
-		"no colon":                {"GET / HTTP/1.1\r\nabc\r\n\r\n", pshead.Malformed},
+		"no name":                 {"GET / HTTP/1.1\r\nHost: a\r\n: x\r\n\r\n", pshead.Malformed},
+		"space in a name":         {"GET / HTTP/1.1\r\nHost: a\r\na b: x\r\n\r\n", pshead.Malformed},
+		"space before the colon":  {"GET / HTTP/1.1\r\nHost: a\r\na : x\r\n\r\n", pshead.Malformed},
+		"control character":       {"GET / HTTP/1.1\r\nHost: a\r\na: \x01\r\n\r\n", pshead.Malformed},
+		"no host":                 {"GET / HTTP/1.1\r\n\r\n", pshead.Malformed},
+		"two hosts":               {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", pshead.Malformed},
+		"odd host":                {"GET / HTTP/1.1\r\nHost: a b\r\n\r\n", pshead.Malformed},
+		"other protocol":          {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", pshead.Malformed},
+		"no colon":                {"GET / HTTP/1.1\r\nHost: a\r\nabc\r\n\r\n", pshead.Malformed},
 		"space before first name": {"GET / HTTP/1.1\r\n a: x\r\n\r\n", pshead.Malformed},
-		"lengths that differ":     {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", pshead.Malformed},
-		"negative length":         {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", pshead.Malformed},
-		"unknown encoding":        {"POST / HTTP/1.1\r\nTransfer-Encoding: x\r\n\r\n", pshead.Malformed},
+		"lengths that differ":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", pshead.Malformed},
+		"negative length":         {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", pshead.Malformed},
+		"unknown encoding":        {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: x\r\n\r\n", pshead.Malformed},
 		"binary":                  {"\x16\x03\x01\x02\x00\x01\x00\n\n\n", pshead.Malformed},
 	} {
 		budget := psbudget.New(4<<20, time.Now)
@@ -72,14 +79,14 @@
 		"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n",
 		"\r\n\r\nPOST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n",
 		"POST /1 HTTP/1.1\nHost: a\nContent-Length: 3\n\n",
-		"POST /1 HTTP/1.1\r\nContent-Length: 3\r\n" + lines(limit-100) + "\r\n",
-		"POST /1 HTTP/1.1\r\nContent-Length: 3\r\na: " + strings.Repeat("x", limit-100) + "\r\n\r\n",
-		"POST /1?" + strings.Repeat("x", limit-100) + " HTTP/1.1\r\nContent-Length: 3\r\n\r\n",
-		"POST /1 HTTP/1.1\r\na: b\r\n c\r\n\td\r\nContent-Length: 3\r\n\r\n",
+		"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n" + lines(limit-100) + "\r\n",
+		"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\na: " + strings.Repeat("x", limit-100) + "\r\n\r\n",
+		"POST /1?" + strings.Repeat("x", limit-100) + " HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n",
+		"POST /1 HTTP/1.1\r\nHost: a\r\na: b\r\n c\r\n\td\r\nContent-Length: 3\r\n\r\n",
 	} {
 		budget := psbudget.New(4<<20, time.Now)
 		a, closeAccount := budget.Open(func() {})
-		text := head + "abcGET /2 HTTP/1.1\r\n\r\n"
+		text := head + "abcGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
 		s := pshead.NewSource(iotest.HalfReader(strings.NewReader(text)), a)
 		r, cost, err := s.ReadRequest(limit)
 		qt.Assert(t, err, qt.IsNil)
--- a/internal/connection/psserve/listener.go
+++ b/internal/connection/pslistener/listener.go
@@ -1,4 +1,9 @@
-package psserve
+// Package pslistener closes a listener without a reset of connections that callers have just opened.
+//
+// The close of a listener resets the connections that wait at it, whose callers may already have sent a request. So packets
+// that open connections are ignored first; their callers are refused once they try again. Then the connections that are
+// being opened are accepted.
+package pslistener
 
 import (
 	"net"
@@ -17,16 +22,8 @@
 	maxWaiting = 256
 )
 
-// stopListening ends the accept of connections. The close of a listener resets the connections that wait at it, whose
-// callers may already have sent a request. So it first ignores new ones, which are refused once the caller tries again,
-// and accepts those that are being opened.
-func (s *Server) stopListening() {
-	s.mutex.Lock()
-	l := s.listener
-	s.mutex.Unlock()
-	if l == nil {
-		return
-	}
+// Stop lets a listener end its accepts after a short time, in which connections that are being opened are completed.
+func Stop(l net.Listener) {
 	if v, found := l.(*net.TCPListener); found {
 		control(v, ignoreNew)
 		if v.SetDeadline(time.Now().Add(handshakeTime)) == nil {
@@ -36,21 +33,23 @@
 	_ = l.Close()
 }
 
-// closeListener closes the listener and serves the connections that still wait at it.
-func (s *Server) closeListener(l net.Listener) {
+// Close closes a listener and returns the connections that still waited at it.
+func Close(l net.Listener) []net.Conn {
 	var waiting []int
-	if v, found := l.(*net.TCPListener); found && !s.isClosed() {
+	if v, found := l.(*net.TCPListener); found {
 		control(v, func(fd int) { waiting = acceptWaiting(fd) })
 	}
 	_ = l.Close()
+	var list []net.Conn
 	for _, fd := range waiting {
 		f := os.NewFile(uintptr(fd), "")
 		c, err := net.FileConn(f)
 		_ = f.Close()
 		if err == nil {
-			s.add(c)
+			list = append(list, c)
 		}
 	}
+	return list
 }
 
 // control calls a function with the descriptor of a listener, unless that is closed.
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -58,7 +58,7 @@
 		c.recordTruncated(last, response, err)
 	}
 	psevent.ResponseTruncated.Log(c.proxy.options.Logger, c.headers.ID, source, err.Error())
-	pscaller.Abort(c.request)
+	pscaller.Abort()
 }
 
 // recordTruncated records that the response of an attempt could not be forwarded completely, if that is a failure of the
--- a/internal/connection/psserve/body.go
+++ b/internal/connection/psreply/body.go
@@ -1,4 +1,4 @@
-package psserve
+package psreply
 
 import (
 	"io"
@@ -6,14 +6,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-
-	"persimmonstep/internal/request/psconnection"
 )
 
-// requestBody is the body of a request, which is read from the connection.
-type requestBody struct {
+// body is the body of a request, which is read from the connection.
+type body struct {
 	source   io.ReadCloser
-	response *response
+	response *Response
 	done     atomic.Bool
 
 	// mutex excludes reads from a goroutine that the handler has left behind.
@@ -23,7 +21,7 @@
 }
 
 // Read implements [io.Reader].
-func (b *requestBody) Read(p []byte) (int, error) {
+func (b *body) Read(p []byte) (int, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.done.Load() {
@@ -32,32 +30,32 @@
 	if b.closed {
 		return 0, http.ErrBodyReadAfterClose
 	}
-	c := b.response.conn
+	w := b.response
 	if !b.continued {
 		b.continued = true
-		if err := b.response.writeContinue(); err != nil {
+		if err := w.writeContinue(); err != nil {
 			return 0, err
 		}
 	}
-	c.setActivity(psconnection.Blocked)
+	w.Exchange.Wait(true)
 	n, err := b.source.Read(p)
-	c.setActivity(psconnection.Running)
+	w.Exchange.Wait(false)
 	if n > 0 {
-		c.account.Progress()
+		w.Account.Progress()
 	}
 	if err == io.EOF { //nolint:errorlint // io.EOF is never wrapped
 		b.done.Store(true)
-		c.bodyRead(b)
+		w.Exchange.BodyRead()
 	}
 	return n, err
 }
 
 // Close implements [io.Closer]. The connection closes with the response if the body wasn't read to its end.
-func (b *requestBody) Close() error { return nil }
+func (b *body) Close() error { return nil }
 
 // end ends reads after the handler has returned. It waits for one that is under way, whose deadline has passed or whose
 // connection is closed.
-func (b *requestBody) end() {
+func (b *body) end() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.closed = true
--- a/internal/connection/psserve/response.go
+++ b/internal/connection/psreply/response.go
@@ -1,9 +1,14 @@
-package psserve
+// Package psreply writes the response to a request of a caller, as an [http.ResponseWriter].
+//
+// It frames the response, waits until earlier responses on the connection are written, and draws what it holds from the
+// connection's account.
+package psreply
 
 import (
 	"bufio"
-	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -15,8 +20,7 @@
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psevent"
-	"persimmonstep/internal/request/psconnection"
+	"persimmonstep/internal/connection/psbudget"
 )
 
 const (
@@ -30,8 +34,8 @@
 	// progress, and holdPause the time between attempts.
 	holdTime  = 1200 * time.Millisecond
 	holdPause = 100 * time.Millisecond
-	// waitingDivisor is the part of the budget, as a divisor, that responses may take beyond it while they wait for room.
-	waitingDivisor = 4
+	// refusalTime bounds the time to write a refusal.
+	refusalTime = time.Second
 )
 
 var (
@@ -42,18 +46,45 @@
 // undeclared is the length of a body whose length the handler hasn't declared.
 const undeclared = -1
 
-// response is the response to a request, as an [http.ResponseWriter].
-type response struct {
-	conn    *conn
-	request *http.Request
-	cancel  context.CancelFunc
-	body    *requestBody
-	id      int
-	// held is what was drawn for the head, and drawn what was drawn for the response before it began, in bytes.
-	held, drawn int64
-	// turn is closed when earlier responses are written; nil if there were none.
-	turn chan struct{}
+// Exchange is the request on its connection.
+type Exchange interface {
+	// BeginResponse reports whether the connection closes with the response, whose turn it is. must states that it has to,
+	// and whenLast that it closes if no further request has begun.
+	BeginResponse(must, whenLast bool) bool
+	// BodyRead records that the body was read to its end.
+	BodyRead()
+	// SetReadDeadline sets the deadline for the body, while it is read.
+	SetReadDeadline(t time.Time) error
+	// Wait records whether the caller has to send or read something.
+	Wait(forCaller bool)
+	// Break resets the connection.
+	Break()
+}
+
+// Room bounds the responses that wait for room in the budget. All connections of a server share it.
+type Room struct {
+	// Limit is the size of the responses that may wait, in bytes.
+	Limit   int64
+	waiting atomic.Int64
+}
 
+// Options are the request and its connection.
+type Options struct {
+	Exchange Exchange
+	Conn     net.Conn
+	Account  *psbudget.Account
+	Room     *Room
+	Request  *http.Request
+	// Turn is closed when earlier responses are written; nil if there were none.
+	Turn <-chan struct{}
+	// Drawn is what was drawn for the response before it began, in bytes.
+	Drawn int64
+}
+
+// Response is the response to a request, as an [http.ResponseWriter].
+type Response struct {
+	Options
+	body   *body
 	header http.Header
 	status int
 	// length is the declared length of the body, and written what the handler has written of it, in bytes.
@@ -71,47 +102,56 @@
 	headWritten atomic.Bool
 }
 
-func newResponse(c *conn, r *http.Request, id int, held int64) *response {
-	ctx, cancel := context.WithCancel(c.ctx)
-	r = r.WithContext(ctx)
-	r.RemoteAddr = c.remote
-	return &response{conn: c, request: r, cancel: cancel, id: id, held: held, header: make(http.Header, 8), length: undeclared}
+// New returns the response to a request, whose body it replaces by one that is read as the handler asks for it.
+func New(o Options) *Response {
+	w := &Response{Options: o, header: make(http.Header, 8), length: undeclared}
+	if o.Request.Body != http.NoBody {
+		w.body = &body{source: o.Request.Body, response: w}
+		o.Request.Body = w.body
+	}
+	return w
+}
+
+// Fault is a panic of a handler.
+type Fault struct {
+	Value any
+	Stack string
 }
 
-// serve runs the handler and completes the response.
-func (w *response) serve() {
+// Serve runs a handler and completes the response. It returns the panic of the handler, unless that only gives up the
+// response; nil without one.
+func (w *Response) Serve(h http.Handler) *Fault {
 	defer func() {
-		w.cancel()
 		if w.out != nil {
 			returnWriter(w.out)
 		}
-		w.conn.ended(w)
 	}()
-	if expect := w.request.Header.Get("Expect"); expect != "" && !strings.EqualFold(expect, "100-continue") {
+	if expect := w.Request.Header.Get("Expect"); expect != "" && !strings.EqualFold(expect, "100-continue") {
 		w.WriteHeader(http.StatusExpectationFailed)
-	} else if !w.handle() {
+	} else if completed, fault := w.handle(h); !completed {
 		w.abort()
-		return
+		return fault
 	}
 	w.finish()
+	return nil
 }
 
-// handle runs the handler. It returns false if the handler gives up the response.
-func (w *response) handle() (completed bool) {
+// handle runs the handler. It returns false if the handler gives up the response, and its panic if that is a fault.
+func (w *Response) handle(h http.Handler) (completed bool, fault *Fault) {
 	defer func() {
 		if v := recover(); v != nil && v != http.ErrAbortHandler { //nolint:errorlint // panics aren't wrapped
-			psevent.HandlerFailed.Log(w.conn.server.options.Logger, w.conn.server.options.Name, v, string(debug.Stack()))
+			fault = &Fault{v, string(debug.Stack())}
 		}
 	}()
-	w.conn.server.options.Handler.ServeHTTP(w, w.request)
-	return true
+	h.ServeHTTP(w, w.Request)
+	return true, nil
 }
 
 // Header implements [http.ResponseWriter].
-func (w *response) Header() http.Header { return w.header }
+func (w *Response) Header() http.Header { return w.header }
 
 // WriteHeader implements [http.ResponseWriter].
-func (w *response) WriteHeader(status int) {
+func (w *Response) WriteHeader(status int) {
 	if status < 100 || status > 999 {
 		panic(errors.Errorf("write response: invalid status %d", status))
 	}
@@ -130,12 +170,12 @@
 }
 
 // bodyAllowed reports whether the response may have a body.
-func (w *response) bodyAllowed() bool {
+func (w *Response) bodyAllowed() bool {
 	return w.status != http.StatusNoContent && w.status != http.StatusNotModified
 }
 
 // Write implements [http.ResponseWriter]. It waits for the turn of the response.
-func (w *response) Write(p []byte) (int, error) {
+func (w *Response) Write(p []byte) (int, error) {
 	if w.status == 0 {
 		w.WriteHeader(http.StatusOK)
 	}
@@ -156,7 +196,7 @@
 	}
 	held := int64(0)
 	if len(p) > writerSize {
-		held = max(0, int64(len(p))-w.drawn)
+		held = max(0, int64(len(p))-w.Drawn)
 	}
 	if w.err = w.hold(held); w.err != nil {
 		return 0, w.err
@@ -164,7 +204,7 @@
 	if w.err = w.writeHead(p, false); w.err == nil {
 		w.err = w.writeBody(p)
 	}
-	w.conn.account.Return(held)
+	w.Account.Return(held)
 	if w.err != nil {
 		return 0, w.err
 	}
@@ -173,34 +213,33 @@
 
 // hold draws a part of the body from the budget while it is written. A response whose turn it isn't is given up if the
 // budget has no room; the caller resends its request.
-func (w *response) hold(n int64) error {
-	if n == 0 || w.conn.account.Take(n) {
+func (w *Response) hold(n int64) error {
+	if n == 0 || w.Account.Take(n) {
 		return nil
 	}
-	waiting := &w.conn.server.waitingBytes
-	defer waiting.Add(-n)
-	if waiting.Add(n) > w.conn.server.options.Budget.Usage().Total/waitingDivisor {
+	defer w.Room.waiting.Add(-n)
+	if w.Room.waiting.Add(n) > w.Room.Limit {
 		return errNoMemory
 	}
 	for end := time.Now().Add(holdTime); w.isTurn() && time.Now().Before(end); {
 		select {
-		case <-w.request.Context().Done():
-			return w.request.Context().Err()
+		case <-w.Request.Context().Done():
+			return w.Request.Context().Err()
 		case <-time.After(holdPause):
 		}
-		if w.conn.account.Take(n) {
+		if w.Account.Take(n) {
 			return nil
 		}
 	}
 	return errNoMemory
 }
 
-func (w *response) isTurn() bool {
-	if w.turn == nil {
+func (w *Response) isTurn() bool {
+	if w.Turn == nil {
 		return true
 	}
 	select {
-	case <-w.turn:
+	case <-w.Turn:
 		return true
 	default:
 		return false
@@ -208,21 +247,21 @@
 }
 
 // awaitTurn waits until all earlier responses are written.
-func (w *response) awaitTurn() error {
-	if w.turn == nil {
+func (w *Response) awaitTurn() error {
+	if w.Turn == nil {
 		return nil
 	}
 	select {
-	case <-w.turn:
+	case <-w.Turn:
 		return nil
-	case <-w.request.Context().Done():
+	case <-w.Request.Context().Done():
 		return errNoTurn
 	}
 }
 
 // writeHead writes the status line and the header, unless they are written. body is the first part of the body that
 // isn't pending, and complete states that the body ends with it.
-func (w *response) writeHead(body []byte, complete bool) error {
+func (w *Response) writeHead(body []byte, complete bool) error {
 	if w.headWritten.Load() {
 		return nil
 	}
@@ -231,16 +270,16 @@
 	}
 	w.headMutex.Lock()
 	defer w.headMutex.Unlock()
-	w.out = takeWriter(callerWriter{w.conn})
+	w.out = takeWriter(callerWriter{w})
 	w.complete(body, complete)
 	w.headWritten.Store(true)
 	return w.writeBody(w.pending)
 }
 
 // complete writes the status line and the header with the fields that the protocol needs.
-func (w *response) complete(body []byte, complete bool) {
-	h, atLeast11 := w.header, w.request.ProtoAtLeast(1, 1)
-	head := w.request.Method == http.MethodHead
+func (w *Response) complete(body []byte, complete bool) {
+	h, atLeast11 := w.header, w.Request.ProtoAtLeast(1, 1)
+	head := w.Request.Method == http.MethodHead
 	h.Del("Transfer-Encoding")
 	if complete && w.length == undeclared && w.bodyAllowed() && (!head || w.written > 0) {
 		w.length = w.written
@@ -254,8 +293,8 @@
 	if _, found := h["Content-Type"]; !found && w.bodyAllowed() && w.written > 0 && h.Get("Content-Encoding") == "" {
 		h.Set("Content-Type", sniff(w.pending, body))
 	}
-	must := w.request.Close || endless && !atLeast11 || w.body != nil && !w.body.done.Load() || hasToken(h["Connection"], "close")
-	w.closes = w.conn.beginResponse(must, w.whenLast)
+	must := w.Request.Close || endless && !atLeast11 || w.body != nil && !w.body.done.Load() || hasToken(h["Connection"], "close")
+	w.closes = w.Exchange.BeginResponse(must, w.whenLast)
 	switch {
 	case w.closes:
 		h.Set("Connection", "close")
@@ -292,8 +331,8 @@
 }
 
 // writeBody writes a part of the body.
-func (w *response) writeBody(p []byte) error {
-	if len(p) == 0 || w.request.Method == http.MethodHead {
+func (w *Response) writeBody(p []byte) error {
+	if len(p) == 0 || w.Request.Method == http.MethodHead {
 		return nil
 	}
 	if w.chunked {
@@ -308,10 +347,10 @@
 }
 
 // finish completes the response after the handler has returned.
-func (w *response) finish() {
+func (w *Response) finish() {
 	if w.body != nil && !w.body.done.Load() {
 		// A goroutine of the handler may still read the body.
-		_ = w.conn.tcp.SetReadDeadline(time.Now())
+		_ = w.Conn.SetReadDeadline(time.Now())
 		w.body.end()
 	}
 	if w.status == 0 {
@@ -326,7 +365,7 @@
 	if w.err == nil {
 		w.err = w.out.Flush()
 	}
-	short := w.bodyAllowed() && w.request.Method != http.MethodHead && w.length != undeclared && w.written != w.length
+	short := w.bodyAllowed() && w.Request.Method != http.MethodHead && w.length != undeclared && w.written != w.length
 	if w.err != nil || short {
 		w.abort()
 	}
@@ -334,27 +373,25 @@
 
 // abort gives up the response. If a part of it was written, the connection is reset, so that it doesn't look complete.
 // Otherwise, the connection closes after the earlier responses.
-func (w *response) abort() {
+func (w *Response) abort() {
 	if w.body != nil {
-		_ = w.conn.tcp.SetReadDeadline(time.Now())
+		_ = w.Conn.SetReadDeadline(time.Now())
 		w.body.end()
 	}
 	if !w.headWritten.Load() && w.awaitTurn() == nil {
-		w.conn.beginResponse(true, false)
+		w.Exchange.BeginResponse(true, false)
 		return
 	}
-	w.conn.mutex.Lock()
-	defer w.conn.mutex.Unlock()
 	if w.headWritten.Load() {
-		w.conn.abandon()
+		w.Exchange.Break()
 	}
 }
 
 // Flush implements [http.Flusher].
-func (w *response) Flush() { _ = w.FlushError() }
+func (w *Response) Flush() { _ = w.FlushError() }
 
 // FlushError sends what was written, for [http.ResponseController].
-func (w *response) FlushError() error {
+func (w *Response) FlushError() error {
 	if w.status == 0 {
 		w.WriteHeader(http.StatusOK)
 	}
@@ -368,29 +405,27 @@
 }
 
 // EnableFullDuplex implements the method of [http.ResponseController]. A response never waits for the body.
-func (w *response) EnableFullDuplex() error { return nil }
+func (w *Response) EnableFullDuplex() error { return nil }
 
 // SetReadDeadline sets the deadline for the body, for [http.ResponseController]. It has no effect on a request without a
 // body or after its end.
-func (w *response) SetReadDeadline(t time.Time) error {
-	w.conn.mutex.Lock()
-	defer w.conn.mutex.Unlock()
-	if w.body == nil || w.conn.body != w.body {
+func (w *Response) SetReadDeadline(t time.Time) error {
+	if w.body == nil {
 		return nil
 	}
-	return w.conn.tcp.SetReadDeadline(t)
+	return w.Exchange.SetReadDeadline(t)
 }
 
 // SetWriteDeadline sets the deadline for the response, for [http.ResponseController].
-func (w *response) SetWriteDeadline(t time.Time) error { return w.conn.tcp.SetWriteDeadline(t) }
+func (w *Response) SetWriteDeadline(t time.Time) error { return w.Conn.SetWriteDeadline(t) }
 
 // CloseWhenLast closes the connection with this response if no further request has begun. A VM that shuts down so keeps
 // its word to requests that it has read.
-func (w *response) CloseWhenLast() { w.whenLast = true }
+func (w *Response) CloseWhenLast() { w.whenLast = true }
 
 // writeContinue lets the caller send the body if it waits for that.
-func (w *response) writeContinue() error {
-	if !expectsContinue(w.request) {
+func (w *Response) writeContinue() error {
+	if !expectsContinue(w.Request) {
 		return nil
 	}
 	w.headMutex.Lock()
@@ -398,28 +433,41 @@
 	if w.headWritten.Load() {
 		return nil
 	}
-	_, err := io.WriteString(w.conn.tcp, "HTTP/1.1 100 Continue\r\n\r\n")
+	_, err := io.WriteString(w.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	return err
 }
 
 // callerWriter writes responses to the caller.
-type callerWriter struct{ conn *conn }
+type callerWriter struct{ response *Response }
 
-func (v callerWriter) Write(p []byte) (int, error) {
+func (c callerWriter) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
-		v.conn.setActivity(psconnection.Blocked)
-		n, err := v.conn.tcp.Write(p[written:min(len(p), written+pieceBytes)])
-		v.conn.setActivity(psconnection.Running)
+		c.response.Exchange.Wait(true)
+		n, err := c.response.Conn.Write(p[written:min(len(p), written+pieceBytes)])
+		c.response.Exchange.Wait(false)
 		written += n
 		if err != nil {
 			return written, err
 		}
-		v.conn.account.Progress()
+		c.response.Account.Progress()
 	}
 	return written, nil
 }
 
+// WriteRefusal responds to a head that can't be read, with further headers. The connection must be closed after it.
+func WriteRefusal(c net.Conn, status int, h http.Header) {
+	out := takeWriter(c)
+	defer returnWriter(out)
+	text := http.StatusText(status) + "\n"
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: %d\r\n",
+		status, http.StatusText(status), len(text))
+	_ = h.Write(out)
+	_, _ = io.WriteString(out, "\r\n"+text)
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
+	_ = out.Flush()
+}
+
 // writers holds buffers of responses.
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writerSize) }}
 
--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psserve/conn.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +15,8 @@
 	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/pshead"
 	"persimmonstep/internal/connection/pslinger"
+	"persimmonstep/internal/connection/psopen"
+	"persimmonstep/internal/connection/psreply"
 	"persimmonstep/internal/connection/pssocket"
 	"persimmonstep/internal/request/psconnection"
 	"persimmonstep/internal/version/psconfig"
@@ -35,12 +35,6 @@
 	noMemoryRetryAfter = 500 * time.Millisecond
 )
 
-// activity is what a connection does since a time.
-type activity struct {
-	kind  psconnection.Activity
-	since time.Time
-}
-
 // conn is a connection of a caller. One goroutine, which runs serve, reads it.
 type conn struct {
 	server       *Server
@@ -59,9 +53,9 @@
 	mutex    sync.Mutex
 	changed  sync.Cond
 	pipeline psconnection.Pipeline
-	begun    []*response
-	// body is the body that is still to be read from the connection; nil without one.
-	body *requestBody
+	begun    []*exchange
+	// body is the request whose body is still to be read from the connection; nil without one.
+	body *exchange
 	// reading is set while the head of a request is read or waits to be begun.
 	reading bool
 	// peeking is set while the connection is read for the next request, so that a disconnect is detected.
@@ -85,44 +79,30 @@
 	c.changed.L = &c.mutex
 	c.account, c.closeAccount = s.options.Budget.Open(func() { c.reset(reasonMemory) })
 	c.source = pshead.NewSource(tcp, c.account)
-	ctx := pscaller.WithConn(psbudget.With(context.Background(), c.account), orderly(tcp))
+	ctx := pscaller.WithConn(psbudget.With(context.Background(), c.account), tcp)
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.setActivity(psconnection.Idle)
 	return c
 }
 
-// orderlyConn is a connection whose close can't be turned into a reset by a handler: other responses may be on their
-// way. The server resets it if a response breaks off.
-type orderlyConn struct{ *net.TCPConn }
-
-func (orderlyConn) SetLinger(int) error { return nil }
-
-func orderly(c net.Conn) net.Conn {
-	if t, found := c.(*net.TCPConn); found {
-		return orderlyConn{t}
-	}
-	return c
-}
-
 func (c *conn) setActivity(k psconnection.Activity) {
 	c.state.Store(int64(time.Since(epoch))<<kindBits | int64(k))
 }
 
-func (c *conn) activity() activity {
+// State implements [psopen.Conn].
+func (c *conn) State() psopen.State {
 	v := c.state.Load()
-	return activity{psconnection.Activity(v & (1<<kindBits - 1)), epoch.Add(time.Duration(v >> kindBits))}
+	return psopen.State{Activity: psconnection.Activity(v & (1<<kindBits - 1)), Since: epoch.Add(time.Duration(v >> kindBits))}
 }
 
+// MakeRoom implements [psopen.Conn].
+func (c *conn) MakeRoom() { c.reset(reasonDescriptors) }
+
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.end()
 	for c.awaitRequest() {
 		r, cost, err := c.source.ReadRequest(c.headerBytes)
-		if err == nil {
-			if err = check(r); err != nil {
-				c.account.Return(cost)
-			}
-		}
 		if err != nil {
 			c.refuse(err)
 			return
@@ -208,88 +188,22 @@
 		c.account.Return(held)
 		return false
 	}
-	w := newResponse(c, r, c.pipeline.Begin(overlaps), cost)
-	w.drawn = held
+	e := newExchange(c, r, cost, held)
+	e.id = c.pipeline.Begin(overlaps)
 	if c.pipeline.Len() > 1 {
-		w.turn = make(chan struct{})
+		e.turn = make(chan struct{})
 		c.server.options.Metrics.count(c.server.options.Name, "pipelined")
 	}
 	if r.Body != http.NoBody {
-		c.body = &requestBody{source: r.Body, response: w}
-		w.body = c.body
-		w.request.Body = c.body
+		c.body = e
 	}
-	c.begun = append(c.begun, w)
+	c.begun = append(c.begun, e)
 	c.served = true
 	c.setActivity(psconnection.Running)
-	c.server.run(w)
+	c.server.run(e)
 	return true
 }
 
-// ended records that a response is complete or was given up. The next one gets its turn, or all are cancelled if the
-// connection closes.
-func (c *conn) ended(w *response) {
-	c.account.Return(w.held + w.drawn)
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	turn := c.pipeline.IsTurn(w.id)
-	next := c.pipeline.End(w.id)
-	for i, b := range c.begun {
-		if b == w {
-			c.begun = append(c.begun[:i], c.begun[i+1:]...)
-			break
-		}
-	}
-	if next != 0 && c.begun[0].turn != nil {
-		close(c.begun[0].turn)
-	}
-	if w.body != nil && c.body == w.body {
-		c.body = nil
-	}
-	switch {
-	case c.pipeline.Closing():
-		if !turn {
-			break
-		}
-		c.cancel()
-		// The reader may wait for the next request.
-		_ = c.tcp.SetReadDeadline(time.Now())
-	case c.pipeline.Len() > 0:
-	case c.reading:
-		c.setActivity(psconnection.SendingHead)
-	default:
-		c.setActivity(psconnection.Idle)
-	}
-	c.changed.Broadcast()
-}
-
-// beginResponse reports whether the connection closes with a response, whose turn it is. If so, the requests behind it are
-// cancelled.
-func (c *conn) beginResponse(must, whenLast bool) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	closes := c.pipeline.BeginResponse(must, whenLast || c.server.draining.Load())
-	if closes {
-		// What runs behind it gets no response.
-		for _, w := range c.begun[1:] {
-			w.cancel()
-		}
-	}
-	return closes
-}
-
-// bodyRead records that a body was read to its end, so that the connection can be read again.
-func (c *conn) bodyRead(b *requestBody) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.body == b {
-		c.body = nil
-		// The handler may have set a deadline for the body.
-		_ = c.tcp.SetReadDeadline(time.Time{})
-		c.changed.Broadcast()
-	}
-}
-
 // refuse responds to a head that can't be read, after the responses to all earlier requests. The connection closes with
 // it.
 func (c *conn) refuse(err error) {
@@ -318,33 +232,25 @@
 	if status == http.StatusServiceUnavailable {
 		psheader.WriteRetryAfter(h, noMemoryRetryAfter)
 	}
-	out := takeWriter(c.tcp)
-	defer returnWriter(out)
-	text := http.StatusText(status) + "\n"
-	_, _ = fmt.Fprintf(out, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: %d\r\n",
-		status, http.StatusText(status), len(text))
-	_ = h.Write(out)
-	_, _ = io.WriteString(out, "\r\n"+text)
-	_ = c.tcp.SetWriteDeadline(time.Now().Add(time.Second))
-	_ = out.Flush()
+	psreply.WriteRefusal(c.tcp, status, h)
 }
 
 // enforce closes the connection if it is idle for too long, or ends the wait for a head. It detects that the caller has
 // disconnected if the connection isn't read because earlier requests run.
 func (c *conn) enforce(l psconfig.Limits, now time.Time) {
-	a := c.activity()
-	switch d := now.Sub(a.since); {
-	case a.kind == psconnection.Idle && d > l.IdleTimeout+idleMargin:
+	a := c.State()
+	switch d := now.Sub(a.Since); {
+	case a.Activity == psconnection.Idle && d > l.IdleTimeout+idleMargin:
 		c.closeIfStill(a)
-	case a.kind == psconnection.SendingHead && d > l.HeaderTimeout+headMargin:
+	case a.Activity == psconnection.SendingHead && d > l.HeaderTimeout+headMargin:
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		if c.activity() == a {
+		if c.State() == a {
 			c.expired = true
 			_ = c.tcp.SetReadDeadline(now)
 		}
-	case a.kind == psconnection.Running || a.kind == psconnection.Blocked:
-		if a.kind == psconnection.Running {
+	case a.Activity == psconnection.Running || a.Activity == psconnection.Blocked:
+		if a.Activity == psconnection.Running {
 			// The caller isn't to blame for the wait for a backend server.
 			c.account.Progress()
 		}
@@ -357,10 +263,10 @@
 }
 
 // closeIfStill closes an idle connection, unless it is idle no more.
-func (c *conn) closeIfStill(a activity) {
+func (c *conn) closeIfStill(a psopen.State) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.activity() != a || c.reading || c.gone || hasUnread(c.tcp) {
+	if c.State() != a || c.reading || c.gone || hasUnread(c.tcp) {
 		return
 	}
 	c.server.noteClosed(c, reasonIdle)
@@ -374,8 +280,8 @@
 	c.mutex.Lock()
 	served := c.served
 	c.mutex.Unlock()
-	a := c.activity()
-	if a.kind == psconnection.Idle && (served || time.Since(a.since) > firstRequestTime) {
+	a := c.State()
+	if a.Activity == psconnection.Idle && (served || time.Since(a.Since) > firstRequestTime) {
 		c.closeIfStill(a)
 	}
 }
@@ -411,7 +317,12 @@
 		pslinger.Close(t)
 	}
 	_ = c.tcp.Close()
+	c.release()
+	c.server.conns.Remove(c)
+}
+
+// release gives back what the connection has drawn.
+func (c *conn) release() {
 	c.cancel()
 	c.closeAccount()
-	c.server.remove(c)
 }
--- a/internal/connection/psserve/server.go
+++ b/internal/connection/psserve/server.go
@@ -22,10 +22,12 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pslistener"
+	"persimmonstep/internal/connection/psopen"
+	"persimmonstep/internal/connection/psreply"
 	"persimmonstep/internal/connection/pssocket"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pslog"
-	"persimmonstep/internal/request/psconnection"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -40,8 +42,8 @@
 	acceptPause = 5 * time.Millisecond
 	// maxIdleWorkers bounds the goroutines that wait for a request to run.
 	maxIdleWorkers = 16
-	// closeBatch is the number of connections that are put in order at a time, to be closed when there are too many.
-	closeBatch = 64
+	// waitingDivisor is the part of the budget, as a divisor, that responses may take beyond it while they wait for room.
+	waitingDivisor = 4
 	// linesPerSecond bounds the log lines about connections and refused heads.
 	linesPerSecond = 10
 )
@@ -83,34 +85,27 @@
 	lines   pslog.RateLimit
 	// draining is set once the server shuts down.
 	draining atomic.Bool
-	// waitingBytes is the size of the responses that wait for room in the budget.
-	waitingBytes atomic.Int64
+	room     psreply.Room
 	// work passes requests to idle workers, which are counted.
-	work        chan *response
+	work        chan *exchange
 	idleWorkers atomic.Int64
 
+	conns *psopen.Set[*conn]
+
 	mutex    sync.Mutex
 	listener net.Listener
-	conns    map[*conn]struct{}
 	closed   bool
-	// toClose are connections that are closed next if there are too many, unless they have changed.
-	toClose []candidate
 	// accepted is closed once no further connection is accepted, and ended once the server has ended.
 	accepted, ended chan struct{}
 }
 
-// candidate is a connection to be closed, with its state at the time of the choice.
-type candidate struct {
-	conn  *conn
-	state activity
-}
-
 // New returns a server.
 func New(o Options) *Server {
 	s := &Server{
-		options: o, overlap: func(*http.Request) bool { return false }, conns: make(map[*conn]struct{}),
-		lines: pslog.RateLimit{PerSecond: linesPerSecond}, accepted: make(chan struct{}), ended: make(chan struct{}), work: make(chan *response),
+		options: o, overlap: func(*http.Request) bool { return false }, conns: psopen.NewSet[*conn](o.MaxConnections),
+		lines: pslog.RateLimit{PerSecond: linesPerSecond}, accepted: make(chan struct{}), ended: make(chan struct{}), work: make(chan *exchange),
 	}
+	s.room.Limit = o.Budget.Usage().Total / waitingDivisor
 	if v, found := o.Handler.(Overlapper); found {
 		s.overlap = v.MayOverlap
 	}
@@ -145,7 +140,11 @@
 	}
 	go s.sweep()
 	defer close(s.accepted)
-	defer s.closeListener(l)
+	defer func() {
+		for _, c := range pslistener.Close(l) {
+			s.add(c)
+		}
+	}()
 	for {
 		c, err := l.Accept()
 		switch {
@@ -156,9 +155,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return errors.Wrapf(err, "accept %s", s.options.Name)
 		default:
-			s.mutex.Lock()
-			s.makeRoom()
-			s.mutex.Unlock()
+			s.conns.MakeRoom()
 			time.Sleep(acceptPause)
 		}
 	}
@@ -173,71 +170,35 @@
 // add starts to serve a connection. If there are too many, another one is closed, or this one if none can be closed.
 func (s *Server) add(tcp net.Conn) {
 	s.options.Metrics.count(s.options.Name, "accepted")
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.closed || len(s.conns) >= s.options.MaxConnections && !s.makeRoom() {
+	c := newConn(s, tcp)
+	if !s.conns.Add(c) {
 		s.options.Metrics.count(s.options.Name, "refused")
 		_ = tcp.Close()
+		c.release()
 		return
 	}
-	c := newConn(s, tcp)
-	s.conns[c] = struct{}{}
 	go c.serve()
 }
 
-// makeRoom closes a connection because there are too many. It returns false if none can be closed. The caller holds the
-// mutex.
-func (s *Server) makeRoom() bool {
-	for range 2 {
-		for len(s.toClose) > 0 {
-			next := s.toClose[0]
-			s.toClose = s.toClose[1:]
-			if _, open := s.conns[next.conn]; open && next.conn.activity() == next.state {
-				delete(s.conns, next.conn)
-				next.conn.reset(reasonDescriptors)
-				return true
-			}
-		}
-		s.chooseToClose()
-	}
-	return false
-}
-
-// chooseToClose puts the next connections to be closed in order.
-func (s *Server) chooseToClose() {
-	now := time.Now()
-	candidates := make([]candidate, 0, len(s.conns))
-	list := make([]psconnection.Connection, 0, len(s.conns))
-	for c := range s.conns {
-		state := c.activity()
-		candidates = append(candidates, candidate{c, state})
-		list = append(list, psconnection.Connection{Activity: state.kind, For: now.Sub(state.since)})
-	}
-	s.toClose = s.toClose[:0]
-	for _, i := range psconnection.ToClose(list, closeBatch) {
-		s.toClose = append(s.toClose, candidates[i])
-	}
-}
-
 // run runs a request on an idle worker, whose stack has already grown, or on a new one.
-func (s *Server) run(w *response) {
+func (s *Server) run(e *exchange) {
 	select {
-	case s.work <- w:
+	case s.work <- e:
 	default:
-		go s.serveRequests(w)
+		go s.serveRequests(e)
 	}
 }
 
 // serveRequests runs a request, and then others while few workers are idle.
-func (s *Server) serveRequests(w *response) {
+func (s *Server) serveRequests(e *exchange) {
 	for {
-		w.serve()
+		e.serve()
 		if s.idleWorkers.Add(1) > maxIdleWorkers {
 			s.idleWorkers.Add(-1)
 			return
 		}
 		select {
-		case w = <-s.work:
+		case e = <-s.work:
 			s.idleWorkers.Add(-1)
 		case <-s.ended:
 			return
@@ -245,23 +206,6 @@
 	}
 }
 
-func (s *Server) remove(c *conn) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.conns, c)
-}
-
-// open returns the open connections.
-func (s *Server) open() []*conn {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	list := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		list = append(list, c)
-	}
-	return list
-}
-
 // sweep enforces the limits of time and detects callers that have disconnected from connections that aren't read.
 func (s *Server) sweep() {
 	ticker := time.NewTicker(sweepInterval)
@@ -273,7 +217,7 @@
 		case <-ticker.C:
 		}
 		l, now := s.limits(), time.Now()
-		for _, c := range s.open() {
+		for _, c := range s.conns.All() {
 			c.enforce(l, now)
 		}
 	}
@@ -283,12 +227,17 @@
 // or until the context ends, whose error it then returns. Responses close their connections.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
-	s.stopListening()
+	s.mutex.Lock()
+	l := s.listener
+	s.mutex.Unlock()
+	if l != nil {
+		pslistener.Stop(l)
+	}
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
 		accepting := s.isAccepting()
-		list := s.open()
+		list := s.conns.All()
 		if len(list) == 0 && !accepting {
 			s.end()
 			return nil
@@ -318,6 +267,7 @@
 
 // Close closes the listener and all connections.
 func (s *Server) Close() error {
+	s.conns.Close()
 	s.mutex.Lock()
 	s.closed = true
 	l := s.listener
@@ -325,7 +275,7 @@
 	if l != nil {
 		_ = l.Close()
 	}
-	for _, c := range s.open() {
+	for _, c := range s.conns.All() {
 		c.reset(reasonShutdown)
 	}
 	s.end()
