--- a/internal/connection/pscaller/caller.go
+++ b/internal/connection/pscaller/caller.go
@@ -22,6 +22,23 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// arrivalKey is the context key of the time at which a request arrived.
+type arrivalKey struct{}
+
+// WithArrival adds the time at which a request was read to its context, if it has waited for earlier requests of its
+// connection since.
+func WithArrival(ctx context.Context, at time.Time) context.Context {
+	return context.WithValue(ctx, arrivalKey{}, at)
+}
+
+// ArrivedAt returns the time at which a request arrived, which is now unless it has waited.
+func ArrivedAt(r *http.Request, now time.Time) time.Time {
+	if at, waited := r.Context().Value(arrivalKey{}).(time.Time); waited {
+		return at
+	}
+	return now
+}
+
 // connOf returns the connection of a request's caller, or nil if it is unknown.
 func connOf(r *http.Request) net.Conn {
 	conn, _ := r.Context().Value(connKey{}).(net.Conn)
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -16,6 +16,7 @@
 
 	"persimmonstep/internal/connection/psaccess"
 	"persimmonstep/internal/connection/psattempt"
+	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/psoutcome"
 	"persimmonstep/internal/connection/psselection"
@@ -140,9 +141,8 @@
 
 // newCall returns the call of a request, with the values of its headers.
 func (p *Proxy) newCall(w http.ResponseWriter, r *http.Request) *call {
-	now := p.options.Now()
 	return &call{
-		proxy: p, writer: w, request: r, arrivedAt: now,
+		proxy: p, writer: w, request: r, arrivedAt: pscaller.ArrivedAt(r, p.options.Now()),
 		headers: psheader.ReadRequest(r.Header), snapshot: p.control.Snapshot(), cancel: func() {},
 	}
 }
--- a/internal/connection/psserve/benchmark_test.go
+++ b/internal/connection/psserve/benchmark_test.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -53,8 +56,11 @@
 	request := []byte("GET /boards/1 HTTP/1.1\r\nHost: eggs.test\r\nRequest-Id: id-1\r\nDeadline-Ms: 1000\r\nAffinity-Key: o-1\r\nAuthorization: Bearer k\r\n\r\n")
 	reader := bufio.NewReader(c)
 	b.ReportAllocs()
-	before := processorTime()
-	defer func() { b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op") }()
+	before, calls := processorTime(), systemCalls()
+	defer func() {
+		b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+		b.ReportMetric(float64(systemCalls()-calls)/float64(b.N), "calls/op")
+	}()
 	for b.Loop() {
 		if _, err := c.Write(request); err != nil {
 			b.Fatal(err)
@@ -82,3 +88,16 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// systemCalls returns the number of reads and writes of the process.
+func systemCalls() int {
+	text, _ := os.ReadFile("/proc/self/io")
+	n := 0
+	for line := range strings.Lines(string(text)) {
+		if name, value, _ := strings.Cut(line, ": "); name == "syscr" || name == "syscw" {
+			v, _ := strconv.Atoi(strings.TrimSpace(value))
+			n += v
+		}
+	}
+	return n
+}
--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psserve/conn.go
@@ -171,12 +171,15 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	overlaps := r.Body == http.NoBody && c.server.overlap(r)
-	held := int64(0)
+	held, readAt := int64(0), time.Time{}
 	for !c.isEnding() && c.pipeline.Len() > 0 {
 		if c.pipeline.MayBegin(overlaps) && c.account.TakeSpare(overlapBytes) {
 			held = overlapBytes
 			break
 		}
+		if readAt.IsZero() {
+			readAt = time.Now()
+		}
 		c.changed.Wait()
 	}
 	c.reading = false
@@ -188,7 +191,7 @@
 		c.account.Return(held)
 		return false
 	}
-	e := newExchange(c, r, cost, held)
+	e := newExchange(c, r, readAt, cost, held)
 	e.id = c.pipeline.Begin(overlaps)
 	if c.pipeline.Len() > 1 {
 		e.turn = make(chan struct{})
--- a/internal/connection/psserve/exchange.go
+++ b/internal/connection/psserve/exchange.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"persimmonstep/internal/connection/pscaller"
 	"persimmonstep/internal/connection/psreply"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/request/psconnection"
@@ -23,8 +24,12 @@
 	turn chan struct{}
 }
 
-func newExchange(c *conn, r *http.Request, head, response int64) *exchange {
+// newExchange returns a request that is about to run. readAt is when it was read, if it has waited since.
+func newExchange(c *conn, r *http.Request, readAt time.Time, head, response int64) *exchange {
 	ctx, cancel := context.WithCancel(c.ctx)
+	if !readAt.IsZero() {
+		ctx = pscaller.WithArrival(ctx, readAt)
+	}
 	r = r.WithContext(ctx)
 	r.RemoteAddr = c.remote
 	return &exchange{conn: c, request: r, cancel: cancel, head: head, response: response}
--- a/internal/connection/psserve/server_test.go
+++ b/internal/connection/psserve/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,12 +39,18 @@
 }
 
 func start(t testing.TB, h handler, limits psconfig.Limits, connections int) *served {
+	t.Helper()
+	return startLimited(t, h, func() psconfig.Limits { return limits }, connections)
+}
+
+// startLimited starts a server with limits that change.
+func startLimited(t testing.TB, h handler, limits func() psconfig.Limits, connections int) *served {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
 	qt.Assert(t, err, qt.IsNil)
 	s := &served{budget: psbudget.New(8<<20, time.Now), address: l.Addr().String(), ended: make(chan error, 1)}
 	s.server = psserve.New(psserve.Options{
-		Name: "test", Handler: h, Budget: s.budget, MaxConnections: connections, Limits: func() psconfig.Limits { return limits },
+		Name: "test", Handler: h, Budget: s.budget, MaxConnections: connections, Limits: limits,
 		Logger: hclog.NewNullLogger(),
 	})
 	go func() { s.ended <- s.server.Serve(l) }()
@@ -227,14 +234,18 @@
 	}
 }
 
-// TestIdleConnectionIsClosed covers a connection that stays idle longer than the limit, before and after a request.
+// TestIdleConnectionIsClosed covers connections that stay idle longer than the limit of a new configuration, before and
+// after a request. They were opened before it.
 func TestIdleConnectionIsClosed(t *testing.T) {
-	s := start(t, func(http.ResponseWriter, *http.Request) {}, psconfig.Limits{IdleTimeout: 300 * time.Millisecond}, 10)
-	s.dial(t).ends(t)
-	c := s.dial(t)
-	c.send(t, get("/"))
-	_, _ = c.receive(t, "GET")
-	c.ends(t)
+	var limits atomic.Pointer[psconfig.Limits]
+	limits.Store(&psconfig.Limits{})
+	s := startLimited(t, func(http.ResponseWriter, *http.Request) {}, func() psconfig.Limits { return *limits.Load() }, 10)
+	unused, used := s.dial(t), s.dial(t)
+	used.send(t, get("/"))
+	_, _ = used.receive(t, "GET")
+	limits.Store(&psconfig.Limits{IdleTimeout: 100 * time.Millisecond})
+	unused.ends(t)
+	used.ends(t)
 }
 
 // TestConnectionIdleLongestMakesRoom covers more connections than the limit.
@@ -277,6 +288,8 @@
 		order = append(order, r.URL.Path)
 		if strings.HasPrefix(r.URL.Path, "/once/") {
 			qt.Check(t, running, qt.Equals, 1)
+			now := time.Now()
+			qt.Check(t, now.Sub(pscaller.ArrivedAt(r, now)) > 0, qt.Equals, r.URL.Path == "/once/4" || r.URL.Path == "/once/6")
 		}
 		mutex.Unlock()
 		time.Sleep(50 * time.Millisecond)
