--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psserve/conn.go
@@ -289,13 +289,19 @@
 	}
 }
 
-// reset resets the connection and cancels its requests.
+// reset closes the connection at once and cancels its requests. It is not reset if all responses are complete: the last one
+// may still be on its way.
 func (c *conn) reset(reason string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.gone {
 		c.server.noteClosed(c, reason)
 	}
+	if a := c.State().Activity; a == psconnection.Idle || a == psconnection.Lingering {
+		c.leave()
+		_ = c.tcp.Close()
+		return
+	}
 	c.abandon()
 }
 
--- a/internal/connection/psserve/server.go
+++ b/internal/connection/psserve/server.go
@@ -48,13 +48,6 @@
 	linesPerSecond = 10
 )
 
-// Limits of a configuration without values.
-const (
-	defaultHeaderBytes   = 64 << 10
-	defaultHeaderTimeout = 10 * time.Second
-	defaultIdleTimeout   = 120 * time.Second
-)
-
 // Options are the settings and dependencies of a [Server].
 type Options struct {
 	// Name names the listener in metrics and logs.
@@ -113,19 +106,7 @@
 }
 
 // limits returns the limits of the configuration in force, with defaults for missing values.
-func (s *Server) limits() psconfig.Limits {
-	l := s.options.Limits()
-	if l.MaxHeaderBytes <= 0 {
-		l.MaxHeaderBytes = defaultHeaderBytes
-	}
-	if l.HeaderTimeout <= 0 {
-		l.HeaderTimeout = defaultHeaderTimeout
-	}
-	if l.IdleTimeout <= 0 {
-		l.IdleTimeout = defaultIdleTimeout
-	}
-	return l
-}
+func (s *Server) limits() psconfig.Limits { return s.options.Limits().OrDefaults() }
 
 // Serve accepts connections until the server is shut down or closed, and then returns [http.ErrServerClosed]. It must be
 // called at most once.
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -120,8 +120,8 @@
 	// CrashCounted reports that the crash of a server is counted against a request that it ran.
 	CrashCounted = Event{7406, hclog.Warn, "server crash counted against a request", []string{"requestId", "fingerprint", "server", "crashes"}}
 
-	// ConnectionClosed reports that this VM has reset a caller's connection because descriptors or memory were short.
-	ConnectionClosed = Event{7501, hclog.Warn, "connection reset to free resources", []string{"listener", "remote", "reason"}}
+	// ConnectionClosed reports that this VM has closed a caller's connection because descriptors or memory were short.
+	ConnectionClosed = Event{7501, hclog.Warn, "connection closed to free resources", []string{"listener", "remote", "reason"}}
 	// HeadRefused reports that the head of a request was refused before the request was known.
 	HeadRefused = Event{7502, hclog.Info, "head of a request refused", []string{"listener", "remote", "reason", "status"}}
 	// HandlerFailed reports a fault of the program while it served a request, whose connection was closed.
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -103,10 +103,8 @@
 
 // forwardedLimits returns the limits for requests that other VMs forward, with the headers that these add.
 func (v *vm) forwardedLimits() psconfig.Limits {
-	l := v.limits()
-	if l.MaxHeaderBytes > 0 {
-		l.MaxHeaderBytes += forwardedHeaderBytes
-	}
+	l := v.limits().OrDefaults()
+	l.MaxHeaderBytes += forwardedHeaderBytes
 	return l
 }
 
--- a/internal/version/psconfig/config.go
+++ b/internal/version/psconfig/config.go
@@ -98,7 +98,7 @@
 }
 
 // Limits restrict the size of callers' requests, the time to send their headers and the idle time of
-// connections. A zero MaxBodyBytes means no limit; for the others, a VM then has limits of its own.
+// connections. A zero MaxBodyBytes means no limit; the others then have defaults.
 type Limits struct {
 	MaxHeaderBytes int           `json:"maxHeaderBytes"`
 	MaxBodyBytes   int64         `json:"maxBodyBytes"`
@@ -106,6 +106,27 @@
 	IdleTimeout    time.Duration `json:"idleTimeout"`
 }
 
+// Limits of callers for which a configuration has no value.
+const (
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 120 * time.Second
+)
+
+// OrDefaults returns the limits with the defaults for missing values, except for MaxBodyBytes.
+func (l Limits) OrDefaults() Limits {
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = defaultHeaderBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	return l
+}
+
 // Configuration is one version of the routing configuration.
 type Configuration struct {
 	Version    int64       `json:"version"`
