--- a/internal/connection/psreply/response.go
+++ b/internal/connection/psreply/response.go
@@ -281,6 +281,12 @@
 	h, atLeast11 := w.header, w.Request.ProtoAtLeast(1, 1)
 	head := w.Request.Method == http.MethodHead
 	h.Del("Transfer-Encoding")
+	if !w.bodyAllowed() {
+		h.Del("Content-Length")
+	}
+	if w.status == http.StatusNotModified {
+		h.Del("Content-Type")
+	}
 	if complete && w.length == undeclared && w.bodyAllowed() && (!head || w.written > 0) {
 		w.length = w.written
 		h.Set("Content-Length", strconv.FormatInt(w.length, 10))
--- a/internal/connection/psserve/server_test.go
+++ b/internal/connection/psserve/server_test.go
@@ -125,8 +125,10 @@
 			w.Header().Set("Content-Length", "3")
 			_, _ = io.WriteString(w, "abc")
 		case "/empty":
+			w.Header().Set("Content-Length", "0")
 			w.WriteHeader(http.StatusNoContent)
 		case "/same":
+			w.Header().Set("Content-Length", "5")
 			w.WriteHeader(http.StatusNotModified)
 		}
 	}, psconfig.Limits{}, 10)
@@ -154,6 +156,9 @@
 			r, body := c.receive(t, v.method)
 			qt.Check(t, body, qt.Equals, v.body, qt.Commentf("%+v", v))
 			qt.Check(t, r.StatusCode, qt.Equals, v.status)
+			if v.status != http.StatusOK {
+				qt.Check(t, r.Header.Get("Content-Length"), qt.Equals, "")
+			}
 			qt.Check(t, r.Close, qt.Equals, !v.keeps, qt.Commentf("%+v", v))
 			if !v.keeps {
 				break
