pstransport: a body without a length is complete only after a regular close

Callers saw: a server answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is written. The caller got the part as a complete response, also through another VM.

Cause: the write of the upload gets ECONNRESET and thereby takes the socket's pending error; the read of the response then sees a plain end of file, which was accepted. Seen with a probe on this machine: after the failed write the read returns EOF with the socket in state CLOSE; after a FIN the state is CLOSE_WAIT.

Change: the end of such a body counts if TCP_INFO shows CLOSE_WAIT, or if the request was written completely, so that no write can have taken the error. Without access to the socket only the latter counts.

Found by the same test and mended: - pscaller.Abort on a connection whose upload is unread ended it with a lingering close, whose FIN an HTTP/1.0 caller takes for the end of a truncated response. It is reset now. - The lingering close gave up after 4 MB of a fast upload and thereby dropped the part of the response that had not arrived. It now waits until that is acknowledged, within the same 2 s. - RespondEarly set a read deadline before the response, which ends the context of a request whose body is being read, and so truncated long responses to unfinished uploads. The deadline is now set after the response.

--- a/internal/connection/pscaller/caller.go
+++ b/internal/connection/pscaller/caller.go
@@ -48,15 +48,20 @@
 }
 
 // RespondEarly lets the response go out before the request body was read to its end. The connection cannot be reused,
-// because the rest of the body would be parsed as the next request.
+// because the rest of the body would be parsed as the next request. [StopReading] must be called after the response.
 func RespondEarly(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
 	pslinger.MarkUnread(connOf(r))
-	controller := http.NewResponseController(w)
-	// Without these calls, net/http waits for the rest of the body before and after the response. Only the response
-	// writers of tests support neither.
-	_ = controller.EnableFullDuplex()
-	_ = controller.SetReadDeadline(time.Now())
+	// Without this call, net/http waits for the rest of the body before the response. Only the response writers of tests
+	// don't support it.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+}
+
+// StopReading ends the reading of the request body. Without it, net/http waits for the rest of the body after the response.
+// It also ends the request's context, so it must not be called while the response is still read from a server.
+func StopReading(w http.ResponseWriter) {
+	// Only the response writers of tests don't support deadlines.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 }
 
 // Refusal is a response to a caller without a response of a backend server.
--- a/internal/connection/pslinger/linger.go
+++ b/internal/connection/pslinger/linger.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"persimmonstep/internal/connection/pssocket"
 )
 
 const (
@@ -21,6 +23,9 @@
 	maxBytes = 4 << 20
 	// maxLingering bounds the number of lingering connections. Further ones are closed at once.
 	maxLingering = 256
+	// unacknowledgedInterval is how often a connection is checked that must not be closed before its last response has
+	// arrived.
+	unacknowledgedInterval = 10 * time.Millisecond
 )
 
 // Listener accepts connections that support lingering close.
@@ -70,6 +75,10 @@
 // ResetOnClose makes the close of a connection reset it. If only the close marks the end of a response, the other end
 // would otherwise accept a truncated response as complete.
 func ResetOnClose(c net.Conn) {
+	if v, found := c.(*Conn); found {
+		// A lingering close would send the regular end first.
+		v.unread.Store(false)
+	}
 	if v, found := c.(interface{ SetLinger(seconds int) error }); found {
 		// An error means that the connection is already closed, so nothing is left to do.
 		_ = v.SetLinger(0)
@@ -103,7 +112,12 @@
 // drain drops received bytes and then closes the connection.
 func (c *Conn) drain() {
 	// Errors only end the lingering early.
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.TCPConn, maxBytes)
+	end := time.Now().Add(lingerTimeout)
+	_ = c.SetReadDeadline(end)
+	dropped, _ := io.CopyN(io.Discard, c.TCPConn, maxBytes)
+	// Closing with unread bytes also drops the part of the response that the other end hasn't received yet.
+	for dropped == maxBytes && pssocket.Unacknowledged(c.TCPConn) > 0 && time.Now().Before(end) {
+		time.Sleep(unacknowledgedInterval)
+	}
 	_ = c.TCPConn.Close()
 }
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -19,7 +19,7 @@
 	switch o := o.(type) {
 	case answered:
 		c.logOutcome(psevent.RequestAnswered, o.response.Status, "", 0)
-		c.prepareResponse()
+		defer c.prepareResponse()()
 		c.relay(o.response)
 	case rejected:
 		c.logOutcome(psevent.RequestRejected, o.status, o.reason, o.retryAfter)
@@ -78,7 +78,7 @@
 func (c *call) writeError(status int, retryAfter time.Duration) {
 	f := pscaller.Refusal{Status: status, RequestID: c.headers.ID, RetryAfter: retryAfter}
 	f.WriteHeader(c.writer.Header())
-	c.prepareResponse()
+	defer c.prepareResponse()()
 	f.WriteBody(c.writer)
 }
 
@@ -104,12 +104,15 @@
 	}
 }
 
-// prepareResponse decides, before a response is written, whether the connection closes with it.
-func (c *call) prepareResponse() {
+// prepareResponse decides, before a response is written, whether the connection closes with it. The returned function must
+// be called after the response.
+func (c *call) prepareResponse() func() {
 	if c.proxy.draining.Load() {
 		c.writer.Header().Set("Connection", "close")
 	}
 	if !c.body.Consumed() && c.request.ContentLength != 0 {
 		pscaller.RespondEarly(c.writer, c.request)
+		return func() { pscaller.StopReading(c.writer) }
 	}
+	return func() {}
 }
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -1,8 +1,6 @@
 package pstransport
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"math"
@@ -14,6 +12,9 @@
 )
 
 const (
+	// minStatus and maxStatus bound the status codes of HTTP (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
 	// maxHeaderBytes bounds a response header.
 	maxHeaderBytes = 64 << 10
 	// maxInformational bounds the 1xx responses before a final one, and maxUnmatched the final responses that are
@@ -28,6 +29,7 @@
 )
 
 var (
+	errStatus        = errors.New("read response: status outside 100 to 599")
 	errUpgrade       = errors.New("read response: unexpected 101 Switching Protocols")
 	errInformational = errors.New("read response: too many informational responses")
 	errUnmatched     = errors.New("read response: too many responses to other requests")
@@ -90,117 +92,11 @@
 	}
 	response.Body = &responseBody{
 		exchange: e, inner: response.Body,
-		// Without a length or chunked encoding, the body ends with the connection, and a truncated body can't be
-		// distinguished from a complete one.
-		closeDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !e.options.AcceptCloseDelimited,
+		closeDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
 	return response, nil
 }
 
-// inline reports whether the request is written before the response is read, without a goroutine of its own. Its body
-// must be empty, or short and in memory, so that only the server can delay the write.
-func (e *exchange) inline() bool {
-	if e.request.ContentLength == 0 {
-		closeBody(e.request)
-		e.request.Body = nil
-		return true
-	}
-	_, memory := e.request.Body.(*memoryBody)
-	return memory && e.request.ContentLength <= maxInlineBodyBytes
-}
-
-// memoryBody is a request body that is held in memory.
-type memoryBody struct {
-	bytes.Reader
-}
-
-// Close implements [io.Closer]. It does nothing.
-func (*memoryBody) Close() error { return nil }
-
-// MemoryBody returns a request body that is held in memory. A short one is written without a goroutine of its own.
-func MemoryBody(b []byte) io.ReadCloser {
-	m := &memoryBody{}
-	m.Reset(b)
-	return m
-}
-
-// write writes the request and closes its body.
-func (e *exchange) write() {
-	defer closeBody(e.request)
-	w := e.conn.writer
-	w.Reset(connWriter{e})
-	err := e.request.Write(bufferedWriter{w})
-	if err == nil {
-		err = w.Flush()
-	}
-	e.bodyFailed = e.writeErr != nil
-	if !e.bodyFailed {
-		e.writeErr = err
-	}
-	// The channel is closed before the connection, because the close makes the goroutine that reads the response fail
-	// and read the cause.
-	close(e.written)
-	if e.bodyFailed {
-		// The server would wait for the rest of a truncated request, which would look like a slow response.
-		e.conn.discard()
-	}
-}
-
-// connWriter writes the request to the connection and records whether any of it may have been sent.
-type connWriter struct {
-	exchange *exchange
-}
-
-// Write implements [io.Writer].
-func (w connWriter) Write(b []byte) (int, error) {
-	before := w.exchange.sent.Swap(true)
-	n, err := w.exchange.conn.raw.Write(b)
-	if n == 0 && !before {
-		w.exchange.sent.Store(false)
-	}
-	return n, err
-}
-
-// bufferedWriter exposes only the write methods of a [bufio.Writer]. With the others, net/http would flush between
-// header and body, and read a body directly into the buffer.
-type bufferedWriter struct {
-	buffer *bufio.Writer
-}
-
-// Write implements [io.Writer].
-func (w bufferedWriter) Write(b []byte) (int, error) { return w.buffer.Write(b) }
-
-// WriteByte implements [io.ByteWriter].
-func (w bufferedWriter) WriteByte(b byte) error { return w.buffer.WriteByte(b) }
-
-// WriteString implements [io.StringWriter].
-func (w bufferedWriter) WriteString(s string) (int, error) { return w.buffer.WriteString(s) }
-
-// flushingBody is a request body that may block. It flushes buffered bytes before each read.
-type flushingBody struct {
-	io.ReadCloser
-	exchange *exchange
-	closed   sync.Once
-}
-
-// Close closes the caller's body once. net/http also closes it, but not after every error.
-func (b *flushingBody) Close() error {
-	b.closed.Do(func() { _ = b.ReadCloser.Close() })
-	return nil
-}
-
-// Read sends the bytes that were read before, and then reads more.
-func (b *flushingBody) Read(p []byte) (int, error) {
-	if err := b.exchange.conn.writer.Flush(); err != nil {
-		return 0, io.EOF
-	}
-	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		b.exchange.writeErr = err
-	}
-	return n, err
-}
-
 // readResponse reads the header of the final response to this request, and drops the responses to other requests.
 func (e *exchange) readResponse() (*http.Response, error) {
 	defer func() { e.conn.limit.N = math.MaxInt64 }()
@@ -227,6 +123,10 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+			// net/http accepts any three digits. What follows such a header is not framed as HTTP, and it is unknown
+			// whether the server has executed the request.
+			return nil, errStatus
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
 		case response.StatusCode >= http.StatusOK:
@@ -289,34 +189,3 @@
 		e.conn.discard()
 	})
 }
-
-// responseBody is a response body that ends the exchange when it is read to its end or closed.
-type responseBody struct {
-	exchange *exchange
-	inner    io.Reader
-	// closeDelimited bodies are ended by the close of the connection, which is not accepted as a complete body.
-	closeDelimited bool
-}
-
-// Read implements [io.Reader]. It returns [io.ErrUnexpectedEOF] if it is unknown whether the body is complete.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.inner.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case !errors.Is(err, io.EOF):
-		b.exchange.abort()
-		return n, b.exchange.cause(err)
-	case b.closeDelimited:
-		b.exchange.abort()
-		return n, io.ErrUnexpectedEOF
-	}
-	b.exchange.finish()
-	return n, io.EOF
-}
-
-// Close ends the exchange. The connection is closed if the body was not read to its end.
-func (b *responseBody) Close() error {
-	b.exchange.abort()
-	return nil
-}
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -127,7 +127,7 @@
 	// has served other requests, whose responses may be sent again. Responses that don't match are read and dropped.
 	Matches func(r *http.Response, reused bool) bool
 	// AcceptCloseDelimited accepts a response without a length as complete if the server closes the connection
-	// without an error.
+	// regularly.
 	AcceptCloseDelimited bool
 }
 
