--- a/internal/connection/pspeerstate/peerstate.go
+++ b/internal/connection/pspeerstate/peerstate.go
@@ -171,7 +171,8 @@
 	}
 	defer response.Body.Close() //nolint:errcheck // the body was read
 	v := psmessage.StateResponse{
-		ETag: strings.Trim(response.Header.Get("ETag"), `"`), Unchanged: response.StatusCode == http.StatusNotModified,
+		ETag:      strings.Trim(response.Header.Get("ETag"), `"`),
+		Unchanged: response.StatusCode == http.StatusNotModified && known != "",
 	}
 	if !v.Unchanged && response.StatusCode != http.StatusOK {
 		return psmessage.StateResponse{}, errors.Errorf("fetch control state: status %d", response.StatusCode)
--- a/internal/connection/pspeerstate/peerstate_test.go
+++ b/internal/connection/pspeerstate/peerstate_test.go
@@ -136,3 +136,20 @@
 		stop()
 	}
 }
+
+// TestStatusThatIsNoStateIsRefused covers a VM in trouble whose status is no status code, or says that a state is unchanged
+// which this VM has never had.
+func TestStatusThatIsNoStateIsRefused(t *testing.T) {
+	for _, status := range []string{"000", "099", "304", "600", "999", "1000", "abc", ""} {
+		text := "HTTP/1.1 " + status + " X\r\nBeliefs-Age: 1s\r\nContent-Length: 0\r\n\r\n"
+		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
+		qt.Assert(t, err, qt.IsNil)
+		server, stop := psstandin.StartBreaking(l, text)
+		server.Length.Store(int64(len(text)))
+		c, clean := pspeerstate.NewClient(nil)
+		_, err = c.Fetch(t.Context(), server.Address(), "")
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("status %q", status))
+		clean()
+		stop()
+	}
+}
--- a/internal/connection/psproxy/close_delimited_test.go
+++ b/internal/connection/psproxy/close_delimited_test.go
@@ -210,7 +210,6 @@
 	helperNumber++
 	peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, 100, byte(helperNumber)}), 7600)
 	helperMutex.Unlock()
-	identity := psmessage.Identity{VM: "vm-2", FailureDomain: "north-a", Region: "north", PeerAddress: peer, Features: psmessage.CurrentFeatures}
 	helperProxy := s.Config.Handler.(*psproxy.Proxy)
 	sender := psmessage.Identity{VM: "vm-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:7600")}
 	helperControl.snapshot.ShareHolders = []psmessage.Identity{sender}
@@ -221,6 +220,14 @@
 	t.Cleanup(func() { _ = server.Close() })
 	first, control := startProxy(t)
 	allowLongUploads(control)
-	control.snapshot.NoServers, control.snapshot.Helpers = true, []psmessage.Identity{identity}
+	control.snapshot.NoServers, control.snapshot.Helpers = true, helperAt(psforward.Address(peer))
 	return first
 }
+
+// helperAt returns the VM that takes forwarded requests at an address.
+func helperAt(a netip.AddrPort) []psmessage.Identity {
+	offset := psforward.Address(netip.AddrPortFrom(a.Addr(), 0)).Port()
+	return []psmessage.Identity{{
+		VM: "vm-2", FailureDomain: "north-a", Region: "north", PeerAddress: netip.AddrPortFrom(a.Addr(), a.Port()-offset), Features: psmessage.CurrentFeatures,
+	}}
+}
