pstransport, psresponse: what responses hold is drawn from the memory budget

Callers saw: nothing yet; without a bound, servers whose responses have many short header lines or stall just before their end make a VM hold 64 KB of header, some 1.6 MB parsed, and 512 KB of body for each request in progress.

The body's buffer grows in steps that are drawn as well; without a grant the response is streamed. All is returned once the response has been relayed, or closed because another one was used. Without an account everything is granted, as before.

--- a/internal/connection/psattempt/attempt.go
+++ b/internal/connection/psattempt/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/psbody"
+	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psserver"
@@ -72,7 +73,7 @@
 		out.Result = ResultOfError(ctx, r.Caller, reply.Sent, err)
 		return out
 	}
-	out.Response, out.Result = s.readResponse(r, reply.Response)
+	out.Response, out.Result = s.readResponse(ctx, r, reply)
 	if out.Response != nil && out.Result != Answered && out.Result != ServerError {
 		out.Response.Close()
 	}
@@ -137,8 +138,8 @@
 }
 
 // readResponse reads a response and returns the result of the attempt.
-func (s *Sender) readResponse(r Request, raw *http.Response) (*psresponse.Response, Result) {
-	response, err := psresponse.Read(raw)
+func (s *Sender) readResponse(ctx context.Context, r Request, reply pstransport.Result) (*psresponse.Response, Result) {
+	response, err := psresponse.Read(reply.Response, psbudget.Of(ctx), reply.Held)
 	if err == nil {
 		return response, resultOf(response.Class())
 	}
--- a/internal/connection/psforward/forward.go
+++ b/internal/connection/psforward/forward.go
@@ -15,6 +15,7 @@
 
 	"persimmonstep/internal/connection/psattempt"
 	"persimmonstep/internal/connection/psbody"
+	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psmessage"
@@ -128,9 +129,10 @@
 	}
 	if own, found := readOwn(result.Response.StatusCode, result.Response.Header); found {
 		_ = result.Response.Body.Close()
+		psbudget.Of(ctx).Return(result.Held)
 		return own
 	}
-	response, err := psresponse.Read(result.Response)
+	response, err := psresponse.Read(result.Response, psbudget.Of(ctx), result.Held)
 	switch {
 	case err != nil:
 		return replyOfError(psattempt.ResultOfError(ctx, r.Caller, true, err))
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -20,13 +20,14 @@
 )
 
 // dispatch sends the call to a server, and retries it on others as far as that is allowed.
-func (c *call) dispatch(ctx context.Context) outcome {
+func (c *call) dispatch(ctx context.Context) (final outcome) {
 	if o := c.withoutServers(ctx); o != nil {
 		return o
 	}
 	service := c.proxy.splits.Next(c.route)
 	c.proxy.retries.AddRequest(service, c.proxy.options.Settings.Bounds.RetryWindow, c.arrivedAt)
 	var last *psresponse.Response
+	defer func() { closeUnused(last, final) }()
 	for {
 		s, rejection := c.proxy.selector.Select(ctx, c.selectionRequest(service))
 		if rejection != nil {
@@ -46,6 +47,7 @@
 		case result == psattempt.TooLarge:
 			return failed{http.StatusRequestEntityTooLarge, string(psattempt.TooLarge)}
 		case result == psattempt.ServerError:
+			closeUnused(last, nil)
 			last = response
 		}
 		if !c.mayRetry(service, result) {
@@ -61,6 +63,13 @@
 	}
 }
 
+// closeUnused closes a response unless it is that of an outcome.
+func closeUnused(response *psresponse.Response, o outcome) {
+	if a, found := o.(answered); response != nil && !(found && a.response == response) {
+		response.Close()
+	}
+}
+
 // finalOutcome returns the outcome of a call that is not retried.
 func (c *call) finalOutcome(rejection outcome, last *psresponse.Response) outcome {
 	if last != nil {
--- /dev/null
+++ b/internal/connection/psproxy/response_memory_test.go
@@ -0,0 +1,184 @@
+package psproxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pscaller"
+	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform/psstandin"
+)
+
+const (
+	// hostileCallers is the number of requests that hostile servers respond to at the same time.
+	hostileCallers = 60
+	// hostileBudget is the memory budget in bytes, and maxHostileHeap what the heap may grow by, which includes the buffers
+	// of the connections at both ends.
+	hostileBudget  = 4 << 20
+	maxHostileHeap = 16 << 20
+	// maxOrdinaryTime bounds the time to the response of an ordinary request.
+	maxOrdinaryTime = time.Second
+)
+
+// TestHostileResponsesStayWithinBudget covers servers whose responses take much memory, at once or slowly, each within the
+// limits on its own. What is held stays within the budget, an ordinary request is answered meanwhile, no part of a
+// response counts as complete, and nothing is kept afterwards.
+func TestHostileResponsesStayWithinBudget(t *testing.T) {
+	const statusLine = "HTTP/1.1 200 OK\r\n"
+	signed := psstandin.SignedLines("id-1")
+	shortLines := strings.Repeat("a:\r\n", 1400)
+	unique := ""
+	for n := range 1400 {
+		unique += fmt.Sprintf("%x:\r\n", n)
+	}
+	filler := strings.Repeat("x", 32<<10)
+	for _, tt := range []struct{ name, head, piece string }{
+		{"short header lines", statusLine + signed + strings.Repeat(shortLines, 10), "\r\n"},
+		{"header lines with a body", statusLine + signed + unique + "Content-Length: 500000\r\n\r\n" + strings.Repeat("x", 499999), ""},
+		{"long header", statusLine + signed + "X: " + strings.Repeat("x", 60<<10) + "\r\nContent-Length: 500000\r\n\r\n" + filler, ""},
+		{"endless header", statusLine, "X-A: " + filler[:1000] + "\r\n"},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\n" + shortLines + "\r\n"},
+		{"body that stalls", statusLine + signed + "Content-Length: 500000\r\n\r\n" + strings.Repeat("x", 499999), ""},
+		{"body in chunks that stalls", statusLine + signed + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("8000\r\n"+filler+"\r\n", 15), ""},
+		{"body without end", statusLine + signed + "\r\n", filler},
+		{"short chunks", statusLine + signed + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1000)},
+		{"chunk extensions", statusLine + signed + "Transfer-Encoding: chunked\r\n\r\n", "1;" + filler[:3000] + "\r\nx\r\n"},
+		{"chunk size", statusLine + signed + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		{"trailer", statusLine + signed + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + shortLines, "a:\r\n"},
+		{"response to another request", statusLine + psstandin.SignedLines("other") + unique + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + filler + "\r\n"},
+	} {
+		for speed, pause := range map[string]time.Duration{"at once": 0, "slowly": 100 * time.Millisecond} {
+			t.Run(tt.name+" "+speed, func(t *testing.T) {
+				s, budget := startBudgeted(t, startBackend(t, hostileResponse(tt.head, tt.piece, pause)), startBackend(t, respondOK))
+				heap := liveHeap()
+				var callers sync.WaitGroup
+				for range hostileCallers {
+					callers.Go(func() {
+						response, err := http.DefaultTransport.RoundTrip(request(t, s, http.MethodPost, "/orders/1", "x"))
+						if err != nil {
+							return
+						}
+						defer response.Body.Close() //nolint:errcheck // the body was read
+						_, err = io.Copy(io.Discard, response.Body)
+						qt.Check(t, response.StatusCode >= 500 || err != nil, qt.IsTrue, qt.Commentf("status %d, complete", response.StatusCode))
+					})
+				}
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					callers.Wait()
+				}()
+				for ended := false; !ended; {
+					start := time.Now()
+					status, _, _ := do(t, request(t, s, http.MethodGet, "/boards/1", ""))
+					qt.Check(t, status, qt.Equals, http.StatusOK)
+					qt.Check(t, time.Since(start) < maxOrdinaryTime, qt.IsTrue, qt.Commentf("ordinary request took %s", time.Since(start)))
+					qt.Check(t, budget.Usage().Used <= hostileBudget, qt.IsTrue)
+					grown := liveHeap() - heap
+					qt.Check(t, grown < maxHostileHeap, qt.IsTrue, qt.Commentf("heap grew by %d bytes", grown))
+					select {
+					case <-done:
+						ended = true
+					case <-time.After(50 * time.Millisecond):
+					}
+				}
+				eventually(t, "nothing is held", func() bool { return budget.Usage().Used == 0 })
+			})
+		}
+	}
+}
+
+// hostileResponse writes a head, and then a piece repeatedly, or nothing if the piece is empty. A slow one writes single
+// bytes after the first half of the head.
+func hostileResponse(head, piece string, pause time.Duration) responder {
+	// These are shared by all connections, and nothing is allocated per write, because that would count as memory of the VM.
+	first, next := []byte(head), []byte(piece)
+	return func(c net.Conn, _ *http.Request) bool {
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = io.Copy(io.Discard, c)
+		}()
+		text := first
+		if pause > 0 {
+			_, _ = c.Write(text[:len(text)/2])
+			text = text[len(text)/2:]
+		}
+		for ; ; text = next {
+			n := len(text)
+			if pause > 0 {
+				n = min(n, 1)
+			}
+			if _, err := c.Write(text[:n]); err != nil {
+				return false
+			}
+			if len(next) == 0 {
+				<-ended
+				return false
+			}
+			time.Sleep(pause)
+		}
+	}
+}
+
+// startBudgeted starts a proxy whose connections have accounts of a budget. Orders go to the first server, and boards to the
+// second one.
+func startBudgeted(t *testing.T, hostile, ordinary *backend) (*httptest.Server, *psbudget.Budget) {
+	t.Helper()
+	first, control := startProxy(t, hostile)
+	v := testConfiguration
+	v.Services = append(v.Services, psconfig.Service{Name: "ordinary", MaxConnections: 100})
+	v.Routes = []psconfig.Route{testRoute("boards", "/boards/", psconfig.Idempotent), testRoute("orders", "/orders/", psconfig.AtMostOnce)}
+	v.Routes[0].Backends = []psconfig.Backend{{Service: "ordinary", Weight: 1}}
+	v.Services[0].MaxConnections = 1000
+	control.snapshot.Index = psconfig.NewIndex(&v)
+	entry := psserver.Entry{ID: "o-1", Service: "ordinary", Slots: 5, FailureDomain: "north-a", Address: netip.MustParseAddrPort(ordinary.listener.Addr().String())}
+	control.snapshot.Servers["ordinary"] = []*psserver.Server{psserver.New(entry, "north", time.Now())}
+	large := control.snapshot.Servers["prices"][0].Entry()
+	large.Slots = 2 * hostileCallers
+	control.snapshot.Servers["prices"] = []*psserver.Server{psserver.New(large, "north", time.Now())}
+	return serveBudgeted(t, first.Config.Handler)
+}
+
+// serveBudgeted serves a handler with a budget.
+func serveBudgeted(t *testing.T, h http.Handler) (*httptest.Server, *psbudget.Budget) {
+	t.Helper()
+	budget := psbudget.New(hostileBudget, time.Now)
+	var closers sync.Map
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		account, closeAccount := budget.Open(func() { _ = c.Close() })
+		closers.Store(c, closeAccount)
+		return psbudget.With(pscaller.WithConn(ctx, c), account)
+	}
+	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if v, found := closers.Load(c); found && state == http.StateClosed {
+			v.(func())()
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return s, budget
+}
+
+// liveHeap returns the size of the objects in use, in bytes.
+func liveHeap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/connection/psresponse/response_test.go
+++ b/internal/connection/psresponse/response_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/platform/psstandin"
 )
@@ -35,7 +38,7 @@
 		"failure of something else":   {502, false, psresponse.ServerError},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r, err := psresponse.Read(response(v.status, strings.NewReader("x"), v.signed))
+			r, err := psresponse.Read(response(v.status, strings.NewReader("x"), v.signed), nil, 0)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, r.Class(), qt.Equals, v.want)
 		})
@@ -48,13 +51,13 @@
 func (truncatedReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
 func TestReadFailsOnTruncatedResponse(t *testing.T) {
-	_, err := psresponse.Read(response(200, io.MultiReader(strings.NewReader("begun"), truncatedReader{}), true))
+	_, err := psresponse.Read(response(200, io.MultiReader(strings.NewReader("begun"), truncatedReader{}), true), nil, 0)
 	qt.Assert(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
 }
 
 func TestLongResponseIsStreamed(t *testing.T) {
 	body := bytes.Repeat([]byte("x"), 1<<20)
-	r, err := psresponse.Read(response(200, bytes.NewReader(body), true))
+	r, err := psresponse.Read(response(200, bytes.NewReader(body), true), nil, 0)
 	qt.Assert(t, err, qt.IsNil)
 	defer r.Close()
 	rest, err := io.ReadAll(r.Remainder)
@@ -70,3 +73,23 @@
 	qt.Assert(t, psresponse.EndToEndHeaders(h), qt.DeepEquals,
 		http.Header{"Content-Type": {"text/plain"}, "X-Own": {"a", "b"}})
 }
+
+// TestResponseWithoutMemoryIsStreamed covers a VM whose memory is held by others: a short response is streamed after the
+// part for which there is memory, and what was drawn is returned after it.
+func TestResponseWithoutMemoryIsStreamed(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 100<<10)
+	for _, free := range []int64{0, 4 << 10, 40 << 10, 1 << 20} {
+		b := psbudget.New(free, time.Now)
+		a, closeAccount := b.Open(func() {})
+		defer closeAccount()
+		r, err := psresponse.Read(response(200, bytes.NewReader(body), true), a, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Remainder == nil, qt.Equals, free == 1<<20)
+		qt.Assert(t, len(r.Body) == 0, qt.Equals, free == 0)
+		qt.Assert(t, b.Usage().Used <= free, qt.IsTrue)
+		w := httptest.NewRecorder()
+		qt.Assert(t, r.Relay(w), qt.IsNil)
+		qt.Assert(t, bytes.Equal(w.Body.Bytes(), body), qt.IsTrue)
+		qt.Assert(t, b.Usage().Used, qt.Equals, int64(0))
+	}
+}
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -9,14 +9,14 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"persimmonstep/internal/connection/psbudget"
 )
 
 const (
 	// minStatus and maxStatus bound the status codes of HTTP (RFC 9110, section 15).
 	minStatus = 100
 	maxStatus = 599
-	// maxHeaderBytes bounds a response header.
-	maxHeaderBytes = 64 << 10
 	// maxInformational bounds the 1xx responses before a final one, and maxUnmatched the final responses that are
 	// read before the request fails, because none of them belongs to it.
 	maxInformational = 8
@@ -68,6 +68,9 @@
 	// lastExchange says that the connection is closed after the response.
 	lastExchange bool
 	ended        sync.Once
+	// account is that of the caller's connection, and held what the exchange has drawn from it for the response's header.
+	account *psbudget.Account
+	held    int64
 }
 
 // roundTrip sends the request and returns the response. The exchange lasts until the response body is read to
@@ -85,7 +88,7 @@
 		e.abort()
 		return nil, e.cause(err)
 	}
-	e.lastExchange = response.Close || e.request.Close
+	e.lastExchange = e.lastExchange || response.Close || e.request.Close
 	if response.Body == http.NoBody {
 		e.finish()
 		return response, nil
@@ -108,7 +111,9 @@
 		if e.options.Matches == nil || e.options.Matches(response, e.conn.reused) {
 			return response, nil
 		}
-		if err := e.dropResponse(response); err != nil {
+		err = e.dropResponse(response)
+		e.releaseHead()
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -118,24 +123,51 @@
 // readFinal reads the header of the next response that isn't informational.
 func (e *exchange) readFinal() (*http.Response, error) {
 	for range maxInformational {
-		e.conn.limit.N = maxHeaderBytes
-		response, err := http.ReadResponse(e.conn.reader, e.request)
-		switch {
-		case err != nil:
+		response, err := e.readHead()
+		if err != nil {
 			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK && response.StatusCode <= maxStatus {
+			return response, nil
+		}
+		e.releaseHead()
+		switch {
 		case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 			// net/http accepts any three digits. What follows such a header is not framed as HTTP, and it is unknown
 			// whether the server has executed the request.
 			return nil, errStatus
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
-		case response.StatusCode >= http.StatusOK:
-			return response, nil
 		}
 	}
 	return nil, errInformational
 }
 
+// readHead reads the header of the next response. What it takes is drawn from the account, until releaseHead is called.
+func (e *exchange) readHead() (*http.Response, error) {
+	e.conn.limit.N = maxHeaderBytes
+	r, drawn, err := receiveHead(e.conn.reader, e.account)
+	if err != nil {
+		return nil, err
+	}
+	e.held += drawn
+	if r != e.conn.reader {
+		// The larger buffer is kept until the end of the connection.
+		e.conn.reader, e.lastExchange = r, true
+	}
+	response, err := http.ReadResponse(r, e.request)
+	if err != nil {
+		e.releaseHead()
+	}
+	return response, err
+}
+
+// releaseHead returns what was drawn for a header that is no longer used.
+func (e *exchange) releaseHead() {
+	e.account.Return(e.held)
+	e.held = 0
+}
+
 // dropResponse reads the rest of a response that belongs to another request, so that the next one can follow.
 func (e *exchange) dropResponse(response *http.Response) error {
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"persimmonstep/internal/connection/psbudget"
 )
 
 // Transport sends requests to backend servers. It is safe for concurrent use.
@@ -103,6 +105,9 @@
 	Sent bool
 	// DialTime is how long opening the connection took; 0 if one was reused.
 	DialTime time.Duration
+	// Held is what was drawn for the response's header from the account in the request's context, in bytes. It must be
+	// returned to the account when the header is no longer used.
+	Held int64
 }
 
 // Send sends a request to the server at the address, over at most limit connections. With a limit of 0, or with Close
@@ -147,9 +152,9 @@
 		return Result{}, ErrMayNotSend
 	}
 	dialTime := c.dialTime
-	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{}), options: options}
+	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{}), options: options, account: psbudget.Of(ctx)}
 	response, err := e.roundTrip()
-	return Result{Response: response, Sent: e.sent.Load(), DialTime: dialTime}, err
+	return Result{Response: response, Sent: e.sent.Load(), DialTime: dialTime, Held: e.held}, err
 }
 
 func closeBody(r *http.Request) {
