psdecode, platform, pspeerstate, pspeer: documents of the store and of other VMs are bounded in memory

Operators would have seen: one datagram of 2 KB with a digest of empty reports makes a VM allocate 745 MB; a state or a page of 3 MB of empty elements 825 MB and 730 MB; a store whose pages repeat or never end is read until the call's time limit.

Cause: the length was bounded, and not what the decoded form takes.

Change: the new package psdecode estimates that before decoding (512 bytes an object or list, 64 a further element) and refuses documents above 32 MB (store, configuration, digest), 64 MB (state of another VM) or 2 MB (datagram). A response that is longer than its limit is an error and no longer decoded as far as it was read.

--- a/internal/connection/pspeer/digest.go
+++ b/internal/connection/pspeer/digest.go
@@ -4,19 +4,20 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
-	"io"
 	"sync"
 
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/connection/psdecode"
 	"persimmonstep/internal/process/psmessage"
 )
 
 const (
 	// maxDigestReports is the maximum number of reports in one datagram.
 	maxDigestReports = 64
-	// maxDigestBytes bounds a decompressed digest.
-	maxDigestBytes = 1 << 20
+	// maxDigestBytes bounds a decompressed digest, and maxDecodedBytes what a message takes when decoded.
+	maxDigestBytes  = 1 << 20
+	maxDecodedBytes = 32 << 20
 )
 
 // compressedDigest is the encoding of a digest in messages: gzip-compressed JSON. The reports of one failure domain
@@ -77,7 +78,11 @@
 		return nil, errors.Wrap(err, "decompress digest")
 	}
 	d := &psmessage.Digest{}
-	if err := json.NewDecoder(io.LimitReader(c.reader, maxDigestBytes)).Decode(d); err != nil {
+	data, err := psdecode.ReadAll(c.reader, maxDigestBytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress digest")
+	}
+	if err := psdecode.JSON(data, maxDecodedBytes, d); err != nil {
 		return nil, errors.Wrap(err, "decode digest")
 	}
 	return d, nil
--- a/internal/connection/pspeer/endpoint.go
+++ b/internal/connection/pspeer/endpoint.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"persimmonstep/internal/connection/psdecode"
 	"persimmonstep/internal/process/psmessage"
 )
 
@@ -26,8 +27,9 @@
 	methodNotice = "notice"
 	methodDigest = "digest"
 	methodTake   = "take"
-	// maxDatagramBytes bounds a received message.
+	// maxDatagramBytes bounds a received message, and maxMessageBytes what it takes when decoded.
 	maxDatagramBytes = 32 << 10
+	maxMessageBytes  = 2 << 20
 	// requestAttempts is the number of times that a request is sent before it fails.
 	requestAttempts = 2
 )
@@ -195,7 +197,7 @@
 // handleDatagram processes one datagram.
 func (e *Endpoint) handleDatagram(h Handler, data []byte, from netip.AddrPort) error {
 	var m message
-	if err := json.Unmarshal(data, &m); err != nil {
+	if err := psdecode.JSON(data, maxMessageBytes, &m); err != nil {
 		return errors.Wrap(err, "decode message")
 	}
 	switch {
--- a/internal/connection/pspeerstate/peerstate.go
+++ b/internal/connection/pspeerstate/peerstate.go
@@ -10,7 +10,6 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,6 +19,7 @@
 
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/connection/psdecode"
 	"persimmonstep/internal/process/psmessage"
 )
 
@@ -32,8 +32,9 @@
 	// fetch: the control state of a large fleet takes seconds over the slowest links.
 	headerTimeout = 700 * time.Millisecond
 	timeout       = 5 * time.Second
-	// maxBytes bounds a decompressed response body.
-	maxBytes = 16 << 20
+	// maxBytes bounds a decompressed response body, and maxDecodedBytes what the state takes when decoded.
+	maxBytes        = 16 << 20
+	maxDecodedBytes = 64 << 20
 	// maxHeaderBytes bounds a response header.
 	maxHeaderBytes = 64 << 10
 )
@@ -178,7 +179,11 @@
 		return psmessage.StateResponse{}, errors.Errorf("fetch control state: status %d", response.StatusCode)
 	}
 	if !v.Unchanged {
-		if err := json.NewDecoder(io.LimitReader(response.Body, maxBytes)).Decode(&v.State); err != nil {
+		data, err := psdecode.ReadAll(response.Body, maxBytes)
+		if err == nil {
+			err = psdecode.JSON(data, maxDecodedBytes, &v.State)
+		}
+		if err != nil {
 			return psmessage.StateResponse{}, errors.Wrap(err, "decode control state")
 		}
 		if err := v.State.Check(); err != nil {
--- a/internal/connection/pspeerstate/peerstate_test.go
+++ b/internal/connection/pspeerstate/peerstate_test.go
@@ -1,13 +1,16 @@
 package pspeerstate_test
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -153,3 +156,53 @@
 		stop()
 	}
 }
+
+// TestHostileStateIsRefused covers a VM whose response has no end, or takes many times its length when it is decoded.
+func TestHostileStateIsRefused(t *testing.T) {
+	dense := `{"servers":[` + strings.Repeat("{},", 1<<20) + `{}]}`
+	for name, write := range map[string]func(w io.Writer) error{
+		"empty servers": func(w io.Writer) error {
+			_, _ = io.WriteString(w, dense)
+			return io.EOF
+		},
+		"no end":       func(w io.Writer) error { return repeat(w, strings.Repeat(" ", 32<<10)) },
+		"compressed":   func(w io.Writer) error { return repeat(w, strings.Repeat("[", 32<<10)) },
+		"long strings": func(w io.Writer) error { return repeat(w, `{"`+strings.Repeat("x", 32<<10)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Beliefs-Age", "1s")
+				if name != "compressed" {
+					_ = write(w)
+					return
+				}
+				w.Header().Set("Content-Encoding", "gzip")
+				z := gzip.NewWriter(w)
+				_ = write(z)
+				_ = z.Close()
+			}))
+			defer server.Close()
+			c, clean := pspeerstate.NewClient(nil)
+			defer clean()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			response, err := c.Fetch(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), "")
+			runtime.ReadMemStats(&after)
+			qt.Check(t, err, qt.IsNotNil)
+			qt.Check(t, response, qt.DeepEquals, psmessage.StateResponse{})
+			qt.Check(t, int64(after.TotalAlloc-before.TotalAlloc) < maxStateAllocated, qt.IsTrue, qt.Commentf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc))
+		})
+	}
+}
+
+// maxStateAllocated bounds what a fetch allocates in bytes, which includes the growth of the buffer of a response of 16 MB.
+const maxStateAllocated = 128 << 20
+
+// repeat writes a text until that fails.
+func repeat(w io.Writer, text string) error {
+	for {
+		if _, err := io.WriteString(w, text); err != nil {
+			return err
+		}
+	}
+}
