pspool: connections to servers are bounded for the VM, and for each server over all VMs

Cause, as far as it can be shown here: connections for probes weren't bounded, a connection that was closed while the server still worked on its request no longer counted, and the share of a VM was raised to 2 where the maximum does not allow that.

Change: the pools move from pstransport to the new package pspool. A dedicated connection replaces an idle one or exceeds the VM's limit by one; closed during an exchange, a connection counts 50 ms longer; idle ones beyond a limit that has fallen are closed. Maximums below two for each VM are still exceeded, because no rule chooses the VMs that may send. Pools.MaxOpen (0: no bound, the default) bounds all connections of a VM and closes the one idle longest; without an idle one the attempt counts as unsent, and so does one for which the system has no descriptor (it used to count as a failure of the server). Event 7407 names what was no response; three metrics count the connections.

--- a/internal/connection/psaccess/metrics.go
+++ b/internal/connection/psaccess/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"persimmonstep/internal/connection/psforward"
+	"persimmonstep/internal/connection/pspool"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pstoken"
 )
@@ -63,6 +64,23 @@
 	return m
 }
 
+// RegisterConnections registers the metrics of the connections to backend servers.
+func RegisterConnections(r prometheus.Registerer, usage func() pspool.Usage) {
+	r.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "server_connections", Help: "Open connections to backend servers.",
+		}, func() float64 { return float64(usage().Open) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "server_connections_evicted_total",
+			Help: "Idle connections to backend servers that were closed because the VM had too many.",
+		}, func() float64 { return float64(usage().Evicted) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "server_connections_refused_total",
+			Help: "Connections to backend servers that were not opened because all of the VM's connections were in use.",
+		}, func() float64 { return float64(usage().Refused) }),
+	)
+}
+
 // observe records an ended request and its attempts.
 func (m *Metrics) observe(r Record) {
 	kind, reason := "unmatched", r.Reason
--- a/internal/connection/psattempt/attempt.go
+++ b/internal/connection/psattempt/attempt.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/psbody"
 	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pspool"
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psserver"
@@ -56,6 +58,8 @@
 	Response *psresponse.Response
 	// DialTime is how long opening the connection took; 0 if one was reused.
 	DialTime time.Duration
+	// Invalid is set if the server sent what is no response; empty otherwise.
+	Invalid pstransport.InvalidResponseError
 }
 
 // Sender sends requests to servers.
@@ -70,6 +74,7 @@
 	reply, err := s.exchange(ctx, r)
 	out := Outcome{DialTime: reply.DialTime}
 	if err != nil {
+		_ = errors.As(err, &out.Invalid)
 		out.Result = ResultOfError(ctx, r.Caller, reply.Sent, err)
 		return out
 	}
@@ -160,7 +165,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return TooLarge
-	case errors.Is(err, pstransport.ErrMayNotSend):
+	case errors.Is(err, pstransport.ErrMayNotSend), noDescriptors(err):
 		return Unsent
 	case caller.Context().Err() != nil || errors.As(err, &body):
 		return Canceled
@@ -173,3 +178,8 @@
 	}
 	return Lost
 }
+
+// noDescriptors reports whether a connection was not opened because this VM has too many, which is no failure of the server.
+func noDescriptors(err error) bool {
+	return errors.Is(err, pspool.ErrNoDescriptors) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
--- a/internal/connection/psoutcome/outcome.go
+++ b/internal/connection/psoutcome/outcome.go
@@ -92,6 +92,9 @@
 	case psattempt.Shed, psattempt.ServerError, psattempt.Unsigned:
 		a.Server.RecordOutcome(0, true, now)
 	case psattempt.Lost:
+		if a.Invalid != "" {
+			psevent.ResponseInvalid.Log(r.Logger, a.RequestID, a.View.Entry.ID, a.Invalid.Error())
+		}
 		a.Server.RecordOutcome(0, true, now)
 		r.checkCrash(a)
 	}
--- a/internal/connection/pstransport/pool.go
+++ b/internal/connection/pspool/pool.go
@@ -1,63 +1,33 @@
-package pstransport
+package pspool
 
 import (
 	"context"
-	"net"
 	"net/netip"
-	"slices"
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
-	unackedTimeout = 1200 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = 90 * time.Second
+	// abandonedTime is how long a connection counts after it was closed during an exchange: twice the one-way latency
+	// between regions (12 ms) and as much again.
+	abandonedTime = 50 * time.Millisecond
 )
 
-// keepAlive detects connections whose other end has disappeared without closing them, while nothing is sent. Because
-// unackedTimeout is set as well, the first unanswered probe decides: the connection fails at the next one, 3 s after
-// the last bytes.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
-
-// dialer returns the dialer of connections to servers.
-func (t *Transport) dialer() *net.Dialer {
-	d := &net.Dialer{KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	if t.Source.IsValid() {
-		d.LocalAddr = &net.TCPAddr{IP: t.Source.AsSlice()}
-	}
-	return d
-}
-
-// setUserTimeout makes a connection fail if its other end doesn't acknowledge sent bytes in time.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // pool holds the connections to one backend server and bounds their number.
 type pool struct {
 	address netip.AddrPort
-	// connect opens a connection to the server.
-	connect func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	pools   *Pools
 
 	mutex sync.Mutex
+	// limit is that of the latest exchange without a dedicated connection; 0 before the first.
 	limit int
-	// open counts the connections that are idle, in use or being dialed.
-	open int
+	// open counts the connections that are idle, in use or being dialed, and abandoned those that the server may not know
+	// to be closed yet.
+	open, abandoned int
 	// idle lists the unused connections, the most recently used one last.
-	idle []*conn
+	idle []*Conn
 	// waiters lists the calls that wait because the limit is reached, in the order of their arrival.
 	waiters []chan grant
 	// expiry is the timer that closes idle connections; nil without any.
@@ -67,12 +37,10 @@
 
 // grant is what a waiter receives: an open connection, or none and the right to dial one.
 type grant struct {
-	conn *conn
+	conn *Conn
 }
 
-// get returns an unused connection or dials one, and waits while the limit is reached. Connections that were idle for
-// longer than maxIdle are not reused; 0 allows any idle time.
-func (p *pool) get(ctx context.Context, limit int, maxIdle time.Duration) (*conn, error) {
+func (p *pool) get(ctx context.Context, limit int, maxIdle time.Duration) (*Conn, error) {
 	if limit <= 0 {
 		return p.dialDedicated(ctx)
 	}
@@ -82,30 +50,42 @@
 			return nil, err
 		}
 		if g.conn == nil {
-			return p.dial(ctx)
+			return p.dial(ctx, false)
 		}
 		if g.conn.reusable() && (maxIdle <= 0 || time.Since(g.conn.idleSince) <= maxIdle) {
 			return g.conn, nil
 		}
-		g.conn.discard()
+		g.conn.Discard()
 	}
 }
 
+// full reports whether no connection may be opened within a limit. The caller holds the mutex.
+func (p *pool) full(limit int) bool { return p.open+p.abandoned >= limit }
+
 // acquire returns an idle connection or the right to dial one.
 func (p *pool) acquire(ctx context.Context, limit int) (grant, error) {
 	p.mutex.Lock()
 	p.limit = limit
+	for len(p.idle) > 1 && p.open > p.limit {
+		// The fleet has grown, and with it the number of VMs that share the server's connections.
+		p.shutIdle()
+	}
 	if n := len(p.idle); n > 0 {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mutex.Unlock()
 		return grant{c}, nil
 	}
-	if p.open < p.limit {
+	if !p.full(p.limit) {
 		p.open++
 		p.mutex.Unlock()
 		return grant{}, nil
 	}
+	return p.wait(ctx)
+}
+
+// wait waits for a grant. The caller holds the mutex, which wait unlocks.
+func (p *pool) wait(ctx context.Context) (grant, error) {
 	w := make(chan grant, 1)
 	p.waiters = append(p.waiters, w)
 	p.mutex.Unlock()
@@ -121,7 +101,7 @@
 // cancelWait removes a waiter and returns what it was granted in the meantime.
 func (p *pool) cancelWait(w chan grant) {
 	p.mutex.Lock()
-	p.waiters = slices.DeleteFunc(p.waiters, func(v chan grant) bool { return v == w })
+	p.waiters = remove(p.waiters, w)
 	p.mutex.Unlock()
 	select {
 	case g := <-w:
@@ -135,42 +115,51 @@
 }
 
 // dial opens a connection that is already counted as open.
-func (p *pool) dial(ctx context.Context) (*conn, error) {
+func (p *pool) dial(ctx context.Context, dedicated bool) (*Conn, error) {
 	start := time.Now()
-	raw, err := p.connect(ctx, p.address)
+	raw, err := p.pools.connect(ctx, p.address)
 	if err != nil {
 		p.removeClosed()
 		return nil, err
 	}
-	c := newConn(p, raw, false)
-	c.dialTime = time.Since(start)
-	return c, nil
+	return newConn(p, raw, dedicated, time.Since(start)), nil
 }
 
-// dialDedicated opens a connection that is closed after one exchange. The pool's limit doesn't apply: the number of
-// such connections is bounded by the server's slots, of which each exchange holds one.
-func (p *pool) dialDedicated(ctx context.Context) (*conn, error) {
-	p.mutex.Lock()
-	p.open++
-	p.mutex.Unlock()
-	c, err := p.dial(ctx)
-	if err == nil {
-		c.dedicated = true
+// dialDedicated opens a connection that is closed after one exchange. It may exceed the limit by one, so that a server can be
+// probed while requests wait for it. Beyond that it replaces an idle connection, or waits.
+func (p *pool) dialDedicated(ctx context.Context) (*Conn, error) {
+	for {
+		p.mutex.Lock()
+		if p.limit > 0 && p.full(p.limit) && len(p.idle) > 0 {
+			p.shutIdle()
+		}
+		if p.limit == 0 || !p.full(p.limit+1) {
+			p.open++
+			p.mutex.Unlock()
+			return p.dial(ctx, true)
+		}
+		g, err := p.wait(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if g.conn == nil {
+			return p.dial(ctx, true)
+		}
+		g.conn.Discard()
 	}
-	return c, err
 }
 
 // put returns a connection that is ready for another request to the pool.
-func (p *pool) put(c *conn) {
+func (p *pool) put(c *Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed || c.dedicated || p.open > p.limit {
-		_ = c.raw.Close()
+		c.shut()
 		p.release()
 		return
 	}
 	c.idleSince = time.Now()
-	c.dialTime, c.reused = 0, true
+	c.DialTime, c.Reused = 0, true
 	if len(p.waiters) > 0 {
 		p.grantFirst(grant{c})
 		return
@@ -188,11 +177,29 @@
 	p.release()
 }
 
-// release decrements the count of open connections. If the limit allows it, the first waiter may then dial one. The
-// caller holds the mutex.
+// removeAbandoned subtracts a connection that was closed during an exchange, once the server can know of it.
+func (p *pool) removeAbandoned() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.open--
+	p.abandoned++
+	time.AfterFunc(abandonedTime, func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.abandoned--
+		p.grantDial()
+	})
+}
+
+// release decrements the count of open connections. The caller holds the mutex.
 func (p *pool) release() {
 	p.open--
-	if len(p.waiters) > 0 && p.open < p.limit {
+	p.grantDial()
+}
+
+// grantDial lets the first waiter dial a connection if the limit allows it. The caller holds the mutex.
+func (p *pool) grantDial() {
+	if len(p.waiters) > 0 && !p.full(p.limit) {
 		p.open++
 		p.grantFirst(grant{})
 	}
@@ -204,15 +211,41 @@
 	p.waiters = p.waiters[1:]
 }
 
+// longestIdleSince returns since when the connection has been idle that is longest; false if none is idle.
+func (p *pool) longestIdleSince() (time.Time, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle) == 0 {
+		return time.Time{}, false
+	}
+	return p.idle[0].idleSince, true
+}
+
+// closeIdle closes the connection that has been idle longest. It returns false if none is idle.
+func (p *pool) closeIdle() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle) == 0 {
+		return false
+	}
+	p.shutIdle()
+	return true
+}
+
+// shutIdle closes the connection that has been idle longest. The caller holds the mutex.
+func (p *pool) shutIdle() {
+	p.idle[0].shut()
+	p.idle = p.idle[1:]
+	p.release()
+}
+
 // expire closes the connections that were idle for [idleTimeout].
 func (p *pool) expire() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	limit := time.Now().Add(-idleTimeout)
 	for len(p.idle) > 0 && !p.idle[0].idleSince.After(limit) {
-		_ = p.idle[0].raw.Close()
-		p.idle = p.idle[1:]
-		p.release()
+		p.shutIdle()
 	}
 	p.expiry = nil
 	if len(p.idle) > 0 {
@@ -229,7 +262,7 @@
 		p.expiry.Stop()
 	}
 	for _, c := range p.idle {
-		_ = c.raw.Close()
+		c.shut()
 		p.open--
 	}
 	p.idle = nil
--- a/internal/connection/pstransport/body.go
+++ b/internal/connection/pstransport/body.go
@@ -67,5 +67,5 @@
 		}
 	default:
 	}
-	return closedRegularly(pssocket.EndingOf(e.conn.raw), state)
+	return closedRegularly(pssocket.EndingOf(e.conn.Raw), state)
 }
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -8,9 +8,8 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/pkg/errors"
-
 	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pspool"
 )
 
 const (
@@ -28,12 +27,20 @@
 	maxInlineBodyBytes = 16 << 10
 )
 
-var (
-	errStatus        = errors.New("read response: status outside 100 to 599")
-	errUpgrade       = errors.New("read response: unexpected 101 Switching Protocols")
-	errInformational = errors.New("read response: too many informational responses")
-	errUnmatched     = errors.New("read response: too many responses to other requests")
-	errUnboundedBody = errors.New("read response to another request: body is unbounded or too large")
+// InvalidResponseError is the error of an exchange in which the server sent what is no response, or more of it than is read.
+type InvalidResponseError string
+
+// Error implements error.
+func (e InvalidResponseError) Error() string { return "read response: " + string(e) }
+
+const (
+	errStatus        InvalidResponseError = "status outside 100 to 599"
+	errUpgrade       InvalidResponseError = "unexpected 101 Switching Protocols"
+	errInformational InvalidResponseError = "too many informational responses"
+	errUnmatched     InvalidResponseError = "too many responses to other requests"
+	errUnboundedBody InvalidResponseError = "body of a response to another request is unbounded or too large"
+	errHeaderSize    InvalidResponseError = "header is too large"
+	errHeaderMemory  InvalidResponseError = "no memory for the header"
 )
 
 // BodyError is the error of a request whose body could not be read. It is not a failure of the server.
@@ -50,7 +57,7 @@
 
 // exchange is one request and its response on a connection.
 type exchange struct {
-	conn    *conn
+	conn    *pspool.Conn
 	request *http.Request
 	context context.Context
 	options Options
@@ -76,7 +83,7 @@
 // roundTrip sends the request and returns the response. The exchange lasts until the response body is read to
 // its end or closed.
 func (e *exchange) roundTrip() (*http.Response, error) {
-	e.stop = context.AfterFunc(e.context, e.conn.discard)
+	e.stop = context.AfterFunc(e.context, e.conn.Abandon)
 	if e.inline() {
 		e.write()
 	} else {
@@ -102,13 +109,13 @@
 
 // readResponse reads the header of the final response to this request, and drops the responses to other requests.
 func (e *exchange) readResponse() (*http.Response, error) {
-	defer func() { e.conn.limit.N = math.MaxInt64 }()
+	defer func() { e.conn.Limit.N = math.MaxInt64 }()
 	for range maxUnmatched {
 		response, err := e.readFinal()
 		if err != nil {
 			return nil, err
 		}
-		if e.options.Matches == nil || e.options.Matches(response, e.conn.reused) {
+		if e.options.Matches == nil || e.options.Matches(response, e.conn.Reused) {
 			return response, nil
 		}
 		err = e.dropResponse(response)
@@ -145,15 +152,15 @@
 
 // readHead reads the header of the next response. What it takes is drawn from the account, until releaseHead is called.
 func (e *exchange) readHead() (*http.Response, error) {
-	e.conn.limit.N = maxHeaderBytes
-	r, drawn, err := receiveHead(e.conn.reader, e.account)
+	e.conn.Limit.N = maxHeaderBytes
+	r, drawn, err := receiveHead(e.conn.Reader, e.account)
 	if err != nil {
 		return nil, err
 	}
 	e.held += drawn
-	if r != e.conn.reader {
+	if r != e.conn.Reader {
 		// The larger buffer is kept until the end of the connection.
-		e.conn.reader, e.lastExchange = r, true
+		e.conn.Reader, e.lastExchange = r, true
 	}
 	response, err := http.ReadResponse(r, e.request)
 	if err != nil {
@@ -173,7 +180,7 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return errUnboundedBody
 	}
-	e.conn.limit.N = math.MaxInt64
+	e.conn.Limit.N = math.MaxInt64
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnmatchedBytes))
 	if n == maxUnmatchedBytes {
 		return errUnboundedBody
@@ -206,11 +213,11 @@
 			finished = e.writeErr == nil
 		default:
 		}
-		if e.stop() && finished && !e.lastExchange && e.conn.reader.Buffered() == 0 {
-			e.conn.pool.put(e.conn)
+		if e.stop() && finished && !e.lastExchange && e.conn.Reader.Buffered() == 0 {
+			e.conn.Put()
 			return
 		}
-		e.conn.discard()
+		e.conn.Discard()
 	})
 }
 
@@ -218,6 +225,6 @@
 func (e *exchange) abort() {
 	e.ended.Do(func() {
 		e.stop()
-		e.conn.discard()
+		e.conn.Discard()
 	})
 }
--- a/internal/connection/pstransport/head.go
+++ b/internal/connection/pstransport/head.go
@@ -21,11 +21,6 @@
 	freeParsedBytes = 8 << 10
 )
 
-var (
-	errHeaderSize   = errors.New("read response: header is too large")
-	errHeaderMemory = errors.New("read response: no memory for the header")
-)
-
 // headSize is what a header takes. The zero value is that of no header.
 type headSize struct {
 	// length is the number of bytes up to and including the empty line.
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -1,102 +1,37 @@
 // Package pstransport is an HTTP/1.1 client transport with one connection pool for each backend server.
 //
-// Each pool is bounded by this VM's share of the connections that the server accepts. A connection is reused only if
-// its last response was read to the end and nothing followed it, so that a late or unsolicited response is never
-// matched to another request. A request with Close set gets a dedicated connection: a server may close an idle
+// A connection is reused only if its last response was read to the end and nothing followed it, so that a late or
+// unsolicited response is never matched to another request. A request with Close set gets a dedicated connection: a server may close an idle
 // connection just as a request is written to it, and then it is unknown whether the request was executed. By default
 // a response counts as truncated if only the close of the connection marks its end.
 package pstransport
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pspool"
 )
 
 // Transport sends requests to backend servers. It is safe for concurrent use.
 type Transport struct {
-	// Source is the local address of the connections; the system chooses it if it is zero. It must be set before
-	// the first use.
-	Source netip.Addr
-	// Dial replaces the opening of connections, unless it is nil. It must be set before the first use.
-	Dial Dial
-
-	mutex sync.Mutex
-	pools map[netip.AddrPort]*pool
+	pspool.Pools
 }
 
 // Dial opens a connection, as [net.Dialer.DialContext] does.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+type Dial = pspool.Dial
 
 // New returns a transport and its clean-up function, which closes the unused connections.
 func New() (*Transport, func()) {
-	t := &Transport{pools: make(map[netip.AddrPort]*pool)}
+	t := &Transport{}
 	return t, func() { t.Retain(func(netip.AddrPort) bool { return false }) }
 }
 
-// Retain closes the pools of servers for which keep returns false. Exchanges in progress continue.
-func (t *Transport) Retain(keep func(netip.AddrPort) bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	for a, p := range t.pools {
-		if !keep(a) {
-			delete(t.pools, a)
-			p.close()
-		}
-	}
-}
-
-// OpenConnections returns the number of open connections to a server, including those being dialed.
-func (t *Transport) OpenConnections(address netip.AddrPort) int {
-	t.mutex.Lock()
-	p, found := t.pools[address]
-	t.mutex.Unlock()
-	if !found {
-		return 0
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.open
-}
-
-func (t *Transport) pool(address netip.AddrPort) *pool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	p, found := t.pools[address]
-	if !found {
-		p = &pool{address: address, connect: t.connect}
-		t.pools[address] = p
-	}
-	return p
-}
-
-// connect opens a connection to a server.
-func (t *Transport) connect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	ctx, stop := context.WithTimeout(ctx, dialTimeout)
-	defer stop()
-	dial := t.Dial
-	if dial == nil {
-		dial = t.dialer().DialContext
-	}
-	return dial(ctx, "tcp", address.String())
-}
-
-// Reach opens a connection to a server and closes it at once. It returns an error if that fails.
-func (t *Transport) Reach(ctx context.Context, address netip.AddrPort) error {
-	c, err := t.connect(ctx, address)
-	if err != nil {
-		return err
-	}
-	return c.Close()
-}
-
 // Result is the result of one exchange.
 type Result struct {
 	// Response is nil after an error.
@@ -141,17 +76,17 @@
 	if r.Close {
 		limit = 0
 	}
-	c, err := t.pool(address).get(ctx, limit, options.MaxIdle)
+	c, err := t.Get(ctx, address, limit, options.MaxIdle)
 	if err != nil {
 		closeBody(r)
 		return Result{}, err
 	}
 	if options.MaySend != nil && !options.MaySend() {
 		closeBody(r)
-		c.pool.put(c)
+		c.Put()
 		return Result{}, ErrMayNotSend
 	}
-	dialTime := c.dialTime
+	dialTime := c.DialTime
 	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{}), options: options, account: psbudget.Of(ctx)}
 	response, err := e.roundTrip()
 	return Result{Response: response, Sent: e.sent.Load(), DialTime: dialTime, Held: e.held}, err
--- a/internal/connection/pstransport/write.go
+++ b/internal/connection/pstransport/write.go
@@ -39,7 +39,7 @@
 // write writes the request and closes its body.
 func (e *exchange) write() {
 	defer closeBody(e.request)
-	w := e.conn.writer
+	w := e.conn.Writer
 	w.Reset(connWriter{e})
 	err := e.request.Write(bufferedWriter{w})
 	if err == nil {
@@ -54,7 +54,7 @@
 	close(e.written)
 	if e.bodyFailed {
 		// The server would wait for the rest of a truncated request, which would look like a slow response.
-		e.conn.discard()
+		e.conn.Discard()
 	}
 }
 
@@ -66,7 +66,7 @@
 // Write implements [io.Writer].
 func (w connWriter) Write(b []byte) (int, error) {
 	before := w.exchange.sent.Swap(true)
-	n, err := w.exchange.conn.raw.Write(b)
+	n, err := w.exchange.conn.Raw.Write(b)
 	if n == 0 && !before {
 		w.exchange.sent.Store(false)
 	}
@@ -103,7 +103,7 @@
 
 // Read sends the bytes that were read before, and then reads more.
 func (b *flushingBody) Read(p []byte) (int, error) {
-	if err := b.exchange.conn.writer.Flush(); err != nil {
+	if err := b.exchange.conn.Writer.Flush(); err != nil {
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -115,6 +115,8 @@
 	ResponseTruncated = Event{7405, hclog.Warn, "response truncated while it was forwarded", []string{"requestId", "server", "error"}}
 	// CrashCounted reports that the crash of a server is counted against a request that it ran.
 	CrashCounted = Event{7406, hclog.Warn, "server crash counted against a request", []string{"requestId", "fingerprint", "server", "crashes"}}
+	// ResponseInvalid reports that what a server sent is no response, or a larger one than is read.
+	ResponseInvalid = Event{7407, hclog.Warn, "invalid response of a server dropped", []string{"requestId", "server", "error"}}
 )
 
 // requestFields are the inputs and the outcome of the routing decision for a request.
@@ -129,6 +131,6 @@
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid, ServerDeparted,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied, SharesChanged,
-		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted,
+		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted, ResponseInvalid,
 	}
 }
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -153,6 +153,7 @@
 		t, clean := pstransport.New()
 		network := do.MustInvoke[Network](i)
 		t.Source, t.Dial = network.Source, network.DialServer
+		psaccess.RegisterConnections(do.MustInvoke[*prometheus.Registry](i), t.Usage)
 		v.cleanUps = append(v.cleanUps, clean)
 		return t, nil
 	})
