psproxy: test that nothing stays drawn for a response that was replaced

A response that a retry has replaced, or that was dropped, must return what it drew while its caller's connection stays open.

--- a/internal/connection/psproxy/response_memory_test.go
+++ b/internal/connection/psproxy/response_memory_test.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -234,3 +235,44 @@
 		}
 	}
 }
+
+// TestReplacedResponseIsReturnedToBudget covers a connection that stays open after a response was replaced by that of a retry,
+// or after an attempt without a response: nothing may remain drawn.
+func TestReplacedResponseIsReturnedToBudget(t *testing.T) {
+	for name, respond := range map[string]responder{
+		"server error": func(c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\n"+psstandin.SignedLines("id-1")+"Content-Length: 9000\r\n\r\n"+strings.Repeat("x", 9000))
+			return true
+		},
+		"truncated": func(c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+psstandin.SignedLines("id-1")+strings.Repeat("a:\r\n", 100)+"Content-Length: 9000\r\n\r\nx")
+			return false
+		},
+		"unsigned": func(c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", 100)+"Content-Length: 1\r\n\r\nx")
+			return true
+		},
+		"other request": func(c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+psstandin.SignedLines("other")+strings.Repeat("a:\r\n", 100)+"Content-Length: 1\r\n\r\nx")
+			return false
+		},
+		"not executed": respondNotExecuted,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var received atomic.Int32
+			one := func(c net.Conn, r *http.Request) bool {
+				if received.Add(1)%2 == 1 {
+					return respond(c, r)
+				}
+				return respondOK(c, r)
+			}
+			first, _ := startProxy(t, startBackend(t, one), startBackend(t, one))
+			s, budget := serveBudgeted(t, first.Config.Handler)
+			status, _, _ := do(t, request(t, s, http.MethodGet, "/boards/1", ""))
+			qt.Assert(t, status, qt.Equals, http.StatusOK)
+			qt.Assert(t, received.Load(), qt.Equals, int32(2))
+			eventually(t, "nothing is held", func() bool { return budget.Usage().Used == 0 })
+			qt.Assert(t, budget.Usage().Accounts, qt.Equals, 1)
+		})
+	}
+}
