--- a/internal/connection/psproxy/close_delimited_test.go
+++ b/internal/connection/psproxy/close_delimited_test.go
@@ -55,10 +55,13 @@
 		time.Sleep(700 * time.Millisecond)
 		_ = c.Close()
 	}, true, true, false},
-	// A server that hasn't read all of a request does this in place of a regular close.
+	// A server that hasn't read all of a request does this in place of a regular close. A reset also drops what hasn't arrived
+	// yet, so that the response is complete only if all of it was acknowledged before.
 	{"closed and then reset", func(c *net.TCPConn) {
 		_ = c.CloseWrite()
-		time.Sleep(20 * time.Millisecond)
+		for start := time.Now(); pssocket.Unacknowledged(c) > 0 && time.Since(start) < closeDelimitedTimeout; {
+			time.Sleep(time.Millisecond)
+		}
 		_ = c.SetLinger(0)
 		_ = c.Close()
 	}, true, true, true},
