pstransport: chunks of HTTP/1.0 are no response; the larger header buffer stays drawn

Callers got 200 with the chunk sizes as part of the body, whole or not: net/http ignores the Transfer-Encoding of a response of HTTP/1.0, so that its body ends with the connection (TestChunksOfHTTP10AreNoResponse on the previous code: status 200, body "5\r\nhello\r\n"). Such a header is dropped like other bytes that are no response (RFC 9112, section 6.1).

The buffer of 64 KB for a header above 16 KB is now drawn until the end of the exchange, and not only until an informational response is dropped. A response without a body allocates no buffer for one.

--- a/internal/connection/psproxy/status_test.go
+++ b/internal/connection/psproxy/status_test.go
@@ -100,3 +100,18 @@
 	control.snapshot.NoServers, control.snapshot.Helpers = true, helperAt(l)
 	return first
 }
+
+// TestChunksOfHTTP10AreNoResponse covers a response of HTTP/1.0 in chunks, which that version doesn't have. net/http ignores the
+// encoding, so that callers would get the chunk sizes as part of a body that ends anywhere.
+func TestChunksOfHTTP10AreNoResponse(t *testing.T) {
+	for _, name := range []string{"Transfer-Encoding", "transfer-encoding"} {
+		for _, end := range []string{"", "0\r\n\r\n"} {
+			s, _ := startProxy(t, startBackend(t, func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n"+psstandin.SignedLines("id-1")+name+": chunked\r\n\r\n5\r\nhello\r\n"+end)
+				return false
+			}))
+			status, _, body := do(t, request(t, s, http.MethodPost, "/orders/1", "x"))
+			qt.Check(t, status, qt.Equals, http.StatusBadGateway, qt.Commentf("%q", body))
+		}
+	}
+}
--- a/internal/connection/psresponse/response.go
+++ b/internal/connection/psresponse/response.go
@@ -64,6 +64,9 @@
 
 // buffer buffers a body up to its end, which it reports, or as far as the limit and the account allow.
 func (r *Response) buffer(body io.Reader) (complete bool, err error) {
+	if body == http.NoBody {
+		return true, nil
+	}
 	for len(r.Body) < maxBufferedBytes {
 		if len(r.Body) == cap(r.Body) && !r.grow() {
 			return false, nil
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -40,6 +40,7 @@
 	errUnmatched     InvalidResponseError = "too many responses to other requests"
 	errUnboundedBody InvalidResponseError = "body of a response to another request is unbounded or too large"
 	errHeaderSize    InvalidResponseError = "header is too large"
+	errOldChunks     InvalidResponseError = "Transfer-Encoding in HTTP/1.0"
 	errHeaderMemory  InvalidResponseError = "no memory for the header"
 )
 
@@ -75,9 +76,10 @@
 	// lastExchange says that the connection is closed after the response.
 	lastExchange bool
 	ended        sync.Once
-	// account is that of the caller's connection, and held what the exchange has drawn from it for the response's header.
-	account *psbudget.Account
-	held    int64
+	// account is that of the caller's connection. held is what was drawn from it for the header that was read last, and
+	// buffer what was drawn for a larger buffer, until the end of the exchange.
+	account      *psbudget.Account
+	held, buffer int64
 }
 
 // roundTrip sends the request and returns the response. The exchange lasts until the response body is read to
@@ -93,6 +95,7 @@
 	response, err := e.readResponse()
 	if err != nil {
 		e.abort()
+		e.account.Return(e.buffer)
 		return nil, e.cause(err)
 	}
 	e.lastExchange = e.lastExchange || response.Close || e.request.Close
@@ -153,16 +156,17 @@
 // readHead reads the header of the next response. What it takes is drawn from the account, until releaseHead is called.
 func (e *exchange) readHead() (*http.Response, error) {
 	e.conn.Limit.N = maxHeaderBytes
-	r, drawn, err := receiveHead(e.conn.Reader, e.account)
+	h, err := receiveHead(e.conn.Reader, e.account)
 	if err != nil {
 		return nil, err
 	}
-	e.held += drawn
-	if r != e.conn.Reader {
-		// The larger buffer is kept until the end of the connection.
-		e.conn.Reader, e.lastExchange = r, true
+	e.held = h.parsed
+	e.buffer += h.buffer
+	if h.buffer > 0 {
+		// The larger buffer stays with the connection, which is therefore closed after the exchange.
+		e.conn.Reader, e.lastExchange = h.reader, true
 	}
-	response, err := http.ReadResponse(r, e.request)
+	response, err := http.ReadResponse(h.reader, e.request)
 	if err != nil {
 		e.releaseHead()
 	}
--- a/internal/connection/pstransport/head.go
+++ b/internal/connection/pstransport/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 
 	"github.com/pkg/errors"
@@ -51,52 +52,64 @@
 	}
 }
 
+// receivedHead is a header that was received and can be parsed from a reader.
+type receivedHead struct {
+	// reader is another one than before if its buffer was too small.
+	reader *bufio.Reader
+	// buffer is what was drawn for the larger buffer in bytes, and parsed what was drawn for the parsed header.
+	buffer, parsed int64
+}
+
 // receiveHead receives a header into the reader's buffer without consuming it, and draws what it will take when parsed
-// from an account. It returns the reader from which to parse it, which is another one if the buffer is too small, and
-// how much was drawn. It fails, with nothing drawn, if the header is too large or the account grants nothing.
-func receiveHead(r *bufio.Reader, a *psbudget.Account) (*bufio.Reader, int64, error) {
-	var drawn int64
+// from an account. It fails, with nothing drawn, if the header is too large or the account grants nothing.
+func receiveHead(r *bufio.Reader, a *psbudget.Account) (h receivedHead, err error) {
+	h.reader = r
+	defer func() {
+		if err != nil {
+			a.Return(h.buffer)
+		}
+	}()
 	var s headSize
-	for {
+	for !s.ended {
 		// This returns as soon as any further byte is received.
-		b, err := r.Peek(s.length + 1)
+		b, err := h.reader.Peek(s.length + 1)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && drawn > 0:
-			a.Return(drawn)
-			return nil, 0, errHeaderSize
+		case errors.Is(err, bufio.ErrBufferFull) && h.buffer > 0:
+			return h, errHeaderSize
 		case errors.Is(err, bufio.ErrBufferFull):
 			if !a.Take(maxHeaderBytes) {
-				return nil, 0, errHeaderMemory
+				return h, errHeaderMemory
 			}
-			drawn = maxHeaderBytes
-			r = bufio.NewReaderSize(r, maxHeaderBytes+1)
+			h.buffer = maxHeaderBytes
+			h.reader = bufio.NewReaderSize(r, maxHeaderBytes+1)
 			continue
 		case errors.Is(err, io.EOF):
-			err = io.ErrUnexpectedEOF
-			fallthrough
+			return h, io.ErrUnexpectedEOF
 		case err != nil:
-			a.Return(drawn)
-			return nil, 0, err
+			return h, err
 		}
-		if b, err = r.Peek(r.Buffered()); err != nil {
-			a.Return(drawn)
-			return nil, 0, err
+		if b, err = h.reader.Peek(h.reader.Buffered()); err != nil {
+			return h, err
 		}
 		s.scan(b)
-		if s.parsed > maxParsedBytes {
-			a.Return(drawn)
-			return nil, 0, errHeaderSize
-		}
-		if s.ended {
-			break
+		switch {
+		case s.parsed > maxParsedBytes:
+			return h, errHeaderSize
+		case s.ended && hasOldChunks(b[:s.length]):
+			return h, errOldChunks
 		}
 	}
-	if s.parsed <= freeParsedBytes {
-		return r, drawn, nil
-	}
-	if !a.Take(s.parsed) {
-		a.Return(drawn)
-		return nil, 0, errHeaderMemory
+	if s.parsed > freeParsedBytes {
+		if !a.Take(s.parsed) {
+			return h, errHeaderMemory
+		}
+		h.parsed = s.parsed
 	}
-	return r, drawn + s.parsed, nil
+	return h, nil
+}
+
+// hasOldChunks reports whether a header of HTTP/1.0 has a Transfer-Encoding, which that version doesn't have (RFC 9112, section
+// 6.1). net/http ignores it, so that the chunk sizes would become part of a body that ends with the connection.
+func hasOldChunks(head []byte) bool {
+	return bytes.HasPrefix(head, []byte("HTTP/1.0")) && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:"))
 }
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -89,7 +89,10 @@
 	dialTime := c.DialTime
 	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{}), options: options, account: psbudget.Of(ctx)}
 	response, err := e.roundTrip()
-	return Result{Response: response, Sent: e.sent.Load(), DialTime: dialTime, Held: e.held}, err
+	if err != nil {
+		return Result{Sent: e.sent.Load(), DialTime: dialTime}, err
+	}
+	return Result{Response: response, Sent: e.sent.Load(), DialTime: dialTime, Held: e.held + e.buffer}, nil
 }
 
 func closeBody(r *http.Request) {
