psattempt, pspool: tests of connection limits run in virtual time

TestFleetStaysWithinConnectionsOfServer reached 168 of 168 connections in real time, where a late timer of the stand-in could have failed it beside load.

--- a/internal/connection/psattempt/limit_test.go
+++ b/internal/connection/psattempt/limit_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -93,31 +94,35 @@
 func TestFleetStaysWithinConnectionsOfServer(t *testing.T) {
 	for _, accepted := range []int{2 * fleetSize, 4 * fleetSize, 5 * fleetSize, 20 * fleetSize} {
 		t.Run(fmt.Sprint(accepted), func(t *testing.T) {
-			c := psconfig.Configuration{Services: []psconfig.Service{{Name: "prices", MaxConnections: accepted}}}
-			limit := psattempt.ConnectionLimit(&pssnapshot.Snapshot{Index: psconfig.NewIndex(&c), FleetSize: fleetSize}, "prices")
-			s := &countingServer{}
-			ctx, stop := context.WithTimeout(t.Context(), fleetTime)
-			defer stop()
-			var served atomic.Int64
-			var sending sync.WaitGroup
-			for range fleetSize {
-				transport, clean := pstransport.New()
-				defer clean()
-				transport.Dial = s.dial
-				for i := range callersPerVM + 1 {
-					sending.Go(func() {
-						for ctx.Err() == nil {
-							if sendOnce(ctx, transport, limit, i) {
-								served.Add(1)
+			synctest.Test(t, func(t *testing.T) {
+				c := psconfig.Configuration{Services: []psconfig.Service{{Name: "prices", MaxConnections: accepted}}}
+				limit := psattempt.ConnectionLimit(&pssnapshot.Snapshot{Index: psconfig.NewIndex(&c), FleetSize: fleetSize}, "prices")
+				s := &countingServer{}
+				// The server ends its work after all connections were closed.
+				defer time.Sleep(serverTime + noticeTime)
+				ctx, stop := context.WithTimeout(t.Context(), fleetTime)
+				defer stop()
+				var served atomic.Int64
+				var sending sync.WaitGroup
+				for range fleetSize {
+					transport, clean := pstransport.New()
+					defer clean()
+					transport.Dial = s.dial
+					for i := range callersPerVM + 1 {
+						sending.Go(func() {
+							for ctx.Err() == nil {
+								if sendOnce(ctx, transport, limit, i) {
+									served.Add(1)
+								}
 							}
-						}
-					})
+						})
+					}
 				}
-			}
-			sending.Wait()
-			t.Logf("limit %d of each VM: at most %d connections of %d, %d requests served", limit, s.most.Load(), accepted, served.Load())
-			qt.Assert(t, s.most.Load() <= int64(accepted), qt.IsTrue, qt.Commentf("%d connections", s.most.Load()))
-			qt.Assert(t, served.Load() > 0, qt.IsTrue)
+				sending.Wait()
+				t.Logf("limit %d of each VM: at most %d connections of %d, %d requests served", limit, s.most.Load(), accepted, served.Load())
+				qt.Assert(t, s.most.Load() <= int64(accepted), qt.IsTrue, qt.Commentf("%d connections", s.most.Load()))
+				qt.Assert(t, served.Load() > 0, qt.IsTrue)
+			})
 		})
 	}
 }
--- a/internal/connection/pspool/pools_test.go
+++ b/internal/connection/pspool/pools_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -83,15 +84,17 @@
 
 // TestAbandonedConnectionCountsAWhile covers a server that still works on a request whose connection was closed.
 func TestAbandonedConnectionCountsAWhile(t *testing.T) {
-	p, _ := newPools(0)
-	c, err := get(t, p, 1, 1)
-	qt.Assert(t, err, qt.IsNil)
-	c.Abandon()
-	_, err = get(t, p, 1, 1)
-	qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
-	d, err := p.Get(t.Context(), server(1), 1, 0)
-	qt.Assert(t, err, qt.IsNil)
-	d.Discard()
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := newPools(0)
+		c, err := get(t, p, 1, 1)
+		qt.Assert(t, err, qt.IsNil)
+		c.Abandon()
+		_, err = get(t, p, 1, 1)
+		qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded)
+		d, err := p.Get(t.Context(), server(1), 1, 0)
+		qt.Assert(t, err, qt.IsNil)
+		d.Discard()
+	})
 }
 
 // TestDedicatedConnectionsExceedLimitByOne covers probes of a server while requests use all connections to it.
