--- a/internal/connection/psproxy/close_delimited_test.go
+++ b/internal/connection/psproxy/close_delimited_test.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -221,30 +220,20 @@
 	control.snapshot.Index = psconfig.NewIndex(&v)
 }
 
-// helperNumber numbers the addresses of the helpers of tests that run in parallel.
-var (
-	helperMutex  sync.Mutex
-	helperNumber int
-)
-
 // startForwarding starts a proxy that has lost its links to all servers and forwards its requests to the one of s.
 func startForwarding(t *testing.T, s *httptest.Server, helperControl *fakeControl, timeout time.Duration) *httptest.Server {
 	t.Helper()
-	helperMutex.Lock()
-	helperNumber++
-	peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, 100, byte(helperNumber)}), 7600)
-	helperMutex.Unlock()
 	helperProxy := s.Config.Handler.(*psproxy.Proxy)
 	sender := psmessage.Identity{VM: "vm-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:7600")}
 	helperControl.snapshot.ShareHolders = []psmessage.Identity{sender}
-	l, err := net.Listen("tcp", psforward.Address(peer).String()) //nolint:noctx // a test's listener
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
 	qt.Assert(t, err, qt.IsNil)
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: helperProxy.ForwardedHandler(), ConnContext: s.Config.ConnContext}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	first, control := startProxy(t)
 	allowLongUploads(control, timeout)
-	control.snapshot.NoServers, control.snapshot.Helpers = true, helperAt(psforward.Address(peer))
+	control.snapshot.NoServers, control.snapshot.Helpers = true, helperAt(l.Addr().(*net.TCPAddr).AddrPort())
 	return first
 }
 
