--- a/internal/connection/psbudget/budget.go
+++ b/internal/connection/psbudget/budget.go
@@ -19,7 +19,7 @@
 	// reserveFraction is the fraction of the budget that is left to accounts that hold at most smallHolding bytes, so
 	// that ordinary requests are served while others hold the rest.
 	reserveFraction = 0.25
-	smallHolding    = 64 << 10
+	smallHolding    = 32 << 10
 	// stallTime is how long an account must have made no progress before it can be evicted.
 	stallTime = time.Second
 )
--- a/internal/connection/psbudget/budget_test.go
+++ b/internal/connection/psbudget/budget_test.go
@@ -83,9 +83,12 @@
 		{Memory: 96 << 20, Descriptors: 400},
 	} {
 		p := psbudget.PlanFor(l)
-		held := 2*p.HeldBytes + int64(p.CallerConnections)*20<<10
+		servers := p.ServerConnections + p.ForwardConnections
+		held := p.HeldBytes + int64(p.CallerConnections)*20<<10 + int64(servers)*30<<10
 		qt.Check(t, held < l.Memory, qt.IsTrue, qt.Commentf("%+v: %+v", l, p))
-		qt.Check(t, p.CallerConnections < l.Descriptors-100, qt.IsTrue, qt.Commentf("%+v: %+v", l, p))
+		qt.Check(t, held < p.SoftMemoryLimit, qt.IsTrue, qt.Commentf("%+v: %+v", l, p))
+		qt.Check(t, 2*p.HeldBytes < l.Memory, qt.IsTrue, qt.Commentf("%+v: %+v", l, p))
+		qt.Check(t, p.CallerConnections+servers < l.Descriptors-100, qt.IsTrue, qt.Commentf("%+v: %+v", l, p))
 		qt.Check(t, p.SoftMemoryLimit < l.Memory, qt.IsTrue)
 	}
 	qt.Assert(t, psbudget.PlanFor(psbudget.Limits{}).HeldBytes > 32<<20, qt.IsTrue)
--- a/internal/connection/psbudget/plan.go
+++ b/internal/connection/psbudget/plan.go
@@ -11,6 +11,10 @@
 	connectionBytes = 20 << 10
 	// connectionFraction is the fraction of the rest that connections of callers may take.
 	connectionFraction = 0.35
+	// serverConnectionBytes is what an open connection to a server takes with its buffers, and serverConnectionFraction the
+	// fraction of the rest that these connections may take.
+	serverConnectionBytes    = 30 << 10
+	serverConnectionFraction = 0.2
 	// softLimitFraction is the fraction of the memory from which on the runtime collects more often.
 	softLimitFraction = 0.85
 	// mappedBytes is what the process holds outside the runtime's soft limit, such as the program's text.
@@ -19,6 +23,8 @@
 	// callerFraction is the fraction of the rest that callers' connections may use. Servers use the others.
 	reservedDescriptors = 300
 	callerFraction      = 0.6
+	// forwardDivisor is the part of the connections to servers, as a divisor, that is left to requests sent through other VMs.
+	forwardDivisor = 8
 	// minBytes and minCallers are the least values of a plan, for a VM that has hardly any memory or descriptors.
 	minBytes   = 4 << 20
 	minCallers = 16
@@ -40,6 +46,9 @@
 	HeldBytes int64
 	// CallerConnections is the number of connections of callers that may be open.
 	CallerConnections int
+	// ServerConnections is the number of connections to backend servers that may be open, and ForwardConnections that of
+	// connections through which other VMs are sent requests.
+	ServerConnections, ForwardConnections int
 	// SoftMemoryLimit is the memory, in bytes, from which on the runtime collects more often.
 	SoftMemoryLimit int64
 }
@@ -55,9 +64,12 @@
 	rest := float64(max(0, l.Memory-baseBytes))
 	byMemory := int(connectionFraction * rest / connectionBytes)
 	byDescriptors := int(callerFraction * float64(l.Descriptors-reservedDescriptors))
+	callers := max(minCallers, min(byMemory, byDescriptors))
+	servers := max(minCallers, min(int(serverConnectionFraction*rest/serverConnectionBytes), l.Descriptors-reservedDescriptors-callers))
 	return Plan{
 		HeldBytes:         max(minBytes, int64(heldFraction*rest)),
-		CallerConnections: max(minCallers, min(byMemory, byDescriptors)),
-		SoftMemoryLimit:   max(minBytes, min(int64(softLimitFraction*float64(l.Memory)), l.Memory-mappedBytes)),
+		CallerConnections: callers,
+		ServerConnections: servers - servers/forwardDivisor, ForwardConnections: servers / forwardDivisor,
+		SoftMemoryLimit: max(minBytes, min(int64(softLimitFraction*float64(l.Memory)), l.Memory-mappedBytes)),
 	}
 }
--- a/internal/connection/pscaller/caller.go
+++ b/internal/connection/pscaller/caller.go
@@ -62,14 +62,19 @@
 func Abort() { panic(http.ErrAbortHandler) }
 
 // RespondEarly lets the response go out before the request body was read to its end. The connection cannot be reused,
-// because the rest of the body would be parsed as the next request.
+// because the rest of the body would be parsed as the next request. [StopReading] must be called after the response.
 func RespondEarly(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
-	controller := http.NewResponseController(w)
-	// Without these calls, a server may wait for the rest of the body before and after the response. Only the response
-	// writers of tests support neither.
-	_ = controller.EnableFullDuplex()
-	_ = controller.SetReadDeadline(time.Now())
+	// Without this call, a server may wait for the rest of the body before the response. Only the response writers of
+	// tests don't support it.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+}
+
+// StopReading ends the reading of the request body. Without it, a server may wait for the rest of the body after the
+// response. It must not be called while the response is still read from a backend server, to which the body may be sent.
+func StopReading(w http.ResponseWriter) {
+	// Only the response writers of tests don't support deadlines.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 }
 
 // CloseWhenLast lets the connection close with a response if no further request of its caller has begun.
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -219,15 +219,21 @@
 		Links: pslink.New(transport, hclog.NewNullLogger(), time.Now), Forwarder: &psforward.Forwarder{Self: "vm-1", Transport: transport},
 	})
 	p.SetControlPlane(control)
-	s := httptest.NewUnstartedServer(p)
+	return serve(t, p, psbudget.New(64<<20, time.Now)), control
+}
+
+// serve serves a handler as the listener of callers does.
+func serve(t *testing.T, h http.Handler, b *psbudget.Budget) *httptest.Server {
+	t.Helper()
+	s := httptest.NewUnstartedServer(h)
 	server := psserve.New(psserve.Options{
-		Handler: p, Budget: psbudget.New(64<<20, time.Now), MaxConnections: 100, Logger: hclog.NewNullLogger(),
+		Handler: h, Budget: b, MaxConnections: 100, Logger: hclog.NewNullLogger(),
 		Limits: func() psconfig.Limits { return psconfig.Limits{} },
 	})
 	s.URL = "http://" + s.Listener.Addr().String()
 	go func() { _ = server.Serve(s.Listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return s, control
+	return s
 }
 
 // request returns a caller's request with the key of the first workspace.
--- a/internal/connection/psreply/response.go
+++ b/internal/connection/psreply/response.go
@@ -30,18 +30,11 @@
 	pendingBytes = 2 << 10
 	// pieceBytes is how much of a response is written at a time, so that a caller that reads slowly makes progress.
 	pieceBytes = 64 << 10
-	// holdTime is how long a response waits for room in the budget while others are evicted, which takes a second without
-	// progress, and holdPause the time between attempts.
-	holdTime  = 1200 * time.Millisecond
-	holdPause = 100 * time.Millisecond
 	// refusalTime bounds the time to write a refusal.
 	refusalTime = time.Second
 )
 
-var (
-	errNoMemory = errors.New("write response: memory budget exhausted")
-	errNoTurn   = errors.New("write response: connection closes with an earlier response")
-)
+var errNoTurn = errors.New("write response: connection closes with an earlier response")
 
 // undeclared is the length of a body whose length the handler hasn't declared.
 const undeclared = -1
@@ -61,24 +54,14 @@
 	Break()
 }
 
-// Room bounds the responses that wait for room in the budget. All connections of a server share it.
-type Room struct {
-	// Limit is the size of the responses that may wait, in bytes.
-	Limit   int64
-	waiting atomic.Int64
-}
-
 // Options are the request and its connection.
 type Options struct {
 	Exchange Exchange
 	Conn     net.Conn
 	Account  *psbudget.Account
-	Room     *Room
 	Request  *http.Request
 	// Turn is closed when earlier responses are written; nil if there were none.
 	Turn <-chan struct{}
-	// Drawn is what was drawn for the response before it began, in bytes.
-	Drawn int64
 }
 
 // Response is the response to a request, as an [http.ResponseWriter].
@@ -194,58 +177,15 @@
 		w.pending = append(w.pending, p...)
 		return len(p), nil
 	}
-	held := int64(0)
-	if len(p) > writerSize {
-		held = max(0, int64(len(p))-w.Drawn)
-	}
-	if w.err = w.hold(held); w.err != nil {
-		return 0, w.err
-	}
 	if w.err = w.writeHead(p, false); w.err == nil {
 		w.err = w.writeBody(p)
 	}
-	w.Account.Return(held)
 	if w.err != nil {
 		return 0, w.err
 	}
 	return len(p), nil
 }
 
-// hold draws a part of the body from the budget while it is written. A response whose turn it isn't is given up if the
-// budget has no room; the caller resends its request.
-func (w *Response) hold(n int64) error {
-	if n == 0 || w.Account.Take(n) {
-		return nil
-	}
-	defer w.Room.waiting.Add(-n)
-	if w.Room.waiting.Add(n) > w.Room.Limit {
-		return errNoMemory
-	}
-	for end := time.Now().Add(holdTime); w.isTurn() && time.Now().Before(end); {
-		select {
-		case <-w.Request.Context().Done():
-			return w.Request.Context().Err()
-		case <-time.After(holdPause):
-		}
-		if w.Account.Take(n) {
-			return nil
-		}
-	}
-	return errNoMemory
-}
-
-func (w *Response) isTurn() bool {
-	if w.Turn == nil {
-		return true
-	}
-	select {
-	case <-w.Turn:
-		return true
-	default:
-		return false
-	}
-}
-
 // awaitTurn waits until all earlier responses are written.
 func (w *Response) awaitTurn() error {
 	if w.Turn == nil {
--- a/internal/connection/psserve/exchange.go
+++ b/internal/connection/psserve/exchange.go
@@ -39,7 +39,7 @@
 func (e *exchange) serve() {
 	o := e.conn.server.options
 	w := psreply.New(psreply.Options{
-		Exchange: e, Conn: e.conn.tcp, Account: e.conn.account, Room: &e.conn.server.room, Request: e.request, Turn: e.turn, Drawn: e.response,
+		Exchange: e, Conn: e.conn.tcp, Account: e.conn.account, Request: e.request, Turn: e.turn,
 	})
 	if fault := w.Serve(o.Handler); fault != nil {
 		psevent.HandlerFailed.Log(o.Logger, o.Name, fault.Value, fault.Stack)
--- a/internal/connection/psserve/server.go
+++ b/internal/connection/psserve/server.go
@@ -24,7 +24,6 @@
 	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/pslistener"
 	"persimmonstep/internal/connection/psopen"
-	"persimmonstep/internal/connection/psreply"
 	"persimmonstep/internal/connection/pssocket"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pslog"
@@ -42,8 +41,6 @@
 	acceptPause = 5 * time.Millisecond
 	// maxIdleWorkers bounds the goroutines that wait for a request to run.
 	maxIdleWorkers = 16
-	// waitingDivisor is the part of the budget, as a divisor, that responses may take beyond it while they wait for room.
-	waitingDivisor = 4
 	// linesPerSecond bounds the log lines about connections and refused heads.
 	linesPerSecond = 10
 )
@@ -78,7 +75,6 @@
 	lines   pslog.RateLimit
 	// draining is set once the server shuts down.
 	draining atomic.Bool
-	room     psreply.Room
 	// work passes requests to idle workers, which are counted.
 	work        chan *exchange
 	idleWorkers atomic.Int64
@@ -98,7 +94,6 @@
 		options: o, overlap: func(*http.Request) bool { return false }, conns: psopen.NewSet[*conn](o.MaxConnections),
 		lines: pslog.RateLimit{PerSecond: linesPerSecond}, accepted: make(chan struct{}), ended: make(chan struct{}), work: make(chan *exchange),
 	}
-	s.room.Limit = o.Budget.Usage().Total / waitingDivisor
 	if v, found := o.Handler.(Overlapper); found {
 		s.overlap = v.MayOverlap
 	}
--- a/internal/connection/psserve/server_test.go
+++ b/internal/connection/psserve/server_test.go
@@ -430,7 +430,13 @@
 // a caller that reads gets its response.
 func TestSlowReadersAreEvicted(t *testing.T) {
 	long := strings.Repeat("x", 5<<20)
-	s := start(t, func(w http.ResponseWriter, _ *http.Request) {
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		a := psbudget.Of(r.Context())
+		if !a.Take(int64(len(long))) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer a.Return(int64(len(long)))
 		w.Header().Set("Content-Length", fmt.Sprint(len(long)))
 		_, _ = io.WriteString(w, long)
 	}, psconfig.Limits{}, 10)
--- a/internal/connection/pssocket/socket.go
+++ b/internal/connection/pssocket/socket.go
@@ -11,12 +11,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// tcpClosed and tcpCloseWait are the states of a TCP connection that the other end has reset or closed.
-const (
-	tcpClosed    = 7
-	tcpCloseWait = 8
-)
-
 // State is the state of a connection as its socket shows it.
 type State uint8
 
@@ -75,7 +69,7 @@
 	closed := false
 	err = raw.Control(func(fd uintptr) {
 		info, failed := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = failed == nil && (info.State == tcpClosed || info.State == tcpCloseWait)
+		closed = failed == nil && (info.State == tcpClose || info.State == tcpCloseWait)
 	})
 	return closed || err != nil
 }
--- a/internal/connection/pstransport/exchange.go
+++ b/internal/connection/pstransport/exchange.go
@@ -1,8 +1,6 @@
 package pstransport
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"math"
@@ -10,12 +8,14 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/pkg/errors"
+	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pspool"
 )
 
 const (
-	// maxHeaderBytes bounds a response header.
-	maxHeaderBytes = 64 << 10
+	// minStatus and maxStatus bound the status codes of HTTP (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
 	// maxInformational bounds the 1xx responses before a final one, and maxUnmatched the final responses that are
 	// read before the request fails, because none of them belongs to it.
 	maxInformational = 8
@@ -27,11 +27,21 @@
 	maxInlineBodyBytes = 16 << 10
 )
 
-var (
-	errUpgrade       = errors.New("read response: unexpected 101 Switching Protocols")
-	errInformational = errors.New("read response: too many informational responses")
-	errUnmatched     = errors.New("read response: too many responses to other requests")
-	errUnboundedBody = errors.New("read response to another request: body is unbounded or too large")
+// InvalidResponseError is the error of an exchange in which the server sent what is no response, or more of it than is read.
+type InvalidResponseError string
+
+// Error implements error.
+func (e InvalidResponseError) Error() string { return "read response: " + string(e) }
+
+const (
+	errStatus        InvalidResponseError = "status outside 100 to 599"
+	errUpgrade       InvalidResponseError = "unexpected 101 Switching Protocols"
+	errInformational InvalidResponseError = "too many informational responses"
+	errUnmatched     InvalidResponseError = "too many responses to other requests"
+	errUnboundedBody InvalidResponseError = "body of a response to another request is unbounded or too large"
+	errHeaderSize    InvalidResponseError = "header is too large"
+	errOldChunks     InvalidResponseError = "Transfer-Encoding in HTTP/1.0"
+	errHeaderMemory  InvalidResponseError = "no memory for the header"
 )
 
 // BodyError is the error of a request whose body could not be read. It is not a failure of the server.
@@ -48,7 +58,7 @@
 
 // exchange is one request and its response on a connection.
 type exchange struct {
-	conn    *conn
+	conn    *pspool.Conn
 	request *http.Request
 	context context.Context
 	options Options
@@ -66,12 +76,16 @@
 	// lastExchange says that the connection is closed after the response.
 	lastExchange bool
 	ended        sync.Once
+	// account is that of the caller's connection. held is what was drawn from it for the header that was read last, and
+	// buffer what was drawn for a larger buffer, until the end of the exchange.
+	account      *psbudget.Account
+	held, buffer int64
 }
 
 // roundTrip sends the request and returns the response. The exchange lasts until the response body is read to
 // its end or closed.
 func (e *exchange) roundTrip() (*http.Response, error) {
-	e.stop = context.AfterFunc(e.context, e.conn.discard)
+	e.stop = context.AfterFunc(e.context, e.conn.Abandon)
 	if e.inline() {
 		e.write()
 	} else {
@@ -81,138 +95,35 @@
 	response, err := e.readResponse()
 	if err != nil {
 		e.abort()
+		e.account.Return(e.buffer)
 		return nil, e.cause(err)
 	}
-	e.lastExchange = response.Close || e.request.Close
+	e.lastExchange = e.lastExchange || response.Close || e.request.Close
 	if response.Body == http.NoBody {
 		e.finish()
 		return response, nil
 	}
 	response.Body = &responseBody{
 		exchange: e, inner: response.Body,
-		// Without a length or chunked encoding, the body ends with the connection, and a truncated body can't be
-		// distinguished from a complete one.
-		closeDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !e.options.AcceptCloseDelimited,
+		closeDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
 	return response, nil
 }
 
-// inline reports whether the request is written before the response is read, without a goroutine of its own. Its body
-// must be empty, or short and in memory, so that only the server can delay the write.
-func (e *exchange) inline() bool {
-	if e.request.ContentLength == 0 {
-		closeBody(e.request)
-		e.request.Body = nil
-		return true
-	}
-	_, memory := e.request.Body.(*memoryBody)
-	return memory && e.request.ContentLength <= maxInlineBodyBytes
-}
-
-// memoryBody is a request body that is held in memory.
-type memoryBody struct {
-	bytes.Reader
-}
-
-// Close implements [io.Closer]. It does nothing.
-func (*memoryBody) Close() error { return nil }
-
-// MemoryBody returns a request body that is held in memory. A short one is written without a goroutine of its own.
-func MemoryBody(b []byte) io.ReadCloser {
-	m := &memoryBody{}
-	m.Reset(b)
-	return m
-}
-
-// write writes the request and closes its body.
-func (e *exchange) write() {
-	defer closeBody(e.request)
-	w := e.conn.writer
-	w.Reset(connWriter{e})
-	err := e.request.Write(bufferedWriter{w})
-	if err == nil {
-		err = w.Flush()
-	}
-	e.bodyFailed = e.writeErr != nil
-	if !e.bodyFailed {
-		e.writeErr = err
-	}
-	// The channel is closed before the connection, because the close makes the goroutine that reads the response fail
-	// and read the cause.
-	close(e.written)
-	if e.bodyFailed {
-		// The server would wait for the rest of a truncated request, which would look like a slow response.
-		e.conn.discard()
-	}
-}
-
-// connWriter writes the request to the connection and records whether any of it may have been sent.
-type connWriter struct {
-	exchange *exchange
-}
-
-// Write implements [io.Writer].
-func (w connWriter) Write(b []byte) (int, error) {
-	before := w.exchange.sent.Swap(true)
-	n, err := w.exchange.conn.raw.Write(b)
-	if n == 0 && !before {
-		w.exchange.sent.Store(false)
-	}
-	return n, err
-}
-
-// bufferedWriter exposes only the write methods of a [bufio.Writer]. With the others, net/http would flush between
-// header and body, and read a body directly into the buffer.
-type bufferedWriter struct {
-	buffer *bufio.Writer
-}
-
-// Write implements [io.Writer].
-func (w bufferedWriter) Write(b []byte) (int, error) { return w.buffer.Write(b) }
-
-// WriteByte implements [io.ByteWriter].
-func (w bufferedWriter) WriteByte(b byte) error { return w.buffer.WriteByte(b) }
-
-// WriteString implements [io.StringWriter].
-func (w bufferedWriter) WriteString(s string) (int, error) { return w.buffer.WriteString(s) }
-
-// flushingBody is a request body that may block. It flushes buffered bytes before each read.
-type flushingBody struct {
-	io.ReadCloser
-	exchange *exchange
-	closed   sync.Once
-}
-
-// Close closes the caller's body once. net/http also closes it, but not after every error.
-func (b *flushingBody) Close() error {
-	b.closed.Do(func() { _ = b.ReadCloser.Close() })
-	return nil
-}
-
-// Read sends the bytes that were read before, and then reads more.
-func (b *flushingBody) Read(p []byte) (int, error) {
-	if err := b.exchange.conn.writer.Flush(); err != nil {
-		return 0, io.EOF
-	}
-	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		b.exchange.writeErr = err
-	}
-	return n, err
-}
-
 // readResponse reads the header of the final response to this request, and drops the responses to other requests.
 func (e *exchange) readResponse() (*http.Response, error) {
-	defer func() { e.conn.limit.N = math.MaxInt64 }()
+	defer func() { e.conn.Limit.N = math.MaxInt64 }()
 	for range maxUnmatched {
 		response, err := e.readFinal()
 		if err != nil {
 			return nil, err
 		}
-		if e.options.Matches == nil || e.options.Matches(response, e.conn.reused) {
+		if e.options.Matches == nil || e.options.Matches(response, e.conn.Reused) {
 			return response, nil
 		}
-		if err := e.dropResponse(response); err != nil {
+		err = e.dropResponse(response)
+		e.releaseHead()
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -222,26 +133,58 @@
 // readFinal reads the header of the next response that isn't informational.
 func (e *exchange) readFinal() (*http.Response, error) {
 	for range maxInformational {
-		e.conn.limit.N = maxHeaderBytes
-		response, err := http.ReadResponse(e.conn.reader, e.request)
-		switch {
-		case err != nil:
+		response, err := e.readHead()
+		if err != nil {
 			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK && response.StatusCode <= maxStatus {
+			return response, nil
+		}
+		e.releaseHead()
+		switch {
+		case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+			// net/http accepts any three digits. What follows such a header is not framed as HTTP, and it is unknown
+			// whether the server has executed the request.
+			return nil, errStatus
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
-		case response.StatusCode >= http.StatusOK:
-			return response, nil
 		}
 	}
 	return nil, errInformational
 }
 
+// readHead reads the header of the next response. What it takes is drawn from the account, until releaseHead is called.
+func (e *exchange) readHead() (*http.Response, error) {
+	e.conn.Limit.N = maxHeaderBytes
+	h, err := receiveHead(e.conn.Reader, e.account)
+	if err != nil {
+		return nil, err
+	}
+	e.held = h.parsed
+	e.buffer += h.buffer
+	if h.buffer > 0 {
+		// The larger buffer stays with the connection, which is therefore closed after the exchange.
+		e.conn.Reader, e.lastExchange = h.reader, true
+	}
+	response, err := http.ReadResponse(h.reader, e.request)
+	if err != nil {
+		e.releaseHead()
+	}
+	return response, err
+}
+
+// releaseHead returns what was drawn for a header that is no longer used.
+func (e *exchange) releaseHead() {
+	e.account.Return(e.held)
+	e.held = 0
+}
+
 // dropResponse reads the rest of a response that belongs to another request, so that the next one can follow.
 func (e *exchange) dropResponse(response *http.Response) error {
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return errUnboundedBody
 	}
-	e.conn.limit.N = math.MaxInt64
+	e.conn.Limit.N = math.MaxInt64
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnmatchedBytes))
 	if n == maxUnmatchedBytes {
 		return errUnboundedBody
@@ -274,11 +217,11 @@
 			finished = e.writeErr == nil
 		default:
 		}
-		if e.stop() && finished && !e.lastExchange && e.conn.reader.Buffered() == 0 {
-			e.conn.pool.put(e.conn)
+		if e.stop() && finished && !e.lastExchange && e.conn.Reader.Buffered() == 0 {
+			e.conn.Put()
 			return
 		}
-		e.conn.discard()
+		e.conn.Discard()
 	})
 }
 
@@ -286,37 +229,6 @@
 func (e *exchange) abort() {
 	e.ended.Do(func() {
 		e.stop()
-		e.conn.discard()
+		e.conn.Discard()
 	})
 }
-
-// responseBody is a response body that ends the exchange when it is read to its end or closed.
-type responseBody struct {
-	exchange *exchange
-	inner    io.Reader
-	// closeDelimited bodies are ended by the close of the connection, which is not accepted as a complete body.
-	closeDelimited bool
-}
-
-// Read implements [io.Reader]. It returns [io.ErrUnexpectedEOF] if it is unknown whether the body is complete.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.inner.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case !errors.Is(err, io.EOF):
-		b.exchange.abort()
-		return n, b.exchange.cause(err)
-	case b.closeDelimited:
-		b.exchange.abort()
-		return n, io.ErrUnexpectedEOF
-	}
-	b.exchange.finish()
-	return n, io.EOF
-}
-
-// Close ends the exchange. The connection is closed if the body was not read to its end.
-func (b *responseBody) Close() error {
-	b.exchange.abort()
-	return nil
-}
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -22,7 +22,7 @@
 
 	// ResourcesDivided reports how the VM divides its memory and descriptors: the bytes that it holds at most for callers,
 	// the number of their connections, and the memory from which on it collects garbage more often.
-	ResourcesDivided = Event{7008, hclog.Info, "memory and descriptors divided", []string{"memory", "descriptors", "held", "connections", "softLimit"}}
+	ResourcesDivided = Event{7008, hclog.Info, "memory and descriptors divided", []string{"memory", "descriptors", "held", "callerConnections", "serverConnections", "forwardConnections", "softLimit"}}
 
 	// ConfigurationApplied reports that a configuration version is in force.
 	ConfigurationApplied = Event{7101, hclog.Info, "configuration applied", []string{"version", "before", "routes", "workspaces", "storeVersion"}}
@@ -119,6 +119,8 @@
 	ResponseTruncated = Event{7405, hclog.Warn, "response truncated while it was forwarded", []string{"requestId", "server", "error"}}
 	// CrashCounted reports that the crash of a server is counted against a request that it ran.
 	CrashCounted = Event{7406, hclog.Warn, "server crash counted against a request", []string{"requestId", "fingerprint", "server", "crashes"}}
+	// ResponseInvalid reports that what a server sent is no response, or a larger one than is read.
+	ResponseInvalid = Event{7407, hclog.Warn, "invalid response of a server dropped", []string{"requestId", "server", "error"}}
 
 	// ConnectionClosed reports that this VM has closed a caller's connection because descriptors or memory were short.
 	ConnectionClosed = Event{7501, hclog.Warn, "connection closed to free resources", []string{"listener", "remote", "reason"}}
@@ -140,7 +142,7 @@
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid, ServerDeparted,
 		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied, SharesChanged,
-		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted,
+		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted, ResponseInvalid,
 		ConnectionClosed, HeadRefused, HandlerFailed,
 	}
 }
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -164,7 +164,8 @@
 	do.Provide(i, func(i do.Injector) (*pstransport.Transport, error) {
 		t, clean := pstransport.New()
 		network := do.MustInvoke[Network](i)
-		t.Source, t.Dial = network.Source, network.DialServer
+		t.Source, t.Dial, t.MaxOpen = network.Source, network.DialServer, v.plan().ServerConnections
+		psaccess.RegisterConnections(do.MustInvoke[*prometheus.Registry](i), t.Usage)
 		v.cleanUps = append(v.cleanUps, clean)
 		return t, nil
 	})
@@ -181,7 +182,7 @@
 		s, network := do.MustInvoke[*psnode.Settings](i), do.MustInvoke[Network](i)
 		t, clean := pstransport.New()
 		// The helper recognizes this VM by its address.
-		t.Source, t.Dial = s.Callers.Addr(), pstransport.Dial(network.Dial)
+		t.Source, t.Dial, t.MaxOpen = s.Callers.Addr(), pstransport.Dial(network.Dial), v.plan().ForwardConnections
 		v.cleanUps = append(v.cleanUps, clean)
 		return &psforward.Forwarder{Self: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Transport: t}, nil
 	})
@@ -230,7 +231,7 @@
 	s := v.settings
 	psevent.VMStarted.Log(v.logger, s.Name, s.FailureDomain, s.Region, s.Callers.String(), s.Store.Address.String())
 	p := v.plan()
-	psevent.ResourcesDivided.Log(v.logger, s.Memory, s.Descriptors, p.HeldBytes, p.CallerConnections, p.SoftMemoryLimit)
+	psevent.ResourcesDivided.Log(v.logger, s.Memory, s.Descriptors, p.HeldBytes, p.CallerConnections, p.ServerConnections, p.ForwardConnections, p.SoftMemoryLimit)
 	warnOfBounds(s, v.logger)
 	// The control plane keeps running during the shutdown, so that the requests that are served meanwhile
 	// still meet the bounds of the fleet.
