Current speed: a signal of its own for servers that state it, in selection, waits and estimates

Servers of one installation send Server-Load with four figures, and their whole header was ignored: no load, no queue.

The fourth figure, how long work takes on the machine now, is tracked for each server from responses and probes. It enters expected waits and runs, and measured run times are divided by it, so that a spell neither raises the estimate of a route nor makes its server an outlier.

--- a/internal/connection/psaccess/access.go
+++ b/internal/connection/psaccess/access.go
@@ -14,6 +14,7 @@
 	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/request/psspeed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -94,14 +95,22 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f limit=%s removed=%t",
+		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f speed=%.2f speedAge=%s failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f limit=%s removed=%t",
 			a.View.Entry.ID, a.Result, a.Choice.Rank, a.View.Load, formatMilliseconds(a.View.LoadAge),
-			a.View.Slowness, a.View.FailureRate, formatMilliseconds(a.Choice.Wait), formatMilliseconds(a.Choice.Run),
+			a.View.Slowness, a.View.Speed.Now(), formatAge(a.View.Speed), a.View.FailureRate, formatMilliseconds(a.Choice.Wait), formatMilliseconds(a.Choice.Run),
 			formatMilliseconds(a.Choice.RoundTrip), a.Choice.LikelyCached, a.View.Cold, formatMilliseconds(a.Took), a.View.PrimaryHitRate, a.View.CacheableFraction, a.View.Limit, a.View.Removed)
 	}
 	return b.String()
 }
 
+// formatAge formats the age of a server's statement of its speed.
+func formatAge(s psspeed.Speed) string {
+	if !s.Known() {
+		return "never"
+	}
+	return formatMilliseconds(s.Age)
+}
+
 // formatMilliseconds formats a duration in milliseconds. More than an hour is "never".
 func formatMilliseconds(d time.Duration) string {
 	if d > time.Hour {
--- a/internal/connection/psoutcome/outcome.go
+++ b/internal/connection/psoutcome/outcome.go
@@ -73,11 +73,12 @@
 // recordResult updates the server's state, the estimates and the crash counts.
 func (r *Recorder) recordResult(a Attempt, now time.Time) {
 	took := now.Sub(a.Start)
+	nominal := a.nominalLatency(now)
 	switch a.Result {
 	case psattempt.Answered:
 		r.Blocklist.Clear(a.Fingerprint)
 		r.Estimates.ObserveResponse(a.Route.Name, a.Response.Length())
-		a.Server.RecordOutcome(latencyRatio(took, a.Choice.NominalLatency), false, now)
+		a.Server.RecordOutcome(latencyRatio(took, nominal), false, now)
 		r.updateEstimates(a, took, now)
 	case psattempt.Unreachable:
 		r.Failures.ServerFailed(a.Server, pshealth.ReasonUnreachable, a.RequestID)
@@ -85,7 +86,7 @@
 		a.Server.MarkReplaced(now)
 		psevent.ServerFailed.Log(r.Logger, a.View.Entry.ID, a.View.Entry.Service, string(a.Result), a.RequestID)
 	case psattempt.Timeout:
-		a.Server.RecordOutcome(latencyRatio(took, a.Choice.NominalLatency), false, now)
+		a.Server.RecordOutcome(latencyRatio(took, nominal), false, now)
 		if !a.Server.AnsweredSince(a.Start) && took > max(noResponseTimeout, noResponseFactor*a.Choice.ExpectedLatency()) {
 			r.Failures.ServerFailed(a.Server, pshealth.ReasonSilent, a.RequestID)
 		}
@@ -102,14 +103,17 @@
 	if a.View.Cold {
 		return
 	}
-	run := took - a.Choice.RoundTrip
+	// The estimates are those of a machine of its usual speed.
+	usual := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) / a.Server.AverageSpeed(a.Start, now))
+	}
 	runs := r.Estimates.Runs(a.Route.Name, a.Route.TargetLatency)
 	if a.Choice.LikelyCached {
-		a.Server.RecordCacheResult(a.Choice.Rank == 0, runs.Hit(run-a.Choice.Wait), now)
+		a.Server.RecordCacheResult(a.Choice.Rank == 0, runs.Hit(usual(took-a.Choice.RoundTrip-a.Choice.Wait)), now)
 	}
 	if a.Choice.Wait == 0 {
 		r.Estimates.Observe(psestimate.Observation{
-			Route: a.Route.Name, Service: a.View.Entry.Service, Target: a.Route.TargetLatency, Run: run,
+			Route: a.Route.Name, Service: a.View.Entry.Service, Target: a.Route.TargetLatency, Run: usual(took - a.Choice.RoundTrip),
 		})
 	}
 }
@@ -130,14 +134,22 @@
 	}
 }
 
-// recordLoad records that a server responded, and the load that its response reports.
+// recordLoad records that a server responded, and the load and the speed that its response reports.
 func recordLoad(s *psserver.Server, response *psresponse.Response, now time.Time) {
 	s.RecordResponse(now)
 	if load := response.Metadata.Load; load != nil {
 		s.RecordLoad(load.Running, load.Waiting, now)
+		s.RecordSpeed(load.WorkFactor, now)
 	}
 }
 
+// nominalLatency returns the latency that was expected of a server that is as fast as others, for the speed of its machine
+// during the attempt.
+func (a Attempt) nominalLatency(now time.Time) time.Duration {
+	work := a.Choice.NominalLatency - a.Choice.RoundTrip
+	return a.Choice.RoundTrip + time.Duration(float64(work)*a.Server.AverageSpeed(a.Start, now))
+}
+
 func latencyRatio(took, usual time.Duration) float64 {
 	return float64(took) / float64(max(time.Millisecond, usual))
 }
--- a/internal/process/pscli/explain.go
+++ b/internal/process/pscli/explain.go
@@ -70,10 +70,10 @@
 		if v.Reason != "" {
 			_, _ = fmt.Fprintf(t, " (%s), come back after %s", v.Reason, v.RetryAfter)
 		}
-		_, _ = fmt.Fprintln(t, "\nserver\tfailure domain\trank\tcost\twait\trun\ttravel\tload\tslowness\tfailures\tsent before\tlimit")
+		_, _ = fmt.Fprintln(t, "\nserver\tfailure domain\trank\tcost\twait\trun\ttravel\tload\tslowness\tspeed\tfailures\tsent before\tlimit")
 		for _, o := range v.Candidates {
-			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%.1f\t%.2f\t%.2f\t%t\t%s\n", o.Server, o.FailureDomain, o.Rank,
-				roundDuration(o.Cost), roundDuration(o.Wait), roundDuration(o.Run), roundDuration(o.RoundTrip), o.Load, o.Slowness, o.FailureRate, o.ObjectSent, describeLimit(o))
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%.1f\t%.2f\t%.2f\t%.2f\t%t\t%s\n", o.Server, o.FailureDomain, o.Rank,
+				roundDuration(o.Cost), roundDuration(o.Wait), roundDuration(o.Run), roundDuration(o.RoundTrip), o.Load, o.Slowness, o.Speed, o.FailureRate, o.ObjectSent, describeLimit(o))
 		}
 		for _, id := range lo.Keys(v.Excluded) {
 			_, _ = fmt.Fprintf(t, "%s\tpassed over: %s\n", id, v.Excluded[id])
--- a/internal/process/pshealth/health.go
+++ b/internal/process/pshealth/health.go
@@ -80,6 +80,9 @@
 	now := c.Now()
 	if err == nil && (health.Server == "" || health.Server == e.ID) {
 		c.Owner.ApplyProbe(s, health.Availability, sentAt)
+		if health.Load != nil {
+			s.RecordSpeed(health.Load.WorkFactor, now)
+		}
 	}
 	switch {
 	case err != nil || !health.Healthy:
--- a/internal/process/psserver/lag.go
+++ b/internal/process/psserver/lag.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"persimmonstep/internal/request/psdecay"
+	"persimmonstep/internal/request/psspeed"
 )
 
 const (
@@ -41,16 +42,18 @@
 }
 
 // overdue returns the highest lag of the unanswered requests.
-func (l *lag) overdue(now time.Time) float64 {
+func (l *lag) overdue(speed psspeed.Speed, now time.Time) float64 {
 	highest := 0.0
 	for _, e := range l.pending {
-		highest = max(highest, e.lag(now))
+		highest = max(highest, e.lag(speed, now))
 	}
 	return highest
 }
 
 // local returns the lag that this VM measures itself.
-func (l *lag) local(now time.Time) float64 { return max(l.measured.current(now), l.overdue(now)) }
+func (l *lag) local(speed psspeed.Speed, now time.Time) float64 {
+	return max(l.measured.current(now), l.overdue(speed, now))
+}
 
 func (l *lag) remove(e *Exchange) {
 	if i := slices.Index(l.pending, e); i >= 0 {
@@ -58,8 +61,11 @@
 	}
 }
 
-func (e *Exchange) lag(now time.Time) float64 {
-	return float64(now.Sub(e.sentAt)) / float64(max(time.Millisecond, e.maxExpected))
+// lag returns the time since the request was sent as a multiple of the longest expected time. A request during which the
+// machine was slow may take longer by as much.
+func (e *Exchange) lag(speed psspeed.Speed, now time.Time) float64 {
+	age := now.Sub(e.sentAt)
+	return float64(age) / (float64(max(time.Millisecond, e.maxExpected)) * max(1, speed.Average(-age, 0)))
 }
 
 // RecordLatency updates the lag when a request was answered. The queue that the server's latest response
@@ -71,7 +77,7 @@
 	queue := float64(s.load.waiting) / float64(max(1, s.entry.Slots))
 	adjusted := *e
 	adjusted.maxExpected += time.Duration(queue * float64(meanRun))
-	s.lag.measured = decayingValue{adjusted.lag(now), now}
+	s.lag.measured = decayingValue{adjusted.lag(s.speed.At(now), now), now}
 	if s.lag.measured.value < s.lag.reported.value {
 		// The server has become faster since the other VMs reported it, or is faster for this VM.
 		s.lag.reported = decayingValue{}
@@ -91,5 +97,5 @@
 func (s *Server) LocalLag(now time.Time) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.lag.local(now)
+	return s.lag.local(s.speed.At(now), now)
 }
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -8,6 +8,7 @@
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psobject"
 	"persimmonstep/internal/request/psdecay"
+	"persimmonstep/internal/request/psspeed"
 )
 
 const (
@@ -35,8 +36,9 @@
 	unansweredSince time.Time
 	lastResponseAt  time.Time
 
-	load load
-	lag  lag
+	load  load
+	lag   lag
+	speed psspeed.Tracker
 
 	slowness    float64
 	failureRate float64
@@ -284,6 +286,8 @@
 	LoadAge time.Duration `json:"loadAge"`
 	// Slowness is the average ratio of measured to expected time; 1 is as expected.
 	Slowness float64 `json:"slowness"`
+	// Speed is how fast the server states that its machine is at the moment.
+	Speed psspeed.Speed `json:"speed,omitzero"`
 	// FailureRate is the fraction in 0..1 of requests that failed.
 	FailureRate float64 `json:"failures"`
 	// PrimaryHitRate and FallbackHitRate are the cache hit rates for objects that were sent there before: those
@@ -313,10 +317,11 @@
 		Entry: s.entry, Usable: s.usable(now), Cold: now.Before(s.coldUntil), PauseRemaining: s.pause.remaining(now), Removed: s.removed,
 	}
 	v.Slowness, v.FailureRate = s.averages(now)
+	v.Speed = s.speed.At(now)
 	v.CacheableFraction = s.cacheable.Value()
 	v.PrimaryHitRate, v.FallbackHitRate = s.primary.Value(now), s.fallback.Value(now)
 	v.LoadAge = now.Sub(s.load.at)
-	v.Lag = max(s.lag.local(now), s.lag.reported.current(now))
+	v.Lag = max(s.lag.local(v.Speed, now), s.lag.reported.current(now))
 	v.Load = float64(s.inFlight) + s.load.estimate(now)
 	v.Load += s.pause.reserved(now) * float64(s.entry.Slots)
 	if limit, age := s.limit.Limit(now); limit.Named {
--- a/internal/process/psstate/explain.go
+++ b/internal/process/psstate/explain.go
@@ -57,7 +57,9 @@
 	Load          float64       `json:"load"`
 	LoadAge       time.Duration `json:"loadAge"`
 	Slowness      float64       `json:"slowness"`
-	FailureRate   float64       `json:"failures"`
+	// Speed is how much longer than usual work takes on the server's machine at the moment, as far as it is known.
+	Speed       float64 `json:"speed"`
+	FailureRate float64 `json:"failures"`
 	// ObjectSent states that this VM recently sent a request for the object to the server.
 	ObjectSent bool `json:"sent"`
 	// Limit is the server's limit. With one the request needs a token of TokenOwner, and the VM requests one for a
@@ -179,7 +181,7 @@
 	return Candidate{
 		Server: s.Entry.ID, FailureDomain: s.Entry.FailureDomain, Rank: c.Rank, Cost: c.Cost,
 		Wait: c.Wait, Run: c.Run, RoundTrip: c.RoundTrip, Load: s.Load, LoadAge: s.LoadAge,
-		Slowness: s.Slowness, FailureRate: s.FailureRate, ObjectSent: c.LikelyCached,
+		Slowness: s.Slowness, Speed: s.Speed.Now(), FailureRate: s.FailureRate, ObjectSent: c.LikelyCached,
 		Limit: s.Limit, TokenOwner: s.TokenOwner, RequestedFraction: s.RequestedFraction,
 	}
 }
--- a/internal/request/psplacement/placement.go
+++ b/internal/request/psplacement/placement.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"persimmonstep/internal/request/psspeed"
 )
 
 const (
@@ -58,6 +60,8 @@
 	// Slowness is the ratio of measured to expected time, FailureRate the fraction in 0..1 of requests that fail.
 	Slowness    float64
 	FailureRate float64
+	// Speed is how fast the server's machine is at the moment.
+	Speed psspeed.Speed
 	// SilentFor is how long requests at the server have been waiting without any response.
 	SilentFor time.Duration
 	// Outlier reports whether the server is slower than the others of its service.
@@ -111,7 +115,7 @@
 	Wait, Run, RoundTrip, TokenTime time.Duration
 	// Surplus reports whether the server's cache can't hold the object in addition to those that it handles.
 	Surplus bool
-	// NominalLatency is the latency expected of a server that is as fast as others.
+	// NominalLatency is the latency expected of a server that is as fast as others, on a machine of its usual speed.
 	NominalLatency time.Duration
 	// LikelyCached reports whether the server probably has the object cached, because it was sent there.
 	LikelyCached bool
@@ -240,9 +244,10 @@
 	probability := hitProbability(c, rank)
 	run := probability*float64(r.CachedRun) + (1-probability)*float64(r.UncachedRun)
 	wait := max(0, c.Load+1-float64(c.Slots)) / float64(max(1, c.Slots)) * float64(r.MeanRun)
+	expectedWait := time.Duration(slowness * wait * c.Speed.Average(0, time.Duration(wait)))
+	expectedRun := time.Duration(slowness * run * c.Speed.Average(expectedWait, expectedWait+time.Duration(run)))
 	choice := Choice{
-		Rank: rank, LikelyCached: c.ObjectSent,
-		Wait: time.Duration(slowness * wait), Run: time.Duration(slowness * run), RoundTrip: c.RoundTrip, TokenTime: c.TokenTime,
+		Rank: rank, LikelyCached: c.ObjectSent, Wait: expectedWait, Run: expectedRun, RoundTrip: c.RoundTrip, TokenTime: c.TokenTime,
 		NominalLatency: time.Duration(wait+run) + c.RoundTrip, Surplus: surplus(c, rank, r),
 	}
 	cost := choice.Wait + choice.Run + (c.RoundTrip+c.TokenTime)/roundTripDivisor + c.TransferCost + time.Duration(rank)*rankCost
--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -165,7 +165,7 @@
 	}
 	near := v.Entry.FailureDomain == r.From.FailureDomain
 	c := psplacement.Candidate{
-		Load: v.Load, Slots: v.Entry.Slots, Slowness: slowness,
+		Load: v.Load, Slots: v.Entry.Slots, Slowness: slowness, Speed: v.Speed,
 		Cold: v.Cold, FailureRate: v.FailureRate, SilentFor: v.SilentFor, ObjectSent: o.ObjectSent,
 		PrimaryHitRate: v.PrimaryHitRate, FallbackHitRate: v.FallbackHitRate, CacheableFraction: v.CacheableFraction,
 		Score: r.score(v.Entry.ID, near), RoundTrip: r.roundTrip(o, near), TransferCost: r.transferCost(near),
