Shortage: less urgent requests yield first, by classes, slot time and deadline

Requests were decided on each alone. Of two routes on one service, the one with the shorter target was rejected first whatever its priority: 9% of the urgent route's requests were served and 89% of the less urgent one's at 1.5 times the slots.

Retries are served while at most 5% of a class are rejected.

In a fleet of 84 VMs most reports of servers' loads are a second old, so queues were not seen and all responses were late. While servers have queues on average, a server without a recent report counts as having one too.

A request that would be late because of the queue of its server goes to one with free capacity, if the mean wait is short, its cache has room and it isn't more distant.

--- a/internal/connection/psaccess/access.go
+++ b/internal/connection/psaccess/access.go
@@ -14,6 +14,7 @@
 	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/request/psadmission"
 	"persimmonstep/internal/request/psspeed"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -46,6 +47,8 @@
 	Took, Left    time.Duration
 	ServersAge    time.Duration
 	RetryAfter    time.Duration
+	// Basis is what a rejection for lack of slots was decided by; nil without one.
+	Basis *psadmission.Basis
 	// Helper is the VM through which the request was forwarded, and From the VM that forwarded it to this one; empty
 	// otherwise.
 	Helper, From string
@@ -82,7 +85,7 @@
 		route = r.Route.Name
 	}
 	r.Event.Log(l.logger, r.ID, r.Workspace, route, r.Object, r.Version, r.Status, r.Reason, describe(r.Attempts),
-		formatMilliseconds(r.Took), formatMilliseconds(r.Left), formatMilliseconds(r.ServersAge), formatMilliseconds(r.RetryAfter), r.Helper, r.From)
+		formatMilliseconds(r.Took), formatMilliseconds(r.Left), formatMilliseconds(r.ServersAge), formatMilliseconds(r.RetryAfter), describeBasis(r.Basis), r.Helper, r.From)
 }
 
 // Dropped returns the number of lines that were not written since the last call because of the rate limits.
@@ -103,6 +106,15 @@
 	return b.String()
 }
 
+// describeBasis formats what a rejection for lack of slots was decided by.
+func describeBasis(b *psadmission.Basis) string {
+	if b == nil {
+		return ""
+	}
+	return fmt.Sprintf("priority=%d wait=%s maxWait=%s overload=%.2f above=%.2f position=%.2f",
+		b.Priority, formatMilliseconds(b.Wait), formatMilliseconds(b.MaxWait), b.Overload, b.Above, b.Position)
+}
+
 // formatAge formats the age of a server's statement of its speed.
 func formatAge(s psspeed.Speed) string {
 	if !s.Known() {
--- a/internal/connection/psaccess/metrics.go
+++ b/internal/connection/psaccess/metrics.go
@@ -24,6 +24,8 @@
 	tokens        *prometheus.CounterVec
 	serverTokens  *prometheus.CounterVec
 	forwarded     *prometheus.CounterVec
+	// shortage counts the requests that were rejected for lack of slots.
+	shortage *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics of a proxy after registering them.
@@ -59,7 +61,10 @@
 		Namespace: namespace, Name: "steered_forwarded_total",
 		Help: "Requests sent through other VMs by how that ended: served, rejected, failed, unsent or left.",
 	}, []string{"ending"})
-	r.MustRegister(m.requests, m.attempts, m.duration, m.expectedWaits, m.loadAges, m.tokens, m.serverTokens, m.forwarded)
+	m.shortage = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "steered_shortage_total", Help: "Requests rejected for lack of slots, by priority and reason.",
+	}, []string{"priority", "reason"})
+	r.MustRegister(m.shortage, m.requests, m.attempts, m.duration, m.expectedWaits, m.loadAges, m.tokens, m.serverTokens, m.forwarded)
 	return m
 }
 
@@ -73,6 +78,9 @@
 		reason = "callerLeft"
 	}
 	m.requests.WithLabelValues(kind, strconv.Itoa(r.Status), reason).Inc()
+	if r.Basis != nil {
+		m.shortage.WithLabelValues(strconv.Itoa(r.Basis.Priority), r.Reason).Inc()
+	}
 	m.duration.WithLabelValues(kind).Observe(r.Took.Seconds())
 	for _, a := range r.Attempts {
 		m.attempts.WithLabelValues(string(a.Result)).Inc()
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -30,6 +30,7 @@
 	for {
 		s, rejection := c.proxy.selector.Select(ctx, c.selectionRequest(service))
 		if rejection != nil {
+			c.basis = rejection.Basis
 			return c.finalOutcome(rejected{http.StatusServiceUnavailable, rejection.Reason, rejection.RetryAfter}, last)
 		}
 		if pscaller.Gone(c.request) {
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -33,6 +33,7 @@
 	"persimmonstep/internal/request/psjitter"
 	"persimmonstep/internal/request/psretry"
 	"persimmonstep/internal/request/psselect"
+	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/request/pssplit"
 	"persimmonstep/platform/psheader"
 )
@@ -69,6 +70,7 @@
 	log             *psaccess.Log
 	estimates       psestimate.Estimates
 	roundTrips      psestimate.RoundTrips
+	demands         psshed.Demands
 	callerDeadlines psestimate.RetryDetector
 	splits          pssplit.Splitter
 	retries         psretry.Budgets
@@ -89,7 +91,7 @@
 	p := &Proxy{options: o, sender: psattempt.Sender{Transport: o.Transport, Now: o.Now}, log: psaccess.New(o.Metrics, o.Logger)}
 	p.selector = psselection.Selector{
 		Place:     psselect.Place{FailureDomain: o.Settings.FailureDomain, Region: o.Settings.Region},
-		Estimates: &p.estimates, RoundTrips: &p.roundTrips, Tokens: o.Tokens, Observe: o.Metrics.ObserveServerToken,
+		Estimates: &p.estimates, RoundTrips: &p.roundTrips, Demands: &p.demands, Tokens: o.Tokens, Observe: o.Metrics.ObserveServerToken,
 		Jitter: p.jitter.Next, Now: o.Now,
 	}
 	p.outcomes = psoutcome.Recorder{
@@ -104,6 +106,9 @@
 // RoundTrips returns the round-trip times to servers that the proxy measured.
 func (p *Proxy) RoundTrips() *psestimate.RoundTrips { return &p.roundTrips }
 
+// Demands returns the demand of the services that the proxy measured.
+func (p *Proxy) Demands() *psshed.Demands { return &p.demands }
+
 // SetControlPlane sets the control plane.
 func (p *Proxy) SetControlPlane(c ControlPlane) { p.control, p.outcomes.Failures = c, c }
 
--- a/internal/connection/psproxy/respond.go
+++ b/internal/connection/psproxy/respond.go
@@ -90,6 +90,9 @@
 		Attempts: c.attempts, Took: now.Sub(c.arrivedAt), Left: c.headers.Left, ServersAge: now.Sub(c.proxy.control.Snapshot().ServersReadAt),
 		RetryAfter: retryAfter, Helper: c.helper, From: c.origin.VM,
 	}
+	if e.Number == psevent.RequestRejected.Number {
+		r.Basis = c.basis
+	}
 	if c.snapshot.Index != nil {
 		r.Version = c.snapshot.Index.Configuration.Version
 	}
--- a/internal/connection/psselection/selection.go
+++ b/internal/connection/psselection/selection.go
@@ -17,6 +17,7 @@
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psplacement"
 	"persimmonstep/internal/request/psselect"
+	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -65,6 +66,8 @@
 	Reason string
 	// RetryAfter is the delay after which the caller should retry.
 	RetryAfter time.Duration
+	// Basis is what a rejection for lack of slots was decided by; nil for other reasons.
+	Basis *psadmission.Basis
 }
 
 // Selector selects servers for the requests of one VM.
@@ -73,7 +76,9 @@
 	Place      psselect.Place
 	Estimates  *psestimate.Estimates
 	RoundTrips *psestimate.RoundTrips
-	Tokens     *pstoken.Tokens
+	// Demands measures the demand of the services, which determines who yields when slots are short.
+	Demands *psshed.Demands
+	Tokens  *pstoken.Tokens
 	// Observe is called with what came of each token of a server's limit.
 	Observe func(pstoken.Verdict)
 	// Jitter returns a number in [0, 1) that differs between consecutive calls.
@@ -94,34 +99,49 @@
 func (s *Selector) Select(ctx context.Context, r Request) (Selection, *Rejection) {
 	list := candidates(r, s.Now())
 	refused, questions := false, 0
+	observed := len(r.Attempted) > 0
 	for len(list) > 0 {
 		decision := s.decision(r)
 		choice := psselect.Choose(s.options(list, r.Object), decision)
 		chosen := list[choice.Index]
-		if v, found := psselect.Admit(choice, decision).(psadmission.Rejected); found {
-			return Selection{}, &Rejection{v.Reason, v.RetryAfter}
+		verdict := psselect.Admit(choice, decision)
+		if !observed {
+			s.Demands.Observe(r.Service, psselect.Observation(choice, decision, verdict), s.Now())
+			observed = true
+		}
+		if v, found := verdict.(psadmission.Rejected); found {
+			return Selection{}, rejection(v)
 		}
 		if chosen.view.Cold && !chosen.server.TakeColdToken(chosen.coldShare, s.Now()) {
 			list = slices.Delete(list, choice.Index, choice.Index+1)
 			continue
 		}
-		verdict := s.takeLimitToken(ctx, r.Snapshot, chosen)
-		if _, granted := verdict.(pstoken.Granted); granted {
+		token := s.takeLimitToken(ctx, r.Snapshot, chosen)
+		if _, granted := token.(pstoken.Granted); granted {
 			return Selection{
 				Server: chosen.server, View: chosen.view, Choice: choice, MaxExpected: psselect.LatencyBound(choice, chosen.view, decision),
 				MeanRun: decision.MeanRun, HasLimitToken: chosen.view.Limit.Named,
 			}, nil
 		}
 		refused = true
-		if _, deferred := verdict.(pstoken.Deferred); !deferred {
+		if _, deferred := token.(pstoken.Deferred); !deferred {
 			questions++
 		}
 		list = s.withoutShort(slices.Delete(list, choice.Index, choice.Index+1), questions >= maxQuestions)
 	}
 	if refused {
-		return Selection{}, &Rejection{"serverLimit", s.limitRetryAfter(r)}
+		return Selection{}, &Rejection{Reason: "serverLimit", RetryAfter: s.limitRetryAfter(r)}
+	}
+	return Selection{}, &Rejection{Reason: "noServer", RetryAfter: s.noServerRetryAfter(r)}
+}
+
+// rejection returns the rejection of a request that was not admitted.
+func rejection(v psadmission.Rejected) *Rejection {
+	out := &Rejection{Reason: v.Reason, RetryAfter: v.RetryAfter}
+	if v.ForSlots() {
+		out.Basis = &v.Basis
 	}
-	return Selection{}, &Rejection{"noServer", s.noServerRetryAfter(r)}
+	return out
 }
 
 // takeLimitToken takes a token of a server's limit. A server without a limit needs none.
@@ -198,7 +218,7 @@
 		Route: r.Route, Workspace: r.Workspace, Object: r.Object, Bytes: r.BodyBytes + s.Estimates.ResponseBytes(r.Route.Name),
 		From: s.Place, ArrivedAt: r.ArrivedAt, Runs: runs, MeanRun: s.Estimates.MeanRun(r.Service, runs.Cached),
 		Elapsed: now.Sub(r.ArrivedAt), Remaining: r.Deadline.Sub(now), PriorWait: r.Caller.PriorWait, DetectableWait: r.Caller.DetectableWait,
-		Retry: len(r.Attempted) > 0, Random: s.Jitter(),
+		Retry: len(r.Attempted) > 0, Random: s.Jitter(), Demand: s.Demands.Of(r.Service, now),
 	}
 }
 
--- a/internal/connection/psselection/selection_test.go
+++ b/internal/connection/psselection/selection_test.go
@@ -19,6 +19,7 @@
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psjitter"
 	"persimmonstep/internal/request/psselect"
+	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -40,7 +41,7 @@
 	now := func() time.Time { return startTime }
 	var jitter psjitter.Sequence
 	s := &psselection.Selector{
-		Place: psselect.Place{FailureDomain: "north-a", Region: "north"}, Estimates: &psestimate.Estimates{}, RoundTrips: &psestimate.RoundTrips{},
+		Place: psselect.Place{FailureDomain: "north-a", Region: "north"}, Estimates: &psestimate.Estimates{}, RoundTrips: &psestimate.RoundTrips{}, Demands: &psshed.Demands{},
 		Tokens:  pstoken.New(pstoken.Options{Self: "vm-1", Client: o, Logger: hclog.NewNullLogger(), Now: now}),
 		Observe: func(pstoken.Verdict) {}, Jitter: jitter.Next, Now: now,
 	}
--- a/internal/process/pscli/explain.go
+++ b/internal/process/pscli/explain.go
@@ -70,6 +70,12 @@
 		if v.Reason != "" {
 			_, _ = fmt.Fprintf(t, " (%s), come back after %s", v.Reason, v.RetryAfter)
 		}
+		for _, c := range v.Demand {
+			_, _ = fmt.Fprintf(t, "\npriority %d: %.0f%% of the requests, %.0f%% more urgent, %.0f%% rejected for lack of slots",
+				c.Priority, 100*c.Fraction, 100*c.Above, 100*c.Rejected)
+		}
+		_, _ = fmt.Fprintf(t, "\nthis request, priority %d: wait %s, sent up to %s to %s, overload %.2f", v.Last.Priority,
+			roundDuration(v.Last.Wait), roundDuration(v.First.MaxWait), roundDuration(v.Last.MaxWait), v.Last.Overload)
 		_, _ = fmt.Fprintln(t, "\nserver\tfailure domain\trank\tcost\twait\trun\ttravel\tload\tslowness\tspeed\tfailures\tsent before\tlimit")
 		for _, o := range v.Candidates {
 			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%.1f\t%.2f\t%.2f\t%.2f\t%t\t%s\n", o.Server, o.FailureDomain, o.Rank,
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -119,7 +119,7 @@
 
 // requestFields are the inputs and the outcome of the routing decision for a request.
 var requestFields = []string{
-	"requestId", "workspace", "route", "object", "version", "status", "reason", "tries", "took", "left", "serversAge", "retryAfter", "helper", "from",
+	"requestId", "workspace", "route", "object", "version", "status", "reason", "tries", "took", "left", "serversAge", "retryAfter", "shortage", "helper", "from",
 }
 
 func steerEvents() []Event {
--- a/internal/process/psserver/load.go
+++ b/internal/process/psserver/load.go
@@ -12,8 +12,11 @@
 	// the server.
 	minLoadTimeConstant  = 100 * time.Millisecond
 	loadTimeConstantRuns = 2.0
-	// averageLoadWeight is the weight of one report in the moving average of the load.
-	averageLoadWeight = 0.15
+	// averageLoadWeight is the least weight of one report in the moving average of the load. A report that follows the one
+	// before it after averageLoadSpan would have all weight, but never more than maxAverageLoadWeight.
+	averageLoadWeight    = 0.15
+	maxAverageLoadWeight = 0.6
+	averageLoadSpan      = 2 * time.Second
 	// averageLoadTimeConstant is the time constant with which the average decays without reports.
 	averageLoadTimeConstant = 5 * time.Second
 )
@@ -32,7 +35,11 @@
 
 func (l *load) record(others float64, waiting int, now time.Time) {
 	average := l.averageAt(now)
-	l.average = average + averageLoadWeight*(others-average)
+	weight := averageLoadWeight
+	if !l.at.IsZero() {
+		weight = max(weight, min(maxAverageLoadWeight, float64(now.Sub(l.at))/float64(averageLoadSpan)))
+	}
+	l.average = average + weight*(others-average)
 	l.latest, l.waiting, l.at = others, waiting, now
 }
 
--- a/internal/process/psserver/server.go
+++ b/internal/process/psserver/server.go
@@ -284,6 +284,8 @@
 	// Load is the estimated number of requests at the server, and LoadAge the age of the latest load report.
 	Load    float64       `json:"load"`
 	LoadAge time.Duration `json:"loadAge"`
+	// ReportedLoad is the load by the latest report, and this VM's requests in flight.
+	ReportedLoad float64 `json:"reportedLoad"`
 	// Slowness is the average ratio of measured to expected time; 1 is as expected.
 	Slowness float64 `json:"slowness"`
 	// Speed is how fast the server states that its machine is at the moment.
@@ -323,6 +325,7 @@
 	v.LoadAge = now.Sub(s.load.at)
 	v.Lag = max(s.lag.local(v.Speed, now), s.lag.reported.current(now))
 	v.Load = float64(s.inFlight) + s.load.estimate(now)
+	v.ReportedLoad = float64(s.inFlight) + s.load.latest
 	v.Load += s.pause.reserved(now) * float64(s.entry.Slots)
 	if limit, age := s.limit.Limit(now); limit.Named {
 		v.Limit, v.LimitAge = limit, age
--- a/internal/process/psstate/explain.go
+++ b/internal/process/psstate/explain.go
@@ -11,6 +11,7 @@
 	"persimmonstep/internal/request/psadmission"
 	"persimmonstep/internal/request/psplacement"
 	"persimmonstep/internal/request/psselect"
+	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -78,6 +79,11 @@
 	Reason   string  `json:"reason,omitempty"`
 	// RetryAfter is the time after which a rejected caller is asked to retry.
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Demand is the present demand by priorities. First is what the decision on the request of its class is based on that is
+	// rejected first when slots are short, Last that on the one that is rejected last.
+	Demand psshed.Demand     `json:"demand,omitempty"`
+	First  psadmission.Basis `json:"first,omitzero"`
+	Last   psadmission.Basis `json:"last,omitzero"`
 	// Candidates are the servers that may run the request, the best one first.
 	Candidates []Candidate `json:"candidates"`
 	// Excluded gives the reason why each other server of the service may not run it, by id.
@@ -132,6 +138,7 @@
 	request := psselect.Request{
 		Route: r, Workspace: w, Object: object, Bytes: q.Bytes + s.ResponseBytes[r.Name], From: s.Place, ArrivedAt: s.TakenAt,
 		Runs: s.Runs[r.Name], MeanRun: s.MeanRuns[service], Remaining: q.Remaining,
+		Demand: s.Demands[service],
 	}
 	if request.Remaining <= 0 {
 		request.Remaining = r.Timeout
@@ -156,9 +163,15 @@
 	if len(options) == 0 {
 		return v
 	}
+	choice := psselect.Choose(options, request)
 	ranked := psselect.Rank(options, request)
+	chosen := slices.IndexFunc(ranked, func(c psplacement.Ranked) bool { return c.Index == choice.Index })
+	first := ranked[chosen]
+	ranked = slices.Insert(slices.Delete(ranked, chosen, chosen+1), 0, first)
 	v.Candidates = lo.Map(ranked, func(c psplacement.Ranked, _ int) Candidate { return candidate(c, servers[c.Index]) })
-	v.decide(psselect.Admit(ranked[0].Choice, request))
+	v.decide(psselect.Admit(choice, request))
+	v.Demand = request.Demand
+	v.First, v.Last = psselect.Bounds(choice, request)
 	return v
 }
 
--- a/internal/process/psstate/explain_test.go
+++ b/internal/process/psstate/explain_test.go
@@ -16,6 +16,7 @@
 	"persimmonstep/internal/process/psstate"
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psestimate"
+	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -55,7 +56,7 @@
 			ShareHolders: []psmessage.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
 		},
 		Tokens:    pstoken.New(pstoken.Options{Self: "vm-1", Logger: hclog.NewNullLogger(), Now: time.Now}),
-		Estimates: &psestimate.Estimates{}, Ready: true,
+		Estimates: &psestimate.Estimates{}, Demands: &psshed.Demands{}, Ready: true,
 	}, startTime)
 	// Explain works on a decoded document, so the state is encoded and decoded.
 	data, err := json.Marshal(s)
--- a/internal/process/psstate/state.go
+++ b/internal/process/psstate/state.go
@@ -20,6 +20,7 @@
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psselect"
+	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -50,6 +51,8 @@
 	// Runs are the estimated run times by route, and MeanRuns the mean ones by service.
 	Runs     map[string]psestimate.Runs `json:"runs"`
 	MeanRuns map[string]time.Duration   `json:"meanRuns"`
+	// Demands are the present demands by service and priority.
+	Demands map[string]psshed.Demand `json:"demands"`
 	// ResponseBytes are the mean response sizes by route.
 	ResponseBytes map[string]int `json:"answerBytes"`
 	// RoundTrips are the network round-trip times to servers by failure domain, where any was measured.
@@ -79,6 +82,7 @@
 	Snapshot   *pssnapshot.Snapshot
 	Estimates  *psestimate.Estimates
 	RoundTrips *psestimate.RoundTrips
+	Demands    *psshed.Demands
 	Tokens     *pstoken.Tokens
 	Ready      bool
 	InFlight   int
@@ -92,6 +96,7 @@
 		TakenAt: now, Ready: s.Ready, InFlight: s.InFlight,
 		Evacuated: slices.Sorted(maps.Keys(p.Evacuated)), FleetSize: p.FleetSize, VMs: p.VMs, Shares: p.RateShares, EvenShare: p.EvenShare,
 		Runs: make(map[string]psestimate.Runs), MeanRuns: make(map[string]time.Duration),
+		Demands:       make(map[string]psshed.Demand),
 		ResponseBytes: make(map[string]int), RoundTrips: s.RoundTrips.All(),
 	}
 	if !p.ServersReadAt.IsZero() {
@@ -104,7 +109,7 @@
 	}
 	slices.SortFunc(state.Servers, func(a, b Server) int { return cmp.Compare(a.Entry.ID, b.Entry.ID) })
 	if p.Index != nil {
-		state.addConfiguration(p.Index.Configuration, s.Estimates)
+		state.addConfiguration(p.Index.Configuration, s, now)
 	}
 	return state
 }
@@ -120,7 +125,8 @@
 }
 
 // addConfiguration adds a configuration without its keys, and the estimates of its routes.
-func (s *State) addConfiguration(c *psconfig.Configuration, e *psestimate.Estimates) {
+func (s *State) addConfiguration(c *psconfig.Configuration, from Source, now time.Time) {
+	e := from.Estimates
 	bare := *c
 	bare.Workspaces = lo.Map(c.Workspaces, func(w psconfig.Workspace, _ int) psconfig.Workspace {
 		w.Keys = nil
@@ -132,6 +138,7 @@
 		s.ResponseBytes[r.Name] = e.ResponseBytes(r.Name)
 		for _, b := range r.Backends {
 			s.MeanRuns[b.Service] = e.MeanRun(b.Service, s.Runs[r.Name].Cached)
+			s.Demands[b.Service] = from.Demands.Of(b.Service, now)
 		}
 	}
 }
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -138,7 +138,7 @@
 // state returns the current state of the VM for operators.
 func (v *vm) state() psstate.State {
 	return psstate.Capture(psstate.Source{
-		Settings: v.settings, Snapshot: v.controller.Snapshot(), Estimates: v.proxy.Estimates(), RoundTrips: v.proxy.RoundTrips(),
+		Settings: v.settings, Snapshot: v.controller.Snapshot(), Estimates: v.proxy.Estimates(), RoundTrips: v.proxy.RoundTrips(), Demands: v.proxy.Demands(),
 		Tokens: v.tokens,
 		Ready:  v.controller.Ready(), InFlight: v.proxy.InFlight(),
 	}, time.Now())
--- a/internal/request/psadmission/admission.go
+++ b/internal/request/psadmission/admission.go
@@ -19,7 +19,11 @@
 // The package does no I/O and reads no clock.
 package psadmission
 
-import "time"
+import (
+	"time"
+
+	"persimmonstep/internal/request/psshed"
+)
 
 const (
 	// latencyLimitTargets is the expected latency up to which requests of the highest priority are sent,
@@ -33,8 +37,9 @@
 	// in target latencies.
 	overloadWaitFraction = 0.8
 	lateWaitTargets      = 0.1
-	// retryOverloadFactor multiplies the overload for retries, so that servers count as full sooner for them.
-	retryOverloadFactor = 4.0
+	// yieldOverloadFactor multiplies the overload for retries, and for requests with a longer target than more urgent ones, so
+	// that servers count as full sooner for them.
+	yieldOverloadFactor = 4.0
 	// minOverloadTargets is the mean wait up to which servers count as having free capacity, and
 	// fullOverloadTargets the one from which on they count as full, in target latencies.
 	minOverloadTargets  = 0.05
@@ -42,6 +47,11 @@
 	// fullSlackFraction is the slack from which on the overload counts in full: the fraction of the target
 	// that remains after a mean run and a mean round trip.
 	fullSlackFraction = 0.3
+	// minRejected and maxRejected are the fractions of a class's requests that are rejected, up to which all retries of the
+	// class are served, and from which on they yield. Each retry is late and takes the slot of a request that could be
+	// answered within its target.
+	minRejected = 0.05
+	maxRejected = 0.1
 	// overloadRetryThreshold is the overload from which on retry delays begin at the detectable wait.
 	overloadRetryThreshold = 0.5
 	// maxRetryFraction bounds the delay of a retry, as a fraction of the caller's remaining time.
@@ -71,6 +81,9 @@
 	MeanWait, MeanRoundTrip, RoundTrip time.Duration
 	// MeanRun is the mean run time of the service's requests.
 	MeanRun time.Duration
+	// Demand is the present demand of the service by priorities, and Run the run time that is expected of the request.
+	Demand psshed.Demand
+	Run    time.Duration
 	// Surplus reports whether the server's cache can't hold the object in addition to those that it handles.
 	Surplus bool
 	// Random is a number in 0..1 that differs between requests.
@@ -89,10 +102,15 @@
 type Rejected struct {
 	// RetryAfter is the delay after which the caller should retry.
 	RetryAfter time.Duration
-	// Reason is [ReasonDeadline], [ReasonSurplus] or [ReasonOverload].
+	// Reason is [ReasonDeadline], [ReasonSurplus], [ReasonOverload] or [ReasonLessUrgent].
 	Reason string
+	// Basis is what a rejection for lack of slots was decided by; empty for other reasons.
+	Basis Basis
 }
 
+// ForSlots reports whether the request was rejected for lack of slots.
+func (r Rejected) ForSlots() bool { return r.Reason == ReasonOverload || r.Reason == ReasonLessUrgent }
+
 func (Admitted) verdict() {}
 func (Rejected) verdict() {}
 
@@ -104,57 +122,30 @@
 	ReasonSurplus = "surplusObject"
 	// ReasonOverload means that the request would wait too long in the server's queue.
 	ReasonOverload = "overload"
+	// ReasonLessUrgent means that the request would wait too long while more urgent ones need the slots. By itself it
+	// would have been admitted.
+	ReasonLessUrgent = "lessUrgent"
 )
 
 // Decide admits or rejects one request.
 func Decide(r Request) Verdict {
 	switch {
 	case r.Expected >= r.Remaining:
-		return Rejected{retryAfter(r), ReasonDeadline}
+		return Rejected{RetryAfter: retryAfter(r), Reason: ReasonDeadline}
 	case r.Surplus:
-		return Rejected{retryAfter(r), ReasonSurplus}
-	case r.Wait > maxWait(r):
-		return Rejected{retryAfter(r), ReasonOverload}
+		return Rejected{RetryAfter: retryAfter(r), Reason: ReasonSurplus}
 	}
-	return Admitted{}
-}
-
-// maxWait returns the longest wait with which a request is sent. It is long while other servers have
-// free capacity, because then only one server has a queue. Once all servers have queues, requests that
-// wait too long, or that will be late anyway, take slots from requests that could still be answered
-// within their target. The bound then differs between requests, so that the admitted fraction falls
-// gradually as queues grow and doesn't oscillate between all and none.
-func maxWait(r Request) time.Duration {
-	run := r.Elapsed + r.Expected - r.Wait
-	normal := latencyLimit(r.Priority)*float64(r.Target) - float64(run)
-	load := overload(r)
-	// The bound is the same for near and far servers, as it must not shift requests between regions.
-	overloaded := overloadWaitFraction * float64(r.Target-run-r.PriorWait+r.RoundTrip-r.MeanRoundTrip)
-	if overloaded <= 0 {
-		overloaded = lateWaitTargets * float64(r.Target)
+	b := BasisOf(r)
+	if r.Wait <= b.MaxWait {
+		return Admitted{}
 	}
-	if r.PriorWait > 0 {
-		load = min(1, retryOverloadFactor*load)
+	v := Rejected{RetryAfter: retryAfter(r), Reason: ReasonOverload, Basis: b}
+	alone := r
+	alone.Demand = nil
+	if b.Above > 0 && r.Wait <= BasisOf(alone).MaxWait {
+		v.Reason = ReasonLessUrgent
 	}
-	overloaded *= 1 - r.Random
-	return max(0, time.Duration((1-load)*normal+load*overloaded))
-}
-
-// overload returns the overload in 0..1: 0 while other servers have free capacity, and 1 once all count
-// as full. It is also 0 where most requests are late even without a queue, as when no server has any
-// objects cached yet: no request then takes a slot from one that could be answered in time.
-func overload(r Request) float64 {
-	wait := float64(r.MeanWait) / float64(r.Target)
-	slack := 1 - float64(r.MeanRun+r.MeanRoundTrip)/float64(r.Target)
-	return clamp((wait-minOverloadTargets)/(fullOverloadTargets-minOverloadTargets)) * clamp(slack/fullSlackFraction)
-}
-
-// clamp bounds a number to 0..1.
-func clamp(x float64) float64 { return max(0, min(1, x)) }
-
-// latencyLimit returns the latency limit of a priority, in target latencies.
-func latencyLimit(priority int) float64 {
-	return max(minLatencyLimitTargets, latencyLimitTargets-latencyStepTargets*float64(priority))
+	return v
 }
 
 // retryAfter returns the delay after which capacity is expected: once the requests of the present queue
@@ -163,7 +154,7 @@
 // attempts.
 func retryAfter(r Request) time.Duration {
 	last := time.Duration(maxRetryFraction * float64(r.Remaining))
-	if overload(r) >= overloadRetryThreshold {
+	if overload(r, r.Target) >= overloadRetryThreshold {
 		return RetryAfter(r.DetectableWait, last, r.Random)
 	}
 	d := r.Wait/2 + time.Duration(r.Random*float64(r.Wait))
--- a/internal/request/psplacement/placement.go
+++ b/internal/request/psplacement/placement.go
@@ -170,7 +170,9 @@
 			best.Index = i
 		}
 	}
-	best.MeanWait = waits / time.Duration(max(1, counted))
+	meanWait := waits / time.Duration(max(1, counted))
+	best = spare(list, ranks, best, meanWait, r)
+	best.MeanWait = meanWait
 	best.MeanRoundTrip = roundTrips / time.Duration(max(1, counted))
 	return best
 }
--- a/internal/request/psselect/overload_test.go
+++ b/internal/request/psselect/overload_test.go
@@ -82,3 +82,20 @@
 func TestGoodputNearPeakAtFiveTimesLoad(t *testing.T) { checkNearPeakGoodput(t, 5) }
 
 func TestGoodputNearPeakAtTwoAndAHalfTimesLoad(t *testing.T) { checkNearPeakGoodput(t, 2.5) }
+
+// TestRetriesAreServedWhileFewRequestsAreRejected guards against callers that are told to retry and are rejected again although
+// there are slots for nearly all requests: the load is 87% of the capacity of all slots, and that of some servers above it.
+// Fewer than one in ten retries may be rejected.
+func TestRetriesAreServedWhileFewRequestsAreRejected(t *testing.T) {
+	retried, rejected := 0, 0
+	for seed := range uint64(4) {
+		l := overloadBurst(1.65, false)
+		l.perSecond = 700
+		p := replayLoad(l, true, seed)
+		retried += p.retried
+		rejected += p.retriesRejected
+	}
+	t.Logf("%d retries, %d rejected again", retried, rejected)
+	qt.Assert(t, retried > 50, qt.IsTrue)
+	qt.Assert(t, rejected*10 < retried, qt.IsTrue)
+}
--- a/internal/request/psselect/replay_test.go
+++ b/internal/request/psselect/replay_test.go
@@ -16,6 +16,7 @@
 	"persimmonstep/internal/request/psoutlier"
 	"persimmonstep/internal/request/psplacement"
 	"persimmonstep/internal/request/psselect"
+	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -50,8 +51,14 @@
 	queueLimit int
 	// runSpread is the fraction by which run times vary, up and down.
 	runSpread float64
-	// spells makes each server's machine slow for a while from time to time, and speedStated lets responses state it.
-	spells, speedStated bool
+	// spells is the distance between servers whose machines become slow for a while from time to time, 0 without any.
+	// speedStated lets responses state it.
+	spells      int
+	speedStated bool
+	// kinds are the kinds of requests; without any all have the highest priority. unordered lets each request be decided
+	// without regard to the others.
+	kinds     []kind
+	unordered bool
 }
 
 // burst multiplies the rate of a load from a time on.
@@ -62,10 +69,22 @@
 
 // rate returns the number of requests a second at a time.
 func (l load) rate(now time.Duration) float64 {
-	v := l.perSecond
-	for _, b := range l.bursts {
+	v := l.perSecond * burstFactor(l.bursts, now)
+	if len(l.kinds) > 0 {
+		weight := 0.0
+		for _, k := range l.kinds {
+			weight += k.weight(now)
+		}
+		v *= weight
+	}
+	return v
+}
+
+func burstFactor(list []burst, now time.Duration) float64 {
+	v := 1.0
+	for _, b := range list {
 		if now >= b.from {
-			v = b.factor * l.perSecond
+			v = b.factor
 		}
 	}
 	return v
@@ -86,6 +105,7 @@
 	end          time.Duration
 	sent         time.Duration
 	vm, server   int
+	kind         *kindResult
 	choice       psplacement.Choice
 	object       uint64
 	hit          bool
@@ -109,7 +129,8 @@
 // replay is the state of a replayed load.
 type replay struct {
 	load     load
-	route    *psconfig.Route
+	kinds    []*kindResult
+	demands  []psshed.Demands
 	start    time.Time
 	views    [][]*psserver.Server
 	running  sentRequests
@@ -139,6 +160,7 @@
 type clientRetry struct {
 	at, firstAttempt time.Duration
 	vm               int
+	kind             *kindResult
 	key, id          string
 }
 
@@ -158,8 +180,9 @@
 func replayLoad(l load, affinity bool, seed uint64) *replay {
 	p := &replay{
 		load: l, start: time.Unix(0, 0), inFlight: make([]int, l.servers), perServer: make([]int, l.servers),
-		route: &psconfig.Route{Name: "orders", Kind: l.kind, TargetLatency: target, Timeout: deadline, Affinity: affinity, MaxAttempts: 1},
+		demands: make([]psshed.Demands, l.vms),
 	}
+	p.kinds = newKindResults(l, affinity)
 	for range l.vms {
 		list := make([]*psserver.Server, l.servers)
 		for i := range list {
@@ -173,7 +196,7 @@
 	}
 	random := rand.New(rand.NewPCG(seed, seed))
 	p.random = rand.New(rand.NewPCG(seed, seed+1))
-	if l.spells {
+	if l.spells > 0 {
 		p.machines = newMachines(l, seed)
 	}
 	n := 0
@@ -182,7 +205,7 @@
 			r := heap.Pop(&p.retryQueue).(clientRetry)
 			p.finish(r.at)
 			p.retried++
-			p.decide(r.vm, r.key, r.id, p.random.Float64(), r.at, r.firstAttempt)
+			p.decide(r.kind, r.vm, r.key, r.id, p.random.Float64(), r.at, r.firstAttempt)
 		}
 		p.finish(now)
 		p.exchangeReports(now)
@@ -193,7 +216,9 @@
 		if l.firstDomainOnly {
 			vm -= vm % l.domains
 		}
-		p.decide(vm, key, fmt.Sprint("id-", seed, "-", n), random.Float64(), now, now)
+		kind := p.pickKind(random, now)
+		kind.count(kind.requests, now)
+		p.decide(kind, vm, key, fmt.Sprint("id-", seed, "-", n), random.Float64(), now, now)
 	}
 	return p
 }
@@ -241,9 +266,9 @@
 }
 
 // decide lets a VM decide on a request, whose caller made its first attempt at firstAttempt.
-func (p *replay) decide(vm int, key, id string, random float64, now, firstAttempt time.Duration) {
+func (p *replay) decide(kind *kindResult, vm int, key, id string, random float64, now, firstAttempt time.Duration) {
 	at := p.start.Add(now)
-	object := psselect.ObjectOf(p.route, key, id)
+	object := psselect.ObjectOf(kind.route, key, id)
 	options := make([]psselect.Option, p.load.servers)
 	for i, v := range p.views[vm] {
 		options[i] = psselect.Option{View: v.View(at), ObjectSent: v.RecentObjects.Contains(object)}
@@ -252,18 +277,23 @@
 		}
 	}
 	r := psselect.Request{
-		Route: p.route, Object: object, ArrivedAt: at, MeanRun: p.load.run, Remaining: deadline - (now - firstAttempt),
+		Route: kind.route, Object: object, ArrivedAt: at, MeanRun: p.load.run, Remaining: deadline - (now - firstAttempt),
 		PriorWait: priorWait(now - firstAttempt), DetectableWait: detectableWait, Random: random,
 		Runs: psestimate.Runs{Cached: p.load.run, Uncached: 3 * p.load.run}, Bytes: p.load.responseBytes,
 		From: psselect.Place{FailureDomain: p.load.domain(vm), Region: p.load.domain(vm)},
 	}
 	c := psselect.Choose(options, r)
-	if v, rejected := psselect.Admit(c, r).(psadmission.Rejected); rejected {
+	if !p.load.unordered {
+		r.Demand = p.demands[vm].Of("orders", at)
+	}
+	verdict := psselect.Admit(c, r)
+	p.demands[vm].Observe("orders", psselect.Observation(c, r, verdict), at)
+	if v, rejected := verdict.(psadmission.Rejected); rejected {
 		p.rejected++
 		if now > firstAttempt {
 			p.retriesRejected++
 		} else if p.load.retries {
-			heap.Push(&p.retryQueue, clientRetry{now + v.RetryAfter, firstAttempt, vm, key, id + "-again"})
+			heap.Push(&p.retryQueue, clientRetry{now + v.RetryAfter, firstAttempt, vm, kind, key, id + "-again"})
 		}
 		return
 	}
@@ -274,9 +304,10 @@
 		v.RecordOutcome(0, true, at)
 		return
 	}
-	e := &sentRequest{sent: now, firstAttempt: firstAttempt, vm: vm, server: c.Index, choice: c, object: object}
+	kind.count(kind.served, firstAttempt)
+	e := &sentRequest{sent: now, firstAttempt: firstAttempt, vm: vm, kind: kind, server: c.Index, choice: c, object: object}
 	e.exchange = v.BeginRequest(at, psselect.LatencyBound(c, options[c.Index].View, r))
-	if p.route.Affinity {
+	if kind.route.Affinity {
 		v.RecentObjects.Add(object)
 	}
 	p.send(e, now)
@@ -301,7 +332,7 @@
 	}
 	run = time.Duration((1 + p.load.runSpread*(2*p.random.Float64()-1)) * float64(run))
 	slots[first] = p.endOfRun(server, max(now, slots[first]), run)
-	if p.load.spells && p.machines[server].factor(now) > 1 {
+	if p.load.spells > 0 && p.machines[server].factor(now) > 1 {
 		p.sentWhileSlow++
 	}
 	p.inFlight[server]++
@@ -311,6 +342,9 @@
 		latency += p.load.roundTrip
 		p.otherDomain++
 	}
+	if latency <= e.kind.route.TargetLatency {
+		e.kind.count(e.kind.inTarget, e.firstAttempt)
+	}
 	p.latencies = append(p.latencies, latency)
 	p.sentAt = append(p.sentAt, now)
 	e.end = slots[first]
--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -23,6 +23,7 @@
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psoutlier"
 	"persimmonstep/internal/request/psplacement"
+	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -86,6 +87,8 @@
 	Retry bool
 	// Random is a number in 0..1 that differs between requests.
 	Random float64
+	// Demand is the present demand of the service by priorities.
+	Demand psshed.Demand
 }
 
 // ObjectOf returns a hash that identifies the object of a request: the key that its caller names.
@@ -117,20 +120,42 @@
 	return psplacement.Rank(r.candidates(list), r.placementRequest())
 }
 
+// Observation returns what counts as demand for a request, the server that was chosen for it and the verdict.
+func Observation(c psplacement.Choice, r Request, v psadmission.Verdict) psshed.Observation {
+	rejected, found := v.(psadmission.Rejected)
+	return psshed.Observation{
+		Priority: psconfig.Priority(r.Route, r.Workspace), Slot: c.Run, Run: c.Run + c.RoundTrip, Target: r.Route.TargetLatency,
+		Rejected: found && rejected.ForSlots(),
+	}
+}
+
 // Admit decides whether the request is sent to the chosen server.
 func Admit(c psplacement.Choice, r Request) psadmission.Verdict {
+	return psadmission.Decide(r.admissionRequest(c))
+}
+
+// Bounds returns the bases of the decision on the first and on the last request of the request's class, in the order in which
+// they are rejected.
+func Bounds(c psplacement.Choice, r Request) (first, last psadmission.Basis) {
+	a := r.admissionRequest(c)
+	first = psadmission.BasisOf(a.At(1))
+	return first, psadmission.BasisOf(a.At(0))
+}
+
+func (r *Request) admissionRequest(c psplacement.Choice) psadmission.Request {
 	expected := c.ExpectedLatency()
 	if r.Retry {
 		// Only the run time counts against the deadline, as a rejection would waste the time that the
 		// first attempt took.
 		expected = c.Run
 	}
-	return psadmission.Decide(psadmission.Request{
+	return psadmission.Request{
 		Expected: expected, Wait: c.Wait, MeanWait: c.MeanWait, MeanRoundTrip: c.MeanRoundTrip, RoundTrip: c.RoundTrip,
 		MeanRun: r.MeanRun, Surplus: c.Surplus && !r.Retry,
 		Elapsed: r.Elapsed, PriorWait: r.PriorWait, DetectableWait: r.DetectableWait, Remaining: r.Remaining,
 		Target: r.Route.TargetLatency, Priority: psconfig.Priority(r.Route, r.Workspace), Random: r.Random,
-	})
+		Demand: r.Demand, Run: c.Run,
+	}
 }
 
 func (r *Request) placementRequest() psplacement.Request {
@@ -147,8 +172,10 @@
 func (r *Request) candidates(options []Option) []psplacement.Candidate {
 	list := make([]psplacement.Candidate, len(options))
 	lags := make([]float64, len(options))
+	mean := meanLoad(options)
 	for i := range options {
 		list[i] = r.candidate(&options[i])
+		list[i].Load = mean.estimate(&options[i].View)
 		lags[i] = options[i].View.Lag
 	}
 	for i, outlier := range psoutlier.Find(lags) {
--- a/internal/request/psselect/speed_test.go
+++ b/internal/request/psselect/speed_test.go
@@ -19,7 +19,7 @@
 func newMachines(l load, seed uint64) []machine {
 	random := rand.New(rand.NewPCG(seed, seed+2))
 	list := make([]machine, l.servers)
-	for i := range list {
+	for i := 0; i < l.servers; i += l.spells {
 		for at := time.Duration(0); at < l.span+20*time.Second; {
 			at += time.Duration(random.ExpFloat64() * float64(510*time.Millisecond))
 			list[i] = append(list[i], at)
@@ -45,7 +45,7 @@
 
 // endOfRun returns when a run ends that starts at a time and takes a duration on a machine of its usual speed.
 func (p *replay) endOfRun(server int, start, run time.Duration) time.Duration {
-	if !p.load.spells {
+	if p.load.spells == 0 {
 		return start + run
 	}
 	m := p.machines[server]
@@ -65,8 +65,8 @@
 // more be answered in target. Where it sees a server every few seconds, or only one server has the object cached, the
 // statements must do no harm.
 func TestServersThatAreSlowNowAreAvoided(t *testing.T) {
-	dense := load{vms: 9, servers: 31, slots: 6, perSecond: 1000, span: 8 * time.Second, run: 110 * time.Millisecond, runSpread: 0.25, spells: true}
-	sparse := load{vms: 84, servers: 20, slots: 3, perSecond: 480, span: 8 * time.Second, run: 72 * time.Millisecond, runSpread: 0.25, spells: true}
+	dense := load{vms: 9, servers: 31, slots: 6, perSecond: 1000, span: 8 * time.Second, run: 110 * time.Millisecond, runSpread: 0.25, spells: 1}
+	sparse := load{vms: 84, servers: 20, slots: 3, perSecond: 480, span: 8 * time.Second, run: 72 * time.Millisecond, runSpread: 0.25, spells: 1}
 	for name, v := range map[string]struct {
 		load     load
 		affinity bool
