--- a/internal/request/psselect/load.go
+++ b/internal/request/psselect/load.go
@@ -15,7 +15,9 @@
 	minStaleAge       = 100 * time.Millisecond
 	// fullQueue is the mean queue from which on the mean load supersedes old reports completely, in requests per slot.
 	fullQueue = 0.25
-	// idleServers is the number of idle servers that are assumed in addition, so that few reports don't indicate a shortage.
+	// minReports is the least number of recent reports from which a mean is taken, and idleServers the number of idle servers
+	// that are assumed in addition, so that few reports don't indicate a shortage.
+	minReports  = 2.0
 	idleServers = 1.0
 )
 
@@ -25,7 +27,7 @@
 // meanLoad returns the mean load of a service's servers by their recent reports. Each server counts once, so that those to which
 // this VM sends most requests don't determine the mean.
 func meanLoad(options []Option) perSlot {
-	sum, weights := 0.0, idleServers
+	sum, weights := 0.0, 0.0
 	for i := range options {
 		v := &options[i].View
 		if weight := psdecay.Factor(v.LoadAge, freshTimeConstant); weight > 0 && !v.Cold {
@@ -33,7 +35,10 @@
 			weights += weight
 		}
 	}
-	return perSlot(sum / weights)
+	if weights < minReports {
+		return 0
+	}
+	return perSlot(sum / (weights + idleServers))
 }
 
 // estimate returns the expected number of requests at a server. In a large fleet most servers have sent this VM no report for a
