--- a/internal/request/psshed/shed.go
+++ b/internal/request/psshed/shed.go
@@ -28,11 +28,13 @@
 	// demandTimeConstant is the time constant with which requests are forgotten. At 84 VMs, a VM gets some 20 requests a
 	// second of a service.
 	demandTimeConstant = 2 * time.Second
+	// snapshotInterval is the time for which a demand is used without counting it anew.
+	snapshotInterval = 10 * time.Millisecond
 	// minClassFraction is the fraction of the demand below which a class sets no bounds for less urgent ones.
 	minClassFraction = 0.02
 	// runBuckets is the number of buckets of slot times, and bucketsPerDoubling that from a time to its double; the first
 	// bucket ends at a millisecond.
-	runBuckets         = 32
+	runBuckets         = 16
 	bucketsPerDoubling = 1
 )
 
@@ -134,6 +136,8 @@
 type service struct {
 	classes []classCount
 	at      time.Time
+	// demand is the demand at the time at; nil if it isn't counted yet.
+	demand Demand
 }
 
 // classCount counts the recent requests of a class. All values decay with demandTimeConstant.
@@ -178,11 +182,12 @@
 	c.slots[bucket(o.Slot)]++
 }
 
-// decay ages all counts. Requests may be observed slightly out of order.
+// decay ages all counts, once every snapshotInterval.
 func (s *service) decay(now time.Time) {
-	if !now.After(s.at) {
+	if now.Sub(s.at) < snapshotInterval {
 		return
 	}
+	s.demand = nil
 	f := psdecay.Factor(now.Sub(s.at), demandTimeConstant)
 	s.at = now
 	for i := range s.classes {
@@ -206,7 +211,7 @@
 	return &s.classes[i]
 }
 
-// Of returns the demand of a service.
+// Of returns the demand of a service. It must not be modified.
 func (d *Demands) Of(name string, now time.Time) Demand {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -215,6 +220,14 @@
 		return nil
 	}
 	s.decay(now)
+	if s.demand == nil {
+		s.demand = s.count()
+	}
+	return s.demand
+}
+
+// count returns the demand by the present counts.
+func (s *service) count() Demand {
 	sum := 0.0
 	for i := range s.classes {
 		sum += s.classes[i].requests
