--- a/internal/request/psplacement/replay_test.go
+++ b/internal/request/psplacement/replay_test.go
@@ -284,3 +284,34 @@
 	qt.Assert(t, psplacement.PreferNear(1, true) > psplacement.PreferNear(1<<63, false), qt.IsTrue)
 	qt.Assert(t, psplacement.PreferNear(8, true) > psplacement.PreferNear(4, true), qt.IsTrue)
 }
+
+// TestLateRequestMovesToServerWithFreeCapacity guards against requests that wait in a long queue while other servers are idle, and
+// against moves that cost more than they bring: to a server with a full cache, slots in use or a longer network path, or while
+// most servers have queues.
+func TestLateRequestMovesToServerWithFreeCapacity(t *testing.T) {
+	r := psplacement.Request{CachedRun: cachedRun, UncachedRun: uncachedRun, MeanRun: cachedRun, Target: target}
+	busy := psplacement.Candidate{Load: 20, Slots: 5, PrimaryHitRate: 0.93, FallbackHitRate: 0.93, CacheableFraction: 1, Score: 9}
+	idle := psplacement.Candidate{Slots: 5, PrimaryHitRate: 0.93, FallbackHitRate: 0.93, CacheableFraction: 1, Score: 1}
+	for name, v := range map[string]struct {
+		change func(busy, other *psplacement.Candidate)
+		moved  bool
+	}{
+		"free capacity": {func(_, _ *psplacement.Candidate) {}, true},
+		"in target":     {func(busy, _ *psplacement.Candidate) { busy.Load = 7 }, false},
+		"full cache":    {func(_, other *psplacement.Candidate) { other.CacheableFraction = 0.9 }, false},
+		"slots in use":  {func(_, other *psplacement.Candidate) { other.Load = 4 }, false},
+		"more distant":  {func(_, other *psplacement.Candidate) { other.RoundTrip = 24 * time.Millisecond }, false},
+		"needs a token": {func(_, other *psplacement.Candidate) { other.TokenTime = time.Millisecond }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, other := busy, idle
+			v.change(&first, &other)
+			c := psplacement.Choose([]psplacement.Candidate{first, other, other, other, other, other, other, other}, r)
+			qt.Assert(t, c.Index > 0, qt.Equals, v.moved, qt.Commentf("%+v", c))
+		})
+	}
+	queued := busy
+	queued.Score = 0
+	c := psplacement.Choose([]psplacement.Candidate{busy, idle, idle, queued, queued}, r)
+	qt.Assert(t, c.Index, qt.Equals, 0, qt.Commentf("queues at most servers: %+v", c))
+}
