--- a/internal/request/psadmission/admission_test.go
+++ b/internal/request/psadmission/admission_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"persimmonstep/internal/request/psadmission"
+	"persimmonstep/internal/request/psshed"
 )
 
 const target = 200 * time.Millisecond
@@ -114,3 +115,40 @@
 	}
 	qt.Assert(t, last-first >= 500*time.Millisecond, qt.IsTrue)
 }
+
+// TestMoreUrgentClassIsAdmittedFirst decides on requests of two classes while all servers are full. It guards against less urgent
+// requests that are sent because their own target is longer, and against a class that starves.
+func TestMoreUrgentClassIsAdmittedFirst(t *testing.T) {
+	var d psshed.Demands
+	now := time.Unix(1000, 0)
+	for n := range 1000 {
+		o := psshed.Observation{Priority: 2, Slot: 60 * time.Millisecond, Run: 60 * time.Millisecond, Target: 3 * target, Rejected: true}
+		if n%2 == 0 {
+			o.Priority, o.Target = 0, target
+		}
+		d.Observe("prices", o, now)
+	}
+	sent := func(priority int, target, wait time.Duration) (fraction float64, reasons map[string]int) {
+		reasons = make(map[string]int)
+		for n := range 1000 {
+			verdict := psadmission.Decide(psadmission.Request{
+				Priority: priority, Target: target, Wait: wait, Expected: wait + 60*time.Millisecond, Run: 60 * time.Millisecond,
+				MeanWait: 60 * time.Millisecond, MeanRun: 60 * time.Millisecond, Remaining: 3 * time.Second,
+				Demand: d.Of("prices", now), Random: float64(n) / 1000,
+			})
+			if v, rejected := verdict.(psadmission.Rejected); rejected {
+				reasons[v.Reason]++
+				qt.Assert(t, v.Basis.MaxWait < wait && v.Basis.Priority == priority, qt.IsTrue)
+				continue
+			}
+			fraction += 0.001
+		}
+		return fraction, reasons
+	}
+	urgent, _ := sent(0, target, 60*time.Millisecond)
+	less, reasons := sent(2, 3*target, 60*time.Millisecond)
+	t.Logf("sent: urgent %.2f, less urgent %.2f, %v", urgent, less, reasons)
+	qt.Check(t, urgent > 0.75, qt.IsTrue)
+	qt.Check(t, less < 0.3 && less > (urgent+less)/2/4, qt.IsTrue)
+	qt.Check(t, reasons[psadmission.ReasonLessUrgent] > 500, qt.IsTrue)
+}
