--- a/internal/request/psadmission/admission.go
+++ b/internal/request/psadmission/admission.go
@@ -14,7 +14,8 @@
 // The third: load grows to several times what all slots can serve. One server's queue no longer
 // indicates those of the others, so the decision uses the mean wait over all servers. Slots then go to
 // requests that can still be answered within their target, before retries of rejected callers and
-// requests that will be late anyway.
+// requests that will be late anyway, and to more urgent requests before less urgent ones, in the order
+// of psshed.
 //
 // The package does no I/O and reads no clock.
 package psadmission
