--- a/internal/connection/psaccess/access.go
+++ b/internal/connection/psaccess/access.go
@@ -14,6 +14,8 @@
 	"persimmonstep/internal/connection/psselection"
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pslog"
+	"persimmonstep/internal/request/psadmission"
+	"persimmonstep/internal/request/psspeed"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -45,6 +47,8 @@
 	Took, Left    time.Duration
 	ServersAge    time.Duration
 	RetryAfter    time.Duration
+	// Basis is what a rejection for lack of slots was decided by; nil without one.
+	Basis *psadmission.Basis
 	// Helper is the VM through which the request was forwarded, and From the VM that forwarded it to this one; empty
 	// otherwise.
 	Helper, From string
@@ -81,7 +85,7 @@
 		route = r.Route.Name
 	}
 	r.Event.Log(l.logger, r.ID, r.Workspace, route, r.Object, r.Version, r.Status, r.Reason, describe(r.Attempts),
-		formatMilliseconds(r.Took), formatMilliseconds(r.Left), formatMilliseconds(r.ServersAge), formatMilliseconds(r.RetryAfter), r.Helper, r.From)
+		formatMilliseconds(r.Took), formatMilliseconds(r.Left), formatMilliseconds(r.ServersAge), formatMilliseconds(r.RetryAfter), describeBasis(r.Basis), r.Helper, r.From)
 }
 
 // Dropped returns the number of lines that were not written since the last call because of the rate limits.
@@ -94,14 +98,31 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f limit=%s removed=%t",
+		_, _ = fmt.Fprintf(&b, "%s %s rank=%d load=%.1f loadAge=%s slowness=%.1f speed=%.2f speedAge=%s failures=%.2f wait=%s run=%s travel=%s warm=%t cold=%t took=%s recall=%.2f keeps=%.2f limit=%s removed=%t",
 			a.View.Entry.ID, a.Result, a.Choice.Rank, a.View.Load, formatMilliseconds(a.View.LoadAge),
-			a.View.Slowness, a.View.FailureRate, formatMilliseconds(a.Choice.Wait), formatMilliseconds(a.Choice.Run),
+			a.View.Slowness, a.View.Speed.Now(), formatAge(a.View.Speed), a.View.FailureRate, formatMilliseconds(a.Choice.Wait), formatMilliseconds(a.Choice.Run),
 			formatMilliseconds(a.Choice.RoundTrip), a.Choice.LikelyCached, a.View.Cold, formatMilliseconds(a.Took), a.View.PrimaryHitRate, a.View.CacheableFraction, a.View.Limit, a.View.Removed)
 	}
 	return b.String()
 }
 
+// describeBasis formats what a rejection for lack of slots was decided by.
+func describeBasis(b *psadmission.Basis) string {
+	if b == nil {
+		return ""
+	}
+	return fmt.Sprintf("priority=%d wait=%s maxWait=%s overload=%.2f above=%.2f position=%.2f",
+		b.Priority, formatMilliseconds(b.Wait), formatMilliseconds(b.MaxWait), b.Overload, b.Above, b.Position)
+}
+
+// formatAge formats the age of a server's statement of its speed.
+func formatAge(s psspeed.Speed) string {
+	if !s.Known() {
+		return "never"
+	}
+	return formatMilliseconds(s.Age)
+}
+
 // formatMilliseconds formats a duration in milliseconds. More than an hour is "never".
 func formatMilliseconds(d time.Duration) string {
 	if d > time.Hour {
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -31,6 +31,7 @@
 	for {
 		s, rejection := c.proxy.selector.Select(ctx, c.selectionRequest(service))
 		if rejection != nil {
+			c.basis = rejection.Basis
 			return c.finalOutcome(rejected{http.StatusServiceUnavailable, rejection.Reason, rejection.RetryAfter}, last)
 		}
 		if pscaller.Gone(c.request) {
