psproxy: the caller of a test begins to read once its server has aborted the response

TestUnreadResponseIsTruncated let the caller read after 600 ms. Beside load the server hadn't written all that fits into the buffers by then, and the whole response of 32 MB arrived: 4 of 24 copies, eight side by side. What is demanded is unchanged.

--- a/internal/connection/psproxy/response_memory_test.go
+++ b/internal/connection/psproxy/response_memory_test.go
@@ -191,7 +191,9 @@
 		for _, version := range []string{"1.0", "1.1"} {
 			t.Run(name+" HTTP "+version, func(t *testing.T) {
 				t.Parallel()
+				aborted := make(chan struct{})
 				first, control := startProxy(t, startBackend(t, func(c net.Conn, _ *http.Request) bool {
+					defer close(aborted)
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+psstandin.SignedLines("id-1")+v.head)
 					for range length / len(v.piece) {
 						_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
@@ -218,7 +220,7 @@
 				_ = h.Write(&head)
 				_, err = fmt.Fprintf(c, "GET /boards/1 HTTP/%s\r\nHost: eggs.test\r\n%s\r\n", version, head.String())
 				qt.Assert(t, err, qt.IsNil)
-				time.Sleep(600 * time.Millisecond)
+				<-aborted
 				response, err := http.ReadResponse(bufio.NewReader(c), nil)
 				qt.Assert(t, err, qt.IsNil)
 				n, err := io.Copy(io.Discard, response.Body)
