pskeepalive: idle connections are reused for as long as servers state

In a fleet of 84 VMs a VM sends a request to the same server every few seconds, and half of all requests opened a new connection, which costs a round trip (24 ms between regions): connections idle for more than 6 s, or 1 s for requests that may run only once, were not reused, although servers state that they keep idle ones for 10 s.

--- a/internal/connection/psattempt/attempt.go
+++ b/internal/connection/psattempt/attempt.go
@@ -20,16 +20,10 @@
 	"persimmonstep/internal/connection/psresponse"
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/request/pskeepalive"
 	"persimmonstep/platform/psheader"
 )
 
-// maxIdleRetryable and maxIdleNonRetryable bound the idle time of a connection that is reused. A server may close an
-// idle connection just as a request is written to it, which only matters if the request cannot be sent again.
-const (
-	maxIdleRetryable    = 6 * time.Second
-	maxIdleNonRetryable = time.Second
-)
-
 // Request is a request of a caller to be sent to one server.
 type Request struct {
 	// Caller is the caller's request, and Body its body.
@@ -67,6 +61,8 @@
 	Transport *pstransport.Transport
 	// Now returns the current time with a monotonic reading.
 	Now func() time.Time
+
+	keepAlives keepAlives
 }
 
 // Send sends a request to its server and reads the response.
@@ -76,6 +72,7 @@
 	if err != nil {
 		_ = errors.As(err, &out.Invalid)
 		out.Result = ResultOfError(ctx, r.Caller, reply.Sent, err)
+		s.recordClosed(r.Server.Service, reply.IdleTime, out)
 		return out
 	}
 	out.Response, out.Result = s.readResponse(ctx, r, reply)
@@ -91,16 +88,26 @@
 		if !Belongs(h.ID, r.ID, reused) {
 			return false
 		}
+		s.keepAlives.with(r.Server.Service, func(v *pskeepalive.History) { v.RecordStated(readKeepAlive(raw.Header)) })
 		// A response of another server at the same address does not describe this one.
 		if raw.StatusCode != http.StatusMisdirectedRequest {
 			r.HeaderRead(h)
 		}
 		return true
 	}
-	options := pstransport.Options{MaxIdle: MaxIdle(r.Repeatable), AcceptCloseDelimited: true, MaySend: r.MaySend, Matches: matches}
+	maxIdle := s.keepAlives.maxIdle(r.Server.Service, r.Repeatable, s.Now())
+	options := pstransport.Options{MaxIdle: maxIdle, AcceptCloseDelimited: true, MaySend: r.MaySend, Matches: matches}
 	return s.Transport.SendWith(ctx, r.Server.Address, r.MaxConnections, s.upstreamRequest(r), options)
 }
 
+// recordClosed records that a connection that was reused after an idle time turned out to be closed.
+func (s *Sender) recordClosed(service string, idle time.Duration, o Outcome) {
+	if o.Result != Lost || o.Invalid != "" || idle == 0 {
+		return
+	}
+	s.keepAlives.with(service, func(v *pskeepalive.History) { v.RecordClosed(idle, s.Now()) })
+}
+
 // Belongs reports whether a response with an id, or without one, is that to a request. Without an id it may be an earlier
 // response that the server sends again, if the connection has served other requests.
 func Belongs(response, request string, reused bool) bool {
@@ -134,14 +141,6 @@
 	}
 }
 
-// MaxIdle returns the longest idle time of a connection that is reused for a request.
-func MaxIdle(repeatable bool) time.Duration {
-	if repeatable {
-		return maxIdleRetryable
-	}
-	return maxIdleNonRetryable
-}
-
 // readResponse reads a response and returns the result of the attempt.
 func (s *Sender) readResponse(ctx context.Context, r Request, reply pstransport.Result) (*psresponse.Response, Result) {
 	response, err := psresponse.Read(reply.Response, psbudget.Of(ctx), reply.Held)
--- a/internal/connection/psforward/forward.go
+++ b/internal/connection/psforward/forward.go
@@ -27,6 +27,10 @@
 	maxInFlight = 128
 	// nearInFlight is the number of requests in flight from which on helpers that are farther away are used as well.
 	nearInFlight = 32
+	// maxIdleRepeatable and maxIdleOnce bound the idle time of a connection that is reused, for requests that may be repeated
+	// and for those that may run only once. A helper may end while the connection is idle.
+	maxIdleRepeatable = 6 * time.Second
+	maxIdleOnce       = time.Second
 )
 
 // Served requests have the response of a backend server.
@@ -122,7 +126,7 @@
 		// Responses of the helper itself may have no id.
 		return psattempt.Belongs(psheader.ReadResponse(raw.StatusCode, raw.Header).ID, id, false)
 	}
-	options := pstransport.Options{MaxIdle: psattempt.MaxIdle(r.Repeatable), Matches: matches}
+	options := pstransport.Options{MaxIdle: maxIdle(r.Repeatable), Matches: matches}
 	result, err := f.Transport.SendWith(ctx, address, maxInFlight, psattempt.NewRequest(r.Caller, r.Body, header, address), options)
 	if err != nil {
 		return replyOfError(psattempt.ResultOfError(ctx, r.Caller, result.Sent, err))
@@ -144,6 +148,14 @@
 	return Served{response}
 }
 
+// maxIdle returns the longest idle time of a connection to a helper that is reused.
+func maxIdle(repeatable bool) time.Duration {
+	if repeatable {
+		return maxIdleRepeatable
+	}
+	return maxIdleOnce
+}
+
 // replyOfError returns the reply to a request without a response.
 func replyOfError(r psattempt.Result) Reply {
 	switch {
--- a/internal/connection/pspool/conn.go
+++ b/internal/connection/pspool/conn.go
@@ -25,6 +25,8 @@
 	Writer *bufio.Writer
 	// Reused is set if the connection has served a request before.
 	Reused bool
+	// IdleTime is how long the connection was idle before it was reused.
+	IdleTime time.Duration
 	// DialTime is how long opening the connection took; 0 if it is reused.
 	DialTime time.Duration
 
--- a/internal/connection/pspool/pool.go
+++ b/internal/connection/pspool/pool.go
@@ -52,7 +52,8 @@
 		if g.conn == nil {
 			return p.dial(ctx, false)
 		}
-		if g.conn.reusable() && (maxIdle <= 0 || time.Since(g.conn.idleSince) <= maxIdle) {
+		g.conn.IdleTime = time.Since(g.conn.idleSince)
+		if g.conn.reusable() && (maxIdle <= 0 || g.conn.IdleTime <= maxIdle) {
 			return g.conn, nil
 		}
 		g.conn.Discard()
--- a/internal/connection/pstransport/transport.go
+++ b/internal/connection/pstransport/transport.go
@@ -40,6 +40,8 @@
 	Sent bool
 	// DialTime is how long opening the connection took; 0 if one was reused.
 	DialTime time.Duration
+	// IdleTime is how long the connection had been idle; 0 if it was opened for this exchange.
+	IdleTime time.Duration
 	// Held is what was drawn for the response's header from the account in the request's context, in bytes. It must be
 	// returned to the account when the header is no longer used.
 	Held int64
@@ -86,13 +88,13 @@
 		c.Put()
 		return Result{}, ErrMayNotSend
 	}
-	dialTime := c.DialTime
+	dialTime, idleTime := c.DialTime, c.IdleTime
 	e := &exchange{conn: c, request: r, context: ctx, written: make(chan struct{}), options: options, account: psbudget.Of(ctx)}
 	response, err := e.roundTrip()
 	if err != nil {
-		return Result{Sent: e.sent.Load(), DialTime: dialTime}, err
+		return Result{Sent: e.sent.Load(), DialTime: dialTime, IdleTime: idleTime}, err
 	}
-	return Result{Response: response, Sent: e.sent.Load(), DialTime: dialTime, Held: e.held + e.buffer}, nil
+	return Result{Response: response, Sent: e.sent.Load(), DialTime: dialTime, IdleTime: idleTime, Held: e.held + e.buffer}, nil
 }
 
 func closeBody(r *http.Request) {
