psselect: uploads leave a failure domain with few servers in proportion to its part of the slots

Uploads ranked the servers of their VM's failure domain first, whatever its capacity. Now a failure domain with less than an even part of the slots keeps uploads of as many objects as it has slots for.

--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -173,8 +173,9 @@
 	list := make([]psplacement.Candidate, len(options))
 	lags := make([]float64, len(options))
 	mean := meanLoad(options)
+	prefersNear := r.prefersNear(options)
 	for i := range options {
-		list[i] = r.candidate(&options[i])
+		list[i] = r.candidate(&options[i], prefersNear)
 		list[i].Load = mean.estimate(&options[i].View)
 		lags[i] = options[i].View.Lag
 	}
@@ -184,18 +185,19 @@
 	return list
 }
 
-func (r *Request) candidate(o *Option) psplacement.Candidate {
+func (r *Request) candidate(o *Option, prefersNear bool) psplacement.Candidate {
 	v := &o.View
 	slowness := v.Slowness
 	if v.Cold {
 		slowness = max(slowness, coldSlowness)
 	}
 	near := v.Entry.FailureDomain == r.From.FailureDomain
+	preferred := near || !prefersNear
 	c := psplacement.Candidate{
 		Load: v.Load, Slots: v.Entry.Slots, Slowness: slowness, Speed: v.Speed,
 		Cold: v.Cold, FailureRate: v.FailureRate, SilentFor: v.SilentFor, ObjectSent: o.ObjectSent,
 		PrimaryHitRate: v.PrimaryHitRate, FallbackHitRate: v.FallbackHitRate, CacheableFraction: v.CacheableFraction,
-		Score: r.score(v.Entry.ID, near), RoundTrip: r.roundTrip(o, near), TransferCost: r.transferCost(near),
+		Score: r.score(v.Entry.ID, preferred), RoundTrip: r.roundTrip(o, near), TransferCost: r.transferCost(preferred),
 		Overflow: r.Route.Kind == psconfig.Download && !near,
 	}
 	if o.NeedsToken {
@@ -233,19 +235,19 @@
 }
 
 // score returns a server's score in the ranking of the request's object. Uploads rank the servers of
-// their failure domain first, so that large bodies stay there. Downloads rank servers elsewhere as an
+// their failure domain first, so that large bodies stay there, as far as [Request.prefersNear] allows. Downloads rank servers elsewhere as an
 // overflow, so that large responses stay in the failure domain while it has capacity.
-func (r *Request) score(server string, near bool) uint64 {
+func (r *Request) score(server string, preferred bool) uint64 {
 	v := psplacement.Score(r.Object, server)
 	if r.Route.Kind != psconfig.Upload {
 		return v
 	}
-	return psplacement.PreferNear(v, near)
+	return psplacement.PreferNear(v, preferred)
 }
 
-// transferCost returns the latency that is accepted to avoid a transfer out of the failure domain.
-func (r *Request) transferCost(near bool) time.Duration {
-	if near {
+// transferCost returns the latency that is accepted to avoid a transfer to a server that isn't preferred.
+func (r *Request) transferCost(preferred bool) time.Duration {
+	if preferred {
 		return 0
 	}
 	return time.Duration(r.Bytes/1024) * costPerKB
