--- a/internal/connection/psattempt/attempt.go
+++ b/internal/connection/psattempt/attempt.go
@@ -72,9 +72,10 @@
 	if err != nil {
 		_ = errors.As(err, &out.Invalid)
 		out.Result = ResultOfError(ctx, r.Caller, reply.Sent, err)
-		s.recordClosed(r.Server.Service, reply.IdleTime, out)
+		s.recordKeepAlive(r, reply, out.Result == Lost && out.Invalid == "")
 		return out
 	}
+	s.recordKeepAlive(r, reply, false)
 	out.Response, out.Result = s.readResponse(ctx, r, reply)
 	if out.Response != nil && out.Result != Answered && out.Result != ServerError {
 		out.Response.Close()
@@ -100,12 +101,11 @@
 	return s.Transport.SendWith(ctx, r.Server.Address, r.MaxConnections, s.upstreamRequest(r), options)
 }
 
-// recordClosed records that a connection that was reused after an idle time turned out to be closed.
-func (s *Sender) recordClosed(service string, idle time.Duration, o Outcome) {
-	if o.Result != Lost || o.Invalid != "" || idle == 0 {
-		return
+// recordKeepAlive records whether a request was lost, on a reused or a new connection.
+func (s *Sender) recordKeepAlive(r Request, reply pstransport.Result, lost bool) {
+	if reply.Sent {
+		s.keepAlives.with(r.Server.Service, func(h *pskeepalive.History) { h.Record(reply.IdleTime, lost, s.Now()) })
 	}
-	s.keepAlives.with(service, func(v *pskeepalive.History) { v.RecordClosed(idle, s.Now()) })
 }
 
 // Belongs reports whether a response with an id, or without one, is that to a request. Without an id it may be an earlier
--- a/internal/request/pskeepalive/keepalive.go
+++ b/internal/request/pskeepalive/keepalive.go
@@ -9,7 +9,11 @@
 // The package does no I/O and reads no clock.
 package pskeepalive
 
-import "time"
+import (
+	"time"
+
+	"persimmonstep/internal/request/psdecay"
+)
 
 const (
 	// defaultRepeatable and defaultOnce bound the idle time if the server states none, for requests that may be repeated and
@@ -20,22 +24,49 @@
 	// for the others.
 	margin       = time.Second
 	onceFraction = 0.7
+	// rateTime is the time constant with which lost and other requests are forgotten.
+	rateTime = 20 * time.Second
+	// minClosed is the number of requests lost on reused connections from which on these count as closed by the servers, if
+	// requests are lost there closedFactor times as often as on new connections. Servers that fail lose requests on both.
+	minClosed    = 1.5
+	closedFactor = 4.0
+	// priorLost and priorNew are added to the counts of new connections, of which there may be few.
+	priorLost = 0.5
+	priorNew  = 5.0
 	// closedDivisor divides the idle time after which a connection turned out to be closed. Servers that forget connections
 	// mostly do so long before that time.
 	closedDivisor = 8
-	// closedTime is how long connections are used again sooner after one turned out to be closed.
+	// closedTime is how long connections are reused only after shorter idle times.
 	closedTime = 30 * time.Second
 )
 
 // History is what connections to the servers of a service have shown. The zero value is that of servers that state nothing.
 type History struct {
-	// stated is the shortest idle timeout of the last responses.
+	// stated is the idle timeout of the last response that stated one.
 	stated time.Duration
-	// closed bounds the idle time until a time, after a connection turned out to be closed.
+	// reused and opened count the requests on reused and on new connections, up to a time.
+	reused, opened counts
+	countedAt      time.Time
+	// closed bounds the idle time until a time, after connections turned out to be closed.
 	closed      time.Duration
 	closedUntil time.Time
 }
 
+// counts are decayed numbers of requests.
+type counts struct{ all, lost float64 }
+
+func (c *counts) decay(factor float64) {
+	c.all *= factor
+	c.lost *= factor
+}
+
+func (c *counts) add(lost bool) {
+	c.all++
+	if lost {
+		c.lost++
+	}
+}
+
 // RecordStated records the idle timeout that a server states.
 func (h *History) RecordStated(timeout time.Duration) {
 	if timeout > 0 {
@@ -43,9 +74,30 @@
 	}
 }
 
-// RecordClosed records that a connection that was used again after an idle time turned out to be closed.
-func (h *History) RecordClosed(idle time.Duration, now time.Time) {
-	bound := idle / closedDivisor
+// Record records a request on a connection that had been idle, or on a new one if idle is 0. lost states that there was no
+// response.
+func (h *History) Record(idle time.Duration, lost bool, now time.Time) {
+	factor := psdecay.Factor(now.Sub(h.countedAt), rateTime)
+	h.countedAt = now
+	h.reused.decay(factor)
+	h.opened.decay(factor)
+	if idle <= 0 {
+		h.opened.add(lost)
+		return
+	}
+	h.reused.add(lost)
+	if lost && h.areClosed() {
+		h.shorten(idle/closedDivisor, now)
+	}
+}
+
+// areClosed reports whether requests are lost because servers close idle connections.
+func (h *History) areClosed() bool {
+	usual := (h.opened.lost + priorLost) / (h.opened.all + priorNew)
+	return h.reused.lost >= minClosed && h.reused.lost/h.reused.all >= closedFactor*usual
+}
+
+func (h *History) shorten(bound time.Duration, now time.Time) {
 	if now.Before(h.closedUntil) {
 		bound = min(bound, h.closed)
 	}
