pslistener: listeners don't offer Multipath TCP, so that a shutdown resets no new connection

Where the kernel has Multipath TCP, Go's listeners use it, and their sockets refuse SO_ATTACH_FILTER with "operation not supported". So a stopping listener didn't drop the packets that open connections, and its close reset those that were opened meanwhile.

The listeners of the VM and those of the test are now opened by pslistener.Listen, which disables it. Ruled out: the time for handshakes, the set of connections.

--- a/internal/connection/pslistener/listener.go
+++ b/internal/connection/pslistener/listener.go
@@ -1,4 +1,4 @@
-// Package pslistener closes a listener without a reset of connections that callers have just opened.
+// Package pslistener opens listeners, and closes them without a reset of connections that callers have just opened.
 //
 // The close of a listener resets the connections that wait at it, whose callers may already have sent a request. So packets
 // that open connections are ignored first; their callers are refused once they try again. Then the connections that are
@@ -6,11 +6,14 @@
 package pslistener
 
 import (
+	"context"
 	"net"
+	"net/netip"
 	"os"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -22,6 +25,15 @@
 	maxWaiting = 256
 )
 
+// Listen opens a listener at an address. It doesn't offer Multipath TCP, whose listeners don't support socket filters, so
+// that [Stop] couldn't drop the packets that open connections.
+func Listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	l, err := config.Listen(ctx, "tcp4", address.String())
+	return l, errors.Wrapf(err, "listen at %s", address)
+}
+
 // Stop lets a listener end its accepts after a short time, in which connections that are being opened are completed.
 func Stop(l net.Listener) {
 	if v, found := l.(*net.TCPListener); found {
--- a/internal/connection/psserve/benchmark_test.go
+++ b/internal/connection/psserve/benchmark_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -13,6 +15,7 @@
 	"time"
 
 	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pslistener"
 	"persimmonstep/internal/connection/psserve"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -42,7 +45,7 @@
 	Close() error
 },
 ) {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
+	l, err := pslistener.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/connection/psserve/server_test.go
+++ b/internal/connection/psserve/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 
 	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/pscaller"
+	"persimmonstep/internal/connection/pslistener"
 	"persimmonstep/internal/connection/psserve"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -46,7 +48,7 @@
 // startLimited starts a server with limits that change.
 func startLimited(t testing.TB, h handler, limits func() psconfig.Limits, connections int) *served {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
+	l, err := pslistener.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
 	qt.Assert(t, err, qt.IsNil)
 	s := &served{budget: psbudget.New(8<<20, time.Now), address: l.Addr().String(), ended: make(chan error, 1)}
 	s.server = psserve.New(psserve.Options{
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -13,6 +13,7 @@
 
 	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/psforward"
+	"persimmonstep/internal/connection/pslistener"
 	"persimmonstep/internal/connection/pspeerstate"
 	"persimmonstep/internal/connection/psserve"
 	"persimmonstep/internal/process/psadmin"
@@ -109,9 +110,9 @@
 }
 
 func (s *httpServers) add(ctx context.Context, a netip.AddrPort, h server) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", a.String())
+	l, err := pslistener.Listen(ctx, a)
 	if err != nil {
-		return errors.Wrapf(err, "listen at %s", a)
+		return err
 	}
 	s.listeners = append(s.listeners, l)
 	s.servers = append(s.servers, h)
