psrate: shares follow needs under a common bound, and no sudden demand reduces them

At 84 VMs chance moved each share as well: the lowest of the last reports is far below the mean where a VM sees four requests a second.

A VM now gets 1.25 times its demand and an equal part of what is left; above the rate a common bound holds. It uses the lowest share of a window that covers the way of a report and the averaging of demands. The bounds of TestSplitRatesStayWithinLimit (5,000 checks) and TestSuddenOverloadStaysWithinLimit are unchanged; the figure in TestWithoutDemandsTheSplitIsEven goes with the new parameter, the rate; TestSharesGrowOnlyAfterWindow replaces TestDemandCountsOnlyAfterPropagation, as the history holds shares now.

--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -2,24 +2,18 @@
 //
 // It answers this load pattern: one workspace sends many times its rate to all VMs at once
 // while the others stay within theirs, VMs fail and restart, and the network between some of
-// them is partitioned. Each VM gets a share of the rate, in proportion to the demand of its
-// callers. It computes the shares from the demands that all VMs report, its own included, so all
-// VMs arrive at nearly the same split. The share of a silent VM stays reserved for it, and a VM
-// that doesn't receive all reports doesn't increase its share.
+// them is partitioned. Each VM computes a share of the rate from the demands that all VMs report, its own included, so all
+// VMs arrive at nearly the same split. The share of a silent VM stays reserved for it, and a VM that doesn't receive all
+// reports doesn't increase its share.
 //
 // A rate that is too small to split is granted by one VM, the owner of its tokens.
 //
 // The package does no I/O and reads no clock.
 package psrate
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
-	// floorShare is the fraction of a rate that is split evenly, independent of demand.
-	floorShare = 0.25
 	// refillFactor fills buckets slightly faster than the limit, within the tolerance that it allows.
 	refillFactor = 1.02
 	// extraBurstSeconds is the additional capacity of all buckets, in seconds of the rate.
@@ -30,10 +24,11 @@
 	excessFactor = 1.1
 	// wholeToken is one token, less a margin for rounding errors.
 	wholeToken = 1 - 1e-6
-	// demandWindow is the time over which the demand is averaged.
-	demandWindow = 1500 * time.Millisecond
 )
 
+// DemandWindow is the time over which a VM averages the demand of a workspace.
+const DemandWindow = 1500 * time.Millisecond
+
 // Limit is the rate and burst of a workspace over all VMs.
 type Limit struct {
 	// Rate is in requests per second; 0 means no limit.
@@ -69,20 +64,6 @@
 	return Limit{Rate: max(minOwnerRate, l.Rate*share), Burst: l.Burst * share}
 }
 
-// Share returns the share of a limit for a VM with the demand own, among VMs with the demands others.
-// Demands are in requests per second.
-func Share(own float64, others []float64) float64 {
-	n := float64(len(others) + 1)
-	sum := own
-	for _, d := range others {
-		sum += d
-	}
-	if sum <= 0 {
-		return 1 / n
-	}
-	return floorShare/n + (1-floorShare)*own/sum
-}
-
 // Bucket is the token bucket of one workspace on one VM.
 type Bucket struct {
 	tokens     float64
@@ -94,34 +75,6 @@
 	ahead []time.Time
 }
 
-// DemandHistory holds the demands of one VM that it has reported to the others.
-type DemandHistory struct {
-	// reported are the latest demands, the newest one last.
-	reported []float64
-}
-
-// maxPropagationReports is the highest number of reports that a demand takes to reach all VMs.
-const maxPropagationReports = 32
-
-// Record adds the demand that the VM reports now.
-func (d *DemandHistory) Record(v float64) {
-	if len(d.reported) > maxPropagationReports {
-		d.reported = slices.Delete(d.reported, 0, 1)
-	}
-	d.reported = append(d.reported, v)
-}
-
-// Propagated returns the demand from which the VM computes its own share: the lowest one of its latest reports.
-// It increases only after the other VMs have received the increase and reduced their shares, which takes the
-// given number of reports.
-func (d *DemandHistory) Propagated(reports int) float64 {
-	count := min(reports, maxPropagationReports) + 1
-	if len(d.reported) < count {
-		return 0
-	}
-	return slices.Min(d.reported[len(d.reported)-count:])
-}
-
 // NewBucket returns a bucket that is empty at the given time.
 func NewBucket(now time.Time) *Bucket { return &Bucket{refilledAt: now} }
 
@@ -138,7 +91,7 @@
 
 func (b *Bucket) take(l Limit, share, minimum float64, now time.Time) (bool, time.Duration) {
 	b.refill(l, share, now)
-	b.demand += 1 / demandWindow.Seconds()
+	b.demand += 1 / DemandWindow.Seconds()
 	if l.Rate <= 0 {
 		return true, 0
 	}
@@ -151,7 +104,7 @@
 }
 
 // AddDemand counts requests for which no token was asked.
-func (b *Bucket) AddDemand(requests int) { b.demand += float64(requests) / demandWindow.Seconds() }
+func (b *Bucket) AddDemand(requests int) { b.demand += float64(requests) / DemandWindow.Seconds() }
 
 // Return puts back the token of a request that was not sent to a server.
 func (b *Bucket) Return() { b.tokens++ }
@@ -171,7 +124,7 @@
 	if b.refilledAt.IsZero() {
 		return 1
 	}
-	return max(0, 1-float64(now.Sub(b.refilledAt))/float64(demandWindow))
+	return max(0, 1-float64(now.Sub(b.refilledAt))/float64(DemandWindow))
 }
 
 func (b *Bucket) refill(l Limit, share float64, now time.Time) {
--- a/internal/process/psrate/rate_test.go
+++ b/internal/process/psrate/rate_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"persimmonstep/internal/process/psrate"
@@ -53,10 +54,9 @@
 		for i := range buckets {
 			buckets[i] = psrate.NewBucket(now)
 		}
-		// reported are the demands that VMs sent to the others, and history those from which each computes its
-		// share.
+		// reported are the demands that VMs sent to the others, and history the shares that each computed.
 		reported := make([]float64, vms)
-		history := make([]psrate.DemandHistory, vms)
+		history := make([]psrate.ShareHistory, vms)
 		shares := make([]float64, vms)
 		pending := make([]float64, vms)
 		g := make(grants, simulatedSpan/step)
@@ -65,13 +65,12 @@
 			for i, b := range buckets {
 				if n == restart && i < restarted {
 					b = psrate.NewBucket(now)
-					buckets[i], history[i] = b, psrate.DemandHistory{}
+					buckets[i], history[i] = b, psrate.ShareHistory{}
 				}
 				if n == 0 || (n+i)%int(exchange/step) == 0 {
 					reported[i] = b.Demand(now)
-					history[i].Record(reported[i])
 					others := append(append([]float64{}, reported[:i]...), reported[i+1:]...)
-					shares[i] = psrate.Share(history[i].Propagated(1), others)
+					shares[i] = history[i].Record(psrate.Share(l.Rate, reported[i], others), 2*exchange+psrate.DemandWindow, now)
 				}
 				demand := demands[(n/50*vms+i)%len(demands)]
 				if n < onset {
@@ -92,49 +91,82 @@
 	})
 }
 
-// TestSuddenOverloadStaysWithinLimit simulates 74 VMs that receive each other's demands one report interval late.
-// A workspace suddenly sends many times its rate to all of them.
-func TestSuddenOverloadStaysWithinLimit(t *testing.T) {
+// onset is the time at which the demand changes in [suddenDemand].
+const onset = 8 * time.Second
+
+// suddenDemand simulates 74 VMs that receive each other's demands one report interval late. A workspace sends a fraction of its
+// rate, from onset on that times a factor. It returns the granted and the refused requests of each step.
+func suddenDemand(l psrate.Limit, fraction, factor float64) (granted, refused grants) {
 	const (
 		vms      = 74
 		exchange = 1330 * time.Millisecond
-		onset    = 8 * time.Second
 	)
-	l := psrate.Limit{Rate: 656, Burst: 656}
 	random := rand.New(rand.NewPCG(1, 2))
 	now := time.Unix(0, 0)
 	buckets := make([]*psrate.Bucket, vms)
 	for i := range buckets {
 		buckets[i] = psrate.NewBucket(now)
 	}
-	reported, history := make([]float64, vms), make([]psrate.DemandHistory, vms)
+	reported, history := make([]float64, vms), make([]psrate.ShareHistory, vms)
 	phases, shares := random.Perm(vms), make([]float64, vms)
-	g := make(grants, simulatedSpan/step)
-	for n := range g {
+	granted, refused = make(grants, simulatedSpan/step), make(grants, simulatedSpan/step)
+	for n := range granted {
 		now = now.Add(step)
-		demand := 0.38 * l.Rate
+		demand := fraction * l.Rate
 		if time.Duration(n)*step >= onset {
-			demand *= 11
+			demand *= factor
 		}
 		for i, b := range buckets {
 			if n == 0 || (n+phases[i])%int(exchange/step) == 0 {
 				reported[i] = b.Demand(now)
-				history[i].Record(reported[i])
 				others := append(append([]float64{}, reported[:i]...), reported[i+1:]...)
-				shares[i] = psrate.Share(history[i].Propagated(1), others)
+				shares[i] = history[i].Record(psrate.Share(l.Rate, reported[i], others), 2*exchange+psrate.DemandWindow, now)
 			}
 			for random.Float64() < demand/vms*step.Seconds() {
-				if granted, _ := b.Take(l, shares[i], now); granted {
-					g[n]++
+				if ok, _ := b.Take(l, shares[i], now); ok {
+					granted[n]++
+				} else {
+					refused[n]++
 				}
 			}
 		}
 	}
+	return granted, refused
+}
+
+// sum returns the requests from one time to another.
+func (g grants) sum(from, to time.Duration) int { return lo.Sum(g[from/step : to/step]) }
+
+// TestSuddenOverloadStaysWithinLimit covers a workspace that suddenly sends many times its rate to all VMs.
+func TestSuddenOverloadStaysWithinLimit(t *testing.T) {
+	l := psrate.Limit{Rate: 656, Burst: 656}
+	g, _ := suddenDemand(l, 0.38, 11)
 	bound := (l.Rate*window.Seconds()+l.Burst)*tolerance + slack
 	t.Logf("%d granted in a window, %.0f allowed", g.maxInWindow(), bound)
 	qt.Assert(t, float64(g.maxInWindow()) <= bound, qt.IsTrue)
 }
 
+// TestSuddenOverloadGetsTheRate covers the same workspace: its shares must not fall while VMs know of the demand of the others
+// what these don't count themselves yet.
+func TestSuddenOverloadGetsTheRate(t *testing.T) {
+	l := psrate.Limit{Rate: 656, Burst: 656}
+	for _, factor := range []float64{3, 5.7, 11} {
+		g, _ := suddenDemand(l, 0.38, factor)
+		for at := onset; at < simulatedSpan; at += time.Second {
+			n := g.sum(at, at+time.Second)
+			qt.Check(t, float64(n) > 0.9*l.Rate, qt.IsTrue, qt.Commentf("factor %v, from %v: %d granted", factor, at, n))
+		}
+	}
+}
+
+// TestRequestsWithinTheRateAreGranted covers a workspace that sends half of its rate to many VMs. Each sees four requests a second,
+// so that chance moves its demand.
+func TestRequestsWithinTheRateAreGranted(t *testing.T) {
+	granted, refused := suddenDemand(psrate.Limit{Rate: 656, Burst: 656}, 0.45, 1)
+	n, r := granted.sum(0, simulatedSpan), refused.sum(time.Second, simulatedSpan)
+	qt.Assert(t, r*200 < n, qt.IsTrue, qt.Commentf("%d granted, %d refused", n, r))
+}
+
 // TestOwnedRatesStayWithinLimitDuringPartition simulates a fleet that is partitioned into two sides, each with a
 // primary and a backup owner of the tokens.
 func TestOwnedRatesStayWithinLimitDuringPartition(t *testing.T) {
@@ -183,8 +215,8 @@
 }
 
 func TestWithoutDemandsTheSplitIsEven(t *testing.T) {
-	qt.Assert(t, psrate.Share(0, []float64{0, 0, 0}), qt.Equals, 0.25)
-	qt.Assert(t, psrate.Share(30, []float64{10}) > 0.6, qt.IsTrue)
+	qt.Assert(t, psrate.Share(100, 0, []float64{0, 0, 0}), qt.Equals, 0.25)
+	qt.Assert(t, psrate.Share(40, 30, []float64{10}) > 0.6, qt.IsTrue)
 }
 
 func TestTakeReturnsTheWaitForTheNextToken(t *testing.T) {
@@ -196,13 +228,15 @@
 	qt.Assert(t, granted, qt.IsTrue)
 }
 
-// TestDemandCountsOnlyAfterPropagation simulates a fleet in which a report takes three intervals to reach all VMs.
-func TestDemandCountsOnlyAfterPropagation(t *testing.T) {
-	var d psrate.DemandHistory
-	for i, v := range []float64{5, 9, 9, 9, 2, 9} {
-		d.Record(v)
-		want := []float64{0, 0, 0, 5, 2, 2}[i]
-		qt.Check(t, d.Propagated(3), qt.Equals, want, qt.Commentf("after %d reports", i+1))
+// TestSharesGrowOnlyAfterWindow checks that a VM uses the lowest share that it has computed lately, until the other VMs know
+// the demand by which its share grows.
+func TestSharesGrowOnlyAfterWindow(t *testing.T) {
+	var h psrate.ShareHistory
+	now := time.Unix(0, 0)
+	for i, v := range []float64{0.5, 0.9, 0.9, 0.9, 0.9, 0.2, 0.9, 0.4, 0.3} {
+		want := []float64{0.5, 0.5, 0.5, 0.5, 0.9, 0.2, 0.2, 0.2, 0.2}[i]
+		now = now.Add(time.Second)
+		qt.Check(t, h.Record(v, 3*time.Second, now), qt.Equals, want, qt.Commentf("after %d shares", i+1))
 	}
 }
 
--- /dev/null
+++ b/internal/process/psrate/share.go
@@ -0,0 +1,88 @@
+package psrate
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// floorShare is the fraction of a rate that is split evenly, independent of demand.
+	floorShare = 0.25
+	// headroom is the ratio of what a VM needs to its averaged demand, since arrivals vary.
+	headroom = 1.25
+)
+
+// Share returns the share of a rate for a VM with the demand own, among VMs with the demands others. The rate and the demands
+// are in requests per second.
+//
+// While the demands fit into the rate, each VM gets what it needs and an equal part of the rest, which serves the callers that
+// it doesn't know of yet. Otherwise no VM gets more than a common bound, and those that need less get that. So a workspace that
+// sends many times its usual rate to all VMs at once leaves their shares as they were.
+func Share(rate, own float64, others []float64) float64 {
+	n := float64(len(others) + 1)
+	if rate <= 0 {
+		return 1 / n
+	}
+	need := func(demand float64) float64 { return max(floorShare/n, headroom*demand/rate) }
+	sum := need(own)
+	for _, d := range others {
+		sum += need(d)
+	}
+	if sum <= 1 {
+		return need(own) + (1-sum)/n
+	}
+	return min(need(own), commonBound(need(own), others, need))
+}
+
+// commonBound returns the bound on each need with which they add up to 1. Without it they exceed 1.
+func commonBound(own float64, others []float64, need func(demand float64) float64) float64 {
+	bound := 1 / float64(len(others)+1)
+	for {
+		// below is the sum of the needs below the bound, and above the number of the others.
+		below, above := 0.0, 0
+		add := func(v float64) {
+			if v < bound {
+				below += v
+			} else {
+				above++
+			}
+		}
+		add(own)
+		for _, d := range others {
+			add(need(d))
+		}
+		if above == 0 {
+			return bound
+		}
+		next := (1 - below) / float64(above)
+		if next <= bound {
+			return bound
+		}
+		bound = next
+	}
+}
+
+// ShareHistory holds the shares that a VM has computed lately. The zero value is empty.
+type ShareHistory struct {
+	// lowest are the shares that can still be the lowest of a window, in ascending order.
+	lowest []computedShare
+}
+
+type computedShare struct {
+	share float64
+	at    time.Time
+}
+
+// Record adds a share that was computed now, and returns the one that the VM may use: the lowest of a window. A share
+// grows only after the window, in which the other VMs have received the demands by which it grows and have reduced theirs. The
+// window includes the time over which demands are averaged: while the demand of a workspace rises at all VMs at once, each VM
+// knows its own sooner than those of the others.
+func (h *ShareHistory) Record(share float64, window time.Duration, now time.Time) float64 {
+	for n := len(h.lowest); n > 0 && h.lowest[n-1].share >= share; n-- {
+		h.lowest = h.lowest[:n-1]
+	}
+	h.lowest = append(h.lowest, computedShare{share, now})
+	expired := slices.IndexFunc(h.lowest, func(c computedShare) bool { return now.Sub(c.at) <= window })
+	h.lowest = slices.Delete(h.lowest, 0, expired)
+	return h.lowest[0].share
+}
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -7,7 +7,6 @@
 package psshare
 
 import (
-	"math"
 	"time"
 
 	"github.com/samber/lo"
@@ -24,37 +23,21 @@
 
 // Shares computes this VM's shares of the workspaces' rates.
 type Shares struct {
-	// demands are the demands that this VM reported to the others, by workspace.
-	demands map[string]*psrate.DemandHistory
+	// demands are the demands that this VM reported last to the others, by workspace.
+	demands map[string]float64
+	// computed are the shares that were computed lately, by workspace.
+	computed map[string]*psrate.ShareHistory
 	// stable are the shares at the last time when all VMs were live, by workspace.
 	stable map[string]float64
 }
 
 // New returns the shares of a VM that has not reported a demand yet.
 func New() *Shares {
-	return &Shares{demands: map[string]*psrate.DemandHistory{}, stable: map[string]float64{}}
+	return &Shares{computed: map[string]*psrate.ShareHistory{}, stable: map[string]float64{}}
 }
 
-// Record adds the demands that this VM reports now.
-func (s *Shares) Record(demands map[string]float64) {
-	for name := range demands {
-		if s.demands[name] == nil {
-			s.demands[name] = &psrate.DemandHistory{}
-		}
-	}
-	for name, d := range s.demands {
-		d.Record(demands[name])
-	}
-}
-
-// ownDemand returns this VM's demand of a workspace as far as it has reached the other VMs.
-func (s *Shares) ownDemand(workspace string, reports int) float64 {
-	d, found := s.demands[workspace]
-	if !found {
-		return 0
-	}
-	return d.Propagated(reports)
-}
+// Record replaces the demands by those that this VM reports now.
+func (s *Shares) Record(demands map[string]float64) { s.demands = demands }
 
 // RateShares returns this VM's share of each workspace's rate, and the even share for workspaces that aren't
 // listed. While a VM with a reserved share is silent, no share exceeds its last stable value: the silent VM may
@@ -65,22 +48,24 @@
 	if x == nil {
 		return nil, even
 	}
-	reports := int(math.Ceil(float64(f.PropagationTime()) / float64(f.ReportInterval())))
 	allLive := lo.EveryBy(peers, func(p *psfleet.Peer) bool { return f.Live(p, now) })
+	window := f.PropagationTime() + f.ReportInterval() + psrate.DemandWindow
 	shares = make(map[string]float64, len(x.Configuration.Workspaces))
+	others := make([]float64, len(peers))
 	for i := range x.Configuration.Workspaces {
-		name := x.Configuration.Workspaces[i].Name
-		own := s.ownDemand(name, reports)
-		others := lo.Map(peers, func(p *psfleet.Peer, _ int) float64 {
-			if p.Report == nil {
-				return own
+		w := &x.Configuration.Workspaces[i]
+		own := s.demands[w.Name]
+		for j, p := range peers {
+			others[j] = own
+			if p.Report != nil {
+				others[j] = p.Report.Demands[w.Name]
 			}
-			return p.Report.Demands[name]
-		})
-		shares[name] = psrate.Share(own, others)
-		if limit, found := s.stable[name]; !allLive && found {
-			shares[name] = min(shares[name], limit)
 		}
+		share := s.history(w.Name).Record(psrate.Share(w.Rate, own, others), window, now)
+		if limit, found := s.stable[w.Name]; !allLive && found {
+			share = min(share, limit)
+		}
+		shares[w.Name] = share
 	}
 	if allLive {
 		s.stable = shares
@@ -88,6 +73,16 @@
 	return shares, even
 }
 
+// history returns the shares of a workspace that were computed lately.
+func (s *Shares) history(workspace string) *psrate.ShareHistory {
+	h, found := s.computed[workspace]
+	if !found {
+		h = &psrate.ShareHistory{}
+		s.computed[workspace] = h
+	}
+	return h
+}
+
 // Of returns the share of a workspace's rate: the listed one, or the even share if it isn't listed.
 func Of(shares map[string]float64, even float64, workspace string) float64 {
 	if share, found := shares[workspace]; found {
