psrate: shares follow callers within two reports; a third of the rest follows the needs

The bound holds with a window of one report's way and one report interval (20,000 checks of TestSplitRatesStayWithinLimit), and 35% of the rest now follows the needs.

--- a/internal/process/psrate/rate.go
+++ b/internal/process/psrate/rate.go
@@ -24,11 +24,10 @@
 	excessFactor = 1.1
 	// wholeToken is one token, less a margin for rounding errors.
 	wholeToken = 1 - 1e-6
+	// demandWindow is the time over which the demand is averaged.
+	demandWindow = 1500 * time.Millisecond
 )
 
-// DemandWindow is the time over which a VM averages the demand of a workspace.
-const DemandWindow = 1500 * time.Millisecond
-
 // Limit is the rate and burst of a workspace over all VMs.
 type Limit struct {
 	// Rate is in requests per second; 0 means no limit.
@@ -91,7 +90,7 @@
 
 func (b *Bucket) take(l Limit, share, minimum float64, now time.Time) (bool, time.Duration) {
 	b.refill(l, share, now)
-	b.demand += 1 / DemandWindow.Seconds()
+	b.demand += 1 / demandWindow.Seconds()
 	if l.Rate <= 0 {
 		return true, 0
 	}
@@ -104,7 +103,7 @@
 }
 
 // AddDemand counts requests for which no token was asked.
-func (b *Bucket) AddDemand(requests int) { b.demand += float64(requests) / DemandWindow.Seconds() }
+func (b *Bucket) AddDemand(requests int) { b.demand += float64(requests) / demandWindow.Seconds() }
 
 // Return puts back the token of a request that was not sent to a server.
 func (b *Bucket) Return() { b.tokens++ }
@@ -124,7 +123,7 @@
 	if b.refilledAt.IsZero() {
 		return 1
 	}
-	return max(0, 1-float64(now.Sub(b.refilledAt))/float64(DemandWindow))
+	return max(0, 1-float64(now.Sub(b.refilledAt))/float64(demandWindow))
 }
 
 func (b *Bucket) refill(l Limit, share float64, now time.Time) {
--- a/internal/process/psrate/share.go
+++ b/internal/process/psrate/share.go
@@ -10,13 +10,15 @@
 	floorShare = 0.25
 	// headroom is the ratio of what a VM needs to its averaged demand, since arrivals vary.
 	headroom = 1.25
+	// evenRest is the fraction of what no VM needs that is split evenly, for callers that a VM doesn't know of yet. The others
+	// follow the needs, as do bursts.
+	evenRest = 0.65
 )
 
 // Share returns the share of a rate for a VM with the demand own, among VMs with the demands others. The rate and the demands
 // are in requests per second.
 //
-// While the demands fit into the rate, each VM gets what it needs and an equal part of the rest, which serves the callers that
-// it doesn't know of yet. Otherwise no VM gets more than a common bound, and those that need less get that. So a workspace that
+// While the demands fit into the rate, each VM gets what it needs and a part of the rest. Otherwise no VM gets more than a common bound, and those that need less get that. So a workspace that
 // sends many times its usual rate to all VMs at once leaves their shares as they were.
 func Share(rate, own float64, others []float64) float64 {
 	n := float64(len(others) + 1)
@@ -29,7 +31,7 @@
 		sum += need(d)
 	}
 	if sum <= 1 {
-		return need(own) + (1-sum)/n
+		return need(own) + (1-sum)*(evenRest/n+(1-evenRest)*need(own)/sum)
 	}
 	return min(need(own), commonBound(need(own), others, need))
 }
@@ -74,9 +76,7 @@
 }
 
 // Record adds a share that was computed now, and returns the one that the VM may use: the lowest of a window. A share
-// grows only after the window, in which the other VMs have received the demands by which it grows and have reduced theirs. The
-// window includes the time over which demands are averaged: while the demand of a workspace rises at all VMs at once, each VM
-// knows its own sooner than those of the others.
+// grows only after the window, in which the other VMs have received the demands by which it grows and have reduced theirs.
 func (h *ShareHistory) Record(share float64, window time.Duration, now time.Time) float64 {
 	for n := len(h.lowest); n > 0 && h.lowest[n-1].share >= share; n-- {
 		h.lowest = h.lowest[:n-1]
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -49,7 +49,7 @@
 		return nil, even
 	}
 	allLive := lo.EveryBy(peers, func(p *psfleet.Peer) bool { return f.Live(p, now) })
-	window := f.PropagationTime() + f.ReportInterval() + psrate.DemandWindow
+	window := f.PropagationTime() + f.ReportInterval()
 	shares = make(map[string]float64, len(x.Configuration.Workspaces))
 	others := make([]float64, len(peers))
 	for i := range x.Configuration.Workspaces {
