--- a/internal/version/psconfig/check.go
+++ b/internal/version/psconfig/check.go
@@ -5,12 +5,33 @@
 	"strings"
 )
 
+// Code identifies the rule that a finding results from.
+type Code string
+
+// The rules of [Configuration.Check].
+const (
+	CodeNameMissing    Code = "name-missing"
+	CodeNameTaken      Code = "name-taken"
+	CodeNegative       Code = "negative"
+	CodeHostMissing    Code = "host-missing"
+	CodePrefixInvalid  Code = "prefix-invalid"
+	CodeRouteHidden    Code = "route-hidden"
+	CodeKindUnknown    Code = "kind-unknown"
+	CodeNoAttempt      Code = "no-attempt"
+	CodeNoBackend      Code = "no-backend"
+	CodeServiceUnknown Code = "service-unknown"
+	CodeNoWeight       Code = "no-weight"
+	CodeKeyShared      Code = "key-shared"
+)
+
 // Finding is a fault in a configuration.
 type Finding struct {
 	// Path locates the invalid value, such as "routes[3].prefix".
 	Path string `json:"place"`
 	// Text describes the fault.
 	Text string `json:"text"`
+	// Code identifies the rule; empty for unknown parts of a document.
+	Code Code `json:"-"`
 }
 
 // String returns the finding as "path: text".
@@ -20,13 +41,17 @@
 	findings []Finding
 }
 
-func (c *checker) require(holds bool, path, format string, args ...any) {
+func (c *checker) require(holds bool, code Code, path, format string, args ...any) {
 	if !holds {
-		c.findings = append(c.findings, Finding{path, fmt.Sprintf(format, args...)})
+		c.findings = append(c.findings, Finding{path, fmt.Sprintf(format, args...), code})
 	}
 }
 
-// Check returns all faults of the configuration.
+func (c *checker) requireNotNegative(v float64, path string) {
+	c.require(v >= 0, CodeNegative, path, "must not be negative")
+}
+
+// Check returns all faults of the configuration. VMs ignore a configuration that has any.
 func (c *Configuration) Check() []Finding {
 	k := &checker{}
 	services := map[string]bool{}
@@ -34,43 +59,49 @@
 		k.service(fmt.Sprintf("services[%d]", i), s, services)
 		services[s.Name] = true
 	}
-	prefixes := map[string]bool{}
+	first := map[string]string{}
 	names := map[string]bool{}
 	for i, r := range c.Routes {
-		k.route(fmt.Sprintf("routes[%d]", i), r, services)
-		k.require(!prefixes[r.Host+r.Prefix], fmt.Sprintf("routes[%d].prefix", i),
-			"host %q: duplicate prefix %q", r.Host, r.Prefix)
-		k.require(!names[r.Name], fmt.Sprintf("routes[%d].name", i), "duplicate name %q", r.Name)
-		prefixes[r.Host+r.Prefix] = true
+		path := fmt.Sprintf("routes[%d]", i)
+		k.route(path, r, services)
+		earlier, hidden := first[r.Host+r.Prefix]
+		k.require(!hidden, CodeRouteHidden, path+".prefix", "duplicate prefix %q: route %q of host %q hides it", r.Prefix, earlier, r.Host)
+		if !hidden {
+			first[r.Host+r.Prefix] = r.Name
+		}
+		k.require(!names[r.Name], CodeNameTaken, path+".name", "duplicate name %q", r.Name)
 		names[r.Name] = true
 	}
 	k.workspaces(c.Workspaces)
-	k.require(c.Version >= 0, "version", "must not be negative")
+	k.requireNotNegative(float64(c.Version), "version")
 	return k.findings
 }
 
 func (c *checker) service(path string, s Service, names map[string]bool) {
-	c.require(s.Name != "", path+".name", "must not be empty")
-	c.require(!names[s.Name], path+".name", "duplicate name %q", s.Name)
-	c.require(s.MaxConnections >= 0 && s.ColdPerSecond >= 0 && s.ColdStart >= 0, path,
-		"connection limit, cold request rate and cold-start duration must not be negative")
+	c.require(s.Name != "", CodeNameMissing, path+".name", "must not be empty")
+	c.require(!names[s.Name], CodeNameTaken, path+".name", "duplicate name %q", s.Name)
+	c.requireNotNegative(float64(s.MaxConnections), path+".maxConnections")
+	c.requireNotNegative(s.ColdPerSecond, path+".coldPerSecond")
+	c.requireNotNegative(s.ColdStart.Seconds(), path+".coldStart")
 }
 
 func (c *checker) route(path string, r Route, services map[string]bool) {
-	c.require(r.Host != "", path+".host", "must not be empty")
-	c.require(strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), path+".prefix",
+	c.require(r.Host != "", CodeHostMissing, path+".host", "must not be empty")
+	c.require(strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), CodePrefixInvalid, path+".prefix",
 		"%q must begin and end with a slash", r.Prefix)
-	c.require(r.Kind <= Download, path+".kind", "unknown kind %d", r.Kind)
-	c.require(r.Timeout >= 0 && r.TargetLatency >= 0, path, "timeout and target latency must not be negative")
-	c.require(r.MaxAttempts >= 1, path+".maxAttempts", "must be at least 1")
-	c.require(len(r.Backends) > 0, path+".backends", "at least one backend is required")
+	c.require(r.Kind <= Download, CodeKindUnknown, path+".kind", "unknown kind %d", r.Kind)
+	c.requireNotNegative(r.Timeout.Seconds(), path+".timeout")
+	c.requireNotNegative(r.TargetLatency.Seconds(), path+".targetLatency")
+	c.require(r.MaxAttempts >= 1, CodeNoAttempt, path+".maxAttempts", "must be at least 1")
+	c.require(len(r.Backends) > 0, CodeNoBackend, path+".backends", "at least one backend is required")
 	sum := 0.0
-	for _, b := range r.Backends {
-		c.require(services[b.Service], path+".backends", "unknown service %q", b.Service)
-		c.require(b.Weight >= 0, path+".backends", "weight of %q must not be negative", b.Service)
+	for i, b := range r.Backends {
+		backend := fmt.Sprintf("%s.backends[%d]", path, i)
+		c.require(services[b.Service], CodeServiceUnknown, backend+".service", "unknown service %q", b.Service)
+		c.require(b.Weight >= 0, CodeNegative, backend+".weight", "weight of %q must not be negative", b.Service)
 		sum += b.Weight
 	}
-	c.require(sum > 0, path+".backends", "sum of the weights must be positive")
+	c.require(sum > 0, CodeNoWeight, path+".backends", "sum of the weights must be positive")
 }
 
 func (c *checker) workspaces(list []Workspace) {
@@ -78,13 +109,14 @@
 	keys := map[Digest]string{}
 	for i, w := range list {
 		path := fmt.Sprintf("workspaces[%d]", i)
-		c.require(w.Name != "", path+".name", "must not be empty")
-		c.require(!names[w.Name], path+".name", "duplicate name %q", w.Name)
-		c.require(w.Rate >= 0 && w.Burst >= 0, path, "rate and burst must not be negative")
+		c.require(w.Name != "", CodeNameMissing, path+".name", "must not be empty")
+		c.require(!names[w.Name], CodeNameTaken, path+".name", "duplicate name %q", w.Name)
+		c.requireNotNegative(w.Rate, path+".rate")
+		c.requireNotNegative(w.Burst, path+".burst")
 		names[w.Name] = true
-		for _, key := range w.Keys {
+		for j, key := range w.Keys {
 			owner, found := keys[key]
-			c.require(!found, path+".keys", "key already belongs to workspace %q", owner)
+			c.require(!found, CodeKeyShared, fmt.Sprintf("%s.keys[%d]", path, j), "key already belongs to workspace %q", owner)
 			keys[key] = w.Name
 		}
 	}
--- a/internal/version/psconfig/config_test.go
+++ b/internal/version/psconfig/config_test.go
@@ -37,14 +37,23 @@
 func TestCheckReportsPathOfEachFinding(t *testing.T) {
 	qt.Assert(t, valid().Check(), qt.HasLen, 0)
 	for path, change := range map[string]func(c *psconfig.Configuration){
-		"routes[1].prefix":      func(c *psconfig.Configuration) { c.Routes[1].Prefix = "/boards" },
-		"routes[2].prefix":      func(c *psconfig.Configuration) { c.Routes[2].Prefix = "/boards/" },
-		"routes[0].maxAttempts": func(c *psconfig.Configuration) { c.Routes[0].MaxAttempts = 0 },
-		"routes[0].backends":    func(c *psconfig.Configuration) { c.Routes[0].Backends[0].Service = "other" },
-		"routes[0]":             func(c *psconfig.Configuration) { c.Routes[0].Timeout = -1 },
-		"workspaces[1].keys":    func(c *psconfig.Configuration) { c.Workspaces[1].Keys[0] = "k-1" },
-		"workspaces[0]":         func(c *psconfig.Configuration) { c.Workspaces[0].Rate = -1 },
-		"version":               func(c *psconfig.Configuration) { c.Version = -1 },
+		"routes[1].prefix":              func(c *psconfig.Configuration) { c.Routes[1].Prefix = "/boards" },
+		"routes[2].prefix":              func(c *psconfig.Configuration) { c.Routes[2].Prefix = "/boards/" },
+		"routes[0].maxAttempts":         func(c *psconfig.Configuration) { c.Routes[0].MaxAttempts = 0 },
+		"routes[0].backends":            func(c *psconfig.Configuration) { c.Routes[0].Backends = []psconfig.Backend{{Service: "prices"}} },
+		"routes[0].backends[0].service": func(c *psconfig.Configuration) { c.Routes[0].Backends[0].Service = "other" },
+		"routes[0].backends[1].weight": func(c *psconfig.Configuration) {
+			c.Routes[0].Backends = append(c.Routes[0].Backends, psconfig.Backend{Service: "prices", Weight: -0.5})
+		},
+		"routes[0].timeout":          func(c *psconfig.Configuration) { c.Routes[0].Timeout = -1 },
+		"routes[0].targetLatency":    func(c *psconfig.Configuration) { c.Routes[0].TargetLatency = -1 },
+		"services[0].maxConnections": func(c *psconfig.Configuration) { c.Services[0].MaxConnections = -1 },
+		"services[0].coldPerSecond":  func(c *psconfig.Configuration) { c.Services[0].ColdPerSecond = -0.1 },
+		"services[0].coldStart":      func(c *psconfig.Configuration) { c.Services[0].ColdStart = -1 },
+		"workspaces[1].keys[0]":      func(c *psconfig.Configuration) { c.Workspaces[1].Keys[0] = "k-1" },
+		"workspaces[0].rate":         func(c *psconfig.Configuration) { c.Workspaces[0].Rate = -1 },
+		"workspaces[0].burst":        func(c *psconfig.Configuration) { c.Workspaces[0].Burst = -1 },
+		"version":                    func(c *psconfig.Configuration) { c.Version = -1 },
 	} {
 		t.Run(path, func(t *testing.T) {
 			c := valid()
