--- a/internal/version/psconfig/config_test.go
+++ b/internal/version/psconfig/config_test.go
@@ -53,6 +53,13 @@
 		"workspaces[1].keys[0]":      func(c *psconfig.Configuration) { c.Workspaces[1].Keys[0] = "k-1" },
 		"workspaces[0].rate":         func(c *psconfig.Configuration) { c.Workspaces[0].Rate = -1 },
 		"workspaces[0].burst":        func(c *psconfig.Configuration) { c.Workspaces[0].Burst = -1 },
+		"services[0].name":           func(c *psconfig.Configuration) { c.Services = append([]psconfig.Service{{}}, c.Services...) },
+		"services[1].name":           func(c *psconfig.Configuration) { c.Services = append(c.Services, c.Services[0]) },
+		"routes[0].host":             func(c *psconfig.Configuration) { c.Routes[0].Host = "" },
+		"routes[1].kind":             func(c *psconfig.Configuration) { c.Routes[1].Kind = psconfig.Download + 1 },
+		"routes[2].name":             func(c *psconfig.Configuration) { c.Routes[2].Name = "all" },
+		"workspaces[0].name":         func(c *psconfig.Configuration) { c.Workspaces[0].Name = "" },
+		"workspaces[1].name":         func(c *psconfig.Configuration) { c.Workspaces[1].Name = "trays" },
 		"version":                    func(c *psconfig.Configuration) { c.Version = -1 },
 	} {
 		t.Run(path, func(t *testing.T) {
@@ -65,6 +72,16 @@
 	}
 }
 
+// TestRouteWithoutBackends guards against a route that a VM accepts and can send nowhere.
+func TestRouteWithoutBackends(t *testing.T) {
+	c := valid()
+	c.Routes[0].Backends = nil
+	findings := c.Check()
+	qt.Assert(t, findings, qt.HasLen, 2)
+	qt.Assert(t, findings[0].Code, qt.Equals, psconfig.CodeNoBackend)
+	qt.Assert(t, findings[1].Code, qt.Equals, psconfig.CodeNoWeight)
+}
+
 func TestAllowedRegionsIntersectRouteAndWorkspace(t *testing.T) {
 	r, w := &psconfig.Route{}, &psconfig.Workspace{}
 	_, unrestricted := psconfig.AllowedRegions(r, w)
