--- a/internal/process/pscli/steer.go
+++ b/internal/process/pscli/steer.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"persimmonstep/internal/process/pssteer"
+	"persimmonstep/platform/pssettings"
 )
 
 // steerCommand runs a VM.
@@ -18,7 +19,7 @@
 // Run serves until the context ends.
 func (c *steerCommand) Run(ctx context.Context, s streams) error {
 	if c.Check {
-		if err := checkSettings(c.Settings); err != nil {
+		if _, err := pssettings.Read(c.Settings); err != nil {
 			return &exitError{code: ExitFindings, text: err.Error()}
 		}
 		return nil
--- a/internal/version/pstoml/decode.go
+++ b/internal/version/pstoml/decode.go
@@ -29,6 +29,12 @@
 	return value, s, append(findings, checkTexts(s, &value)...)
 }
 
+// Valid reports whether a file's content has no syntax error.
+func Valid(data []byte) bool {
+	_, err := newSource("", data)
+	return err == nil
+}
+
 // syntaxFinding returns the position and text of the first syntax error.
 func syntaxFinding(file string, data []byte) Finding {
 	var discard map[string]any
