pscli: check reports errors, entries without effect, contradictions and changes, each with its position

check printed paths without positions, stopped at the first wrong type, and couldn't compare with the version in force.

Changes of outputs: findings go to the standard output together with notes (they went to the standard error), an unreadable file gives 2 (it gave 1), and warnings give 1.

--- a/internal/process/pscli/check.go
+++ b/internal/process/pscli/check.go
@@ -1,91 +1,128 @@
 package pscli
 
 import (
-	"fmt"
+	"context"
+	"net/netip"
 	"os"
-	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/trial/psscenario"
+	"persimmonstep/internal/process/psstate"
+	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/internal/version/pslint"
 	"persimmonstep/platform"
-	"persimmonstep/platform/pssettings"
 )
 
 // checkCommand validates files.
 type checkCommand struct {
-	Settings      []string `type:"existingfile" help:"Settings files of VMs."`
-	Configuration []string `type:"existingfile" help:"Configurations as the store holds them (JSON)."`
-	Scenarios     []string `arg:"" optional:"" type:"existingfile" help:"Scenarios of experiments (TOML)."`
+	Settings      []string       `type:"existingfile" help:"Settings files of VMs. Their regions are those that a configuration may name."`
+	Configuration []string       `type:"existingfile" help:"Configurations as the store holds them (JSON)."`
+	Against       string         `type:"existingfile" help:"The configuration in force (JSON), to print what differs from it."`
+	VM            netip.AddrPort `xor:"state" help:"The address at which a VM serves operators, to check against its servers and the version in force."`
+	State         string         `xor:"state" type:"existingfile" help:"A state that status saved, instead of a VM."`
+	JSON          bool           `name:"json" help:"Print each finding as a line of JSON."`
+	Scenarios     []string       `arg:"" optional:"" type:"existingfile" help:"Scenarios of experiments (TOML)."`
 }
 
-// Run prints the findings of all files. It also prints notes on what a VM would ignore, which are no faults.
-func (c *checkCommand) Run(s streams) error {
+// Help describes the output.
+func (*checkCommand) Help() string {
+	return `Each finding is a line "file:line:column: severity: path: text (code)". Severities:
+error: VMs would ignore the file. warning: an entry that can never match or take effect, limits that contradict each other, or a
+change to look at twice. note: any other change, or an unknown field, which VMs ignore.
+
+Exit codes: 0 without errors and warnings, 1 with any, 2 if a file can't be read as what it should be, or for wrong usage.`
+}
+
+// The rules for whole files.
+const (
+	codeUnreadable psconfig.Code = "unreadable"
+	codeSyntax     psconfig.Code = "syntax"
+	codeSettings   psconfig.Code = "settings"
+	codeScenario   psconfig.Code = "scenario"
+	codeUnknown    psconfig.Code = "unknown"
+)
+
+// Run prints the findings of all files.
+func (c *checkCommand) Run(ctx context.Context, s streams) error {
 	if len(c.Settings)+len(c.Configuration)+len(c.Scenarios) == 0 {
 		return errors.New("check: no file given")
 	}
-	var findings []string
-	collect := func(files []string, check func(path string) error) {
-		for _, f := range files {
-			if err := check(f); err != nil {
-				findings = append(findings, prefixFileName(f, err))
-			}
-		}
+	if len(c.Configuration) == 0 && (c.Against != "" || c.State != "" || c.VM.IsValid()) {
+		return errors.New("check: no configuration given to compare with the one in force")
+	}
+	in, err := c.installation(ctx)
+	if err != nil {
+		return err
 	}
-	collect(c.Settings, checkSettings)
-	collect(c.Configuration, func(path string) error { return checkConfiguration(path, s) })
-	collect(c.Scenarios, checkScenario)
-	if len(findings) > 0 {
-		return &exitError{code: ExitFindings, text: strings.Join(findings, "\n")}
+	r := &report{}
+	for _, path := range c.Settings {
+		r.file(path, func(data []byte) []fileFinding { return checkSettings(data, in) })
 	}
-	return nil
-}
-
-// prefixFileName prefixes each line of an error with the name of the file, unless the line starts with it.
-func prefixFileName(file string, err error) string {
-	lines := strings.Split(err.Error(), "\n")
-	for i, l := range lines {
-		if !strings.HasPrefix(l, file) {
-			lines[i] = file + ": " + l
-		}
+	for _, path := range c.Configuration {
+		r.file(path, func(data []byte) []fileFinding { return checkConfiguration(data, in) })
+	}
+	for _, path := range c.Scenarios {
+		r.file(path, func(data []byte) []fileFinding { return checkScenario(path, data) })
 	}
-	return strings.Join(lines, "\n")
+	return r.print(s.out, c.JSON)
 }
 
-func checkSettings(path string) error {
-	_, err := pssettings.Read(path)
-	return err
+// installation is what configurations are checked against.
+type installation struct {
+	fleet pslint.Fleet
+	// inForce is the version in force; nil without one. document locates its values, and file is where it was read from; both
+	// are empty if it is that of a state.
+	inForce  *psconfig.Configuration
+	document *platform.Document
+	file     string
 }
 
-func checkConfiguration(path string, s streams) error {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return err
+// installation reads the version in force and the state.
+func (c *checkCommand) installation(ctx context.Context) (*installation, error) {
+	in := &installation{}
+	if c.State != "" || c.VM.IsValid() {
+		e := explainCommand{VM: c.VM, State: c.State}
+		state, err := e.state(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if state.Configuration == nil {
+			return nil, errors.New("check: the VM has no configuration")
+		}
+		in.fleet, in.inForce = fleetOf(state), state.Configuration
 	}
-	c, err := platform.DecodeConfiguration(data)
-	if err != nil {
-		return err
+	if c.Against == "" {
+		return in, nil
 	}
-	for _, f := range c.Unknown {
-		if _, err := fmt.Fprintf(s.out, "%s: note: %s\n", path, f); err != nil {
-			return errors.Wrap(err, "print note")
-		}
+	data, err := os.ReadFile(c.Against)
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration in force")
 	}
-	var lines []string
-	for _, f := range c.Check() {
-		lines = append(lines, f.String())
+	d, err := platform.ReadDocument(data)
+	if err != nil {
+		return nil, errors.Wrapf(err, "configuration in force %s", c.Against)
 	}
-	if len(lines) > 0 {
-		return errors.New(strings.Join(lines, "\n"))
+	if faults := append(d.Faults, d.Configuration.Check()...); len(faults) > 0 {
+		return nil, errors.Errorf("configuration in force %s: %s", c.Against, faults[0])
 	}
-	return nil
+	in.inForce, in.document, in.file = d.Configuration, d, c.Against
+	return in, nil
 }
 
-func checkScenario(path string) error {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return err
+// fleetOf returns what a state shows of the installation.
+func fleetOf(s psstate.State) pslint.Fleet {
+	f := pslint.Fleet{VMs: s.FleetSize, Runs: map[string]time.Duration{}}
+	for _, v := range s.Servers {
+		f.Servers = append(f.Servers, pslint.Server{Service: v.Entry.Service, Region: v.Region})
+	}
+	for name, runs := range s.Runs {
+		f.Runs[name] = min(runs.Cached, runs.Uncached)
+	}
+	for _, d := range s.RoundTrips {
+		if d > 0 && (f.RoundTrip == 0 || d < f.RoundTrip) {
+			f.RoundTrip = d
+		}
 	}
-	_, err = psscenario.Parse(path, data)
-	return err
+	return f
 }
