psshed: requests beyond the usual amount of their workspace come last in their class

Cause: within a priority the order of the demand ignored workspaces, so a busy one was served as often as the others. Change: the requests that psusage marks come after the others of their class and before the next class, by slot time. Rejections have the reason beyondUsual, marked requests a counter, and explain shows the amounts of a workspace.

--- a/internal/connection/psaccess/access.go
+++ b/internal/connection/psaccess/access.go
@@ -111,8 +111,8 @@
 	if b == nil {
 		return ""
 	}
-	return fmt.Sprintf("priority=%d wait=%s maxWait=%s overload=%.2f above=%.2f position=%.2f",
-		b.Priority, formatMilliseconds(b.Wait), formatMilliseconds(b.MaxWait), b.Overload, b.Above, b.Position)
+	return fmt.Sprintf("priority=%d wait=%s maxWait=%s overload=%.2f above=%.2f position=%.2f beyondUsual=%t",
+		b.Priority, formatMilliseconds(b.Wait), formatMilliseconds(b.MaxWait), b.Overload, b.Above, b.Position, b.BeyondUsual)
 }
 
 // formatAge formats the age of a server's statement of its speed.
--- a/internal/connection/psaccess/metrics.go
+++ b/internal/connection/psaccess/metrics.go
@@ -27,6 +27,8 @@
 	forwarded     *prometheus.CounterVec
 	// shortage counts the requests that were rejected for lack of slots.
 	shortage *prometheus.CounterVec
+	// beyondUsual counts the requests beyond the usual amount of their workspace.
+	beyondUsual prometheus.Counter
 }
 
 // NewMetrics returns the metrics of a proxy after registering them.
@@ -65,7 +67,11 @@
 	m.shortage = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "steered_shortage_total", Help: "Requests rejected for lack of slots, by priority and reason.",
 	}, []string{"priority", "reason"})
-	r.MustRegister(m.shortage, m.requests, m.attempts, m.duration, m.expectedWaits, m.loadAges, m.tokens, m.serverTokens, m.forwarded)
+	m.beyondUsual = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "steered_beyond_usual_total",
+		Help: "Requests beyond the usual amount of their workspace, which yield to others of their priority when slots are short.",
+	})
+	r.MustRegister(m.shortage, m.beyondUsual, m.requests, m.attempts, m.duration, m.expectedWaits, m.loadAges, m.tokens, m.serverTokens, m.forwarded)
 	return m
 }
 
@@ -107,6 +113,9 @@
 	}
 }
 
+// CountBeyondUsual counts a request beyond the usual amount of its workspace.
+func (m *Metrics) CountBeyondUsual() { m.beyondUsual.Inc() }
+
 // ObserveToken records what came of a token of a workspace.
 func (m *Metrics) ObserveToken(v pstoken.Verdict) { m.tokens.WithLabelValues(label(v)).Inc() }
 
--- a/internal/connection/psproxy/call.go
+++ b/internal/connection/psproxy/call.go
@@ -59,6 +59,8 @@
 	attempts    []psaccess.Attempt
 	// basis is what a rejection for lack of slots was decided by; nil without one.
 	basis *psadmission.Basis
+	// beyondUsual states that the call exceeds the usual amount of its workspace.
+	beyondUsual bool
 	// origin is where the call was forwarded from; zero for a call of a caller. helper is the VM through which this VM
 	// has forwarded the call; empty if it hasn't.
 	origin psforward.Origin
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -26,6 +26,7 @@
 	}
 	service := c.proxy.splits.Next(c.route)
 	c.proxy.retries.AddRequest(service, c.proxy.options.Settings.Bounds.RetryWindow, c.arrivedAt)
+	c.observeUsage()
 	var last *psresponse.Response
 	defer func() { closeUnused(last, final) }()
 	for {
@@ -64,6 +65,17 @@
 	}
 }
 
+// observeUsage counts the call among the requests of its workspace, and learns whether it exceeds the usual amount of these.
+func (c *call) observeUsage() {
+	if c.workspace == nil {
+		return
+	}
+	c.beyondUsual = c.proxy.usage.Observe(c.workspace.Name, c.caller.PriorWait > 0, c.proxy.options.Now())
+	if c.beyondUsual {
+		c.proxy.options.Metrics.CountBeyondUsual()
+	}
+}
+
 // closeUnused closes a response unless it is that of an outcome.
 func closeUnused(response *psresponse.Response, o outcome) {
 	if a, found := o.(answered); response != nil && !(found && a.response == response) {
@@ -122,6 +134,7 @@
 	return psselection.Request{
 		Snapshot: c.proxy.control.Snapshot(), Service: service, Route: c.route, Workspace: c.workspace, Object: c.object,
 		BodyBytes: len(c.body.Buffered), ArrivedAt: c.arrivedAt, Deadline: c.deadline, Caller: c.caller, Attempted: c.attemptedServers(),
+		BeyondUsual: c.beyondUsual,
 	}
 }
 
--- a/internal/connection/psproxy/proxy.go
+++ b/internal/connection/psproxy/proxy.go
@@ -35,6 +35,7 @@
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/request/psshed"
 	"persimmonstep/internal/request/pssplit"
+	"persimmonstep/internal/request/psusage"
 	"persimmonstep/platform/psheader"
 )
 
@@ -71,6 +72,7 @@
 	estimates       psestimate.Estimates
 	roundTrips      psestimate.RoundTrips
 	demands         psshed.Demands
+	usage           psusage.Usage
 	callerDeadlines psestimate.RetryDetector
 	splits          pssplit.Splitter
 	retries         psretry.Budgets
@@ -108,6 +110,9 @@
 // Demands returns the demand of the services that the proxy measured.
 func (p *Proxy) Demands() *psshed.Demands { return &p.demands }
 
+// Usage returns the amounts of requests of the workspaces that the proxy measured.
+func (p *Proxy) Usage() *psusage.Usage { return &p.usage }
+
 // SetControlPlane sets the control plane.
 func (p *Proxy) SetControlPlane(c ControlPlane) { p.control, p.outcomes.Failures = c, c }
 
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -195,6 +195,13 @@
 
 // startProxy starts a proxy in front of backend servers.
 func startProxy(t *testing.T, backends ...*backend) (*httptest.Server, *fakeControl) {
+	t.Helper()
+	p, control := newProxy(t, prometheus.NewRegistry(), backends...)
+	return serve(t, p, psbudget.New(64<<20, time.Now)), control
+}
+
+// newProxy returns a proxy in front of backend servers.
+func newProxy(t *testing.T, r *prometheus.Registry, backends ...*backend) (*psproxy.Proxy, *fakeControl) {
 	t.Helper()
 	control := &fakeControl{snapshot: &pssnapshot.Snapshot{
 		Index: psconfig.NewIndex(&testConfiguration), Servers: map[string][]*psserver.Server{},
@@ -214,12 +221,12 @@
 			Name: "vm-1", FailureDomain: "north-a", Region: "north",
 			Bounds: psnode.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50},
 		},
-		Transport: transport, Logger: hclog.NewNullLogger(), Metrics: psaccess.NewMetrics(prometheus.NewRegistry()),
+		Transport: transport, Logger: hclog.NewNullLogger(), Metrics: psaccess.NewMetrics(r),
 		Tokens: pstoken.New(pstoken.Options{Self: "vm-1", Client: unresponsivePeers{}, Logger: hclog.NewNullLogger(), Now: time.Now}), Now: time.Now,
 		Links: pslink.New(transport, hclog.NewNullLogger(), time.Now), Forwarder: &psforward.Forwarder{Self: "vm-1", Transport: transport},
 	})
 	p.SetControlPlane(control)
-	return serve(t, p, psbudget.New(64<<20, time.Now)), control
+	return p, control
 }
 
 // serve serves a handler as the listener of callers does.
--- a/internal/connection/psselection/selection.go
+++ b/internal/connection/psselection/selection.go
@@ -47,6 +47,8 @@
 	Caller psestimate.Caller
 	// Attempted are the servers to which the request was sent before.
 	Attempted []*psserver.Server
+	// BeyondUsual reports whether the request exceeds the usual amount of its workspace.
+	BeyondUsual bool
 }
 
 // Selection is the server that was selected.
@@ -219,6 +221,7 @@
 		From: s.Place, ArrivedAt: r.ArrivedAt, Runs: runs, MeanRun: s.Estimates.MeanRun(r.Service, runs.Cached),
 		Elapsed: now.Sub(r.ArrivedAt), Remaining: r.Deadline.Sub(now), PriorWait: r.Caller.PriorWait, DetectableWait: r.Caller.DetectableWait,
 		Retry: len(r.Attempted) > 0, Random: s.Jitter(), Demand: s.Demands.Of(r.Service, now),
+		BeyondUsual: r.BeyondUsual,
 	}
 }
 
--- a/internal/connection/psselection/selection_test.go
+++ b/internal/connection/psselection/selection_test.go
@@ -16,6 +16,7 @@
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
+	"persimmonstep/internal/request/psadmission"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psjitter"
 	"persimmonstep/internal/request/psselect"
@@ -77,3 +78,32 @@
 		}
 	}
 }
+
+// TestBusyWorkspaceIsRejectedFirst selects servers while all have queues. It guards against requests beyond the usual amount of
+// their workspace that are sent as often as others.
+func TestBusyWorkspaceIsRejectedFirst(t *testing.T) {
+	s, r, _ := selector(3, 0)
+	var jitter psjitter.Sequence
+	s.Jitter = jitter.Next
+	for _, server := range r.Snapshot.Servers["prices"] {
+		server.RecordLoad(4, 2, startTime)
+	}
+	r.Route.Priority, r.Route.Timeout = 1, time.Second
+	sent := make(map[bool]int)
+	reasons := make(map[string]int)
+	for i := range 2000 {
+		r.BeyondUsual = i%2 == 0
+		r.Object = uint64(i)
+		_, rejection := s.Select(t.Context(), r)
+		if rejection == nil {
+			sent[r.BeyondUsual]++
+			continue
+		}
+		reasons[rejection.Reason]++
+		qt.Assert(t, rejection.Basis.BeyondUsual, qt.Equals, r.BeyondUsual)
+	}
+	t.Logf("sent: beyond the usual amount %d, others %d; reasons %v", sent[true], sent[false], reasons)
+	qt.Check(t, sent[false] > sent[true]+200, qt.IsTrue)
+	qt.Check(t, sent[true] > (sent[false]+sent[true])/2/4, qt.IsTrue)
+	qt.Check(t, reasons[psadmission.ReasonBeyondUsual] > 200, qt.IsTrue)
+}
--- a/internal/process/pscli/explain.go
+++ b/internal/process/pscli/explain.go
@@ -65,14 +65,18 @@
 	if e.Rate != nil {
 		_, _ = fmt.Fprintf(t, "workspace %s: %.1f requests/s, burst %.1f, kept by one VM for all: %t\n", e.Workspace, e.Rate.PerSecond, e.Rate.Burst, e.Rate.SingleOwner)
 	}
+	if u := e.Usage; u != nil {
+		_, _ = fmt.Fprintf(t, "workspace %s at this VM: %.2f requests/s, usually %.2f, ratio %.1f relative to the others, busy at %d other VMs; when slots are short %.0f%% of its requests yield to others of their priority\n",
+			e.Workspace, u.Recent, u.Usual, u.Ratio, u.BusyAt, 100*u.Beyond)
+	}
 	for _, v := range e.Services {
 		_, _ = fmt.Fprintf(t, "service %s, %.0f%% of the requests: %s", v.Name, 100*v.Fraction, v.Outcome)
 		if v.Reason != "" {
 			_, _ = fmt.Fprintf(t, " (%s), come back after %s", v.Reason, v.RetryAfter)
 		}
 		for _, c := range v.Demand {
-			_, _ = fmt.Fprintf(t, "\npriority %d: %.0f%% of the requests, %.0f%% more urgent, %.0f%% rejected for lack of slots",
-				c.Priority, 100*c.Fraction, 100*c.Above, 100*c.Rejected)
+			_, _ = fmt.Fprintf(t, "\npriority %d: %.0f%% of the requests, %.0f%% more urgent, %.0f%% rejected for lack of slots, %.0f%% beyond the usual amount of their workspace",
+				c.Priority, 100*c.Fraction, 100*c.Above, 100*c.Rejected, 100*c.Beyond)
 		}
 		_, _ = fmt.Fprintf(t, "\nthis request, priority %d: wait %s, sent up to %s to %s, overload %.2f", v.Last.Priority,
 			roundDuration(v.Last.Wait), roundDuration(v.First.MaxWait), roundDuration(v.Last.MaxWait), v.Last.Overload)
--- a/internal/process/psstate/explain.go
+++ b/internal/process/psstate/explain.go
@@ -12,6 +12,7 @@
 	"persimmonstep/internal/request/psplacement"
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/request/psshed"
+	"persimmonstep/internal/request/psusage"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -79,8 +80,8 @@
 	Reason   string  `json:"reason,omitempty"`
 	// RetryAfter is the time after which a rejected caller is asked to retry.
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
-	// Demand is the present demand by priorities. First is what the decision on the request of its class is based on that is
-	// rejected first when slots are short, Last that on the one that is rejected last.
+	// Demand is the present demand by priorities. First is what the decision on the request of its class and workspace is based
+	// on that is rejected first when slots are short, Last that on the one that is rejected last.
 	Demand psshed.Demand     `json:"demand,omitempty"`
 	First  psadmission.Basis `json:"first,omitzero"`
 	Last   psadmission.Basis `json:"last,omitzero"`
@@ -97,10 +98,16 @@
 	Workspace string `json:"workspace,omitempty"`
 	// Rate is nil without a workspace or a limit.
 	Rate *Rate `json:"rate,omitempty"`
+	// Usage is what the VM knows of the amount of the workspace's requests; nil without a workspace or any request of it.
+	Usage *psusage.Amount `json:"usage,omitempty"`
 	// Services are the services of the route.
 	Services []Service `json:"services"`
 }
 
+// mostlyBeyond is the fraction of a workspace's requests beyond its usual amount from which on a single one is taken for one of
+// them.
+const mostlyBeyond = 0.5
+
 // Explain returns the decision that the VM would have made for a request. Its error is the cause for which the
 // request would have been rejected before a server was chosen.
 func Explain(s State, q Query) (Explanation, error) {
@@ -122,23 +129,32 @@
 		if w.Rate > 0 {
 			e.Rate = lo.ToPtr(s.limit(*w))
 		}
+		if a, known := s.Usages[w.Name]; known {
+			e.Usage = &a
+		}
+	}
+	beyond := 0.0
+	if e.Usage != nil {
+		beyond = e.Usage.Beyond
 	}
 	sum := lo.SumBy(r.Backends, func(b psconfig.Backend) float64 { return b.Weight })
 	for _, b := range r.Backends {
-		v := s.explainService(b.Service, q, r, w)
+		v := s.explainService(b.Service, q, r, w, beyond)
 		v.Fraction = b.Weight / sum
 		e.Services = append(e.Services, v)
 	}
 	return e, nil
 }
 
-func (s *State) explainService(service string, q Query, r *psconfig.Route, w *psconfig.Workspace) Service {
+// explainService returns the decision for the request at a service. beyond is the fraction of the workspace's requests that
+// exceeds its usual amount.
+func (s *State) explainService(service string, q Query, r *psconfig.Route, w *psconfig.Workspace, beyond float64) Service {
 	v := Service{Name: service, Outcome: OutcomeRejected, Reason: "noServer", Excluded: make(map[string]string)}
 	object := psselect.ObjectOf(r, q.Object, q.Object)
 	request := psselect.Request{
 		Route: r, Workspace: w, Object: object, Bytes: q.Bytes + s.ResponseBytes[r.Name], From: s.Place, ArrivedAt: s.TakenAt,
 		Runs: s.Runs[r.Name], MeanRun: s.MeanRuns[service], Remaining: q.Remaining,
-		Demand: s.Demands[service],
+		Demand: s.Demands[service], BeyondUsual: beyond >= mostlyBeyond,
 	}
 	if request.Remaining <= 0 {
 		request.Remaining = r.Timeout
@@ -171,7 +187,7 @@
 	v.Candidates = lo.Map(ranked, func(c psplacement.Ranked, _ int) Candidate { return candidate(c, servers[c.Index]) })
 	v.decide(psselect.Admit(choice, request))
 	v.Demand = request.Demand
-	v.First, v.Last = psselect.Bounds(choice, request)
+	v.First, v.Last = psselect.Bounds(choice, request, beyond)
 	return v
 }
 
--- a/internal/process/psstate/explain_test.go
+++ b/internal/process/psstate/explain_test.go
@@ -17,6 +17,7 @@
 	"persimmonstep/internal/process/pstoken"
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psshed"
+	"persimmonstep/internal/request/psusage"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -46,6 +47,11 @@
 		psserver.New(psserver.Entry{ID: "i-3", Service: "prices", FailureDomain: "south-a", Slots: 4}, "south", startTime),
 	}
 	servers[0].RecordLoad(4, 60, startTime)
+	usage := &psusage.Usage{}
+	usage.Observe("trays", false, startTime)
+	for _, vm := range []string{"vm-2", "vm-3", "vm-4"} {
+		usage.RecordPeer(vm, []string{"trays"}, startTime)
+	}
 	servers[2].RecordLimit(pslimit.Limit{Named: true, PerSecond: 2.5}, startTime, startTime)
 	s := psstate.Capture(psstate.Source{
 		RoundTrips: &psestimate.RoundTrips{},
@@ -56,7 +62,7 @@
 			ShareHolders: []psmessage.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
 		},
 		Tokens:    pstoken.New(pstoken.Options{Self: "vm-1", Logger: hclog.NewNullLogger(), Now: time.Now}),
-		Estimates: &psestimate.Estimates{}, Demands: &psshed.Demands{}, Ready: true,
+		Estimates: &psestimate.Estimates{}, Demands: &psshed.Demands{}, Usage: usage, Ready: true,
 	}, startTime)
 	// Explain works on a decoded document, so the state is encoded and decoded.
 	data, err := json.Marshal(s)
@@ -103,6 +109,20 @@
 	qt.Assert(t, v.Excluded["i-3"], qt.Equals, "failure domain evacuated")
 }
 
+// TestExplainShowsBusyWorkspace guards against an explanation from which an operator can't see that a workspace's requests yield.
+func TestExplainShowsBusyWorkspace(t *testing.T) {
+	s := state(t)
+	s.Evacuated = []string{"south-a"}
+	e := explain(t, s, "trays")
+	qt.Assert(t, e.Usage.Recent, qt.Equals, 0.5)
+	qt.Assert(t, e.Usage.Beyond, qt.Equals, 1.0)
+	qt.Assert(t, e.Usage.BusyAt, qt.Equals, 3)
+	v := e.Services[0]
+	qt.Assert(t, v.First.BeyondUsual && v.Last.BeyondUsual, qt.IsTrue)
+	e = explain(t, s, "southern")
+	qt.Assert(t, e.Usage, qt.IsNil)
+}
+
 func TestExplainReportsMissingInputs(t *testing.T) {
 	s := state(t)
 	for _, q := range []psstate.Query{{Host: "carts.test", Path: "/boards/1"}, {Host: "eggs.test", Path: "/boards/1", Workspace: "nobody"}} {
--- a/internal/process/psstate/state.go
+++ b/internal/process/psstate/state.go
@@ -21,6 +21,7 @@
 	"persimmonstep/internal/request/psestimate"
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/request/psshed"
+	"persimmonstep/internal/request/psusage"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -53,6 +54,8 @@
 	MeanRuns map[string]time.Duration   `json:"meanRuns"`
 	// Demands are the present demands by service and priority.
 	Demands map[string]psshed.Demand `json:"demands"`
+	// Usages are the amounts of requests by workspace.
+	Usages map[string]psusage.Amount `json:"usages"`
 	// ResponseBytes are the mean response sizes by route.
 	ResponseBytes map[string]int `json:"answerBytes"`
 	// RoundTrips are the network round-trip times to servers by failure domain, where any was measured.
@@ -83,6 +86,7 @@
 	Estimates  *psestimate.Estimates
 	RoundTrips *psestimate.RoundTrips
 	Demands    *psshed.Demands
+	Usage      *psusage.Usage
 	Tokens     *pstoken.Tokens
 	Ready      bool
 	InFlight   int
@@ -96,7 +100,7 @@
 		TakenAt: now, Ready: s.Ready, InFlight: s.InFlight,
 		Evacuated: slices.Sorted(maps.Keys(p.Evacuated)), FleetSize: p.FleetSize, VMs: p.VMs, Shares: p.RateShares, EvenShare: p.EvenShare,
 		Runs: make(map[string]psestimate.Runs), MeanRuns: make(map[string]time.Duration),
-		Demands:       make(map[string]psshed.Demand),
+		Demands: make(map[string]psshed.Demand), Usages: s.Usage.Amounts(now),
 		ResponseBytes: make(map[string]int), RoundTrips: s.RoundTrips.All(),
 	}
 	if !p.ServersReadAt.IsZero() {
--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -152,8 +152,8 @@
 func (v *vm) state() psstate.State {
 	return psstate.Capture(psstate.Source{
 		Settings: v.settings, Snapshot: v.controller.Snapshot(), Estimates: v.proxy.Estimates(), RoundTrips: v.proxy.RoundTrips(), Demands: v.proxy.Demands(),
-		Tokens: v.tokens,
-		Ready:  v.controller.Ready(), InFlight: v.proxy.InFlight(),
+		Usage: v.proxy.Usage(), Tokens: v.tokens,
+		Ready: v.controller.Ready(), InFlight: v.proxy.InFlight(),
 	}, time.Now())
 }
 
--- a/internal/request/psadmission/admission.go
+++ b/internal/request/psadmission/admission.go
@@ -14,8 +14,8 @@
 // The third: load grows to several times what all slots can serve. One server's queue no longer
 // indicates those of the others, so the decision uses the mean wait over all servers. Slots then go to
 // requests that can still be answered within their target, before retries of rejected callers and
-// requests that will be late anyway, and to more urgent requests before less urgent ones, in the order
-// of psshed.
+// requests that will be late anyway, to more urgent requests before less urgent ones, and to workspaces
+// that send their usual amount before those that exceed it, in the order of psshed.
 //
 // The package does no I/O and reads no clock.
 package psadmission
@@ -85,6 +85,8 @@
 	// Demand is the present demand of the service by priorities, and Run the run time that is expected of the request.
 	Demand psshed.Demand
 	Run    time.Duration
+	// BeyondUsual reports whether the request exceeds the usual amount of its workspace.
+	BeyondUsual bool
 	// Surplus reports whether the server's cache can't hold the object in addition to those that it handles.
 	Surplus bool
 	// Random is a number in 0..1 that differs between requests.
@@ -103,14 +105,16 @@
 type Rejected struct {
 	// RetryAfter is the delay after which the caller should retry.
 	RetryAfter time.Duration
-	// Reason is [ReasonDeadline], [ReasonSurplus], [ReasonOverload] or [ReasonLessUrgent].
+	// Reason is [ReasonDeadline], [ReasonSurplus], [ReasonOverload], [ReasonLessUrgent] or [ReasonBeyondUsual].
 	Reason string
 	// Basis is what a rejection for lack of slots was decided by; empty for other reasons.
 	Basis Basis
 }
 
 // ForSlots reports whether the request was rejected for lack of slots.
-func (r Rejected) ForSlots() bool { return r.Reason == ReasonOverload || r.Reason == ReasonLessUrgent }
+func (r Rejected) ForSlots() bool {
+	return r.Reason == ReasonOverload || r.Reason == ReasonLessUrgent || r.Reason == ReasonBeyondUsual
+}
 
 func (Admitted) verdict() {}
 func (Rejected) verdict() {}
@@ -126,6 +130,9 @@
 	// ReasonLessUrgent means that the request would wait too long while more urgent ones need the slots. By itself it
 	// would have been admitted.
 	ReasonLessUrgent = "lessUrgent"
+	// ReasonBeyondUsual means that the request would wait too long while requests within the usual amount of their
+	// workspaces need the slots. Within that of its own, it would have been admitted.
+	ReasonBeyondUsual = "beyondUsual"
 )
 
 // Decide admits or rejects one request.
@@ -140,13 +147,23 @@
 	if r.Wait <= b.MaxWait {
 		return Admitted{}
 	}
-	v := Rejected{RetryAfter: retryAfter(r), Reason: ReasonOverload, Basis: b}
+	return Rejected{RetryAfter: retryAfter(r), Reason: shortageReason(r, b), Basis: b}
+}
+
+// shortageReason returns the reason for the rejection of a request for lack of slots: the part of the order without which it
+// would have been admitted, if there is one.
+func shortageReason(r Request, b Basis) string {
+	usual := r
+	usual.BeyondUsual = false
+	if r.BeyondUsual && r.Wait <= BasisOf(usual).MaxWait {
+		return ReasonBeyondUsual
+	}
 	alone := r
 	alone.Demand = nil
 	if b.Above > 0 && r.Wait <= BasisOf(alone).MaxWait {
-		v.Reason = ReasonLessUrgent
+		return ReasonLessUrgent
 	}
-	return v
+	return ReasonOverload
 }
 
 // retryAfter returns the delay after which capacity is expected: once the requests of the present queue
--- a/internal/request/psadmission/admission_test.go
+++ b/internal/request/psadmission/admission_test.go
@@ -152,3 +152,40 @@
 	qt.Check(t, less < 0.3 && less > (urgent+less)/2/4, qt.IsTrue)
 	qt.Check(t, reasons[psadmission.ReasonLessUrgent] > 500, qt.IsTrue)
 }
+
+// TestBusyWorkspaceYieldsWithItsReason decides on requests of one class while all servers are full. It guards against requests
+// beyond the usual amount of their workspace that are sent as often as others, or rejected without this reason, and against an
+// effect of the order where no slots are short.
+func TestBusyWorkspaceYieldsWithItsReason(t *testing.T) {
+	var d psshed.Demands
+	now := time.Unix(1000, 0)
+	for n := range 1000 {
+		d.Observe("prices", psshed.Observation{Slot: 60 * time.Millisecond, Run: 60 * time.Millisecond, Target: target, BeyondUsual: n%2 == 0}, now)
+	}
+	sent := func(beyond bool, meanWait time.Duration) (fraction float64, reasons map[string]int) {
+		reasons = make(map[string]int)
+		for n := range 1000 {
+			verdict := psadmission.Decide(psadmission.Request{
+				Target: target, Wait: 60 * time.Millisecond, Expected: 120 * time.Millisecond, Run: 60 * time.Millisecond,
+				MeanWait: meanWait, MeanRun: 60 * time.Millisecond, Remaining: 3 * time.Second,
+				Demand: d.Of("prices", now), BeyondUsual: beyond, Random: float64(n) / 1000,
+			})
+			if v, rejected := verdict.(psadmission.Rejected); rejected {
+				reasons[v.Reason]++
+				qt.Assert(t, v.ForSlots() && v.Basis.BeyondUsual == beyond, qt.IsTrue)
+				continue
+			}
+			fraction += 0.001
+		}
+		return fraction, reasons
+	}
+	usual, reasons := sent(false, 60*time.Millisecond)
+	qt.Check(t, reasons[psadmission.ReasonBeyondUsual], qt.Equals, 0)
+	busy, reasons := sent(true, 60*time.Millisecond)
+	t.Logf("sent: usual %.2f, busy %.2f, %v", usual, busy, reasons)
+	qt.Check(t, usual > busy+0.4, qt.IsTrue)
+	qt.Check(t, busy > (usual+busy)/2/4, qt.IsTrue)
+	qt.Check(t, reasons[psadmission.ReasonBeyondUsual] > 500, qt.IsTrue)
+	busy, _ = sent(true, 0)
+	qt.Check(t, busy > 0.999, qt.IsTrue)
+}
--- a/internal/request/psadmission/bound.go
+++ b/internal/request/psadmission/bound.go
@@ -18,6 +18,8 @@
 	// rejected later than this one.
 	Above    float64 `json:"above"`
 	Position float64 `json:"position"`
+	// BeyondUsual reports whether the request exceeds the usual amount of its workspace.
+	BeyondUsual bool `json:"beyondUsual,omitempty"`
 }
 
 // BasisOf returns the basis of the decision on a request.
@@ -28,7 +30,7 @@
 // fraction falls gradually as queues grow and doesn't oscillate between all and none, and less urgent requests are rejected
 // first.
 func BasisOf(r Request) Basis {
-	order := r.Demand.Order(psshed.Request{Priority: r.Priority, Slot: r.Run, Random: r.Random})
+	order := r.Demand.Order(psshed.Request{Priority: r.Priority, Slot: r.Run, BeyondUsual: r.BeyondUsual, Random: r.Random})
 	run := r.Elapsed + r.Expected - r.Wait
 	idle := max(0, latencyLimit(r.Priority)*float64(r.Target)-float64(run))
 	load := overload(r, r.Target)
@@ -49,7 +51,7 @@
 	}
 	return Basis{
 		Priority: r.Priority, Wait: r.Wait, MaxWait: max(0, time.Duration((1-load)*idle+load*full)), Overload: load,
-		Above: order.Class.Above, Position: order.Position,
+		Above: order.Class.Above, Position: order.Position, BeyondUsual: r.BeyondUsual,
 	}
 }
 
--- a/internal/request/psselect/kinds_test.go
+++ b/internal/request/psselect/kinds_test.go
@@ -20,6 +20,8 @@
 	bursts   []burst
 	// target is the latency objective; 0 is that of the load.
 	target time.Duration
+	// workspace names the workspace that sends the requests. The kinds of workspaces have the routes of their priorities.
+	workspace string
 }
 
 // weight returns the rate of the kind at a time, as a fraction of the load's.
@@ -57,6 +59,11 @@
 			},
 		})
 	}
+	for _, k := range list {
+		if k.workspace != "" {
+			k.route.Name = fmt.Sprint("orders-", k.priority)
+		}
+	}
 	if len(l.kinds) == 0 {
 		list[0].route.Name = "orders"
 	}
--- a/internal/request/psselect/replay_test.go
+++ b/internal/request/psselect/replay_test.go
@@ -17,6 +17,7 @@
 	"persimmonstep/internal/request/psplacement"
 	"persimmonstep/internal/request/psselect"
 	"persimmonstep/internal/request/psshed"
+	"persimmonstep/internal/request/psusage"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -59,6 +60,8 @@
 	// without regard to the others.
 	kinds     []kind
 	unordered bool
+	// knowledge is what VMs know of the usual amounts of workspaces, whose requests beyond them yield.
+	knowledge knowledge
 }
 
 // burst multiplies the rate of a load from a time on.
@@ -128,9 +131,12 @@
 
 // replay is the state of a replayed load.
 type replay struct {
-	load     load
-	kinds    []*kindResult
-	demands  []psshed.Demands
+	load    load
+	kinds   []*kindResult
+	demands []psshed.Demands
+	usages  []psusage.Usage
+	// busy are the workspaces that each VM found busy at each report.
+	busy     [][][]string
 	start    time.Time
 	views    [][]*psserver.Server
 	running  sentRequests
@@ -180,7 +186,7 @@
 func replayLoad(l load, affinity bool, seed uint64) *replay {
 	p := &replay{
 		load: l, start: time.Unix(0, 0), inFlight: make([]int, l.servers), perServer: make([]int, l.servers),
-		demands: make([]psshed.Demands, l.vms),
+		demands: make([]psshed.Demands, l.vms), usages: make([]psusage.Usage, l.vms),
 	}
 	p.kinds = newKindResults(l, affinity)
 	for range l.vms {
@@ -250,6 +256,7 @@
 	}
 	p.reportedAt = now
 	at := p.start.Add(now)
+	p.exchangeUsages(at)
 	for i, list := range p.views {
 		lags := make([]float64, len(list))
 		for j, v := range list {
@@ -286,6 +293,7 @@
 	if !p.load.unordered {
 		r.Demand = p.demands[vm].Of("orders", at)
 	}
+	r.BeyondUsual = p.beyondUsual(kind, vm, r.PriorWait > 0, at)
 	verdict := psselect.Admit(c, r)
 	p.demands[vm].Observe("orders", psselect.Observation(c, r, verdict), at)
 	if v, rejected := verdict.(psadmission.Rejected); rejected {
--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -89,6 +89,8 @@
 	Random float64
 	// Demand is the present demand of the service by priorities.
 	Demand psshed.Demand
+	// BeyondUsual reports whether the request exceeds the usual amount of its workspace.
+	BeyondUsual bool
 }
 
 // ObjectOf returns a hash that identifies the object of a request: the key that its caller names.
@@ -125,7 +127,7 @@
 	rejected, found := v.(psadmission.Rejected)
 	return psshed.Observation{
 		Priority: psconfig.Priority(r.Route, r.Workspace), Slot: c.Run, Run: c.Run + c.RoundTrip, Target: r.Route.TargetLatency,
-		Rejected: found && rejected.ForSlots(),
+		BeyondUsual: r.BeyondUsual, Rejected: found && rejected.ForSlots(),
 	}
 }
 
@@ -134,11 +136,13 @@
 	return psadmission.Decide(r.admissionRequest(c))
 }
 
-// Bounds returns the bases of the decision on the first and on the last request of the request's class, in the order in which
-// they are rejected.
-func Bounds(c psplacement.Choice, r Request) (first, last psadmission.Basis) {
+// Bounds returns the bases of the decision on the first and on the last request of the request's class and workspace, in the
+// order in which they are rejected. beyond is the fraction of the workspace's requests that exceeds its usual amount.
+func Bounds(c psplacement.Choice, r Request, beyond float64) (first, last psadmission.Basis) {
 	a := r.admissionRequest(c)
+	a.BeyondUsual = beyond > 0
 	first = psadmission.BasisOf(a.At(1))
+	a.BeyondUsual = beyond >= 1
 	return first, psadmission.BasisOf(a.At(0))
 }
 
@@ -154,7 +158,7 @@
 		MeanRun: r.MeanRun, Surplus: c.Surplus && !r.Retry,
 		Elapsed: r.Elapsed, PriorWait: r.PriorWait, DetectableWait: r.DetectableWait, Remaining: r.Remaining,
 		Target: r.Route.TargetLatency, Priority: psconfig.Priority(r.Route, r.Workspace), Random: r.Random,
-		Demand: r.Demand, Run: c.Run,
+		Demand: r.Demand, Run: c.Run, BeyondUsual: r.BeyondUsual,
 	}
 }
 
--- a/internal/request/psshed/shed.go
+++ b/internal/request/psshed/shed.go
@@ -2,9 +2,10 @@
 //
 // It answers this load pattern: requests of several priorities need more slots than a service has. Decided each alone, all
 // are rejected alike, and those with the shortest target first. The package ranks a request among the present demand: the
-// more urgent classes come first, and within a class the requests that occupy a slot for the shortest time. A request's
-// position in that order is its threshold: it is rejected when the admitted fraction of the demand falls below it. So the
-// fraction that is admitted altogether doesn't depend on the order, and neither does the control that determines it.
+// more urgent classes come first, within a class the requests of workspaces that send no more than usual, and among these
+// the ones that occupy a slot for the shortest time. A request's position in that order is its threshold: it is rejected when
+// the admitted fraction of the demand falls below it. So the fraction that is admitted altogether doesn't depend on the order,
+// and neither does the control that determines it.
 //
 // A VM sees only its own share of a service's requests, so each VM orders these. All VMs see the same queues.
 //
@@ -36,6 +37,8 @@
 	// bucket ends at a millisecond.
 	runBuckets         = 16
 	bucketsPerDoubling = 1
+	// minBeyond is the number of requests beyond the usual amount of their workspace below which a class has none.
+	minBeyond = 0.01
 )
 
 // Class is the demand of the requests with one priority.
@@ -50,7 +53,10 @@
 	Run    time.Duration `json:"run"`
 	// Rejected is the fraction of the class's requests that are rejected for lack of slots.
 	Rejected float64 `json:"rejected"`
-	// Shorter is the fraction of the class's requests in shorter buckets of slot times, for each bucket.
+	// Beyond is the fraction of the class's requests that exceed the usual amount of their workspace.
+	Beyond float64 `json:"beyond"`
+	// Shorter is the fraction of the class's requests in earlier buckets, for each bucket: by slot time those within the
+	// usual amount of their workspace, then, if there are any, by slot time those beyond it.
 	Shorter []float64 `json:"shorter"`
 }
 
@@ -62,6 +68,8 @@
 	Priority int
 	// Slot is how long the request is expected to occupy a slot.
 	Slot time.Duration
+	// BeyondUsual reports whether the request exceeds the usual amount of its workspace.
+	BeyondUsual bool
 	// Random is a number in 0..1 that differs between requests.
 	Random float64
 }
@@ -102,19 +110,21 @@
 		return o
 	}
 	o.Above, o.Below = o.Class.Above, max(0, 1-o.Class.Above-o.Class.Fraction)
-	o.Position = o.Above + o.Class.Fraction*o.Class.shorter(r.Slot, o.Random)
+	o.Position = o.Above + o.Class.Fraction*o.Class.shorter(bucket(r.Slot, r.BeyondUsual), o.Random)
 	return o
 }
 
 // OrderedRandom returns the random number of a request whose place is not random, for a number in 0..1.
 func OrderedRandom(v float64) float64 { return unorderedFraction + v*(1-unorderedFraction) }
 
-// shorter returns the fraction of the class's requests with a shorter slot time. Those in the same bucket count by chance.
-func (c *Class) shorter(slot time.Duration, random float64) float64 {
-	if len(c.Shorter) == 0 {
+// shorter returns the fraction of the class's requests in buckets before b. Those in the same bucket count by chance.
+func (c *Class) shorter(b int, random float64) float64 {
+	switch {
+	case len(c.Shorter) == 0:
 		return random
+	case b >= len(c.Shorter):
+		return 1
 	}
-	b := bucket(slot)
 	end := 1.0
 	if b+1 < len(c.Shorter) {
 		end = c.Shorter[b+1]
@@ -122,9 +132,13 @@
 	return c.Shorter[b] + random*(end-c.Shorter[b])
 }
 
-func bucket(d time.Duration) int {
+func bucket(d time.Duration, beyondUsual bool) int {
 	doublings := math.Log2(max(1, float64(d)/float64(time.Millisecond)))
-	return min(runBuckets-1, int(bucketsPerDoubling*doublings))
+	b := min(runBuckets-1, int(bucketsPerDoubling*doublings))
+	if beyondUsual {
+		b += runBuckets
+	}
+	return b
 }
 
 // Demands measures the demand of each service at one VM. The zero value has none. It is safe for concurrent use.
@@ -146,7 +160,9 @@
 	requests         float64
 	rejected         float64
 	targets, latency float64
-	slots            [runBuckets]float64
+	// slots counts them by slot time: those within the usual amount of their workspace, and those beyond it.
+	slots  [2 * runBuckets]float64
+	beyond float64
 }
 
 // Observation is a request that was decided on.
@@ -155,6 +171,8 @@
 	// Slot is how long it was expected to occupy a slot, Run the time to the response without a queue, and Target its
 	// latency objective.
 	Slot, Run, Target time.Duration
+	// BeyondUsual reports whether it exceeded the usual amount of its workspace.
+	BeyondUsual bool
 	// Rejected is set if the request was rejected for lack of slots.
 	Rejected bool
 }
@@ -179,7 +197,10 @@
 	}
 	c.targets += float64(o.Target)
 	c.latency += float64(o.Run)
-	c.slots[bucket(o.Slot)]++
+	c.slots[bucket(o.Slot, o.BeyondUsual)]++
+	if o.BeyondUsual {
+		c.beyond++
+	}
 }
 
 // decay ages all counts, once every snapshotInterval.
@@ -196,12 +217,24 @@
 		c.rejected *= f
 		c.targets *= f
 		c.latency *= f
-		for b := range c.slots {
+		if c.beyond *= f; c.beyond > 0 && c.beyond < minBeyond {
+			c.beyond = 0
+			clear(c.slots[runBuckets:])
+		}
+		for b := range c.used() {
 			c.slots[b] *= f
 		}
 	}
 }
 
+// used returns the number of buckets that may have requests.
+func (c *classCount) used() int {
+	if c.beyond == 0 {
+		return runBuckets
+	}
+	return len(c.slots)
+}
+
 // class returns the count of a priority, in ascending order of priorities.
 func (s *service) class(priority int) *classCount {
 	i, found := slices.BinarySearchFunc(s.classes, priority, func(c classCount, p int) int { return cmp.Compare(c.priority, p) })
@@ -244,10 +277,10 @@
 		}
 		v := Class{
 			Priority: c.priority, Above: above, Fraction: c.requests / sum, Rejected: c.rejected / c.requests,
-			Target: time.Duration(c.targets / c.requests), Run: time.Duration(c.latency / c.requests), Shorter: make([]float64, runBuckets),
+			Target: time.Duration(c.targets / c.requests), Run: time.Duration(c.latency / c.requests), Shorter: make([]float64, c.used()), Beyond: c.beyond / c.requests,
 		}
 		shorter := 0.0
-		for b := range c.slots {
+		for b := range v.Shorter {
 			v.Shorter[b] = shorter / c.requests
 			shorter += c.slots[b]
 		}
