pscontrol: reports name busy workspaces

A VM of 84 gets a request of a workspace every four seconds, so it marks only 60% of what a busy workspace sends. VMs of an earlier build ignore the field, and their silence doesn't count.

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -72,6 +72,14 @@
 	ForgetSuspected()
 }
 
+// UsageTracker finds the workspaces that send far more requests than usual.
+type UsageTracker interface {
+	// Busy returns those that this VM finds by itself.
+	Busy(now time.Time) []string
+	// RecordPeer records those that another VM finds.
+	RecordPeer(vm string, busy []string, now time.Time)
+}
+
 // Options are the dependencies of a [Controller].
 type Options struct {
 	Settings *psnode.Settings
@@ -84,6 +92,7 @@
 	Peers   PeerSender
 	Tokens  TokenSource
 	Crashes CrashTracker
+	Usage   UsageTracker
 	// Links monitors this VM's links to the backend servers.
 	Links  *pslink.Monitor
 	Logger hclog.Logger
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -20,6 +20,7 @@
 	"persimmonstep/internal/process/psnode"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
+	"persimmonstep/internal/request/psusage"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/psrevision"
 	"persimmonstep/platform"
@@ -174,7 +175,7 @@
 
 func startController(t *testing.T, s *store) *pscontrol.Controller {
 	t.Helper()
-	return start(t, pscontrol.Options{Store: s, Prober: s, Fetcher: s, Peers: s, Tokens: s, Crashes: s})
+	return start(t, pscontrol.Options{Store: s, Prober: s, Fetcher: s, Peers: s, Tokens: s, Crashes: s, Usage: &psusage.Usage{}})
 }
 
 // start starts the controller of a VM in the failure domain north-a with the given dependencies.
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -37,6 +37,9 @@
 	for _, d := range r.Departed {
 		c.servers.ApplyDeparture(r.VM, d, now)
 	}
+	if r.Features.Has(psmessage.BusyWorkspaces) {
+		c.options.Usage.RecordPeer(r.VM, r.Busy, receivedAt)
+	}
 	for id, lag := range r.Slow {
 		if s, found := c.servers.Get(id); found {
 			s.RecordPeerLag(lag, now)
@@ -116,7 +119,7 @@
 	c.sequence++
 	r := &psmessage.Report{
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), ReadsStore: !c.watcher.Lost(), Version: c.desiredState.Version(),
-		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now),
+		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now), Busy: c.options.Usage.Busy(now),
 	}
 	if r.NoServers = c.options.Links.Lost(); !r.NoServers {
 		c.announcements.Fill(r, c.fleet, c.Snapshot().Servers, now)
--- a/internal/process/pscontrol/limit_test.go
+++ b/internal/process/pscontrol/limit_test.go
@@ -18,6 +18,7 @@
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
+	"persimmonstep/internal/request/psusage"
 	"persimmonstep/platform/psheader"
 )
 
@@ -71,7 +72,7 @@
 
 func startWith(t *testing.T, s *store, r *reports, k *tokens) *pscontrol.Controller {
 	t.Helper()
-	return start(t, pscontrol.Options{Store: s, Prober: k, Fetcher: s, Peers: r, Tokens: k, Crashes: s})
+	return start(t, pscontrol.Options{Store: s, Prober: k, Fetcher: s, Peers: r, Tokens: k, Crashes: s, Usage: &psusage.Usage{}})
 }
 
 func named(perSecond float64) pslimit.Limit {
--- a/internal/process/pscontrol/link_test.go
+++ b/internal/process/pscontrol/link_test.go
@@ -15,6 +15,7 @@
 	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
+	"persimmonstep/internal/request/psusage"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psheader"
 )
@@ -36,7 +37,7 @@
 	s := newStore()
 	r := &reports{store: s}
 	links := pslink.New(unreachable{}, hclog.NewNullLogger(), time.Now)
-	c := start(t, pscontrol.Options{Store: s, Prober: unreachable{}, Fetcher: s, Peers: r, Tokens: s, Crashes: s, Links: links})
+	c := start(t, pscontrol.Options{Store: s, Prober: unreachable{}, Fetcher: s, Peers: r, Tokens: s, Crashes: s, Usage: &psusage.Usage{}, Links: links})
 	s.set(func(s *store) {
 		s.desiredState.Configuration = configuration(1)
 		s.servers.Entries = []psserver.Entry{entry("i-1"), entry("i-2"), entry("i-3")}
--- a/internal/process/psevent/catalogue_test.go
+++ b/internal/process/psevent/catalogue_test.go
@@ -45,6 +45,10 @@
 their meaning. This page is written from the code:
 ` + "`go test ./internal/process/psevent -update`" + `.
 
+The field "reason" of 7402 is "overload", "lessUrgent" or "beyondUsual" for requests that were rejected for lack of slots. The field
+"shortage" then has the inputs of the decision; with "beyondUsual", the request would have been sent if its workspace sent its usual
+amount.
+
 | number | level | text | fields |
 | --- | --- | --- | --- |
 `)
--- a/internal/process/psmessage/build_test.go
+++ b/internal/process/psmessage/build_test.go
@@ -107,6 +107,7 @@
 	case *psmessage.Report:
 		m.Features = psmessage.CurrentFeatures
 		m.Departed = []psmessage.Departure{{Run: psserver.Run{ID: "i-1", Incarnation: 1700000000123}, Sequence: 9, Removed: true}}
+		m.Busy = []string{"trays"}
 	case *psmessage.Digest:
 		for i := range m.Reports {
 			addFeatures(&m.Reports[i].Report)
--- a/internal/process/psmessage/feature.go
+++ b/internal/process/psmessage/feature.go
@@ -14,10 +14,12 @@
 	// Departures VMs apply what others have read in the store of servers that leave. To other VMs such servers are named as
 	// leaving.
 	Departures
+	// BusyWorkspaces VMs report the workspaces that send them far more requests than usual.
+	BusyWorkspaces
 )
 
 // CurrentFeatures are those of this build.
-const CurrentFeatures = Forwarding | LinkState | Departures
+const CurrentFeatures = Forwarding | LinkState | Departures | BusyWorkspaces
 
 // Has reports whether all of the given features are stated.
 func (f Features) Has(wanted Features) bool { return f&wanted == wanted }
--- a/internal/process/psmessage/report.go
+++ b/internal/process/psmessage/report.go
@@ -36,6 +36,8 @@
 	// Slow lists servers that are slower than the others of their service, with their lag: the response
 	// time as a multiple of the longest expected one.
 	Slow map[string]float64 `json:"slow,omitempty"`
+	// Busy lists workspaces that send the VM far more requests than usual.
+	Busy []string `json:"busy,omitempty"`
 }
 
 const (
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -194,7 +194,7 @@
 		}), nil
 	})
 	do.Provide(i, func(i do.Injector) (*pscontrol.Controller, error) {
-		s := do.MustInvoke[*psnode.Settings](i)
+		s, p := do.MustInvoke[*psnode.Settings](i), do.MustInvoke[*psproxy.Proxy](i)
 		store, clean := platform.NewStore(s.Store.Address, storeConnectTimeout)
 		v.cleanUps = append(v.cleanUps, clean)
 		client, clean := pspeerstate.NewClient(do.MustInvoke[Network](i).Dial)
@@ -203,7 +203,7 @@
 			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
 			Fetcher: stateFetcher{client},
 			Prober:  psprobe.New(do.MustInvoke[*pstransport.Transport](i)),
-			Peers:   do.MustInvoke[*pspeer.Endpoint](i), Tokens: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psproxy.Proxy](i).Blocklist(),
+			Peers:   do.MustInvoke[*pspeer.Endpoint](i), Tokens: do.MustInvoke[*pstoken.Tokens](i), Crashes: p.Blocklist(), Usage: p.Usage(),
 			Links: do.MustInvoke[*pslink.Monitor](i),
 		}), nil
 	})
