--- a/internal/request/psusage/peers.go
+++ b/internal/request/psusage/peers.go
@@ -15,9 +15,9 @@
 	// busyRatio is the ratio to the usual amount from which on a VM reports a workspace as busy.
 	busyRatio = 1.9
 	// minPeerFraction is the fraction of the other VMs, less one that may be misled by chance, from which on requests of a
-	// workspace that they find busy are marked, and fullPeerFraction the one from which on all are. At 84 VMs with
-	// 20 requests a second, 42% of them find a workspace busy that sends five times its usual amount, and 0.9% one that
-	// doesn't. The VMs of one failure domain of six, to which the callers of a workspace have moved, are not enough.
+	// workspace that they find busy are marked, and fullPeerFraction the one from which on all are. Few VMs of a large fleet
+	// get enough requests to find a workspace busy. The VMs of one failure domain, to which the callers of a workspace have
+	// moved, must not be enough.
 	minPeerFraction  = 0.15
 	fullPeerFraction = 0.25
 	// peerRequests is the number of requests that a VM expects of a workspace, from which on its own observation outweighs the
