psbackend: servers with slow spells, which they state as the fourth figure of their load

A server may have a run time for each route, and records when each request was admitted, started and ended and whether its object was cached.

--- a/internal/trial/psbackend/behaviour.go
+++ b/internal/trial/psbackend/behaviour.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"persimmonstep/internal/process/pslimit"
+	"persimmonstep/internal/trial/psspell"
 )
 
 // Behaviour configures a stand-in. Its zero value runs every request at once.
@@ -15,6 +17,11 @@
 	Queue int
 	// ServiceTime is how long a request runs.
 	ServiceTime time.Duration
+	// RouteTimes are the service times of requests whose path begins with a prefix, in place of ServiceTime.
+	RouteTimes []RouteTime
+	// Spells are the times in which the machine is slow; nil if it never is. A server with spells states in its load reports
+	// how long work currently takes.
+	Spells *psspell.Spells
 	// CacheSize is the number of objects that the server caches. A request for a cached object takes
 	// a third of the service time.
 	CacheSize int
@@ -34,12 +41,38 @@
 // cacheHitFactor is the fraction of the service time that a request for a cached object takes.
 const cacheHitFactor = 1.0 / 3
 
-// serviceTime returns how long a request runs.
-func (b *Behaviour) serviceTime(cacheHit bool) time.Duration {
+// RouteTime is the service time of the requests of one route.
+type RouteTime struct {
+	Prefix      string
+	ServiceTime time.Duration
+}
+
+// serviceTime returns how long a request runs on a machine that isn't slow.
+func (b *Behaviour) serviceTime(path string, cacheHit bool) time.Duration {
+	t := b.ServiceTime
+	for _, r := range b.RouteTimes {
+		if strings.HasPrefix(path, r.Prefix) {
+			t = r.ServiceTime
+		}
+	}
 	if cacheHit {
-		return time.Duration(cacheHitFactor * float64(b.ServiceTime))
+		return CachedTime(t)
+	}
+	return t
+}
+
+// CachedTime returns how long a request runs if its object is cached.
+func CachedTime(uncached time.Duration) time.Duration {
+	return time.Duration(cacheHitFactor * float64(uncached))
+}
+
+// runTime returns how long work that starts at a time takes.
+func (b *Behaviour) runTime(work time.Duration, now time.Time) time.Duration {
+	if b.Spells == nil {
+		return work
 	}
-	return b.ServiceTime
+	start := now.Sub(b.Spells.Origin)
+	return b.Spells.Finish(start, work) - start
 }
 
 // Stats are the counters of a stand-in.
--- a/internal/trial/psbackend/run.go
+++ b/internal/trial/psbackend/run.go
@@ -30,6 +30,9 @@
 func (s *Server) serve(v *incarnation, w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == HealthPath {
 		psstandin.WriteHealth(w.Header(), s.ID, 0)
+		if s.statesSpeed() {
+			psstandin.WriteLoad(w.Header(), s.load())
+		}
 		return
 	}
 	arrival := s.recordArrival(r, time.Now())
@@ -71,7 +74,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.countRun(arrival.ID)
-	if !v.wait(r, a.serviceTime) {
+	a.execution.Started = time.Now()
+	completed := v.wait(r, s.runTime(a.execution.Work, a.execution.Started))
+	s.recordExecution(a.execution)
+	if !completed {
 		panic(http.ErrAbortHandler)
 	}
 	body, err := json.Marshal(Echo{
--- a/internal/trial/psbackend/server.go
+++ b/internal/trial/psbackend/server.go
@@ -40,6 +40,8 @@
 	stats  Stats
 	// arrivals are the requests that reached the server. Probes are not recorded.
 	arrivals []Arrival
+	// executions are the requests that ran.
+	executions []Execution
 	// waiting holds the slotGranted channels of the queued requests. cached holds the cached objects,
 	// the most recently used one last.
 	waiting     []chan struct{}
--- a/internal/trial/psbackend/slot.go
+++ b/internal/trial/psbackend/slot.go
@@ -11,8 +11,8 @@
 
 // admission is the decision about a request on its arrival.
 type admission struct {
-	fault       Fault
-	serviceTime time.Duration
+	fault     Fault
+	execution Execution
 	// slotGranted is closed when the request has a slot.
 	slotGranted chan struct{}
 }
@@ -22,7 +22,9 @@
 func (s *Server) admit(r *http.Request) (admission, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	a := admission{slotGranted: make(chan struct{})}
+	a := admission{slotGranted: make(chan struct{}), execution: Execution{
+		ID: psstandin.ReadForwardHeaders(r.Header).ID, Admitted: time.Now(), Latency: s.behaviour.LatencyFrom[sourceAddress(r)],
+	}}
 	a.fault, _ = s.matchFault(r)
 	full := s.behaviour.Slots > 0 && s.stats.Running >= s.behaviour.Slots
 	if a.fault.Kind == FaultShed || full && len(s.waiting) >= s.behaviour.Queue {
@@ -30,7 +32,7 @@
 		return a, false
 	}
 	cacheHit := s.cacheObject(psstandin.ReadForwardHeaders(r.Header).Object)
-	a.serviceTime = s.behaviour.serviceTime(cacheHit)
+	a.execution.Work, a.execution.Cached = s.behaviour.serviceTime(r.URL.Path, cacheHit), cacheHit
 	if full {
 		s.waiting = append(s.waiting, a.slotGranted)
 		return a, true
@@ -101,5 +103,9 @@
 func (s *Server) load() psheader.Load {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return psheader.Load{Running: s.stats.Running, Waiting: len(s.waiting), Slots: s.behaviour.Slots}
+	l := psheader.Load{Running: s.stats.Running, Waiting: len(s.waiting), Slots: s.behaviour.Slots}
+	if v := s.behaviour.Spells; v != nil {
+		l.WorkFactor = v.FactorAt(time.Since(v.Origin))
+	}
+	return l
 }
