psbound: what a scheduler could serve that knows all arrivals, and what the system loses against it

Nobody knew how far the system is from the best that is possible with the same slots, caches and latencies. `measure` now counts requests in target by priority, and adds two rows computed from the arrivals that its callers send: an upper bound (work must fit into slot time) and a clairvoyant schedule. `--losses` joins the records of callers and servers with the VMs' log lines and says what the requests not in target were lost by.

Schedules and runs of the earlier scenarios are as before, except that load and faults begin at the end of the warm-up exactly.

--- a/internal/process/pscli/measure.go
+++ b/internal/process/pscli/measure.go
@@ -22,6 +22,8 @@
 	Directory string   `default:"scenarios" help:"The directory of scenarios for --all."`
 	Firm      string   `help:"Run one firm's size only, such as egg-exchange."`
 	Baseline  bool     `default:"true" negatable:"" help:"Run the baseline policy beside the system's own."`
+	Bound     bool     `default:"true" negatable:"" help:"Compute what a scheduler could serve that knows all arrivals."`
+	Losses    bool     `help:"Show what the requests were lost by that the system didn't serve in target."`
 	Seed      uint64   `help:"Draw the load from this seed in place of the scenario's."`
 	JSON      bool     `name:"json" help:"Print JSON."`
 	Plot      string   `help:"Write a plot (SVG) to this file."`
@@ -82,12 +84,14 @@
 
 // runScenario runs a scenario with each policy for each firm.
 func (c *measureCommand) runScenario(ctx context.Context, v *psscenario.Scenario, l hclog.Logger) ([]*psresult.Result, error) {
-	policies := []psexperiment.Policy{psexperiment.System()}
+	system := psexperiment.System()
+	system.Losses = c.Losses
+	policies := []psexperiment.Policy{system}
 	if c.Baseline {
 		policies = append(policies, psexperiment.Baseline())
 	}
 	var out []*psresult.Result
-	for _, f := range psscenario.Firms() {
+	for _, f := range v.Firms() {
 		if c.Firm != "" && string(f.Name) != c.Firm {
 			continue
 		}
@@ -101,6 +105,9 @@
 			}
 			out = append(out, r)
 		}
+		if c.Bound {
+			out = append(out, psexperiment.Bounds(f, v)...)
+		}
 	}
 	return out, nil
 }
--- a/internal/trial/psexperiment/experiment.go
+++ b/internal/trial/psexperiment/experiment.go
@@ -24,6 +24,7 @@
 	"persimmonstep/internal/trial/psdev"
 	"persimmonstep/internal/trial/psguarantee"
 	"persimmonstep/internal/trial/psload"
+	"persimmonstep/internal/trial/psrequestlog"
 	"persimmonstep/internal/trial/psresult"
 	"persimmonstep/internal/trial/psscenario"
 	"persimmonstep/platform/psstandin"
@@ -45,7 +46,9 @@
 	policy   Policy
 	topology psdev.Topology
 	system   *psdev.System
-	start    time.Time
+	// start is the start of the load.
+	start time.Time
+	log   psrequestlog.Log
 
 	mutex      sync.Mutex
 	behaviours []psbackend.Behaviour
@@ -70,17 +73,18 @@
 // Run runs a scenario with the installation of a firm under a policy.
 func Run(ctx context.Context, f psscenario.Firm, s *psscenario.Scenario, p Policy, l hclog.Logger) (*psresult.Result, error) {
 	e := &experiment{
-		firm: f, scenario: s, policy: p, topology: f.Topology(), drained: make(map[int]time.Duration),
+		firm: f, scenario: s, policy: p, topology: f.Topology(s), drained: make(map[int]time.Duration),
 		snapshots: make(map[time.Duration]psstandin.Snapshot), restarts: make(map[string][]time.Duration),
 	}
-	system, stop, err := psdev.New(ctx, e.topology, func(string) io.Writer { return io.Discard })
+	system, stop, err := psdev.New(ctx, e.topology, e.logOutput)
 	if err != nil {
 		return nil, err
 	}
 	defer stop()
 	e.system = system
+	e.setLatency()
+	e.start = time.Now().Add(s.WarmUp.Duration)
 	e.configureServers()
-	time.Sleep(s.WarmUp.Duration)
 	observations, unsent, use := e.sendLoad(ctx)
 	if ctx.Err() != nil {
 		return nil, errors.Wrap(ctx.Err(), "run experiment")
@@ -89,25 +93,42 @@
 		e.notes = append(e.notes, "the load generator could not send every request")
 	}
 	r := psresult.New(psresult.Run{
-		Scenario: s.Name, Firm: f.Name, Policy: p.Name, Seed: s.Seed, Pools: f.Pools, History: e.history(observations),
+		Scenario: s.Name, Firm: f.Name, Policy: p.Name, Seed: s.Seed, Pools: f.Pools, Settle: s.Settle.Duration, History: e.history(observations),
 		StopTime: e.stopTime, PeakUse: use.peak, Notes: e.notes,
 	})
 	r.Unsent = unsent
+	r.TimerDelayMilliseconds = float64(use.timerDelay().Microseconds()) / 1000
+	if p.Losses {
+		r.Losses = e.losses(observations)
+	}
 	use.recordControlCost(r)
 	psevent.RunFinished.Log(l, s.Name, f.Name, p.Name, len(observations), r.Broken.Total())
 	return r, nil
 }
 
+// logOutput returns the writer of a VM's log, which only losses are read from.
+func (e *experiment) logOutput(string) io.Writer {
+	if !e.policy.Losses {
+		return io.Discard
+	}
+	return e.log.Writer()
+}
+
 // configureServers configures the backend server stand-ins with the firm's service times and latencies.
 func (e *experiment) configureServers() {
 	for i, v := range e.topology.Servers {
 		b := v.Behaviour
 		b.LatencyFrom = make(map[netip.Addr]time.Duration)
 		for j, m := range e.topology.VMs {
-			b.LatencyFrom[e.system.Ready.VMs[j].Callers.Addr()] = e.latency(m.Domain, v.Domain)
+			b.LatencyFrom[e.system.Ready.VMs[j].Callers.Addr()] = e.firm.LatencyBetween(m.Domain, v.Domain)
 		}
 		for n, d := range e.topology.Domains {
-			b.LatencyFrom[psscenario.CallerAddress(n)] = e.latency(d, v.Domain)
+			b.LatencyFrom[psscenario.CallerAddress(n)] = e.firm.LatencyBetween(d, v.Domain)
+		}
+		if b.Spells != nil {
+			spells := *b.Spells
+			spells.Origin = e.start
+			b.Spells = &spells
 		}
 		if e.hasFault(psscenario.FaultPoison) {
 			b.Faults = []psbackend.Fault{{Marker: psscenario.PoisonMarker, Kind: psbackend.FaultCrash, Delay: crashDowntime}}
@@ -117,26 +138,35 @@
 	}
 }
 
-// latency returns the round trip time between two failure domains.
-func (e *experiment) latency(from, to psdev.Domain) time.Duration {
-	switch {
-	case from == to:
-		return 0
-	case from.Region == to.Region:
-		return e.firm.DomainLatency
-	}
-	return e.firm.RegionLatency
+// setLatency delays the datagrams between VMs of an installation whose callers are spread over the regions. Those of the
+// firms arrive at once, as in earlier measurements.
+func (e *experiment) setLatency() {
+	if !e.firm.Regional {
+		return
+	}
+	domains := make(map[netip.Addr]psdev.Domain)
+	for i, v := range e.system.Ready.VMs {
+		domains[v.Callers.Addr()] = e.topology.VMs[i].Domain
+	}
+	e.system.Network.SetLatency(func(from, to netip.Addr) time.Duration {
+		return e.firm.LatencyBetween(domains[from], domains[to]) / 2
+	})
+}
+
+// draw draws the arrivals of a scenario.
+func draw(f psscenario.Firm, s *psscenario.Scenario) []psload.Arrival {
+	return psload.Draw(s.Seed, f.Streams(s), psscenario.DomainCount, s.Span.Duration)
 }
 
-// sendLoad sends the scheduled requests, and meanwhile injects the faults and samples the slots in use.
+// sendLoad sends the scheduled requests after the warm-up, and meanwhile injects the faults and samples the slots in use.
 func (e *experiment) sendLoad(ctx context.Context) ([]psload.Observation, int, *usage) {
 	callers, clean := e.callers()
 	defer clean()
-	schedule := psload.Draw(e.scenario.Seed, e.firm.Streams(e.scenario), psscenario.DomainCount, e.scenario.Span.Duration)
+	schedule := draw(e.firm, e.scenario)
 	ctx, cancel := context.WithCancel(ctx)
 	var background sync.WaitGroup
 	use := newUsage(e)
-	e.start = time.Now()
+	time.Sleep(time.Until(e.start))
 	use.before = e.counters()
 	background.Go(func() { e.runFaults(ctx) })
 	background.Go(func() { use.sample(ctx) })
@@ -161,7 +191,7 @@
 	var cleanups []func()
 	for n := range psscenario.DomainCount {
 		d := e.topology.Domains[n]
-		c, clean := psload.NewCaller(psscenario.CallerAddress(n), psload.Place{Region: d.Region, FailureDomain: d.Name}, targets, e.policy.targetSource(e.system), keys)
+		c, clean := psload.NewCaller(psscenario.CallerAddress(n), psload.Place{Region: d.Region, FailureDomain: d.Name}, targets, e.policy.targetSource(e), keys, e.firm.CallerLatency)
 		out = append(out, c)
 		cleanups = append(cleanups, clean)
 	}
--- a/internal/trial/psexperiment/policy.go
+++ b/internal/trial/psexperiment/policy.go
@@ -11,22 +11,28 @@
 type Policy struct {
 	// Name identifies the policy in reports.
 	Name string
+	// Losses asks for what requests that were not served in target were lost by.
+	Losses bool
 	// targetSource returns where callers get their targets from.
-	targetSource func(s *psdev.System) psload.TargetSource
+	targetSource func(e *experiment) psload.TargetSource
 }
 
 // System returns the policy that sends requests through the system under test.
 func System() Policy {
-	return Policy{Name: "persimmonstep", targetSource: func(*psdev.System) psload.TargetSource { return psload.DirectoryTargets{} }}
+	return Policy{Name: "persimmonstep", targetSource: func(*experiment) psload.TargetSource { return psload.DirectoryTargets{} }}
 }
 
 // Baseline returns the policy that sends requests directly to random backend servers, without rate limits,
 // placement or any information about other requests.
 func Baseline() Policy {
-	return Policy{Name: "direct", targetSource: func(s *psdev.System) psload.TargetSource {
-		servers := lo.GroupBy(s.Ready.Servers, func(v psdev.ReadyServer) string { return v.Service })
-		return psload.DirectTargets{Servers: lo.MapValues(servers, func(list []psdev.ReadyServer, _ string) []psload.Target {
-			return lo.Map(list, func(v psdev.ReadyServer, _ int) psload.Target { return psload.Target{Name: v.ID, Address: v.Address} })
-		})}
+	return Policy{Name: "direct", targetSource: func(e *experiment) psload.TargetSource {
+		servers := lo.GroupBy(e.system.Ready.Servers, func(v psdev.ReadyServer) string { return v.Service })
+		byRoute := make(map[string][]psload.Target)
+		for _, p := range e.firm.Pools {
+			byRoute[p.Name] = lo.Map(servers[p.ServiceName()], func(v psdev.ReadyServer, _ int) psload.Target {
+				return psload.Target{Name: v.ID, Address: v.Address}
+			})
+		}
+		return psload.DirectTargets{Servers: byRoute}
 	}}
 }
--- a/internal/trial/psexperiment/usage.go
+++ b/internal/trial/psexperiment/usage.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/trial/psresult"
 	"persimmonstep/platform/psstandin"
 )
@@ -13,6 +15,8 @@
 	experiment *experiment
 	slots      map[string]int
 	samples    []sample
+	// delays are how late the timer of each sample was.
+	delays []time.Duration
 	// before and after are the counters at the start and the end of the run.
 	before, after counters
 }
@@ -52,18 +56,25 @@
 
 // sample records the slot utilization every samplePeriod until the context ends.
 func (u *usage) sample(ctx context.Context) {
-	t := time.NewTicker(samplePeriod)
-	defer t.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		began := time.Now()
+		if !pswait.Sleep(ctx, samplePeriod) {
 			return
-		case <-t.C:
-			u.samples = append(u.samples, u.observe())
 		}
+		u.delays = append(u.delays, time.Since(began)-samplePeriod)
+		u.samples = append(u.samples, u.observe())
 	}
 }
 
+// timerDelay returns the 99th percentile of how late the timers of the samples were. It shows how busy the machine was.
+func (u *usage) timerDelay() time.Duration {
+	if len(u.delays) == 0 {
+		return 0
+	}
+	slices.Sort(u.delays)
+	return u.delays[len(u.delays)*99/100]
+}
+
 func (u *usage) observe() sample {
 	e := u.experiment
 	out := sample{at: time.Since(e.start), pools: make(map[string]float64)}
--- a/internal/trial/psload/caller.go
+++ b/internal/trial/psload/caller.go
@@ -15,7 +15,9 @@
 
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/pspipeline"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psheader"
@@ -71,6 +73,10 @@
 	targetSource TargetSource
 	keys         map[string]string
 	client       *http.Client
+	// pipelining sends the requests of callers that pipeline.
+	pipelining *http.Client
+	// latency is the network latency to VMs, one way.
+	latency time.Duration
 
 	mutex  sync.Mutex
 	cached cachedTargets
@@ -83,11 +89,19 @@
 }
 
 // NewCaller returns the caller of a failure domain with its clean-up function. It sends
-// from the source address and authenticates with the workspaces' keys.
-func NewCaller(source netip.Addr, p Place, targets []Target, from TargetSource, keys map[string]string) (*Caller, func()) {
+// from the source address and authenticates with the workspaces' keys. The latency is that of the network to VMs, one way.
+func NewCaller(source netip.Addr, p Place, targets []Target, from TargetSource, keys map[string]string, latency time.Duration) (*Caller, func()) {
 	d := &net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: source.AsSlice()}}
 	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdlePerVM, DisableCompression: true}
-	return &Caller{place: p, targets: targets, targetSource: from, keys: keys, client: &http.Client{Transport: t}}, t.CloseIdleConnections
+	pipelining := pspipeline.New(d.DialContext)
+	c := &Caller{
+		place: p, targets: targets, targetSource: from, keys: keys, latency: latency,
+		client: &http.Client{Transport: t}, pipelining: &http.Client{Transport: pipelining},
+	}
+	return c, func() {
+		t.CloseIdleConnections()
+		pipelining.Close()
+	}
 }
 
 // Send sends one request and records its outcome. It retries on another target if the request cannot
@@ -96,6 +110,7 @@
 	o := Observation{Arrival: a, Sent: time.Since(start)}
 	for _, t := range c.orderTargets(ctx, a.Stream) {
 		o.IDs = append(o.IDs, fmt.Sprintf("run-%d-%d", a.Sequence, len(o.IDs)))
+		o.LastSent = time.Since(start)
 		connected, err := c.attempt(ctx, t, &o)
 		if len(o.IDs) == 1 {
 			o.First, o.FirstServed = t.Name, err == nil && o.Served()
@@ -203,7 +218,12 @@
 	if err != nil {
 		return false, err
 	}
-	response, err := c.client.Do(r)
+	pswait.Sleep(ctx, c.latency)
+	client := c.client
+	if o.Pipelined {
+		client = c.pipelining
+	}
+	response, err := client.Do(r)
 	if err != nil {
 		var e *net.OpError
 		return !errors.As(err, &e) || e.Op != "dial", errors.Wrap(err, "send request")
@@ -213,6 +233,7 @@
 	if err != nil {
 		return true, errors.Wrap(err, "read response")
 	}
+	pswait.Sleep(ctx, c.latency)
 	c.recordResponse(o, response, body)
 	return true, nil
 }
--- a/internal/trial/psload/observation.go
+++ b/internal/trial/psload/observation.go
@@ -7,8 +7,8 @@
 // Observation is the outcome of one request as its caller sees it.
 type Observation struct {
 	Arrival
-	// Sent is when the first attempt began, and Done when the last one ended, relative to the start.
-	Sent, Done time.Duration
+	// Sent is when the first attempt began, LastSent when the last one did, and Done when that ended, relative to the start.
+	Sent, LastSent, Done time.Duration
 	// IDs are the request ids of the attempts.
 	IDs []string
 	// First is the target of the first attempt; empty if there was none. FirstServed reports that this attempt was
--- a/internal/trial/psload/schedule.go
+++ b/internal/trial/psload/schedule.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -38,6 +39,54 @@
 	BodyBytes int
 	// Marker selects the faults of the backend server stand-ins.
 	Marker string
+	// Domains are the failure domains of the callers, with an equal part in each; if empty, most are in Home.
+	Domains []int
+	// FirstObject is the index of the first of the objects.
+	FirstObject int
+	// Wave and Surges change the rate during the run.
+	Wave   Wave
+	Surges []Surge
+	// Pipelined is the fraction of the requests whose callers send further requests before they get the response. It
+	// applies to idempotent routes only.
+	Pipelined float64
+}
+
+// Wave is a change of a rate by a sine.
+type Wave struct {
+	// Amplitude is the greatest deviation as a fraction of the rate.
+	Amplitude float64
+	Period    time.Duration
+	// Phase is the position in the wave at the start, as a fraction of the period.
+	Phase float64
+}
+
+// Surge multiplies a rate for some time.
+type Surge struct {
+	From, To time.Duration
+	Factor   float64
+}
+
+// factorAt returns the rate at a time as a multiple of the mean rate.
+func (s *Stream) factorAt(at time.Duration) float64 {
+	factor := 1.0
+	if s.Wave.Amplitude > 0 {
+		factor += s.Wave.Amplitude * math.Sin(2*math.Pi*(at.Seconds()/s.Wave.Period.Seconds()+s.Wave.Phase))
+	}
+	for _, v := range s.Surges {
+		if at >= v.From && at < v.To {
+			factor *= v.Factor
+		}
+	}
+	return factor
+}
+
+// maxFactor returns an upper bound of factorAt.
+func (s *Stream) maxFactor() float64 {
+	factor := 1 + s.Wave.Amplitude
+	for _, v := range s.Surges {
+		factor *= max(1, v.Factor)
+	}
+	return factor
 }
 
 // homeFraction is the fraction of a stream's requests that always come from its home failure domain.
@@ -55,6 +104,8 @@
 	Domain int
 	// Object is the index of the object that the request is for, from 0.
 	Object int
+	// Pipelined reports that the request is sent on a connection that may have others without a response.
+	Pipelined bool
 }
 
 // Draw draws the arrivals of all streams during a run, in order of time. Each stream is a Poisson
@@ -68,8 +119,13 @@
 		if end == 0 || end > span {
 			end = span
 		}
-		for at := s.From + interarrivalTime(r, s.Rate); at < end; at += interarrivalTime(r, s.Rate) {
-			out = append(out, Arrival{At: at, Stream: s, Domain: drawDomain(r, s.Home, domains), Object: r.IntN(max(1, s.Objects))})
+		peak := s.maxFactor()
+		for at := s.From + interarrivalTime(r, s.Rate*peak); at < end; at += interarrivalTime(r, s.Rate*peak) {
+			// Arrivals drawn at the peak rate are dropped so that the others follow the rate of their time.
+			if peak > 1 && r.Float64() >= s.factorAt(at)/peak {
+				continue
+			}
+			out = append(out, s.draw(r, at, domains))
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
@@ -79,6 +135,19 @@
 	return out
 }
 
+// draw draws the request of an arrival.
+func (s *Stream) draw(r *rand.Rand, at time.Duration, domains int) Arrival {
+	a := Arrival{At: at, Stream: s}
+	if len(s.Domains) > 0 {
+		a.Domain = s.Domains[r.IntN(len(s.Domains))]
+	} else {
+		a.Domain = drawDomain(r, s.Home, domains)
+	}
+	a.Object = s.FirstObject + r.IntN(max(1, s.Objects))
+	a.Pipelined = s.Pipelined > 0 && s.Kind == psconfig.Idempotent && r.Float64() < s.Pipelined
+	return a
+}
+
 func interarrivalTime(r *rand.Rand, rate float64) time.Duration {
 	return time.Duration(r.ExpFloat64() / rate * float64(time.Second))
 }
--- a/internal/trial/psnetwork/network.go
+++ b/internal/trial/psnetwork/network.go
@@ -5,11 +5,13 @@
 package psnetwork
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +27,8 @@
 	// partitions holds the name of each VM's partition. Only VMs of the same partition reach each other. VMs
 	// without an entry are in the partition named by the empty string.
 	partitions map[netip.Addr]string
+	// latency returns the time that a datagram takes from one VM to another; nil if there is none.
+	latency func(from, to netip.Addr) time.Duration
 	// serverLinks holds the links of each VM to the backend servers.
 	serverLinks map[netip.Addr]*serverLinks
 }
@@ -39,6 +43,22 @@
 	n.partitions[vm] = partition
 }
 
+// SetLatency sets the time that a datagram takes from one VM to another.
+func (n *Network) SetLatency(f func(from, to netip.Addr) time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.latency = f
+}
+
+func (n *Network) latencyBetween(from, to netip.Addr) time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.latency == nil {
+		return 0
+	}
+	return n.latency(from, to)
+}
+
 // SentBytes returns the number of bytes of all datagrams between VMs, without those that were dropped.
 func (n *Network) SentBytes() int64 { return n.sentBytes.Load() }
 
@@ -85,5 +105,11 @@
 		return len(b), nil
 	}
 	s.network.sentBytes.Add(int64(len(b)))
+	if d := s.network.latencyBetween(s.from, to.Addr()); d > 0 {
+		sent := bytes.Clone(b)
+		// An error that comes later, such as that of a closed socket, means a lost datagram.
+		time.AfterFunc(d, func() { _, _ = s.Socket.WriteToUDPAddrPort(sent, to) })
+		return len(b), nil
+	}
 	return s.Socket.WriteToUDPAddrPort(b, to)
 }
--- a/internal/trial/psresult/report.go
+++ b/internal/trial/psresult/report.go
@@ -27,18 +27,33 @@
 		}
 	}
 	_, _ = fmt.Fprintln(t)
-	_, _ = fmt.Fprintln(t, "firm\tscenario\tpolicy\tworst served\tworkspace\tin-rate refused\tentitled\tshifted\tdrain ms\tstop ms\tpeer B/s/VM\treads/s\twrites/s\tbroken promises")
+	_, _ = fmt.Fprintln(t, "firm\tscenario\tpolicy\tworst served\tworkspace\tin-rate refused\tentitled\tshifted\tdrain ms\tstop ms\tpeer B/s/VM\treads/s\twrites/s\ttimer delay ms\tbroken promises")
 	for _, r := range results {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.1f%%\t%s\t%d\t%d\t%.1f%%\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%s\n", r.Firm, r.Scenario, r.Policy,
+		if len(r.Routes) == 0 {
+			continue
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.1f%%\t%s\t%d\t%d\t%.1f%%\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%s\n", r.Firm, r.Scenario, r.Policy,
 			100*r.WorstServed, r.WorstWorkspace, r.InRateRefused, r.Entitled, 100*r.Shifted, r.DrainMilliseconds, r.StopMilliseconds,
-			r.PeerBytesPerSecond, r.ReadsPerSecond, r.WritesPerSecond, violationsText(r))
+			r.PeerBytesPerSecond, r.ReadsPerSecond, r.WritesPerSecond, r.TimerDelayMilliseconds, violationsText(r))
 	}
+	writeInTarget(t, results)
 	for _, r := range results {
 		for _, n := range r.Notes {
 			_, _ = fmt.Fprintf(t, "%s %s %s: %s\n", r.Firm, r.Scenario, r.Policy, n)
 		}
 	}
-	return errors.Wrap(t.Flush(), "write table")
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	for _, r := range results {
+		if r.Losses == nil {
+			continue
+		}
+		if err := r.Losses.Table(w, fmt.Sprintf("%s %s %s", r.Firm, r.Scenario, r.Policy)); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func utilizationText(v RouteResult) string {
@@ -70,10 +85,14 @@
 <table><tr><th>firm</th><th>scenario</th><th>policy</th><th>route</th><th>sent</th><th>served</th><th>429</th><th>503</th><th>other</th><th>unanswered</th><th>p50 ms</th><th>p99 ms</th><th>p99.9 ms</th></tr>
 {{range $r := .Results}}{{range .Routes}}<tr><td>{{$r.Firm}}</td><td>{{$r.Scenario}}</td><td>{{$r.Policy}}</td><td>{{.Route}}</td><td>{{.Sent}}</td><td>{{.Served}}</td><td>{{.OverRate}}</td><td>{{.NoCapacity}}</td><td>{{.Other}}</td><td>{{.Unanswered}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .P999}}</td></tr>
 {{end}}{{end}}</table>
+<h2>In target</h2>
+<table><tr><th>firm</th><th>scenario</th><th>policy</th><th>sent</th><th>in target</th><th>weighted</th></tr>
+{{range .Results}}<tr><td>{{.Firm}}</td><td>{{.Scenario}}</td><td>{{.Policy}}</td><td>{{.InTarget.Sent}}</td><td>{{printf "%.0f" .InTarget.InTarget}}</td><td>{{printf "%.0f" .InTarget.Weight}} of {{printf "%.0f" .InTarget.SentWeight}}</td></tr>
+{{end}}</table>
 <h2>Promises and costs</h2>
 <table><tr><th>firm</th><th>scenario</th><th>policy</th><th>worst served</th><th>in-rate refused</th><th>entitled</th><th>peer B/s/VM</th><th>reads/s</th><th>broken promises</th></tr>
-{{range .Results}}<tr><td>{{.Firm}}</td><td>{{.Scenario}}</td><td>{{.Policy}}</td><td>{{printf "%.3f" .WorstServed}} {{.WorstWorkspace}}</td><td>{{.InRateRefused}}</td><td>{{.Entitled}}</td><td>{{printf "%.0f" .PeerBytesPerSecond}}</td><td>{{printf "%.1f" .ReadsPerSecond}}</td><td{{if .Broken.Total}} class="bad"{{end}}>{{.Broken.Total}}</td></tr>
-{{end}}</table>
+{{range .Results}}{{if .Routes}}<tr><td>{{.Firm}}</td><td>{{.Scenario}}</td><td>{{.Policy}}</td><td>{{printf "%.3f" .WorstServed}} {{.WorstWorkspace}}</td><td>{{.InRateRefused}}</td><td>{{.Entitled}}</td><td>{{printf "%.0f" .PeerBytesPerSecond}}</td><td>{{printf "%.1f" .ReadsPerSecond}}</td><td{{if .Broken.Total}} class="bad"{{end}}>{{.Broken.Total}}</td></tr>
+{{end}}{{end}}</table>
 <h2>Latency</h2>{{.Plot}}</body></html>
 `))
 
@@ -99,6 +118,9 @@
 	p.Y.Label.Text = "milliseconds"
 	var lines []any
 	for _, r := range results {
+		if len(r.Routes) == 0 {
+			continue
+		}
 		h := r.histograms[r.Routes[0].Route]
 		if h == nil || h.TotalCount() == 0 {
 			continue
--- a/internal/trial/psresult/result.go
+++ b/internal/trial/psresult/result.go
@@ -11,6 +11,7 @@
 
 	"persimmonstep/internal/trial/psguarantee"
 	"persimmonstep/internal/trial/psload"
+	"persimmonstep/internal/trial/psloss"
 	"persimmonstep/internal/trial/psscenario"
 )
 
@@ -20,7 +21,9 @@
 	Scenario, Firm, Policy string
 	Seed                   uint64
 	Pools                  []psscenario.Pool
-	History                psguarantee.History
+	// Settle is how long the load lasted before requests count as in target or not.
+	Settle  time.Duration
+	History psguarantee.History
 	// StopTime is the duration of the longest graceful shutdown.
 	StopTime time.Duration
 	// PeakUse returns the highest slot utilization of a pool up to a time, as a fraction.
@@ -37,6 +40,10 @@
 	Seed     uint64 `json:"seed"`
 	// Routes are the measurements of each route.
 	Routes []RouteResult `json:"routes"`
+	// InTarget counts the requests that were served within the target latency.
+	InTarget InTarget `json:"inTarget"`
+	// Losses is what the others were lost by; nil if that wasn't asked for.
+	Losses *psloss.Summary `json:"losses,omitempty"`
 	// WorstServed is the lowest ratio of served to entitled requests over all workspaces.
 	WorstServed float64 `json:"worstServed"`
 	// WorstWorkspace is the name of the workspace with this ratio.
@@ -56,6 +63,8 @@
 	// ReadsPerSecond and WritesPerSecond are the rates of all VMs' calls to the store.
 	ReadsPerSecond  float64 `json:"readsPerSecond"`
 	WritesPerSecond float64 `json:"writesPerSecond"`
+	// TimerDelayMilliseconds is the 99th percentile of how late timers were in the run, because the machine was busy.
+	TimerDelayMilliseconds float64 `json:"timerDelayMilliseconds"`
 	// Unsent counts the requests that the load generator could not send.
 	Unsent int `json:"unsent"`
 	// Broken counts the violated guarantees.
@@ -104,6 +113,7 @@
 		Scenario: run.Scenario, Firm: run.Firm, Policy: run.Policy, Seed: run.Seed,
 		StopMilliseconds: milliseconds(run.StopTime), Broken: psguarantee.Check(v), Notes: run.Notes,
 		histograms: make(map[string]*hdrhistogram.Histogram),
+		InTarget:   countInTarget(run.Pools, run.Settle, v.Observations),
 	}
 	for _, p := range run.Pools {
 		r.Routes = append(r.Routes, r.route(p, v.Observations, run.PeakUse))
@@ -133,7 +143,7 @@
 
 func (r *Result) route(p psscenario.Pool, observations []psload.Observation, peakUse func(string, time.Duration) float64) RouteResult {
 	h := hdrhistogram.New(1, maxLatency.Microseconds(), histogramDigits)
-	out := RouteResult{Route: p.Name, Kind: p.Kind.String(), PeakUse: peakUse(p.Name, neverRejected), UseBeforeRefusal: 1}
+	out := RouteResult{Route: p.Name, Kind: p.Kind.String(), PeakUse: peakUse(p.ServiceName(), neverRejected), UseBeforeRefusal: 1}
 	first := neverRejected
 	for i := range observations {
 		o := &observations[i]
@@ -157,7 +167,7 @@
 		}
 	}
 	if first != neverRejected {
-		out.UseBeforeRefusal = peakUse(p.Name, first)
+		out.UseBeforeRefusal = peakUse(p.ServiceName(), first)
 	}
 	quantile := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 	out.P50, out.P99, out.P999 = quantile(50), quantile(99), quantile(99.9)
--- a/internal/trial/psscenario/scenario.go
+++ b/internal/trial/psscenario/scenario.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"persimmonstep/internal/version/pstoml"
 )
@@ -36,6 +37,12 @@
 	Load float64 `toml:"load"`
 	// Busy is a workspace that sends a multiple of its rate.
 	Busy *Busy `toml:"busy"`
+	// Settle is how long the load lasts before requests count as in target or not.
+	Settle pstoml.Duration `toml:"settle"`
+	// Site is the installation; the models of the firms if absent.
+	Site *Site `toml:"site"`
+	// Surges are times of a multiple load of a route or a workspace of the site.
+	Surges []Surge `toml:"surges"`
 	// Faults is the timetable of faults to inject.
 	Faults []Fault `toml:"faults"`
 }
@@ -170,16 +177,18 @@
 	require(s.Name != "", "name", "the scenario needs a name")
 	require(s.Span.Duration <= maxSpan, "span", "the span must be at most one minute")
 	require(s.Load >= 0 && s.Load <= 4, "load", "the load must be between 0 and 4")
+	s.validateSite(require)
 	if s.Busy != nil {
+		require(s.Site == nil, "busy", "a site has surges in place of a busy workspace")
 		require(s.Busy.Workspace >= 0 && s.Busy.Workspace < len(workspaceWeights), "busy.workspace", "there is no such workspace")
 	}
 	for i, f := range s.Faults {
 		at := fmt.Sprintf("faults[%d]", i)
 		require(f.Kind != "", at+".kind", "the fault needs a kind")
-		require(f.Target >= 0 && f.Target < f.targetCount(), at+".target", "there is no such target")
+		require(f.Target >= 0 && f.Target < s.targetCount(f), at+".target", "there is no such target")
 		require((f.Kind == FaultLimit) == (len(f.Limits) > 0), at+".limits", "a limit has values, and no other fault has any")
 		require(!slices.ContainsFunc(f.Limits, func(v float64) bool { return !(v >= 0) || math.IsInf(v, 0) }), at+".limits", "limits must not be negative or infinite")
-		require(f.Count >= 0 && f.Target+f.Count <= f.targetCount(), at+".count", "there are fewer targets")
+		require(f.Count >= 0 && f.Target+f.Count <= s.targetCount(f), at+".count", "there are fewer targets")
 		require(slices.Contains([]CutKind{CutHang, CutReset, CutRefuse}, f.Cut), at+".cut", "there is no such cut")
 		require(f.Until.Duration == 0 || f.Until.Duration > f.At.Duration, at+".until", "the fault ends before it begins")
 	}
@@ -187,16 +196,21 @@
 }
 
 // targetCount returns the number of possible targets of the fault. It is the same for both firms.
-func (f Fault) targetCount() int {
+func (s *Scenario) targetCount(f Fault) int {
+	vms, servers, workspaces := vmCount, serverCount, len(workspaceWeights)
+	if s.Site != nil {
+		vms, workspaces = s.Site.VMs, len(s.Site.Workspaces)
+		servers = lo.SumBy(s.Site.Pools, func(p SitePool) int { return lo.Sum(p.Servers) })
+	}
 	switch f.Kind {
 	case FaultKillVM, FaultStopVM, FaultCutFromServers:
-		return vmCount
+		return vms
 	case FaultKillRegion, FaultPartitionRegion:
 		return regionCount
 	case FaultSlowServer, FaultKillServer, FaultDrain, FaultLeave, FaultPause, FaultLimit:
-		return serverCount
+		return servers
 	case FaultRevokeKey, FaultPoison:
-		return len(workspaceWeights)
+		return workspaces
 	}
 	return 1
 }
