pssoak: callers that pipeline or read slowly, and servers that state their speed

The soak had only callers that send one request at a time and read at once, and servers without load reports. All checks stay; the response to each request is compared in full.

--- a/internal/trial/pssoak/caller_test.go
+++ b/internal/trial/pssoak/caller_test.go
@@ -8,12 +8,15 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/trial/pspipeline"
 	"persimmonstep/platform"
 	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
@@ -21,36 +24,82 @@
 
 // caller sends requests over persistent connections to VMs that the directory lists.
 type caller struct {
-	cluster    *cluster
-	runs       *runs
-	name       string
-	random     *rand.Rand
-	client     *http.Client
+	cluster *cluster
+	runs    *runs
+	name    string
+	random  *rand.Rand
+	style   style
+	client  *http.Client
+	// pipeline sends the requests of a pipelining caller; nil for others.
+	pipeline   *pspipeline.Transport
 	targets    []string
 	resolvedAt time.Time
 
 	served, rejected, failed atomic.Int64
 }
 
-// headerVM names, to the server, the VM that the caller sent its request to.
-const headerVM = "X-Soak-Vm"
+const (
+	// headerVM names, to the server, the VM that the caller sent its request to.
+	headerVM = "X-Soak-Vm"
+	// headerPadding is the number of bytes that the server adds to its response.
+	headerPadding = "X-Soak-Padding"
+	// maxPadding is the largest such number.
+	maxPadding = 300_000
+	// Slow readers read up to slowReadBytes at a time, with slowReadPause between.
+	slowReadBytes = 8 << 10
+	slowReadPause = 10 * time.Millisecond
+)
+
+// style is how a caller uses its connections.
+type style int
+
+const (
+	// serial callers send a request when they have the response to the one before.
+	serial style = iota
+	// pipelining callers send up to four idempotent requests on a connection before the first response.
+	pipelining
+	// slowlyReading callers read long responses slowly.
+	slowlyReading
+	styleCount
+)
+
+// slowConn is a connection that is read slowly.
+type slowConn struct {
+	net.Conn
+}
+
+// Read implements [net.Conn].
+func (c slowConn) Read(b []byte) (int, error) {
+	time.Sleep(slowReadPause)
+	return c.Conn.Read(b[:min(len(b), slowReadBytes)])
+}
 
 func newCaller(cl *cluster, r *runs, n int, seed uint64) *caller {
-	return &caller{
-		cluster: cl, runs: r, name: fmt.Sprint("c-", n), random: rand.New(rand.NewPCG(seed, uint64(n))),
-		client: &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{
-			DisableCompression: true, MaxIdleConnsPerHost: 4,
-			DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
-		}},
+	c := &caller{cluster: cl, runs: r, name: fmt.Sprint("c-", n), random: rand.New(rand.NewPCG(seed, uint64(n))), style: style(n) % styleCount}
+	dialer := &net.Dialer{Timeout: 500 * time.Millisecond}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err == nil && c.style == slowlyReading {
+			return slowConn{conn}, nil
+		}
+		return conn, err
+	}
+	c.client = &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4, DialContext: dial}}
+	if c.style == pipelining {
+		c.pipeline = pspipeline.New(dial)
 	}
+	return c
 }
 
 // run sends requests until the context ends.
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
+	if c.pipeline != nil {
+		defer c.pipeline.Close()
+	}
 	for n := 0; ctx.Err() == nil; n++ {
 		if vm := c.pickVM(ctx); vm != "" {
-			c.send(ctx, vm, fmt.Sprintf("%s-%d", c.name, n))
+			c.sendSome(ctx, vm, fmt.Sprintf("%s-%d", c.name, n))
 		}
 		time.Sleep(time.Duration(c.random.IntN(20)) * time.Millisecond)
 	}
@@ -92,15 +141,56 @@
 	return true
 }
 
-// send sends one request and checks its response.
-func (c *caller) send(ctx context.Context, vm, id string) {
-	method, path := http.MethodGet, fmt.Sprint("/boards/", c.random.IntN(20))
+// sendSome sends a request, or several at once in a pipeline, and waits for the responses.
+func (c *caller) sendSome(ctx context.Context, vm, id string) {
+	if c.pipeline == nil || c.random.IntN(2) == 0 {
+		if v := c.draw(ctx, vm, id); v != nil {
+			c.send(c.client, v)
+		}
+		return
+	}
+	client := &http.Client{Timeout: c.client.Timeout, Transport: c.pipeline}
+	var sending sync.WaitGroup
+	for i := range 1 + c.random.IntN(4) {
+		if v := c.drawIdempotent(ctx, vm, fmt.Sprintf("%s-%d", id, i)); v != nil {
+			sending.Go(func() { c.send(client, v) })
+		}
+	}
+	sending.Wait()
+}
+
+// sentRequest is a request with what its response is checked against.
+type sentRequest struct {
+	*http.Request
+	id, key string
+	padding int
+}
+
+// draw draws a request of either route.
+func (c *caller) draw(ctx context.Context, vm, id string) *sentRequest {
 	if c.random.IntN(2) == 0 {
-		method, path = http.MethodPost, "/orders/1"
+		return c.newRequest(ctx, http.MethodPost, vm, "/orders/1", id, strings.NewReader(strings.Repeat("x", c.random.IntN(3000))))
+	}
+	if c.style != slowlyReading {
+		return c.newRequest(ctx, http.MethodGet, vm, fmt.Sprint("/boards/", c.random.IntN(20)), id, strings.NewReader(strings.Repeat("x", c.random.IntN(3000))))
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+vm+path, strings.NewReader(strings.Repeat("x", c.random.IntN(3000))))
+	v := c.drawIdempotent(ctx, vm, id)
+	if v != nil {
+		v.padding = c.random.IntN(maxPadding)
+		v.Header.Set(headerPadding, strconv.Itoa(v.padding))
+	}
+	return v
+}
+
+// drawIdempotent draws a request without a body that may run more than once.
+func (c *caller) drawIdempotent(ctx context.Context, vm, id string) *sentRequest {
+	return c.newRequest(ctx, http.MethodGet, vm, fmt.Sprint("/boards/", c.random.IntN(20)), id, nil)
+}
+
+func (c *caller) newRequest(ctx context.Context, method, vm, path, id string, body io.Reader) *sentRequest {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+vm+path, body)
 	if err != nil {
-		return
+		return nil
 	}
 	key := "k-1"
 	if c.random.IntN(4) == 0 {
@@ -109,24 +199,30 @@
 	r.Host = "eggs.test"
 	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: id, Object: path, Left: 1200 * time.Millisecond, Key: key})
 	r.Header.Set(headerVM, vm)
+	return &sentRequest{Request: r, id: id, key: key}
+}
+
+// send sends a request and checks its response.
+func (c *caller) send(client *http.Client, v *sentRequest) {
 	sent := time.Now()
-	response, err := c.client.Do(r)
+	response, err := client.Do(v.Request)
 	if err != nil {
 		c.failed.Add(1)
 		return
 	}
 	defer response.Body.Close() //nolint:errcheck // the body was read
 	body, err := io.ReadAll(response.Body)
-	c.checkResponse(response, string(body), err, id, path, key, sent)
+	c.checkResponse(response, string(body), err, v, sent)
 }
 
-func (c *caller) checkResponse(response *http.Response, body string, err error, id, path, key string, sent time.Time) {
+func (c *caller) checkResponse(response *http.Response, body string, err error, v *sentRequest, sent time.Time) {
+	id, path, key := v.id, v.URL.Path, v.key
 	signed := psstandin.IsSigned(response.Header)
 	switch {
 	case response.StatusCode == http.StatusOK:
 		c.served.Add(1)
-		if err == nil && (body != "answer to "+id || !signed) {
-			c.cluster.reportViolation("request %s got a mismatched or unsigned response: %q", id, body)
+		if err == nil && (body != answerTo(id, v.padding) || !signed) {
+			c.cluster.reportViolation("request %s got a mismatched or unsigned response: %d bytes, %.60q", id, len(body), body)
 		}
 		c.checkKey(id, key, sent)
 	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable:
--- a/internal/trial/pssoak/cluster_test.go
+++ b/internal/trial/pssoak/cluster_test.go
@@ -11,8 +11,10 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,7 +24,9 @@
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/trial/psguarantee"
+	"persimmonstep/internal/trial/psspell"
 	"persimmonstep/internal/version/psconfig"
+	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -35,6 +39,13 @@
 	graceBound = 3 * time.Second
 	// serviceTime is how long a request runs on a backend server.
 	serviceTime = 15 * time.Millisecond
+	// serverSlots is the number of slots that servers state.
+	serverSlots = 4
+	// slowFactor is how much longer a request runs in a slow spell of a machine. Spells last slowSpell on average, with
+	// slowSpellGap between them.
+	slowFactor   = 2.5
+	slowSpell    = 90 * time.Millisecond
+	slowSpellGap = 510 * time.Millisecond
 )
 
 // process is a VM that runs as a separate process.
@@ -83,6 +94,9 @@
 	id      string
 	http    *httptest.Server
 	proxy   *proxy
+	// spells are the slow spells of its machine, which its load reports state. running is the number of its runs.
+	spells  psspell.Spells
+	running atomic.Int64
 
 	mutex    sync.Mutex
 	draining time.Time
@@ -116,7 +130,7 @@
 	t.Cleanup(clean)
 	cl := &cluster{t: t, binary: binary, store: store, start: time.Now(), storeProxy: startProxy(t, store.Address().String())}
 	for i := range serverCount {
-		cl.servers = append(cl.servers, cl.startServer(fmt.Sprint("i-", i), counts))
+		cl.servers = append(cl.servers, cl.startServer(i, counts))
 	}
 	cl.configure(true)
 	for i := range vmCount {
@@ -168,8 +182,11 @@
 	}, map[string][]string{"trays": keys})
 }
 
-func (cl *cluster) startServer(id string, counts *runs) *server {
-	s := &server{cluster: cl, id: id}
+func (cl *cluster) startServer(index int, counts *runs) *server {
+	s := &server{
+		cluster: cl, id: fmt.Sprint("i-", index),
+		spells: psspell.Draw(uint64(serverCount), index, slowFactor, slowSpell, slowSpellGap, time.Minute),
+	}
 	s.http = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, counts) }))
 	cl.t.Cleanup(s.http.Close)
 	s.proxy = startProxy(cl.t, strings.TrimPrefix(s.http.URL, "http://"))
@@ -181,7 +198,7 @@
 func (s *server) writeEntry(state psserver.State) {
 	s.cluster.store.Register(psserver.Entry{
 		ID: s.id, Incarnation: time.UnixMilli(1), Service: "eggs", Address: netip.MustParseAddrPort(s.proxy.address()),
-		FailureDomain: "north-a", Slots: 4, State: state, Sequence: time.Now().UnixNano(),
+		FailureDomain: "north-a", Slots: serverSlots, State: state, Sequence: time.Now().UnixNano(),
 	})
 }
 
@@ -210,6 +227,7 @@
 func (s *server) serve(w http.ResponseWriter, r *http.Request, counts *runs) {
 	if r.URL.Path == "/healthz" {
 		psstandin.WriteHealth(w.Header(), s.id, 0)
+		s.writeLoad(w.Header())
 		return
 	}
 	arrival := psstandin.ReadForwardHeaders(r.Header)
@@ -225,10 +243,22 @@
 	if n := counts.add(id); n > 1 && strings.HasPrefix(r.URL.Path, "/orders/") {
 		s.cluster.reportViolation("order %s ran %d times", id, n)
 	}
-	time.Sleep(serviceTime)
+	s.running.Add(1)
+	time.Sleep(s.spells.Finish(arrived, serviceTime) - arrived)
 	psstandin.Sign(w.Header(), id)
 	s.nameLimit(w.Header(), r.Header.Get(headerVM), arrived)
-	_, _ = io.WriteString(w, "answer to "+id)
+	s.running.Add(-1)
+	s.writeLoad(w.Header())
+	padding, _ := strconv.Atoi(r.Header.Get(headerPadding))
+	_, _ = io.WriteString(w, answerTo(id, padding))
+}
+
+// answerTo returns the response to a request.
+func answerTo(id string, padding int) string { return "answer to " + id + strings.Repeat(".", padding) }
+
+// writeLoad states the load and the speed of the machine.
+func (s *server) writeLoad(h http.Header) {
+	psstandin.WriteLoad(h, psheader.Load{Running: int(s.running.Load()), Slots: serverSlots, WorkFactor: s.spells.FactorAt(s.cluster.elapsed())})
 }
 
 // nameLimit adds the server's limit to the header of a response, and records the request that arrived at a time.
