--- a/internal/trial/psloss/loss.go
+++ b/internal/trial/psloss/loss.go
@@ -96,11 +96,12 @@
 	Idle       float64 `json:"idle"`
 	Holders    float64 `json:"holders"`
 	IdleHolder int     `json:"idleHolder"`
-	// Wait and MaxWait are the means of the expected wait and of the longest one that was accepted, in milliseconds, by
-	// which Decided of the requests were rejected.
-	Wait    float64 `json:"wait"`
-	MaxWait float64 `json:"maxWait"`
-	Decided int     `json:"decided"`
+	// Wait and MaxWait are the means of the expected wait and of the longest one that was accepted, in milliseconds, at the
+	// mean Overload from 0 to 1, by which Decided of the requests were rejected.
+	Wait     float64 `json:"wait"`
+	MaxWait  float64 `json:"maxWait"`
+	Overload float64 `json:"overload"`
+	Decided  int     `json:"decided"`
 }
 
 // PartSummary describes one part of the latency.
@@ -174,6 +175,7 @@
 		f := &s.Fates[i]
 		f.Idle /= float64(max(1, f.Count))
 		f.Holders /= float64(max(1, f.Count))
+		f.Overload /= float64(max(1, f.Decided))
 		f.Wait /= float64(max(1, f.Decided))
 		f.MaxWait /= float64(max(1, f.Decided))
 	}
@@ -237,6 +239,7 @@
 	}
 	if v := a.record.Outcomes[o.IDs[len(o.IDs)-1]]; v.Decided {
 		f.Decided++
+		f.Overload += v.Overload
 		f.Wait += v.Wait.Seconds() * 1000
 		f.MaxWait += v.MaxWait.Seconds() * 1000
 	}
--- a/internal/trial/psrequestlog/log.go
+++ b/internal/trial/psrequestlog/log.go
@@ -20,8 +20,10 @@
 	// Took is the time from the request's arrival at the VM to its outcome, and Attempts those of its attempts at servers.
 	Took     time.Duration
 	Attempts []time.Duration
-	// Wait is the expected wait and MaxWait the longest accepted one, by which it was rejected, if Decided is set.
+	// Wait is the expected wait and MaxWait the longest accepted one at the Overload from 0 to 1, by which it was rejected if
+	// Decided is set.
 	Wait, MaxWait time.Duration
+	Overload      float64
 	Decided       bool
 }
 
@@ -77,7 +79,7 @@
 
 var (
 	attemptTook   = regexp.MustCompile(` took=(\d+)ms`)
-	shortageWaits = regexp.MustCompile(`\bwait=(\d+)ms maxWait=(\d+)ms`)
+	shortageWaits = regexp.MustCompile(`\bwait=(\d+)ms maxWait=(\d+)ms overload=([\d.]+)`)
 )
 
 // milliseconds decodes digits that a regular expression has matched.
@@ -103,6 +105,7 @@
 	}
 	if m := shortageWaits.FindStringSubmatch(v.Shortage); m != nil {
 		o.Wait, o.MaxWait, o.Decided = milliseconds(m[1]), milliseconds(m[2]), true
+		o.Overload, _ = strconv.ParseFloat(m[3], 64)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
