--- a/internal/trial/psloss/loss.go
+++ b/internal/trial/psloss/loss.go
@@ -64,7 +64,13 @@
 	// Entitled holds the requests within the rates of their workspaces, by their sequence.
 	Entitled map[int]bool
 
-	executions map[string]psbackend.Execution
+	executions map[string]placedExecution
+}
+
+// placedExecution is a run with the index of its server.
+type placedExecution struct {
+	psbackend.Execution
+	server int
 }
 
 // Summary is what the requests of a run were lost by.
@@ -102,6 +108,11 @@
 	MaxWait  float64 `json:"maxWait"`
 	Overload float64 `json:"overload"`
 	Decided  int     `json:"decided"`
+	// ExpectedLoad is the mean load that VMs expected at the servers of served requests, and Load the mean number of other
+	// requests that ran or waited there when they were admitted.
+	ExpectedLoad float64 `json:"expectedLoad"`
+	Load         float64 `json:"load"`
+	Compared     int     `json:"compared"`
 }
 
 // PartSummary describes one part of the latency.
@@ -138,10 +149,10 @@
 	for _, p := range r.Pools {
 		pools[p.Name] = p
 	}
-	r.executions = make(map[string]psbackend.Execution)
-	for _, v := range r.Servers {
+	r.executions = make(map[string]placedExecution)
+	for i, v := range r.Servers {
 		for _, e := range v.Executions {
-			r.executions[e.ID] = e
+			r.executions[e.ID] = placedExecution{e, i}
 		}
 	}
 	a := newActivity(&r, pools)
@@ -178,6 +189,8 @@
 		f.Overload /= float64(max(1, f.Decided))
 		f.Wait /= float64(max(1, f.Decided))
 		f.MaxWait /= float64(max(1, f.Decided))
+		f.ExpectedLoad /= float64(max(1, f.Compared))
+		f.Load /= float64(max(1, f.Compared))
 	}
 	for p := range s.Parts {
 		s.Parts[p].LateMean /= float64(max(1, late))
@@ -228,8 +241,15 @@
 	f.ByRoute[p.Name]++
 	f.BySecond[int(o.At.Seconds())]++
 	at := o.Done
-	if v, found := a.record.executions[o.IDs[len(o.IDs)-1]]; found {
+	id := o.IDs[len(o.IDs)-1]
+	outcome, logged := a.record.Outcomes[id]
+	if v, found := a.record.executions[id]; found {
 		at = v.Admitted.Sub(a.record.Start)
+		if logged {
+			f.Compared++
+			f.ExpectedLoad += outcome.Load
+			f.Load += float64(a.busy[v.server].present(at) - 1)
+		}
 	}
 	f.Idle += a.idle(p.ServiceName(), at)
 	holders, idle := a.holdersAt(o, p, at)
@@ -237,11 +257,11 @@
 	if idle {
 		f.IdleHolder++
 	}
-	if v := a.record.Outcomes[o.IDs[len(o.IDs)-1]]; v.Decided {
+	if outcome.Decided {
 		f.Decided++
-		f.Overload += v.Overload
-		f.Wait += v.Wait.Seconds() * 1000
-		f.MaxWait += v.MaxWait.Seconds() * 1000
+		f.Overload += outcome.Overload
+		f.Wait += outcome.Wait.Seconds() * 1000
+		f.MaxWait += outcome.MaxWait.Seconds() * 1000
 	}
 }
 
--- a/internal/trial/psloss/loss_test.go
+++ b/internal/trial/psloss/loss_test.go
@@ -43,7 +43,7 @@
 			ID: id, Admitted: admitted, Started: started, Ended: started.Add(time.Duration(run) * ms), Latency: time.Duration(trip) * ms,
 			Work: time.Duration(work) * ms, Cached: work == 60,
 		})
-		_, _ = fmt.Fprintf(log.Writer(), `{"event":7401,"requestId":"%s","status":200,"tries":"s-1 answered rank=0 took=%dms recall=1.00","took":"%dms"}`+"\n", id, attempt, before+attempt)
+		_, _ = fmt.Fprintf(log.Writer(), `{"event":7401,"requestId":"%s","status":200,"tries":"s-1 answered rank=0 load=1.5 loadAge=40ms took=%dms recall=1.00","took":"%dms"}`+"\n", id, attempt, before+attempt)
 	}
 	served(0, 0, 0, 24, 0, 180, 180, 0)   // uncached
 	served(1, 1000, 0, 0, 100, 60, 60, 0) // queue
@@ -71,6 +71,8 @@
 	qt.Check(t, fates["in target"].Count, qt.Equals, 1)
 	qt.Check(t, fates["late"].Count, qt.Equals, 4)
 	qt.Check(t, fates["429 overRate, within the rate"].Count, qt.Equals, 1)
+	late := fates["late"]
+	qt.Check(t, []float64{late.ExpectedLoad, late.Load, float64(late.Compared)}, qt.DeepEquals, []float64{1.5, 0, 4})
 	rejected := fates["503 overload"]
 	qt.Check(t, []float64{float64(rejected.Count), rejected.Wait, rejected.MaxWait, rejected.Idle, float64(rejected.IdleHolder)}, qt.DeepEquals, []float64{1, 76, 40, 1, 1})
 	for _, part := range []psloss.Part{psloss.Uncached, psloss.Queue, psloss.SlowMachine, psloss.Connection} {
--- a/internal/trial/psloss/slot.go
+++ b/internal/trial/psloss/slot.go
@@ -69,15 +69,18 @@
 
 // busyTimes are the starts and the ends of a server's runs, each in order of time.
 type busyTimes struct {
-	starts, ends []time.Duration
+	admissions, starts, ends []time.Duration
 }
 
 // running returns the number of runs at a time.
-func (b *busyTimes) running(at time.Duration) int {
-	after := func(list []time.Duration) int {
-		return sort.Search(len(list), func(i int) bool { return list[i] > at })
-	}
-	return after(b.starts) - after(b.ends)
+func (b *busyTimes) running(at time.Duration) int { return until(b.starts, at) - until(b.ends, at) }
+
+// present returns the number of requests that run or wait at a time.
+func (b *busyTimes) present(at time.Duration) int { return until(b.admissions, at) - until(b.ends, at) }
+
+// until returns the number of times up to a time.
+func until(list []time.Duration, at time.Duration) int {
+	return sort.Search(len(list), func(i int) bool { return list[i] > at })
 }
 
 func newActivity(r *Record, pools map[string]psscenario.Pool) *activity {
@@ -91,6 +94,7 @@
 		var b busyTimes
 		var admitted []admittedObject
 		for _, v := range s.Executions {
+			b.admissions = append(b.admissions, v.Admitted.Sub(r.Start))
 			b.starts = append(b.starts, v.Started.Sub(r.Start))
 			b.ends = append(b.ends, v.Ended.Sub(r.Start))
 			if key, found := a.objectOf(v.ID, pools); found {
@@ -99,6 +103,7 @@
 				admitted = append(admitted, admittedObject{at, key.object})
 			}
 		}
+		slices.Sort(b.admissions)
 		slices.Sort(b.starts)
 		slices.Sort(b.ends)
 		a.busy = append(a.busy, b)
--- a/internal/trial/psloss/table.go
+++ b/internal/trial/psloss/table.go
@@ -29,7 +29,7 @@
 	for _, p := range priorities {
 		_, _ = fmt.Fprintf(t, "\tpriority %d", p)
 	}
-	_, _ = fmt.Fprintln(t, "\tidle slots\tholders\tidle holder\tdecided\twait ms\tmax wait ms\toverload")
+	_, _ = fmt.Fprintln(t, "\tidle slots\tholders\tidle holder\tdecided\twait ms\tmax wait ms\toverload\texpected load\tload")
 	rest := s.Fates[len(fateOrder):]
 	slices.SortFunc(rest, func(a, b Fate) int { return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Name, b.Name)) })
 	for _, f := range s.Fates {
@@ -37,7 +37,7 @@
 		for _, p := range priorities {
 			_, _ = fmt.Fprintf(t, "\t%d", f.ByPriority[p])
 		}
-		_, _ = fmt.Fprintf(t, "\t%.0f%%\t%.1f\t%d\t%d\t%.0f\t%.0f\t%.2f\n", 100*f.Idle, f.Holders, f.IdleHolder, f.Decided, f.Wait, f.MaxWait, f.Overload)
+		_, _ = fmt.Fprintf(t, "\t%.0f%%\t%.1f\t%d\t%d\t%.0f\t%.0f\t%.2f\t%.2f\t%.2f\n", 100*f.Idle, f.Holders, f.IdleHolder, f.Decided, f.Wait, f.MaxWait, f.Overload, f.ExpectedLoad, f.Load)
 	}
 	_, _ = fmt.Fprintln(t, "\npart of the latency of late requests\tlargest\tof them pipelined\twould be enough\tonly this one\tmean ms\tin target ms")
 	for _, p := range s.Parts {
--- a/internal/trial/psrequestlog/log.go
+++ b/internal/trial/psrequestlog/log.go
@@ -20,6 +20,8 @@
 	// Took is the time from the request's arrival at the VM to its outcome, and Attempts those of its attempts at servers.
 	Took     time.Duration
 	Attempts []time.Duration
+	// Load is the load that the VM expected at the server of the last attempt.
+	Load float64
 	// Wait is the expected wait and MaxWait the longest accepted one at the Overload from 0 to 1, by which it was rejected if
 	// Decided is set.
 	Wait, MaxWait time.Duration
@@ -78,6 +80,7 @@
 }
 
 var (
+	attemptLoad   = regexp.MustCompile(` load=([\d.]+)`)
 	attemptTook   = regexp.MustCompile(` took=(\d+)ms`)
 	shortageWaits = regexp.MustCompile(`\bwait=(\d+)ms maxWait=(\d+)ms overload=([\d.]+)`)
 )
@@ -103,6 +106,9 @@
 	for _, m := range attemptTook.FindAllStringSubmatch(v.Tries, -1) {
 		o.Attempts = append(o.Attempts, milliseconds(m[1]))
 	}
+	if m := attemptLoad.FindAllStringSubmatch(v.Tries, -1); m != nil {
+		o.Load, _ = strconv.ParseFloat(m[len(m)-1][1], 64)
+	}
 	if m := shortageWaits.FindStringSubmatch(v.Shortage); m != nil {
 		o.Wait, o.MaxWait, o.Decided = milliseconds(m[1]), milliseconds(m[2]), true
 		o.Overload, _ = strconv.ParseFloat(m[3], 64)
