--- a/internal/process/pscli/check_test.go
+++ b/internal/process/pscli/check_test.go
@@ -146,7 +146,7 @@
 	qt.Assert(t, out, qt.Equals, "")
 	topologies := []psdev.Topology{psdev.Example()}
 	for _, f := range psscenario.Firms() {
-		topologies = append(topologies, f.Topology())
+		topologies = append(topologies, f.Topology(&psscenario.Scenario{}))
 	}
 	for _, v := range topologies {
 		for i := range v.Configuration.Workspaces {
