psserve: the fuzz test counts runs by play

FuzzConnection reported a request that ran twice after 19 s (3,380 executions). It counted runs by the address of the caller. The system assigns an address again, and a request of a caller that has disconnected may run after its count was cleared, so that it was added to a later play's.

--- a/internal/connection/psserve/fuzz_test.go
+++ b/internal/connection/psserve/fuzz_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 
 // scripted is what a caller sends.
 type scripted struct {
+	// play is sent with each request.
+	play string
 	// text is sent in pieces that end at cuts. The caller disconnects after the last one, or waits for all responses.
 	text       []byte
 	cuts       []int
@@ -42,15 +45,19 @@
 	exact int
 }
 
+// plays numbers the scripts that were played. An address of a caller doesn't identify one: the system assigns it again, and a
+// request of a caller that has disconnected may run later.
+var plays atomic.Int64
+
 // script turns the input of a fuzz test into what a caller sends.
 func script(input []byte) scripted {
-	s := scripted{exact: -1}
+	s := scripted{exact: -1, play: strconv.FormatInt(plays.Add(1), 10)}
 	var b bytes.Buffer
 	for i, v := range input {
 		kind, n := int(v)%stepKinds, int(v)/stepKinds
 		id, body := len(s.want), strings.Repeat(string(rune('a'+i%26)), n*n)
 		head := func(method, path, rest string) {
-			fmt.Fprintf(&b, "%s %s%d HTTP/1.1\r\nHost: a\r\n%s\r\n", method, path, id, rest)
+			fmt.Fprintf(&b, "%s %s%d HTTP/1.1\r\nHost: a\r\nPlay: %s\r\n%s\r\n", method, path, id, s.play, rest)
 		}
 		switch kind {
 		case stepGet:
@@ -110,7 +117,6 @@
 	t.Helper()
 	c := s.dial(t)
 	defer c.Close() //nolint:errcheck // nothing is left to do
-	key := c.LocalAddr().String()
 	go func() {
 		sent := 0
 		for _, cut := range append(v.cuts, len(v.text)) {
@@ -160,7 +166,7 @@
 	}
 	_ = c.Close()
 	runs.Range(func(k, n any) bool {
-		if strings.HasPrefix(k.(string), key+" ") { //nolint:forcetypeassert // all keys are strings
+		if strings.HasPrefix(k.(string), v.play+" ") { //nolint:forcetypeassert // all keys are strings
 			qt.Assert(t, n, qt.Equals, 1, qt.Commentf("%s ran twice: %q", k, v.text))
 			runs.Delete(k)
 		}
@@ -172,7 +178,7 @@
 const restTime = 50 * time.Millisecond
 
 // startEcho starts a server whose responses contain the number and the body of the request. It counts the runs of each
-// request by the address of the caller.
+// request of a play.
 func startEcho(t testing.TB) (*served, *sync.Map) {
 	runs := &sync.Map{}
 	s := start(t, func(w http.ResponseWriter, r *http.Request) {
@@ -182,8 +188,9 @@
 		}
 		path := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 		id, _ := strconv.Atoi(path)
-		if previous, found := runs.LoadOrStore(r.RemoteAddr+" "+r.URL.Path, 1); found {
-			runs.Store(r.RemoteAddr+" "+r.URL.Path, previous.(int)+1) //nolint:forcetypeassert // all values are numbers
+		key := r.Header.Get("Play") + " " + r.URL.Path
+		if previous, found := runs.LoadOrStore(key, 1); found {
+			runs.Store(key, previous.(int)+1) //nolint:forcetypeassert // all values are numbers
 		}
 		// Later requests are often faster than earlier ones.
 		time.Sleep(time.Duration(id*7%5) * 200 * time.Microsecond)
