--- a/internal/trial/pscrowd/process_test.go
+++ b/internal/trial/pscrowd/process_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -42,8 +43,13 @@
 // process is the process of a VM.
 type process struct {
 	callers, ready string
-	command        *exec.Cmd
-	ended          chan struct{}
+	// peers is the address for other VMs, whose port is also that of datagrams.
+	peers, directory, operator netip.AddrPort
+	command                    *exec.Cmd
+	ended                      chan struct{}
+	store                      *faultyStore
+	// ran are the ids of the requests for orders that the backend server has run.
+	ran *sync.Map
 	// descriptors is the highest number of open descriptors that was seen.
 	descriptors atomic.Int64
 }
@@ -56,11 +62,13 @@
 	t.Helper()
 	store, clean := psstandin.NewStore()
 	t.Cleanup(clean)
-	configure(store, startBackend(t))
+	ran := &sync.Map{}
+	configure(store, startBackend(t, ran), startHostileBackend(t))
+	faulty := startFaultyStore(t, store.Address())
 	dir, pid := t.TempDir(), os.Getpid()
 	address := netip.AddrFrom4([4]byte{127, byte(150 + starts.Add(1)), byte(pid >> 8), byte(1 + pid&127)})
 	settings := psstandin.Settings(psstandin.VM{
-		Name: "vm-1", FailureDomain: "north-a", Region: "north", Address: address, Store: store.Address(), Grace: time.Second,
+		Name: "vm-1", FailureDomain: "north-a", Region: "north", Address: address, Store: faulty.address, Grace: time.Second,
 		MemoryMB: memoryMB, Descriptors: maxDescriptors,
 	})
 	path, binary := filepath.Join(dir, "node.yaml"), filepath.Join(dir, "persimmonstep")
@@ -70,6 +78,8 @@
 	p := &process{
 		callers: netip.AddrPortFrom(address, psstandin.CallerPort).String(),
 		ready:   netip.AddrPortFrom(address, psstandin.ReadyPort).String(),
+		peers:   netip.AddrPortFrom(address, psstandin.OperatorPort-1), directory: netip.AddrPortFrom(address, psstandin.DirectoryPort),
+		operator: netip.AddrPortFrom(address, psstandin.OperatorPort), store: faulty, ran: ran,
 		command: exec.Command(binary, "steer", "--settings", path), ended: make(chan struct{}),
 	}
 	qt.Assert(t, p.command.Start(), qt.IsNil)
@@ -87,17 +97,23 @@
 	return p
 }
 
-// configure writes a configuration with a route for ordinary requests and one for long responses.
-func configure(store *psstandin.Store, server string) {
-	route := func(name string, kind psconfig.Kind) psconfig.Route {
+// configure writes a configuration with a route for ordinary requests, one for long responses, and one to a server whose
+// responses don't end.
+func configure(store *psstandin.Store, server, hostile string) {
+	route := func(name string, kind psconfig.Kind, service string) psconfig.Route {
 		return psconfig.Route{
 			Name: name, Host: "eggs.test", Prefix: "/" + name + "/", Kind: kind, Timeout: 10 * time.Second, TargetLatency: 200 * time.Millisecond,
-			Backends: []psconfig.Backend{{Service: "eggs", Weight: 1}}, MaxAttempts: 2, Public: true,
+			Backends: []psconfig.Backend{{Service: service, Weight: 1}}, MaxAttempts: 2, Public: true,
 		}
 	}
 	store.Configure(&psconfig.Configuration{
-		Version: 1, Routes: []psconfig.Route{route("boards", psconfig.Idempotent), route("orders", psconfig.AtMostOnce)},
-		Services: []psconfig.Service{{Name: "eggs", HealthPath: "/healthz", MaxConnections: 300, ColdStart: time.Second, ColdPerSecond: 100}},
+		Version: 1, Routes: []psconfig.Route{
+			route("boards", psconfig.Idempotent, "eggs"), route("orders", psconfig.AtMostOnce, "eggs"), route("odd", psconfig.AtMostOnce, "odd"),
+		},
+		Services: []psconfig.Service{
+			{Name: "eggs", HealthPath: "/healthz", MaxConnections: 300, ColdStart: time.Second, ColdPerSecond: 100},
+			{Name: "odd", HealthPath: "/healthz", MaxConnections: 1000, ColdStart: time.Second, ColdPerSecond: 1000},
+		},
 		Limits: psconfig.Limits{
 			MaxHeaderBytes: headerBytes, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 		},
@@ -106,10 +122,15 @@
 		ID: "i-1", Incarnation: time.UnixMilli(1), Service: "eggs", Address: netip.MustParseAddrPort(server),
 		FailureDomain: "north-a", Slots: 50, Sequence: 1,
 	})
+	store.Register(psserver.Entry{
+		ID: "i-2", Incarnation: time.UnixMilli(1), Service: "odd", Address: netip.MustParseAddrPort(hostile),
+		FailureDomain: "north-a", Slots: 500, Sequence: 1,
+	})
 }
 
-// startBackend starts a backend server, which sends long responses to requests for boards.
-func startBackend(t *testing.T) string {
+// startBackend starts a backend server, which sends long responses to requests for boards. It records the ids of the
+// others that it runs.
+func startBackend(t *testing.T, ran *sync.Map) string {
 	t.Helper()
 	long := strings.Repeat("x", longResponse)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -118,10 +139,13 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		psstandin.Sign(w.Header(), psstandin.ReadForwardHeaders(r.Header).ID)
+		id := psstandin.ReadForwardHeaders(r.Header).ID
+		psstandin.Sign(w.Header(), id)
 		if strings.HasPrefix(r.URL.Path, "/boards/") {
 			_, _ = io.WriteString(w, long)
+			return
 		}
+		ran.Store(id, true)
 	}))
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://")
@@ -138,13 +162,16 @@
 }
 
 // get returns the status of a response; 0 without one.
-func get(url string) int {
+func get(url string) int { return getAs(url, "id-1") }
+
+// getAs sends a request with an id and returns the status of its response; 0 without one.
+func getAs(url, id string) int {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
 	if err != nil {
 		return 0
 	}
 	r.Host, r.Close = "eggs.test", true
-	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: "id-1", Left: 5 * time.Second})
+	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: id, Left: 5 * time.Second})
 	response, err := (&http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}).RoundTrip(r)
 	if err != nil {
 		return 0
