pshead: requests whose framing is ambiguous, and tunnels, are refused

Cause: net/http writes the body of a CONNECT of unknown length without framing. Change: 400 for all of them, before anything ran.

--- a/internal/connection/pshead/head.go
+++ b/internal/connection/pshead/head.go
@@ -120,7 +120,10 @@
 		return nil, 0, err
 	}
 	var request *http.Request
-	cost, err := s.parse(limit, func() (err error) {
+	cost, err := s.parse(limit, func(head []byte) (err error) {
+		if err = checkFraming(head); err != nil {
+			return err
+		}
 		if request, err = http.ReadRequest(s.buffer); err != nil {
 			return err
 		}
@@ -135,7 +138,7 @@
 // ReadResponse reads the response to a request, like [Source.ReadRequest].
 func (s *Source) ReadResponse(limit int, r *http.Request) (*http.Response, int64, error) {
 	var response *http.Response
-	cost, err := s.parse(limit, func() (err error) {
+	cost, err := s.parse(limit, func([]byte) (err error) {
 		response, err = http.ReadResponse(s.buffer, r) //nolint:bodyclose // the caller closes it
 		return err
 	})
@@ -143,8 +146,8 @@
 }
 
 // parse collects a head, charges the account and parses the head.
-func (s *Source) parse(limit int, parse func() error) (int64, error) {
-	s.shrink()
+func (s *Source) parse(limit int, parse func(head []byte) error) (int64, error) {
+	s.Shrink()
 	h, err := s.collect(limit)
 	if err != nil {
 		return 0, err
@@ -153,7 +156,8 @@
 		return 0, &Error{NoMemory, errNoMemory}
 	}
 	s.parsing = true
-	err = parse()
+	head, _ := s.buffer.Peek(h.Bytes)
+	err = parse(head)
 	s.parsing = false
 	if err != nil {
 		s.account.Return(h.cost())
@@ -162,10 +166,11 @@
 	return h.cost(), nil
 }
 
-// Complete reports whether the buffer contains a complete head, so that reading it doesn't wait.
+// Complete reports whether the buffer contains a complete head, so that reading it doesn't wait. Empty lines before it don't
+// count as its end.
 func (s *Source) Complete() bool {
 	b, _ := s.buffer.Peek(s.buffer.Buffered())
-	return bytes.Contains(b, []byte("\r\n\r\n"))
+	return bytes.Contains(bytes.TrimLeft(b, "\r\n"), []byte("\r\n\r\n"))
 }
 
 func (s *Source) skipEmptyLines() error {
@@ -235,8 +240,8 @@
 	return nil
 }
 
-// shrink gives a grown buffer back if little is in it.
-func (s *Source) shrink() {
+// Shrink gives a grown buffer back if little is in it. The body of the last request must have been read.
+func (s *Source) Shrink() {
 	if s.buffer.Size() > bufferSize && s.buffer.Buffered() <= bufferSize {
 		s.resize(bufferSize)
 		s.account.Return(s.charged)
--- a/internal/connection/psproxy/close_delimited_test.go
+++ b/internal/connection/psproxy/close_delimited_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"persimmonstep/internal/connection/psbudget"
 	"persimmonstep/internal/connection/psforward"
 	"persimmonstep/internal/connection/psproxy"
 	"persimmonstep/internal/connection/pssocket"
@@ -226,11 +227,7 @@
 	helperProxy := s.Config.Handler.(*psproxy.Proxy)
 	sender := psmessage.Identity{VM: "vm-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:7600")}
 	helperControl.snapshot.ShareHolders = []psmessage.Identity{sender}
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
-	qt.Assert(t, err, qt.IsNil)
-	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: helperProxy.ForwardedHandler(), ConnContext: s.Config.ConnContext}
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = server.Close() })
+	l := serve(t, helperProxy.ForwardedHandler(), psbudget.New(64<<20, time.Now)).Listener
 	first, control := startProxy(t)
 	allowLongUploads(control, timeout)
 	control.snapshot.NoServers, control.snapshot.Helpers = true, helperAt(l.Addr().(*net.TCPAddr).AddrPort())
--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psserve/conn.go
@@ -126,6 +126,7 @@
 		if c.isEnding() {
 			return false
 		}
+		c.source.Shrink()
 		c.peeking = true
 		c.mutex.Unlock()
 		_, err := c.source.Buffer().Peek(1)
@@ -143,7 +144,7 @@
 		}
 		return false
 	}
-	for !c.pipeline.MayRead() && !c.isEnding() {
+	for !c.mayRead() && !c.isEnding() {
 		c.changed.Wait()
 	}
 	if c.isEnding() {
@@ -156,6 +157,13 @@
 	return true
 }
 
+// mayRead reports whether the head of the next request may be read. While the server shuts down, that is so only if no
+// request is in progress: the last response would otherwise never come if the caller always has further requests on the way.
+// The caller holds the mutex.
+func (c *conn) mayRead() bool {
+	return c.pipeline.MayRead() && (c.pipeline.Len() == 0 || !c.server.draining.Load())
+}
+
 // isEnding reports whether no further request begins. The caller holds the mutex.
 func (c *conn) isEnding() bool { return c.gone || c.pipeline.Closing() }
 
@@ -202,7 +210,10 @@
 	}
 	c.begun = append(c.begun, e)
 	c.served = true
-	c.setActivity(psconnection.Running)
+	if c.pipeline.Len() == 1 {
+		// Otherwise an earlier response may be blocked, which lasts.
+		c.setActivity(psconnection.Running)
+	}
 	c.server.run(e)
 	return true
 }
