pssteer: bound the connections of other VMs, the readiness check and operators

Their addresses were served by net/http without a bound: 580 to 770 of 512 descriptors were open in TestIdleConnectionsAgainAndAgain and TestStrangersAtOtherAddresses. They are served by psserve now, 128 connections of other VMs and 32 each of the readiness check and operators; the one idle longest is closed.

--- a/internal/process/pssteer/listen.go
+++ b/internal/process/pssteer/listen.go
@@ -28,6 +28,11 @@
 	ownHeaderBytes   = 8 << 10
 	ownHeaderTimeout = 5 * time.Second
 	ownIdleTimeout   = 60 * time.Second
+	// peerConnections bounds the connections of other VMs that fetch the control state, and ownConnections those at each of
+	// the addresses for the readiness check and operators. Together they stay within the descriptors that
+	// [psbudget.PlanFor] leaves to them. At most the VMs of one failure domain fetch the state at the same time.
+	peerConnections = 128
+	ownConnections  = 32
 	// otherFraction is the fraction of the connections that is set apart for the directory, and again for forwarded
 	// requests. minConnections is the least number for a listener.
 	otherFraction  = 0.125
@@ -74,11 +79,14 @@
 		})
 	}
 	for a, m := range handlers {
-		var h server = &http.Server{
-			Handler: m, ReadHeaderTimeout: ownHeaderTimeout, IdleTimeout: ownIdleTimeout, MaxHeaderBytes: ownHeaderBytes,
-		}
-		if a == v.settings.Directory {
+		var h server
+		switch a {
+		case v.settings.Directory:
 			h = guarded("directory", m, others, v.limits)
+		case peerAddress(v.settings):
+			h = guarded("peers", m, peerConnections, ownLimits)
+		default:
+			h = guarded("own", m, ownConnections, ownLimits)
 		}
 		if err := s.add(ctx, a, h); err != nil {
 			return nil, err
@@ -94,6 +102,11 @@
 	return s, nil
 }
 
+// ownLimits returns the limits at the addresses for the readiness check, other VMs and operators.
+func ownLimits() psconfig.Limits {
+	return psconfig.Limits{MaxHeaderBytes: ownHeaderBytes, HeaderTimeout: ownHeaderTimeout, IdleTimeout: ownIdleTimeout}
+}
+
 // limits returns the limits of the configuration in force.
 func (v *vm) limits() psconfig.Limits {
 	if index := v.controller.Snapshot().Index; index != nil {
