--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -58,12 +58,18 @@
 	ReceivedAt time.Time
 	// DiscoveredAt is when the VM became known.
 	DiscoveredAt time.Time
+	// reportBytes is what the report takes in memory, in bytes.
+	reportBytes int64
 }
 
 // Fleet holds the peers that one VM knows. It isn't safe for concurrent use.
 type Fleet struct {
 	self  psmessage.Identity
 	peers map[string]*Peer
+	// reportBytes is what the reports of all peers take in memory, in bytes.
+	reportBytes int64
+	// fullUntil is the time until which no silent VM is searched for to make room.
+	fullUntil time.Time
 	// sorted holds the peers by name, domains those of each failure domain, and addresses their addresses. All are
 	// caches: sorted is nil after a peer was added, the others also after the identity of one has changed.
 	sorted    []*Peer
@@ -94,7 +100,7 @@
 }
 
 // ApplyReport updates a peer from a report. It returns the peer's previous state, and false for outdated
-// reports and for brief ones of an unknown process.
+// reports, for brief ones of an unknown process and for those that exceed the bounds of all peers together.
 func (f *Fleet) ApplyReport(r *psmessage.Report, now time.Time) (Peer, bool) {
 	if r.VM == f.self.VM {
 		return Peer{}, false
@@ -102,6 +108,9 @@
 	if !f.expandIdentity(r) {
 		return Peer{}, false
 	}
+	if !f.makeRoom(r, now) {
+		return Peer{}, false
+	}
 	f.AddIdentity(r.Identity, now)
 	p := f.peers[r.VM]
 	if r.Incarnation < p.Identity.Incarnation {
@@ -113,6 +122,9 @@
 	previous := *p
 	p.Identity = r.Identity
 	p.Report = r
+	size := r.Size()
+	f.reportBytes += size - p.reportBytes
+	p.reportBytes = size
 	p.ReceivedAt = now
 	return previous, true
 }
@@ -193,10 +205,10 @@
 // Forget removes the VMs that have been silent for so long that they no longer belong to the fleet. The store keeps what
 // a VM published after its end.
 func (f *Fleet) Forget(now time.Time) {
-	before := len(f.peers)
-	maps.DeleteFunc(f.peers, func(_ string, p *Peer) bool { return p.silence(now) > forgetTimeout })
-	if len(f.peers) != before {
-		f.sorted, f.domains, f.addresses = nil, nil, nil
+	for _, p := range f.peers {
+		if p.silence(now) > forgetTimeout {
+			f.remove(p)
+		}
 	}
 }
 
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,6 +50,35 @@
 	qt.Assert(t, f.DomainPeers(), qt.HasLen, 4)
 }
 
+// TestReportsOfEverOtherVMsAreBounded replays a sender whose reports each name another VM: what is kept stays bounded, a VM
+// that was known before is heard on, and room is made by the VMs that fall silent.
+func TestReportsOfEverOtherVMsAreBounded(t *testing.T) {
+	for _, text := range []string{"", strings.Repeat("x", 30000)} {
+		f := psfleet.New(identity("vm-1", 1))
+		f.AddIdentity(identity("stored", 1), startTime)
+		var kept int64
+		now := startTime
+		for n := range 20000 {
+			now = now.Add(time.Millisecond / 2)
+			r := &psmessage.Report{Identity: identity(fmt.Sprint("other-", n), 1), Sequence: 1, Failed: []string{text}}
+			if _, fresh := f.ApplyReport(r, now); fresh {
+				kept += r.Size()
+			}
+			if n%100 == 0 {
+				_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-2", 1), Sequence: int64(n + 1)}, now)
+				qt.Assert(t, fresh, qt.IsTrue)
+			}
+		}
+		qt.Check(t, f.Size() <= 4096+2, qt.IsTrue, qt.Commentf("%d VMs", f.Size()))
+		qt.Check(t, kept <= 16<<20, qt.IsTrue, qt.Commentf("%d bytes", kept))
+		// In a fleet of that size, shares stay reserved for minutes.
+		now = now.Add(10 * time.Minute)
+		_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-3", 1), Sequence: 1, Failed: []string{text}}, now)
+		qt.Check(t, fresh, qt.IsTrue)
+		qt.Check(t, f.Live(f.Peers()[len(f.Peers())-1], now), qt.IsTrue)
+	}
+}
+
 func TestOutdatedReportsAreDropped(t *testing.T) {
 	f := psfleet.New(identity("vm-1", 1))
 	for _, v := range []struct {
--- a/internal/process/psmessage/report.go
+++ b/internal/process/psmessage/report.go
@@ -53,6 +53,37 @@
 	}
 }
 
+const (
+	// reportBytes is what a report takes in memory besides its lists, and entryBytes what each entry of a list takes besides
+	// its texts, in bytes.
+	reportBytes = 512
+	entryBytes  = 96
+)
+
+// Size returns the estimated number of bytes that a report takes in memory.
+func (r *Report) Size() int64 {
+	n := reportBytes + len(r.VM) + len(r.FailureDomain) + len(r.Region) + entryBytes*len(r.Crashes)
+	for name := range r.Demands {
+		n += entryBytes + len(name)
+	}
+	for id := range r.Slow {
+		n += entryBytes + len(id)
+	}
+	for _, id := range r.Failed {
+		n += entryBytes + len(id)
+	}
+	for _, v := range r.Leaving {
+		n += entryBytes + len(v.ID)
+	}
+	for _, v := range r.Departed {
+		n += entryBytes + len(v.ID)
+	}
+	for _, v := range r.Limited {
+		n += entryBytes + len(v.ID)
+	}
+	return int64(n)
+}
+
 // Check validates a decoded report.
 func (r *Report) Check() error {
 	for _, v := range r.Limited {
