psresponse, pspeer, pscrowd: length of a response to HEAD; ids of token requests are numbers

- The response to HEAD got Content-Length 0 in place of the server's (TestHeadResponseKeepsLength).
- Token requests whose id is a text shared one cached response, so that another request's token counted for them, and kept up to 512 times 32 KB (TestInvalidDatagramsAreReported).
No VM sends them; they are refused.
- pscrowd builds the program once.

--- a/internal/connection/pspeer/endpoint.go
+++ b/internal/connection/pspeer/endpoint.go
@@ -241,6 +241,9 @@
 
 // respond responds to a token request. A retry of a request gets the same response.
 func (e *Endpoint) respond(h Handler, m message, from netip.AddrPort) error {
+	if m.ID.IsString {
+		return errors.New("handle token request: id is not a number")
+	}
 	k := requestKey{from, m.ID.Num}
 	data, found := e.responses.get(k)
 	if !found {
--- a/internal/connection/pspeer/endpoint_test.go
+++ b/internal/connection/pspeer/endpoint_test.go
@@ -104,6 +104,8 @@
 		"{", `{"method":"other","params":{}}`, `{"method":"report","params":{"vm":"x"}}`, `{"method":"take"}`,
 		`{"method":"report","params":{"vm":"x","incarnation":1,"limited":[{"id":"i-1","limit":{"perSecond":-1}}]}}`,
 		`{"method":"report","params":{"vm":"x","incarnation":1,"limited":[{"id":"i-1","age":-1}]}}`,
+		// All ids that are texts would share one response.
+		`{"method":"take","id":"x","params":{"workspace":"trays"}}`,
 		`{"method":"take","params":{"server":{},"wanted":0}}`, `{"method":"take","params":{"server":{"limit":{"perSecond":-1}},"wanted":1}}`,
 		`{"id":1,"result":{"fraction":-1}}`, `{"id":1,"result":{"fraction":2}}`, `{"id":1,"result":{"server":{"age":-1}}}`,
 	} {
--- a/internal/connection/psproxy/status_test.go
+++ b/internal/connection/psproxy/status_test.go
@@ -116,3 +116,15 @@
 		}
 	}
 }
+
+// TestHeadResponseKeepsLength covers the response to HEAD, which declares the length of a body that doesn't follow.
+func TestHeadResponseKeepsLength(t *testing.T) {
+	s, _ := startProxy(t, startBackend(t, func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+psstandin.SignedLines("id-1")+"Content-Length: 5\r\n\r\n")
+		return r.Method == http.MethodHead
+	}))
+	status, h, body := do(t, request(t, s, http.MethodHead, "/boards/1", ""))
+	qt.Check(t, status, qt.Equals, http.StatusOK)
+	qt.Check(t, h.Get("Content-Length"), qt.Equals, "5")
+	qt.Check(t, body, qt.Equals, "")
+}
--- a/internal/connection/psresponse/response.go
+++ b/internal/connection/psresponse/response.go
@@ -34,6 +34,8 @@
 	Remainder io.ReadCloser
 	// length is the body's declared length in bytes; -1 if none was declared.
 	length int64
+	// head is set for the response to HEAD, which declares the length of a body that doesn't follow.
+	head bool
 	// account is that of the caller's connection, and held the number of bytes that are drawn from it.
 	account *psbudget.Account
 	held    int64
@@ -46,7 +48,7 @@
 	r := &Response{
 		Status: raw.StatusCode, Header: raw.Header,
 		Metadata: psheader.ReadResponse(raw.StatusCode, raw.Header), length: raw.ContentLength,
-		account: a, held: held,
+		head: raw.Request != nil && raw.Request.Method == http.MethodHead, account: a, held: held,
 	}
 	complete, err := r.buffer(raw.Body)
 	if err == nil && !complete {
@@ -189,7 +191,7 @@
 		// Without this, net/http adds a guessed Content-Type.
 		h["Content-Type"] = nil
 	}
-	if r.Remainder == nil && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+	if r.Remainder == nil && !r.head && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	w.WriteHeader(r.Status)
--- a/internal/trial/pscrowd/process_test.go
+++ b/internal/trial/pscrowd/process_test.go
@@ -54,6 +54,26 @@
 	descriptors atomic.Int64
 }
 
+// binary is the path of the program, which is built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runWithProgram(m))
+}
+
+func runWithProgram(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "pscrowd")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir) //nolint:errcheck // a temporary directory
+	binary = filepath.Join(dir, "persimmonstep")
+	if out, err := exec.Command("go", "build", "-o", binary, "persimmonstep/cmd/persimmonstep").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%s: %s", err, out))
+	}
+	return m.Run()
+}
+
 // starts counts the VMs, so that each gets an address of its own.
 var starts atomic.Int32
 
@@ -71,10 +91,8 @@
 		Name: "vm-1", FailureDomain: "north-a", Region: "north", Address: address, Store: faulty.address, Grace: time.Second,
 		MemoryMB: memoryMB, Descriptors: maxDescriptors,
 	})
-	path, binary := filepath.Join(dir, "node.yaml"), filepath.Join(dir, "persimmonstep")
+	path := filepath.Join(dir, "node.yaml")
 	qt.Assert(t, os.WriteFile(path, settings, 0o600), qt.IsNil)
-	out, err := exec.Command("go", "build", "-o", binary, "persimmonstep/cmd/persimmonstep").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	p := &process{
 		callers: netip.AddrPortFrom(address, psstandin.CallerPort).String(),
 		ready:   netip.AddrPortFrom(address, psstandin.ReadyPort).String(),
