psconnection, pslistener, psreply: no gap in a pipeline; reset connections at a shutdown; unread 100 Continue

- FuzzConnection, extended by half-closes, expectations, early and broken responses and HTTP/1.0, found a response in the place of another one (22 s): when a caller ends its side and still reads, a request in the middle is given up, and one behind it that completes later got its turn.
A pipeline now closes when a request ends whose response was not begun (TestGivenUpRequestLeavesNoGap, failed before; TestPipelineKeepsOrder didn't check for gaps).
- A connection that waits at a listener and is reset has no remote address.

--- a/internal/connection/pslistener/listener.go
+++ b/internal/connection/pslistener/listener.go
@@ -57,7 +57,12 @@
 		f := os.NewFile(uintptr(fd), "")
 		c, err := net.FileConn(f)
 		_ = f.Close()
-		if err == nil {
+		switch {
+		case err != nil:
+		case c.RemoteAddr() == nil:
+			// It was reset while it waited.
+			_ = c.Close()
+		default:
 			list = append(list, c)
 		}
 	}
--- a/internal/connection/psreply/body.go
+++ b/internal/connection/psreply/body.go
@@ -31,15 +31,7 @@
 		return 0, http.ErrBodyReadAfterClose
 	}
 	w := b.response
-	if !b.continued {
-		b.continued = true
-		if err := w.writeContinue(); err != nil {
-			return 0, err
-		}
-	}
-	w.Exchange.Wait(true)
-	n, err := b.source.Read(p)
-	w.Exchange.Wait(false)
+	n, err := b.readSource(p)
 	if n > 0 {
 		w.Account.Progress()
 	}
@@ -50,6 +42,19 @@
 	return n, err
 }
 
+// readSource reads from the connection. Before the first byte, it lets the caller send the body if it waits for that.
+func (b *body) readSource(p []byte) (int, error) {
+	b.response.Exchange.Wait(true)
+	defer b.response.Exchange.Wait(false)
+	if !b.continued {
+		b.continued = true
+		if err := b.response.writeContinue(); err != nil {
+			return 0, err
+		}
+	}
+	return b.source.Read(p)
+}
+
 // Close implements [io.Closer]. The connection closes with the response if the body wasn't read to its end.
 func (b *body) Close() error { return nil }
 
--- a/internal/connection/psserve/fuzz_test.go
+++ b/internal/connection/psserve/fuzz_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -28,6 +29,10 @@
 	stepEmptyLine
 	stepPause
 	stepRaw
+	stepExpect
+	stepEarly
+	stepAbort
+	stepOld
 	stepKinds
 )
 
@@ -43,6 +48,11 @@
 	// invalid there, or a response closes the connection.
 	want  []string
 	exact int
+	// closes is the number of the first request whose response closes the connection, if the text is valid up to there;
+	// -1 without one.
+	closes int
+	// halfClose lets the caller end its side of the connection after the last byte.
+	halfClose bool
 }
 
 // plays numbers the scripts that were played. An address of a caller doesn't identify one: the system assigns it again, and a
@@ -51,7 +61,7 @@
 
 // script turns the input of a fuzz test into what a caller sends.
 func script(input []byte) scripted {
-	s := scripted{exact: -1, play: strconv.FormatInt(plays.Add(1), 10)}
+	s := scripted{exact: -1, closes: -1, play: strconv.FormatInt(plays.Add(1), 10)}
 	var b bytes.Buffer
 	for i, v := range input {
 		kind, n := int(v)%stepKinds, int(v)/stepKinds
@@ -80,9 +90,24 @@
 		case stepClose:
 			head("GET", "/safe/", "Connection: close\r\n")
 			s.want = append(s.want, fmt.Sprintf("%d:", id))
-			if s.exact < 0 {
-				s.exact = len(s.want)
-			}
+			s.endAt(len(s.want), id)
+		case stepExpect:
+			head("POST", "/once/", fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n", len(body)))
+			b.WriteString(body)
+			s.want = append(s.want, fmt.Sprintf("%d:%s", id, body))
+		case stepEarly:
+			// The response doesn't wait for the body, which is therefore not read.
+			head("POST", "/early/", fmt.Sprintf("Content-Length: %d\r\n", len(body)+1))
+			b.WriteString(body + "x")
+			s.want = append(s.want, fmt.Sprintf("%d:", id))
+			s.endAt(len(s.want), id)
+		case stepAbort:
+			head("GET", "/abort/", "")
+			s.want = append(s.want, "")
+			s.endAt(id, id)
+		case stepOld:
+			fmt.Fprintf(&b, "GET /safe/%d HTTP/1.0\r\nConnection: keep-alive\r\nPlay: %s\r\n\r\n", id, s.play)
+			s.want = append(s.want, fmt.Sprintf("%d:", id))
 		case stepEmptyLine:
 			if bytes.HasSuffix(b.Bytes(), []byte("\r\n")) && n%2 == 0 {
 				break
@@ -107,10 +132,18 @@
 	if len(input) > 0 && input[0]%3 == 0 && len(s.text) > 0 {
 		// The caller disconnects at some byte.
 		s.text, s.disconnect = s.text[:int(input[len(input)-1])*31%len(s.text)], true
+		s.halfClose = input[0]%2 == 0
 	}
 	return s
 }
 
+// endAt records that a request closes the connection, and how many responses come for certain.
+func (s *scripted) endAt(exact, request int) {
+	if s.exact < 0 {
+		s.exact, s.closes = exact, request
+	}
+}
+
 // play sends a script and checks the responses: each belongs to the next request, has exactly its body, and none is
 // missing that must not be. It returns without a connection, whose account must be empty.
 func play(t testing.TB, s *served, runs *sync.Map, v scripted) {
@@ -126,7 +159,10 @@
 				sent = cut
 			}
 		}
-		if v.disconnect {
+		switch {
+		case v.halfClose:
+			_ = c.Conn.(*net.TCPConn).CloseWrite()
+		case v.disconnect:
 			_ = c.Close()
 		}
 	}()
@@ -145,6 +181,9 @@
 		if err != nil {
 			break
 		}
+		if r.StatusCode == http.StatusContinue {
+			continue
+		}
 		if r.StatusCode != http.StatusOK {
 			qt.Assert(t, r.StatusCode/100, qt.Equals, 4)
 			qt.Assert(t, r.Close, qt.IsTrue)
@@ -168,6 +207,9 @@
 	runs.Range(func(k, n any) bool {
 		if strings.HasPrefix(k.(string), v.play+" ") { //nolint:forcetypeassert // all keys are strings
 			qt.Assert(t, n, qt.Equals, 1, qt.Commentf("%s ran twice: %q", k, v.text))
+			request, _ := strconv.Atoi(k.(string)[strings.LastIndexByte(k.(string), '/')+1:]) //nolint:forcetypeassert // all keys are strings
+			repeatable := strings.Contains(k.(string), "/safe/")                              //nolint:forcetypeassert // all keys are strings
+			qt.Assert(t, v.closes < 0 || request <= v.closes || repeatable, qt.IsTrue, qt.Commentf("%s ran behind a closing response: %q", k, v.text))
 			runs.Delete(k)
 		}
 		return true
@@ -182,9 +224,12 @@
 func startEcho(t testing.TB) (*served, *sync.Map) {
 	runs := &sync.Map{}
 	s := start(t, func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			panic(http.ErrAbortHandler)
+		var body []byte
+		if !strings.HasPrefix(r.URL.Path, "/early/") {
+			var err error
+			if body, err = io.ReadAll(r.Body); err != nil {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		path := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 		id, _ := strconv.Atoi(path)
@@ -194,6 +239,14 @@
 		}
 		// Later requests are often faster than earlier ones.
 		time.Sleep(time.Duration(id*7%5) * 200 * time.Microsecond)
+		if strings.HasPrefix(r.URL.Path, "/abort/") {
+			if id%2 == 0 {
+				w.Header().Set("Content-Length", "10")
+				_, _ = io.WriteString(w, "part")
+				_ = http.NewResponseController(w).Flush()
+			}
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprintf(w, "%s:%s", path, body)
 	}, psconfig.Limits{MaxHeaderBytes: 4096}, 100)
 	return s, runs
--- a/internal/connection/psserve/hostile_test.go
+++ b/internal/connection/psserve/hostile_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -108,3 +110,117 @@
 	c.ends(t)
 	_ = c.Close()
 }
+
+// TestRefusedHeadBehindRunningRequests covers a head that can't be read behind requests that still run: their responses come first,
+// and what follows the head isn't read.
+func TestRefusedHeadBehindRunningRequests(t *testing.T) {
+	var ran atomic.Int32
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Path)
+	}, psconfig.Limits{}, 10)
+	for _, head := range []string{
+		"GET / HTTP/1.1\r\nHost: a\r\n: b\r\n\r\n", "CONNECT / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST /once/3 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		ran.Store(0)
+		c := s.dial(t)
+		c.send(t, get("/safe/1")+get("/safe/2")+head+get("/once/4"))
+		for _, path := range []string{"/safe/1", "/safe/2"} {
+			_, body := c.receive(t, "GET")
+			qt.Check(t, body, qt.Equals, path)
+		}
+		r, _ := c.receive(t, "GET")
+		qt.Check(t, r.StatusCode, qt.Equals, http.StatusBadRequest)
+		c.ends(t)
+		qt.Check(t, ran.Load(), qt.Equals, int32(2))
+	}
+}
+
+// TestEndOfCallersSideCancelsRequests covers a caller that ends its side of the connection behind its requests. That looks like a
+// disconnect: what runs is cancelled, what waits never runs, and nothing stays open.
+func TestEndOfCallersSideCancelsRequests(t *testing.T) {
+	for _, text := range []string{get("/once/1"), get("/safe/1") + get("/once/2"), get("/safe/1") + "POST /once/2 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab"} {
+		begun, cancelled := make(chan string, 10), make(chan string, 10)
+		s := start(t, func(_ http.ResponseWriter, r *http.Request) {
+			begun <- r.URL.Path
+			<-r.Context().Done()
+			cancelled <- r.URL.Path
+			panic(http.ErrAbortHandler)
+		}, psconfig.Limits{}, 10)
+		c := s.dial(t)
+		c.send(t, text)
+		first := <-begun
+		qt.Assert(t, c.Conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+		qt.Check(t, <-cancelled, qt.Equals, first)
+		c.ends(t)
+		eventually(t, "nothing stays open", func() bool { u := s.budget.Usage(); return u.Used == 0 && u.Accounts == 0 })
+		qt.Check(t, begun, qt.HasLen, 0, qt.Commentf("a request began after the end"))
+	}
+}
+
+// TestConnectionsLeaveNoGoroutines covers connections that end in each way: their goroutines end as well.
+func TestConnectionsLeaveNoGoroutines(t *testing.T) {
+	release := make(chan struct{})
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			select {
+			case <-r.Context().Done():
+			case <-release:
+			}
+		}
+		_, _ = io.WriteString(w, "ok")
+	}, psconfig.Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}, 200)
+	before := runtime.NumGoroutine()
+	for range 10 {
+		for _, text := range []string{
+			"", "\r\n\r\n", "GET /", "GET / HTTP/1.1\r\n: a\r\n\r\n", get("/"), get("/wait"), get("/wait") + get("/once/2"),
+			"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n",
+		} {
+			_, _ = io.WriteString(s.dial(t), text)
+			reset := s.dial(t)
+			_, _ = io.WriteString(reset, text)
+			_ = reset.Conn.(*net.TCPConn).SetLinger(0)
+			time.AfterFunc(10*time.Millisecond, func() { _ = reset.Close() })
+		}
+	}
+	time.AfterFunc(200*time.Millisecond, func() { close(release) })
+	// Idle workers stay.
+	eventually(t, "the goroutines end", func() bool { return s.budget.Usage().Accounts == 0 && runtime.NumGoroutine() <= before+16 })
+}
+
+// TestGivenUpRequestLeavesNoGap covers a caller that ends its side of the connection and still reads. The request in the middle is
+// given up at once, and the one behind it completes later: its response must not come in the place of the missing one.
+func TestGivenUpRequestLeavesNoGap(t *testing.T) {
+	for range 20 {
+		begun, second := make(chan bool, 3), make(chan struct{})
+		s := start(t, func(w http.ResponseWriter, r *http.Request) {
+			begun <- true
+			<-r.Context().Done()
+			switch r.URL.Path {
+			case "/safe/1":
+				time.Sleep(20 * time.Millisecond)
+			case "/safe/3":
+				<-second
+			}
+			_, _ = io.WriteString(w, r.URL.Path)
+		}, psconfig.Limits{}, 10)
+		c := s.dial(t)
+		c.send(t, get("/safe/1")+get("/safe/2")+get("/safe/3"))
+		for range 3 {
+			<-begun
+		}
+		qt.Assert(t, c.Conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+		time.AfterFunc(60*time.Millisecond, func() { close(second) })
+		for n := 1; ; n++ {
+			r, err := http.ReadResponse(c.reader, nil)
+			if err != nil {
+				break
+			}
+			body, err := io.ReadAll(r.Body)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(body), qt.Equals, fmt.Sprint("/safe/", n))
+		}
+	}
+}
--- a/internal/request/psconnection/connection_test.go
+++ b/internal/request/psconnection/connection_test.go
@@ -30,13 +30,14 @@
 }
 
 // TestPipelineKeepsOrder replays random requests and responses on a connection: responses are written in the order of the
-// requests, a request that runs alone has nothing beside it, and nothing is written after a response that closes.
+// requests without a gap, a request that runs alone has nothing beside it, and nothing is written after a response that closes or
+// behind a request that is given up.
 func TestPipelineKeepsOrder(t *testing.T) {
 	for seed := range uint64(500) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		var p psconnection.Pipeline
 		var begun, answered []int
-		alone := map[int]bool{}
+		alone, givenUp := map[int]bool{}, false
 		for range 200 {
 			overlaps := random.IntN(4) > 0
 			switch {
@@ -47,12 +48,18 @@
 			case len(begun) > 0 && random.IntN(10) == 0:
 				// A request behind is given up, as when its turn will never come.
 				i := random.IntN(len(begun))
-				p.End(begun[i])
-				begun = slices.Delete(begun, i, i+1)
-			case len(begun) > 0:
+				qt.Assert(t, p.End(begun[i]), qt.Equals, 0)
+				qt.Assert(t, p.MayRead(), qt.IsFalse)
+				begun = slices.Delete(begun, i, len(begun))
+				if i == 0 {
+					givenUp = true
+				}
+			case len(begun) > 0 && !givenUp:
 				qt.Assert(t, p.IsTurn(begun[0]), qt.IsTrue)
 				whenLast := random.IntN(5) == 0
+				closing := p.Closing()
 				closes := p.BeginResponse(random.IntN(40) == 0, whenLast)
+				qt.Assert(t, closing && !closes, qt.IsFalse)
 				qt.Assert(t, whenLast && len(begun) == 1 && !closes, qt.IsFalse)
 				answered = append(answered, begun[0])
 				next := p.End(begun[0])
@@ -63,11 +70,10 @@
 					begun = nil
 				}
 			}
-			if p.Closing() {
-				break
-			}
 			qt.Assert(t, len(begun) <= psconnection.MaxInProgress, qt.IsTrue)
 		}
-		qt.Assert(t, slices.IsSorted(answered), qt.IsTrue, qt.Commentf("seed %d", seed))
+		for i, id := range answered {
+			qt.Assert(t, id, qt.Equals, i+1, qt.Commentf("seed %d: %v", seed, answered))
+		}
 	}
 }
--- a/internal/request/psconnection/pipeline.go
+++ b/internal/request/psconnection/pipeline.go
@@ -10,8 +10,10 @@
 type Pipeline struct {
 	begun []entry
 	last  int
-	// closing is set once a response was begun that closes the connection. Nothing begins after it.
+	// closing is set once a response was begun that closes the connection, or a request was given up. Nothing begins after it.
 	closing bool
+	// responding is set once the response whose turn it is was begun.
+	responding bool
 }
 
 type entry struct {
@@ -22,7 +24,7 @@
 // Len returns the number of requests in progress.
 func (p *Pipeline) Len() int { return len(p.begun) }
 
-// Closing reports whether the connection closes with a response that has begun.
+// Closing reports whether the connection closes with a response that has begun, or with the next one.
 func (p *Pipeline) Closing() bool { return p.closing }
 
 // MayRead reports whether the head of the next request may be read. Nothing is read behind a request that runs alone.
@@ -51,13 +53,19 @@
 	if must || whenLast && len(p.begun) == 1 {
 		p.closing = true
 	}
+	p.responding = true
 	return p.closing
 }
 
 // End removes a request. It returns the number of the request whose turn is next; 0 if there is none, or if the connection
-// closes, so that the requests behind are cancelled.
+// closes, so that the requests behind are cancelled. It closes if the response to the request was not begun: a caller would
+// take the next response for the missing one.
 func (p *Pipeline) End(id int) int {
 	turn := p.IsTurn(id)
+	p.closing = p.closing || !turn || !p.responding
+	if turn {
+		p.responding = false
+	}
 	p.begun = slices.DeleteFunc(p.begun, func(e entry) bool { return e.id == id })
 	if !turn || p.closing || len(p.begun) == 0 {
 		return 0
