--- a/internal/connection/psserve/hostile_test.go
+++ b/internal/connection/psserve/hostile_test.go
@@ -172,6 +172,10 @@
 		}
 		_, _ = io.WriteString(w, "ok")
 	}, psconfig.Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}, 200)
+	// Once a request was served, the goroutines of the server itself run.
+	first := s.dial(t)
+	first.send(t, get("/"))
+	_, _ = first.receive(t, "GET")
 	before := runtime.NumGoroutine()
 	for range 10 {
 		for _, text := range []string{
