--- a/internal/trial/pscrowd/crowd_test.go
+++ b/internal/trial/pscrowd/crowd_test.go
@@ -285,7 +285,7 @@
 // TestEmptyLinesBeforeRequest covers empty lines without end before a request.
 func TestEmptyLinesBeforeRequest(t *testing.T) {
 	p := startVM(t)
-	p.run(emptyLines(50)...)
+	p.run(emptyLines(200)...)
 	p.check(t)
 }
 
@@ -380,6 +380,24 @@
 	p.check(t)
 }
 
+// manyDescriptors are more than the connections that find room in the memory of the VM need, so that only the memory budget
+// bounds what a crowd takes.
+const manyDescriptors = 4096
+
+// TestMemoryOfManyConnections covers clients that take much memory, at a VM with many descriptors.
+func TestMemoryOfManyConnections(t *testing.T) {
+	for name, crowd := range map[string][]members{
+		"short lines": shortLines(200), "slow readers": slowReaders(200), "chunked bodies": chunked(150), "trailers": trailers(150),
+		"responses without end": hostileResponses(75), "unread pipelines": unreadPipelines(200),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startVMWith(t, manyDescriptors)
+			p.run(crowd...)
+			p.check(t)
+		})
+	}
+}
+
 // TestMixedCrowd covers all of these clients at once, beside ordinary callers: what is refused as not run isn't run.
 func TestMixedCrowd(t *testing.T) {
 	p := startVM(t)
--- a/internal/trial/pscrowd/process_test.go
+++ b/internal/trial/pscrowd/process_test.go
@@ -52,6 +52,8 @@
 	ran *sync.Map
 	// descriptors is the highest number of open descriptors that was seen.
 	descriptors atomic.Int64
+	// maxDescriptors is the limit in the VM's settings.
+	maxDescriptors int
 }
 
 // binary is the path of the program, which is built once for all tests.
@@ -79,6 +81,12 @@
 
 // startVM starts a store, a backend server and a VM's process, and waits until the VM is ready.
 func startVM(t *testing.T) *process {
+	t.Helper()
+	return startVMWith(t, maxDescriptors)
+}
+
+// startVMWith starts a VM with a number of descriptors, as [startVM] does.
+func startVMWith(t *testing.T, maxDescriptors int) *process {
 	t.Helper()
 	store, clean := psstandin.NewStore()
 	t.Cleanup(clean)
@@ -98,7 +106,7 @@
 		ready:   netip.AddrPortFrom(address, psstandin.ReadyPort).String(),
 		peers:   netip.AddrPortFrom(address, psstandin.OperatorPort-1), directory: netip.AddrPortFrom(address, psstandin.DirectoryPort),
 		operator: netip.AddrPortFrom(address, psstandin.OperatorPort), store: faulty, ran: ran,
-		command: exec.Command(binary, "steer", "--settings", path), ended: make(chan struct{}),
+		command: exec.Command(binary, "steer", "--settings", path), ended: make(chan struct{}), maxDescriptors: maxDescriptors,
 	}
 	qt.Assert(t, p.command.Start(), qt.IsNil)
 	go func() {
@@ -237,9 +245,9 @@
 func (p *process) check(t *testing.T) {
 	t.Helper()
 	memory, descriptors := p.peakMemory(t), p.descriptors.Load()
-	t.Logf("at most %d MiB of %d, %d descriptors of %d", memory, memoryMB, descriptors, maxDescriptors)
+	t.Logf("at most %d MiB of %d, %d descriptors of %d", memory, memoryMB, descriptors, p.maxDescriptors)
 	qt.Check(t, memory < memoryMB, qt.IsTrue, qt.Commentf("%d MiB", memory))
-	qt.Check(t, descriptors < maxDescriptors, qt.IsTrue, qt.Commentf("%d descriptors", descriptors))
+	qt.Check(t, descriptors < int64(p.maxDescriptors), qt.IsTrue, qt.Commentf("%d descriptors", descriptors))
 	await(t, "an ordinary request is served", func() bool { return p.probe() == http.StatusOK })
 	select {
 	case <-p.ended:
