--- a/internal/trial/pscrowd/crowd_test.go
+++ b/internal/trial/pscrowd/crowd_test.go
@@ -271,7 +271,7 @@
 // TestHeadsOfOddLines covers heads of legal size whose lines are folded, or only a colon.
 func TestHeadsOfOddLines(t *testing.T) {
 	p := startVM(t)
-	p.run(oddLines(200)...)
+	p.run(oddLines(300)...)
 	p.check(t)
 }
 
