psserve: a shutdown while Serve begins ends

Serve set the listener after the shutdown had looked for it, and accepted connections on: the shutdown waited until its context ended.

--- a/internal/connection/psserve/hostile_test.go
+++ b/internal/connection/psserve/hostile_test.go
@@ -6,14 +6,20 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
+	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/pslistener"
+	"persimmonstep/internal/connection/psserve"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -228,3 +234,58 @@
 		}
 	}
 }
+
+// TestShutdownSurvivesResets covers callers that open connections and reset them at once while the server shuts down.
+func TestShutdownSurvivesResets(t *testing.T) {
+	for range 20 {
+		s := start(t, func(http.ResponseWriter, *http.Request) {}, psconfig.Limits{}, 100)
+		ended := make(chan struct{})
+		var callers sync.WaitGroup
+		for range 4 {
+			callers.Go(func() {
+				for {
+					select {
+					case <-ended:
+						return
+					default:
+					}
+					c, err := net.DialTimeout("tcp", s.address, 100*time.Millisecond) //nolint:noctx // a test's connection
+					if err != nil {
+						continue
+					}
+					_ = c.(*net.TCPConn).SetLinger(0)
+					_ = c.Close()
+				}
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		qt.Check(t, s.server.Shutdown(ctx), qt.IsNil)
+		stop()
+		close(ended)
+		callers.Wait()
+	}
+}
+
+// TestShutdownWhileServeBegins covers a server that shuts down while it begins to accept connections: it must not accept any from
+// then on, and the shutdown must end.
+func TestShutdownWhileServeBegins(t *testing.T) {
+	for delay := range 2000 {
+		l, err := pslistener.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+		qt.Assert(t, err, qt.IsNil)
+		s := psserve.New(psserve.Options{
+			Handler: http.NotFoundHandler(), Budget: psbudget.New(1<<20, time.Now), MaxConnections: 10,
+			Limits: func() psconfig.Limits { return psconfig.Limits{} }, Logger: hclog.NewNullLogger(),
+		})
+		ended := make(chan error, 1)
+		go func() { ended <- s.Serve(l) }()
+		for begun := time.Now(); time.Since(begun) < time.Duration(delay)*10*time.Nanosecond; {
+		}
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		qt.Assert(t, s.Shutdown(ctx), qt.IsNil)
+		stop()
+		qt.Assert(t, <-ended, qt.Equals, http.ErrServerClosed)
+		_, err = net.Dial("tcp", l.Addr().String()) //nolint:noctx // a test's connection
+		qt.Assert(t, err, qt.IsNotNil)
+	}
+}
--- a/internal/connection/psserve/server.go
+++ b/internal/connection/psserve/server.go
@@ -106,6 +106,7 @@
 // Serve accepts connections until the server is shut down or closed, and then returns [http.ErrServerClosed]. It must be
 // called at most once.
 func (s *Server) Serve(l net.Listener) error {
+	defer close(s.accepted)
 	s.mutex.Lock()
 	s.listener = l
 	closed := s.closed
@@ -115,12 +116,15 @@
 		return http.ErrServerClosed
 	}
 	go s.sweep()
-	defer close(s.accepted)
 	defer func() {
 		for _, c := range pslistener.Close(l) {
 			s.add(c)
 		}
 	}()
+	if s.draining.Load() {
+		// The shutdown may not have seen the listener.
+		return http.ErrServerClosed
+	}
 	for {
 		c, err := l.Accept()
 		switch {
