psserve: a request that waits for a server isn't evicted when checks are late

On a VM without processor time for a second, the connection of such a request could be reset for its memory (TestRunningRequestIsNotEvicted failed before). It is spared now.

--- a/internal/connection/psbudget/budget.go
+++ b/internal/connection/psbudget/budget.go
@@ -59,7 +59,7 @@
 }
 
 // Open returns the account of a connection and its clean-up function, which returns all that the account holds. evict
-// closes the connection. It is called at most once, on a goroutine of its own.
+// closes the connection, or spares the account. It is called on a goroutine of its own, and again only after [Account.Spare].
 func (b *Budget) Open(evict func()) (*Account, func()) {
 	a := &Account{budget: b, evict: evict, progressAt: b.now()}
 	b.mutex.Lock()
@@ -148,6 +148,18 @@
 	a.progressAt = a.budget.now()
 }
 
+// Spare takes back an eviction that the account's connection hasn't followed, because its other end makes progress. The account
+// can be evicted later.
+func (a *Account) Spare() {
+	a.budget.mutex.Lock()
+	defer a.budget.mutex.Unlock()
+	if a.evicted {
+		a.evicted = false
+		a.progressAt = a.budget.now()
+		a.budget.evicted--
+	}
+}
+
 func (a *Account) close() {
 	b := a.budget
 	b.mutex.Lock()
--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psserve/conn.go
@@ -77,7 +77,7 @@
 func newConn(s *Server, tcp net.Conn) *conn {
 	c := &conn{server: s, tcp: tcp, headerBytes: s.limits().MaxHeaderBytes, remote: tcp.RemoteAddr().String()}
 	c.changed.L = &c.mutex
-	c.account, c.closeAccount = s.options.Budget.Open(func() { c.reset(reasonMemory) })
+	c.account, c.closeAccount = s.options.Budget.Open(c.evict)
 	c.source = pshead.NewSource(tcp, c.account)
 	ctx := pscaller.WithConn(psbudget.With(context.Background(), c.account), tcp)
 	c.ctx, c.cancel = context.WithCancel(ctx)
@@ -300,6 +300,16 @@
 	}
 }
 
+// evict closes the connection to free its memory, unless its request waits for a backend server. The checks of connections, which
+// count that as progress, may be late.
+func (c *conn) evict() {
+	if c.State().Activity == psconnection.Running {
+		c.account.Spare()
+		return
+	}
+	c.reset(reasonMemory)
+}
+
 // reset closes the connection at once and cancels its requests. It is not reset if all responses are complete: the last one
 // may still be on its way.
 func (c *conn) reset(reason string) {
--- a/internal/connection/psserve/hostile_test.go
+++ b/internal/connection/psserve/hostile_test.go
@@ -289,3 +289,40 @@
 		qt.Assert(t, err, qt.IsNotNil)
 	}
 }
+
+// TestRunningRequestIsNotEvicted covers a VM with so little processor time that connections aren't checked in time: a request that
+// waits for a server holds memory and seems to make no progress. Its caller isn't to blame, so that it isn't evicted.
+func TestRunningRequestIsNotEvicted(t *testing.T) {
+	var late atomic.Int64
+	budget := psbudget.New(8<<20, func() time.Time { return time.Now().Add(time.Duration(late.Load())) })
+	l, err := pslistener.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+	qt.Assert(t, err, qt.IsNil)
+	begun, release := make(chan bool), make(chan struct{})
+	server := psserve.New(psserve.Options{
+		Handler: handler(func(w http.ResponseWriter, r *http.Request) {
+			qt.Check(t, psbudget.Of(r.Context()).Take(5<<20), qt.IsTrue)
+			begun <- true
+			<-release
+			qt.Check(t, r.Context().Err(), qt.IsNil)
+			_, _ = io.WriteString(w, "ok")
+		}),
+		Budget: budget, MaxConnections: 10, Limits: func() psconfig.Limits { return psconfig.Limits{} }, Logger: hclog.NewNullLogger(),
+	})
+	go func() { _ = server.Serve(l) }()
+	defer server.Close() //nolint:errcheck // it always succeeds
+	s := &served{address: l.Addr().String()}
+	c := s.dial(t)
+	c.send(t, get("/"))
+	<-begun
+	other, closeOther := budget.Open(func() {})
+	defer closeOther()
+	for range 3 {
+		late.Add(int64(2 * time.Second))
+		qt.Assert(t, other.Take(5<<20), qt.IsFalse)
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(release)
+	_, body := c.receive(t, "GET")
+	qt.Check(t, body, qt.Equals, "ok")
+	qt.Check(t, budget.Usage().Evicted, qt.Equals, int64(0))
+}
