--- a/internal/connection/psserve/hostile_test.go
+++ b/internal/connection/psserve/hostile_test.go
@@ -279,7 +279,10 @@
 		})
 		ended := make(chan error, 1)
 		go func() { ended <- s.Serve(l) }()
-		for begun := time.Now(); time.Since(begun) < time.Duration(delay)*10*time.Nanosecond; {
+		// The shutdown begins at other points of Serve.
+		begun := time.Now()
+		for elapsed := time.Duration(0); elapsed < time.Duration(delay)*10*time.Nanosecond; {
+			elapsed = time.Since(begun)
 		}
 		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 		qt.Assert(t, s.Shutdown(ctx), qt.IsNil)
