psreply: the end of a handler sets the read deadline only while its body is read

The deadline that ends reads of the body could be set just after the body had been read to its end, when the next head is read, which then got 408. Found by reading; the window is too short to show it by a test.

--- a/internal/connection/psreply/response.go
+++ b/internal/connection/psreply/response.go
@@ -296,7 +296,7 @@
 func (w *Response) finish() {
 	if w.body != nil && !w.body.done.Load() {
 		// A goroutine of the handler may still read the body.
-		_ = w.Conn.SetReadDeadline(time.Now())
+		_ = w.Exchange.SetReadDeadline(time.Now())
 		w.body.end()
 	}
 	if w.status == 0 {
@@ -321,7 +321,7 @@
 // Otherwise, the connection closes after the earlier responses.
 func (w *Response) abort() {
 	if w.body != nil {
-		_ = w.Conn.SetReadDeadline(time.Now())
+		_ = w.Exchange.SetReadDeadline(time.Now())
 		w.body.end()
 	}
 	if !w.headWritten.Load() && w.awaitTurn() == nil {
