psserve: nothing runs behind a caller's last request

Idempotent requests behind one with Connection: close were run, and then cancelled (RFC 9112, 9.6: they must not be processed).

--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psserve/conn.go
@@ -64,8 +64,8 @@
 	expired bool
 	// gone is set once the caller has disconnected or the connection is closed.
 	gone bool
-	// served is set once a request was begun.
-	served bool
+	// served is set once a request was begun, and last once one was begun that the caller states to be its last.
+	served, last bool
 }
 
 // epoch is the origin of the times in activities.
@@ -157,11 +157,11 @@
 	return true
 }
 
-// mayRead reports whether the head of the next request may be read. While the server shuts down, that is so only if no
+// mayRead reports whether the head of the next request may be read. Nothing is read behind a caller's last one. While the server shuts down, that is so only if no
 // request is in progress: the last response would otherwise never come if the caller always has further requests on the way.
 // The caller holds the mutex.
 func (c *conn) mayRead() bool {
-	return c.pipeline.MayRead() && (c.pipeline.Len() == 0 || !c.server.draining.Load())
+	return c.pipeline.MayRead() && !c.last && (c.pipeline.Len() == 0 || !c.server.draining.Load())
 }
 
 // isEnding reports whether no further request begins. The caller holds the mutex.
@@ -209,7 +209,7 @@
 		c.body = e
 	}
 	c.begun = append(c.begun, e)
-	c.served = true
+	c.served, c.last = true, r.Close
 	if c.pipeline.Len() == 1 {
 		// Otherwise an earlier response may be blocked, which lasts.
 		c.setActivity(psconnection.Running)
--- a/internal/connection/psserve/hostile_test.go
+++ b/internal/connection/psserve/hostile_test.go
@@ -329,3 +329,27 @@
 	qt.Check(t, body, qt.Equals, "ok")
 	qt.Check(t, budget.Usage().Evicted, qt.Equals, int64(0))
 }
+
+// TestNothingRunsBehindLastRequest covers a caller that states which request is its last: what follows isn't run (RFC 9112, section
+// 9.6).
+func TestNothingRunsBehindLastRequest(t *testing.T) {
+	var behind atomic.Int32
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/safe/behind" {
+			behind.Add(1)
+		}
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Path)
+	}, psconfig.Limits{}, 10)
+	for _, last := range []string{"GET /safe/last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", "GET /safe/last HTTP/1.0\r\n\r\n"} {
+		c := s.dial(t)
+		c.send(t, get("/safe/first")+last+get("/safe/behind"))
+		for _, path := range []string{"/safe/first", "/safe/last"} {
+			r, body := c.receive(t, "GET")
+			qt.Check(t, body, qt.Equals, path)
+			qt.Check(t, r.Close, qt.Equals, path == "/safe/last")
+		}
+		c.ends(t)
+	}
+	qt.Check(t, behind.Load(), qt.Equals, int32(0))
+}
