--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psserve/conn.go
@@ -64,8 +64,8 @@
 	expired bool
 	// gone is set once the caller has disconnected or the connection is closed.
 	gone bool
-	// served is set once a request was begun.
-	served bool
+	// served is set once a request was begun, and last once one was begun that the caller states to be its last.
+	served, last bool
 }
 
 // epoch is the origin of the times in activities.
@@ -77,7 +77,7 @@
 func newConn(s *Server, tcp net.Conn) *conn {
 	c := &conn{server: s, tcp: tcp, headerBytes: s.limits().MaxHeaderBytes, remote: tcp.RemoteAddr().String()}
 	c.changed.L = &c.mutex
-	c.account, c.closeAccount = s.options.Budget.Open(func() { c.reset(reasonMemory) })
+	c.account, c.closeAccount = s.options.Budget.Open(c.evict)
 	c.source = pshead.NewSource(tcp, c.account)
 	ctx := pscaller.WithConn(psbudget.With(context.Background(), c.account), tcp)
 	c.ctx, c.cancel = context.WithCancel(ctx)
@@ -126,6 +126,7 @@
 		if c.isEnding() {
 			return false
 		}
+		c.source.Shrink()
 		c.peeking = true
 		c.mutex.Unlock()
 		_, err := c.source.Buffer().Peek(1)
@@ -143,7 +144,7 @@
 		}
 		return false
 	}
-	for !c.pipeline.MayRead() && !c.isEnding() {
+	for !c.mayRead() && !c.isEnding() {
 		c.changed.Wait()
 	}
 	if c.isEnding() {
@@ -156,6 +157,13 @@
 	return true
 }
 
+// mayRead reports whether the head of the next request may be read. Nothing is read behind a caller's last one. While the server shuts down, that is so only if no
+// request is in progress: the last response would otherwise never come if the caller always has further requests on the way.
+// The caller holds the mutex.
+func (c *conn) mayRead() bool {
+	return c.pipeline.MayRead() && !c.last && (c.pipeline.Len() == 0 || !c.server.draining.Load())
+}
+
 // isEnding reports whether no further request begins. The caller holds the mutex.
 func (c *conn) isEnding() bool { return c.gone || c.pipeline.Closing() }
 
@@ -201,8 +209,11 @@
 		c.body = e
 	}
 	c.begun = append(c.begun, e)
-	c.served = true
-	c.setActivity(psconnection.Running)
+	c.served, c.last = true, r.Close
+	if c.pipeline.Len() == 1 {
+		// Otherwise an earlier response may be blocked, which lasts.
+		c.setActivity(psconnection.Running)
+	}
 	c.server.run(e)
 	return true
 }
@@ -289,6 +300,16 @@
 	}
 }
 
+// evict closes the connection to free its memory, unless its request waits for a backend server. The checks of connections, which
+// count that as progress, may be late.
+func (c *conn) evict() {
+	if c.State().Activity == psconnection.Running {
+		c.account.Spare()
+		return
+	}
+	c.reset(reasonMemory)
+}
+
 // reset closes the connection at once and cancels its requests. It is not reset if all responses are complete: the last one
 // may still be on its way.
 func (c *conn) reset(reason string) {
