--- a/internal/process/pscli/cli_test.go
+++ b/internal/process/pscli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"os"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/process/pscli"
+	"persimmonstep/internal/process/psstate"
 	"persimmonstep/internal/trial/psdev"
 )
 
@@ -67,6 +69,23 @@
 	}
 }
 
+// waitForFleet waits until a VM knows a number of VMs: explanations change while VMs find each other.
+func waitForFleet(t *testing.T, vm string, size int) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "state.json")
+	deadline := time.Now().Add(30 * time.Second)
+	for known := 0; known != size; time.Sleep(50 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%d VMs known, %d wanted", known, size))
+		code, out := run("status", "--vm", vm, "--save", file)
+		qt.Assert(t, code, qt.Equals, pscli.ExitOK, qt.Commentf("%s", out))
+		data, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		var state psstate.State
+		qt.Assert(t, json.Unmarshal(data, &state), qt.IsNil)
+		known = state.FleetSize
+	}
+}
+
 // TestExplainGivesSameResultForVMAndSavedState runs a system and compares the explanation by a VM with the one from
 // the state that was saved from it.
 func TestExplainGivesSameResultForVMAndSavedState(t *testing.T) {
@@ -75,6 +94,7 @@
 	t.Cleanup(stop)
 	vm := s.Ready.VMs[0].Operators.String()
 	saved := filepath.Join(t.TempDir(), "state.json")
+	waitForFleet(t, vm, len(s.Ready.VMs))
 	code, out := run("status", "--vm", vm, "--vm", s.Ready.VMs[1].Operators.String(), "--save", saved)
 	qt.Assert(t, code, qt.Equals, pscli.ExitOK, qt.Commentf("%s", out))
 	for _, text := range []string{s.Ready.VMs[0].Name, s.Ready.VMs[1].Name, s.Ready.Servers[0].ID} {
