--- a/internal/connection/psproxy/close_delimited_test.go
+++ b/internal/connection/psproxy/close_delimited_test.go
@@ -225,7 +225,7 @@
 	t.Helper()
 	helperProxy := s.Config.Handler.(*psproxy.Proxy)
 	sender := psmessage.Identity{VM: "vm-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:7600")}
-	helperControl.snapshot.ShareHolders = []psmessage.Identity{sender}
+	helperControl.snapshot.RecentVMs = []psmessage.Identity{sender}
 	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
 	qt.Assert(t, err, qt.IsNil)
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: helperProxy.ForwardedHandler(), ConnContext: s.Config.ConnContext}
--- a/internal/connection/psproxy/dispatch.go
+++ b/internal/connection/psproxy/dispatch.go
@@ -106,7 +106,7 @@
 	}
 	bounds := c.proxy.options.Settings.Bounds
 	bound := psretry.Bound{
-		Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack / float64(c.snapshot.FleetSize),
+		Ratio: bounds.RetryRatio, Window: bounds.RetryWindow, Slack: bounds.RetrySlack * c.snapshot.Holding.Part(),
 	}
 	return c.proxy.retries.Take(service, bound, c.proxy.options.Now())
 }
--- a/internal/connection/psproxy/proxy_test.go
+++ b/internal/connection/psproxy/proxy_test.go
@@ -29,6 +29,7 @@
 	"persimmonstep/internal/connection/pstransport"
 	"persimmonstep/internal/process/psavailability"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psnode"
@@ -193,12 +194,17 @@
 	}
 }
 
+// holding returns what a VM may use in a group that has all of a number of parts.
+func holding(parts int, members ...psmessage.Identity) pslease.Holding {
+	return pslease.Holding{Parts: parts, DecisiveParts: []int{parts}, Groups: []pslease.Group{{Members: members, Settled: true, Own: 1}}}
+}
+
 // startProxy starts a proxy in front of backend servers.
 func startProxy(t *testing.T, backends ...*backend) (*httptest.Server, *fakeControl) {
 	t.Helper()
 	control := &fakeControl{snapshot: &pssnapshot.Snapshot{
 		Index: psconfig.NewIndex(&testConfiguration), Servers: map[string][]*psserver.Server{},
-		ServersReadAt: time.Now(), EvenShare: 1, FleetSize: 1, ShareHolders: []psmessage.Identity{{VM: "vm-1"}},
+		ServersReadAt: time.Now(), FleetSize: 1, Holding: holding(1, psmessage.Identity{VM: "vm-1"}),
 	}}
 	for i, v := range backends {
 		entry := psserver.Entry{
@@ -302,8 +308,7 @@
 		"body too large": {func(r *http.Request, _ *fakeControl) { r.ContentLength = 2 << 20 }, 413},
 		"token owners unresponsive": {func(r *http.Request, control *fakeControl) {
 			r.Header.Set("Authorization", "Bearer k-2")
-			control.snapshot.FleetSize = 2
-			control.snapshot.ShareHolders = []psmessage.Identity{{VM: "vm-2"}}
+			control.snapshot.Holding = holding(2, psmessage.Identity{VM: "vm-2"})
 		}, 503},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/connection/psselection/selection_test.go
+++ b/internal/connection/psselection/selection_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/connection/psselection"
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
@@ -54,7 +55,8 @@
 	}
 	r := psselection.Request{
 		Snapshot: &pssnapshot.Snapshot{
-			Servers: map[string][]*psserver.Server{"prices": list}, FleetSize: 2, ShareHolders: []psmessage.Identity{{VM: "vm-2"}},
+			Servers: map[string][]*psserver.Server{"prices": list}, FleetSize: 2,
+			Holding: pslease.Holding{Parts: 2, Groups: []pslease.Group{{Members: []psmessage.Identity{{VM: "vm-2"}}, Settled: true, Own: 0.5}}},
 		},
 		Service: "prices", Route: &psconfig.Route{Name: "boards", TargetLatency: 200 * time.Millisecond, Affinity: true},
 		ArrivedAt: startTime, Deadline: startTime.Add(time.Second),
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -23,10 +23,12 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/pslink"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psnode"
+	"persimmonstep/internal/process/pspause"
 	"persimmonstep/internal/process/psregistry"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/psshare"
@@ -58,6 +60,8 @@
 type TokenSource interface {
 	// Demands returns the rate of callers' requests, in requests per second, by workspace.
 	Demands(now time.Time) map[string]float64
+	// Update goes by the shares of a new snapshot.
+	Update(s *pssnapshot.Snapshot)
 	// TakeProbe reports whether a probe may be sent to a server.
 	TakeProbe(ctx context.Context, s *pssnapshot.Snapshot, server *psserver.Server) bool
 }
@@ -87,8 +91,10 @@
 	// Links monitors this VM's links to the backend servers.
 	Links  *pslink.Monitor
 	Logger hclog.Logger
-	// Now returns the current time with a monotonic reading.
-	Now func() time.Time
+	// Now returns the current time with a monotonic reading, and SinceBoot the time since the VM's boot, including that for
+	// which it was suspended.
+	Now       func() time.Time
+	SinceBoot func() time.Duration
 }
 
 // Controller owns a VM's view of the system. Its state belongs to the goroutine of [Controller.Run]; other
@@ -104,15 +110,20 @@
 	discovery *psdiscovery.Discovery
 	// runContext ends when [Controller.Run] returns.
 	runContext context.Context
+	startedAt  time.Time
 	// leaving is set once the VM takes no new callers.
 	leaving atomic.Bool
 
 	desiredState *psdesiredstate.Replica
 	servers      *psregistry.Registry
 	fleet        *psfleet.Fleet
+	leases       *pslease.Book
+	pauses       *pspause.Detector
 	shares       *psshare.Shares
 	sharesLog    *psshare.Log
-	sequence     int64
+	// vmsRead is set once the published VMs were read.
+	vmsRead  bool
+	sequence int64
 	// lastReport is this VM's latest report, with the full identity.
 	lastReport psmessage.Report
 	digester   psfleet.Digester
@@ -130,8 +141,8 @@
 // New returns a controller without a configuration, servers or known VMs.
 func New(o Options) *Controller {
 	c := &Controller{
-		options: o, events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
-		fleet: psfleet.New(o.Identity), shares: psshare.New(), sharesLog: psshare.NewLog(o.Logger),
+		options: o, startedAt: o.Now(), events: make(chan event, eventQueueSize), desiredState: psdesiredstate.New(o.Logger),
+		fleet: psfleet.New(o.Identity), leases: pslease.New(o.Identity, o.Now()), pauses: pspause.New(o.SinceBoot, o.Now()), shares: psshare.New(), sharesLog: psshare.NewLog(o.Logger),
 		announcements: psannouncement.New(), liveness: psfleet.NewLivenessLog(o.Logger),
 	}
 	c.availability = psavailability.Recorder{
@@ -161,6 +172,9 @@
 	return c
 }
 
+// holdingTimeout is how long a VM that starts may wait for its share of the fleet's limits.
+const holdingTimeout = time.Second
+
 // eventQueueSize is the number of events that can wait for the controller's goroutine.
 const eventQueueSize = 256
 
@@ -180,10 +194,12 @@
 // first response.
 func (c *Controller) StoreSilence() time.Duration { return c.watcher.Silence() }
 
-// Ready reports whether the VM has the state to serve requests and takes callers.
+// Ready reports whether the VM has the state to serve requests and takes callers. A VM that starts waits a little until it may use
+// its share of the fleet's limits, since it would have to refuse callers within their rates.
 func (c *Controller) Ready() bool {
 	s := c.Snapshot()
-	return !c.leaving.Load() && s.CanServe()
+	mayGrant := s.Holding.Settled() && s.Holding.Part() > 0 || c.options.Now().Sub(c.startedAt) >= holdingTimeout
+	return !c.leaving.Load() && s.CanServe() && mayGrant
 }
 
 // ReceiveReport processes another VM's report.
@@ -215,7 +231,7 @@
 // SendNotice sends a notice to the other VMs of the region.
 func (c *Controller) SendNotice(n *psmessage.Notice) {
 	self := c.options.Identity
-	to := lo.Filter(c.Snapshot().ShareHolders, func(v psmessage.Identity, _ int) bool { return v.Region == self.Region && v.VM != self.VM })
+	to := lo.Filter(c.Snapshot().RecentVMs, func(v psmessage.Identity, _ int) bool { return v.Region == self.Region && v.VM != self.VM })
 	if err := c.options.Peers.Notice(n, to); err != nil {
 		c.options.Logger.Debug("sending a notice failed for at least one VM", "error", err.Error())
 	}
@@ -238,11 +254,11 @@
 	c.availability.Update(s, a)
 }
 
-// applyPublished processes the identities that other VMs have published. It returns when the snapshot
-// includes them.
-func (c *Controller) applyPublished(rows map[string][]byte) {
+// applyPublished processes what VMs have published. complete states that this VM had been published when that was read. It
+// returns when the snapshot includes the VMs.
+func (c *Controller) applyPublished(rows map[string][]byte, complete bool) {
 	applied := make(chan struct{})
-	c.enqueue(vmsEvent{rows, applied})
+	c.enqueue(vmsEvent{rows, complete, applied})
 	c.awaitPublished(applied)
 }
 
@@ -268,6 +284,8 @@
 	}
 	vmsEvent struct {
 		rows map[string][]byte
+		// complete states that this VM had been published when the rows were read.
+		complete bool
 		// applied is closed once the published snapshot includes the rows.
 		applied chan struct{}
 	}
@@ -289,7 +307,11 @@
 	}
 	serverLimitEvent struct{ run psserver.Run }
 	leaveEvent       struct{}
-	peerStateEvent   struct{ pssync.PeerState }
+	// heirEvent asks for a VM to which this one can leave its part of the limits; empty if there is none.
+	heirEvent struct{ reply chan string }
+	// endEvent states that this VM ends, and to which VM it leaves its part; empty if there is none.
+	endEvent       struct{ heir string }
+	peerStateEvent struct{ pssync.PeerState }
 )
 
 func (desiredStateEvent) event()  {}
@@ -304,6 +326,8 @@
 func (linksEvent) event()         {}
 func (serverLimitEvent) event()   {}
 func (leaveEvent) event()         {}
+func (heirEvent) event()          {}
+func (endEvent) event()           {}
 func (peerStateEvent) event()     {}
 
 // enqueue passes an event to the controller's goroutine. While the queue is full, reports are dropped, since
@@ -350,13 +374,14 @@
 	go c.options.Links.Run(ctx, c)
 	reportTimer := time.NewTimer(0)
 	defer reportTimer.Stop()
-	digestTimer := time.NewTimer(c.fleet.DigestInterval())
+	digestTimer := time.NewTimer(c.fleet.NextDigest(c.age()))
 	defer digestTimer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-c.events:
+			c.noteActivity()
 			c.apply(e)
 			if isReport(e) {
 				// Changes from other VMs' reports are published with this VM's next report.
@@ -368,17 +393,29 @@
 				continue
 			}
 		case <-reportTimer.C:
+			c.noteActivity()
 			c.sendReport()
-			reportTimer.Reset(c.fleet.ReportInterval())
+			reportTimer.Reset(c.fleet.NextReport(c.age()))
 		case <-digestTimer.C:
 			c.publishDigest()
-			digestTimer.Reset(c.fleet.DigestInterval())
+			digestTimer.Reset(c.fleet.NextDigest(c.age()))
 			continue
 		}
 		c.publish()
 	}
 }
 
+// age returns how long ago this VM started.
+func (c *Controller) age() time.Duration { return c.options.Now().Sub(c.startedAt) }
+
+// noteActivity records that this process is active. What it knows of other VMs is older than it seems after a suspension.
+func (c *Controller) noteActivity() {
+	if suspended := c.pauses.Active(c.options.Now()); suspended > 0 {
+		c.fleet.Age(suspended)
+		c.shares.Age(suspended)
+	}
+}
+
 func (c *Controller) apply(e event) {
 	now := c.options.Now()
 	switch e := e.(type) {
@@ -391,9 +428,9 @@
 			c.announcements.Departed(d, now)
 		}
 	case vmsEvent:
-		c.applyVMs(e.rows, now)
+		c.applyVMs(e, now)
 	case reportEvent:
-		c.applyReport(e.report, now, now)
+		c.applyReport(e.report, c.pauses.ReceivedAt(now), now)
 	case digestEvent:
 		c.applyDigest(e.digest, now)
 	case serverFailedEvent:
@@ -411,6 +448,12 @@
 	case leaveEvent:
 		c.sendReport()
 		c.publishDigest()
+	case heirEvent:
+		heir, _ := c.leases.Heir(c.fleet, now)
+		e.reply <- heir
+	case endEvent:
+		c.leases.End(e.heir)
+		c.sendReport()
 	case peerStateEvent:
 		c.applyPeerState(e, now)
 	}
--- a/internal/process/pscontrol/controller_test.go
+++ b/internal/process/pscontrol/controller_test.go
@@ -136,6 +136,7 @@
 
 func (*store) Digest(*psmessage.Digest, []psmessage.Identity) error                   { return nil }
 func (*store) Demands(time.Time) map[string]float64                                   { return nil }
+func (*store) Update(*pssnapshot.Snapshot)                                            {}
 func (*store) TakeProbe(context.Context, *pssnapshot.Snapshot, *psserver.Server) bool { return true }
 func (*store) Crashes(time.Time) map[uint64]int                                       { return nil }
 func (*store) RecordPeerCrashes(string, map[uint64]int, time.Time)                    {}
@@ -183,7 +184,7 @@
 	a := netip.MustParseAddrPort("127.0.0.1:1")
 	o.Settings = &psnode.Settings{Regions: map[string]string{"north-a": "north"}}
 	o.Identity = psmessage.Identity{VM: "vm-1", FailureDomain: "north-a", Region: "north", CallerAddress: a, PeerAddress: a}
-	o.Logger, o.Now = hclog.NewNullLogger(), time.Now
+	o.Logger, o.Now, o.SinceBoot = hclog.NewNullLogger(), time.Now, func() time.Duration { return 0 }
 	if o.Links == nil {
 		o.Links = pslink.New(nil, o.Logger, o.Now)
 	}
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -9,20 +9,48 @@
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/pshealth"
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/process/pssnapshot"
 )
 
-func (c *Controller) applyVMs(rows map[string][]byte, now time.Time) {
-	for name, value := range rows {
-		i, err := psmessage.DecodeIdentity(value)
-		if err != nil {
+// applyVMs adds the VMs that were published.
+func (c *Controller) applyVMs(e vmsEvent, now time.Time) {
+	first := !c.vmsRead
+	c.vmsRead = c.vmsRead || e.complete
+	for name, value := range e.rows {
+		p, err := psmessage.DecodePublishedVM(value)
+		switch {
+		case err != nil:
 			psevent.RowUnreadable.Log(c.options.Logger, name, 0, err.Error())
-			continue
+		case p.VM == c.options.Identity.VM:
+			c.confirm(p.OwnsPart())
+		default:
+			c.fleet.AddPublished(p, now)
 		}
-		c.fleet.AddIdentity(i, now)
 	}
+	if first {
+		// The sooner the others hear this VM, the sooner it may use its share of the limits.
+		c.sendReport()
+	}
+}
+
+// confirm records whether this VM has published that it owns a part of the fleet's limits.
+func (c *Controller) confirm(owner bool) {
+	if owner {
+		c.leases.Confirm()
+	}
+}
+
+// updateHolding determines what this VM may use of the fleet's limits.
+func (c *Controller) updateHolding(now time.Time) pslease.Holding {
+	guest := c.leases.Guest()
+	h := c.leases.Update(c.fleet, c.vmsRead, now)
+	if guest && !c.leases.Guest() {
+		c.discovery.PublishOwner()
+	}
+	return h
 }
 
 // applyReport applies a report. receivedAt is when this VM, or the VM that forwards the report, received it.
@@ -63,7 +91,7 @@
 func (c *Controller) applyDigest(d *psmessage.Digest, now time.Time) {
 	for i := range d.Reports {
 		r := d.Reports[i].Report
-		c.applyReport(&r, now.Add(-d.Reports[i].Age), now)
+		c.applyReport(&r, c.pauses.ReceivedAt(now).Add(-d.Reports[i].Age), now)
 	}
 	if d.Relayed || d.FailureDomain == c.options.Identity.FailureDomain {
 		return
@@ -118,10 +146,13 @@
 		Identity: c.options.Identity, Sequence: c.sequence, Ready: c.Ready(), ReadsStore: !c.watcher.Lost(), Version: c.desiredState.Version(),
 		Demands: c.options.Tokens.Demands(now), Crashes: c.options.Crashes.Crashes(now),
 	}
+	c.updateHolding(now)
+	lease := c.leases.Statement()
+	r.Lease = &lease
 	if r.NoServers = c.options.Links.Lost(); !r.NoServers {
 		c.announcements.Fill(r, c.fleet, c.Snapshot().Servers, now)
 	}
-	c.shares.Record(r.Demands)
+	c.shares.Record(r.Demands, now)
 	if n := c.fleet.Size(); n != c.reportedSize {
 		c.reportedSize, c.resizedSequence = n, c.sequence
 	}
@@ -140,19 +171,21 @@
 // publish replaces the snapshot that requests read.
 func (c *Controller) publish() {
 	now := c.options.Now()
-	shares, even := c.shares.RateShares(c.fleet, c.desiredState.Index, now)
+	h := c.updateHolding(now)
+	shares := c.shares.RateShares(c.fleet, h, c.desiredState.Index, now)
 	v := &pssnapshot.Snapshot{
 		Index: c.desiredState.Index, Servers: c.servers.ByService(), ServersReadAt: c.servers.ReadAt, Evacuated: c.desiredState.Evacuated,
-		RateShares: shares, EvenShare: even, FleetSize: c.fleet.Size(), VMs: c.vms(now),
+		Holding: h, RateShares: shares, FleetSize: c.fleet.Size(), VMs: c.vms(now),
 		Changes: c.desiredState.Changes + c.servers.Changes(), DesiredStateRevision: c.desiredState.Revision, ServersRevision: c.servers.Revision(), NewerVM: c.newerConfiguration.VM(c.fleet, c.desiredState.Version(), now),
 		RelaysStore:  c.fleet.IsRelay(now),
-		StoreReaders: c.fleet.StoreReaders(now), ShareHolders: c.fleet.ShareHolders(now), PropagationTime: c.fleet.PropagationTime(),
+		StoreReaders: c.fleet.StoreReaders(now), RecentVMs: c.fleet.RecentVMs(now), PropagationTime: c.fleet.PropagationTime(),
 		NoServers: c.options.Links.Lost(),
 	}
 	if v.NoServers {
 		v.Helpers = c.fleet.Helpers(now)
 	}
-	c.sharesLog.Record(v.FleetSize, len(v.ShareHolders), 1, shares)
+	c.sharesLog.Record(h, shares)
+	c.options.Tokens.Update(v)
 	c.snapshot.Store(v)
 }
 
--- a/internal/process/psdiscovery/discovery.go
+++ b/internal/process/psdiscovery/discovery.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"persimmonstep/internal/process/psfleet"
 	"persimmonstep/internal/process/psmessage"
@@ -53,8 +54,8 @@
 	// FirstStart states that the whole fleet starts for the first time.
 	FirstStart bool
 	Store      Store
-	// Apply applies what other VMs have published, by VM name.
-	Apply func(rows map[string][]byte)
+	// Apply applies what VMs have published, by VM name. complete states that this VM had been published when that was read.
+	Apply func(rows map[string][]byte, complete bool)
 	// FleetSize returns the number of known VMs.
 	FleetSize func() int
 	Logger    hclog.Logger
@@ -66,19 +67,25 @@
 type Discovery struct {
 	options   Options
 	published bool
+	// owner states that this VM owns a part of the fleet's limits.
+	owner bool
+	// writing is held while this VM is published. ended is set once it has published its heir, and publishes nothing more.
+	writing sync.Mutex
+	ended   bool
 	// known is the revision up to which published VMs are known; zero if all must be read.
 	known psrevision.Revision
 	// lastRead is the revision of the last successful read.
 	lastRead  psrevision.Revision
 	attempted chan struct{}
 	once      sync.Once
-	// restored receives a value after the store was restored from a backup.
-	restored chan struct{}
+	// restored receives a value after the store was restored from a backup, and confirmed once this VM owns a part of the
+	// fleet's limits.
+	restored, confirmed chan struct{}
 }
 
 // New returns a discovery that knows no other VM.
 func New(o Options) *Discovery {
-	return &Discovery{options: o, attempted: make(chan struct{}), restored: make(chan struct{}, 1)}
+	return &Discovery{options: o, attempted: make(chan struct{}), restored: make(chan struct{}, 1), confirmed: make(chan struct{}, 1)}
 }
 
 // Attempted returns a channel that is closed once published VMs were applied or could not be read. At
@@ -113,6 +120,29 @@
 	}
 }
 
+// PublishOwner publishes that this VM owns a part of the fleet's limits, after a random delay that spreads the writes.
+func (d *Discovery) PublishOwner() {
+	select {
+	case d.confirmed <- struct{}{}:
+	default:
+	}
+}
+
+// PublishHeir publishes that this VM, which ends, has left its part of the fleet's limits to another VM. It fails while this VM is being
+// published, since the grace period doesn't wait for that.
+func (d *Discovery) PublishHeir(ctx context.Context, heir string) error {
+	if !d.writing.TryLock() {
+		return errors.New("publish heir: this VM is being published")
+	}
+	defer d.writing.Unlock()
+	value, err := json.Marshal(psmessage.PublishedVM{Identity: d.options.Self, Heir: heir})
+	if err != nil {
+		return err
+	}
+	d.ended = true
+	return d.options.Store.PublishVM(ctx, d.options.Self.VM, value)
+}
+
 // wait waits until the next read. After a restore of the store all VMs publish themselves again, each
 // after a random delay that spreads the writes.
 func (d *Discovery) wait(ctx context.Context, delay time.Duration) {
@@ -123,6 +153,19 @@
 		d.published = false
 		d.known = psrevision.Revision{}
 		pswait.Sleep(ctx, time.Duration(rand.Float64()*float64(republishWindow)))
+	case <-d.confirmed:
+		d.published, d.owner = false, true
+		pswait.Sleep(ctx, time.Duration(rand.Float64()*float64(republishWindow)))
+		d.publishAlone(ctx)
+	}
+}
+
+// publishAlone publishes this VM without reading the others. If that fails, the next exchange does so.
+func (d *Discovery) publishAlone(ctx context.Context) {
+	limited, stop := platform.WithResponseTimeouts(ctx, responseTimeout, bodyTimeout)
+	defer stop()
+	if err := d.publish(limited); err != nil {
+		d.options.Logger.Debug("publishing this VM failed", "error", err.Error())
 	}
 }
 
@@ -167,11 +210,22 @@
 		d.HandleRestore()
 	}
 	d.lastRead = v.Revision
-	d.options.Apply(v.Rows)
+	d.readOwn(v.Rows)
+	d.options.Apply(v.Rows, d.published)
 	d.once.Do(func() { close(d.attempted) })
 	return nil
 }
 
+// readOwn keeps what an earlier process of this VM has published: that it owns a part of the fleet's limits.
+func (d *Discovery) readOwn(rows map[string][]byte) {
+	value, found := rows[d.options.Self.VM]
+	if !found {
+		return
+	}
+	own, err := psmessage.DecodePublishedVM(value)
+	d.owner = d.owner || err == nil && own.OwnsPart()
+}
+
 func (d *Discovery) fetch(ctx context.Context) (platform.VMs, error) {
 	if d.known.IsZero() {
 		return d.options.Store.VMs(ctx)
@@ -181,10 +235,12 @@
 
 // publish publishes this VM unless that was done already.
 func (d *Discovery) publish(ctx context.Context) error {
-	if d.published {
+	d.writing.Lock()
+	defer d.writing.Unlock()
+	if d.published || d.ended {
 		return nil
 	}
-	value, err := json.Marshal(d.options.Self)
+	value, err := json.Marshal(psmessage.PublishedVM{Identity: d.options.Self, Owner: d.owner})
 	if err != nil {
 		return err
 	}
--- a/internal/process/psdiscovery/discovery_test.go
+++ b/internal/process/psdiscovery/discovery_test.go
@@ -53,7 +53,7 @@
 func start(t *testing.T, s *recordingStore, firstStart bool, fleet int) *psdiscovery.Discovery {
 	t.Helper()
 	d := psdiscovery.New(psdiscovery.Options{
-		Self: psmessage.Identity{VM: "vm-1"}, FirstStart: firstStart, Store: s, Apply: func(map[string][]byte) {},
+		Self: psmessage.Identity{VM: "vm-1"}, FirstStart: firstStart, Store: s, Apply: func(map[string][]byte, bool) {},
 		FleetSize: func() int { return fleet }, Logger: hclog.NewNullLogger(), Now: time.Now,
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -96,7 +96,7 @@
 		all := map[string]bool{}
 		d := psdiscovery.New(psdiscovery.Options{
 			Self: psmessage.Identity{VM: name}, Store: s, FleetSize: func() int { return 300 }, Logger: hclog.NewNullLogger(), Now: time.Now,
-			Apply: func(rows map[string][]byte) {
+			Apply: func(rows map[string][]byte, _ bool) {
 				for n := range rows {
 					all[n] = true
 				}
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -102,9 +102,12 @@
 	// ControlStateApplied reports that this VM, without access to the store, applied the control state of a VM that
 	// reads the store.
 	ControlStateApplied = Event{7304, hclog.Info, "control state of another VM applied", []string{"vm", "version", "servers", "age"}}
-	// SharesChanged reports on how many of the known VMs this VM counts when it takes its shares of the fleet's limits, and
-	// the fraction of each limit to which their shares add up. It also names the workspace of which it has the largest share.
+	// SharesChanged reports into how many parts this VM divides the fleet's limits, how many VMs share its own part with it, and
+	// the fraction of each limit to which the parts add up that it may use together with others. It also names the workspace of
+	// which it has the largest share.
 	SharesChanged = Event{7305, hclog.Info, "shares of the fleet's limits changed", []string{"known", "sharers", "fraction", "workspace", "largest"}}
+	// PartLeft reports that this VM, which ends, leaves its part of the fleet's limits to another VM.
+	PartLeft = Event{7306, hclog.Info, "part of the fleet's limits left to another VM", []string{"heir"}}
 
 	// RequestAnswered reports the outcome of a request that a backend server answered.
 	RequestAnswered = Event{7401, hclog.Info, "request answered", requestFields}
@@ -141,7 +144,7 @@
 		ConfigurationApplied, ConfigurationRejected, RowUnreadable, EvacuationChanged, StoreUnavailable, StoreAvailable, ConfigurationPartUnknown, StoreRestored, DesiredStateStale, TableRead, ServersStale,
 		ServerRegistered, ServerDraining, ServerRemoved, ServerRetained, ServerFailed, ServerRecovered, ServerLeaving, ServerPaused, ServerEntryStale, ServerLimited, ServerUnlimited, ServerTokensGranted,
 		ServerLinksLost, ServerLinksRestored, ServerDisputed, ServerEntryInvalid, ServerDeparted,
-		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied, SharesChanged,
+		PeerLive, PeerSilent, MessageUnreadable, ControlStateApplied, SharesChanged, PartLeft,
 		RequestAnswered, RequestRejected, RequestFailed, RequestCanceled, ResponseTruncated, CrashCounted, ResponseInvalid,
 		ConnectionClosed, HeadRefused, HandlerFailed,
 	}
--- a/internal/process/psfleet/digest.go
+++ b/internal/process/psfleet/digest.go
@@ -50,8 +50,11 @@
 }
 
 // DigestInterval returns the time between the digests of one sender.
-func (f *Fleet) DigestInterval() time.Duration {
-	return max(minDigestInterval, min(MaxDigestInterval, time.Duration(f.Size())*digestIntervalPerVM))
+func (f *Fleet) DigestInterval() time.Duration { return DigestIntervalOf(f.Size()) }
+
+// DigestIntervalOf returns the time between the digests of one sender in a fleet of a number of VMs.
+func DigestIntervalOf(vms int) time.Duration {
+	return max(minDigestInterval, min(MaxDigestInterval, time.Duration(vms)*digestIntervalPerVM))
 }
 
 // PropagationTime returns the time within which a report reaches all VMs.
--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -2,8 +2,8 @@
 //
 // VMs publish their identity and addresses in the platform's store. From then on they send each
 // other periodic reports, which serve as heartbeats. A VM is live while its reports are recent. A VM
-// without recent reports may have failed or may only be unreachable, so its share of the
-// fleet-wide limits stays reserved until a longer timeout has passed.
+// without recent reports may have failed or may only be unreachable; package pslease says what that means for
+// the limits of the fleet.
 //
 // If every VM sent reports to every other one, the traffic per VM would grow with the size of the
 // fleet. In a large fleet VMs therefore send reports within their own failure domain only. The
@@ -19,6 +19,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"persimmonstep/internal/process/psmessage"
 )
 
@@ -35,10 +37,10 @@
 	liveIntervals  = 2
 	// liveSlack is added to the timeout to allow for network delay.
 	liveSlack = 300 * time.Millisecond
-	// reserveTimeout is how long the share of a silent VM stays reserved. In a large fleet it is at
-	// least reserveIntervals report intervals.
-	reserveTimeout   = 10 * time.Second
-	reserveIntervals = 4
+	// recentTimeout is how long a silent VM counts as one that may be there, to which notices are sent. In a large fleet
+	// it is at least recentIntervals report intervals.
+	recentTimeout   = 10 * time.Second
+	recentIntervals = 4
 	// forgetTimeout is how long a silent VM counts as a member of the fleet. Regions may lose each other for an hour;
 	// a VM that is silent for longer was removed.
 	forgetTimeout = 2 * time.Hour
@@ -58,6 +60,26 @@
 	ReceivedAt time.Time
 	// DiscoveredAt is when the VM became known.
 	DiscoveredAt time.Time
+	// publishedOwner states that the VM was published as an owner of a part of the fleet's limits.
+	publishedOwner bool
+}
+
+// OwnsPart reports whether the VM owns a part of the fleet's limits, by its last report or by what it has published.
+func (p *Peer) OwnsPart() bool {
+	return p.publishedOwner || p.Report != nil && (p.Report.Lease == nil || !p.Report.Lease.Guest)
+}
+
+// Ended reports whether the VM's process has ended, according to its last report.
+func (p *Peer) Ended() bool {
+	return p.Report != nil && p.Report.Lease != nil && p.Report.Lease.Ended
+}
+
+// Heir returns the VM to which this one has left its part of the fleet's limits; empty if there is none.
+func (p *Peer) Heir() string {
+	if p.Report == nil || p.Report.Lease == nil {
+		return ""
+	}
+	return p.Report.Lease.Heir
 }
 
 // Fleet holds the peers that one VM knows. It isn't safe for concurrent use.
@@ -65,15 +87,32 @@
 	self  psmessage.Identity
 	peers map[string]*Peer
 	// sorted holds the peers by name, domains those of each failure domain, and addresses their addresses. All are
-	// caches: sorted is nil after a peer was added, the others also after the identity of one has changed.
+	// caches, which are nil after a change of the peers.
 	sorted    []*Peer
 	domains   map[string][]*Peer
 	addresses map[netip.AddrPort]bool
+	// heirs are the VMs that were published as heirs of others.
+	heirs map[string]bool
+	// generation counts the changes of the peers' identities.
+	generation int64
 }
 
 // New returns the fleet of a VM that knows no peers.
 func New(self psmessage.Identity) *Fleet {
-	return &Fleet{self: self, peers: make(map[string]*Peer)}
+	return &Fleet{self: self, peers: make(map[string]*Peer), heirs: make(map[string]bool)}
+}
+
+// AddPublished adds a peer that was published in the store.
+func (f *Fleet) AddPublished(v psmessage.PublishedVM, now time.Time) {
+	f.AddIdentity(v.Identity, now)
+	if v.Heir != "" {
+		f.heirs[v.Heir] = true
+	}
+	for name, owner := range map[string]bool{v.VM: v.OwnsPart() || f.heirs[v.VM], v.Heir: true} {
+		if p, found := f.peers[name]; found {
+			p.publishedOwner = p.publishedOwner || owner
+		}
+	}
 }
 
 // AddIdentity adds a peer, or updates its identity to a newer incarnation.
@@ -84,15 +123,27 @@
 	p, found := f.peers[i.VM]
 	if !found {
 		f.peers[i.VM] = &Peer{Identity: i, DiscoveredAt: now}
-		f.sorted, f.domains, f.addresses = nil, nil, nil
+		f.changed()
 		return
 	}
 	if i.Incarnation > p.Identity.Incarnation {
 		p.Identity = i
-		f.domains, f.addresses = nil, nil
+		f.changed()
 	}
 }
 
+// changed drops the caches after a change of the peers' identities.
+func (f *Fleet) changed() {
+	f.sorted, f.domains, f.addresses = nil, nil, nil
+	f.generation++
+}
+
+// Generation returns a number that increases with each change of the peers' identities.
+func (f *Fleet) Generation() int64 { return f.generation }
+
+// Self returns this VM.
+func (f *Fleet) Self() psmessage.Identity { return f.self }
+
 // ApplyReport updates a peer from a report. It returns the peer's previous state, and false for outdated
 // reports and for brief ones of an unknown process.
 func (f *Fleet) ApplyReport(r *psmessage.Report, now time.Time) (Peer, bool) {
@@ -113,6 +164,7 @@
 	previous := *p
 	p.Identity = r.Identity
 	p.Report = r
+	p.publishedOwner = p.publishedOwner && p.Heir() == ""
 	p.ReceivedAt = now
 	return previous, true
 }
@@ -143,6 +195,30 @@
 	return max(baseReportInterval, time.Duration(receivers)*reportIntervalPerVM)
 }
 
+// startTime is how long a VM that starts reports more often, startReportInterval the time between its reports, and
+// startDigestInterval that between its digests. VMs that start together then get their parts of the fleet's limits soon.
+const (
+	startTime           = 3 * time.Second
+	startReportInterval = 50 * time.Millisecond
+	startDigestInterval = 200 * time.Millisecond
+)
+
+// NextReport returns the time until the next report of this VM, which started some time ago.
+func (f *Fleet) NextReport(age time.Duration) time.Duration {
+	if age < startTime {
+		return startReportInterval
+	}
+	return f.ReportInterval()
+}
+
+// NextDigest returns the time until the next digest of this VM, which started some time ago.
+func (f *Fleet) NextDigest(age time.Duration) time.Duration {
+	if age < startTime {
+		return startDigestInterval
+	}
+	return f.DigestInterval()
+}
+
 // Listens reports whether another VM listens at an address.
 func (f *Fleet) Listens(a netip.AddrPort) bool {
 	if f.addresses == nil {
@@ -164,12 +240,12 @@
 
 // Live reports whether the last report of a VM is recent.
 func (f *Fleet) Live(p *Peer, now time.Time) bool {
-	return p.Report != nil && now.Sub(p.ReceivedAt) < f.liveTimeout(p)
+	return p.Report != nil && now.Sub(p.ReceivedAt) < f.LiveTimeout(p)
 }
 
-// liveTimeout is the time after its last report for which a VM counts as live. It is longer for VMs of
+// LiveTimeout is the time after its last report for which a VM counts as live. It is longer for VMs of
 // other failure domains, whose reports arrive in digests.
-func (f *Fleet) liveTimeout(p *Peer) time.Duration {
+func (f *Fleet) LiveTimeout(p *Peer) time.Duration {
 	span := max(minLiveTimeout, liveIntervals*f.ReportInterval()) + liveSlack
 	if f.Hierarchical() && p.Identity.FailureDomain != f.self.FailureDomain {
 		span += time.Duration(liveDigestIntervals * float64(f.DigestInterval()))
@@ -177,13 +253,50 @@
 	return span
 }
 
-// Reserved reports whether a VM may still use its share of the fleet-wide limits.
-func (f *Fleet) Reserved(p *Peer, now time.Time) bool {
-	return p.silence(now) < max(reserveTimeout, reserveIntervals*f.ReportInterval())
+// LongestLiveTimeout is the time after its last report for which any VM counts as live at most.
+func (f *Fleet) LongestLiveTimeout() time.Duration {
+	return f.LiveTimeout(&Peer{Identity: psmessage.Identity{FailureDomain: anotherDomain}})
+}
+
+// anotherDomain is the name of no failure domain.
+const anotherDomain = ""
+
+// Peer returns another VM by its name.
+func (f *Fleet) Peer(name string) (*Peer, bool) {
+	p, found := f.peers[name]
+	return p, found
+}
+
+// Names returns the names of peers. A failure domain whose peers are all among them is listed in place of its VMs.
+func (f *Fleet) Names(peers []*Peer) psmessage.Names {
+	var n psmessage.Names
+	counts := lo.CountValuesBy(peers, func(p *Peer) string { return p.Identity.FailureDomain })
+	for _, p := range peers {
+		d := p.Identity.FailureDomain
+		switch {
+		case d == f.self.FailureDomain || counts[d] < len(f.byDomain()[d]):
+			n.VMs = append(n.VMs, p.Identity.VM)
+		case !slices.Contains(n.FailureDomains, d):
+			n.FailureDomains = append(n.FailureDomains, d)
+		}
+	}
+	return n
+}
+
+// Age makes all that is known of the other VMs older, after the monotonic clock did not go on for some time.
+func (f *Fleet) Age(d time.Duration) {
+	for _, p := range f.peers {
+		p.ReceivedAt, p.DiscoveredAt = p.ReceivedAt.Add(-d), p.DiscoveredAt.Add(-d)
+	}
+}
+
+// Recent reports whether a VM was heard or discovered recently. It may have been restarted since.
+func (f *Fleet) Recent(p *Peer, now time.Time) bool {
+	return p.Silence(now) < max(recentTimeout, recentIntervals*f.ReportInterval())
 }
 
-// silence returns the time since a VM's last report, or since it became known if it has sent none.
-func (p *Peer) silence(now time.Time) time.Duration {
+// Silence returns the time since a VM's last report, or since it became known if it has sent none.
+func (p *Peer) Silence(now time.Time) time.Duration {
 	if p.Report == nil {
 		return now.Sub(p.DiscoveredAt)
 	}
@@ -194,18 +307,17 @@
 // a VM published after its end.
 func (f *Fleet) Forget(now time.Time) {
 	before := len(f.peers)
-	maps.DeleteFunc(f.peers, func(_ string, p *Peer) bool { return p.silence(now) > forgetTimeout })
+	maps.DeleteFunc(f.peers, func(_ string, p *Peer) bool { return p.Silence(now) > forgetTimeout })
 	if len(f.peers) != before {
-		f.sorted, f.domains, f.addresses = nil, nil, nil
+		f.changed()
 	}
 }
 
-// ShareHolders returns this VM, first, and the VMs that may still use their share of the fleet-wide
-// limits.
-func (f *Fleet) ShareHolders(now time.Time) []psmessage.Identity {
+// RecentVMs returns this VM, first, and the VMs that were heard or discovered recently.
+func (f *Fleet) RecentVMs(now time.Time) []psmessage.Identity {
 	list := []psmessage.Identity{f.self}
 	for _, p := range f.Peers() {
-		if f.Reserved(p, now) {
+		if f.Recent(p, now) {
 			list = append(list, p.Identity)
 		}
 	}
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -24,13 +24,13 @@
 	f.AddIdentity(identity("vm-2", 1), startTime)
 	p := f.Peers()[0]
 	qt.Assert(t, f.Live(p, startTime), qt.IsFalse)
-	qt.Assert(t, f.Reserved(p, startTime), qt.IsTrue)
+	qt.Assert(t, f.Recent(p, startTime), qt.IsTrue)
 	_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-2", 1), Sequence: 1}, startTime)
 	qt.Assert(t, fresh, qt.IsTrue)
 	qt.Assert(t, f.Live(p, startTime.Add(time.Second)), qt.IsTrue)
 	qt.Assert(t, f.Live(p, startTime.Add(2*time.Second)), qt.IsFalse)
-	qt.Assert(t, f.Reserved(p, startTime.Add(5*time.Second)), qt.IsTrue)
-	qt.Assert(t, f.Reserved(p, startTime.Add(11*time.Second)), qt.IsFalse)
+	qt.Assert(t, f.Recent(p, startTime.Add(5*time.Second)), qt.IsTrue)
+	qt.Assert(t, f.Recent(p, startTime.Add(11*time.Second)), qt.IsFalse)
 }
 
 // TestReplacedVMsLeaveTheFleet guards against limits that shrink with each VM that was ever replaced: an owner of tokens
@@ -72,9 +72,9 @@
 	qt.Assert(t, f.ReportInterval() > time.Second, qt.IsTrue)
 }
 
-func TestDecodeIdentityRejectsInvalidIdentities(t *testing.T) {
+func TestDecodePublishedVMRejectsInvalidIdentities(t *testing.T) {
 	for _, text := range []string{"", "{}", `{"vm":"a"}`, `{"vm":1}`} {
-		_, err := psmessage.DecodeIdentity([]byte(text))
+		_, err := psmessage.DecodePublishedVM([]byte(text))
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
 }
@@ -146,7 +146,7 @@
 	qt.Assert(t, live(lost.Add(3200*time.Millisecond)), qt.Equals, 61)
 	reserved := 0
 	for _, p := range f.Peers() {
-		if f.Reserved(p, lost.Add(9*time.Second)) {
+		if f.Recent(p, lost.Add(9*time.Second)) {
 			reserved++
 		}
 	}
--- a/internal/process/psfleet/role.go
+++ b/internal/process/psfleet/role.go
@@ -10,13 +10,13 @@
 
 // IsRelay reports whether this VM is the relay of its region, which announces the store's changes to the
 // other VMs: no VM before it in the order is live and reads the store. A known VM that has sent no report yet
-// counts as one that does, for as long as its share is reserved.
+// counts as one that does, for as long as it was discovered recently.
 func (f *Fleet) IsRelay(now time.Time) bool {
 	for _, p := range f.Peers() {
 		if p.Identity.Region != f.self.Region || !p.Identity.Before(f.self) {
 			continue
 		}
-		if f.Live(p, now) && p.Report.ReadsStore || p.Report == nil && f.Reserved(p, now) {
+		if f.Live(p, now) && p.Report.ReadsStore || p.Report == nil && f.Recent(p, now) {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/process/pslease/book.go
@@ -0,0 +1,125 @@
+// Package pslease divides the limits of the fleet among its VMs, so that what all VMs may use together is at most the limit at
+// any time.
+//
+// Each VM owns an equal part of each limit and lends it to the VMs whose reports it receives, so that a limit can be used where
+// its demand is. A VM that is cut off, or has failed, keeps its part: the others can't tell one from the other, and those on
+// the other side of a partition use theirs.
+//
+// A lease ends by the clocks of both sides. The borrower stops when it no longer hears the lender, or is told that the lender
+// doesn't hear it. The lender excludes a silent VM only after a time in which one of the two must have happened. Whoever enters a
+// group, or is picked by it, waits until all members must have received the lender's report of that.
+//
+// How the VMs of a group split its parts is up to packages psrate and psshare. They count on the demands that a VM reported
+// within the [Group]'s window, as any member may rely on a report of that age.
+package pslease
+
+import (
+	"math"
+	"time"
+
+	"persimmonstep/internal/process/psfleet"
+	"persimmonstep/internal/process/psmessage"
+)
+
+const (
+	// messageDelay is the longest time that a report takes, beside the time that a VM needs to send it.
+	messageDelay = 100 * time.Millisecond
+	// exclusionSlack is added to the time after which a silent VM is excluded, for slow processes.
+	exclusionSlack = time.Second
+	// orphanTime is how long guests must hear no owner until they share the limits among themselves. Whether the owners are gone
+	// or cut off can't be told, but the limits would be out of use otherwise.
+	orphanTime = time.Minute
+	// maxSets bounds the sets of members that are kept.
+	maxSets = 64
+	// unbounded is the window of a group with a member that may rely on any report of this VM.
+	unbounded = time.Duration(math.MaxInt64 / 2)
+)
+
+// Book is one VM's record of the leases. It isn't safe for concurrent use.
+type Book struct {
+	self      psmessage.Identity
+	startedAt time.Time
+	// guest is set while other VMs may not count this one as an owner.
+	guest bool
+	// owners are the other VMs that own a part, or may soon own one, and ownersHash identifies them and this VM, if that
+	// is counted as well.
+	owners     map[string]bool
+	ownersHash uint32
+	// heardOwnerAt is when the last report of an owner arrived.
+	heardOwnerAt time.Time
+	// ended states that this VM ends, and heir is the VM to which it has left its part; empty if there is none. bequests are those
+	// of other VMs, by name, and inheritedAt is when this VM got a part; zero if it has got none.
+	ended       bool
+	heir        string
+	bequests    map[string]bequest
+	inheritedAt time.Time
+
+	own     term
+	lenders map[string]*lender
+	// sets holds the members of groups by the group's hash, for the fleet's generation.
+	sets       map[uint32]*set
+	generation int64
+	// parts is the number of parts of each limit, as counted at partsCountedAt by this VM or another one.
+	parts          int
+	partsCountedAt time.Time
+	// formerParts is the number of parts before the last changes, the last of which was at partsChangedAt; 0 once all VMs know
+	// of them. bothParts states that this VM goes by both.
+	formerParts    int
+	bothParts      bool
+	partsChangedAt time.Time
+	statement      psmessage.Lease
+	// first states that no earlier process of this VM can have lent a part. stated is set once other VMs may have received a
+	// statement.
+	first, stated bool
+	// aloneIn holds, by VM, the incarnation in which it stated that no VM lends it its part.
+	aloneIn map[string]int64
+	// windows are the windows of groups at the last update.
+	windows map[*set]time.Duration
+}
+
+// New returns the book of a VM that starts now, as a guest.
+func New(self psmessage.Identity, now time.Time) *Book {
+	return &Book{
+		self: self, startedAt: now, guest: true, owners: map[string]bool{}, bequests: map[string]bequest{}, heardOwnerAt: now,
+		lenders: map[string]*lender{}, sets: map[uint32]*set{}, aloneIn: map[string]int64{},
+	}
+}
+
+// Confirm records that an earlier process of this VM owned a part. All other VMs count it as an owner.
+func (b *Book) Confirm() { b.guest = false }
+
+// Guest reports whether this VM has no part of its own, because other VMs may not count it as an owner yet.
+func (b *Book) Guest() bool { return b.guest }
+
+// Statement returns what this VM states in its reports, as of the last update.
+func (b *Book) Statement() psmessage.Lease { return b.statement }
+
+// Update brings the book up to date with the fleet, and returns what this VM may use. complete states that all published VMs
+// were read since this VM was published. If an earlier process of it owned a part, it must have been confirmed before.
+func (b *Book) Update(f *psfleet.Fleet, complete bool, now time.Time) Holding {
+	if g := f.Generation(); g != b.generation || len(b.sets) > maxSets {
+		b.generation = g
+		clear(b.sets)
+	}
+	b.windows = map[*set]time.Duration{}
+	b.first = b.first || complete && b.guest
+	b.noteAlone(f)
+	counted := b.updateOwners(f, complete, now)
+	b.updateParts(f, counted, now)
+	b.updateStatement(f, now)
+	b.updateOwn(f, now)
+	if b.guest && !b.ended && (b.hasInherited(f, now) || counted && b.isCounted(f, now)) {
+		b.guest = false
+		b.statement.Guest = false
+	}
+	b.updateLenders(f, now)
+	if b.ended {
+		return Holding{Parts: b.parts, DecisiveParts: []int{b.parts}, Since: b.own.since}
+	}
+	return b.hold(f, now)
+}
+
+// hears reports whether this VM hears another one, and that hasn't ended.
+func hears(f *psfleet.Fleet, p *psfleet.Peer, now time.Time) bool {
+	return f.Live(p, now) && !p.Ended()
+}
--- a/internal/process/psmessage/build_test.go
+++ b/internal/process/psmessage/build_test.go
@@ -107,6 +107,13 @@
 	case *psmessage.Report:
 		m.Features = psmessage.CurrentFeatures
 		m.Departed = []psmessage.Departure{{Run: psserver.Run{ID: "i-1", Incarnation: 1700000000123}, Sequence: 9, Removed: true}}
+		m.Lease = &psmessage.Lease{
+			Parts: 9, Owners: 4000000001, FormerParts: 8, Guest: true, Ended: true, Heir: "vm-3", Alone: true, Earlier: true,
+			Group: 4000000002, Settled: true, Excluded: psmessage.Names{VMs: []string{"vm-4"}, FailureDomains: []string{"south-a"}},
+			Silent: psmessage.Names{VMs: []string{"vm-5"}}, Lag: 251,
+		}
+	case *psmessage.TokenResponse:
+		m.NotOwner = true
 	case *psmessage.Digest:
 		for i := range m.Reports {
 			addFeatures(&m.Reports[i].Report)
@@ -122,6 +129,10 @@
 		members, found := got.(map[string]any)
 		qt.Assert(t, found, qt.IsTrue, qt.Commentf("%s", path))
 		for name, v := range want {
+			if name == "features" {
+				requireFeatures(t, path, v, members[name])
+				continue
+			}
 			requireSubset(t, path+"."+name, v, members[name])
 		}
 	case []any:
@@ -135,6 +146,14 @@
 	}
 }
 
+// requireFeatures fails the test unless a set of features has all of another one. Earlier builds ignore those that they don't know.
+func requireFeatures(t *testing.T, path string, want, got any) {
+	t.Helper()
+	all, _ := got.(float64)
+	known, found := want.(float64)
+	qt.Check(t, found && psmessage.Features(all).Has(psmessage.Features(known)), qt.IsTrue, qt.Commentf("%s: features %v, want those of %v", path, got, want))
+}
+
 // TestMessageChangesUnnoticed compares the messages of this build with the files that the next build will be tested
 // against.
 func TestMessageChangesUnnoticed(t *testing.T) {
--- a/internal/process/psmessage/feature.go
+++ b/internal/process/psmessage/feature.go
@@ -14,10 +14,12 @@
 	// Departures VMs apply what others have read in the store of servers that leave. To other VMs such servers are named as
 	// leaving.
 	Departures
+	// Leases VMs state in their reports what they lend of the fleet's limits, and publish whether they own a part of them.
+	Leases
 )
 
 // CurrentFeatures are those of this build.
-const CurrentFeatures = Forwarding | LinkState | Departures
+const CurrentFeatures = Forwarding | LinkState | Departures | Leases
 
 // Has reports whether all of the given features are stated.
 func (f Features) Has(wanted Features) bool { return f&wanted == wanted }
--- a/internal/process/psmessage/identity.go
+++ b/internal/process/psmessage/identity.go
@@ -6,7 +6,6 @@
 package psmessage
 
 import (
-	"encoding/json"
 	"math"
 	"net/netip"
 	"time"
@@ -91,12 +90,3 @@
 
 // IsBrief reports whether the identity has only these fields.
 func (i Identity) IsBrief() bool { return i.VM != "" && i.Incarnation != 0 && i == i.Brief() }
-
-// DecodeIdentity decodes and validates a published identity.
-func DecodeIdentity(data []byte) (Identity, error) {
-	var i Identity
-	if err := json.Unmarshal(data, &i); err != nil {
-		return Identity{}, errors.Wrap(err, "decode VM identity")
-	}
-	return i, i.Check()
-}
--- a/internal/process/psmessage/report.go
+++ b/internal/process/psmessage/report.go
@@ -36,6 +36,8 @@
 	// Slow lists servers that are slower than the others of their service, with their lag: the response
 	// time as a multiple of the longest expected one.
 	Slow map[string]float64 `json:"slow,omitempty"`
+	// Lease is what the VM states of its part of the fleet's limits; nil in reports of earlier builds.
+	Lease *Lease `json:"lease,omitempty"`
 }
 
 const (
@@ -65,6 +67,11 @@
 			return errors.New("check report: sequence of a departure is negative")
 		}
 	}
+	if r.Lease != nil {
+		if err := r.Lease.Check(); err != nil {
+			return errors.Wrap(err, "check report")
+		}
+	}
 	if r.Sequence < 0 || r.Sequence > maxSequence || r.Version < 0 {
 		return errors.New("check report: sequence or version is out of range")
 	}
--- a/internal/process/psmessage/token.go
+++ b/internal/process/psmessage/token.go
@@ -62,6 +62,8 @@
 // TokenResponse answers a [TokenRequest].
 type TokenResponse struct {
 	Granted bool `json:"granted"`
+	// NotOwner is set if the VM doesn't own the tokens now.
+	NotOwner bool `json:"notOwner,omitempty"`
 	// Wait is the time until the next token is available.
 	Wait time.Duration `json:"wait,omitempty"`
 	// Excess is set if the demand has exceeded the rate for a sustained time.
--- a/internal/process/psmetric/metric.go
+++ b/internal/process/psmetric/metric.go
@@ -40,6 +40,9 @@
 	serverLimit          = prometheus.NewDesc(namespace+"_server_limit_per_second", "The requests per second that a backend server takes from all VMs, where it names a limit.", []string{"service", "server"}, nil)
 	serverSent           = prometheus.NewDesc(namespace+"_server_sent_total", "Requests and probes that this VM sent to a backend server that names a limit.", []string{"service", "server"}, nil)
 	vms                  = prometheus.NewDesc(namespace+"_vms", "VMs by state: directed ones take callers, known ones may be in use.", []string{"state"}, nil)
+	limitParts           = prometheus.NewDesc(namespace+"_limit_parts", "The parts into which the fleet's limits are divided.", nil, nil)
+	limitFraction        = prometheus.NewDesc(namespace+"_limit_fraction", "Fraction of the fleet's limits, by use: own is this VM's part, group what it may use together with others.", []string{"use"}, nil)
+	workspaceShare       = prometheus.NewDesc(namespace+"_workspace_share", "This VM's share of the rate of a workspace.", []string{"workspace"}, nil)
 )
 
 // Collector collects the metrics of a VM. It implements [prometheus.Collector].
@@ -53,7 +56,7 @@
 
 // Describe sends the descriptors of all metrics.
 func (*Collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{ready, storeLost, storeSilence, serverLinksLost, configurationVersion, configurationUnknown, storeEra, serversAge, servers, serverLimit, serverSent, vms} {
+	for _, d := range []*prometheus.Desc{ready, storeLost, storeSilence, serverLinksLost, configurationVersion, configurationUnknown, storeEra, serversAge, servers, serverLimit, serverSent, vms, limitParts, limitFraction, workspaceShare} {
 		out <- d
 	}
 }
@@ -72,6 +75,12 @@
 		gauge(configurationVersion, float64(s.Index.Configuration.Version))
 		gauge(configurationUnknown, float64(len(s.Index.Configuration.Unknown)))
 	}
+	gauge(limitParts, float64(s.Holding.Parts))
+	gauge(limitFraction, s.Holding.Part(), "own")
+	gauge(limitFraction, s.Holding.Total(), "group")
+	for name, share := range s.RateShares {
+		gauge(workspaceShare, share, name)
+	}
 	desiredState, entries := s.Eras()
 	gauge(storeEra, float64(desiredState), "orders")
 	gauge(storeEra, float64(entries), "servers")
--- a/internal/process/psmetric/metric_test.go
+++ b/internal/process/psmetric/metric_test.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psmetric"
 	"persimmonstep/internal/process/psserver"
@@ -43,7 +44,8 @@
 	servers[0].CountSent()
 	s := source{&pssnapshot.Snapshot{
 		Index: psconfig.NewIndex(&psconfig.Configuration{Version: 7}), Servers: map[string][]*psserver.Server{"prices": servers},
-		ServersReadAt: readAt, FleetSize: 3, VMs: []pssnapshot.VM{{Name: "vm-1"}, {Name: "vm-2"}},
+		Holding:    pslease.Holding{Parts: 3, Groups: []pslease.Group{{Own: 0.25, Delegated: 0.5}}},
+		RateShares: map[string]float64{"trays": 0.75}, ServersReadAt: readAt, FleetSize: 3, VMs: []pssnapshot.VM{{Name: "vm-1"}, {Name: "vm-2"}},
 	}}
 	r := prometheus.NewRegistry()
 	qt.Assert(t, r.Register(psmetric.New(s, func() time.Time { return readAt.Add(2 * time.Second) })), qt.IsNil)
@@ -54,6 +56,13 @@
 # HELP persimmonstep_configuration_version The configuration version in force; 0 before the first.
 # TYPE persimmonstep_configuration_version gauge
 persimmonstep_configuration_version 7
+# HELP persimmonstep_limit_fraction Fraction of the fleet's limits, by use: own is this VM's part, group what it may use together with others.
+# TYPE persimmonstep_limit_fraction gauge
+persimmonstep_limit_fraction{use="group"} 0.75
+persimmonstep_limit_fraction{use="own"} 0.25
+# HELP persimmonstep_limit_parts The parts into which the fleet's limits are divided.
+# TYPE persimmonstep_limit_parts gauge
+persimmonstep_limit_parts 3
 # HELP persimmonstep_ready 1 if the VM takes callers.
 # TYPE persimmonstep_ready gauge
 persimmonstep_ready 1
@@ -88,5 +97,8 @@
 # TYPE persimmonstep_vms gauge
 persimmonstep_vms{state="directed"} 2
 persimmonstep_vms{state="known"} 3
+# HELP persimmonstep_workspace_share This VM's share of the rate of a workspace.
+# TYPE persimmonstep_workspace_share gauge
+persimmonstep_workspace_share{workspace="trays"} 0.75
 `)), qt.IsNil)
 }
--- a/internal/process/psrate/ahead.go
+++ b/internal/process/psrate/ahead.go
@@ -13,7 +13,7 @@
 	if l.Rate <= 0 {
 		return false
 	}
-	b.refill(l, share, now)
+	b.Refill(l, share, now)
 	if b.tokens < wholeToken+aheadReserve*(capacity(l, share)-1) {
 		return false
 	}
--- a/internal/process/psrate/rate_test.go
+++ b/internal/process/psrate/rate_test.go
@@ -17,6 +17,8 @@
 	slack         = 20
 	step          = 10 * time.Millisecond
 	simulatedSpan = 20 * time.Second
+	// exchangeInterval is the time between two reports of a small fleet.
+	exchangeInterval = 250 * time.Millisecond
 )
 
 // grants counts the granted requests of each step.
@@ -36,6 +38,20 @@
 	return most
 }
 
+// shareOf returns the share of a rate for the i-th of some VMs that each own an equal part and lend it to each other. It may count on a
+// demand of its own, and the others have reported theirs.
+func shareOf(rate, own float64, i int, reported []float64) float64 {
+	terms, needs, spares := psrate.NewTerms([]float64{rate}, []int{len(reported)}), 0.0, 0.0
+	for j, d := range reported {
+		if j != i {
+			needs += terms.OtherNeed(d, false)
+			spares += terms.OtherSpare(d)
+		}
+	}
+	need := terms.OwnNeed(own, false)
+	return (terms.Kept(terms.OwnSpare(own), needs) + terms.Borrowed(spares, need, needs+need)) / float64(len(reported))
+}
+
 // TestSplitRatesStayWithinLimit simulates a workspace that sends many times its rate. Its callers move between
 // VMs, and VMs restart. The larger the fleet, the less often VMs exchange demands.
 func TestSplitRatesStayWithinLimit(t *testing.T) {
@@ -69,9 +85,8 @@
 				}
 				if n == 0 || (n+i)%int(exchange/step) == 0 {
 					reported[i] = b.Demand(now)
-					history[i].Record(reported[i])
-					others := append(append([]float64{}, reported[:i]...), reported[i+1:]...)
-					shares[i] = psrate.Share(history[i].Propagated(1), others)
+					history[i].Record(reported[i], now)
+					shares[i] = shareOf(l.Rate, history[i].Propagated(exchange, now), i, reported)
 				}
 				demand := demands[(n/50*vms+i)%len(demands)]
 				if n < onset {
@@ -119,9 +134,8 @@
 		for i, b := range buckets {
 			if n == 0 || (n+phases[i])%int(exchange/step) == 0 {
 				reported[i] = b.Demand(now)
-				history[i].Record(reported[i])
-				others := append(append([]float64{}, reported[:i]...), reported[i+1:]...)
-				shares[i] = psrate.Share(history[i].Propagated(1), others)
+				history[i].Record(reported[i], now)
+				shares[i] = shareOf(l.Rate, history[i].Propagated(exchange, now), i, reported)
 			}
 			for random.Float64() < demand/vms*step.Seconds() {
 				if granted, _ := b.Take(l, shares[i], now); granted {
@@ -183,8 +197,8 @@
 }
 
 func TestWithoutDemandsTheSplitIsEven(t *testing.T) {
-	qt.Assert(t, psrate.Share(0, []float64{0, 0, 0}), qt.Equals, 0.25)
-	qt.Assert(t, psrate.Share(30, []float64{10}) > 0.6, qt.IsTrue)
+	qt.Assert(t, psrate.EarlierShare(0.25, 0.75, 0, 0), qt.Equals, 0.25)
+	qt.Assert(t, psrate.EarlierShare(0.5, 0.5, 30, 40) > 0.6, qt.IsTrue)
 }
 
 func TestTakeReturnsTheWaitForTheNextToken(t *testing.T) {
@@ -199,10 +213,12 @@
 // TestDemandCountsOnlyAfterPropagation simulates a fleet in which a report takes three intervals to reach all VMs.
 func TestDemandCountsOnlyAfterPropagation(t *testing.T) {
 	var d psrate.DemandHistory
+	now := time.Unix(0, 0)
 	for i, v := range []float64{5, 9, 9, 9, 2, 9} {
-		d.Record(v)
+		now = now.Add(exchangeInterval)
+		d.Record(v, now)
 		want := []float64{0, 0, 0, 5, 2, 2}[i]
-		qt.Check(t, d.Propagated(3), qt.Equals, want, qt.Commentf("after %d reports", i+1))
+		qt.Check(t, d.Propagated(3*exchangeInterval, now), qt.Equals, want, qt.Commentf("after %d reports", i+1))
 	}
 }
 
@@ -250,3 +266,67 @@
 	granted, _ = b.Take(l, 1, now)
 	qt.Assert(t, granted, qt.IsFalse)
 }
+
+// TestLentShareFillsBucket guards against a VM that gets back a share that it had lent, and grants the tokens which the borrower has
+// already granted.
+func TestLentShareFillsBucket(t *testing.T) {
+	l := psrate.Limit{Rate: 100, Burst: 200}
+	now := time.Unix(1000, 0)
+	b := psrate.NewBucket(now)
+	b.Refill(l, 0.25, now)
+	now = now.Add(10 * time.Second)
+	b.Refill(l, 1, now)
+	granted := 0
+	for ok := true; ok; granted++ {
+		ok, _ = b.Take(l, 1, now)
+	}
+	qt.Assert(t, granted < 256, qt.IsTrue, qt.Commentf("%d granted at once, 215 are a full bucket", granted))
+}
+
+// TestSplitByNeed covers the split among VMs that each own a quarter of a rate of 400.
+func TestSplitByNeed(t *testing.T) {
+	for name, c := range map[string]struct{ demands, want []float64 }{
+		"no demand":            {[]float64{0, 0, 0, 0}, []float64{1, 1, 1, 1}},
+		"within the own parts": {[]float64{80, 40, 20, 0}, []float64{1, 1, 1, 1}},
+		"alike above the rate": {[]float64{900, 900, 900, 900}, []float64{1, 1, 1, 1}},
+		"one needs more":       {[]float64{300, 0, 0, 0}, []float64{3.25, 0.25, 0.25, 0.25}},
+		"one needs a bit more": {[]float64{100, 0, 0, 0}, []float64{1.5625, 0.8125, 0.8125, 0.8125}},
+	} {
+		for i, own := range c.demands {
+			share := 4 * shareOf(400, own, i, c.demands)
+			qt.Check(t, share, qt.Equals, c.want[i], qt.Commentf("%s: VM %d", name, i))
+		}
+	}
+}
+
+// TestVMsWithDifferentRatesExceedLimit guards against shares that add up to more than a rate while some VMs know of its change, or of that of
+// the number of parts, and others don't yet.
+func TestVMsWithDifferentRatesExceedLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 200), 2, 9).Draw(t, "demands")
+		rates := rapid.SliceOfN(rapid.Float64Range(20, 1000), 2, 2).Draw(t, "rates")
+		parts := []int{len(demands), len(demands) + rapid.IntRange(0, 9).Draw(t, "more")}
+		terms := make([]psrate.Terms, len(demands))
+		for i := range terms {
+			terms[i] = psrate.NewTerms(rates, parts)
+			if rapid.Bool().Draw(t, "outdated") {
+				terms[i] = psrate.NewTerms(rates[:1], parts[:1])
+			}
+		}
+		sum := 0.0
+		for i, own := range demands {
+			needs, spares := 0.0, 0.0
+			for j, d := range demands {
+				if j != i {
+					needs += terms[i].OtherNeed(d, false)
+					spares += terms[i].OtherSpare(d)
+				}
+			}
+			need := terms[i].OwnNeed(own, false)
+			sum += terms[i].Kept(terms[i].OwnSpare(own), needs) + terms[i].Borrowed(spares, need, needs+need)
+		}
+		if sum > float64(len(demands))+1e-9 {
+			t.Fatalf("%.3f of %d parts are used", sum, len(demands))
+		}
+	})
+}
--- a/internal/process/psshare/log.go
+++ b/internal/process/psshare/log.go
@@ -4,29 +4,33 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/process/psevent"
+	"persimmonstep/internal/process/pslease"
 )
 
-// Log logs on which VMs this VM counts for its shares. It isn't safe for concurrent use.
+// Log logs which parts of the fleet's limits this VM may use. It isn't safe for concurrent use.
 type Log struct {
 	logger         hclog.Logger
-	known, sharers int
+	parts, members int
+	// fraction is in percent, so that rounding errors cause no lines.
+	percent int
 }
 
 // NewLog returns a log without a line so far.
 func NewLog(l hclog.Logger) *Log { return &Log{logger: l} }
 
-// Record logs the shares of the workspaces' rates if the number of the known VMs, or of those that share the limits, has
-// changed. fraction is the part of each limit to which the shares of these VMs add up.
-func (g *Log) Record(known, sharers int, fraction float64, shares map[string]float64) {
-	if known == g.known && sharers == g.sharers {
+// Record logs what this VM may use, and its largest share of a workspace's rate, if the number of parts, the members of its
+// group or the parts that the group uses have changed.
+func (g *Log) Record(h pslease.Holding, shares map[string]float64) {
+	next := Log{g.logger, h.Parts, len(h.Members()), int(h.Total() * 100)}
+	if *g == next {
 		return
 	}
-	g.known, g.sharers = known, sharers
+	*g = next
 	workspace, largest := "", 0.0
 	for name, v := range shares {
 		if v > largest || v == largest && name < workspace {
 			workspace, largest = name, v
 		}
 	}
-	psevent.SharesChanged.Log(g.logger, known, sharers, fraction, workspace, largest)
+	psevent.SharesChanged.Log(g.logger, h.Parts, len(h.Members()), h.Total(), workspace, largest)
 }
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -2,149 +2,175 @@
 // workspaces, the requests to servers in their cold start, and the ownership of tokens that one VM grants
 // for all.
 //
-// All VMs compute the shares by the same rules from the reports that they exchange, so the shares add up to
-// the limit without coordination.
+// All VMs of a group, as package pslease defines it, compute the shares by the same rules from the reports that they
+// exchange, so the shares add up to the parts that the group uses at most.
 package psshare
 
 import (
-	"math"
 	"time"
 
-	"github.com/samber/lo"
-
 	"persimmonstep/internal/process/psfleet"
-	"persimmonstep/internal/process/psmessage"
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/psrate"
 	"persimmonstep/internal/version/psconfig"
-	"persimmonstep/internal/version/psrendezvous"
 )
 
-// maxColdSenders is the number of VMs that send requests to a cold server.
-const maxColdSenders = 4
+// rateChangeTime is how long after a change of a workspace's rate other VMs may go by the former one.
+const rateChangeTime = 10 * time.Second
 
 // Shares computes this VM's shares of the workspaces' rates.
 type Shares struct {
-	// demands are the demands that this VM reported to the others, by workspace.
-	demands map[string]*psrate.DemandHistory
-	// stable are the shares at the last time when all VMs were live, by workspace.
-	stable map[string]float64
+	// own are the demands that this VM reported to the others, by workspace, and others those that it received, by VM.
+	own    map[string]*psrate.DemandHistory
+	others map[string]*peerHistory
+	rates  map[string]*rate
+}
+
+// rate is the rate of a workspace, in requests per second, and the one before its last change.
+type rate struct {
+	current, former float64
+	changedAt       time.Time
 }
 
-// New returns the shares of a VM that has not reported a demand yet.
+// New returns the shares of a VM that starts now.
 func New() *Shares {
-	return &Shares{demands: map[string]*psrate.DemandHistory{}, stable: map[string]float64{}}
+	return &Shares{own: map[string]*psrate.DemandHistory{}, others: map[string]*peerHistory{}, rates: map[string]*rate{}}
 }
 
 // Record adds the demands that this VM reports now.
-func (s *Shares) Record(demands map[string]float64) {
+func (s *Shares) Record(demands map[string]float64, now time.Time) {
 	for name := range demands {
-		if s.demands[name] == nil {
-			s.demands[name] = &psrate.DemandHistory{}
+		if s.own[name] == nil {
+			s.own[name] = &psrate.DemandHistory{}
 		}
 	}
-	for name, d := range s.demands {
-		d.Record(demands[name])
-	}
-}
-
-// ownDemand returns this VM's demand of a workspace as far as it has reached the other VMs.
-func (s *Shares) ownDemand(workspace string, reports int) float64 {
-	d, found := s.demands[workspace]
-	if !found {
-		return 0
+	for name, d := range s.own {
+		d.Record(demands[name], now)
 	}
-	return d.Propagated(reports)
 }
 
-// RateShares returns this VM's share of each workspace's rate, and the even share for workspaces that aren't
-// listed. While a VM with a reserved share is silent, no share exceeds its last stable value: the silent VM may
-// not have received the demands by which this VM's share would grow, and would not reduce its own.
-func (s *Shares) RateShares(f *psfleet.Fleet, x *psconfig.Index, now time.Time) (shares map[string]float64, even float64) {
-	peers := lo.Filter(f.Peers(), func(p *psfleet.Peer, _ int) bool { return f.Reserved(p, now) })
-	even = 1 / float64(len(peers)+1)
+// RateShares returns this VM's share of each workspace's rate.
+func (s *Shares) RateShares(f *psfleet.Fleet, h pslease.Holding, x *psconfig.Index, now time.Time) map[string]float64 {
 	if x == nil {
-		return nil, even
+		return nil
 	}
-	reports := int(math.Ceil(float64(f.PropagationTime()) / float64(f.ReportInterval())))
-	allLive := lo.EveryBy(peers, func(p *psfleet.Peer) bool { return f.Live(p, now) })
-	shares = make(map[string]float64, len(x.Configuration.Workspaces))
-	for i := range x.Configuration.Workspaces {
-		name := x.Configuration.Workspaces[i].Name
-		own := s.ownDemand(name, reports)
-		others := lo.Map(peers, func(p *psfleet.Peer, _ int) float64 {
-			if p.Report == nil {
-				return own
-			}
-			return p.Report.Demands[name]
-		})
-		shares[name] = psrate.Share(own, others)
-		if limit, found := s.stable[name]; !allLive && found {
-			shares[name] = min(shares[name], limit)
-		}
+	s.recordPeers(f, now)
+	list := x.Configuration.Workspaces
+	shares := make(map[string]float64, len(list))
+	for i := range list {
+		shares[list[i].Name] = s.share(f, h, &list[i], now)
 	}
-	if allLive {
-		s.stable = shares
-	}
-	return shares, even
+	return shares
 }
 
-// Of returns the share of a workspace's rate: the listed one, or the even share if it isn't listed.
-func Of(shares map[string]float64, even float64, workspace string) float64 {
-	if share, found := shares[workspace]; found {
-		return share
+// share returns this VM's share of a workspace's rate.
+func (s *Shares) share(f *psfleet.Fleet, h pslease.Holding, w *psconfig.Workspace, now time.Time) float64 {
+	rates := s.knownRates(w, now)
+	if w.Rate <= 0 {
+		return h.Part()
+	}
+	switch h.Split {
+	case pslease.SplitByNeed:
+		return s.shareByNeed(f, h, w.Name, rates, now)
+	case pslease.SplitAsEarlier:
+		return s.earlierShare(h, w.Name, now)
 	}
-	return even
+	return min(s.shareByNeed(f, h, w.Name, rates, now), s.earlierShare(h, w.Name, now))
 }
 
-// ColdSenders returns the number of VMs that send requests to a cold server and share its request rate.
-// It also returns whether the first VM of the list is one of them. The others send none.
-func ColdSenders(server string, list []psmessage.Identity) (vms int, own bool) {
-	score := psrendezvous.Score(server, list[0].VM)
-	higher := lo.CountBy(list[1:], func(i psmessage.Identity) bool {
-		return psrendezvous.Score(server, i.VM) > score
-	})
-	return min(maxColdSenders, len(list)), higher < maxColdSenders
+// knownRates returns the rates of a workspace by which VMs may go now.
+func (s *Shares) knownRates(w *psconfig.Workspace, now time.Time) []float64 {
+	r, found := s.rates[w.Name]
+	if !found {
+		r = &rate{current: w.Rate}
+		s.rates[w.Name] = r
+	}
+	if r.current != w.Rate {
+		r.current, r.former, r.changedAt = w.Rate, r.current, now
+	}
+	if r.former > 0 && now.Sub(r.changedAt) < rateChangeTime {
+		return []float64{r.current, r.former}
+	}
+	return []float64{r.current}
 }
 
-// TokenOwners returns the VMs of a list that own the tokens of a workspace: the primary, and the backup to
-// ask if the primary doesn't answer. In a fleet of one VM they are the same.
-func TokenOwners(workspace string, list []psmessage.Identity) (primary, backup psmessage.Identity) {
-	return owners(workspace, list, func(psmessage.Identity) int { return 0 })
+// shareByNeed returns this VM's share where all VMs lend what they can spare to those that need more than their own part.
+func (s *Shares) shareByNeed(f *psfleet.Fleet, h pslease.Holding, workspace string, rates []float64, now time.Time) float64 {
+	terms := psrate.NewTerms(rates, h.DecisiveParts)
+	least, most := settleTime(f, h.DecisiveParts)
+	sum, guest := 0.0, h.Part() <= 0
+	for n, g := range h.Groups {
+		others := 0.0
+		for _, i := range g.Members[1:] {
+			if demand := s.sustained(i.VM, workspace, least, now); demand > 0 {
+				others += terms.OtherNeed(demand, isGuest(f, i.VM))
+			}
+		}
+		if n == 0 && !guest {
+			sum += s.kept(h, terms, workspace, others, now)
+		}
+		need := terms.OwnNeed(s.ownDemand(workspace, max(g.Window, most), now), guest)
+		if need <= 0 {
+			continue
+		}
+		spares := 0.0
+		for _, name := range g.Lenders {
+			spares += terms.OtherSpare(s.latest(name, workspace))
+		}
+		sum += terms.Borrowed(spares, need, others+need) / float64(h.Parts)
+	}
+	return sum
 }
 
-// ServerTokenOwners returns the VMs of a list that own the tokens of a server's limit. They are as near to the server
-// as possible, so that a VM which can reach the server can usually reach them as well.
-func ServerTokenOwners(server, failureDomain, region string, list []psmessage.Identity) (primary, backup psmessage.Identity) {
-	return owners(server, list, func(i psmessage.Identity) int { return i.Distance(failureDomain, region) })
+// kept returns how much of its own part this VM may use, where the others that may borrow it have needs.
+func (s *Shares) kept(h pslease.Holding, t psrate.Terms, workspace string, needs float64, now time.Time) float64 {
+	own := h.Groups[0]
+	if own.Leased {
+		// The demands that an earlier process of this VM has reported aren't known, nor all needs of others.
+		return psrate.FloorShare * own.Own
+	}
+	// A VM that doesn't hear this one for longer borrows nothing of it.
+	demand := s.ownDemand(workspace, min(own.Window, h.LeaseTime), now)
+	return own.Own * t.Kept(t.OwnSpare(demand), needs)
 }
 
-// owners returns the two VMs with the least distance, and among those with the same distance the highest score.
-func owners(key string, list []psmessage.Identity, distance func(psmessage.Identity) int) (primary, backup psmessage.Identity) {
-	var first, second position
-	for _, i := range list {
-		switch p := (position{distance(i), psrendezvous.Score(key, i.VM)}); {
-		case primary.VM == "" || p.before(first):
-			backup, second = primary, first
-			primary, first = i, p
-		case backup.VM == "" || p.before(second):
-			backup, second = i, p
+// earlierShare returns this VM's share where some VMs are of an earlier build.
+func (s *Shares) earlierShare(h pslease.Holding, workspace string, now time.Time) float64 {
+	sum := 0.0
+	for _, g := range h.Groups {
+		others := 0.0
+		for _, i := range g.Members[1:] {
+			others += s.latest(i.VM, workspace)
+		}
+		own, borrowed := s.ownDemand(workspace, g.Window, now), float64(len(g.Lenders))/float64(h.Parts)
+		if g.Leased {
+			sum += psrate.EarlierShare(0, borrowed, own, own+others) + psrate.FloorShare*g.Own
+		} else {
+			sum += psrate.EarlierShare(g.Own, borrowed, own, own+others)
 		}
 	}
-	if backup.VM == "" {
-		backup = primary
+	return sum
+}
+
+// ownDemand returns the lowest demand of a workspace at this VM that another one may know, by reports that are not older than window.
+func (s *Shares) ownDemand(workspace string, window time.Duration, now time.Time) float64 {
+	d, found := s.own[workspace]
+	if !found {
+		return 0
 	}
-	return primary, backup
+	return d.Propagated(window, now)
 }
 
-// position is the position of a VM in the order in which VMs own tokens.
-type position struct {
-	distance int
-	score    uint64
+// isGuest reports whether another VM owns no part, by its last report.
+func isGuest(f *psfleet.Fleet, vm string) bool {
+	p, found := f.Peer(vm)
+	return found && p.Report != nil && p.Report.Lease != nil && p.Report.Lease.Guest
 }
 
-func (p position) before(other position) bool {
-	if p.distance != other.distance {
-		return p.distance < other.distance
+// Of returns the share of a workspace's rate: the listed one, or the VM's own part if it isn't listed.
+func Of(shares map[string]float64, own float64, workspace string) float64 {
+	if share, found := shares[workspace]; found {
+		return share
 	}
-	return p.score > other.score
+	return own
 }
--- a/internal/process/pssnapshot/shares.go
+++ b/internal/process/pssnapshot/shares.go
@@ -16,19 +16,48 @@
 	if !found || service.ColdPerSecond <= 0 {
 		return psserver.ColdShare{}, false
 	}
-	vms, own := psshare.ColdSenders(server.ID, s.ShareHolders)
-	return psserver.ColdShare{PerSecond: service.ColdPerSecond / float64(vms), Burst: 1}, own
+	fraction := psshare.ColdFraction(server.ID, s.Holding)
+	return psserver.ColdShare{PerSecond: service.ColdPerSecond * fraction, Burst: 1}, fraction > 0
 }
 
 // TokenOwners returns the VMs that own the rate-limit tokens of a workspace for the fleet: the primary, and the
 // backup to ask if the primary doesn't answer.
 func (s *Snapshot) TokenOwners(workspace string) (primary, backup psmessage.Identity) {
-	return psshare.TokenOwners(workspace, s.ShareHolders)
+	return psshare.TokenOwners(workspace, s.Holding.Members())
+}
+
+// TokenFraction returns the fraction of a workspace's rate for which this VM owns the tokens, as the primary or as the backup.
+func (s *Snapshot) TokenFraction(workspace string, backup bool) float64 {
+	return s.Holding.Fraction(func(members []psmessage.Identity) float64 {
+		primary, second := psshare.TokenOwners(workspace, members)
+		return ownership(members[0], primary, second, backup)
+	})
+}
+
+// ServerTokenFraction returns the fraction of a server's limit for which this VM owns the tokens, as the primary or as the
+// backup.
+func (s *Snapshot) ServerTokenFraction(server psserver.Entry, region string, backup bool) float64 {
+	return s.Holding.Fraction(func(members []psmessage.Identity) float64 {
+		primary, second := psshare.ServerTokenOwners(server.ID, server.FailureDomain, region, members)
+		return ownership(members[0], primary, second, backup)
+	})
+}
+
+// ownership returns 1 if a VM is the primary owner, or the backup, and 0 otherwise.
+func ownership(self, primary, second psmessage.Identity, backup bool) float64 {
+	owner := primary
+	if backup {
+		owner = second
+	}
+	if owner.VM == self.VM {
+		return 1
+	}
+	return 0
 }
 
 // ServerTokenOwners returns the VMs that own the tokens of a server's limit: the primary, and the backup.
 func (s *Snapshot) ServerTokenOwners(server psserver.Entry, region string) (primary, backup psmessage.Identity) {
-	return psshare.ServerTokenOwners(server.ID, server.FailureDomain, region, s.ShareHolders)
+	return psshare.ServerTokenOwners(server.ID, server.FailureDomain, region, s.Holding.Members())
 }
 
 // Server returns the server of a service that is registered as a run.
@@ -40,9 +69,3 @@
 	}
 	return nil, false
 }
-
-// ReachableFraction returns the fraction of the known VMs that may still use their share of the fleet's limits:
-// this VM, and those from which a report arrived recently or that were discovered recently.
-func (s *Snapshot) ReachableFraction() float64 {
-	return float64(len(s.ShareHolders)) / float64(s.FleetSize)
-}
--- a/internal/process/pssnapshot/snapshot.go
+++ b/internal/process/pssnapshot/snapshot.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/lo"
 
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
 	"persimmonstep/internal/version/psconfig"
@@ -27,12 +28,12 @@
 	ServersReadAt time.Time
 	// Evacuated is the set of failure domains whose servers get no requests.
 	Evacuated map[string]bool
+	// Holding is what this VM may use of the fleet's limits.
+	Holding pslease.Holding
 	// RateShares holds this VM's share in 0..1 of each workspace's rate.
 	RateShares map[string]float64
-	// EvenShare is the share of a workspace that isn't in RateShares.
-	EvenShare float64
-	// ShareHolders lists this VM and those that may still use their share of the fleet's limits.
-	ShareHolders []psmessage.Identity
+	// RecentVMs lists this VM and those that were heard or discovered recently.
+	RecentVMs []psmessage.Identity
 	// PropagationTime is the time within which a VM's report reaches all VMs.
 	PropagationTime time.Duration
 	// RelaysStore is set if this VM relays store changes to the others of its region.
@@ -61,7 +62,7 @@
 
 // HasPeer reports whether an address is that of another VM.
 func (s *Snapshot) HasPeer(a netip.Addr) bool {
-	return slices.ContainsFunc(s.ShareHolders, func(i psmessage.Identity) bool { return i.PeerAddress.Addr() == a })
+	return slices.ContainsFunc(s.RecentVMs, func(i psmessage.Identity) bool { return i.PeerAddress.Addr() == a })
 }
 
 // NewVM returns the VM with an identity. noServers states that it has lost its links to all backend servers.
--- a/internal/process/psstate/explain_test.go
+++ b/internal/process/psstate/explain_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psnode"
@@ -52,8 +53,11 @@
 		Settings:   &psnode.Settings{Name: "vm-1", FailureDomain: "north-a", Region: "north"},
 		Snapshot: &pssnapshot.Snapshot{
 			Index: psconfig.NewIndex(&c), Servers: map[string][]*psserver.Server{"prices": servers},
-			ServersReadAt: startTime, RateShares: map[string]float64{"trays": 0.25}, EvenShare: 0.5, FleetSize: 2,
-			ShareHolders: []psmessage.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
+			ServersReadAt: startTime, RateShares: map[string]float64{"trays": 0.25}, FleetSize: 2,
+			Holding: pslease.Holding{Parts: 2, Groups: []pslease.Group{{
+				Members: []psmessage.Identity{{VM: "vm-1", FailureDomain: "north-a"}, {VM: "vm-2", FailureDomain: "south-a"}},
+				Settled: true, Own: 0.5, Delegated: 0.5, Lenders: []string{"vm-2"},
+			}}},
 		},
 		Tokens:    pstoken.New(pstoken.Options{Self: "vm-1", Logger: hclog.NewNullLogger(), Now: time.Now}),
 		Estimates: &psestimate.Estimates{}, Demands: &psshed.Demands{}, Ready: true,
--- a/internal/process/psstate/state.go
+++ b/internal/process/psstate/state.go
@@ -42,8 +42,10 @@
 	Evacuated []string `json:"evacuated"`
 	// FleetSize is the number of known VMs, this one included. VMs are those that accept requests of
 	// callers.
-	FleetSize int             `json:"fleetSize"`
-	VMs       []pssnapshot.VM `json:"vms"`
+	FleetSize int `json:"fleetSize"`
+	// Parts is the number of parts into which the fleet's limits are divided.
+	Parts int             `json:"limitParts"`
+	VMs   []pssnapshot.VM `json:"vms"`
 	// Shares are this VM's shares of the workspaces' split rates. EvenShare applies to workspaces that
 	// are not listed.
 	Shares    map[string]float64 `json:"parts"`
@@ -94,7 +96,7 @@
 	state := State{
 		VM: s.Settings.Name, Place: psselect.Place{FailureDomain: s.Settings.FailureDomain, Region: s.Settings.Region},
 		TakenAt: now, Ready: s.Ready, InFlight: s.InFlight,
-		Evacuated: slices.Sorted(maps.Keys(p.Evacuated)), FleetSize: p.FleetSize, VMs: p.VMs, Shares: p.RateShares, EvenShare: p.EvenShare,
+		Evacuated: slices.Sorted(maps.Keys(p.Evacuated)), FleetSize: p.FleetSize, Parts: p.Holding.Parts, VMs: p.VMs, Shares: p.RateShares, EvenShare: p.Holding.Part(),
 		Runs: make(map[string]psestimate.Runs), MeanRuns: make(map[string]time.Duration),
 		Demands:       make(map[string]psshed.Demand),
 		ResponseBytes: make(map[string]int), RoundTrips: s.RoundTrips.All(),
@@ -147,7 +149,7 @@
 // owns the tokens.
 func (s *State) limit(w psconfig.Workspace) Rate {
 	l := psrate.Limit{Rate: w.Rate, Burst: w.Burst}
-	if psrate.SingleOwner(l, s.FleetSize) {
+	if psrate.SingleOwner(l, s.Parts) {
 		return Rate{PerSecond: w.Rate, Burst: w.Burst, SingleOwner: true}
 	}
 	share := psshare.Of(s.Shares, s.EvenShare, w.Name)
--- a/internal/process/pssteer/steer.go
+++ b/internal/process/pssteer/steer.go
@@ -46,8 +46,11 @@
 	droppedLinesInterval = 5 * time.Second
 	// serveFraction is the fraction of the grace period during which a VM that shuts down accepts new connections.
 	serveFraction = 0.5
+	// handOverFraction is the fraction of the grace period in which a VM that has drained leaves its part of the fleet's
+	// limits to another one.
+	handOverFraction = 0.03
 	// drainFraction is the fraction of the grace period after which it aborts the requests that still run.
-	drainFraction = 0.95
+	drainFraction = 0.92
 )
 
 // Options configure the process of a VM.
@@ -200,7 +203,7 @@
 		client, clean := pspeerstate.NewClient(do.MustInvoke[Network](i).Dial)
 		v.cleanUps = append(v.cleanUps, clean)
 		return pscontrol.New(pscontrol.Options{
-			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now,
+			Settings: s, Identity: identity(s), Store: store, Logger: do.MustInvoke[hclog.Logger](i), Now: time.Now, SinceBoot: sinceBoot,
 			Fetcher: stateFetcher{client},
 			Prober:  psprobe.New(do.MustInvoke[*pstransport.Transport](i)),
 			Peers:   do.MustInvoke[*pspeer.Endpoint](i), Tokens: do.MustInvoke[*pstoken.Tokens](i), Crashes: do.MustInvoke[*psproxy.Proxy](i).Blocklist(),
@@ -271,9 +274,17 @@
 	ctx, stop := context.WithTimeout(context.Background(), time.Duration((drainFraction-serveFraction)*grace))
 	defer stop()
 	v.servers.shutdown(ctx)
+	v.handOver(time.Duration(handOverFraction * grace))
 	psevent.VMStopped.Log(v.logger, v.settings.Name, v.proxy.InFlight(), time.Since(startedAt).String())
 }
 
+// handOver leaves this VM's part of the fleet's limits to another VM, if one has none.
+func (v *vm) handOver(timeout time.Duration) {
+	ctx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	v.controller.HandOver(ctx)
+}
+
 // stateFetcher fetches the control state of other VMs from their peer addresses.
 type stateFetcher struct {
 	client *pspeerstate.Client
--- a/internal/process/pssync/bootstrap.go
+++ b/internal/process/pssync/bootstrap.go
@@ -30,7 +30,7 @@
 // FetchDesiredState fetches the operator's desired state from a VM and applies it if it is of the given revision
 // or a later one. It returns its revision; false if that failed.
 func (s *Syncer) FetchDesiredState(ctx context.Context, vm string, revision psrevision.Revision) (psrevision.Revision, bool) {
-	i, found := lo.Find(s.options.Snapshot().ShareHolders, func(i psmessage.Identity) bool { return i.VM == vm })
+	i, found := lo.Find(s.options.Snapshot().RecentVMs, func(i psmessage.Identity) bool { return i.VM == vm })
 	if !found {
 		return psrevision.Revision{}, false
 	}
@@ -94,7 +94,7 @@
 		return psmessage.Identity{}, false
 	}
 	first := self
-	for _, i := range view.ShareHolders {
+	for _, i := range view.RecentVMs {
 		if i.FailureDomain == self.FailureDomain && i.Before(first) {
 			first = i
 		}
--- a/internal/process/pssync/sync_test.go
+++ b/internal/process/pssync/sync_test.go
@@ -44,7 +44,7 @@
 	s := pssync.New(pssync.Options{
 		Self: psmessage.Identity{VM: "vm-1"}, Fetcher: p, Sink: p, Logger: hclog.NewNullLogger(),
 		Snapshot: func() *pssnapshot.Snapshot {
-			return &pssnapshot.Snapshot{ShareHolders: []psmessage.Identity{{VM: "vm-1"}, {VM: "vm-2"}}}
+			return &pssnapshot.Snapshot{RecentVMs: []psmessage.Identity{{VM: "vm-1"}, {VM: "vm-2"}}}
 		},
 	})
 	revision, found := s.FetchDesiredState(t.Context(), "vm-2", psrevision.New(0, 7))
--- a/internal/process/pstoken/ahead.go
+++ b/internal/process/pstoken/ahead.go
@@ -115,7 +115,7 @@
 		return psmessage.TokenResponse{}
 	case q.Refill:
 		b.SettleAhead(false)
-		b.AddDemand(1)
+		b.AddDemand(1, now)
 		return psmessage.TokenResponse{Ahead: b.TakeAhead(l, 1, until, now)}
 	}
 	response := take(b, l, 1, q.Late, now)
--- a/internal/process/pstoken/ahead_test.go
+++ b/internal/process/pstoken/ahead_test.go
@@ -74,13 +74,13 @@
 	o := newSlowOwner()
 	tokens := newTokens("vm-1", o, time.Now)
 	s, w := snapshot(74)
-	s.ShareHolders = []psmessage.Identity{{VM: "vm-2", Incarnation: 1}}
+	s.Holding.Groups[0].Members = []psmessage.Identity{{VM: "vm-2", Incarnation: 1}}
 	take := func() pstoken.Verdict { return tokens.Take(context.Background(), s, w, false) }
 	o.answers <- psmessage.TokenResponse{Granted: true, Ahead: true}
 	qt.Assert(t, take(), qt.Equals, pstoken.Granted{})
 	<-o.requests
 
-	s.ShareHolders[0].Incarnation = 2
+	s.Holding.Groups[0].Members[0].Incarnation = 2
 	o.answers <- psmessage.TokenResponse{Wait: time.Second}
 	qt.Assert(t, take(), qt.Equals, pstoken.OverLimit{Wait: time.Second})
 	qt.Assert(t, <-o.requests, qt.DeepEquals, psmessage.TokenRequest{Workspace: "trays", Ahead: true})
--- a/internal/process/pstoken/limit_test.go
+++ b/internal/process/pstoken/limit_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/connection/pspeer"
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psserver"
@@ -102,20 +103,22 @@
 
 // snapshot returns a VM's view of the fleet.
 func (w *simulation) snapshot(v *simulatedVM) *pssnapshot.Snapshot {
-	s := &pssnapshot.Snapshot{
-		Servers:   map[string][]*psserver.Server{"prices": {v.server}},
-		FleetSize: len(w.vms), PropagationTime: w.propagation,
-	}
+	members := []psmessage.Identity{v.identity}
 	for _, peer := range w.vms {
 		// VMs learn of a new one at different times.
 		delay := w.propagation * time.Duration(v.index%10) / 9
 		known := peer.from == 0 || w.at() >= peer.from+delay || peer == v
 		known = known && !w.ended(peer, w.at()-reserveTime)
-		if known && (w.reaches(v, peer, w.at()) || w.reaches(v, peer, w.at()-reserveTime)) {
-			s.ShareHolders = append(s.ShareHolders, peer.identity)
+		if peer != v && known && (w.reaches(v, peer, w.at()) || w.reaches(v, peer, w.at()-reserveTime)) {
+			members = append(members, peer.identity)
 		}
 	}
-	return s
+	own := float64(len(members)) / float64(len(w.vms))
+	return &pssnapshot.Snapshot{
+		Servers:         map[string][]*psserver.Server{"prices": {v.server}},
+		Holding:         pslease.Holding{Parts: len(w.vms), Groups: []pslease.Group{{Members: members, Settled: true, Own: own}}},
+		PropagationTime: w.propagation,
+	}
 }
 
 func (w *simulation) reaches(a, b *simulatedVM, at time.Duration) bool {
--- a/internal/process/pstoken/owner.go
+++ b/internal/process/pstoken/owner.go
@@ -71,30 +71,37 @@
 	if !limit.Named {
 		return response
 	}
-	rate := serverRate(limit, q.Backup, s.ReachableFraction())
+	fraction := s.ServerTokenFraction(server.Entry(), server.Region, q.Backup)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if fraction <= 0 {
+		delete(t.ownedServers, ownedServerKey{q.Server.Run, q.Backup})
+		response.NotOwner, response.Wait = true, ownerChangeWait
+		return response
+	}
+	rate := serverRate(limit, q.Backup, fraction)
 	o := t.ownedServer(ownedServerKey{q.Server.Run, q.Backup}, now.Add(s.PropagationTime), now)
-	o.bucket.AddDemand(q.Wanted - 1)
+	o.bucket.AddDemand(q.Wanted-1, now)
 	response.Granted, response.Wait = o.bucket.Take(rate, 1, now)
 	demand := o.bucket.Demand(now)
 	response.Fraction = min(1, overbooking*rate.Rate/max(demand, rate.Rate))
 	o.record(q, response)
 	if now.Sub(o.loggedAt) >= grantLogInterval {
 		psevent.ServerTokensGranted.Log(t.logger, q.Server.ID, q.Service, limit.String(), age.String(), q.Backup,
-			s.ReachableFraction(), rate.Rate, demand, response.Fraction, o.requests, o.wanted, o.granted)
+			fraction, rate.Rate, demand, response.Fraction, o.requests, o.wanted, o.granted)
 		o.requests, o.wanted, o.granted, o.loggedAt = 0, 0, 0, now
 	}
 	return response
 }
 
-// serverRate returns the rate that an owner grants of a server's limit.
-func serverRate(l pslimit.Limit, backup bool, reachable float64) psrate.Limit {
+// serverRate returns the rate that an owner grants of a server's limit. fraction is the fraction of the limit for which it is
+// the owner.
+func serverRate(l pslimit.Limit, backup bool, fraction float64) psrate.Limit {
 	share := serverPrimaryShare
 	if backup {
 		share = serverBackupShare
 	}
-	return psrate.OwnerLimit(psrate.Limit{Rate: max(trialRate, l.PerSecond), Burst: serverBurst}, share, reachable)
+	return psrate.OwnerLimit(psrate.Limit{Rate: max(trialRate, l.PerSecond), Burst: serverBurst}, share, fraction)
 }
 
 // ownedServer returns the bucket of a server's limit. A new one is filled only from a time on, because until then other
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/psrate"
@@ -30,6 +32,8 @@
 const (
 	// ownerBackoff is how long an owner that didn't answer is not asked again.
 	ownerBackoff = time.Second
+	// ownerChangeWait is when to retry for a workspace whose tokens another VM owns.
+	ownerChangeWait = 300 * time.Millisecond
 	// unknownWorkspaceWait is when to retry for a workspace that the owner doesn't know yet.
 	unknownWorkspaceWait = 300 * time.Millisecond
 )
@@ -105,6 +109,14 @@
 	backup    bool
 }
 
+// limit returns what the owner grants of a limit. fraction is the fraction of the limit for which it is the owner.
+func (k ownedKey) limit(l psrate.Limit, fraction float64) psrate.Limit {
+	if k.backup {
+		return psrate.OwnerLimit(l, psrate.BackupShare, fraction)
+	}
+	return psrate.OwnerLimit(l, psrate.PrimaryShare, fraction)
+}
+
 // New returns the tokens of a VM that starts now.
 func New(o Options) *Tokens {
 	return &Tokens{
@@ -119,16 +131,49 @@
 // retries and can't be answered within its latency target any more.
 func (t *Tokens) Take(ctx context.Context, s *pssnapshot.Snapshot, w *psconfig.Workspace, late bool) Verdict {
 	l := limitOf(w)
-	switch {
-	case l.Rate <= 0:
+	if l.Rate <= 0 {
 		return Granted{}
-	case psrate.SingleOwner(l, s.FleetSize):
-		return t.takeOwned(ctx, s, w.Name, late)
 	}
-	share := psshare.Of(s.RateShares, s.EvenShare, w.Name)
+	owned, split := Modes(l, s.Holding)
+	if split {
+		v := t.takeSplit(s, w.Name, l, late)
+		if _, granted := v.(Granted); !granted || !owned {
+			return v
+		}
+	}
+	v := t.takeOwned(ctx, s, w.Name, late)
+	if _, granted := v.(Granted); split && !granted {
+		t.returnSplit(w.Name)
+	}
+	return v
+}
+
+// Modes reports whether the tokens of a rate have one owner, and whether the rate is split. After a change of the number of parts
+// both may apply for some time.
+func Modes(l psrate.Limit, h pslease.Holding) (owned, split bool) {
+	for _, parts := range h.DecisiveParts {
+		if psrate.SingleOwner(l, parts) {
+			owned = true
+		} else {
+			split = true
+		}
+	}
+	return owned, split
+}
+
+// takeSplit takes a token of this VM's share of a split rate.
+func (t *Tokens) takeSplit(s *pssnapshot.Snapshot, workspace string, l psrate.Limit, late bool) Verdict {
+	share := psshare.Of(s.RateShares, s.Holding.Part(), workspace)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return verdict(take(t.bucket(w.Name), l, share, late, t.now()))
+	return verdict(take(t.bucket(workspace), l, share, late, t.now()))
+}
+
+// returnSplit puts back a token of this VM's share of a split rate.
+func (t *Tokens) returnSplit(workspace string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.bucket(workspace).Return()
 }
 
 // take takes a token from a bucket.
@@ -144,12 +189,13 @@
 // Return puts back the token of a request that was not sent to a server. A token that another VM owns is not
 // returned.
 func (t *Tokens) Return(s *pssnapshot.Snapshot, w *psconfig.Workspace) {
-	if l := limitOf(w); l.Rate <= 0 || psrate.SingleOwner(l, s.FleetSize) {
+	l := limitOf(w)
+	if l.Rate <= 0 {
 		return
 	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.bucket(w.Name).Return()
+	if _, split := Modes(l, s.Holding); split {
+		t.returnSplit(w.Name)
+	}
 }
 
 func limitOf(w *psconfig.Workspace) psrate.Limit {
@@ -173,19 +219,10 @@
 	return b
 }
 
-// ask requests a token from the primary owner, or from the backup if the primary doesn't answer.
-func (t *Tokens) ask(ctx context.Context, s *pssnapshot.Snapshot, q psmessage.TokenRequest) Verdict {
-	primary, backup := s.TokenOwners(q.Workspace)
-	g, err := t.askOwners(ctx, s, primary, backup, q)
-	if err != nil {
-		return Unavailable{}
-	}
-	return verdict(g)
-}
-
+// askOwners requests a token from the primary owner, or from the backup if the primary doesn't answer or no longer owns the tokens.
 func (t *Tokens) askOwners(ctx context.Context, s *pssnapshot.Snapshot, primary, backup psmessage.Identity, q psmessage.TokenRequest) (psmessage.TokenResponse, error) {
 	g, err := t.askVM(ctx, s, primary, q)
-	if err == nil {
+	if err == nil && !g.NotOwner {
 		return g, nil
 	}
 	q.Backup, q.Ahead = true, false
@@ -231,20 +268,47 @@
 	if !found {
 		return psmessage.TokenResponse{Wait: unknownWorkspaceWait}
 	}
-	share := psrate.PrimaryShare
-	if q.Backup {
-		share = psrate.BackupShare
-	}
-	l := psrate.OwnerLimit(limitOf(w), share, s.ReachableFraction())
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	k := ownedKey{q.Workspace, q.Backup}
+	fraction := s.TokenFraction(q.Workspace, q.Backup)
+	if fraction <= 0 {
+		// Another VM owns the tokens now. If they return to this one, it begins with an empty bucket.
+		delete(t.owned, k)
+		return psmessage.TokenResponse{NotOwner: true, Wait: ownerChangeWait}
+	}
 	b, found := t.owned[k]
 	if !found {
-		b = psrate.NewBucket(t.startedAt)
+		b = psrate.NewBucket(s.Holding.Since)
 		t.owned[k] = b
 	}
-	return grant(b, l, q, t.now())
+	return grant(b, k.limit(limitOf(w), fraction), q, t.now())
+}
+
+// Update goes by a new snapshot: it fills the buckets by the shares until now, and drops those of tokens that this VM no longer owns.
+func (t *Tokens) Update(s *pssnapshot.Snapshot) {
+	if s.Index == nil {
+		return
+	}
+	now := t.now()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	list := s.Index.Configuration.Workspaces
+	for i := range list {
+		l := limitOf(&list[i])
+		if _, split := Modes(l, s.Holding); split && l.Rate > 0 {
+			t.bucket(list[i].Name).Refill(l, psshare.Of(s.RateShares, s.Holding.Part(), list[i].Name), now)
+		}
+	}
+	maps.DeleteFunc(t.owned, func(k ownedKey, b *psrate.Bucket) bool {
+		w, found := s.Index.WorkspaceByName(k.workspace)
+		fraction := s.TokenFraction(k.workspace, k.backup)
+		if !found || fraction <= 0 {
+			return true
+		}
+		b.Refill(k.limit(limitOf(w), fraction), 1, now)
+		return false
+	})
 }
 
 // Demands returns the demand in requests per second of each workspace with a split rate.
--- a/internal/process/pstoken/tokens_test.go
+++ b/internal/process/pstoken/tokens_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"persimmonstep/internal/connection/pspeer"
+	"persimmonstep/internal/process/pslease"
 	"persimmonstep/internal/process/psmessage"
 	"persimmonstep/internal/process/pssnapshot"
 	"persimmonstep/internal/process/pstoken"
@@ -34,7 +35,8 @@
 
 func snapshot(fleet int) (*pssnapshot.Snapshot, *psconfig.Workspace) {
 	c := &psconfig.Configuration{Workspaces: []psconfig.Workspace{{Name: "trays", Rate: 4, Burst: 2}}}
-	return &pssnapshot.Snapshot{Index: psconfig.NewIndex(c), EvenShare: 1, FleetSize: fleet}, &c.Workspaces[0]
+	h := pslease.Holding{Parts: fleet, DecisiveParts: []int{fleet}, Groups: []pslease.Group{{Members: []psmessage.Identity{{}}, Settled: true, Own: 1}}}
+	return &pssnapshot.Snapshot{Index: psconfig.NewIndex(c), Holding: h, FleetSize: fleet}, &c.Workspaces[0]
 }
 
 func TestSplitRateIsCountedLocally(t *testing.T) {
