pslease: VMs that stop gracefully stay in groups until they must be gone

A graceful stop removed the VM from the groups of all others at once, and its next process entered them again. No group settled while a fleet was restarted in turn, and a token owner of a group that had changed twice without settling owned nothing. Now the stop changes no group, an owner in all groups since the last settled one goes on, and a VM that doesn't know a lender's new group goes by the former one; newcomers wait until all members know them.

--- a/internal/process/pslease/book.go
+++ b/internal/process/pslease/book.go
@@ -73,15 +73,18 @@
 	first, stated bool
 	// aloneIn holds, by VM, the incarnation in which it stated that no VM lends it its part.
 	aloneIn map[string]int64
-	// windows are the windows of groups at the last update.
-	windows map[*set]time.Duration
+	// windows are the windows of groups at the last update, and informed states whether all members know the VMs of a group.
+	windows  map[*set]time.Duration
+	informed map[*set]bool
+	// formers holds the lists of former groups.
+	formers map[former]*former
 }
 
 // New returns the book of a VM that starts now, as a guest.
 func New(self psmessage.Identity, now time.Time) *Book {
 	return &Book{
 		self: self, startedAt: now, guest: true, owners: map[string]bool{}, bequests: map[string]bequest{}, heardOwnerAt: now,
-		lenders: map[string]*lender{}, sets: map[uint32]*set{}, aloneIn: map[string]int64{},
+		lenders: map[string]*lender{}, sets: map[uint32]*set{}, aloneIn: map[string]int64{}, formers: map[former]*former{},
 	}
 }
 
@@ -97,11 +100,12 @@
 // Update brings the book up to date with the fleet, and returns what this VM may use. complete states that all published VMs
 // were read since this VM was published. If an earlier process of it owned a part, it must have been confirmed before.
 func (b *Book) Update(f *psfleet.Fleet, complete bool, now time.Time) Holding {
-	if g := f.Generation(); g != b.generation || len(b.sets) > maxSets {
+	if g := f.Generation(); g != b.generation || len(b.sets) > maxSets || len(b.formers) > maxSets {
 		b.generation = g
 		clear(b.sets)
+		clear(b.formers)
 	}
-	b.windows = map[*set]time.Duration{}
+	b.windows, b.informed = map[*set]time.Duration{}, map[*set]bool{}
 	b.first = b.first || complete && b.guest
 	b.noteAlone(f)
 	counted := b.updateOwners(f, complete, now)
--- a/internal/process/pslease/group.go
+++ b/internal/process/pslease/group.go
@@ -1,6 +1,7 @@
 package pslease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,17 +19,58 @@
 type term struct {
 	group *set
 	hash  uint32
-	// before is the group before the last change; nil if it had not settled or isn't known.
-	before *set
+	// before are the groups since the last one that had settled; nil if they aren't known.
+	before *former
 	// since is when the group last changed. settled is set once all its members must know of that.
 	since   time.Time
 	settled bool
 }
 
-// groupKey identifies a group, the group before it, and whether it is settled.
+// former is a group before a change, and those before it.
+type former struct {
+	group   *set
+	earlier *former
+	// count is the number of groups.
+	count int
+}
+
+// maxFormer bounds the number of groups that are kept until one settles.
+const maxFormer = 16
+
+// has reports whether a group is one of the former ones.
+func (r *former) has(group *set) bool {
+	for ; r != nil; r = r.earlier {
+		if r.group == group {
+			return true
+		}
+	}
+	return false
+}
+
+// former returns a group and those before it. Lenders with the same former groups share them.
+func (b *Book) former(group *set, earlier *former) *former {
+	switch {
+	case earlier.has(group):
+		return earlier
+	case earlier != nil && earlier.count >= maxFormer:
+		return nil
+	}
+	key := former{group: group, earlier: earlier, count: 1}
+	if earlier != nil {
+		key.count += earlier.count
+	}
+	r, found := b.formers[key]
+	if !found {
+		r = &key
+		b.formers[key] = r
+	}
+	return r
+}
+
+// groupKey identifies a group, the groups before it, and whether it is settled.
 type groupKey struct {
 	hash    uint32
-	before  *set
+	before  *former
 	settled bool
 }
 
@@ -37,32 +79,50 @@
 // describe returns the term's group without any parts.
 func (t *term) describe(window time.Duration) Group {
 	g := Group{Members: t.group.members, Settled: t.settled, Window: window}
-	if t.before != nil {
-		g.Before = t.before.members
+	for r := t.before; r != nil; r = r.earlier {
+		g.Before = append(g.Before, r.group.members)
 	}
 	return g
 }
 
 // change records the group that a lender states.
-func (t *term) change(group *set, hash uint32, now time.Time) {
+func (t *term) change(b *Book, group *set, hash uint32, now time.Time) {
 	if t.hash == hash {
 		t.group = group
 		return
 	}
-	before := t.group
-	if !t.settled {
-		before = nil
+	var before *former
+	if t.settled || t.before != nil {
+		before = b.former(t.group, t.before)
 	}
 	*t = term{group: group, hash: hash, before: before, since: now}
 }
 
-// settle records whether all members must have received the lender's report of its last change.
-func (t *term) settle(window time.Duration, now time.Time) {
-	if now.Sub(t.since) >= window {
+// settle records whether all members must have received the lender's report of its last change. informed states that all members know
+// the VMs of the group.
+func (t *term) settle(window time.Duration, informed bool, now time.Time) {
+	if informed && now.Sub(t.since) >= window {
 		t.settled, t.before = true, nil
 	}
 }
 
+// informs reports whether all members of a group know the same VMs as this one, as far as they say. Others go by the former group.
+func (b *Book) informs(f *psfleet.Fleet, group *set) bool {
+	result, found := b.informed[group]
+	if !found {
+		result = !slices.ContainsFunc(group.members[1:], func(i psmessage.Identity) bool {
+			p, found := f.Peer(i.VM)
+			if !found || p.Report == nil {
+				return true
+			}
+			l := p.Report.Lease
+			return l != nil && !p.Ended() && b.set(f, l.Group, l.Excluded) == nil
+		})
+		b.informed[group] = result
+	}
+	return result
+}
+
 // set returns the members of a group: the known VMs without the excluded ones. It returns nil if their hash differs, since the
 // lender knows other VMs than this one.
 func (b *Book) set(f *psfleet.Fleet, hash uint32, excluded psmessage.Names) *set {
--- a/internal/process/pslease/holding.go
+++ b/internal/process/pslease/holding.go
@@ -40,8 +40,8 @@
 type Group struct {
 	// Members are the VMs of the group. The first one is this VM.
 	Members []psmessage.Identity
-	// Before are the members before the last change. It is nil if that isn't known.
-	Before []psmessage.Identity
+	// Before are the members of each group since the last one that had settled. It is nil if these aren't known.
+	Before [][]psmessage.Identity
 	// Settled states that all members know of the last change.
 	Settled bool
 	// Own is this VM's own part, as a fraction of each limit. Delegated is the sum of the parts of the other members that lend
@@ -82,7 +82,9 @@
 		case g.Before == nil:
 			w = 0
 		default:
-			w = min(w, weight(g.Before))
+			for _, members := range g.Before {
+				w = min(w, weight(members))
+			}
 		}
 		sum += w * (g.Own + g.Delegated)
 	}
--- a/internal/process/pslease/lender.go
+++ b/internal/process/pslease/lender.go
@@ -32,38 +32,49 @@
 
 func (b *Book) updateLender(f *psfleet.Fleet, p *psfleet.Peer, now time.Time) {
 	name := p.Identity.VM
-	group, hash := b.lent(f, p, now)
-	if group == nil {
+	if !b.borrows(f, p, now) {
 		delete(b.lenders, name)
 		return
 	}
 	l, found := b.lenders[name]
-	if !found || l.incarnation != p.Report.Incarnation {
+	if found && l.incarnation != p.Report.Incarnation {
+		delete(b.lenders, name)
+		found = false
+	}
+	group, hash := b.lent(f, p)
+	switch {
+	case group == nil:
+		// The lender and this VM know different VMs. This one goes by the former group until it knows the same.
+		return
+	case !found:
 		l = &lender{incarnation: p.Report.Incarnation, term: term{group: group, hash: hash, since: now}, since: now}
 		b.lenders[name] = l
 	}
-	l.change(group, hash, now)
-	window := b.window(f, group, now)
+	l.change(b, group, hash, now)
+	window, informed := b.window(f, group, now), b.informs(f, group)
 	if s := p.Report.Lease; s != nil && s.Settled {
-		window = 0
+		window, informed = 0, true
 	}
-	l.settle(window, now)
-	l.eligible = l.eligible || now.Sub(l.since) >= window
+	l.settle(window, informed, now)
+	l.eligible = l.eligible || informed && now.Sub(l.since) >= window
 }
 
-// lent returns the group to which a VM lends its part; nil if this VM isn't one of the borrowers now.
-func (b *Book) lent(f *psfleet.Fleet, p *psfleet.Peer, now time.Time) (*set, uint32) {
+// borrows reports whether this VM is one of those that may use the part of another one now.
+func (b *Book) borrows(f *psfleet.Fleet, p *psfleet.Peer, now time.Time) bool {
 	if !hears(f, p, now) {
-		return nil, 0
+		return false
 	}
+	l := p.Report.Lease
+	return l == nil || !l.Silent.Has(b.self) && !l.Excluded.Has(b.self)
+}
+
+// lent returns the group to which a VM lends its part; nil if that isn't known.
+func (b *Book) lent(f *psfleet.Fleet, p *psfleet.Peer) (*set, uint32) {
 	l := p.Report.Lease
 	if l == nil {
 		// A VM of an earlier build counts on the same VMs as this one.
 		return b.own.group, b.own.hash
 	}
-	if l.Silent.Has(b.self) || l.Excluded.Has(b.self) {
-		return nil, 0
-	}
 	return b.set(f, l.Group, l.Excluded), l.Group
 }
 
--- a/internal/process/pslease/own.go
+++ b/internal/process/pslease/own.go
@@ -15,7 +15,7 @@
 	for _, p := range f.Peers() {
 		silence, timeout := p.Silence(now), f.LiveTimeout(p)
 		switch {
-		case p.Ended() || silence >= exclusionTime(f, timeout):
+		case silence >= exclusionTime(f, timeout):
 			excluded = append(excluded, p)
 			continue
 		case silence >= timeout:
@@ -43,13 +43,13 @@
 		b.own = term{group: group, hash: b.statement.Group, since: b.startedAt}
 		b.stated = len(group.members) > 1
 	}
-	b.own.change(group, b.statement.Group, now)
+	b.own.change(b, group, b.statement.Group, now)
 	window := b.window(f, b.own.group, now)
 	if b.own.since.Equal(b.startedAt) && b.isUnused() {
 		window = 0
 	}
 	if !b.hasEarlierLeases(f, now) {
-		b.own.settle(window, now)
+		b.own.settle(window, b.informs(f, b.own.group) || window == 0, now)
 	}
 	b.statement.Settled = b.own.settled
 }
--- a/internal/process/pslease/owner.go
+++ b/internal/process/pslease/owner.go
@@ -107,7 +107,8 @@
 		return false
 	}
 	for _, p := range f.Peers() {
-		if !hears(f, p, now) && (noOwners || b.owners[p.Identity.VM]) {
+		// A process of an owner that has ended uses nothing. The next one uses no more than its floor until it hears others.
+		if !hears(f, p, now) && !p.Ended() && (noOwners || b.owners[p.Identity.VM]) {
 			return false
 		}
 	}
@@ -124,7 +125,7 @@
 func (b *Book) isCounted(f *psfleet.Fleet, now time.Time) bool {
 	for name := range b.owners {
 		p, found := f.Peer(name)
-		if !found || !f.Live(p, now) {
+		if !found || !hears(f, p, now) {
 			continue
 		}
 		l := p.Report.Lease
