--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -113,6 +113,8 @@
 	startedAt  time.Time
 	// leaving is set once the VM takes no new callers.
 	leaving atomic.Bool
+	// mayGrant is set once the VM may use a part of the fleet's limits.
+	mayGrant atomic.Bool
 
 	desiredState *psdesiredstate.Replica
 	servers      *psregistry.Registry
@@ -198,7 +200,7 @@
 // its share of the fleet's limits, since it would have to refuse callers within their rates.
 func (c *Controller) Ready() bool {
 	s := c.Snapshot()
-	mayGrant := s.Holding.Settled() && s.Holding.Part() > 0 || c.options.Now().Sub(c.startedAt) >= holdingTimeout
+	mayGrant := c.mayGrant.Load() || c.options.Now().Sub(c.startedAt) >= holdingTimeout
 	return !c.leaving.Load() && s.CanServe() && mayGrant
 }
 
--- a/internal/process/pscontrol/fleet.go
+++ b/internal/process/pscontrol/fleet.go
@@ -186,6 +186,9 @@
 	}
 	c.sharesLog.Record(h, shares)
 	c.options.Tokens.Update(v)
+	if h.Settled() && h.Part() > 0 {
+		c.mayGrant.Store(true)
+	}
 	c.snapshot.Store(v)
 }
 
