--- a/internal/process/pslease/group.go
+++ b/internal/process/pslease/group.go
@@ -174,6 +174,10 @@
 	switch {
 	case l == nil:
 		return p.Silence(now) + f.PropagationTime() + 2*messageDelay
+	case p.Ended():
+		// The next process of that VM uses nothing until it is told that this VM has heard it: the lag that this VM states, and
+		// the VMs that it names as silent, include the process that has ended.
+		return 0
 	case l.Silent.Has(b.self) || l.Excluded.Has(b.self):
 		return unbounded
 	}
