psfleet: a process that is heard replaces a silent one that started later by its clock

Incarnations are times of the VM's clock. Now the process that is heard counts once the other one has been silent for the live timeout. The model of leases starts one process in five with a clock up to 8 s ahead.

--- a/internal/process/psfleet/fleet.go
+++ b/internal/process/psfleet/fleet.go
@@ -62,6 +62,30 @@
 	DiscoveredAt time.Time
 	// publishedOwner states that the VM was published as an owner of a part of the fleet's limits.
 	publishedOwner bool
+	// replaced is the incarnation of a process that had started while the VM's clock was ahead, and that another one with an earlier
+	// incarnation has replaced; 0 if there was none.
+	replaced int64
+}
+
+// startedLater reports whether a process of the VM with an incarnation is a later one than the known process. Incarnations are
+// times of the VM's clock, which may have been ahead: a process that is heard although the known one has been silent for a
+// time runs now, whatever its incarnation. heardAt is when it was heard.
+func (p *Peer) startedLater(incarnation int64, timeout time.Duration, heardAt time.Time) bool {
+	switch known := p.Identity.Incarnation; {
+	case incarnation > known:
+		return incarnation != p.replaced && (p.Report == nil || !heardAt.Before(p.ReceivedAt))
+	case incarnation < known:
+		return p.Silence(heardAt) >= timeout
+	}
+	return false
+}
+
+// change records the identity of another process, or of a later one, of the VM.
+func (p *Peer) change(i psmessage.Identity) {
+	if i.Incarnation < p.Identity.Incarnation {
+		p.replaced = p.Identity.Incarnation
+	}
+	p.Identity = i
 }
 
 // OwnsPart reports whether the VM owns a part of the fleet's limits, by its last report or by what it has published.
@@ -126,8 +150,8 @@
 		f.changed()
 		return
 	}
-	if i.Incarnation > p.Identity.Incarnation {
-		p.Identity = i
+	if i.Incarnation > p.Identity.Incarnation && i.Incarnation != p.replaced {
+		p.change(i)
 		f.changed()
 	}
 }
@@ -153,9 +177,17 @@
 	if !f.expandIdentity(r) {
 		return Peer{}, false
 	}
-	f.AddIdentity(r.Identity, now)
-	p := f.peers[r.VM]
-	if r.Incarnation < p.Identity.Incarnation {
+	p, found := f.peers[r.VM]
+	if !found {
+		f.AddIdentity(r.Identity, now)
+		p = f.peers[r.VM]
+	}
+	switch {
+	case r.Incarnation == p.Identity.Incarnation:
+	case p.startedLater(r.Incarnation, f.LiveTimeout(p), now):
+		p.change(r.Identity)
+		f.changed()
+	default:
 		return Peer{}, false
 	}
 	if p.Report != nil && p.Report.Incarnation == r.Incarnation && p.Report.Sequence >= r.Sequence {
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -175,3 +175,20 @@
 	qt.Assert(t, newest.VM, qt.Equals, "vm-3")
 	qt.Assert(t, f.StoreReaders(now), qt.HasLen, 1)
 }
+
+// TestProcessThatStartedBeforeByItsClockIsHeard guards against a VM that is ignored for as long as it runs: an earlier process
+// of it had started while its clock was ahead.
+func TestProcessThatStartedBeforeByItsClockIsHeard(t *testing.T) {
+	f := psfleet.New(identity("vm-1", 1))
+	hear := func(incarnation, sequence int64, after time.Duration) bool {
+		_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-2", incarnation), Sequence: sequence}, startTime.Add(after))
+		return fresh
+	}
+	qt.Assert(t, hear(3000, 9, 0), qt.IsTrue)
+	qt.Assert(t, hear(1000, 1, time.Second), qt.IsFalse, qt.Commentf("a delayed report of an earlier process"))
+	qt.Assert(t, hear(1000, 2, 2*time.Second), qt.IsTrue)
+	qt.Assert(t, hear(3000, 10, 3*time.Second), qt.IsFalse, qt.Commentf("a forwarded report of the process that was replaced"))
+	f.AddIdentity(identity("vm-2", 3000), startTime.Add(3*time.Second))
+	qt.Assert(t, hear(1000, 3, 3*time.Second), qt.IsTrue)
+	qt.Assert(t, hear(2000, 1, 4*time.Second), qt.IsTrue, qt.Commentf("a later process"))
+}
--- a/internal/process/pslease/model_test.go
+++ b/internal/process/pslease/model_test.go
@@ -149,7 +149,11 @@
 }
 
 func (m *model) start(v *modelVM) {
-	v.identity.Incarnation++
+	v.identity.Incarnation = m.now.UnixMilli()
+	if m.random.IntN(5) == 0 {
+		// The clock of the VM is ahead.
+		v.identity.Incarnation += m.random.Int64N(8000)
+	}
 	v.running, v.startsAt, v.workedAt, v.read = true, time.Time{}, time.Time{}, false
 	v.fleet, v.book, v.shares = psfleet.New(v.identity), pslease.New(v.identity, m.now), psshare.New()
 	v.lastReport = psmessage.Report{Identity: v.identity}
