pslease: shorter statements, and guests are counted while an owner restarts

An owner whose process has stated its end no longer delays that new VMs get their part. Its next process divides the limits by the published VMs that it hasn't heard as well, since these may have become owners in between. An owner that splits a rate grants no tokens of it: a VM that has just started may go by another number of parts. VMs without a part take callers once they can borrow, while others take callers.

--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -174,8 +174,13 @@
 	return c
 }
 
-// holdingTimeout is how long a VM that starts may wait for its share of the fleet's limits.
-const holdingTimeout = time.Second
+const (
+	// holdingTimeout is how long a VM that starts may wait for its share of the fleet's limits.
+	holdingTimeout = time.Second
+	// guestTimeout is how long a VM without a part of its own may wait until it can borrow, while others take callers: as long as
+	// that takes in a fleet of 84 VMs.
+	guestTimeout = 6 * time.Second
+)
 
 // eventQueueSize is the number of events that can wait for the controller's goroutine.
 const eventQueueSize = 256
@@ -200,7 +205,11 @@
 // its share of the fleet's limits, since it would have to refuse callers within their rates.
 func (c *Controller) Ready() bool {
 	s := c.Snapshot()
-	mayGrant := c.mayGrant.Load() || c.options.Now().Sub(c.startedAt) >= holdingTimeout
+	timeout := holdingTimeout
+	if s.Holding.Total() <= 0 && len(s.VMs) > 1 {
+		timeout = guestTimeout
+	}
+	mayGrant := c.mayGrant.Load() || c.options.Now().Sub(c.startedAt) >= timeout
 	return !c.leaving.Load() && s.CanServe() && mayGrant
 }
 
--- a/internal/process/pslease/book.go
+++ b/internal/process/pslease/book.go
@@ -59,6 +59,10 @@
 	// sets holds the members of groups by the group's hash, for the fleet's generation.
 	sets       map[uint32]*set
 	generation int64
+	// unheard are the VMs that were published when this one had read them for the first time, and that it hasn't heard so far. They may
+	// have become owners since an earlier process of this VM ended. read is set once it has read them.
+	unheard map[string]bool
+	read    bool
 	// parts is the number of parts of each limit, as counted at partsCountedAt by this VM or another one.
 	parts          int
 	partsCountedAt time.Time
@@ -84,7 +88,7 @@
 func New(self psmessage.Identity, now time.Time) *Book {
 	return &Book{
 		self: self, startedAt: now, guest: true, owners: map[string]bool{}, bequests: map[string]bequest{}, heardOwnerAt: now,
-		lenders: map[string]*lender{}, sets: map[uint32]*set{}, aloneIn: map[string]int64{}, formers: map[former]*former{},
+		lenders: map[string]*lender{}, sets: map[uint32]*set{}, aloneIn: map[string]int64{}, formers: map[former]*former{}, unheard: map[string]bool{},
 	}
 }
 
@@ -109,6 +113,7 @@
 	b.first = b.first || complete && b.guest
 	b.noteAlone(f)
 	counted := b.updateOwners(f, complete, now)
+	b.updateUnheard(f, complete)
 	b.updateParts(f, counted, now)
 	b.updateStatement(f, now)
 	b.updateOwn(f, now)
--- a/internal/process/pslease/lender.go
+++ b/internal/process/pslease/lender.go
@@ -106,7 +106,7 @@
 	}
 	own, part := groupOf(&b.own), 1/float64(b.parts)
 	if !b.guest {
-		own.Own, own.Leased = part, b.hasEarlierLeases(f, now)
+		own.Own, own.Leased = b.ownPart(), b.hasEarlierLeases(f, now)
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.lenders)) {
 		l := b.lenders[name]
--- a/internal/process/pslease/own.go
+++ b/internal/process/pslease/own.go
@@ -30,6 +30,9 @@
 		Guest: b.guest, Ended: b.ended, Heir: b.heir, Group: hash, Lag: lag.Milliseconds() + 1,
 		Excluded: f.Names(excluded), Silent: f.Names(silent), Earlier: b.knowsEarlier(f, now),
 	}
+	if b.statement.Owners == b.statement.Group {
+		b.statement.Owners = 0
+	}
 }
 
 // updateOwn updates the group of this VM's own part.
--- a/internal/process/pslease/owner.go
+++ b/internal/process/pslease/owner.go
@@ -120,18 +120,21 @@
 	return b.guest && now.Sub(b.heardOwnerAt) >= orphanTime
 }
 
-// isCounted reports whether all owners that this VM hears state that they count the same VMs, of which this one is one. Orphans
-// may count different owners that are gone, but must divide the limits into as many parts.
+// isCounted reports whether all owners that this VM hears, one at least, state that they count the same VMs, of which this one is one.
+// Orphans may count different owners that are gone, but must divide the limits into as many parts.
 func (b *Book) isCounted(f *psfleet.Fleet, now time.Time) bool {
+	orphan := b.isOrphan(now)
+	confirmed := orphan || len(b.owners) == 0
 	for name := range b.owners {
 		p, found := f.Peer(name)
 		if !found || !hears(f, p, now) {
 			continue
 		}
 		l := p.Report.Lease
-		if l != nil && l.Owners != b.ownersHash && !(b.isOrphan(now) && l.Parts >= b.parts) {
+		if l != nil && l.OwnersHash() != b.ownersHash && !(orphan && l.Parts >= b.parts) {
 			return false
 		}
+		confirmed = true
 	}
-	return true
+	return confirmed
 }
--- a/internal/process/pslease/part.go
+++ b/internal/process/pslease/part.go
@@ -1,6 +1,7 @@
 package pslease
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -44,6 +45,23 @@
 	b.changeParts(f, max(1, parts), now)
 }
 
+// ownPart returns this VM's own part of each limit. VMs that it hasn't heard so far may own one as well.
+func (b *Book) ownPart() float64 { return 1 / float64(b.parts+len(b.unheard)) }
+
+// updateUnheard updates the published VMs that weren't heard.
+func (b *Book) updateUnheard(f *psfleet.Fleet, complete bool) {
+	if complete && !b.read {
+		b.read = true
+		for _, p := range f.Peers() {
+			b.unheard[p.Identity.VM] = true
+		}
+	}
+	maps.DeleteFunc(b.unheard, func(name string, _ bool) bool {
+		p, found := f.Peer(name)
+		return !found || p.Report != nil || b.owners[name]
+	})
+}
+
 // changeParts records a change of the number of parts. How limits are shared depends on it, so that VMs go by the former number for
 // some time, and then by both until all owners do.
 func (b *Book) changeParts(f *psfleet.Fleet, parts int, now time.Time) {
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -272,8 +273,8 @@
 	defer t.mutex.Unlock()
 	k := ownedKey{q.Workspace, q.Backup}
 	fraction := s.TokenFraction(q.Workspace, q.Backup)
-	if fraction <= 0 {
-		// Another VM owns the tokens now. If they return to this one, it begins with an empty bucket.
+	if owned, _ := Modes(limitOf(w), s.Holding); fraction <= 0 || !owned {
+		// Another VM owns the tokens now, or this one splits the rate. If they return to this one, it begins with an empty bucket.
 		delete(t.owned, k)
 		return psmessage.TokenResponse{NotOwner: true, Wait: ownerChangeWait}
 	}
@@ -311,13 +312,17 @@
 	})
 }
 
+// demandSteps is the number of steps of one request per second in which demands are reported. Each digit more costs a byte for each
+// workspace in each report.
+const demandSteps = 10
+
 // Demands returns the demand in requests per second of each workspace with a split rate.
 func (t *Tokens) Demands(now time.Time) map[string]float64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	m := make(map[string]float64, len(t.split))
 	for name, b := range t.split {
-		if d := b.Demand(now); d > 0 {
+		if d := math.Round(b.Demand(now)*demandSteps) / demandSteps; d > 0 {
 			m[name] = d
 		}
 	}
