--- a/internal/process/pslease/model_test.go
+++ b/internal/process/pslease/model_test.go
@@ -62,11 +62,40 @@
 	// loss is the probability that a message is lost.
 	loss     float64
 	messages []message
+	timers   []timer
 	// index is the configuration in force, and reduced another one with a lower rate.
 	index, reduced *psconfig.Index
 	history        []string
 }
 
+// timer is what a process of a VM runs later.
+type timer struct {
+	vm     *modelVM
+	tokens *pstoken.Tokens
+	at     time.Time
+	run    func()
+}
+
+// after lets the process of a VM run something after some time.
+func (m *model) after(v *modelVM, d time.Duration, run func()) {
+	m.timers = append(m.timers, timer{v, v.tokens, m.now.Add(d), run})
+}
+
+// runTimers runs what is due at processes that run.
+func (m *model) runTimers() {
+	timers := m.timers
+	m.timers = nil
+	for _, t := range timers {
+		switch {
+		case !t.vm.running || t.vm.tokens != t.tokens:
+		case t.at.After(m.now) || t.vm.pausedUntil.After(m.now):
+			m.timers = append(m.timers, t)
+		default:
+			t.run()
+		}
+	}
+}
+
 // message is a report or a digest on its way.
 type message struct {
 	to     int
@@ -161,6 +190,7 @@
 	v.digester, v.sequence, v.snapshot = psfleet.Digester{}, 0, pssnapshot.Snapshot{}
 	v.tokens = pstoken.New(pstoken.Options{
 		Self: v.identity.VM, Client: tokenClient{m, v}, Logger: hclog.NewNullLogger(), Now: func() time.Time { return m.now },
+		Background: func(run func()) { run() }, After: func(d time.Duration, run func()) { m.after(v, d, run) },
 	})
 	v.reportAt = m.now.Add(m.upTo(250 * time.Millisecond))
 	v.digestAt, v.startedAt = m.now.Add(m.upTo(200*time.Millisecond)), m.now
@@ -179,6 +209,7 @@
 // step lets all VMs and messages do what is due.
 func (m *model) step() {
 	m.now = m.now.Add(modelStep)
+	m.runTimers()
 	due := m.messages
 	m.messages = nil
 	for _, g := range due {
--- a/internal/process/pslease/replay_test.go
+++ b/internal/process/pslease/replay_test.go
@@ -1,6 +1,7 @@
 package pslease_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -184,3 +185,37 @@
 		})
 	}
 }
+
+// suddenVMs and suddenWorkspace are those of a replay in which a workspace suddenly sends many times its usual rate.
+const suddenVMs = 74
+
+var suddenWorkspace = psconfig.Workspace{Name: "trays", Rate: 656, Burst: 656}
+
+// TestSuddenOverloadGetsTheRate guards against shares that fall when all VMs get more callers at once, because each VM knows the demands of
+// the others before its own counts.
+func TestSuddenOverloadGetsTheRate(t *testing.T) {
+	for _, factor := range []float64{3, 5.7, 11} {
+		t.Run(fmt.Sprintf("%v times", factor), func(t *testing.T) {
+			t.Parallel()
+			r := newReplay(suddenVMs, suddenWorkspace)
+			r.play(startSpan, even(r, 0))
+			r.play(8*time.Second, even(r, usualRatio))
+			r.checkUsed(t, 12, even(r, factor*usualRatio))
+			r.checkWindows(t)
+		})
+	}
+}
+
+// TestRequestsWithinTheRateAreGranted guards against refusals of a workspace that sends half of its rate to many VMs. Each sees four requests
+// a second, so that chance moves its demand.
+func TestRequestsWithinTheRateAreGranted(t *testing.T) {
+	for name, spread := range spreads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newReplay(suddenVMs, suddenWorkspace)
+			r.play(startSpan, even(r, 0))
+			r.play(time.Second, spread(r, 0.45))
+			r.checkRefusals(t, "within the rate", 19*time.Second, 0.005, spread(r, 0.45))
+		})
+	}
+}
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -79,6 +79,21 @@
 	Logger hclog.Logger
 	// Now returns the current time with a monotonic reading.
 	Now func() time.Time
+	// Background runs what no request waits for, and After the same after some time. They default to a goroutine and a timer; a test
+	// with virtual time replaces both.
+	Background func(run func())
+	After      func(d time.Duration, run func())
+}
+
+// withDefaults returns options whose optional fields are set.
+func (o Options) withDefaults() Options {
+	if o.Background == nil {
+		o.Background = func(run func()) { go run() }
+	}
+	if o.After == nil {
+		o.After = func(d time.Duration, run func()) { time.AfterFunc(d, run) }
+	}
+	return o
 }
 
 // Tokens holds the token buckets of one VM. It is safe for concurrent use.
@@ -90,6 +105,9 @@
 	now       func() time.Time
 	startedAt time.Time
 
+	background func(run func())
+	after      func(d time.Duration, run func())
+
 	mutex sync.Mutex
 	// split holds the buckets of this VM's shares of split rates, by workspace.
 	split map[string]*psrate.Bucket
@@ -120,8 +138,10 @@
 
 // New returns the tokens of a VM that starts now.
 func New(o Options) *Tokens {
+	o = o.withDefaults()
 	return &Tokens{
 		self: o.Self, client: o.Client, logger: o.Logger, limitLog: pslimit.NewLog(o.Logger), now: o.Now, startedAt: o.Now(),
+		background: o.Background, after: o.After,
 		split: make(map[string]*psrate.Bucket), owned: make(map[ownedKey]*psrate.Bucket),
 		shares: make(map[psserver.Run]*serverShare), ownedServers: make(map[ownedServerKey]*ownedServer),
 		ahead: make(map[string]*aheadToken), backoffUntil: make(map[string]time.Time),
