psshare: a restarted VM uses what others can't have borrowed of its part

A process used a quarter of its part of each rate until all VMs had stated that they had received its first reports, 2.5 s at 84 VMs, and refused half of its callers meanwhile. A VM borrows for the lowest of its demands in a time that is longer than the settle time, so its last report bounds its need, and the process uses its part less what these needs can have taken.

--- a/internal/process/pslease/model_test.go
+++ b/internal/process/pslease/model_test.go
@@ -140,7 +140,7 @@
 }
 
 func newModel(seed uint64, vms int, workspaces ...psconfig.Workspace) *model {
-	c := &psconfig.Configuration{Workspaces: workspaces}
+	c := &psconfig.Configuration{Version: 1, Workspaces: workspaces}
 	m := &model{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), published: map[string]psmessage.PublishedVM{},
 		cut: map[[2]int]bool{}, index: psconfig.NewIndex(c), reduced: psconfig.NewIndex(reduce(c)),
@@ -153,7 +153,7 @@
 
 // reduce returns a configuration with a lower rate of the first workspace, which still is split.
 func reduce(c *psconfig.Configuration) *psconfig.Configuration {
-	r := &psconfig.Configuration{Workspaces: slices.Clone(c.Workspaces)}
+	r := &psconfig.Configuration{Version: c.Version + 1, Workspaces: slices.Clone(c.Workspaces)}
 	r.Workspaces[0].Rate *= 0.5
 	return r
 }
@@ -335,7 +335,7 @@
 	for name, d := range v.demands {
 		demands[name] = d
 	}
-	v.lastReport = psmessage.Report{Identity: v.identity, Sequence: v.sequence, Demands: demands, Lease: &lease}
+	v.lastReport = psmessage.Report{Identity: v.identity, Sequence: v.sequence, Version: v.index.Configuration.Version, Demands: demands, Lease: &lease}
 	v.shares.Record(demands, m.now)
 	v.snapshot = pssnapshot.Snapshot{Index: v.index, Holding: h, RateShares: v.shares.RateShares(v.fleet, h, v.index, m.now)}
 	v.tokens.Update(&v.snapshot)
--- a/internal/process/pslease/restart_test.go
+++ b/internal/process/pslease/restart_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
 
 	"persimmonstep/internal/version/psconfig"
 )
@@ -75,6 +76,33 @@
 	}
 }
 
+// TestRestartedVMUsesItsPart guards against a VM that uses only its last quarter of a rate for seconds after its restart, although no other VM
+// needs more than its own part: it refused half of its callers for 2.5 s.
+func TestRestartedVMUsesItsPart(t *testing.T) {
+	const (
+		settled = 500 * time.Millisecond
+		most    = 0.04
+	)
+	for kind, graceful := range map[string]bool{"graceful": true, "killed": false} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			r := newReplay(replayVMs, hotWorkspace)
+			demand := byRegion(r, usualRatio)
+			r.play(startSpan, even(r, 0))
+			r.play(4*time.Second, demand)
+			asked, granted := 0, 0
+			for vm := range restartedVMs {
+				r.end(vm, graceful, downTime)
+				r.play(downTime+settled, func(n int) float64 { return lo.Ternary(n == vm, 0, demand(n)) })
+				n, g := r.play(2*time.Second, func(n int) float64 { return lo.Ternary(n == vm, demand(n), 0) })
+				asked, granted = asked+n, granted+g
+			}
+			t.Logf("%d of %d granted", granted, asked)
+			qt.Check(t, float64(granted) >= (1-most)*float64(asked), qt.IsTrue, qt.Commentf("%d of %d granted", granted, asked))
+		})
+	}
+}
+
 // restartInTurn restarts VMs in turn, from one on, as time goes by. It returns the demand, unchanged.
 func (r *replay) restartInTurn(vm int, graceful bool, demand func(int) float64) func(int) float64 {
 	next := r.now
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -7,6 +7,7 @@
 package psshare
 
 import (
+	"math"
 	"time"
 
 	"persimmonstep/internal/process/psfleet"
@@ -58,24 +59,24 @@
 	list := x.Configuration.Workspaces
 	shares := make(map[string]float64, len(list))
 	for i := range list {
-		shares[list[i].Name] = s.share(f, h, &list[i], now)
+		shares[list[i].Name] = s.share(f, h, &list[i], x.Configuration.Version, now)
 	}
 	return shares
 }
 
 // share returns this VM's share of a workspace's rate.
-func (s *Shares) share(f *psfleet.Fleet, h pslease.Holding, w *psconfig.Workspace, now time.Time) float64 {
+func (s *Shares) share(f *psfleet.Fleet, h pslease.Holding, w *psconfig.Workspace, version int64, now time.Time) float64 {
 	rates := s.knownRates(w, now)
 	if w.Rate <= 0 {
 		return h.Part()
 	}
 	switch h.Split {
 	case pslease.SplitByNeed:
-		return s.shareByNeed(f, h, w.Name, rates, now)
+		return s.shareByNeed(f, h, w.Name, rates, version, now)
 	case pslease.SplitAsEarlier:
 		return s.earlierShare(h, w.Name, now)
 	}
-	return min(s.shareByNeed(f, h, w.Name, rates, now), s.earlierShare(h, w.Name, now))
+	return min(s.shareByNeed(f, h, w.Name, rates, version, now), s.earlierShare(h, w.Name, now))
 }
 
 // knownRates returns the rates of a workspace by which VMs may go now.
@@ -95,7 +96,7 @@
 }
 
 // shareByNeed returns this VM's share where all VMs lend what they can spare to those that need more than their own part.
-func (s *Shares) shareByNeed(f *psfleet.Fleet, h pslease.Holding, workspace string, rates []float64, now time.Time) float64 {
+func (s *Shares) shareByNeed(f *psfleet.Fleet, h pslease.Holding, workspace string, rates []float64, version int64, now time.Time) float64 {
 	terms := psrate.NewTerms(rates, h.DecisiveParts)
 	least, most := settleTime(f, h.DecisiveParts)
 	sum, guest := 0.0, h.Part() <= 0
@@ -107,6 +108,9 @@
 			}
 		}
 		if n == 0 && !guest {
+			if g.Leased {
+				others = leasedNeeds(f, g, terms, workspace, version, least, now)
+			}
 			sum += s.kept(h, terms, workspace, others, now)
 		}
 		need := terms.OwnNeed(s.ownDemand(workspace, max(g.Window, most), now), guest)
@@ -126,14 +130,34 @@
 func (s *Shares) kept(h pslease.Holding, t psrate.Terms, workspace string, needs float64, now time.Time) float64 {
 	own := h.Groups[0]
 	if own.Leased {
-		// The demands that an earlier process of this VM has reported aren't known, nor all needs of others.
-		return psrate.FloorShare * own.Own
+		// The demands that an earlier process of this VM has reported aren't known. It may have had none.
+		return own.Own * t.Kept(t.OwnSpare(0), needs)
 	}
 	// A VM that doesn't hear this one for longer borrows nothing of it.
 	demand := s.ownDemand(workspace, min(own.Window, h.LeaseTime), now)
 	return own.Own * t.Kept(t.OwnSpare(demand), needs)
 }
 
+// leasedNeeds returns the most that the other members of a group may need by which they use what an earlier process of this VM has lent
+// them. A VM borrows for the lowest of its demands within a time that is longer than span, so that a report that is not older bounds
+// its need. While there is none of each member, or a member goes by another version of the configuration, the needs have no bound.
+func leasedNeeds(f *psfleet.Fleet, g pslease.Group, t psrate.Terms, workspace string, version int64, span time.Duration, now time.Time) float64 {
+	needs := 0.0
+	for _, i := range g.Members[1:] {
+		p, found := f.Peer(i.VM)
+		switch {
+		case !found || p.Report == nil || p.Silence(now) >= span:
+			return math.Inf(1)
+		case p.Ended():
+		case p.Report.Version != version:
+			return math.Inf(1)
+		default:
+			needs += t.OtherNeed(p.Report.Demands[workspace], isGuest(f, i.VM))
+		}
+	}
+	return needs
+}
+
 // earlierShare returns this VM's share where some VMs are of an earlier build.
 func (s *Shares) earlierShare(h pslease.Holding, workspace string, now time.Time) float64 {
 	sum := 0.0
