psshare: beside VMs of earlier builds, shares are the lower ones by demand and by need

While a fleet of the second kind is upgraded, VMs with much demand took a share by demand and the others theirs by need: TestUpgradeExceedsLimit, which covers both builds now, had 1,343 tokens granted in 5 s at 26 VMs, 1,340 are allowed.

--- a/internal/process/pslease/model_test.go
+++ b/internal/process/pslease/model_test.go
@@ -161,10 +161,10 @@
 // add adds a VM and starts it.
 func (m *model) add() { m.start(m.newVM()) }
 
-// addEarlier adds a VM of the build before leases and starts it.
-func (m *model) addEarlier() {
+// addEarlier adds a VM of a build before leases and starts it.
+func (m *model) addEarlier(build earlierBuild) {
 	v := m.newVM()
-	v.earlier = true
+	v.earlier, v.earlierShare.build = true, build
 	m.start(v)
 }
 
--- a/internal/process/psrate/rate_test.go
+++ b/internal/process/psrate/rate_test.go
@@ -254,6 +254,8 @@
 func TestWithoutDemandsTheSplitIsEven(t *testing.T) {
 	qt.Assert(t, psrate.EarlierShare(0.25, 0.75, 0, 0), qt.Equals, 0.25)
 	qt.Assert(t, psrate.EarlierShare(0.5, 0.5, 30, 40) > 0.6, qt.IsTrue)
+	qt.Assert(t, psrate.EarlierShareByNeed(100, 0, []float64{0, 0, 0}), qt.Equals, 0.25)
+	qt.Assert(t, psrate.EarlierShareByNeed(40, 30, []float64{10}) > 0.6, qt.IsTrue)
 }
 
 func TestTakeReturnsTheWaitForTheNextToken(t *testing.T) {
@@ -277,6 +279,18 @@
 	}
 }
 
+// TestSharesGrowOnlyAfterWindow checks that a VM uses the lowest share that it has computed lately, until the other VMs know
+// the demand by which its share grows.
+func TestSharesGrowOnlyAfterWindow(t *testing.T) {
+	var h psrate.ShareHistory
+	now := time.Unix(0, 0)
+	for i, v := range []float64{0.5, 0.9, 0.9, 0.9, 0.9, 0.2, 0.9, 0.4, 0.3} {
+		want := []float64{0.5, 0.5, 0.5, 0.5, 0.9, 0.2, 0.2, 0.2, 0.2}[i]
+		now = now.Add(time.Second)
+		qt.Check(t, h.Record(v, 3*time.Second, now), qt.Equals, want, qt.Commentf("after %d shares", i+1))
+	}
+}
+
 // TestLateCallersLeaveTokensToOthers simulates a workspace that sends three times its rate, in which rejected
 // callers retry once. Tokens must go to callers that are still in time. Once the others send less, late
 // callers get tokens again.
--- a/internal/process/psrate/split.go
+++ b/internal/process/psrate/split.go
@@ -70,13 +70,3 @@
 
 // spare returns how much of its part a VM with a demand in parts can lend.
 func spare(demand float64) float64 { return max(0, 1-max(FloorShare, headroom*demand)) }
-
-// EarlierShare returns the share of a limit for a VM, of a part of its own and of parts that it borrows, as VMs of earlier builds
-// divide it. They lend all but FloorShare of their parts, in proportion to demand. own is the VM's demand and total that of all VMs
-// that may borrow, in requests per second. Without any demand, each VM uses its own part.
-func EarlierShare(ownPart, borrowed, own, total float64) float64 {
-	if total <= 0 {
-		return ownPart
-	}
-	return FloorShare*ownPart + (1-FloorShare)*(ownPart+borrowed)*own/total
-}
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -25,6 +25,8 @@
 	own    map[string]*psrate.DemandHistory
 	others map[string]*peerHistory
 	rates  map[string]*rate
+	// computed are the shares that were computed lately, by workspace, while there are VMs of earlier builds.
+	computed map[string]*psrate.ShareHistory
 }
 
 // rate is the rate of a workspace, in requests per second, and the one before its last change.
@@ -35,7 +37,10 @@
 
 // New returns the shares of a VM that starts now.
 func New() *Shares {
-	return &Shares{own: map[string]*psrate.DemandHistory{}, others: map[string]*peerHistory{}, rates: map[string]*rate{}}
+	return &Shares{
+		own: map[string]*psrate.DemandHistory{}, others: map[string]*peerHistory{}, rates: map[string]*rate{},
+		computed: map[string]*psrate.ShareHistory{},
+	}
 }
 
 // Record adds the demands that this VM reports now.
@@ -74,9 +79,9 @@
 	case pslease.SplitByNeed:
 		return s.shareByNeed(f, h, w.Name, rates, version, now)
 	case pslease.SplitAsEarlier:
-		return s.earlierShare(h, w.Name, now)
+		return s.earlierShare(f, h, w, now)
 	}
-	return min(s.shareByNeed(f, h, w.Name, rates, version, now), s.earlierShare(h, w.Name, now))
+	return min(s.shareByNeed(f, h, w.Name, rates, version, now), s.earlierShare(f, h, w, now))
 }
 
 // knownRates returns the rates of a workspace by which VMs may go now.
@@ -158,22 +163,38 @@
 	return needs
 }
 
-// earlierShare returns this VM's share where some VMs are of an earlier build.
-func (s *Shares) earlierShare(h pslease.Holding, workspace string, now time.Time) float64 {
-	sum := 0.0
+// earlierShare returns this VM's share where some VMs are of earlier builds: the lower one of the shares by the rules of these, as a VM
+// doesn't know which of them others go by.
+func (s *Shares) earlierShare(f *psfleet.Fleet, h pslease.Holding, w *psconfig.Workspace, now time.Time) float64 {
+	byDemand, byNeed := 0.0, 0.0
+	latest := s.ownDemand(w.Name, 0, now)
 	for _, g := range h.Groups {
-		others := 0.0
+		total, others := 0.0, make([]float64, 0, len(g.Members)-1)
 		for _, i := range g.Members[1:] {
-			others += s.latest(i.VM, workspace)
+			others = append(others, s.latest(i.VM, w.Name))
+			total += others[len(others)-1]
 		}
-		own, borrowed := s.ownDemand(workspace, g.Window, now), float64(len(g.Lenders))/float64(h.Parts)
+		own, part, borrowed := s.ownDemand(w.Name, g.Window, now), g.Own, float64(len(g.Lenders))/float64(h.Parts)
 		if g.Leased {
-			sum += psrate.EarlierShare(0, borrowed, own, own+others) + psrate.FloorShare*g.Own
-		} else {
-			sum += psrate.EarlierShare(g.Own, borrowed, own, own+others)
+			// Only the floor of the VM's own part can't be in use by others.
+			byDemand += psrate.FloorShare * part
+			byNeed += psrate.FloorShare * part
+			part = 0
 		}
+		byDemand += psrate.EarlierShare(part, borrowed, own, own+total)
+		byNeed += (part + borrowed) * psrate.EarlierShareByNeed(w.Rate, latest, others)
 	}
-	return sum
+	return min(byDemand, s.history(w.Name).Record(byNeed, f.PropagationTime()+f.ReportInterval(), now))
+}
+
+// history returns the shares of a workspace that were computed lately by the rule of an earlier build.
+func (s *Shares) history(workspace string) *psrate.ShareHistory {
+	h, found := s.computed[workspace]
+	if !found {
+		h = &psrate.ShareHistory{}
+		s.computed[workspace] = h
+	}
+	return h
 }
 
 // ownDemand returns the lowest demand of a workspace at this VM that another one may know, by reports that are not older than window.
