--- a/internal/connection/psproxy/close_delimited_test.go
+++ b/internal/connection/psproxy/close_delimited_test.go
@@ -226,7 +226,7 @@
 	t.Helper()
 	helperProxy := s.Config.Handler.(*psproxy.Proxy)
 	sender := psmessage.Identity{VM: "vm-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:7600")}
-	helperControl.snapshot.ShareHolders = []psmessage.Identity{sender}
+	helperControl.snapshot.RecentVMs = []psmessage.Identity{sender}
 	l := serve(t, helperProxy.ForwardedHandler(), psbudget.New(64<<20, time.Now)).Listener
 	first, control := startProxy(t)
 	allowLongUploads(control, timeout)
--- a/internal/process/psfleet/fleet_test.go
+++ b/internal/process/psfleet/fleet_test.go
@@ -25,13 +25,13 @@
 	f.AddIdentity(identity("vm-2", 1), startTime)
 	p := f.Peers()[0]
 	qt.Assert(t, f.Live(p, startTime), qt.IsFalse)
-	qt.Assert(t, f.Reserved(p, startTime), qt.IsTrue)
+	qt.Assert(t, f.Recent(p, startTime), qt.IsTrue)
 	_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-2", 1), Sequence: 1}, startTime)
 	qt.Assert(t, fresh, qt.IsTrue)
 	qt.Assert(t, f.Live(p, startTime.Add(time.Second)), qt.IsTrue)
 	qt.Assert(t, f.Live(p, startTime.Add(2*time.Second)), qt.IsFalse)
-	qt.Assert(t, f.Reserved(p, startTime.Add(5*time.Second)), qt.IsTrue)
-	qt.Assert(t, f.Reserved(p, startTime.Add(11*time.Second)), qt.IsFalse)
+	qt.Assert(t, f.Recent(p, startTime.Add(5*time.Second)), qt.IsTrue)
+	qt.Assert(t, f.Recent(p, startTime.Add(11*time.Second)), qt.IsFalse)
 }
 
 // TestReplacedVMsLeaveTheFleet guards against limits that shrink with each VM that was ever replaced: an owner of tokens
@@ -102,9 +102,9 @@
 	qt.Assert(t, f.ReportInterval() > time.Second, qt.IsTrue)
 }
 
-func TestDecodeIdentityRejectsInvalidIdentities(t *testing.T) {
+func TestDecodePublishedVMRejectsInvalidIdentities(t *testing.T) {
 	for _, text := range []string{"", "{}", `{"vm":"a"}`, `{"vm":1}`} {
-		_, err := psmessage.DecodeIdentity([]byte(text))
+		_, err := psmessage.DecodePublishedVM([]byte(text))
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", text))
 	}
 }
@@ -176,7 +176,7 @@
 	qt.Assert(t, live(lost.Add(3200*time.Millisecond)), qt.Equals, 61)
 	reserved := 0
 	for _, p := range f.Peers() {
-		if f.Reserved(p, lost.Add(9*time.Second)) {
+		if f.Recent(p, lost.Add(9*time.Second)) {
 			reserved++
 		}
 	}
@@ -205,3 +205,20 @@
 	qt.Assert(t, newest.VM, qt.Equals, "vm-3")
 	qt.Assert(t, f.StoreReaders(now), qt.HasLen, 1)
 }
+
+// TestProcessThatStartedBeforeByItsClockIsHeard guards against a VM that is ignored for as long as it runs: an earlier process
+// of it had started while its clock was ahead.
+func TestProcessThatStartedBeforeByItsClockIsHeard(t *testing.T) {
+	f := psfleet.New(identity("vm-1", 1))
+	hear := func(incarnation, sequence int64, after time.Duration) bool {
+		_, fresh := f.ApplyReport(&psmessage.Report{Identity: identity("vm-2", incarnation), Sequence: sequence}, startTime.Add(after))
+		return fresh
+	}
+	qt.Assert(t, hear(3000, 9, 0), qt.IsTrue)
+	qt.Assert(t, hear(1000, 1, time.Second), qt.IsFalse, qt.Commentf("a delayed report of an earlier process"))
+	qt.Assert(t, hear(1000, 2, 2*time.Second), qt.IsTrue)
+	qt.Assert(t, hear(3000, 10, 3*time.Second), qt.IsFalse, qt.Commentf("a forwarded report of the process that was replaced"))
+	f.AddIdentity(identity("vm-2", 3000), startTime.Add(3*time.Second))
+	qt.Assert(t, hear(1000, 3, 3*time.Second), qt.IsTrue)
+	qt.Assert(t, hear(2000, 1, 4*time.Second), qt.IsTrue, qt.Commentf("a later process"))
+}
--- a/internal/process/psfleet/room.go
+++ b/internal/process/psfleet/room.go
@@ -16,8 +16,8 @@
 	roomInterval = time.Second
 )
 
-// makeRoom reports whether a report may be kept, so that reports of ever other VMs don't take all memory. VMs that have been
-// silent for so long that their share isn't reserved are forgotten for it, the one that is silent longest first.
+// makeRoom reports whether a report may be kept, so that reports of ever other VMs don't take all memory. VMs that weren't heard
+// recently and own no part of the fleet's limits by the store are forgotten for it, the one that is silent longest first.
 func (f *Fleet) makeRoom(r *psmessage.Report, now time.Time) bool {
 	for {
 		p, found := f.peers[r.VM]
@@ -34,18 +34,18 @@
 	}
 }
 
-// forgetSilent removes the VM that is silent longest, unless its share is still reserved. It returns false if there is none.
+// forgetSilent removes the VM that is silent longest, unless it was heard recently. It returns false if there is none.
 func (f *Fleet) forgetSilent(now time.Time) bool {
 	if now.Before(f.fullUntil) {
 		return false
 	}
 	var longest *Peer
 	for _, p := range f.peers {
-		if longest == nil || p.silence(now) > longest.silence(now) {
+		if !p.publishedOwner && (longest == nil || p.Silence(now) > longest.Silence(now)) {
 			longest = p
 		}
 	}
-	if longest == nil || f.Reserved(longest, now) {
+	if longest == nil || f.Recent(longest, now) {
 		f.fullUntil = now.Add(roomInterval)
 		return false
 	}
@@ -57,5 +57,5 @@
 func (f *Fleet) remove(p *Peer) {
 	delete(f.peers, p.Identity.VM)
 	f.reportBytes -= p.reportBytes
-	f.sorted, f.domains, f.addresses = nil, nil, nil
+	f.changed()
 }
--- a/internal/process/psmessage/feature.go
+++ b/internal/process/psmessage/feature.go
@@ -16,10 +16,12 @@
 	Departures
 	// BusyWorkspaces VMs report the workspaces that send them far more requests than usual.
 	BusyWorkspaces
+	// Leases VMs state in their reports what they lend of the fleet's limits, and publish whether they own a part of them.
+	Leases
 )
 
 // CurrentFeatures are those of this build.
-const CurrentFeatures = Forwarding | LinkState | Departures | BusyWorkspaces
+const CurrentFeatures = Forwarding | LinkState | Departures | BusyWorkspaces | Leases
 
 // Has reports whether all of the given features are stated.
 func (f Features) Has(wanted Features) bool { return f&wanted == wanted }
--- a/internal/process/psmessage/report.go
+++ b/internal/process/psmessage/report.go
@@ -38,6 +38,8 @@
 	Slow map[string]float64 `json:"slow,omitempty"`
 	// Busy lists workspaces that send the VM far more requests than usual.
 	Busy []string `json:"busy,omitempty"`
+	// Lease is what the VM states of its part of the fleet's limits; nil in reports of earlier builds.
+	Lease *Lease `json:"lease,omitempty"`
 }
 
 const (
@@ -71,7 +73,12 @@
 	for id := range r.Slow {
 		n += entryBytes + len(id)
 	}
-	for _, list := range [][]string{r.Failed, r.Busy} {
+	lists := [][]string{r.Failed, r.Busy}
+	if l := r.Lease; l != nil {
+		n += entryBytes
+		lists = append(lists, l.Excluded.VMs, l.Excluded.FailureDomains, l.Silent.VMs, l.Silent.FailureDomains)
+	}
+	for _, list := range lists {
 		for _, name := range list {
 			n += entryBytes + len(name)
 		}
@@ -100,6 +107,11 @@
 			return errors.New("check report: sequence of a departure is negative")
 		}
 	}
+	if r.Lease != nil {
+		if err := r.Lease.Check(); err != nil {
+			return errors.Wrap(err, "check report")
+		}
+	}
 	if r.Sequence < 0 || r.Sequence > maxSequence || r.Version < 0 {
 		return errors.New("check report: sequence or version is out of range")
 	}
--- a/internal/process/psrate/share.go
+++ b/internal/process/psrate/earlier.go
@@ -5,27 +5,31 @@
 	"time"
 )
 
-const (
-	// floorShare is the fraction of a rate that is split evenly, independent of demand.
-	floorShare = 0.25
-	// headroom is the ratio of what a VM needs to its averaged demand, since arrivals vary.
-	headroom = 1.25
-	// evenRest is the fraction of what no VM needs that is split evenly, for callers that a VM doesn't know of yet. The others
-	// follow the needs, as do bursts.
-	evenRest = 0.65
-)
+// evenRest is the fraction of what no VM needs that is split evenly, for callers that a VM doesn't know of yet. The others follow the
+// needs, as do bursts.
+const evenRest = 0.65
+
+// EarlierShare returns the share of a limit for a VM, of a part of its own and of parts that it borrows, as VMs of builds up to
+// 3fc861e divide it. They lend all but FloorShare of their parts, in proportion to demand. own is the VM's demand and total that of all VMs
+// that may borrow, in requests per second. Without any demand, each VM uses its own part.
+func EarlierShare(ownPart, borrowed, own, total float64) float64 {
+	if total <= 0 {
+		return ownPart
+	}
+	return FloorShare*ownPart + (1-FloorShare)*(ownPart+borrowed)*own/total
+}
 
-// Share returns the share of a rate for a VM with the demand own, among VMs with the demands others. The rate and the demands
-// are in requests per second.
+// EarlierShareByNeed returns the share of a rate for a VM with the demand own, among VMs with the demands others, as VMs of builds just
+// before leases divide it. The rate and the demands are in requests per second.
 //
-// While the demands fit into the rate, each VM gets what it needs and a part of the rest. Otherwise no VM gets more than a common bound, and those that need less get that. So a workspace that
-// sends many times its usual rate to all VMs at once leaves their shares as they were.
-func Share(rate, own float64, others []float64) float64 {
+// While the demands fit into the rate, each VM gets what it needs and a part of the rest. Otherwise no VM gets more than a common bound,
+// and those that need less get that.
+func EarlierShareByNeed(rate, own float64, others []float64) float64 {
 	n := float64(len(others) + 1)
 	if rate <= 0 {
 		return 1 / n
 	}
-	need := func(demand float64) float64 { return max(floorShare/n, headroom*demand/rate) }
+	need := func(demand float64) float64 { return max(FloorShare/n, headroom*demand/rate) }
 	sum := need(own)
 	for _, d := range others {
 		sum += need(d)
--- a/internal/process/psrate/rate_test.go
+++ b/internal/process/psrate/rate_test.go
@@ -18,6 +18,8 @@
 	slack         = 20
 	step          = 10 * time.Millisecond
 	simulatedSpan = 20 * time.Second
+	// exchangeInterval is the time between two reports of a small fleet.
+	exchangeInterval = 250 * time.Millisecond
 )
 
 // grants counts the granted requests of each step.
@@ -37,6 +39,47 @@
 	return most
 }
 
+// fleet is some VMs that each own an equal part of a rate and lend it to each other, as package psshare does.
+type fleet struct {
+	rate float64
+	// exchange is the time between two reports of a VM.
+	exchange time.Duration
+	// reported are the last demands that VMs sent to the others, and history those before.
+	reported []float64
+	history  []psrate.DemandHistory
+}
+
+func newFleet(rate float64, exchange time.Duration, vms int) *fleet {
+	return &fleet{rate, exchange, make([]float64, vms), make([]psrate.DemandHistory, vms)}
+}
+
+// report records the demand that a VM reports now, and returns the VM's share. It goes on to use its own part for the demand that another one
+// may know, which is one exchange old. VMs lend for demands of others that have lasted for two, and borrow for their own after one more.
+func (f *fleet) report(i int, demand float64, now time.Time) float64 {
+	f.reported[i] = demand
+	f.history[i].Record(demand, now)
+	lasting := make([]float64, len(f.reported))
+	for j := range f.history {
+		lasting[j] = f.history[j].Propagated(2*f.exchange, now)
+	}
+	own := f.history[i].Propagated
+	return shareOf(f.rate, i, own(f.exchange, now), own(3*f.exchange, now), f.reported, lasting)
+}
+
+// shareOf returns the share of a rate for the i-th of some VMs, which needs its own part for one demand and may borrow for another one. The
+// others have reported theirs, of which lasting are those for which VMs lend.
+func shareOf(rate float64, i int, keeping, borrowing float64, reported, lasting []float64) float64 {
+	terms, needs, spares := psrate.NewTerms([]float64{rate}, []int{len(reported)}), 0.0, 0.0
+	for j, d := range reported {
+		if j != i {
+			needs += terms.OtherNeed(lasting[j], false)
+			spares += terms.OtherSpare(d)
+		}
+	}
+	need := terms.OwnNeed(borrowing, false)
+	return (terms.Kept(terms.OwnSpare(keeping), needs) + terms.Borrowed(spares, need, needs+need)) / float64(len(reported))
+}
+
 // TestSplitRatesStayWithinLimit simulates a workspace that sends many times its rate. Its callers move between
 // VMs, and VMs restart. The larger the fleet, the less often VMs exchange demands.
 func TestSplitRatesStayWithinLimit(t *testing.T) {
@@ -54,9 +97,7 @@
 		for i := range buckets {
 			buckets[i] = psrate.NewBucket(now)
 		}
-		// reported are the demands that VMs sent to the others, and history the shares that each computed.
-		reported := make([]float64, vms)
-		history := make([]psrate.ShareHistory, vms)
+		fleet := newFleet(l.Rate, exchange, vms)
 		shares := make([]float64, vms)
 		pending := make([]float64, vms)
 		g := make(grants, simulatedSpan/step)
@@ -65,12 +106,10 @@
 			for i, b := range buckets {
 				if n == restart && i < restarted {
 					b = psrate.NewBucket(now)
-					buckets[i], history[i] = b, psrate.ShareHistory{}
+					buckets[i], fleet.history[i] = b, psrate.DemandHistory{}
 				}
 				if n == 0 || (n+i)%int(exchange/step) == 0 {
-					reported[i] = b.Demand(now)
-					others := append(append([]float64{}, reported[:i]...), reported[i+1:]...)
-					shares[i] = history[i].Record(psrate.Share(l.Rate, reported[i], others), 2*exchange, now)
+					shares[i] = fleet.report(i, b.Demand(now), now)
 				}
 				demand := demands[(n/50*vms+i)%len(demands)]
 				if n < onset {
@@ -107,7 +146,7 @@
 	for i := range buckets {
 		buckets[i] = psrate.NewBucket(now)
 	}
-	reported, history := make([]float64, vms), make([]psrate.ShareHistory, vms)
+	fleet := newFleet(l.Rate, exchange, vms)
 	phases, shares := random.Perm(vms), make([]float64, vms)
 	granted, refused = make(grants, simulatedSpan/step), make(grants, simulatedSpan/step)
 	for n := range granted {
@@ -118,9 +157,7 @@
 		}
 		for i, b := range buckets {
 			if n == 0 || (n+phases[i])%int(exchange/step) == 0 {
-				reported[i] = b.Demand(now)
-				others := append(append([]float64{}, reported[:i]...), reported[i+1:]...)
-				shares[i] = history[i].Record(psrate.Share(l.Rate, reported[i], others), 2*exchange, now)
+				shares[i] = fleet.report(i, b.Demand(now), now)
 			}
 			for random.Float64() < demand/vms*step.Seconds() {
 				if ok, _ := b.Take(l, shares[i], now); ok {
@@ -215,8 +252,10 @@
 }
 
 func TestWithoutDemandsTheSplitIsEven(t *testing.T) {
-	qt.Assert(t, psrate.Share(100, 0, []float64{0, 0, 0}), qt.Equals, 0.25)
-	qt.Assert(t, psrate.Share(40, 30, []float64{10}) > 0.6, qt.IsTrue)
+	qt.Assert(t, psrate.EarlierShare(0.25, 0.75, 0, 0), qt.Equals, 0.25)
+	qt.Assert(t, psrate.EarlierShare(0.5, 0.5, 30, 40) > 0.6, qt.IsTrue)
+	qt.Assert(t, psrate.EarlierShareByNeed(100, 0, []float64{0, 0, 0}), qt.Equals, 0.25)
+	qt.Assert(t, psrate.EarlierShareByNeed(40, 30, []float64{10}) > 0.6, qt.IsTrue)
 }
 
 func TestTakeReturnsTheWaitForTheNextToken(t *testing.T) {
@@ -228,6 +267,18 @@
 	qt.Assert(t, granted, qt.IsTrue)
 }
 
+// TestDemandCountsOnlyAfterPropagation simulates a fleet in which a report takes three intervals to reach all VMs.
+func TestDemandCountsOnlyAfterPropagation(t *testing.T) {
+	var d psrate.DemandHistory
+	now := time.Unix(0, 0)
+	for i, v := range []float64{5, 9, 9, 9, 2, 9} {
+		now = now.Add(exchangeInterval)
+		d.Record(v, now)
+		want := []float64{0, 0, 0, 5, 2, 2}[i]
+		qt.Check(t, d.Propagated(3*exchangeInterval, now), qt.Equals, want, qt.Commentf("after %d reports", i+1))
+	}
+}
+
 // TestSharesGrowOnlyAfterWindow checks that a VM uses the lowest share that it has computed lately, until the other VMs know
 // the demand by which its share grows.
 func TestSharesGrowOnlyAfterWindow(t *testing.T) {
@@ -284,3 +335,67 @@
 	granted, _ = b.Take(l, 1, now)
 	qt.Assert(t, granted, qt.IsFalse)
 }
+
+// TestLentShareFillsBucket guards against a VM that gets back a share that it had lent, and grants the tokens which the borrower has
+// already granted.
+func TestLentShareFillsBucket(t *testing.T) {
+	l := psrate.Limit{Rate: 100, Burst: 200}
+	now := time.Unix(1000, 0)
+	b := psrate.NewBucket(now)
+	b.Refill(l, 0.25, now)
+	now = now.Add(10 * time.Second)
+	b.Refill(l, 1, now)
+	granted := 0
+	for ok := true; ok; granted++ {
+		ok, _ = b.Take(l, 1, now)
+	}
+	qt.Assert(t, granted < 256, qt.IsTrue, qt.Commentf("%d granted at once, 215 are a full bucket", granted))
+}
+
+// TestSplitByNeed covers the split among VMs that each own a quarter of a rate of 400.
+func TestSplitByNeed(t *testing.T) {
+	for name, c := range map[string]struct{ demands, want []float64 }{
+		"no demand":            {[]float64{0, 0, 0, 0}, []float64{1, 1, 1, 1}},
+		"within the own parts": {[]float64{80, 40, 20, 0}, []float64{1, 1, 1, 1}},
+		"alike above the rate": {[]float64{900, 900, 900, 900}, []float64{1, 1, 1, 1}},
+		"one needs more":       {[]float64{300, 0, 0, 0}, []float64{3.25, 0.25, 0.25, 0.25}},
+		"one needs a bit more": {[]float64{100, 0, 0, 0}, []float64{1.5625, 0.8125, 0.8125, 0.8125}},
+	} {
+		for i, own := range c.demands {
+			share := 4 * shareOf(400, i, own, own, c.demands, c.demands)
+			qt.Check(t, share, qt.Equals, c.want[i], qt.Commentf("%s: VM %d", name, i))
+		}
+	}
+}
+
+// TestVMsWithDifferentRatesExceedLimit guards against shares that add up to more than a rate while some VMs know of its change, or of that of
+// the number of parts, and others don't yet.
+func TestVMsWithDifferentRatesExceedLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 200), 2, 9).Draw(t, "demands")
+		rates := rapid.SliceOfN(rapid.Float64Range(20, 1000), 2, 2).Draw(t, "rates")
+		parts := []int{len(demands), len(demands) + rapid.IntRange(0, 9).Draw(t, "more")}
+		terms := make([]psrate.Terms, len(demands))
+		for i := range terms {
+			terms[i] = psrate.NewTerms(rates, parts)
+			if rapid.Bool().Draw(t, "outdated") {
+				terms[i] = psrate.NewTerms(rates[:1], parts[:1])
+			}
+		}
+		sum := 0.0
+		for i, own := range demands {
+			needs, spares := 0.0, 0.0
+			for j, d := range demands {
+				if j != i {
+					needs += terms[i].OtherNeed(d, false)
+					spares += terms[i].OtherSpare(d)
+				}
+			}
+			need := terms[i].OwnNeed(own, false)
+			sum += terms[i].Kept(terms[i].OwnSpare(own), needs) + terms[i].Borrowed(spares, need, needs+need)
+		}
+		if sum > float64(len(demands))+1e-9 {
+			t.Fatalf("%.3f of %d parts are used", sum, len(demands))
+		}
+	})
+}
--- a/internal/process/pstoken/ahead.go
+++ b/internal/process/pstoken/ahead.go
@@ -28,7 +28,7 @@
 func (t *Tokens) takeOwned(ctx context.Context, s *pssnapshot.Snapshot, workspace string, late bool) Verdict {
 	primary, backup := s.TokenOwners(workspace)
 	if t.useAhead(workspace, primary) {
-		go t.refillAhead(s, workspace, primary)
+		t.background(func() { t.refillAhead(s, workspace, primary) })
 		return Granted{Ahead: true}
 	}
 	q := psmessage.TokenRequest{Workspace: workspace, Late: late, Ahead: primary.VM != t.self}
@@ -81,7 +81,7 @@
 		t.returnAhead(s, workspace, owner)
 		return
 	}
-	time.AfterFunc(a.expiresAt.Sub(t.now()), func() {
+	t.after(a.expiresAt.Sub(t.now()), func() {
 		if t.dropAhead(workspace, a) {
 			t.returnAhead(s, workspace, a.owner)
 		}
@@ -115,7 +115,7 @@
 		return psmessage.TokenResponse{}
 	case q.Refill:
 		b.SettleAhead(false)
-		b.AddDemand(1)
+		b.AddDemand(1, now)
 		return psmessage.TokenResponse{Ahead: b.TakeAhead(l, 1, until, now)}
 	}
 	response := take(b, l, 1, q.Late, now)
