platform: the documents of the store's rows move to psdocument

The configuration, with positions and unknown fields, and the entries of backend servers are decoded in platform/psdocument; platform keeps the client and the tables of the store. The names on the wire, the limits and the tests are unchanged. ReadDocument is psdocument.Read, and the limit of a decoded page is psdocument.MaxBytes, which both packages use.

--- a/internal/process/pscli/check.go
+++ b/internal/process/pscli/check.go
@@ -11,7 +11,7 @@
 	"persimmonstep/internal/process/psstate"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/pslint"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psdocument"
 )
 
 // checkCommand validates files.
@@ -74,7 +74,7 @@
 	// inForce is the version in force; nil without one. document locates its values, and file is where it was read from; both
 	// are empty if it is that of a state.
 	inForce  *psconfig.Configuration
-	document *platform.Document
+	document *psdocument.Document
 	file     string
 }
 
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read configuration in force")
 	}
-	d, err := platform.ReadDocument(data)
+	d, err := psdocument.Read(data)
 	if err != nil {
 		return nil, errors.Wrapf(err, "configuration in force %s", c.Against)
 	}
--- a/internal/process/pscli/cli_test.go
+++ b/internal/process/pscli/cli_test.go
@@ -31,9 +31,9 @@
 }
 
 var (
-	platformData  = filepath.Join("..", "..", "..", "platform", "testdata")
-	goodSettings  = filepath.Join(platformData, "..", "pssettings", "testdata", "settings.yaml")
-	configuration = filepath.Join(platformData, "configuration.json")
+	platformData  = filepath.Join("..", "..", "..", "platform")
+	goodSettings  = filepath.Join(platformData, "pssettings", "testdata", "settings.yaml")
+	configuration = filepath.Join(platformData, "psdocument", "testdata", "configuration.json")
 )
 
 func TestSteerChecksItsSettings(t *testing.T) {
--- a/internal/process/pscli/fuzz_test.go
+++ b/internal/process/pscli/fuzz_test.go
@@ -12,7 +12,7 @@
 	"persimmonstep/internal/trial/psmutation"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/internal/version/pslint"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psdocument"
 )
 
 // mutations is the number of changed documents of [TestMutatedConfigurations].
@@ -57,7 +57,7 @@
 	t.Helper()
 	fleet := pslint.Fleet{Regions: []string{"north"}, Servers: []pslint.Server{{Service: "prices", Region: "north"}}, VMs: 3, RoundTrip: 1}
 	findings := checkConfiguration(data, &installation{fleet: fleet})
-	c, err := platform.DecodeConfiguration(data)
+	c, err := psdocument.DecodeConfiguration(data)
 	accepted := err == nil && len(c.Check()) == 0
 	if slices.ContainsFunc(findings, func(f fileFinding) bool { return f.Severity == pslint.Error }) == accepted {
 		t.Fatalf("%s\naccepted by a VM: %t, findings: %v", data, accepted, findings)
@@ -67,8 +67,8 @@
 			t.Fatalf("finding without position or code: %v", f)
 		}
 	}
-	if d, err := platform.ReadDocument(other); err == nil {
-		for _, document := range []*platform.Document{nil, d} {
+	if d, err := psdocument.Read(other); err == nil {
+		for _, document := range []*psdocument.Document{nil, d} {
 			in := &installation{fleet: fleet, inForce: d.Configuration, document: document, file: "in-force"}
 			checkConfiguration(data, in)
 		}
--- a/internal/process/pscli/report.go
+++ b/internal/process/pscli/report.go
@@ -17,7 +17,7 @@
 	"persimmonstep/internal/version/psjson"
 	"persimmonstep/internal/version/pslint"
 	"persimmonstep/internal/version/pstoml"
-	"persimmonstep/platform"
+	"persimmonstep/platform/psdocument"
 	"persimmonstep/platform/pssettings"
 )
 
@@ -151,7 +151,7 @@
 
 // checkConfiguration returns the findings of a configuration, and what differs from the version in force.
 func checkConfiguration(data []byte, in *installation) []fileFinding {
-	d, err := platform.ReadDocument(data)
+	d, err := psdocument.Read(data)
 	var syntax *psjson.SyntaxError
 	switch {
 	case errors.As(err, &syntax):
@@ -186,7 +186,7 @@
 
 // documentFindings collects the findings of one configuration.
 type documentFindings struct {
-	document *platform.Document
+	document *psdocument.Document
 	findings []fileFinding
 }
 
