pscli: the check of files moves to pscheck

Package pscheck checks settings, configurations and scenarios, locates the findings and prints them as text or JSON. The command keeps the flags, the reading of a VM's state and the exit code. Output, codes, errors and exit codes are unchanged: the golden files of TestCheckOutput are the same. The fuzz test moves with the code and still begins with the command's documents. TestEveryCodeIsDocumented also reads pscheck.

--- a/internal/process/pscli/fuzz_test.go
+++ b/internal/process/pscheck/fuzz_test.go
@@ -1,4 +1,4 @@
-package pscli
+package pscheck
 
 import (
 	"math/rand/v2"
@@ -20,7 +20,7 @@
 
 func samples(t testing.TB) (list [][]byte) {
 	t.Helper()
-	files, err := filepath.Glob(filepath.Join("testdata", "check", "*.json"))
+	files, err := filepath.Glob(filepath.Join("..", "pscli", "testdata", "check", "*.json"))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(files) > 4, qt.IsTrue)
 	for _, name := range files {
@@ -56,10 +56,10 @@
 func compareWithVM(t *testing.T, data, other []byte) bool {
 	t.Helper()
 	fleet := pslint.Fleet{Regions: []string{"north"}, Servers: []pslint.Server{{Service: "prices", Region: "north"}}, VMs: 3, RoundTrip: 1}
-	findings := checkConfiguration(data, &installation{fleet: fleet})
+	findings := checkConfiguration(data, &Installation{fleet: fleet})
 	c, err := psdocument.DecodeConfiguration(data)
 	accepted := err == nil && len(c.Check()) == 0
-	if slices.ContainsFunc(findings, func(f fileFinding) bool { return f.Severity == pslint.Error }) == accepted {
+	if slices.ContainsFunc(findings, func(f Finding) bool { return f.Severity == pslint.Error }) == accepted {
 		t.Fatalf("%s\naccepted by a VM: %t, findings: %v", data, accepted, findings)
 	}
 	for _, f := range findings {
@@ -69,7 +69,7 @@
 	}
 	if d, err := psdocument.Read(other); err == nil {
 		for _, document := range []*psdocument.Document{nil, d} {
-			in := &installation{fleet: fleet, inForce: d.Configuration, document: document, file: "in-force"}
+			in := &Installation{fleet: fleet, inForce: d.Configuration, document: document, file: "in-force"}
 			checkConfiguration(data, in)
 		}
 	}
--- a/internal/process/pscli/check.go
+++ b/internal/process/pscli/check.go
@@ -3,15 +3,10 @@
 import (
 	"context"
 	"net/netip"
-	"os"
-	"time"
 
 	"github.com/pkg/errors"
 
-	"persimmonstep/internal/process/psstate"
-	"persimmonstep/internal/version/psconfig"
-	"persimmonstep/internal/version/pslint"
-	"persimmonstep/platform/psdocument"
+	"persimmonstep/internal/process/pscheck"
 )
 
 // checkCommand validates files.
@@ -34,15 +29,6 @@
 Exit codes: 0 without errors and warnings, 1 with any, 2 if a file can't be read as what it should be, or for wrong usage.`
 }
 
-// The rules for whole files.
-const (
-	codeUnreadable psconfig.Code = "unreadable"
-	codeSyntax     psconfig.Code = "syntax"
-	codeSettings   psconfig.Code = "settings"
-	codeScenario   psconfig.Code = "scenario"
-	codeUnknown    psconfig.Code = "unknown"
-)
-
 // Run prints the findings of all files.
 func (c *checkCommand) Run(ctx context.Context, s streams) error {
 	if len(c.Settings)+len(c.Configuration)+len(c.Scenarios) == 0 {
@@ -55,74 +41,45 @@
 	if err != nil {
 		return err
 	}
-	r := &report{}
+	r := &pscheck.Report{}
 	for _, path := range c.Settings {
-		r.file(path, func(data []byte) []fileFinding { return checkSettings(data, in) })
+		r.Settings(path, in)
 	}
 	for _, path := range c.Configuration {
-		r.file(path, func(data []byte) []fileFinding { return checkConfiguration(data, in) })
+		r.Configuration(path, in)
 	}
 	for _, path := range c.Scenarios {
-		r.file(path, func(data []byte) []fileFinding { return checkScenario(path, data) })
+		r.Scenario(path)
 	}
-	return r.print(s.out, c.JSON)
-}
-
-// installation is what configurations are checked against.
-type installation struct {
-	fleet pslint.Fleet
-	// inForce is the version in force; nil without one. document locates its values, and file is where it was read from; both
-	// are empty if it is that of a state.
-	inForce  *psconfig.Configuration
-	document *psdocument.Document
-	file     string
+	if err := r.Print(s.out, c.JSON); err != nil {
+		return err
+	}
+	switch {
+	case r.Unusable():
+		return &exitError{code: ExitFailed}
+	case r.Faulty():
+		return &exitError{code: ExitFindings}
+	}
+	return nil
 }
 
 // installation reads the version in force and the state.
-func (c *checkCommand) installation(ctx context.Context) (*installation, error) {
-	in := &installation{}
+func (c *checkCommand) installation(ctx context.Context) (*pscheck.Installation, error) {
+	in := &pscheck.Installation{}
 	if c.State != "" || c.VM.IsValid() {
 		e := explainCommand{VM: c.VM, State: c.State}
 		state, err := e.state(ctx)
 		if err != nil {
 			return nil, err
 		}
-		if state.Configuration == nil {
-			return nil, errors.New("check: the VM has no configuration")
+		if err := in.SetState(state); err != nil {
+			return nil, err
 		}
-		in.fleet, in.inForce = fleetOf(state), state.Configuration
-	}
-	if c.Against == "" {
-		return in, nil
-	}
-	data, err := os.ReadFile(c.Against)
-	if err != nil {
-		return nil, errors.Wrap(err, "read configuration in force")
 	}
-	d, err := psdocument.Read(data)
-	if err != nil {
-		return nil, errors.Wrapf(err, "configuration in force %s", c.Against)
-	}
-	if faults := append(d.Faults, d.Configuration.Check()...); len(faults) > 0 {
-		return nil, errors.Errorf("configuration in force %s: %s", c.Against, faults[0])
-	}
-	in.inForce, in.document, in.file = d.Configuration, d, c.Against
-	return in, nil
-}
-
-// fleetOf returns what a state shows of the installation.
-func fleetOf(s psstate.State) pslint.Fleet {
-	f := pslint.Fleet{VMs: s.FleetSize, Runs: map[string]time.Duration{}}
-	for _, v := range s.Servers {
-		f.Servers = append(f.Servers, pslint.Server{Service: v.Entry.Service, Region: v.Region})
-	}
-	for name, runs := range s.Runs {
-		f.Runs[name] = min(runs.Cached, runs.Uncached)
-	}
-	for _, d := range s.RoundTrips {
-		if d > 0 && (f.RoundTrip == 0 || d < f.RoundTrip) {
-			f.RoundTrip = d
+	if c.Against != "" {
+		if err := in.ReadInForce(c.Against); err != nil {
+			return nil, err
 		}
 	}
-	return f
+	return in, nil
 }
--- a/internal/process/pscli/check_test.go
+++ b/internal/process/pscli/check_test.go
@@ -170,7 +170,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	declaration := regexp.MustCompile(`Code\s+= "([a-z-]+)"`)
 	count := 0
-	for _, pattern := range []string{"internal/version/ps*/*.go", "platform/*.go", "platform/ps*/*.go", "internal/process/pscli/*.go"} {
+	for _, pattern := range []string{"internal/version/ps*/*.go", "platform/*.go", "platform/ps*/*.go", "internal/process/pscheck/*.go", "internal/process/pscli/*.go"} {
 		files, err := filepath.Glob(filepath.Join(root, filepath.FromSlash(pattern)))
 		qt.Assert(t, err, qt.IsNil)
 		for _, name := range files {
