psserve: a single connection moves to psinbound

A connection knows its server through the interface psinbound.Server, and the options of all connections of a server are shared, so that a connection takes no more memory. Metrics, log lines and limits are unchanged, and so are the tests, which reach a connection through psserve.

--- a/internal/connection/psserve/conn.go
+++ b/internal/connection/psinbound/conn.go
@@ -1,4 +1,4 @@
-package psserve
+package psinbound
 
 import (
 	"context"
@@ -33,11 +33,13 @@
 	headMargin = 500 * time.Millisecond
 	// noMemoryRetryAfter is the Retry-After time of a request whose head doesn't fit into the budget.
 	noMemoryRetryAfter = 500 * time.Millisecond
+	// firstRequestTime is how long a server that shuts down waits for the first request of an open connection.
+	firstRequestTime = time.Second
 )
 
-// conn is a connection of a caller. One goroutine, which runs serve, reads it.
-type conn struct {
-	server       *Server
+// Conn is a connection of a caller. One goroutine, which runs [Conn.Serve], reads it.
+type Conn struct {
+	options      *Options
 	tcp          net.Conn
 	source       *pshead.Source
 	account      *psbudget.Account
@@ -53,9 +55,9 @@
 	mutex    sync.Mutex
 	changed  sync.Cond
 	pipeline psconnection.Pipeline
-	begun    []*exchange
+	begun    []*Exchange
 	// body is the request whose body is still to be read from the connection; nil without one.
-	body *exchange
+	body *Exchange
 	// reading is set while the head of a request is read or waits to be begun.
 	reading bool
 	// peeking is set while the connection is read for the next request, so that a disconnect is detected.
@@ -74,10 +76,11 @@
 // kindBits is the number of bits of a kind of activity.
 const kindBits = 3
 
-func newConn(s *Server, tcp net.Conn) *conn {
-	c := &conn{server: s, tcp: tcp, headerBytes: s.limits().MaxHeaderBytes, remote: tcp.RemoteAddr().String()}
+// New returns a connection whose requests have heads of at most headerBytes. It is to be served, or released if it isn't.
+func New(o *Options, tcp net.Conn, headerBytes int) *Conn {
+	c := &Conn{options: o, tcp: tcp, headerBytes: headerBytes, remote: tcp.RemoteAddr().String()}
 	c.changed.L = &c.mutex
-	c.account, c.closeAccount = s.options.Budget.Open(c.evict)
+	c.account, c.closeAccount = o.Budget.Open(c.evict)
 	c.source = pshead.NewSource(tcp, c.account)
 	ctx := pscaller.WithConn(psbudget.With(context.Background(), c.account), tcp)
 	c.ctx, c.cancel = context.WithCancel(ctx)
@@ -85,21 +88,24 @@
 	return c
 }
 
-func (c *conn) setActivity(k psconnection.Activity) {
+func (c *Conn) setActivity(k psconnection.Activity) {
 	c.state.Store(int64(time.Since(epoch))<<kindBits | int64(k))
 }
 
 // State implements [psopen.Conn].
-func (c *conn) State() psopen.State {
+func (c *Conn) State() psopen.State {
 	v := c.state.Load()
 	return psopen.State{Activity: psconnection.Activity(v & (1<<kindBits - 1)), Since: epoch.Add(time.Duration(v >> kindBits))}
 }
 
+// RemoteAddr returns the address of the caller.
+func (c *Conn) RemoteAddr() string { return c.remote }
+
 // MakeRoom implements [psopen.Conn].
-func (c *conn) MakeRoom() { c.reset(reasonDescriptors) }
+func (c *Conn) MakeRoom() { c.Reset(ReasonDescriptors) }
 
-// serve reads requests until the connection ends.
-func (c *conn) serve() {
+// Serve reads requests until the connection ends.
+func (c *Conn) Serve() {
 	defer c.end()
 	for c.awaitRequest() {
 		r, cost, err := c.source.ReadRequest(c.headerBytes)
@@ -116,7 +122,7 @@
 
 // awaitRequest waits for the first byte of the next request, and until it may be read. It returns false if the connection
 // has ended or closes.
-func (c *conn) awaitRequest() bool {
+func (c *Conn) awaitRequest() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for {
@@ -160,25 +166,25 @@
 // mayRead reports whether the head of the next request may be read. Nothing is read behind a caller's last one. While the server shuts down, that is so only if no
 // request is in progress: the last response would otherwise never come if the caller always has further requests on the way.
 // The caller holds the mutex.
-func (c *conn) mayRead() bool {
-	return c.pipeline.MayRead() && !c.last && (c.pipeline.Len() == 0 || !c.server.draining.Load())
+func (c *Conn) mayRead() bool {
+	return c.pipeline.MayRead() && !c.last && (c.pipeline.Len() == 0 || !c.options.Server.IsDraining())
 }
 
 // isEnding reports whether no further request begins. The caller holds the mutex.
-func (c *conn) isEnding() bool { return c.gone || c.pipeline.Closing() }
+func (c *Conn) isEnding() bool { return c.gone || c.pipeline.Closing() }
 
 // leave records that the caller has disconnected, which cancels its requests. The caller holds the mutex.
-func (c *conn) leave() {
+func (c *Conn) leave() {
 	c.gone = true
 	c.cancel()
 	c.changed.Broadcast()
 }
 
 // begin runs a request, once it may run. It returns false if the connection ends before.
-func (c *conn) begin(r *http.Request, cost int64) bool {
+func (c *Conn) begin(r *http.Request, cost int64) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	overlaps := r.Body == http.NoBody && c.server.overlap(r)
+	overlaps := r.Body == http.NoBody && c.options.Server.MayOverlap(r)
 	held, readAt := int64(0), time.Time{}
 	for !c.isEnding() && c.pipeline.Len() > 0 {
 		if c.pipeline.MayBegin(overlaps) && c.account.TakeSpare(overlapBytes) {
@@ -203,7 +209,7 @@
 	e.id = c.pipeline.Begin(overlaps)
 	if c.pipeline.Len() > 1 {
 		e.turn = make(chan struct{})
-		c.server.options.Metrics.count(c.server.options.Name, "pipelined")
+		c.options.Server.Pipelined()
 	}
 	if r.Body != http.NoBody {
 		c.body = e
@@ -214,13 +220,13 @@
 		// Otherwise an earlier response may be blocked, which lasts.
 		c.setActivity(psconnection.Running)
 	}
-	c.server.run(e)
+	c.options.Server.Run(e)
 	return true
 }
 
 // refuse responds to a head that can't be read, after the responses to all earlier requests. The connection closes with
 // it.
-func (c *conn) refuse(err error) {
+func (c *Conn) refuse(err error) {
 	var head *pshead.Error
 	status, reason := http.StatusBadRequest, pshead.Malformed.String()
 	if errors.As(err, &head) {
@@ -241,7 +247,7 @@
 	if ending {
 		return
 	}
-	c.server.noteRefused(c, reason, status)
+	c.options.Server.Refused(c, reason, status)
 	h := http.Header{}
 	if status == http.StatusServiceUnavailable {
 		psheader.WriteRetryAfter(h, noMemoryRetryAfter)
@@ -249,9 +255,9 @@
 	psreply.WriteRefusal(c.tcp, status, h)
 }
 
-// enforce closes the connection if it is idle for too long, or ends the wait for a head. It detects that the caller has
+// Enforce closes the connection if it is idle for too long, or ends the wait for a head. It detects that the caller has
 // disconnected if the connection isn't read because earlier requests run.
-func (c *conn) enforce(l psconfig.Limits, now time.Time) {
+func (c *Conn) Enforce(l psconfig.Limits, now time.Time) {
 	a := c.State()
 	switch d := now.Sub(a.Since); {
 	case a.Activity == psconnection.Idle && d > l.IdleTimeout+idleMargin:
@@ -277,20 +283,20 @@
 }
 
 // closeIfStill closes an idle connection, unless it is idle no more.
-func (c *conn) closeIfStill(a psopen.State) {
+func (c *Conn) closeIfStill(a psopen.State) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.State() != a || c.reading || c.gone || hasUnread(c.tcp) {
 		return
 	}
-	c.server.noteClosed(c, reasonIdle)
+	c.options.Server.Closed(c, ReasonIdle)
 	c.leave()
 	_ = c.tcp.Close()
 }
 
-// closeIfIdle closes the connection of a server that shuts down if it is idle. On a new one the first request may be on its
+// CloseIfIdle closes the connection of a server that shuts down if it is idle. On a new one the first request may be on its
 // way.
-func (c *conn) closeIfIdle() {
+func (c *Conn) CloseIfIdle() {
 	c.mutex.Lock()
 	served := c.served
 	c.mutex.Unlock()
@@ -302,21 +308,21 @@
 
 // evict closes the connection to free its memory, unless its request waits for a backend server. The checks of connections, which
 // count that as progress, may be late.
-func (c *conn) evict() {
+func (c *Conn) evict() {
 	if c.State().Activity == psconnection.Running {
 		c.account.Spare()
 		return
 	}
-	c.reset(reasonMemory)
+	c.Reset(ReasonMemory)
 }
 
-// reset closes the connection at once and cancels its requests. It is not reset if all responses are complete: the last one
+// Reset closes the connection at once and cancels its requests. It is not reset if all responses are complete: the last one
 // may still be on its way.
-func (c *conn) reset(reason string) {
+func (c *Conn) Reset(reason string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.gone {
-		c.server.noteClosed(c, reason)
+		c.options.Server.Closed(c, reason)
 	}
 	if a := c.State().Activity; a == psconnection.Idle || a == psconnection.Lingering {
 		c.leave()
@@ -327,7 +333,7 @@
 }
 
 // abandon resets the connection without a record. The caller holds the mutex.
-func (c *conn) abandon() {
+func (c *Conn) abandon() {
 	c.leave()
 	pslinger.ResetOnClose(c.tcp)
 	_ = c.tcp.Close()
@@ -335,7 +341,7 @@
 
 // end waits for the requests that still run and closes the connection. The last response may still be on its way, so
 // what the caller sends is dropped for a time.
-func (c *conn) end() {
+func (c *Conn) end() {
 	c.mutex.Lock()
 	for c.pipeline.Len() > 0 {
 		c.changed.Wait()
@@ -347,12 +353,15 @@
 		pslinger.Close(t)
 	}
 	_ = c.tcp.Close()
-	c.release()
-	c.server.conns.Remove(c)
+	c.Release()
+	c.options.Server.Ended(c)
 }
 
-// release gives back what the connection has drawn.
-func (c *conn) release() {
+// Release gives back what the connection has drawn.
+func (c *Conn) Release() {
 	c.cancel()
 	c.closeAccount()
 }
+
+// hasUnread reports whether a connection has received bytes that weren't read.
+func hasUnread(c net.Conn) bool { return pssocket.StateOf(c) == pssocket.Pending }
--- a/internal/connection/psserve/exchange.go
+++ b/internal/connection/psinbound/exchange.go
@@ -1,4 +1,4 @@
-package psserve
+package psinbound
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 	"persimmonstep/internal/request/psconnection"
 )
 
-// exchange is a request in progress and its response. It implements [psreply.Exchange].
-type exchange struct {
-	conn    *conn
+// Exchange is a request in progress and its response. It implements [psreply.Exchange].
+type Exchange struct {
+	conn    *Conn
 	request *http.Request
 	cancel  context.CancelFunc
 	id      int
@@ -25,19 +25,19 @@
 }
 
 // newExchange returns a request that is about to run. readAt is when it was read, if it has waited since.
-func newExchange(c *conn, r *http.Request, readAt time.Time, head, response int64) *exchange {
+func newExchange(c *Conn, r *http.Request, readAt time.Time, head, response int64) *Exchange {
 	ctx, cancel := context.WithCancel(c.ctx)
 	if !readAt.IsZero() {
 		ctx = pscaller.WithArrival(ctx, readAt)
 	}
 	r = r.WithContext(ctx)
 	r.RemoteAddr = c.remote
-	return &exchange{conn: c, request: r, cancel: cancel, head: head, response: response}
+	return &Exchange{conn: c, request: r, cancel: cancel, head: head, response: response}
 }
 
-// serve runs the handler and completes the response.
-func (e *exchange) serve() {
-	o := e.conn.server.options
+// Serve runs the handler and completes the response.
+func (e *Exchange) Serve() {
+	o := e.conn.options
 	w := psreply.New(psreply.Options{
 		Exchange: e, Conn: e.conn.tcp, Account: e.conn.account, Request: e.request, Turn: e.turn,
 	})
@@ -50,11 +50,11 @@
 
 // BeginResponse reports whether the connection closes with the response, whose turn it is. If so, the requests behind it
 // are cancelled.
-func (e *exchange) BeginResponse(must, whenLast bool) bool {
+func (e *Exchange) BeginResponse(must, whenLast bool) bool {
 	c := e.conn
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	closes := c.pipeline.BeginResponse(must, whenLast || c.server.draining.Load())
+	closes := c.pipeline.BeginResponse(must, whenLast || c.options.Server.IsDraining())
 	if closes {
 		for _, v := range c.begun[1:] {
 			v.cancel()
@@ -64,7 +64,7 @@
 }
 
 // BodyRead records that the body was read to its end, so that the connection can be read again.
-func (e *exchange) BodyRead() {
+func (e *Exchange) BodyRead() {
 	c := e.conn
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -77,7 +77,7 @@
 }
 
 // SetReadDeadline sets the deadline for the body, while it is read.
-func (e *exchange) SetReadDeadline(t time.Time) error {
+func (e *Exchange) SetReadDeadline(t time.Time) error {
 	e.conn.mutex.Lock()
 	defer e.conn.mutex.Unlock()
 	if e.conn.body != e {
@@ -87,7 +87,7 @@
 }
 
 // Wait records whether the caller has to send or read something.
-func (e *exchange) Wait(forCaller bool) {
+func (e *Exchange) Wait(forCaller bool) {
 	if forCaller {
 		e.conn.setActivity(psconnection.Blocked)
 		return
@@ -96,7 +96,7 @@
 }
 
 // Break resets the connection.
-func (e *exchange) Break() {
+func (e *Exchange) Break() {
 	e.conn.mutex.Lock()
 	defer e.conn.mutex.Unlock()
 	e.conn.abandon()
@@ -104,13 +104,13 @@
 
 // ended records that a response is complete or was given up. The next one gets its turn, or all are cancelled if the
 // connection closes.
-func (c *conn) ended(e *exchange) {
+func (c *Conn) ended(e *Exchange) {
 	c.account.Return(e.head + e.response)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	turn := c.pipeline.IsTurn(e.id)
 	next := c.pipeline.End(e.id)
-	c.begun = slices.DeleteFunc(c.begun, func(v *exchange) bool { return v == e })
+	c.begun = slices.DeleteFunc(c.begun, func(v *Exchange) bool { return v == e })
 	if next != 0 && c.begun[0].turn != nil {
 		close(c.begun[0].turn)
 	}
--- a/internal/connection/psserve/server.go
+++ b/internal/connection/psserve/server.go
@@ -5,9 +5,8 @@
 // are read slowly, and callers that send further requests before the first response. Everything that a connection holds
 // is drawn from its account of [psbudget].
 //
-// One goroutine reads a connection, ahead of the responses, so that it detects a caller that disconnects. Each request runs
-// on a goroutine of its own. [psconnection.Pipeline] decides which requests run side by side and in which order they are
-// answered.
+// This package accepts connections, bounds their number, has the limits of time enforced and shuts down. Each connection is a
+// [psinbound.Conn].
 package psserve
 
 import (
@@ -22,10 +21,9 @@
 	"github.com/pkg/errors"
 
 	"persimmonstep/internal/connection/psbudget"
+	"persimmonstep/internal/connection/psinbound"
 	"persimmonstep/internal/connection/pslistener"
 	"persimmonstep/internal/connection/psopen"
-	"persimmonstep/internal/connection/pssocket"
-	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/process/pslog"
 	"persimmonstep/internal/version/psconfig"
 )
@@ -35,8 +33,6 @@
 	sweepInterval = 200 * time.Millisecond
 	// drainInterval is the time between checks for idle connections while the server shuts down.
 	drainInterval = 10 * time.Millisecond
-	// firstRequestTime is how long a server that shuts down waits for the first request of an open connection.
-	firstRequestTime = time.Second
 	// acceptPause is the time after an error of accept, which mostly reports that no descriptor is free.
 	acceptPause = 5 * time.Millisecond
 	// maxIdleWorkers bounds the goroutines that wait for a request to run.
@@ -71,15 +67,17 @@
 // Server serves HTTP on one listener.
 type Server struct {
 	options Options
+	// inbound are the options of its connections.
+	inbound psinbound.Options
 	overlap func(*http.Request) bool
 	lines   pslog.RateLimit
 	// draining is set once the server shuts down.
 	draining atomic.Bool
 	// work passes requests to idle workers, which are counted.
-	work        chan *exchange
+	work        chan *psinbound.Exchange
 	idleWorkers atomic.Int64
 
-	conns *psopen.Set[*conn]
+	conns *psopen.Set[*psinbound.Conn]
 
 	mutex    sync.Mutex
 	listener net.Listener
@@ -91,9 +89,10 @@
 // New returns a server.
 func New(o Options) *Server {
 	s := &Server{
-		options: o, overlap: func(*http.Request) bool { return false }, conns: psopen.NewSet[*conn](o.MaxConnections),
-		lines: pslog.RateLimit{PerSecond: linesPerSecond}, accepted: make(chan struct{}), ended: make(chan struct{}), work: make(chan *exchange),
+		options: o, overlap: func(*http.Request) bool { return false }, conns: psopen.NewSet[*psinbound.Conn](o.MaxConnections),
+		lines: pslog.RateLimit{PerSecond: linesPerSecond}, accepted: make(chan struct{}), ended: make(chan struct{}), work: make(chan *psinbound.Exchange),
 	}
+	s.inbound = psinbound.Options{Server: host{s}, Budget: o.Budget, Handler: o.Handler, Name: o.Name, Logger: o.Logger}
 	if v, found := o.Handler.(Overlapper); found {
 		s.overlap = v.MayOverlap
 	}
@@ -150,29 +149,20 @@
 // add starts to serve a connection. If there are too many, another one is closed, or this one if none can be closed.
 func (s *Server) add(tcp net.Conn) {
 	s.options.Metrics.count(s.options.Name, "accepted")
-	c := newConn(s, tcp)
+	c := psinbound.New(&s.inbound, tcp, s.limits().MaxHeaderBytes)
 	if !s.conns.Add(c) {
 		s.options.Metrics.count(s.options.Name, "refused")
 		_ = tcp.Close()
-		c.release()
+		c.Release()
 		return
 	}
-	go c.serve()
-}
-
-// run runs a request on an idle worker, whose stack has already grown, or on a new one.
-func (s *Server) run(e *exchange) {
-	select {
-	case s.work <- e:
-	default:
-		go s.serveRequests(e)
-	}
+	go c.Serve()
 }
 
 // serveRequests runs a request, and then others while few workers are idle.
-func (s *Server) serveRequests(e *exchange) {
+func (s *Server) serveRequests(e *psinbound.Exchange) {
 	for {
-		e.serve()
+		e.Serve()
 		if s.idleWorkers.Add(1) > maxIdleWorkers {
 			s.idleWorkers.Add(-1)
 			return
@@ -198,7 +188,7 @@
 		}
 		l, now := s.limits(), time.Now()
 		for _, c := range s.conns.All() {
-			c.enforce(l, now)
+			c.Enforce(l, now)
 		}
 	}
 }
@@ -223,7 +213,7 @@
 			return nil
 		}
 		for _, c := range list {
-			c.closeIfIdle()
+			c.CloseIfIdle()
 		}
 		select {
 		case <-ctx.Done():
@@ -256,7 +246,7 @@
 		_ = l.Close()
 	}
 	for _, c := range s.conns.All() {
-		c.reset(reasonShutdown)
+		c.Reset(psinbound.ReasonShutdown)
 	}
 	s.end()
 	return nil
@@ -273,30 +263,3 @@
 		close(s.ended)
 	}
 }
-
-// Reasons for which connections are closed, besides the caller's own.
-const (
-	reasonIdle        = "idle"
-	reasonDescriptors = "descriptors"
-	reasonMemory      = "memory"
-	reasonShutdown    = "shutdown"
-)
-
-// noteClosed records that the server has closed a connection.
-func (s *Server) noteClosed(c *conn, reason string) {
-	s.options.Metrics.count(s.options.Name, reason)
-	if reason != reasonIdle && reason != reasonShutdown && s.lines.Allow(time.Now()) {
-		psevent.ConnectionClosed.Log(s.options.Logger, s.options.Name, c.tcp.RemoteAddr().String(), reason)
-	}
-}
-
-// noteRefused records that the head of a request was refused.
-func (s *Server) noteRefused(c *conn, reason string, status int) {
-	s.options.Metrics.count(s.options.Name, "head:"+reason)
-	if s.lines.Allow(time.Now()) {
-		psevent.HeadRefused.Log(s.options.Logger, s.options.Name, c.tcp.RemoteAddr().String(), reason, status)
-	}
-}
-
-// hasUnread reports whether a connection has received bytes that weren't read.
-func hasUnread(c net.Conn) bool { return pssocket.StateOf(c) == pssocket.Pending }
