psbackend: the behaviour and its faults move to psbehaviour

Package psbehaviour holds what a stand-in is set to do and decides how long a request runs and which fault it has; psbackend listens, queues, runs, responds and counts. Names of types and faults, times and the tests are unchanged; the tests reach the decisions through the stand-in as before.

--- a/internal/trial/psbackend/execution.go
+++ b/internal/trial/psbackend/execution.go
@@ -36,7 +36,7 @@
 func (s *Server) runTime(work time.Duration, now time.Time) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.behaviour.runTime(work, now)
+	return s.behaviour.RunTime(work, now)
 }
 
 // statesSpeed reports whether load reports state how long work currently takes.
--- a/internal/trial/psbackend/pause_test.go
+++ b/internal/trial/psbackend/pause_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psbehaviour"
 )
 
 // TestRequestsDuringPauseAreCounted checks that a server counts the requests during a pause that it requested.
@@ -17,7 +18,7 @@
 	s, clean, err := psbackend.New(t.Context(), "i-1", netip.MustParseAddrPort("127.0.0.1:0"))
 	qt.Assert(t, err, qt.IsNil)
 	defer clean()
-	s.Set(psbackend.Behaviour{Pause: 2 * time.Second, Leaving: true})
+	s.Set(psbehaviour.Behaviour{Pause: 2 * time.Second, Leaving: true})
 	send := func() *http.Response {
 		response, err := http.Get("http://" + s.Address.String() + "/orders/1") //nolint:noctx // a test's request
 		qt.Assert(t, err, qt.IsNil)
@@ -30,7 +31,7 @@
 	send()
 	qt.Assert(t, s.Stats().RequestsInPause, qt.Equals, 0)
 	time.Sleep(600 * time.Millisecond)
-	s.Set(psbackend.Behaviour{})
+	s.Set(psbehaviour.Behaviour{})
 	for range 3 {
 		send()
 	}
--- a/internal/trial/psbackend/run.go
+++ b/internal/trial/psbackend/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/platform/psstandin"
 )
 
@@ -110,31 +111,31 @@
 }
 
 // respond sends the response, as far as the fault allows it.
-func (s *Server) respond(v *incarnation, w http.ResponseWriter, r *http.Request, f Fault, body []byte) {
+func (s *Server) respond(v *incarnation, w http.ResponseWriter, r *http.Request, f psbehaviour.Fault, body []byte) {
 	psstandin.WriteLoad(w.Header(), s.load())
 	switch f.Kind {
-	case FaultHang:
+	case psbehaviour.FaultHang:
 		v.hang(r)
 		panic(http.ErrAbortHandler)
-	case FaultSlow:
+	case psbehaviour.FaultSlow:
 		if !v.wait(r, f.Delay) {
 			panic(http.ErrAbortHandler)
 		}
-	case FaultLate:
+	case psbehaviour.FaultLate:
 		v.sleep(f.Delay)
-	case FaultHalfLength:
+	case psbehaviour.FaultHalfLength:
 		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 		writeHalf(w, body)
-	case FaultHalfChunked:
+	case psbehaviour.FaultHalfChunked:
 		writeHalf(w, body)
-	case FaultCloseAfter:
+	case psbehaviour.FaultCloseAfter:
 		closeAfter(w, psstandin.ReadForwardHeaders(r.Header).ID, body)
 		return
-	case FaultCut:
+	case psbehaviour.FaultCut:
 		panic(http.ErrAbortHandler)
-	case FaultFail:
+	case psbehaviour.FaultFail:
 		w.WriteHeader(http.StatusInternalServerError)
-	case FaultCrash:
+	case psbehaviour.FaultCrash:
 		s.Crash(f.Delay)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/trial/psbackend/server.go
+++ b/internal/trial/psbackend/server.go
@@ -1,7 +1,7 @@
 // Package psbackend is a stand-in for a backend server, for tests and experiments.
 //
 // It responds to every request with a JSON description of what it received and counts the runs
-// by request id, so that tests can check which requests were executed and how often. A [Behaviour]
+// by request id, so that tests can check which requests were executed and how often. A [psbehaviour.Behaviour]
 // sets its slots, queue, service time and cache, and a table of faults to inject: hanging,
 // truncated and late responses, load shedding and crashes.
 package psbackend
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"persimmonstep/internal/trial/psbehaviour"
 )
 
 const (
@@ -33,7 +35,7 @@
 	Address netip.AddrPort
 
 	mutex     sync.Mutex
-	behaviour Behaviour
+	behaviour psbehaviour.Behaviour
 	// pauses are the pauses that the server requested, by source address.
 	pauses map[netip.Addr]*pauseWindow
 	runs   map[string]int
@@ -128,7 +130,7 @@
 }
 
 // Set replaces the behaviour.
-func (s *Server) Set(b Behaviour) {
+func (s *Server) Set(b psbehaviour.Behaviour) {
 	b.Faults = slices.Clone(b.Faults)
 	b.LatencyFrom = maps.Clone(b.LatencyFrom)
 	s.mutex.Lock()
--- a/internal/trial/psbackend/server_test.go
+++ b/internal/trial/psbackend/server_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
@@ -21,7 +22,7 @@
 	goleak.VerifyTestMain(m)
 }
 
-func start(t *testing.T, b psbackend.Behaviour) (*psbackend.Server, *http.Client) {
+func start(t *testing.T, b psbehaviour.Behaviour) (*psbackend.Server, *http.Client) {
 	t.Helper()
 	s, stop, err := psbackend.New(t.Context(), "s1", netip.MustParseAddrPort("127.0.0.1:0"))
 	qt.Assert(t, err, qt.IsNil)
@@ -45,7 +46,7 @@
 		panic(err)
 	}
 	r.GetBody = nil
-	r.Header.Set(psbackend.HeaderMarker, marker)
+	r.Header.Set(psbehaviour.HeaderMarker, marker)
 	psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: "k"})
 	response, err := c.Do(r)
 	if err != nil {
@@ -58,28 +59,28 @@
 
 func TestOutcomeOfEachFaultKind(t *testing.T) {
 	tests := []struct {
-		kind      psbackend.FaultKind
+		kind      psbehaviour.FaultKind
 		status    int
 		err       bool
 		truncated bool
 		runs      int
 	}{
 		{"", 200, false, false, 1},
-		{psbackend.FaultHang, 0, true, false, 1},
-		{psbackend.FaultSlow, 200, false, false, 1},
-		{psbackend.FaultLate, 200, false, false, 1},
-		{psbackend.FaultHalfLength, 200, false, true, 1},
-		{psbackend.FaultHalfChunked, 200, false, true, 1},
-		{psbackend.FaultCloseAfter, 200, false, false, 1},
-		{psbackend.FaultCut, 0, true, false, 1},
-		{psbackend.FaultFail, 500, false, false, 1},
-		{psbackend.FaultShed, 503, false, false, 0},
-		{psbackend.FaultCrash, 0, true, false, 1},
+		{psbehaviour.FaultHang, 0, true, false, 1},
+		{psbehaviour.FaultSlow, 200, false, false, 1},
+		{psbehaviour.FaultLate, 200, false, false, 1},
+		{psbehaviour.FaultHalfLength, 200, false, true, 1},
+		{psbehaviour.FaultHalfChunked, 200, false, true, 1},
+		{psbehaviour.FaultCloseAfter, 200, false, false, 1},
+		{psbehaviour.FaultCut, 0, true, false, 1},
+		{psbehaviour.FaultFail, 500, false, false, 1},
+		{psbehaviour.FaultShed, 503, false, false, 0},
+		{psbehaviour.FaultCrash, 0, true, false, 1},
 	}
 	for _, tt := range tests {
 		t.Run(string(tt.kind), func(t *testing.T) {
 			c := qt.New(t)
-			s, client := start(t, psbackend.Behaviour{Faults: []psbackend.Fault{{Marker: "m", Kind: tt.kind, Delay: time.Millisecond}}})
+			s, client := start(t, psbehaviour.Behaviour{Faults: []psbehaviour.Fault{{Marker: "m", Kind: tt.kind, Delay: time.Millisecond}}})
 			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 			defer cancel()
 			o := get(ctx, client, s, "m")
@@ -98,7 +99,7 @@
 
 func TestRequestsBeyondSlotsAreShed(t *testing.T) {
 	c := qt.New(t)
-	s, client := start(t, psbackend.Behaviour{Slots: 2, ServiceTime: 200 * time.Millisecond})
+	s, client := start(t, psbehaviour.Behaviour{Slots: 2, ServiceTime: 200 * time.Millisecond})
 	statuses := make(chan int)
 	for range 4 {
 		go func() { statuses <- get(t.Context(), client, s, "").status }()
@@ -114,7 +115,7 @@
 
 func TestFaultHonorsEveryAndCount(t *testing.T) {
 	c := qt.New(t)
-	s, client := start(t, psbackend.Behaviour{Faults: []psbackend.Fault{{Kind: psbackend.FaultFail, Every: 2, Count: 2}}})
+	s, client := start(t, psbehaviour.Behaviour{Faults: []psbehaviour.Fault{{Kind: psbehaviour.FaultFail, Every: 2, Count: 2}}})
 	var got []int
 	for range 6 {
 		got = append(got, get(t.Context(), client, s, "").status)
--- a/internal/trial/psbackend/slot.go
+++ b/internal/trial/psbackend/slot.go
@@ -5,13 +5,14 @@
 	"slices"
 	"time"
 
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/platform/psheader"
 	"persimmonstep/platform/psstandin"
 )
 
 // admission is the decision about a request on its arrival.
 type admission struct {
-	fault     Fault
+	fault     psbehaviour.Fault
 	execution Execution
 	// slotGranted is closed when the request has a slot.
 	slotGranted chan struct{}
@@ -25,14 +26,14 @@
 	a := admission{slotGranted: make(chan struct{}), execution: Execution{
 		ID: psstandin.ReadForwardHeaders(r.Header).ID, Admitted: time.Now(), Latency: s.behaviour.LatencyFrom[sourceAddress(r)],
 	}}
-	a.fault, _ = s.matchFault(r)
+	a.fault, _ = s.behaviour.MatchFault(r)
 	full := s.behaviour.Slots > 0 && s.stats.Running >= s.behaviour.Slots
-	if a.fault.Kind == FaultShed || full && len(s.waiting) >= s.behaviour.Queue {
+	if a.fault.Kind == psbehaviour.FaultShed || full && len(s.waiting) >= s.behaviour.Queue {
 		s.stats.Shed++
 		return a, false
 	}
 	cacheHit := s.cacheObject(psstandin.ReadForwardHeaders(r.Header).Object)
-	a.execution.Work, a.execution.Cached = s.behaviour.serviceTime(r.URL.Path, cacheHit), cacheHit
+	a.execution.Work, a.execution.Cached = s.behaviour.TimeOf(r.URL.Path, cacheHit), cacheHit
 	if full {
 		s.waiting = append(s.waiting, a.slotGranted)
 		return a, true
--- a/internal/trial/psbackend/spell_test.go
+++ b/internal/trial/psbackend/spell_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/internal/trial/psspell"
 	"persimmonstep/platform/psheader"
 )
@@ -19,8 +20,8 @@
 	s, clean, err := psbackend.New(t.Context(), "i-1", netip.MustParseAddrPort("127.0.0.1:0"))
 	qt.Assert(t, err, qt.IsNil)
 	defer clean()
-	s.Set(psbackend.Behaviour{
-		Slots: 3, RouteTimes: []psbackend.RouteTime{{Prefix: "/boards/", ServiceTime: 20 * time.Millisecond}},
+	s.Set(psbehaviour.Behaviour{
+		Slots: 3, RouteTimes: []psbehaviour.RouteTime{{Prefix: "/boards/", ServiceTime: 20 * time.Millisecond}},
 		Spells: &psspell.Spells{Origin: time.Now(), Factor: 2.5, Changes: []time.Duration{0, time.Hour}},
 	})
 	for path, load := range map[string]psheader.Load{
--- a/internal/trial/psbackend/behaviour.go
+++ b/internal/trial/psbehaviour/behaviour.go
@@ -1,4 +1,6 @@
-package psbackend
+// Package psbehaviour decides what a stand-in for a backend server does with a request: how long it runs, on a machine that may be
+// slow for a time, and which fault of a table of faults it has. It has no clock and no I/O.
+package psbehaviour
 
 import (
 	"net/netip"
@@ -47,8 +49,8 @@
 	ServiceTime time.Duration
 }
 
-// serviceTime returns how long a request runs on a machine that isn't slow.
-func (b *Behaviour) serviceTime(path string, cacheHit bool) time.Duration {
+// TimeOf returns how long a request runs on a machine that isn't slow.
+func (b *Behaviour) TimeOf(path string, cacheHit bool) time.Duration {
 	t := b.ServiceTime
 	for _, r := range b.RouteTimes {
 		if strings.HasPrefix(path, r.Prefix) {
@@ -66,27 +68,11 @@
 	return time.Duration(cacheHitFactor * float64(uncached))
 }
 
-// runTime returns how long work that starts at a time takes.
-func (b *Behaviour) runTime(work time.Duration, now time.Time) time.Duration {
+// RunTime returns how long work that starts at a time takes.
+func (b *Behaviour) RunTime(work time.Duration, now time.Time) time.Duration {
 	if b.Spells == nil {
 		return work
 	}
 	start := now.Sub(b.Spells.Origin)
 	return b.Spells.Finish(start, work) - start
 }
-
-// Stats are the counters of a stand-in.
-type Stats struct {
-	// Runs counts the requests that started to run.
-	Runs int
-	// Shed counts the requests that were rejected without being run.
-	Shed int
-	// Running is the number of requests that run now, and PeakRunning its highest value.
-	Running     int
-	PeakRunning int
-	// LastRun is when a request last started to run.
-	LastRun time.Time
-	// RequestsInPause is the highest number of requests that one address sent during a pause, not counting
-	// those of the first half second.
-	RequestsInPause int
-}
--- a/internal/trial/psbackend/fault.go
+++ b/internal/trial/psbehaviour/fault.go
@@ -1,4 +1,4 @@
-package psbackend
+package psbehaviour
 
 import (
 	"net/http"
@@ -53,10 +53,10 @@
 	matches int
 }
 
-// matchFault returns the first fault that applies to a request and counts the match. The caller holds the mutex.
-func (s *Server) matchFault(r *http.Request) (Fault, bool) {
-	for i := range s.behaviour.Faults {
-		f := &s.behaviour.Faults[i]
+// MatchFault returns the first fault that applies to a request and counts the match. It must not be called concurrently.
+func (b *Behaviour) MatchFault(r *http.Request) (Fault, bool) {
+	for i := range b.Faults {
+		f := &b.Faults[i]
 		if !strings.HasPrefix(r.URL.Path, f.Path) || (f.Marker != "" && r.Header.Get(HeaderMarker) != f.Marker) {
 			continue
 		}
@@ -71,38 +71,3 @@
 	}
 	return Fault{}, false
 }
-
-// wait sleeps for a duration, or until the request is canceled or the server stops. It reports whether the
-// whole duration passed.
-func (i *incarnation) wait(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.Context().Done():
-	case <-i.ended:
-	}
-	return false
-}
-
-// hang waits until the request is canceled or the server stops.
-func (i *incarnation) hang(r *http.Request) {
-	select {
-	case <-r.Context().Done():
-	case <-i.ended:
-	}
-}
-
-// sleep sleeps for a duration, or until the server stops. It ignores the cancellation of the request.
-func (i *incarnation) sleep(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-i.ended:
-	}
-}
--- a/internal/trial/psdev/topology.go
+++ b/internal/trial/psdev/topology.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/internal/version/psconfig"
 )
 
@@ -39,7 +40,7 @@
 	ID        string
 	Domain    Domain
 	Service   string
-	Behaviour psbackend.Behaviour
+	Behaviour psbehaviour.Behaviour
 }
 
 // regions returns the region of each failure domain.
@@ -80,7 +81,7 @@
 	return lo.Times(exampleServers, func(n int) Server {
 		return Server{
 			ID: fmt.Sprintf("%s-%s-%d", service, d.Name, n+1), Domain: d, Service: service,
-			Behaviour: psbackend.Behaviour{Slots: exampleSlots, Queue: exampleSlots},
+			Behaviour: psbehaviour.Behaviour{Slots: exampleSlots, Queue: exampleSlots},
 		}
 	})
 }
--- a/internal/trial/psexperiment/experiment.go
+++ b/internal/trial/psexperiment/experiment.go
@@ -21,6 +21,7 @@
 
 	"persimmonstep/internal/process/psevent"
 	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/internal/trial/psdev"
 	"persimmonstep/internal/trial/psguarantee"
 	"persimmonstep/internal/trial/psload"
@@ -51,7 +52,7 @@
 	log   psrequestlog.Log
 
 	mutex      sync.Mutex
-	behaviours []psbackend.Behaviour
+	behaviours []psbehaviour.Behaviour
 	drained    map[int]time.Duration
 	// snapshots are the snapshots of the store that restore faults took, by the time at which they began.
 	snapshots   map[time.Duration]psstandin.Snapshot
@@ -131,7 +132,7 @@
 			b.Spells = &spells
 		}
 		if e.hasFault(psscenario.FaultPoison) {
-			b.Faults = []psbackend.Fault{{Marker: psscenario.PoisonMarker, Kind: psbackend.FaultCrash, Delay: crashDowntime}}
+			b.Faults = []psbehaviour.Fault{{Marker: psscenario.PoisonMarker, Kind: psbehaviour.FaultCrash, Delay: crashDowntime}}
 		}
 		e.behaviours = append(e.behaviours, b)
 		e.system.Servers[i].Set(b)
--- a/internal/trial/psexperiment/fault.go
+++ b/internal/trial/psexperiment/fault.go
@@ -10,7 +10,7 @@
 
 	"persimmonstep/internal/process/pslimit"
 	"persimmonstep/internal/process/psserver"
-	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/internal/trial/psguarantee"
 	"persimmonstep/internal/trial/psnetwork"
 	"persimmonstep/internal/trial/psscenario"
@@ -78,7 +78,7 @@
 	case psscenario.FaultPlatformDown:
 		e.setStoreFault(psstandin.Fault{Status: unavailableStatus})
 	case psscenario.FaultSlowServer:
-		e.changeBehaviour(f.Target, func(b *psbackend.Behaviour) { b.ServiceTime *= slowFactor })
+		e.changeBehaviour(f.Target, func(b *psbehaviour.Behaviour) { b.ServiceTime *= slowFactor })
 	case psscenario.FaultKillServer:
 		e.system.Servers[f.Target].Crash(-1)
 	case psscenario.FaultDrain:
@@ -87,9 +87,9 @@
 		e.revokeKey(f.Target)
 	case psscenario.FaultLeave:
 		e.recordDrain(f.Target)
-		e.changeBehaviour(f.Target, func(b *psbackend.Behaviour) { b.Leaving = true })
+		e.changeBehaviour(f.Target, func(b *psbehaviour.Behaviour) { b.Leaving = true })
 	case psscenario.FaultPause:
-		e.changeBehaviour(f.Target, func(b *psbackend.Behaviour) { b.Pause = pauseDuration })
+		e.changeBehaviour(f.Target, func(b *psbehaviour.Behaviour) { b.Pause = pauseDuration })
 	case psscenario.FaultRestore:
 		e.snapshotStore(f)
 	case psscenario.FaultLimit:
@@ -122,11 +122,11 @@
 	case psscenario.FaultPlatformDown:
 		e.setStoreFault(psstandin.Fault{})
 	case psscenario.FaultSlowServer:
-		e.changeBehaviour(f.Target, func(b *psbackend.Behaviour) { b.ServiceTime /= slowFactor })
+		e.changeBehaviour(f.Target, func(b *psbehaviour.Behaviour) { b.ServiceTime /= slowFactor })
 	case psscenario.FaultKillServer:
 		e.system.Servers[f.Target].Start()
 	case psscenario.FaultPause:
-		e.changeBehaviour(f.Target, func(b *psbackend.Behaviour) { b.Pause = 0 })
+		e.changeBehaviour(f.Target, func(b *psbehaviour.Behaviour) { b.Pause = 0 })
 	case psscenario.FaultRestore:
 		e.restore(f)
 	}
@@ -145,7 +145,7 @@
 
 func (e *experiment) setLimit(f psscenario.Fault, l pslimit.Limit) {
 	for i := range max(1, f.Count) {
-		e.changeBehaviour(f.Target+i, func(b *psbackend.Behaviour) { b.Limit = l })
+		e.changeBehaviour(f.Target+i, func(b *psbehaviour.Behaviour) { b.Limit = l })
 	}
 }
 
@@ -240,7 +240,7 @@
 }
 
 // changeBehaviour changes the behaviour of a backend server stand-in.
-func (e *experiment) changeBehaviour(server int, change func(*psbackend.Behaviour)) {
+func (e *experiment) changeBehaviour(server int, change func(*psbehaviour.Behaviour)) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	change(&e.behaviours[server])
--- a/internal/trial/psload/caller.go
+++ b/internal/trial/psload/caller.go
@@ -17,6 +17,7 @@
 
 	"persimmonstep/internal/process/pswait"
 	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/internal/trial/pspipeline"
 	"persimmonstep/internal/version/psconfig"
 	"persimmonstep/platform"
@@ -259,7 +260,7 @@
 		psstandin.WriteRequestHeaders(r.Header, psheader.Request{ID: id, Object: object, Left: s.Deadline, Key: c.keys[s.Workspace]})
 	}
 	if s.Marker != "" {
-		r.Header.Set(psbackend.HeaderMarker, s.Marker)
+		r.Header.Set(psbehaviour.HeaderMarker, s.Marker)
 	}
 	return r, nil
 }
--- a/internal/trial/psscenario/firm.go
+++ b/internal/trial/psscenario/firm.go
@@ -9,7 +9,7 @@
 
 	"github.com/samber/lo"
 
-	"persimmonstep/internal/trial/psbackend"
+	"persimmonstep/internal/trial/psbehaviour"
 	"persimmonstep/internal/trial/psdev"
 	"persimmonstep/internal/trial/psload"
 	"persimmonstep/internal/trial/psspell"
@@ -216,7 +216,7 @@
 	if p.Objects == 0 {
 		return p.ServiceTime
 	}
-	return psbackend.CachedTime(p.ServiceTime)
+	return psbehaviour.CachedTime(p.ServiceTime)
 }
 
 // Weight returns the value of a request served in target by its priority. Each priority counts twice as much as the next
@@ -234,11 +234,11 @@
 }
 
 // behaviour returns the behaviour of the servers of a pool, which may run the requests of other pools as well.
-func (f Firm) behaviour(p Pool) psbackend.Behaviour {
-	b := psbackend.Behaviour{Slots: p.Slots, Queue: queueFactor * p.Slots, ServiceTime: p.ServiceTime, CacheSize: p.CacheSize}
+func (f Firm) behaviour(p Pool) psbehaviour.Behaviour {
+	b := psbehaviour.Behaviour{Slots: p.Slots, Queue: queueFactor * p.Slots, ServiceTime: p.ServiceTime, CacheSize: p.CacheSize}
 	for _, v := range f.Pools {
 		if v.Service == p.Name {
-			b.RouteTimes = append(b.RouteTimes, psbackend.RouteTime{Prefix: v.prefix(), ServiceTime: v.ServiceTime})
+			b.RouteTimes = append(b.RouteTimes, psbehaviour.RouteTime{Prefix: v.prefix(), ServiceTime: v.ServiceTime})
 		}
 	}
 	return b
