--- a/internal/process/pslease/replay_test.go
+++ b/internal/process/pslease/replay_test.go
@@ -141,6 +141,7 @@
 // TestEachSideOfCutGrantsWholeRate guards against both sides of a cut granting a workspace's whole rate once they have not heard each
 // other for some time. See docs/incidents/each-side-of-a-cut-quota.md.
 func TestEachSideOfCutGrantsWholeRate(t *testing.T) {
+	t.Parallel()
 	r := newReplay(9, psconfig.Workspace{Name: "trays", Rate: 249, Burst: 249})
 	r.play(startSpan, even(r, 0))
 	r.play(2*time.Second, even(r, usualRatio))
@@ -155,8 +156,10 @@
 // TestCutStopsGrowthOfShares guards against refusals within the rate while VMs are cut off from each other: a workspace sends eight
 // times its usual while 29 of 84 VMs, two failure domains and one of a third, don't hear the others for 12 s.
 func TestCutStopsGrowthOfShares(t *testing.T) {
+	t.Parallel()
 	for name, spread := range spreads {
 		t.Run(name, func(t *testing.T) {
+			byHand(t, name == "even")
 			t.Parallel()
 			r := newReplay(replayVMs, hotWorkspace)
 			r.play(startSpan, even(r, 0))
@@ -174,8 +177,10 @@
 // TestFirstCallersFindFloor guards against refusals within the rate in the first seconds of traffic, when VMs know of each other's demands
 // before their own count.
 func TestFirstCallersFindFloor(t *testing.T) {
+	t.Parallel()
 	for name, spread := range spreads {
 		t.Run(name, func(t *testing.T) {
+			byHand(t, name == "even")
 			t.Parallel()
 			r := newReplay(replayVMs, hotWorkspace)
 			r.play(startSpan, even(r, 0))
@@ -194,8 +199,10 @@
 // TestSuddenOverloadGetsTheRate guards against shares that fall when all VMs get more callers at once, because each VM knows the demands of
 // the others before its own counts.
 func TestSuddenOverloadGetsTheRate(t *testing.T) {
+	t.Parallel()
 	for _, factor := range []float64{3, 5.7, 11} {
 		t.Run(fmt.Sprintf("%v times", factor), func(t *testing.T) {
+			byHand(t, factor != 5.7)
 			t.Parallel()
 			r := newReplay(suddenVMs, suddenWorkspace)
 			r.play(startSpan, even(r, 0))
@@ -209,8 +216,10 @@
 // TestRequestsWithinTheRateAreGranted guards against refusals of a workspace that sends half of its rate to many VMs. Each sees four requests
 // a second, so that chance moves its demand.
 func TestRequestsWithinTheRateAreGranted(t *testing.T) {
+	t.Parallel()
 	for name, spread := range spreads {
 		t.Run(name, func(t *testing.T) {
+			byHand(t, name == "even")
 			t.Parallel()
 			r := newReplay(suddenVMs, suddenWorkspace)
 			r.play(startSpan, even(r, 0))
--- a/internal/process/pslease/restart_test.go
+++ b/internal/process/pslease/restart_test.go
@@ -48,9 +48,11 @@
 // store is slow, and all VMs lose power at once. No group of VMs settled meanwhile when a graceful stop removed a VM from the groups of
 // all others, so that tokens had no owner.
 func TestRestartsInTurnRefuseWithinRate(t *testing.T) {
+	t.Parallel()
 	for name, w := range map[string]psconfig.Workspace{"split": hotWorkspace, "owned": ownedWorkspace} {
 		for kind, graceful := range map[string]bool{"graceful": true, "killed": false} {
 			t.Run(name+"/"+kind, func(t *testing.T) {
+				byHand(t, graceful != (name == "owned"))
 				t.Parallel()
 				r := newReplay(replayVMs, w)
 				demand := byRegion(r, usualRatio)
@@ -79,12 +81,14 @@
 // TestRestartedVMUsesItsPart guards against a VM that uses only its last quarter of a rate for seconds after its restart, although no other VM
 // needs more than its own part: it refused half of its callers for 2.5 s.
 func TestRestartedVMUsesItsPart(t *testing.T) {
+	t.Parallel()
 	const (
 		settled = 500 * time.Millisecond
 		most    = 0.04
 	)
 	for kind, graceful := range map[string]bool{"graceful": true, "killed": false} {
 		t.Run(kind, func(t *testing.T) {
+			byHand(t, !graceful)
 			t.Parallel()
 			r := newReplay(replayVMs, hotWorkspace)
 			demand := byRegion(r, usualRatio)
@@ -117,6 +121,7 @@
 
 // TestStatementOfCalmFleetIsShort guards against control traffic: each report carries a statement.
 func TestStatementOfCalmFleetIsShort(t *testing.T) {
+	t.Parallel()
 	r := newReplay(replayVMs, hotWorkspace)
 	r.play(startSpan, even(r, usualRatio))
 	data, err := json.Marshal(r.vms[0].book.Statement())
--- a/internal/process/pslease/upgrade_test.go
+++ b/internal/process/pslease/upgrade_test.go
@@ -115,6 +115,7 @@
 // TestUpgradeExceedsLimit guards against VMs of this build and of the one before it that together grant more than a rate, while the VMs
 // are upgraded one after the other.
 func TestUpgradeExceedsLimit(t *testing.T) {
+	t.Parallel()
 	const (
 		downTime = time.Second
 		pause    = 5 * time.Second
