psshare: shares are computed for split rates only

Most workspaces of a large fleet have one owner of their tokens and use no share, but each update looked at the demands of all VMs for them.

--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"persimmonstep/internal/process/psfleet"
@@ -55,7 +56,8 @@
 	}
 }
 
-// RateShares returns this VM's share of each workspace's rate.
+// RateShares returns this VM's share of each workspace's rate that is split. The others have one owner of their tokens; their number
+// is that of most workspaces in a large fleet, where a share takes a look at the demands of all VMs.
 func (s *Shares) RateShares(f *psfleet.Fleet, h pslease.Holding, x *psconfig.Index, now time.Time) map[string]float64 {
 	if x == nil {
 		return nil
@@ -64,14 +66,22 @@
 	list := x.Configuration.Workspaces
 	shares := make(map[string]float64, len(list))
 	for i := range list {
-		shares[list[i].Name] = s.share(f, h, &list[i], x.Configuration.Version, now)
+		rates := s.knownRates(&list[i], now)
+		if isSplit(&list[i], h) {
+			shares[list[i].Name] = s.share(f, h, &list[i], rates, x.Configuration.Version, now)
+		}
 	}
 	return shares
 }
 
+// isSplit reports whether the rate of a workspace is split by any of the numbers of parts by which VMs may go.
+func isSplit(w *psconfig.Workspace, h pslease.Holding) bool {
+	limit := psrate.Limit{Rate: w.Rate, Burst: w.Burst}
+	return slices.ContainsFunc(h.DecisiveParts, func(parts int) bool { return !psrate.SingleOwner(limit, parts) })
+}
+
 // share returns this VM's share of a workspace's rate.
-func (s *Shares) share(f *psfleet.Fleet, h pslease.Holding, w *psconfig.Workspace, version int64, now time.Time) float64 {
-	rates := s.knownRates(w, now)
+func (s *Shares) share(f *psfleet.Fleet, h pslease.Holding, w *psconfig.Workspace, rates []float64, version int64, now time.Time) float64 {
 	if w.Rate <= 0 {
 		return h.Part()
 	}
