pslease, pspause: comments say which load they answer and read once

Change: comments only. pspause says why ages count from the beginning of a pause. Result: tests of both packages pass (without -race).

--- a/internal/process/pslease/bench_test.go
+++ b/internal/process/pslease/bench_test.go
@@ -9,8 +9,8 @@
 	"persimmonstep/internal/version/psconfig"
 )
 
-// BenchmarkUpdate measures what a VM of a fleet does for leases with each of its reports, four times a second, and the size of the lease in
-// a report.
+// BenchmarkUpdate measures what a VM of a fleet does for leases with each of its reports, four times a second, and the size of
+// the lease in a report.
 func BenchmarkUpdate(b *testing.B) {
 	for _, vms := range []int{9, 84} {
 		b.Run(fmt.Sprint("vms=", vms), func(b *testing.B) {
--- a/internal/process/pslease/book.go
+++ b/internal/process/pslease/book.go
@@ -5,12 +5,16 @@
 // its demand is. A VM that is cut off, or has failed, keeps its part: the others can't tell one from the other, and those on
 // the other side of a partition use theirs.
 //
+// It answers this load: VMs fail, hang, are suspended, restart in turn or all at once, and the network between them is
+// partitioned in one or both directions, while callers use the limits fully.
+//
 // A lease ends by the clocks of both sides. The borrower stops when it no longer hears the lender, or is told that the lender
-// doesn't hear it. The lender excludes a silent VM only after a time in which one of the two must have happened. Whoever enters a
-// group, or is picked by it, waits until all members must have received the lender's report of that.
+// doesn't hear it. The lender excludes a silent VM only after a time in which one of the two must have happened. A VM that enters
+// a group, or that its members choose as an owner of tokens, waits until all of them must have received the lender's report of
+// the change.
 //
-// How the VMs of a group split its parts is up to packages psrate and psshare. They count on the demands that a VM reported
-// within the [Group]'s window, as any member may rely on a report of that age.
+// How the VMs of a group split its parts is up to packages psrate and psshare. They count a VM's lowest demand within the
+// [Group]'s window as its own, because another member may still rely on any report of that age.
 package pslease
 
 import (
@@ -22,12 +26,12 @@
 )
 
 const (
-	// messageDelay is the longest time that a report takes, beside the time that a VM needs to send it.
+	// messageDelay is the longest time that a report is under way, without the time until its sender sends it.
 	messageDelay = 100 * time.Millisecond
 	// exclusionSlack is added to the time after which a silent VM is excluded, for slow processes.
 	exclusionSlack = time.Second
-	// orphanTime is how long guests must hear no owner until they share the limits among themselves. Whether the owners are gone
-	// or cut off can't be told, but the limits would be out of use otherwise.
+	// orphanTime is how long guests must hear no owner until they share the limits among themselves. They can't tell whether the
+	// owners are gone or cut off, but without this the limits of a fleet whose owners are gone would stay out of use.
 	orphanTime = time.Minute
 	// maxSets bounds the sets of members that are kept.
 	maxSets = 64
@@ -59,8 +63,8 @@
 	// sets holds the members of groups by the group's hash, for the fleet's generation.
 	sets       map[uint32]*set
 	generation int64
-	// unheard are the VMs that were published when this one had read them for the first time, and that it hasn't heard so far. They may
-	// have become owners since an earlier process of this VM ended. read is set once it has read them.
+	// unheard are the VMs that were published when this one had read them for the first time, and that it hasn't heard so far. They
+	// may have become owners since an earlier process of this VM ended. read is set once it has read them.
 	unheard map[string]bool
 	read    bool
 	// parts is the number of parts of each limit, as counted at partsCountedAt by this VM or another one.
@@ -128,7 +132,7 @@
 	return b.hold(f, now)
 }
 
-// hears reports whether this VM hears another one, and that hasn't ended.
+// hears reports whether this VM hears another one that hasn't ended.
 func hears(f *psfleet.Fleet, p *psfleet.Peer, now time.Time) bool {
 	return f.Live(p, now) && !p.Ended()
 }
--- a/internal/process/pslease/group.go
+++ b/internal/process/pslease/group.go
@@ -98,15 +98,16 @@
 	*t = term{group: group, hash: hash, before: before, since: now}
 }
 
-// settle records whether all members must have received the lender's report of its last change. informed states that all members know
-// the VMs of the group.
+// settle records whether all members must have received the lender's report of the group's last change. informed states that all
+// members know the VMs of the group.
 func (t *term) settle(window time.Duration, informed bool, now time.Time) {
 	if informed && now.Sub(t.since) >= window {
 		t.settled, t.before = true, nil
 	}
 }
 
-// informs reports whether all members of a group know the same VMs as this one, as far as they say. Others go by the former group.
+// informs reports whether all members of a group know the same VMs as this one, as far as they say. A member that
+// knows other VMs goes by the former group.
 func (b *Book) informs(f *psfleet.Fleet, group *set) bool {
 	result, found := b.informed[group]
 	if !found {
@@ -163,8 +164,8 @@
 	return longest
 }
 
-// reliance returns the greatest age of the reports of this VM on which another one may rely. Both such a report and the one by which this
-// VM knows of it may have taken the messageDelay.
+// reliance returns the greatest age of the reports of this VM on which another one may rely. It includes the messageDelay twice:
+// for such a report, and for the other VM's report that states which ones it has received.
 func (b *Book) reliance(f *psfleet.Fleet, vm string, now time.Time) time.Duration {
 	p, found := f.Peer(vm)
 	if !found || p.Report == nil {
@@ -189,8 +190,9 @@
 	return f.LongestLiveTimeout() + f.ReportInterval() + messageDelay
 }
 
-// exclusionTime returns how long a VM must be silent until it is excluded. By then it has not heard this VM for a live timeout,
-// or has received a report, sent after the same time, that names it as silent.
+// exclusionTime returns how long a VM must be silent until it is excluded. After a live timeout this VM's reports name it as
+// silent. In the remaining time the silent VM receives one of these reports, or hears no report for a live timeout. Either way
+// it no longer uses the part.
 func exclusionTime(f *psfleet.Fleet, liveTimeout time.Duration) time.Duration {
 	return 2*liveTimeout + f.PropagationTime() + f.ReportInterval() + exclusionSlack
 }
--- a/internal/process/pslease/holding.go
+++ b/internal/process/pslease/holding.go
@@ -32,7 +32,7 @@
 	SplitByNeed Split = iota
 	// SplitAsEarlier is the split of earlier builds, while there is a VM of one.
 	SplitAsEarlier
-	// SplitByBoth is the lower share of both, while another VM may know of one.
+	// SplitByBoth is the lower share of these two, while another VM knows one of an earlier build.
 	SplitByBoth
 )
 
@@ -70,9 +70,9 @@
 	return h.Groups[0].Members
 }
 
-// Fraction returns the fraction of a limit that this VM administers, where each group leaves that to one or some of its
-// members. weight returns which fraction of the group's parts falls to this VM, the first of the members. A VM that was picked
-// before goes on until all members know of a change of the group, and one that is newly picked begins then.
+// Fraction returns the fraction of a limit that this VM administers, where each group leaves its parts to one or some of its
+// members. weight returns which fraction of a group's parts falls to this VM, the first of the members. After a change of the
+// group, the lowest of the weights in it and in the former groups counts until all members know of the change.
 func (h Holding) Fraction(weight func(members []psmessage.Identity) float64) float64 {
 	sum := 0.0
 	for _, g := range h.Groups {
--- a/internal/process/pslease/model_test.go
+++ b/internal/process/pslease/model_test.go
@@ -48,8 +48,8 @@
 	rounding = 1e-9
 )
 
-// workspaces are those whose limits the model checks: the first one's rate is split, that of the second one in small fleets only, and
-// the third one's tokens have an owner.
+// workspaces are those whose limits the model checks: the first one's rate is split, that of the second one in small fleets only,
+// and the third one's tokens have an owner.
 var workspaces = []psconfig.Workspace{{Name: "trays", Rate: 200, Burst: 200}, {Name: "carts", Rate: 30, Burst: 60}, {Name: "claims", Rate: 5, Burst: 10}}
 
 // server is a backend server whose cold rate and limit the model checks.
@@ -511,8 +511,8 @@
 }
 
 // TestSidesTogetherExceedLimit plays random histories of partitions, also in one direction, of lost messages, of VMs that are
-// killed, paused, added or gone for good, and of a store that is lost. At no time may all VMs together use more than a limit, and in no
-// window may they grant more tokens, although callers ask for more than they get and move between VMs.
+// killed, paused, added or gone for good, and of a store that is lost. At no time may all VMs together use more than a limit, and
+// in no window may they grant more tokens, although callers ask for more than they get and move between VMs.
 func TestSidesTogetherExceedLimit(t *testing.T) {
 	t.Parallel()
 	for vms, seeds := range map[int]uint64{2: 2 * *modelSeeds, 3: 2 * *modelSeeds, 9: *modelSeeds, 26: (*modelSeeds + 5) / 6} {
@@ -546,9 +546,9 @@
 	}
 }
 
-// checkModes checks that of two VMs of which one lends its part to the other, none splits a rate alone while the other one goes by the owner of its
-// tokens alone. A VM that has just started may, since it only uses its floor until it hears the others, and one that uses nothing: the
-// others grant it no tokens of a rate that they split.
+// checkModes checks that of two VMs of which one lends its part to the other, none splits a rate alone while the other one goes
+// by the owner of its tokens alone. A VM that has just started may, since it only uses its floor until it hears the others, and
+// one that uses nothing: the others grant it no tokens of a rate that they split.
 func (m *model) checkModes(t *testing.T) {
 	t.Helper()
 	for rate := 3.0; rate < 100; rate += 3 {
--- a/internal/process/pslease/owner.go
+++ b/internal/process/pslease/owner.go
@@ -38,9 +38,10 @@
 	}
 }
 
-// updateOwners updates the owners of parts, and reports whether guests are counted now: when this VM hears all owners. A guest
-// gets its part when all of them count it, so it can't get one while an owner is away. Where no VM is an owner, as at the first
-// start of the fleet, all published VMs count each other, and guests that hear no owner for a long time do so as well.
+// updateOwners updates the owners of parts, and reports whether guests are counted as owners now. That is so while this VM hears
+// all owners. A guest gets its part when all owners count it, so it can't get one while an owner is away. Where no VM is an
+// owner, as at the first start of the fleet, all published VMs count each other; so do guests that hear no owner for the
+// orphanTime.
 func (b *Book) updateOwners(f *psfleet.Fleet, complete bool, now time.Time) bool {
 	b.forget(f)
 	for _, p := range f.Peers() {
@@ -95,7 +96,7 @@
 	}
 }
 
-// hasInherited reports whether another VM has left its part to this one, and no VM can still borrow it from that.
+// hasInherited reports whether another VM has left its part to this one, and no VM can still use it as that VM's borrower.
 func (b *Book) hasInherited(f *psfleet.Fleet, now time.Time) bool {
 	return !b.inheritedAt.IsZero() && now.Sub(b.inheritedAt) >= leaseTime(f)
 }
@@ -120,8 +121,8 @@
 	return b.guest && now.Sub(b.heardOwnerAt) >= orphanTime
 }
 
-// isCounted reports whether all owners that this VM hears, one at least, state that they count the same VMs, of which this one is one.
-// Orphans may count different owners that are gone, but must divide the limits into as many parts.
+// isCounted reports whether all owners that this VM hears, one at least, state that they count the same VMs, of which this one is
+// one. Orphans may count different owners that are gone, but must divide the limits into as many parts.
 func (b *Book) isCounted(f *psfleet.Fleet, now time.Time) bool {
 	orphan := b.isOrphan(now)
 	confirmed := orphan || len(b.owners) == 0
--- a/internal/process/pslease/part.go
+++ b/internal/process/pslease/part.go
@@ -9,12 +9,12 @@
 	"persimmonstep/internal/process/psmessage"
 )
 
-// partsLifetime is how long the highest number of parts counts after a VM has counted as many owners. VMs that no longer hear each
-// other may count different ones.
+// partsLifetime is how long the highest number of parts counts after a VM has counted as many owners. VMs that no longer hear
+// each other may count different ones.
 const partsLifetime = time.Minute
 
-// updateParts counts the parts of each limit: as many as this VM, or another one, has counted owners within partsLifetime. counted
-// states whether this VM counts itself although it is a guest.
+// updateParts counts the parts of each limit: as many as this VM, or another one, has counted owners within partsLifetime.
+// counted states whether this VM counts itself although it is a guest.
 func (b *Book) updateParts(f *psfleet.Fleet, counted bool, now time.Time) {
 	parts, hash := 0, uint32(0)
 	if b.heir == "" && (!b.guest || counted || !b.inheritedAt.IsZero()) {
@@ -62,8 +62,8 @@
 	})
 }
 
-// changeParts records a change of the number of parts. How limits are shared depends on it, so that VMs go by the former number for
-// some time, and then by both until all owners do.
+// changeParts records a change of the number of parts. How limits are shared depends on it, so that VMs go by the former number
+// for some time, and then by both until all owners do.
 func (b *Book) changeParts(f *psfleet.Fleet, parts int, now time.Time) {
 	if parts != b.parts {
 		if b.formerParts == 0 && b.stated {
--- a/internal/process/pslease/replay_test.go
+++ b/internal/process/pslease/replay_test.go
@@ -17,7 +17,8 @@
 	// usualRatio and hotRatio are the ratios of demand to rate at usual times, and of a workspace that sends eight times as much.
 	usualRatio = 0.38
 	hotRatio   = 8 * usualRatio
-	// used is the least fraction of a rate that must be granted while callers ask for more, and served that of requests within the rate.
+	// used is the least fraction of a rate that must be granted while callers ask for more, and served that of requests within the
+	// rate.
 	used   = 0.9
 	served = 0.99
 )
@@ -37,8 +38,8 @@
 	return &replay{model: newModel(*modelSeed, vms, w), workspace: w, grants: newGrants([]psconfig.Workspace{w})}
 }
 
-// play plays some time, in which demand returns the requests per second at each VM. It returns the requests and how many of them were
-// granted.
+// play plays some time, in which demand returns the requests per second at each VM. It returns the requests and how many of them
+// were granted.
 func (r *replay) play(d time.Duration, demand func(vm int) float64) (asked, granted int) {
 	for range d / modelStep {
 		for _, v := range r.vms {
@@ -138,8 +139,8 @@
 	}
 }
 
-// TestEachSideOfCutGrantsWholeRate guards against both sides of a cut granting a workspace's whole rate once they have not heard each
-// other for some time. See docs/incidents/each-side-of-a-cut-quota.md.
+// TestEachSideOfCutGrantsWholeRate guards against both sides of a cut granting a workspace's whole rate once they have not heard
+// each other for some time. See docs/incidents/each-side-of-a-cut-quota.md.
 func TestEachSideOfCutGrantsWholeRate(t *testing.T) {
 	t.Parallel()
 	r := newReplay(9, psconfig.Workspace{Name: "trays", Rate: 249, Burst: 249})
@@ -153,8 +154,8 @@
 	r.checkWindows(t)
 }
 
-// TestCutStopsGrowthOfShares guards against refusals within the rate while VMs are cut off from each other: a workspace sends eight
-// times its usual while 29 of 84 VMs, two failure domains and one of a third, don't hear the others for 12 s.
+// TestCutStopsGrowthOfShares guards against refusals within the rate while VMs are cut off from each other: a workspace sends
+// eight times its usual while 29 of 84 VMs, two failure domains and one of a third, don't hear the others for 12 s.
 func TestCutStopsGrowthOfShares(t *testing.T) {
 	t.Parallel()
 	for name, spread := range spreads {
@@ -174,8 +175,8 @@
 	}
 }
 
-// TestFirstCallersFindFloor guards against refusals within the rate in the first seconds of traffic, when VMs know of each other's demands
-// before their own count.
+// TestFirstCallersFindFloor guards against refusals within the rate in the first seconds of traffic, when VMs know of each
+// other's demands before their own count.
 func TestFirstCallersFindFloor(t *testing.T) {
 	t.Parallel()
 	for name, spread := range spreads {
@@ -196,8 +197,8 @@
 
 var suddenWorkspace = psconfig.Workspace{Name: "trays", Rate: 656, Burst: 656}
 
-// TestSuddenOverloadGetsTheRate guards against shares that fall when all VMs get more callers at once, because each VM knows the demands of
-// the others before its own counts.
+// TestSuddenOverloadGetsTheRate guards against shares that fall when all VMs get more callers at once, because each VM knows the
+// demands of the others before its own counts.
 func TestSuddenOverloadGetsTheRate(t *testing.T) {
 	t.Parallel()
 	for _, factor := range []float64{3, 5.7, 11} {
@@ -213,8 +214,8 @@
 	}
 }
 
-// TestRequestsWithinTheRateAreGranted guards against refusals of a workspace that sends half of its rate to many VMs. Each sees four requests
-// a second, so that chance moves its demand.
+// TestRequestsWithinTheRateAreGranted guards against refusals of a workspace that sends half of its rate to many VMs. Each sees
+// four requests a second, so that chance moves its demand.
 func TestRequestsWithinTheRateAreGranted(t *testing.T) {
 	t.Parallel()
 	for name, spread := range spreads {
--- a/internal/process/pslease/restart_test.go
+++ b/internal/process/pslease/restart_test.go
@@ -44,9 +44,9 @@
 	qt.Check(t, refused <= most, qt.IsTrue, qt.Commentf("%s: %.4f refused, %.4f allowed", what, refused, most))
 }
 
-// TestRestartsInTurnRefuseWithinRate guards against refusals within the rate while VMs of a fleet are restarted in turn, VMs are added, the
-// store is slow, and all VMs lose power at once. No group of VMs settled meanwhile when a graceful stop removed a VM from the groups of
-// all others, so that tokens had no owner.
+// TestRestartsInTurnRefuseWithinRate guards against refusals within the rate while VMs of a fleet are restarted in turn, VMs are
+// added, the store is slow, and all VMs lose power at once. No group of VMs settled meanwhile when a graceful stop removed a VM
+// from the groups of all others, so that tokens had no owner.
 func TestRestartsInTurnRefuseWithinRate(t *testing.T) {
 	t.Parallel()
 	for name, w := range map[string]psconfig.Workspace{"split": hotWorkspace, "owned": ownedWorkspace} {
@@ -78,8 +78,8 @@
 	}
 }
 
-// TestRestartedVMUsesItsPart guards against a VM that uses only its last quarter of a rate for seconds after its restart, although no other VM
-// needs more than its own part: it refused half of its callers for 2.5 s.
+// TestRestartedVMUsesItsPart guards against a VM that uses only its last quarter of a rate for seconds after its restart,
+// although no other VM needs more than its own part: it refused half of its callers for 2.5 s.
 func TestRestartedVMUsesItsPart(t *testing.T) {
 	t.Parallel()
 	const (
--- a/internal/process/pslease/upgrade_test.go
+++ b/internal/process/pslease/upgrade_test.go
@@ -112,8 +112,8 @@
 	m.sendReport(v)
 }
 
-// TestUpgradeExceedsLimit guards against VMs of this build and of the one before it that together grant more than a rate, while the VMs
-// are upgraded one after the other.
+// TestUpgradeExceedsLimit guards against VMs of this build and of the one before it that together grant more than a rate, while
+// the VMs are upgraded one after the other.
 func TestUpgradeExceedsLimit(t *testing.T) {
 	t.Parallel()
 	const (
--- a/internal/process/pspause/pause.go
+++ b/internal/process/pspause/pause.go
@@ -1,5 +1,8 @@
 // Package pspause detects that a process did nothing for some time: it was stopped, starved of processor time, or its VM was
-// suspended. Messages may have waited for as long before the process reads them.
+// suspended.
+//
+// Messages that arrived during a pause are read after it and may be as old as the pause is long. Counting them as new would
+// extend the use of leases whose lender has excluded this VM meanwhile, so their ages count from the beginning of the pause.
 package pspause
 
 import "time"
--- a/internal/process/pspause/pause_test.go
+++ b/internal/process/pspause/pause_test.go
@@ -9,8 +9,8 @@
 	"persimmonstep/internal/process/pspause"
 )
 
-// TestMessagesOfPauseCountAsRecent covers a process that is stopped for two seconds, and a VM that is suspended for three. What is
-// read right after that may have arrived when the pause began.
+// TestMessagesOfPauseCountAsRecent covers a process that is stopped for two seconds, and a VM that is suspended for three. What
+// is read right after that may have arrived when the pause began.
 func TestMessagesOfPauseCountAsRecent(t *testing.T) {
 	now, boot := time.Unix(100, 0), time.Duration(0)
 	advance := func(d, suspended time.Duration) {
