psrate, psshare, pstoken, pscontrol: comments on shares and hand-over reworded

Cause: comments that need two readings, a field comment that named another field (psshare.Log), builds named only as "before leases", fields of 7305 whose names no longer say what they hold (known, sharers). Change: comments, and a paragraph on 7305 in docs/EVENTS.md, whose source is psevent's catalogue test; its assertion is as before.

--- a/internal/process/pscontrol/busy_test.go
+++ b/internal/process/pscontrol/busy_test.go
@@ -34,8 +34,8 @@
 	return busy, found
 }
 
-// TestBusyWorkspacesAreExchanged guards against reports without the workspaces that a VM finds busy, against those of other VMs that
-// are lost, and against VMs of an earlier build, which don't name any, that count as finding none.
+// TestBusyWorkspacesAreExchanged guards against reports without the workspaces that a VM finds busy, against those of other VMs
+// that are lost, and against VMs of an earlier build, which don't name any, that count as finding none.
 func TestBusyWorkspacesAreExchanged(t *testing.T) {
 	s := newStore()
 	r := &reports{store: s}
--- a/internal/process/pscontrol/controller.go
+++ b/internal/process/pscontrol/controller.go
@@ -60,7 +60,7 @@
 type TokenSource interface {
 	// Demands returns the rate of callers' requests, in requests per second, by workspace.
 	Demands(now time.Time) map[string]float64
-	// Update goes by the shares of a new snapshot.
+	// Update applies the shares of a new snapshot.
 	Update(s *pssnapshot.Snapshot)
 	// TakeProbe reports whether a probe may be sent to a server.
 	TakeProbe(ctx context.Context, s *pssnapshot.Snapshot, server *psserver.Server) bool
@@ -186,8 +186,8 @@
 const (
 	// holdingTimeout is how long a VM that starts may wait for its share of the fleet's limits.
 	holdingTimeout = time.Second
-	// guestTimeout is how long a VM without a part of its own may wait until it can borrow, while others take callers: as long as
-	// that takes in a fleet of 84 VMs.
+	// guestTimeout is how long a VM without a part of its own may wait until it can borrow, while others take callers. It covers
+	// the time that this takes in a fleet of 84 VMs.
 	guestTimeout = 6 * time.Second
 )
 
@@ -210,8 +210,8 @@
 // first response.
 func (c *Controller) StoreSilence() time.Duration { return c.watcher.Silence() }
 
-// Ready reports whether the VM has the state to serve requests and takes callers. A VM that starts waits a little until it may use
-// its share of the fleet's limits, since it would have to refuse callers within their rates.
+// Ready reports whether the VM has the state to serve requests and takes callers. A VM that starts isn't ready, for a limited
+// time, before it may use its share of the fleet's limits: it would refuse requests within the rates of their workspaces.
 func (c *Controller) Ready() bool {
 	s := c.Snapshot()
 	timeout := holdingTimeout
--- a/internal/process/pscontrol/handover.go
+++ b/internal/process/pscontrol/handover.go
@@ -15,8 +15,8 @@
 	handOverInterval = 50 * time.Millisecond
 )
 
-// HandOver tells the other VMs that this one uses nothing of the fleet's limits any more. It leaves its part to a VM without one, if
-// there is one. The VM must have ended all requests, and ends after that.
+// HandOver tells the other VMs that this one uses nothing of the fleet's limits any more, and leaves its part to a VM without one
+// if there is one. All requests must have ended, and the process must end afterwards.
 func (c *Controller) HandOver(ctx context.Context) {
 	reply := make(chan string, 1)
 	c.enqueue(heirEvent{reply})
--- a/internal/process/psdiscovery/discovery.go
+++ b/internal/process/psdiscovery/discovery.go
@@ -128,8 +128,8 @@
 	}
 }
 
-// PublishHeir publishes that this VM, which ends, has left its part of the fleet's limits to another VM. It fails while this VM is being
-// published, since the grace period doesn't wait for that.
+// PublishHeir publishes that this VM, which ends, has left its part of the fleet's limits to another VM. It fails while this VM
+// is being published, because the grace period is too short to wait for that.
 func (d *Discovery) PublishHeir(ctx context.Context, heir string) error {
 	if !d.writing.TryLock() {
 		return errors.New("publish heir: this VM is being published")
--- a/internal/process/psevent/catalogue_test.go
+++ b/internal/process/psevent/catalogue_test.go
@@ -49,6 +49,9 @@
 "shortage" then has the inputs of the decision; with "beyondUsual", the request would have been sent if its workspace sent its usual
 amount.
 
+In 7305, "known" is the number of parts into which this VM divides the fleet's limits, "sharers" the number of VMs that may use its
+own part, itself included, and "fraction" the sum of the parts that its groups use (docs/design/leases.md).
+
 | number | level | text | fields |
 | --- | --- | --- | --- |
 `)
--- a/internal/process/psevent/steer.go
+++ b/internal/process/psevent/steer.go
@@ -103,8 +103,8 @@
 	// reads the store.
 	ControlStateApplied = Event{7304, hclog.Info, "control state of another VM applied", []string{"vm", "version", "servers", "age"}}
 	// SharesChanged reports into how many parts this VM divides the fleet's limits, how many VMs share its own part with it, and
-	// the fraction of each limit to which the parts add up that it may use together with others. It also names the workspace of
-	// which it has the largest share.
+	// which fraction of each limit its groups may use together. It also names the workspace of which this VM has the largest
+	// share.
 	SharesChanged = Event{7305, hclog.Info, "shares of the fleet's limits changed", []string{"known", "sharers", "fraction", "workspace", "largest"}}
 	// PartLeft reports that this VM, which ends, leaves its part of the fleet's limits to another VM.
 	PartLeft = Event{7306, hclog.Info, "part of the fleet's limits left to another VM", []string{"heir"}}
--- a/internal/process/psfleet/room.go
+++ b/internal/process/psfleet/room.go
@@ -12,12 +12,13 @@
 	maxPeers = 4096
 	// maxReportBytes bounds what the latest reports of all VMs take in memory, in bytes. Those of 2,200 VMs take 1.3 MB.
 	maxReportBytes = 16 << 20
-	// roomInterval is the time after a search for silent VMs that has found none until the next one.
+	// roomInterval is how long no silent VM is searched for after a search has found none.
 	roomInterval = time.Second
 )
 
-// makeRoom reports whether a report may be kept, so that reports of ever other VMs don't take all memory. VMs that weren't heard
-// recently and own no part of the fleet's limits by the store are forgotten for it, the one that is silent longest first.
+// makeRoom reports whether a report may be kept. The bounds guard against reports that name ever new VMs. To make room, VMs that
+// weren't heard recently are forgotten, the one that is silent longest first, except those that were published as owners of a
+// part of the fleet's limits.
 func (f *Fleet) makeRoom(r *psmessage.Report, now time.Time) bool {
 	for {
 		p, found := f.peers[r.VM]
--- a/internal/process/psmessage/build_test.go
+++ b/internal/process/psmessage/build_test.go
@@ -147,7 +147,8 @@
 	}
 }
 
-// requireFeatures fails the test unless a set of features has all of another one. Earlier builds ignore those that they don't know.
+// requireFeatures fails the test unless a set of features has all of another one. Earlier builds ignore those that they don't
+// know.
 func requireFeatures(t *testing.T, path string, want, got any) {
 	t.Helper()
 	all, _ := got.(float64)
--- a/internal/process/psmessage/lease.go
+++ b/internal/process/psmessage/lease.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 )
 
-// Lease is a VM's statement about its part of the fleet's limits, and about the VMs to which it lends that part. Its tags are short
-// because each report carries one.
+// Lease is a VM's statement about its part of the fleet's limits, and about the VMs to which it lends that part. Its tags are
+// short because each report carries one.
 type Lease struct {
 	// Parts is the number of equal parts into which the VM divides each limit, and Owners identifies the VMs that own one, or
 	// may soon own one; 0 if they are those of Group.
--- a/internal/process/psrate/bucket.go
+++ b/internal/process/psrate/bucket.go
@@ -83,8 +83,8 @@
 	return max(0, 1-float64(now.Sub(b.demandAt))/float64(demandWindow))
 }
 
-// Refill adds the tokens since the last refill, by the share of that time, and goes by a share from now on. It must be called with each
-// share that the VM gets: tokens of a share that another VM had in between would be granted twice.
+// Refill adds the tokens since the last refill, by the share of that time, and goes by a share from now on. It must be called
+// with each share that the VM gets: tokens of a share that another VM had in between would be granted twice.
 func (b *Bucket) Refill(l Limit, share float64, now time.Time) {
 	rate := l.Rate * share
 	if b.rate == 0 {
--- a/internal/process/psrate/earlier.go
+++ b/internal/process/psrate/earlier.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// evenRest is the fraction of what no VM needs that is split evenly, for callers that a VM doesn't know of yet. The others follow the
-// needs, as do bursts.
+// evenRest is the fraction of what no VM needs that is split evenly, for callers that a VM doesn't know of yet. The others follow
+// the needs, as do bursts.
 const evenRest = 0.65
 
-// EarlierShare returns the share of a limit for a VM, of a part of its own and of parts that it borrows, as VMs of builds up to
-// 3fc861e divide it. They lend all but FloorShare of their parts, in proportion to demand. own is the VM's demand and total that of all VMs
-// that may borrow, in requests per second. Without any demand, each VM uses its own part.
+// EarlierShare returns a VM's share of a limit as VMs of builds up to 3fc861e divide it: they lend all but FloorShare of their
+// parts, in proportion to demand. ownPart is the VM's own part and borrowed the sum of the parts that it borrows. own is its
+// demand and total that of all VMs that may borrow, in requests per second. Without any demand, each VM uses its own part.
 func EarlierShare(ownPart, borrowed, own, total float64) float64 {
 	if total <= 0 {
 		return ownPart
@@ -19,11 +19,11 @@
 	return FloorShare*ownPart + (1-FloorShare)*(ownPart+borrowed)*own/total
 }
 
-// EarlierShareByNeed returns the share of a rate for a VM with the demand own, among VMs with the demands others, as VMs of builds just
-// before leases divide it. The rate and the demands are in requests per second.
+// EarlierShareByNeed returns the share of a rate for a VM with the demand own, among VMs with the demands others, as VMs of
+// the builds after 3fc861e and before leases divide it. The rate and the demands are in requests per second.
 //
-// While the demands fit into the rate, each VM gets what it needs and a part of the rest. Otherwise no VM gets more than a common bound,
-// and those that need less get that.
+// While the demands fit into the rate, each VM gets what it needs and a part of the rest. Otherwise no VM gets more than a common
+// bound, and those that need less get that.
 func EarlierShareByNeed(rate, own float64, others []float64) float64 {
 	n := float64(len(others) + 1)
 	if rate <= 0 {
--- a/internal/process/psrate/rate_test.go
+++ b/internal/process/psrate/rate_test.go
@@ -53,8 +53,9 @@
 	return &fleet{rate, exchange, make([]float64, vms), make([]psrate.DemandHistory, vms)}
 }
 
-// report records the demand that a VM reports now, and returns the VM's share. It goes on to use its own part for the demand that another one
-// may know, which is one exchange old. VMs lend for demands of others that have lasted for two, and borrow for their own after one more.
+// report records the demand that a VM reports now, and returns the VM's share. It goes on to use its own part for the demand that
+// another one may know, which is one exchange old. VMs lend for demands of others that have lasted for two, and borrow for their
+// own after one more.
 func (f *fleet) report(i int, demand float64, now time.Time) float64 {
 	f.reported[i] = demand
 	f.history[i].Record(demand, now)
@@ -66,8 +67,8 @@
 	return shareOf(f.rate, i, own(f.exchange, now), own(3*f.exchange, now), f.reported, lasting)
 }
 
-// shareOf returns the share of a rate for the i-th of some VMs, which needs its own part for one demand and may borrow for another one. The
-// others have reported theirs, of which lasting are those for which VMs lend.
+// shareOf returns the share of a rate for the i-th of some VMs, which needs its own part for one demand and may borrow for
+// another one. The others have reported theirs, of which lasting are those for which VMs lend.
 func shareOf(rate float64, i int, keeping, borrowing float64, reported, lasting []float64) float64 {
 	terms, needs, spares := psrate.NewTerms([]float64{rate}, []int{len(reported)}), 0.0, 0.0
 	for j, d := range reported {
@@ -196,8 +197,8 @@
 	}
 }
 
-// TestRequestsWithinTheRateAreGranted covers a workspace that sends half of its rate to many VMs. Each sees four requests a second,
-// so that chance moves its demand.
+// TestRequestsWithinTheRateAreGranted covers a workspace that sends half of its rate to many VMs. Each sees four requests a
+// second, so that chance moves its demand.
 func TestRequestsWithinTheRateAreGranted(t *testing.T) {
 	granted, refused := suddenDemand(psrate.Limit{Rate: 656, Burst: 656}, 0.45, 1)
 	n, r := granted.sum(0, simulatedSpan), refused.sum(time.Second, simulatedSpan)
@@ -336,8 +337,8 @@
 	qt.Assert(t, granted, qt.IsFalse)
 }
 
-// TestLentShareFillsBucket guards against a VM that gets back a share that it had lent, and grants the tokens which the borrower has
-// already granted.
+// TestLentShareFillsBucket guards against a VM that gets back a share that it had lent, and grants the tokens which the borrower
+// has already granted.
 func TestLentShareFillsBucket(t *testing.T) {
 	l := psrate.Limit{Rate: 100, Burst: 200}
 	now := time.Unix(1000, 0)
@@ -368,8 +369,8 @@
 	}
 }
 
-// TestVMsWithDifferentRatesExceedLimit guards against shares that add up to more than a rate while some VMs know of its change, or of that of
-// the number of parts, and others don't yet.
+// TestVMsWithDifferentRatesExceedLimit guards against shares that add up to more than a rate while some VMs know of its change,
+// or of that of the number of parts, and others don't yet.
 func TestVMsWithDifferentRatesExceedLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		demands := rapid.SliceOfN(rapid.Float64Range(0, 200), 2, 9).Draw(t, "demands")
--- a/internal/process/psrate/split.go
+++ b/internal/process/psrate/split.go
@@ -15,9 +15,9 @@
 	poolFraction = 0.5
 )
 
-// Terms are those by which VMs lend each other equal parts of a rate. For some time after a change of the rate or of the number of
-// parts, VMs may go by different figures. Each then assumes the lowest for what it takes itself and the highest for what others may
-// take, so that the sum stays within the rate. Needs and spares are in parts.
+// Terms are those by which VMs lend each other equal parts of a rate. For some time after a change of the rate or of the number
+// of parts, VMs may go by different figures. Each then assumes the lowest for what it takes itself and the highest for what
+// others may take, so that the sum stays within the rate. Needs and spares are in parts.
 type Terms struct {
 	// lowRate and highRate bound the rate of one part in requests per second.
 	lowRate, highRate float64
@@ -25,8 +25,8 @@
 	lowPool, highPool float64
 }
 
-// NewTerms returns the terms for all rates in requests per second, and all numbers of parts, by which VMs may go now. Neither list may
-// be empty.
+// NewTerms returns the terms for all rates in requests per second, and all numbers of parts, by which VMs may go now. Neither
+// list may be empty.
 func NewTerms(rates []float64, parts []int) Terms {
 	least, most := float64(slices.Min(parts)), float64(slices.Max(parts))
 	return Terms{
@@ -35,8 +35,8 @@
 	}
 }
 
-// OwnNeed returns how much a VM may count on to need beside its own part. A guest owns none. The demand is in requests per second, as
-// for the other methods.
+// OwnNeed returns how much a VM may count on to need beside its own part. A guest owns none. The demand is in requests per
+// second, as for the other methods.
 func (t Terms) OwnNeed(demand float64, guest bool) float64 { return need(demand/t.highRate, guest) }
 
 // OtherNeed returns how much another VM needs at most beside its own part.
@@ -51,8 +51,8 @@
 // Kept returns how much of its own part a VM may use that can spare some, where the others that may borrow it have needs.
 func (t Terms) Kept(spare, needs float64) float64 { return 1 - spare*min(1, needs/t.lowPool) }
 
-// Borrowed returns how much a VM with a need may use of the spares of its lenders. needs is the sum of the needs of all VMs that may
-// borrow of these, its own included.
+// Borrowed returns how much a VM with a need may use of the spares of its lenders. needs is the sum of the needs of all VMs that
+// may borrow of these, its own included.
 func (t Terms) Borrowed(spares, need, needs float64) float64 {
 	if need <= 0 {
 		return 0
--- a/internal/process/psshare/log.go
+++ b/internal/process/psshare/log.go
@@ -11,15 +11,15 @@
 type Log struct {
 	logger         hclog.Logger
 	parts, members int
-	// fraction is in percent, so that rounding errors cause no lines.
+	// percent is the fraction of each limit that the VM's groups use, in whole percent so that rounding errors cause no lines.
 	percent int
 }
 
 // NewLog returns a log without a line so far.
 func NewLog(l hclog.Logger) *Log { return &Log{logger: l} }
 
-// Record logs what this VM may use, and its largest share of a workspace's rate, if the number of parts, the members of its
-// group or the parts that the group uses have changed.
+// Record logs what this VM may use, and its largest share of a workspace's rate, if the number of parts, the number of members
+// of its group or the sum of the parts that its groups use has changed.
 func (g *Log) Record(h pslease.Holding, shares map[string]float64) {
 	next := Log{g.logger, h.Parts, len(h.Members()), int(h.Total() * 100)}
 	if *g == next {
--- a/internal/process/psshare/peer.go
+++ b/internal/process/psshare/peer.go
@@ -10,12 +10,13 @@
 )
 
 const (
-	// smallSettleTime is how long demands must last in a small fleet until VMs borrow for them. It is the time in which reports arrive, so
-	// that all VMs know of a growth that they have in common, and don't drop their shares because of each other's demands. A longer
-	// time delays the shares of VMs to which callers move.
+	// smallSettleTime is how long demands must last in a small fleet until VMs borrow for them. All reports of a growth that VMs
+	// have in common arrive in that time, so that VMs don't drop their shares because of each other's demands. A longer time
+	// delays the shares of VMs to which callers move.
 	smallSettleTime = 300 * time.Millisecond
-	// largeSettleTime and settleDigests are the same for a large fleet, whose reports arrive in digests: a constant time and a number
-	// of digest intervals. With 2.5 intervals and 0.5 s, VMs of a region with fewer callers had dropped theirs in a second of growth.
+	// largeSettleTime and settleDigests are the same for a large fleet, whose reports arrive in digests: a constant time and a
+	// number of digest intervals. With fewer intervals (2.5 and 0.5 s), VMs of a region with fewer callers drop their shares
+	// during a second of growth.
 	largeSettleTime = 250 * time.Millisecond
 	settleDigests   = 3
 	// deliverySlack allows for the time that a report, or a digest of it, takes to arrive.
@@ -23,7 +24,8 @@
 )
 
 // settleTime returns how long demands must last until VMs borrow for them, for the numbers of parts by which VMs may go: the time
-// that a lender assumes, and the longer one that a borrower waits. A lender uses a share that it has computed for a report interval.
+// that a lender assumes, and the longer one that a borrower waits. A lender uses a share that it has computed for a report
+// interval.
 func settleTime(f *psfleet.Fleet, parts []int) (lender, borrower time.Duration) {
 	return settleTimeOf(slices.Min(parts)), settleTimeOf(slices.Max(parts)) + f.ReportInterval() + deliverySlack
 }
@@ -98,8 +100,8 @@
 	return h.reports[len(h.reports)-1].report.Demands[workspace]
 }
 
-// sustained returns the demand for which another VM may borrow: the lowest one in its reports of some time, since it doesn't borrow
-// for one that has not lasted longer.
+// sustained returns the demand for which another VM may borrow: the lowest one in its reports of some time, since it doesn't
+// borrow for one that has not lasted longer.
 func (s *Shares) sustained(vm, workspace string, span time.Duration, now time.Time) float64 {
 	h, found := s.others[vm]
 	if !found {
--- a/internal/process/psshare/share.go
+++ b/internal/process/psshare/share.go
@@ -143,9 +143,10 @@
 	return own.Own * t.Kept(t.OwnSpare(demand), needs)
 }
 
-// leasedNeeds returns the most that the other members of a group may need by which they use what an earlier process of this VM has lent
-// them. A VM borrows for the lowest of its demands within a time that is longer than span, so that a report that is not older bounds
-// its need. While there is none of each member, or a member goes by another version of the configuration, the needs have no bound.
+// leasedNeeds bounds the sum of the needs for which the other members of a group may use what an earlier process of this VM has
+// lent them. A VM borrows for the lowest of its demands within a time that is longer than span, so a report that is not older
+// than span bounds its need. The sum is unbounded while such a report of a member is missing, or while a member goes by another
+// version of the configuration.
 func leasedNeeds(f *psfleet.Fleet, g pslease.Group, t psrate.Terms, workspace string, version int64, span time.Duration, now time.Time) float64 {
 	needs := 0.0
 	for _, i := range g.Members[1:] {
@@ -163,8 +164,8 @@
 	return needs
 }
 
-// earlierShare returns this VM's share where some VMs are of earlier builds: the lower one of the shares by the rules of these, as a VM
-// doesn't know which of them others go by.
+// earlierShare returns this VM's share where some VMs are of earlier builds: the lower one of the shares by the rules of these,
+// as a VM doesn't know which of them others go by.
 func (s *Shares) earlierShare(f *psfleet.Fleet, h pslease.Holding, w *psconfig.Workspace, now time.Time) float64 {
 	byDemand, byNeed := 0.0, 0.0
 	latest := s.ownDemand(w.Name, 0, now)
@@ -197,7 +198,8 @@
 	return h
 }
 
-// ownDemand returns the lowest demand of a workspace at this VM that another one may know, by reports that are not older than window.
+// ownDemand returns the lowest demand of a workspace at this VM that another one may know, by reports that are not older than
+// window.
 func (s *Shares) ownDemand(workspace string, window time.Duration, now time.Time) float64 {
 	d, found := s.own[workspace]
 	if !found {
--- a/internal/process/psstate/explain.go
+++ b/internal/process/psstate/explain.go
@@ -80,8 +80,8 @@
 	Reason   string  `json:"reason,omitempty"`
 	// RetryAfter is the time after which a rejected caller is asked to retry.
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
-	// Demand is the present demand by priorities. First is what the decision on the request of its class and workspace is based
-	// on that is rejected first when slots are short, Last that on the one that is rejected last.
+	// Demand is the present demand by priorities. Among the requests of the same class and workspace, First is the basis of the
+	// decision on the one that is rejected first when slots are short, and Last that of the one that is rejected last.
 	Demand psshed.Demand     `json:"demand,omitempty"`
 	First  psadmission.Basis `json:"first,omitzero"`
 	Last   psadmission.Basis `json:"last,omitzero"`
--- a/internal/process/pstoken/tokens.go
+++ b/internal/process/pstoken/tokens.go
@@ -79,8 +79,8 @@
 	Logger hclog.Logger
 	// Now returns the current time with a monotonic reading.
 	Now func() time.Time
-	// Background runs what no request waits for, and After the same after some time. They default to a goroutine and a timer; a test
-	// with virtual time replaces both.
+	// Background runs a function for which no request waits, and After runs one after a time. They default to a goroutine and a
+	// timer; a test with virtual time replaces both.
 	Background func(run func())
 	After      func(d time.Duration, run func())
 }
@@ -240,7 +240,8 @@
 	return b
 }
 
-// askOwners requests a token from the primary owner, or from the backup if the primary doesn't answer or no longer owns the tokens.
+// askOwners requests a token from the primary owner, or from the backup if the primary doesn't answer or no longer owns the
+// tokens.
 func (t *Tokens) askOwners(ctx context.Context, s *pssnapshot.Snapshot, primary, backup psmessage.Identity, q psmessage.TokenRequest) (psmessage.TokenResponse, error) {
 	g, err := t.askVM(ctx, s, primary, q)
 	if err == nil && !g.NotOwner {
@@ -306,7 +307,8 @@
 	return grant(b, k.limit(limitOf(w), fraction), q, t.now())
 }
 
-// Update goes by a new snapshot: it fills the buckets by the shares until now, and drops those of tokens that this VM no longer owns.
+// Update applies a new snapshot: it fills the buckets by the shares that held until now, and drops the buckets of tokens that
+// this VM no longer owns.
 func (t *Tokens) Update(s *pssnapshot.Snapshot) {
 	if s.Index == nil {
 		return
@@ -332,8 +334,8 @@
 	})
 }
 
-// demandSteps is the number of steps of one request per second in which demands are reported. Each digit more costs a byte for each
-// workspace in each report.
+// demandSteps is the number of steps of one request per second in which demands are reported. Each digit more costs a byte for
+// each workspace in each report.
 const demandSteps = 10
 
 // Demands returns the demand in requests per second of each workspace with a split rate.
