--- a/internal/connection/psattempt/fuzz_test.go
+++ b/internal/connection/psattempt/fuzz_test.go
@@ -20,8 +20,8 @@
 
 var longBody = strings.Repeat("GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n", 40000)
 
-// FuzzForward reads arbitrary requests as the listener of callers does and writes them as to a server. The server must see exactly one
-// request, with the same method, target and body.
+// FuzzForward reads arbitrary requests as the listener of callers does and writes them as to a server. The server must see
+// exactly one request, with the same method, target and body.
 func FuzzForward(f *testing.F) {
 	for _, text := range []string{
 		"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "POST /%2F?x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
--- a/internal/connection/psinbound/conn.go
+++ b/internal/connection/psinbound/conn.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// overlapBytes are drawn from the budget for each request that runs beside an earlier one, whose response has to be
-	// held until its turn. Without them it waits. It is what is held at most of a response.
+	// overlapBytes is what is held at most of a response until its turn. It is drawn from the budget for each request that runs
+	// beside an earlier one; a request for which it isn't available waits.
 	overlapBytes = 512 << 10
 	// idleMargin and headMargin are added to the limits of time, so that a caller that just keeps them isn't cut off by the
 	// time that its packets travel.
@@ -163,9 +163,9 @@
 	return true
 }
 
-// mayRead reports whether the head of the next request may be read. Nothing is read behind a caller's last one. While the server shuts down, that is so only if no
-// request is in progress: the last response would otherwise never come if the caller always has further requests on the way.
-// The caller holds the mutex.
+// mayRead reports whether the head of the next request may be read. Nothing is read behind a request that its caller states to be
+// the last. While the server shuts down, a head is read only if no request is in progress: there would be no last response to
+// close the connection if the caller always has further requests on the way. The mutex must be held.
 func (c *Conn) mayRead() bool {
 	return c.pipeline.MayRead() && !c.last && (c.pipeline.Len() == 0 || !c.options.Server.IsDraining())
 }
--- a/internal/connection/psproxy/busy_workspace_test.go
+++ b/internal/connection/psproxy/busy_workspace_test.go
@@ -12,8 +12,8 @@
 	"persimmonstep/internal/connection/psbudget"
 )
 
-// TestRequestsOfBusyWorkspaceAreMarked guards against requests of a workspace that other VMs find busy which this VM doesn't mark,
-// and against marks for other workspaces.
+// TestRequestsOfBusyWorkspaceAreMarked guards against requests of a workspace that other VMs find busy which this VM doesn't
+// mark, and against marks for other workspaces.
 func TestRequestsOfBusyWorkspaceAreMarked(t *testing.T) {
 	registry := prometheus.NewRegistry()
 	p, _ := newProxy(t, registry, startBackend(t, respondOK))
--- a/internal/connection/psserve/hostile_test.go
+++ b/internal/connection/psserve/hostile_test.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// TestUnreadResponseAheadOfRequestIsEvicted covers a caller that reads nothing and sends a further request behind a long response.
-// Its connection must count as blocked: it makes room for other connections.
+// TestUnreadResponseAheadOfRequestIsEvicted covers a caller that reads nothing and sends a further request behind a long
+// response. Its connection must count as blocked: it makes room for other connections.
 func TestUnreadResponseAheadOfRequestIsEvicted(t *testing.T) {
 	piece := strings.Repeat("x", 64<<10)
 	var begun, written atomic.Int32
@@ -117,8 +117,8 @@
 	_ = c.Close()
 }
 
-// TestRefusedHeadBehindRunningRequests covers a head that can't be read behind requests that still run: their responses come first,
-// and what follows the head isn't read.
+// TestRefusedHeadBehindRunningRequests covers a head that can't be read behind requests that still run: their responses come
+// first, and what follows the head isn't read.
 func TestRefusedHeadBehindRunningRequests(t *testing.T) {
 	var ran atomic.Int32
 	s := start(t, func(w http.ResponseWriter, r *http.Request) {
@@ -200,8 +200,8 @@
 	eventually(t, "the goroutines end", func() bool { return s.budget.Usage().Accounts == 0 && runtime.NumGoroutine() <= before+16 })
 }
 
-// TestGivenUpRequestLeavesNoGap covers a caller that ends its side of the connection and still reads. The request in the middle is
-// given up at once, and the one behind it completes later: its response must not come in the place of the missing one.
+// TestGivenUpRequestLeavesNoGap covers a caller that ends its side of the connection and still reads. The request in the middle
+// is given up at once, and the one behind it completes later: its response must not come in the place of the missing one.
 func TestGivenUpRequestLeavesNoGap(t *testing.T) {
 	for range 20 {
 		begun, second := make(chan bool, 3), make(chan struct{})
@@ -293,8 +293,8 @@
 	}
 }
 
-// TestRunningRequestIsNotEvicted covers a VM with so little processor time that connections aren't checked in time: a request that
-// waits for a server holds memory and seems to make no progress. Its caller isn't to blame, so that it isn't evicted.
+// TestRunningRequestIsNotEvicted covers a VM with so little processor time that connections aren't checked in time: a request
+// that waits for a server holds memory and seems to make no progress. Its caller isn't to blame, so that it isn't evicted.
 func TestRunningRequestIsNotEvicted(t *testing.T) {
 	var late atomic.Int64
 	budget := psbudget.New(8<<20, func() time.Time { return time.Now().Add(time.Duration(late.Load())) })
@@ -330,8 +330,8 @@
 	qt.Check(t, budget.Usage().Evicted, qt.Equals, int64(0))
 }
 
-// TestNothingRunsBehindLastRequest covers a caller that states which request is its last: what follows isn't run (RFC 9112, section
-// 9.6).
+// TestNothingRunsBehindLastRequest covers a caller that states which request is its last: what follows isn't run (RFC 9112,
+// section 9.6).
 func TestNothingRunsBehindLastRequest(t *testing.T) {
 	var behind atomic.Int32
 	s := start(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/connection/psserve/server.go
+++ b/internal/connection/psserve/server.go
@@ -5,8 +5,8 @@
 // are read slowly, and callers that send further requests before the first response. Everything that a connection holds
 // is drawn from its account of [psbudget].
 //
-// This package accepts connections, bounds their number, has the limits of time enforced and shuts down. Each connection is a
-// [psinbound.Conn].
+// This package accepts connections, bounds their number, has their time limits checked and shuts down. Each connection is a
+// [psinbound.Conn], which decides what to read, run and write.
 package psserve
 
 import (
--- a/internal/request/psplacement/replay_test.go
+++ b/internal/request/psplacement/replay_test.go
@@ -285,9 +285,9 @@
 	qt.Assert(t, psplacement.PreferNear(8, true) > psplacement.PreferNear(4, true), qt.IsTrue)
 }
 
-// TestLateRequestMovesToServerWithFreeCapacity guards against requests that wait in a long queue while other servers are idle, and
-// against moves that cost more than they bring: to a server with a full cache, slots in use or a longer network path, or while
-// most servers have queues.
+// TestLateRequestMovesToServerWithFreeCapacity guards against requests that wait in a long queue while other servers are idle,
+// and against moves that cost more than they bring: to a server with a full cache, slots in use or a longer network path, or
+// while most servers have queues.
 func TestLateRequestMovesToServerWithFreeCapacity(t *testing.T) {
 	r := psplacement.Request{CachedRun: cachedRun, UncachedRun: uncachedRun, MeanRun: cachedRun, Target: target}
 	busy := psplacement.Candidate{Load: 20, Slots: 5, PrimaryHitRate: 0.93, FallbackHitRate: 0.93, CacheableFraction: 1, Score: 9}
--- a/internal/request/psselect/select.go
+++ b/internal/request/psselect/select.go
@@ -239,8 +239,8 @@
 }
 
 // score returns a server's score in the ranking of the request's object. Uploads rank the servers of
-// their failure domain first, so that large bodies stay there, as far as [Request.prefersNear] allows. Downloads rank servers elsewhere as an
-// overflow, so that large responses stay in the failure domain while it has capacity.
+// their failure domain first, so that large bodies stay there, as far as [Request.prefersNear] allows. Downloads rank servers
+// elsewhere as an overflow, so that large responses stay in the failure domain while it has capacity.
 func (r *Request) score(server string, preferred bool) uint64 {
 	v := psplacement.Score(r.Object, server)
 	if r.Route.Kind != psconfig.Upload {
--- a/internal/request/psselect/workspaces_test.go
+++ b/internal/request/psselect/workspaces_test.go
@@ -108,9 +108,9 @@
 	return list
 }
 
-// newWorkspaceLoad returns a load of workspaces, of which classes gives the number by priority. For the last busySpan the load is a
-// multiple of the capacity: the first busy workspaces of the second class send busyFactor times their usual amount, and then all
-// send more or less as far as the multiple requires it.
+// newWorkspaceLoad returns a load of workspaces, of which classes gives the number by priority. For the last busySpan the load is
+// a multiple of the capacity: the first busy workspaces of the second class send busyFactor times their usual amount, and then
+// all send more or less as far as the multiple requires it.
 func newWorkspaceLoad(l load, factor float64, classes []int, busy int) workspaceLoad {
 	v := workspaceLoad{load: l, from: l.span - busySpan}
 	all := 0
--- a/internal/request/psshed/shed_test.go
+++ b/internal/request/psshed/shed_test.go
@@ -124,15 +124,15 @@
 	}
 }
 
-// TestDemandWithoutBusyWorkspaces guards against a demand without requests beyond a usual amount, as that of a state that an earlier
-// release saved, which fails for the first such request.
+// TestDemandWithoutBusyWorkspaces guards against a demand without requests beyond a usual amount, as that of a state that an
+// earlier release saved, which fails for the first such request.
 func TestDemandWithoutBusyWorkspaces(t *testing.T) {
 	d := psshed.Demand{{Fraction: 1, Shorter: make([]float64, 16)}}
 	qt.Assert(t, d.Order(psshed.Request{Slot: time.Second, BeyondUsual: true, Random: 0.9}).Position, qt.Equals, 1.0)
 }
 
-// BenchmarkOrder measures what a request costs: its place in the demand, and the demand with it. With a busy workspace, a fifth of
-// the requests is beyond its usual amount.
+// BenchmarkOrder measures what a request costs: its place in the demand, and the demand with it. With a busy workspace, a fifth
+// of the requests is beyond its usual amount.
 func BenchmarkOrder(b *testing.B) {
 	for name, busy := range map[string]bool{"usual": false, "busy": true} {
 		b.Run(name, func(b *testing.B) {
--- a/internal/request/psusage/peers.go
+++ b/internal/request/psusage/peers.go
@@ -14,10 +14,10 @@
 	peerCleanInterval = time.Second
 	// busyRatio is the ratio to the usual amount from which on a VM reports a workspace as busy.
 	busyRatio = 1.9
-	// minPeerFraction is the fraction of the other VMs, less one that may be misled by chance, from which on requests of a
-	// workspace that they find busy are marked, and fullPeerFraction the one from which on all are. Few VMs of a large fleet
-	// get enough requests to find a workspace busy. The VMs of one failure domain, to which the callers of a workspace have
-	// moved, must not be enough.
+	// minPeerFraction is the fraction of the other VMs that must find a workspace busy before its requests are marked, and
+	// fullPeerFraction the one from which on all are. One VM is left out of the count, because chance may mislead it. The
+	// fractions are low, because few VMs of a large fleet get enough requests to find a workspace busy, but the VMs of one
+	// failure domain of six, to which the callers of a workspace have moved, mark few of its requests elsewhere.
 	minPeerFraction  = 0.15
 	fullPeerFraction = 0.25
 	// peerRequests is the number of requests that a VM expects of a workspace, from which on its own observation outweighs the
--- a/internal/request/psusage/usage_test.go
+++ b/internal/request/psusage/usage_test.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// TestWaveOfAllWorkspacesIsUsual guards against requests that are marked because all callers send more, as when callers of another
-// failure domain come.
+// TestWaveOfAllWorkspacesIsUsual guards against requests that are marked because all callers send more, as when callers of
+// another failure domain come.
 func TestWaveOfAllWorkspacesIsUsual(t *testing.T) {
 	v := newVM(1)
 	v.play(40*second, rates(84, 0.25, 1))
@@ -174,7 +174,8 @@
 }
 
 // TestReportsOfOtherVMsCount guards against VMs that treat a workspace as usual which most others find busy, against a workspace
-// that is marked because one VM is misled by chance, and against reports that count for ever after all other VMs have fallen silent.
+// that is marked because one VM is misled by chance, and against reports that count for ever after all other VMs have fallen
+// silent.
 func TestReportsOfOtherVMsCount(t *testing.T) {
 	v := newVM(1)
 	v.play(5*second, rates(10, 2, 1))
@@ -215,8 +216,8 @@
 	qt.Check(t, v.usage.Amounts(v.now)["0"].Beyond <= 0.1, qt.IsTrue)
 }
 
-// TestBusyWorkspacesAreReported guards against reports that name workspaces as busy which send their usual amount, or omit one that
-// is.
+// TestBusyWorkspacesAreReported guards against reports that name workspaces as busy which send their usual amount, or omit one
+// that is.
 func TestBusyWorkspacesAreReported(t *testing.T) {
 	v := newVM(1)
 	v.play(40*second, rates(10, 2, 1))
