--- a/internal/process/pscli/measure.go
+++ b/internal/process/pscli/measure.go
@@ -23,7 +23,7 @@
 	Firm      string   `help:"Run one firm's size only, such as egg-exchange."`
 	Baseline  bool     `default:"true" negatable:"" help:"Run the baseline policy beside the system's own."`
 	Bound     bool     `default:"true" negatable:"" help:"Compute what a scheduler could serve that knows all arrivals."`
-	Losses    bool     `help:"Show what the requests were lost by that the system didn't serve in target."`
+	Losses    bool     `help:"Show why requests of the system's own run were not served in target."`
 	Seed      uint64   `help:"Draw the load from this seed in place of the scenario's."`
 	JSON      bool     `name:"json" help:"Print JSON."`
 	Plot      string   `help:"Write a plot (SVG) to this file."`
--- a/internal/trial/psbehaviour/behaviour.go
+++ b/internal/trial/psbehaviour/behaviour.go
@@ -1,5 +1,5 @@
-// Package psbehaviour decides what a stand-in for a backend server does with a request: how long it runs, on a machine that may be
-// slow for a time, and which fault of a table of faults it has. It has no clock and no I/O.
+// Package psbehaviour decides what a stand-in for a backend server does with a request: how long it runs, on a machine that may
+// be slow for a time, and which fault of a table of faults it has. It has no clock and no I/O.
 package psbehaviour
 
 import (
--- a/internal/trial/psbound/problem.go
+++ b/internal/trial/psbound/problem.go
@@ -1,4 +1,4 @@
-// Package psbound computes how many requests of an experiment's load a scheduler could serve in target that knows all
+// Package psbound computes how many requests of an experiment's load could be served in target by a scheduler that knows all
 // arrivals, the servers' slots and caches, the slow spells of their machines and the latencies beforehand.
 //
 // [Upper] is a relaxation that no scheduler exceeds, and [Lower] the result of a schedule that keeps to the model. The
@@ -47,10 +47,10 @@
 
 // Request is one request.
 type Request struct {
-	// At is when its caller sends it, Ready when it reaches a VM, Due when its response must leave the VM to be in target, and End when its caller has
-	// left.
+	// At is when its caller sends it, Ready when it reaches a VM, Due when its response must leave the VM to be in target, and End
+	// when the response must leave it to reach the caller before the caller's deadline.
 	At, Ready, Due, End time.Duration
-	// Entitled reports that it is within the rate of its workspace.
+	// Entitled states that it is within the rate of its workspace.
 	Entitled bool
 	// Domain is the index of the caller's failure domain, and Workspace the caller's workspace.
 	Domain    int
--- a/internal/trial/psexperiment/bound.go
+++ b/internal/trial/psexperiment/bound.go
@@ -25,7 +25,7 @@
 	return out
 }
 
-// losses returns what the requests of the run were lost by.
+// losses returns why requests of the run were not served in target.
 func (e *experiment) losses(observations []psload.Observation) *psloss.Summary {
 	var servers []psloss.Server
 	for i, v := range e.topology.Servers {
--- a/internal/trial/psexperiment/policy.go
+++ b/internal/trial/psexperiment/policy.go
@@ -11,7 +11,7 @@
 type Policy struct {
 	// Name identifies the policy in reports.
 	Name string
-	// Losses asks for what requests that were not served in target were lost by.
+	// Losses asks for a summary of why requests were not served in target.
 	Losses bool
 	// targetSource returns where callers get their targets from.
 	targetSource func(e *experiment) psload.TargetSource
--- a/internal/trial/psloss/loss.go
+++ b/internal/trial/psloss/loss.go
@@ -1,4 +1,5 @@
-// Package psloss finds what requests that were not served in target were lost by.
+// Package psloss attributes the requests of a run that were not served in target to causes, such as rejections by reason, queues
+// and uncached runs. It shows where a change of the system could gain something.
 //
 // It joins three records of each request: that of its caller, that of the server that ran it, and the log line of its VM.
 // The time of a late request is split into parts that add up to its latency.
@@ -73,7 +74,7 @@
 	server int
 }
 
-// Summary is what the requests of a run were lost by.
+// Summary is how the requests of a run ended, and why those that were late or rejected were so.
 type Summary struct {
 	// Fates counts requests by how they ended.
 	Fates []Fate `json:"fates"`
@@ -102,14 +103,15 @@
 	Idle       float64 `json:"idle"`
 	Holders    float64 `json:"holders"`
 	IdleHolder int     `json:"idleHolder"`
-	// Wait and MaxWait are the means of the expected wait and of the longest one that was accepted, in milliseconds, at the
-	// mean Overload from 0 to 1, by which Decided of the requests were rejected.
+	// Decided is the number of the requests that were rejected by their expected wait. Wait, MaxWait and Overload are the means
+	// over these of the expected wait and of the longest accepted one, in milliseconds, and of the overload from 0 to 1.
 	Wait     float64 `json:"wait"`
 	MaxWait  float64 `json:"maxWait"`
 	Overload float64 `json:"overload"`
 	Decided  int     `json:"decided"`
-	// ExpectedLoad is the mean load that VMs expected at the servers of served requests, and Load the mean number of other
-	// requests that ran or waited there when they were admitted.
+	// Compared is the number of the requests with a record of their server and of their VM. ExpectedLoad and Load are the means
+	// over these of the load that the VM expected at the server, and of the number of other requests that ran or waited there
+	// when the request was admitted.
 	ExpectedLoad float64 `json:"expectedLoad"`
 	Load         float64 `json:"load"`
 	Compared     int     `json:"compared"`
--- a/internal/trial/psloss/slot.go
+++ b/internal/trial/psloss/slot.go
@@ -67,7 +67,7 @@
 	object  int
 }
 
-// busyTimes are the starts and the ends of a server's runs, each in order of time.
+// busyTimes are the admissions, starts and ends of a server's runs, each in order of time.
 type busyTimes struct {
 	admissions, starts, ends []time.Duration
 }
@@ -78,7 +78,7 @@
 // present returns the number of requests that run or wait at a time.
 func (b *busyTimes) present(at time.Duration) int { return until(b.admissions, at) - until(b.ends, at) }
 
-// until returns the number of times up to a time.
+// until returns how many times of a sorted list are not after a time.
 func until(list []time.Duration, at time.Duration) int {
 	return sort.Search(len(list), func(i int) bool { return list[i] > at })
 }
--- a/internal/trial/psloss/table.go
+++ b/internal/trial/psloss/table.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 )
 
-// Table writes summaries as plain text tables. The title names the run.
+// Table writes the summary as plain text tables. The title names the run.
 func (s *Summary) Table(w io.Writer, title string) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	var priorities []int
--- a/internal/trial/psrequestlog/log.go
+++ b/internal/trial/psrequestlog/log.go
@@ -22,8 +22,8 @@
 	Attempts []time.Duration
 	// Load is the load that the VM expected at the server of the last attempt.
 	Load float64
-	// Wait is the expected wait and MaxWait the longest accepted one at the Overload from 0 to 1, by which it was rejected if
-	// Decided is set.
+	// Decided is set if the request was rejected by its expected wait. Wait is that wait and MaxWait the longest accepted one at
+	// the Overload, which is from 0 to 1.
 	Wait, MaxWait time.Duration
 	Overload      float64
 	Decided       bool
--- a/internal/trial/psresult/result.go
+++ b/internal/trial/psresult/result.go
@@ -42,7 +42,7 @@
 	Routes []RouteResult `json:"routes"`
 	// InTarget counts the requests that were served within the target latency.
 	InTarget InTarget `json:"inTarget"`
-	// Losses is what the others were lost by; nil if that wasn't asked for.
+	// Losses is why the others were not; nil if that wasn't asked for.
 	Losses *psloss.Summary `json:"losses,omitempty"`
 	// WorstServed is the lowest ratio of served to entitled requests over all workspaces.
 	WorstServed float64 `json:"worstServed"`
