--- a/internal/process/pscheck/report.go
+++ b/internal/process/pscheck/report.go
@@ -1,7 +1,7 @@
 // Package pscheck checks the files that operators write before VMs read them: settings, configurations and scenarios.
 //
-// It locates what the packages that decode and judge these files find, and reports the findings of all files by their position, as
-// text or as JSON. It adds no rule of its own except for files that can't be read.
+// It adds the position in the file to what the packages that decode and judge these files find, and prints the findings of each
+// file by position, as text or as JSON. It has no rule of its own except for files that can't be read.
 package pscheck
 
 import (
@@ -108,10 +108,10 @@
 }
 
 // Print prints each finding as a line for people, or as a line of JSON.
-func (r *Report) Print(w io.Writer, lines bool) error {
+func (r *Report) Print(w io.Writer, asJSON bool) error {
 	for _, f := range r.findings {
 		text := f.String()
-		if lines {
+		if asJSON {
 			data, err := json.Marshal(f)
 			if err != nil {
 				return errors.Wrap(err, "encode finding")
--- a/internal/version/pslint/limit.go
+++ b/internal/version/pslint/limit.go
@@ -28,8 +28,8 @@
 // workspace's tokens, begins without any, and this happens with each release.
 const maxFill = time.Hour
 
-// connectionsPerVM is the number of connections that a VM may open to a server however low the server's limit is: one for requests
-// and one for a probe.
+// connectionsPerVM is the number of connections that a VM may open to a server however low the server's limit is: one for
+// requests and one for a probe.
 const connectionsPerVM = 2
 
 // limits reports limits that contradict each other.
