--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -100,7 +100,7 @@
 		n := len(w.servers)
 		s := &server{
 			id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zoneNames[n%len(zoneNames)], address: w.address(100+n, 40),
-			slots: slots, work: work, downFor: 1500 * time.Millisecond, store: w.store, arrived: w.arrived,
+			slots: slots, work: work, downFor: 2500 * time.Millisecond, store: w.store, arrived: w.arrived,
 		}
 		if err := s.start(); err != nil {
 			return err
